Lay out the workspace: vocabulary, settings, HTTP and peer links, record set, view, platform traits

Cause: the parts of the system need common words and borders before they can be built side by side. Ruled out: one crate for all shared code (its users would pull in nng's C build for an id type).

--- /dev/null
+++ b/crates/base/src/id.rs
@@ -0,0 +1,164 @@
+//! Identifiers. Each is a newtype, so that one kind can't be passed for another.
+
+use std::error;
+use std::fmt;
+use std::str;
+use std::sync;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Longest accepted identifier, in bytes.
+pub const MAX_ID_BYTES: usize = 200;
+
+/// Why a text is not an identifier.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum IdError {
+    /// The text is empty.
+    Empty,
+    /// The text is longer than [`MAX_ID_BYTES`].
+    TooLong(usize),
+    /// The text holds a character that identifiers may not hold.
+    BadCharacter(char),
+}
+
+impl fmt::Display for IdError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            IdError::Empty => write!(f, "the identifier is empty; give at least one character"),
+            IdError::TooLong(length) => {
+                write!(f, "the identifier has {length} bytes; shorten it to {MAX_ID_BYTES}")
+            }
+            IdError::BadCharacter(found) => write!(
+                f,
+                "the identifier holds {found:?}; use letters, digits, '-', '_', '.', ':', '/' and '+'"
+            ),
+        }
+    }
+}
+
+impl error::Error for IdError {}
+
+fn check_id(text: &str) -> Result<(), IdError> {
+    if text.is_empty() {
+        return Err(IdError::Empty);
+    }
+    if text.len() > MAX_ID_BYTES {
+        return Err(IdError::TooLong(text.len()));
+    }
+    match text.chars().find(|found| !is_id_character(*found)) {
+        Some(found) => Err(IdError::BadCharacter(found)),
+        None => Ok(()),
+    }
+}
+
+fn is_id_character(found: char) -> bool {
+    found.is_ascii_alphanumeric() || matches!(found, '-' | '_' | '.' | ':' | '/' | '+')
+}
+
+macro_rules! text_id {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+        #[derive(Deserialize, Serialize)]
+        #[serde(try_from = "String", into = "String")]
+        pub struct $name(sync::Arc<str>);
+
+        impl $name {
+            /// The identifier as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+
+        impl str::FromStr for $name {
+            type Err = IdError;
+
+            fn from_str(text: &str) -> Result<Self, IdError> {
+                check_id(text)?;
+                Ok($name(sync::Arc::from(text)))
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = IdError;
+
+            fn try_from(text: String) -> Result<Self, IdError> {
+                text.parse()
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(id: $name) -> String {
+                id.0.as_ref().to_owned()
+            }
+        }
+    };
+}
+
+text_id!(
+    /// A customer of the operators, named by its API key.
+    WorkspaceId
+);
+text_id!(
+    /// A service as callers address it: a model service or a plain service.
+    ServiceId
+);
+text_id!(
+    /// A language model.
+    ModelId
+);
+text_id!(
+    /// An adapter that is loaded on top of a model.
+    AdapterId
+);
+text_id!(
+    /// A version of a model or an adapter.
+    VersionId
+);
+text_id!(
+    /// An availability zone.
+    ZoneId
+);
+text_id!(
+    /// A region: a group of availability zones.
+    RegionId
+);
+text_id!(
+    /// A virtual machine of the cloud.
+    VmId
+);
+text_id!(
+    /// One upstream process that serves requests.
+    ReplicaId
+);
+text_id!(
+    /// One process of this system.
+    DaemonId
+);
+text_id!(
+    /// An accepted request.
+    RequestId
+);
+text_id!(
+    /// The key by which a caller marks repeated sends of one call.
+    IdempotencyKey
+);
+text_id!(
+    /// A record that operators write.
+    RecordId
+);
+text_id!(
+    /// One write to the platform's table; the same id is sent again when the write is retried.
+    WriteId
+);
+text_id!(
+    /// A class of VMs that the cloud offers.
+    VmClass
+);
--- /dev/null
+++ b/crates/httpio/src/guard.rs
@@ -0,0 +1,122 @@
+//! A TCP stream that fails instead of waiting for ever.
+
+use std::future::Future as _;
+use std::io;
+use std::pin;
+use std::task;
+
+use async_std::net;
+use futures_lite::io::AsyncRead;
+use futures_lite::io::AsyncWrite;
+use samphiremoor_base::quantity;
+use samphiremoor_base::time;
+
+/// A stream whose reads and writes end with [`io::ErrorKind::TimedOut`] after a time without progress.
+#[derive(Debug)]
+pub struct GuardedStream {
+    stream: net::TcpStream,
+    read_timeout: time::Millis,
+    write_timeout: time::Millis,
+    allowance: quantity::ByteCount,
+    read_timer: Option<async_io::Timer>,
+    write_timer: Option<async_io::Timer>,
+}
+
+impl GuardedStream {
+    /// Guards a stream with one limit for each direction.
+    pub fn new(
+        stream: net::TcpStream,
+        read_timeout: time::Millis,
+        write_timeout: time::Millis,
+    ) -> Self {
+        GuardedStream {
+            stream,
+            read_timeout,
+            write_timeout,
+            allowance: quantity::ByteCount::new(u64::MAX),
+            read_timer: None,
+            write_timer: None,
+        }
+    }
+
+    /// A second handle that fails with [`io::ErrorKind::FileTooLarge`] after reading `allowance`.
+    pub fn with_allowance(&self, allowance: quantity::ByteCount) -> Self {
+        GuardedStream { allowance, ..self.clone() }
+    }
+
+    /// The stream below.
+    pub fn inner(&self) -> &net::TcpStream {
+        &self.stream
+    }
+}
+
+impl Clone for GuardedStream {
+    fn clone(&self) -> Self {
+        let stream = self.stream.clone();
+        let copy = GuardedStream::new(stream, self.read_timeout, self.write_timeout);
+        GuardedStream { allowance: self.allowance, ..copy }
+    }
+}
+
+/// Passes on a ready result; while pending, fails once the timer has run out.
+fn bounded<T>(
+    polled: task::Poll<io::Result<T>>,
+    timer: &mut Option<async_io::Timer>,
+    limit: time::Millis,
+    cx: &mut task::Context<'_>,
+) -> task::Poll<io::Result<T>> {
+    if polled.is_ready() {
+        *timer = None;
+        return polled;
+    }
+    let timer = timer.get_or_insert_with(|| async_io::Timer::after(limit.to_duration()));
+    match pin::Pin::new(timer).poll(cx) {
+        task::Poll::Ready(_) => task::Poll::Ready(Err(io::ErrorKind::TimedOut.into())),
+        task::Poll::Pending => task::Poll::Pending,
+    }
+}
+
+impl AsyncRead for GuardedStream {
+    fn poll_read(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+        buf: &mut [u8],
+    ) -> task::Poll<io::Result<usize>> {
+        let this = &mut *self;
+        if this.allowance.get() == 0 {
+            return task::Poll::Ready(Err(io::ErrorKind::FileTooLarge.into()));
+        }
+        let polled = pin::Pin::new(&mut this.stream).poll_read(cx, buf);
+        if let task::Poll::Ready(Ok(count)) = &polled {
+            let left = this.allowance.get().saturating_sub(*count as u64);
+            this.allowance = quantity::ByteCount::new(left);
+        }
+        bounded(polled, &mut this.read_timer, this.read_timeout, cx)
+    }
+}
+
+impl AsyncWrite for GuardedStream {
+    fn poll_write(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+        buf: &[u8],
+    ) -> task::Poll<io::Result<usize>> {
+        let this = &mut *self;
+        let polled = pin::Pin::new(&mut this.stream).poll_write(cx, buf);
+        bounded(polled, &mut this.write_timer, this.write_timeout, cx)
+    }
+
+    fn poll_flush(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        pin::Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_close(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        pin::Pin::new(&mut self.stream).poll_close(cx)
+    }
+}
--- /dev/null
+++ b/crates/httpio/src/lib.rs
@@ -0,0 +1,10 @@
+//! HTTP/1.1 shells over async-h1: a server with limits, a client that says what was sent.
+//!
+//! The daemons, the command line and the stand-ins use this crate for all HTTP. It knows nothing
+//! of requests, records or routing.
+
+pub mod body;
+pub mod client;
+pub mod guard;
+pub mod problem;
+pub mod server;
--- /dev/null
+++ b/crates/peers/src/link.rs
@@ -0,0 +1,137 @@
+//! The asking side.
+
+use std::error;
+use std::fmt;
+use std::net;
+use std::sync;
+
+use async_std::channel;
+use samphiremoor_base::event;
+use samphiremoor_base::log_event;
+use samphiremoor_base::time;
+use serde::Serialize;
+use serde::de;
+
+/// Why a message got no answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LinkError {
+    /// The other end can't be reached; it did not get the message.
+    Unreachable,
+    /// No answer came in time on two connections; the other end may have got the message.
+    Silent,
+    /// The message or its answer can't be encoded or decoded.
+    Codec,
+    /// The library failed.
+    Library,
+}
+
+impl fmt::Display for LinkError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            LinkError::Unreachable => "the daemon can't be reached; check its address and process",
+            LinkError::Silent => "the daemon does not answer; it may have got the message",
+            LinkError::Codec => "the message can't be decoded; run the same version on both ends",
+            LinkError::Library => "the messaging library failed; see the log line before",
+        })
+    }
+}
+
+impl error::Error for LinkError {}
+
+/// A connection to one daemon, dialled at the first call and shared by concurrent calls.
+#[derive(Debug)]
+pub struct PeerLink {
+    address: net::SocketAddr,
+    timeout: time::Millis,
+    socket: sync::Mutex<Option<nng::Socket>>,
+}
+
+impl PeerLink {
+    /// A link to the daemon at `address`; an answer is awaited for `timeout` on each connection.
+    pub fn new(address: net::SocketAddr, timeout: time::Millis) -> Self {
+        PeerLink { address, timeout, socket: sync::Mutex::new(None) }
+    }
+
+    /// The other end's address.
+    pub fn address(&self) -> net::SocketAddr {
+        self.address
+    }
+
+    /// Sends a message and awaits its answer.
+    ///
+    /// A silent connection is replaced and the message sent once more, so the other end may get it
+    /// twice: messages must be idempotent.
+    ///
+    /// # Errors
+    ///
+    /// Says whether the other end may have got the message.
+    pub async fn call<Q, A>(&self, question: &Q) -> Result<A, LinkError>
+    where
+        Q: Serialize + Sync,
+        A: de::DeserializeOwned,
+    {
+        let bytes = postcard::to_stdvec(question).map_err(|_| LinkError::Codec)?;
+        let answer = match self.exchange(&bytes).await {
+            Err(LinkError::Silent) => {
+                log_event!(event::LogEvent::PeerSilent, address = self.address);
+                self.exchange(&bytes).await?
+            }
+            settled => settled?,
+        };
+        postcard::from_bytes(&answer).map_err(|_| LinkError::Codec)
+    }
+
+    async fn exchange(&self, bytes: &[u8]) -> Result<Vec<u8>, LinkError> {
+        let socket = self.connected()?;
+        let settled = exchange_on(&socket, bytes, self.timeout).await;
+        if settled.is_err() {
+            self.forget(&socket);
+        }
+        settled
+    }
+
+    fn connected(&self) -> Result<nng::Socket, LinkError> {
+        let mut slot = self.socket.lock().unwrap_or_else(sync::PoisonError::into_inner);
+        if let Some(socket) = slot.as_ref() {
+            return Ok(socket.clone());
+        }
+        let socket = nng::Socket::new(nng::Protocol::Req0).map_err(|_| LinkError::Library)?;
+        socket.dial(&format!("tcp://{}", self.address)).map_err(|_| LinkError::Unreachable)?;
+        *slot = Some(socket.clone());
+        Ok(socket)
+    }
+
+    fn forget(&self, failed: &nng::Socket) {
+        let mut slot = self.socket.lock().unwrap_or_else(sync::PoisonError::into_inner);
+        if slot.as_ref() == Some(failed) {
+            *slot = None;
+        }
+        failed.close();
+    }
+}
+
+async fn exchange_on(
+    socket: &nng::Socket,
+    bytes: &[u8],
+    timeout: time::Millis,
+) -> Result<Vec<u8>, LinkError> {
+    let (sender, receiver) = channel::bounded(1);
+    let context = nng::Context::new(socket).map_err(|_| LinkError::Library)?;
+    let callback_context = context.clone();
+    let aio = nng::Aio::new(move |aio, result| {
+        let settled = match result {
+            nng::AioResult::Send(Ok(())) => match callback_context.recv(&aio) {
+                Ok(()) => return,
+                Err(_) => Err(LinkError::Library),
+            },
+            nng::AioResult::Recv(Ok(message)) => Ok(message.as_slice().to_vec()),
+            _ => Err(LinkError::Silent),
+        };
+        // A full channel means that this exchange is settled already.
+        let _ = sender.try_send(settled);
+    })
+    .map_err(|_| LinkError::Library)?;
+    aio.set_timeout(Some(timeout.to_duration())).map_err(|_| LinkError::Library)?;
+    context.send(&aio, bytes).map_err(|_| LinkError::Library)?;
+    receiver.recv().await.unwrap_or(Err(LinkError::Library))
+}
--- /dev/null
+++ b/crates/peers/tests/exchange.rs
@@ -0,0 +1,63 @@
+//! Exchanges over loopback.
+
+use std::net;
+use std::sync;
+
+use async_std::task;
+use samphiremoor_base::time;
+use samphiremoor_peers::link;
+use samphiremoor_peers::server;
+
+/// Answers each number with its double.
+struct DoublingHandler;
+
+impl server::PeerHandler for DoublingHandler {
+    type Question = u64;
+    type Answer = u64;
+
+    fn answer(&self, question: u64) -> server::AnswerFuture<u64> {
+        Box::pin(async move { question * 2 })
+    }
+}
+
+fn free_address() -> net::SocketAddr {
+    let listener = net::TcpListener::bind("127.0.0.1:0").expect("loopback has free ports");
+    listener.local_addr().expect("the listener has an address")
+}
+
+#[test]
+fn concurrent_calls_get_their_own_answers() {
+    let address = free_address();
+    let handler = sync::Arc::new(DoublingHandler);
+    let _server = server::PeerServer::start(address, handler).expect("the server starts");
+    let link = sync::Arc::new(link::PeerLink::new(address, time::Millis::new(2_000)));
+    let calls: Vec<_> = (0..200_u64)
+        .map(|number| {
+            let link = link.clone();
+            task::spawn(async move { (number, link.call::<u64, u64>(&number).await) })
+        })
+        .collect();
+    for call in calls {
+        let (number, answer) = task::block_on(call);
+        assert_eq!(answer, Ok(number * 2));
+    }
+}
+
+#[test]
+fn absent_daemon_is_unreachable() {
+    let link = link::PeerLink::new(free_address(), time::Millis::new(200));
+    let answer = task::block_on(link.call::<u64, u64>(&1));
+    assert_eq!(answer, Err(link::LinkError::Unreachable));
+}
+
+#[test]
+fn restarted_daemon_is_dialled_anew() {
+    let address = free_address();
+    let handler = sync::Arc::new(DoublingHandler);
+    let first = server::PeerServer::start(address, handler.clone()).expect("the server starts");
+    let link = link::PeerLink::new(address, time::Millis::new(500));
+    assert_eq!(task::block_on(link.call::<u64, u64>(&1)), Ok(2));
+    drop(first);
+    let _second = server::PeerServer::start(address, handler).expect("the server starts again");
+    assert_eq!(task::block_on(link.call::<u64, u64>(&2)), Ok(4));
+}
--- /dev/null
+++ b/xtask/src/run.rs
@@ -0,0 +1,56 @@
+//! Runs external commands and reports how they failed.
+
+use std::error;
+use std::fmt;
+use std::io;
+use std::process;
+
+/// Why a chore failed.
+#[derive(Debug)]
+pub(crate) enum ChoreError {
+    /// The command could not be started.
+    NotStarted { command: String, cause: io::Error },
+    /// The command ended with a failure.
+    Failed { command: String, status: process::ExitStatus },
+}
+
+impl fmt::Display for ChoreError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            ChoreError::NotStarted { command, cause } => {
+                write!(f, "`{command}` can't be started ({cause}); install the program it names")
+            }
+            ChoreError::Failed { command, status } => {
+                write!(f, "`{command}` failed with {status}; its output above says why")
+            }
+        }
+    }
+}
+
+impl error::Error for ChoreError {}
+
+/// Runs a command with inherited output and waits for its success.
+pub(crate) fn run(program: &str, args: &[&str]) -> Result<(), ChoreError> {
+    let text = format!("{program} {}", args.join(" "));
+    eprintln!("$ {text}");
+    let status = process::Command::new(program)
+        .args(args)
+        .stdin(process::Stdio::null())
+        .status()
+        .map_err(|cause| ChoreError::NotStarted { command: text.clone(), cause })?;
+    if status.success() {
+        return Ok(());
+    }
+    Err(ChoreError::Failed { command: text, status })
+}
+
+/// Whether a program can be started with the argument.
+pub(crate) fn is_installed(program: &str, probe: &str) -> bool {
+    process::Command::new(program)
+        .arg(probe)
+        .stdin(process::Stdio::null())
+        .stdout(process::Stdio::null())
+        .stderr(process::Stdio::null())
+        .status()
+        .is_ok()
+}
