--- /dev/null
+++ b/crates/platform/src/memory.rs
@@ -0,0 +1,199 @@
+//! A platform in memory, for tests: the real semantics, and faults on order.
+
+use std::sync;
+use std::sync::atomic;
+
+use async_std::task;
+use async_trait::async_trait;
+use samphiremoor_base::id;
+use samphiremoor_base::time;
+
+use crate::cloud;
+use crate::faults;
+use crate::fleet;
+use crate::rows;
+use crate::table;
+
+/// A table in memory. Clones of one `Arc` share it as daemons share the platform's.
+#[derive(Debug, Default)]
+pub struct MemoryTable {
+    rows: sync::Mutex<rows::RowSet>,
+    faults: sync::Mutex<faults::StoreFaults>,
+    read_count: atomic::AtomicU64,
+    write_count: atomic::AtomicU64,
+}
+
+impl MemoryTable {
+    /// An empty table without faults.
+    pub fn new() -> Self {
+        MemoryTable::default()
+    }
+
+    /// Replaces the faults.
+    pub fn set_faults(&self, faults: faults::StoreFaults) {
+        *lock(&self.faults) = faults;
+    }
+
+    /// Reads and scans so far, refused ones included.
+    pub fn read_count(&self) -> u64 {
+        self.read_count.load(atomic::Ordering::Relaxed)
+    }
+
+    /// Transactions so far, refused ones included.
+    pub fn write_count(&self) -> u64 {
+        self.write_count.load(atomic::Ordering::Relaxed)
+    }
+
+    async fn before_read(&self) -> Result<(), table::PlatformError> {
+        self.read_count.fetch_add(1, atomic::Ordering::Relaxed);
+        let faults = *lock(&self.faults);
+        wait_out(faults.delay).await;
+        if faults.unavailable { Err(unavailable()) } else { Ok(()) }
+    }
+}
+
+#[async_trait]
+impl table::TableStore for MemoryTable {
+    async fn read(
+        &self,
+        key: &table::RowKey,
+    ) -> Result<Option<table::TableRow>, table::PlatformError> {
+        self.before_read().await?;
+        Ok(lock(&self.rows).read(key))
+    }
+
+    async fn scan(
+        &self,
+        prefix: &str,
+        after: Option<&table::RowKey>,
+        limit: usize,
+    ) -> Result<Vec<table::TableRow>, table::PlatformError> {
+        self.before_read().await?;
+        Ok(lock(&self.rows).scan(prefix, after, limit))
+    }
+
+    async fn commit(
+        &self,
+        transaction: &table::TableTransaction,
+    ) -> Result<table::CommitAnswer, table::PlatformError> {
+        self.write_count.fetch_add(1, atomic::Ordering::Relaxed);
+        let delay = lock(&self.faults).delay;
+        wait_out(delay).await;
+        let fate = lock(&self.faults).next_write();
+        match fate {
+            faults::WriteFate::Normal => Ok(lock(&self.rows).commit(transaction)),
+            faults::WriteFate::Refused => Err(unavailable()),
+            faults::WriteFate::RequestLost => Err(answer_lost()),
+            faults::WriteFate::AnswerLost => {
+                lock(&self.rows).commit(transaction);
+                Err(answer_lost())
+            }
+        }
+    }
+}
+
+/// A cloud in memory.
+#[derive(Debug)]
+pub struct MemoryCloud {
+    fleet: sync::Mutex<fleet::VmFleet>,
+    faults: sync::Mutex<faults::StoreFaults>,
+    clock: time::MonotonicClock,
+}
+
+impl MemoryCloud {
+    /// A cloud without VMs whose list is behind by `list_lag`.
+    pub fn new(list_lag: time::Millis) -> Self {
+        MemoryCloud {
+            fleet: sync::Mutex::new(fleet::VmFleet::new(list_lag)),
+            faults: sync::Mutex::new(faults::StoreFaults::default()),
+            clock: time::MonotonicClock::start(),
+        }
+    }
+
+    /// Replaces the faults.
+    pub fn set_faults(&self, faults: faults::StoreFaults) {
+        *lock(&self.faults) = faults;
+    }
+
+    /// Changes the VMs, offers and spare addresses.
+    pub fn change<T>(
+        &self,
+        change: impl FnOnce(&mut fleet::VmFleet, time::MonotonicTime) -> T,
+    ) -> T {
+        change(&mut lock(&self.fleet), self.clock.now())
+    }
+
+    async fn before_read(&self) -> Result<(), table::PlatformError> {
+        let faults = *lock(&self.faults);
+        wait_out(faults.delay).await;
+        if faults.unavailable { Err(unavailable()) } else { Ok(()) }
+    }
+
+    async fn write<T>(
+        &self,
+        change: impl FnOnce(&mut fleet::VmFleet, time::MonotonicTime) -> T,
+    ) -> Result<T, table::PlatformError> {
+        let delay = lock(&self.faults).delay;
+        wait_out(delay).await;
+        let fate = lock(&self.faults).next_write();
+        match fate {
+            faults::WriteFate::Normal => Ok(self.change(change)),
+            faults::WriteFate::Refused => Err(unavailable()),
+            faults::WriteFate::RequestLost => Err(answer_lost()),
+            faults::WriteFate::AnswerLost => {
+                self.change(change);
+                Err(answer_lost())
+            }
+        }
+    }
+}
+
+#[async_trait]
+impl cloud::CloudApi for MemoryCloud {
+    async fn list_vms(&self) -> Result<Vec<cloud::VmEntry>, table::PlatformError> {
+        self.before_read().await?;
+        Ok(self.change(|fleet, now| fleet.list(now)))
+    }
+
+    async fn notices(
+        &self,
+        serial: u64,
+    ) -> Result<Vec<cloud::ReclaimNotice>, table::PlatformError> {
+        self.before_read().await?;
+        Ok(self.change(|fleet, now| fleet.notices(serial, now)))
+    }
+
+    async fn offers(&self) -> Result<Vec<cloud::VmOffer>, table::PlatformError> {
+        self.before_read().await?;
+        Ok(self.change(|fleet, _| fleet.offers().to_vec()))
+    }
+
+    async fn start_vm(
+        &self,
+        start: &cloud::VmStart,
+    ) -> Result<cloud::StartAnswer, table::PlatformError> {
+        self.write(|fleet, now| fleet.start(start, now)).await
+    }
+
+    async fn release_vm(&self, vm: &id::VmId) -> Result<(), table::PlatformError> {
+        self.write(|fleet, now| fleet.release(vm, now)).await
+    }
+}
+
+async fn wait_out(delay: time::Millis) {
+    if delay > time::Millis::default() {
+        task::sleep(delay.to_duration()).await;
+    }
+}
+
+fn unavailable() -> table::PlatformError {
+    table::PlatformError::NotDone(sync::Arc::from("the platform is unavailable"))
+}
+
+fn answer_lost() -> table::PlatformError {
+    table::PlatformError::Unknown(sync::Arc::from("the answer was lost"))
+}
+
+fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/platform/tests/rows.rs
@@ -0,0 +1,109 @@
+//! Transactions against a plain map.
+
+use std::collections;
+use std::sync;
+
+use async_std::task;
+use proptest::prelude::*;
+use proptest::test_runner;
+use samphiremoor_base::testing;
+use samphiremoor_platform::faults;
+use samphiremoor_platform::memory;
+use samphiremoor_platform::rows;
+use samphiremoor_platform::table;
+use samphiremoor_platform::table::TableStore as _;
+
+fn key(number: u8) -> table::RowKey {
+    table::RowKey::new(&format!("row/{number}"))
+}
+
+fn put(number: u8, text: &str) -> table::RowWrite {
+    table::RowWrite::Put(key(number), sync::Arc::from(text))
+}
+
+fn transaction(
+    conditions: Vec<table::RowCondition>,
+    writes: Vec<table::RowWrite>,
+) -> table::TableTransaction {
+    let write_id = "write".parse().expect("the text is an identifier");
+    table::TableTransaction { write_id, conditions, writes }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: test_runner::RngSeed::Fixed(testing::seed()),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn versions_rise_and_refused_transactions_change_nothing(
+        steps in prop::collection::vec((0_u8..4, 0_u8..4, any::<bool>(), any::<bool>()), 1..60)
+    ) {
+        let mut rows = rows::RowSet::default();
+        let mut model = collections::BTreeMap::new();
+        let mut last = None;
+        for (index, (tested, written, wants_absent, deletes)) in steps.into_iter().enumerate() {
+            let condition = match (wants_absent, rows.read(&key(tested))) {
+                (false, Some(row)) => table::RowCondition::VersionIs(key(tested), row.version),
+                _ => table::RowCondition::Absent(key(tested)),
+            };
+            let holds = !wants_absent || !model.contains_key(&key(tested));
+            let write = if deletes {
+                table::RowWrite::Delete(key(written))
+            } else {
+                put(written, &index.to_string())
+            };
+            match rows.commit(&transaction(vec![condition], vec![write])) {
+                table::CommitAnswer::Committed(version) => {
+                    prop_assert!(holds);
+                    prop_assert!(Some(version) > last);
+                    last = Some(version);
+                    if deletes {
+                        model.remove(&key(written));
+                    } else {
+                        model.insert(key(written), index.to_string());
+                    }
+                }
+                table::CommitAnswer::Refused(refused) => {
+                    prop_assert!(!holds);
+                    prop_assert_eq!(refused, key(tested));
+                }
+            }
+            let kept: Vec<_> =
+                rows.scan("row/", None, 10).into_iter().map(|row| row.value.to_string()).collect();
+            let expect: Vec<_> = model.values().cloned().collect();
+            prop_assert_eq!(kept, expect);
+        }
+    }
+}
+
+#[test]
+fn scan_goes_on_after_a_key() {
+    let mut rows = rows::RowSet::default();
+    rows.commit(&transaction(vec![], (0..5).map(|number| put(number, "x")).collect()));
+    let page = rows.scan("row/", Some(&key(1)), 2);
+    let keys: Vec<_> = page.into_iter().map(|row| row.key).collect();
+    assert_eq!(keys, [key(2), key(3)]);
+    assert!(rows.scan("other/", None, 10).is_empty());
+}
+
+fn check_fault(faults: faults::StoreFaults, takes_effect: bool, is_unknown: bool) {
+    let store = memory::MemoryTable::new();
+    store.set_faults(faults);
+    let failure = task::block_on(store.commit(&transaction(vec![], vec![put(0, "x")])))
+        .expect_err("the write has no answer");
+    assert_eq!(matches!(failure, table::PlatformError::Unknown(_)), is_unknown);
+    store.set_faults(faults::StoreFaults::default());
+    let row = task::block_on(store.read(&key(0))).expect("the fault is over");
+    assert_eq!(row.is_some(), takes_effect);
+}
+
+samphiremoor_base::cases! {
+    unavailable_write_is_not_done => check_fault(
+        faults::StoreFaults { unavailable: true, ..Default::default() }, false, false);
+    lost_answer_has_its_effect => check_fault(
+        faults::StoreFaults { lost_answers: 1, ..Default::default() }, true, true);
+    lost_request_has_no_effect => check_fault(
+        faults::StoreFaults { lost_requests: 1, ..Default::default() }, false, true);
+}
