--- a/crates/base/src/time.rs
+++ b/crates/base/src/time.rs
@@ -10,9 +10,7 @@
 use serde::Serialize;
 
 /// A length of time in milliseconds.
-#[derive(
-    Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize,
-)]
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
 #[serde(transparent)]
 pub struct Millis(u64);
 
--- /dev/null
+++ b/crates/claims/src/key.rs
@@ -0,0 +1,50 @@
+//! Keys of calls and their shards.
+
+use std::hash;
+
+use samphiremoor_base::id;
+use samphiremoor_base::quantity;
+use serde::Deserialize;
+use serde::Serialize;
+use siphasher::sip;
+
+/// What makes two sends the same call: the key within a workspace and a service.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
+pub struct CallKey {
+    /// The caller's workspace.
+    pub workspace: id::WorkspaceId,
+    /// The service that is called.
+    pub service: id::ServiceId,
+    /// The caller's key.
+    pub key: id::IdempotencyKey,
+}
+
+/// How keys are split in shards. Every daemon must use the same layout.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct ShardLayout {
+    /// Number of shards; at least 1.
+    pub count: u16,
+    /// Secret of the hash, so that callers can't aim at one shard.
+    pub hash_key: [u64; 2],
+}
+
+impl ShardLayout {
+    /// The shard of a key.
+    pub fn shard_of(&self, key: &CallKey) -> quantity::ShardNumber {
+        let [first, second] = self.hash_key;
+        let mut hasher = sip::SipHasher13::new_with_keys(first, second);
+        hash_text(&mut hasher, key.workspace.as_str());
+        hash_text(&mut hasher, key.service.as_str());
+        hash_text(&mut hasher, key.key.as_str());
+        let place = hash::Hasher::finish(&hasher) % u64::from(self.count.max(1));
+        quantity::ShardNumber::new(u16::try_from(place).expect("the count of shards is a u16"))
+    }
+}
+
+/// Hashes length and bytes, the same on every platform.
+fn hash_text(hasher: &mut sip::SipHasher13, text: &str) {
+    hash::Hasher::write(hasher, &(text.len() as u64).to_le_bytes());
+    hash::Hasher::write(hasher, text.as_bytes());
+}
--- a/crates/routing/src/prefix.rs
+++ b/crates/routing/src/prefix.rs
@@ -8,9 +8,7 @@
 use siphasher::sip;
 
 /// Hash of a block together with all blocks before it.
-#[derive(
-    Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize,
-)]
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
 #[serde(transparent)]
 pub struct PrefixHash(u64);
 
