Serve pipelined requests, bound heads without a line end, dial peers off the traffic threads

Cause: tests of the HTTP server found that the decoder's own buffer swallows a request sent right behind another, that a header section without a line end grows without bound, that an idle connection is told that its message is malformed, and that a dial to a silent host holds a traffic thread. Change: RequestStream cuts a connection into requests and never hands out a byte of the next one; each request has an allowance; the head has a time limit of its own; peers are dialled on the blocking pool under the link's timeout. Ruled out: closing the connection after each request (callers reuse connections); reading single bytes in bodies of known length too (needless work on long prompts). Conclusion: the library's decoder is safe to use behind this stream only.

--- /dev/null
+++ b/crates/httpio/src/framing.rs
@@ -0,0 +1,145 @@
+//! One request's bytes of a connection, and never a byte of the next request.
+//!
+//! The decoder reads through a buffer of its own and drops what that buffer holds when a request
+//! ends. [`RequestStream`] therefore hands out the header section and chunked bodies byte by byte,
+//! and bodies of known length up to that length.
+
+use std::io;
+use std::pin;
+use std::sync;
+use std::task;
+
+use futures_lite::io::AsyncRead;
+use futures_lite::io::AsyncWrite;
+use samphiremoor_base::quantity;
+use samphiremoor_base::time;
+
+use crate::guard;
+
+/// Bytes that are read from the connection at once.
+const BUFFER_BYTES: usize = 8 * 1024;
+
+/// A connection cut into requests. Copies share the connection and its buffer.
+#[derive(Clone, Debug)]
+pub struct RequestStream {
+    shared: sync::Arc<sync::Mutex<SharedState>>,
+    writer: guard::GuardedStream,
+}
+
+#[derive(Debug)]
+struct SharedState {
+    reader: guard::GuardedStream,
+    buffer: Box<[u8]>,
+    start: usize,
+    end: usize,
+    allowance: quantity::ByteCount,
+    body_left: u64,
+    read: u64,
+}
+
+impl RequestStream {
+    /// Wraps a connection.
+    pub fn new(stream: guard::GuardedStream) -> Self {
+        let state = SharedState {
+            reader: stream.clone(),
+            buffer: vec![0; BUFFER_BYTES].into_boxed_slice(),
+            start: 0,
+            end: 0,
+            allowance: quantity::ByteCount::new(0),
+            body_left: 0,
+            read: 0,
+        };
+        RequestStream { shared: sync::Arc::new(sync::Mutex::new(state)), writer: stream }
+    }
+
+    /// Starts the next request, of at most `allowance` bytes.
+    ///
+    /// Reads over the allowance fail with [`io::ErrorKind::FileTooLarge`], pauses longer than
+    /// `read_timeout` with [`io::ErrorKind::TimedOut`].
+    pub fn start_request(&self, allowance: quantity::ByteCount, read_timeout: time::Millis) {
+        let mut state = self.state();
+        state.allowance = allowance;
+        state.body_left = 0;
+        state.read = 0;
+        state.reader.set_read_timeout(read_timeout);
+    }
+
+    /// Starts the request's body; `length` is its size where that is known.
+    pub fn start_body(&self, length: Option<usize>, read_timeout: time::Millis) {
+        let mut state = self.state();
+        state.body_left = length.map_or(0, |length| length as u64);
+        state.reader.set_read_timeout(read_timeout);
+    }
+
+    /// Whether any byte of the present request was read.
+    pub fn has_started(&self) -> bool {
+        self.state().read > 0
+    }
+
+    fn state(&self) -> sync::MutexGuard<'_, SharedState> {
+        self.shared.lock().unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
+
+impl SharedState {
+    fn poll_fill(&mut self, cx: &mut task::Context<'_>) -> task::Poll<io::Result<()>> {
+        if self.start < self.end {
+            return task::Poll::Ready(Ok(()));
+        }
+        let reader = pin::Pin::new(&mut self.reader);
+        let count = futures_lite::ready!(reader.poll_read(cx, &mut self.buffer))?;
+        self.start = 0;
+        self.end = count;
+        task::Poll::Ready(Ok(()))
+    }
+
+    /// Copies what may be handed out now.
+    fn take(&mut self, out: &mut [u8]) -> usize {
+        let allowed = usize::try_from(self.body_left.max(1)).unwrap_or(usize::MAX);
+        let count = (self.end - self.start).min(out.len()).min(allowed);
+        out[..count].copy_from_slice(&self.buffer[self.start..self.start + count]);
+        self.start += count;
+        self.body_left = self.body_left.saturating_sub(count as u64);
+        self.read += count as u64;
+        count
+    }
+}
+
+impl AsyncRead for RequestStream {
+    fn poll_read(
+        self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+        out: &mut [u8],
+    ) -> task::Poll<io::Result<usize>> {
+        let mut state = self.state();
+        if state.read >= state.allowance.get() {
+            return task::Poll::Ready(Err(io::ErrorKind::FileTooLarge.into()));
+        }
+        futures_lite::ready!(state.poll_fill(cx))?;
+        task::Poll::Ready(Ok(state.take(out)))
+    }
+}
+
+impl AsyncWrite for RequestStream {
+    fn poll_write(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+        bytes: &[u8],
+    ) -> task::Poll<io::Result<usize>> {
+        pin::Pin::new(&mut self.writer).poll_write(cx, bytes)
+    }
+
+    fn poll_flush(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        pin::Pin::new(&mut self.writer).poll_flush(cx)
+    }
+
+    fn poll_close(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        pin::Pin::new(&mut self.writer).poll_close(cx)
+    }
+}
--- a/crates/httpio/src/guard.rs
+++ b/crates/httpio/src/guard.rs
@@ -8,7 +8,6 @@
 use async_std::net;
 use futures_lite::io::AsyncRead;
 use futures_lite::io::AsyncWrite;
-use samphiremoor_base::quantity;
 use samphiremoor_base::time;
 
 /// A stream whose reads and writes end with [`io::ErrorKind::TimedOut`] after a time without progress.
@@ -17,7 +16,6 @@
     stream: net::TcpStream,
     read_timeout: time::Millis,
     write_timeout: time::Millis,
-    allowance: quantity::ByteCount,
     read_timer: Option<async_io::Timer>,
     write_timer: Option<async_io::Timer>,
 }
@@ -29,19 +27,13 @@
         read_timeout: time::Millis,
         write_timeout: time::Millis,
     ) -> Self {
-        GuardedStream {
-            stream,
-            read_timeout,
-            write_timeout,
-            allowance: quantity::ByteCount::new(u64::MAX),
-            read_timer: None,
-            write_timer: None,
-        }
+        GuardedStream { stream, read_timeout, write_timeout, read_timer: None, write_timer: None }
     }
 
-    /// A second handle that fails with [`io::ErrorKind::FileTooLarge`] after reading `allowance`.
-    pub fn with_allowance(&self, allowance: quantity::ByteCount) -> Self {
-        GuardedStream { allowance, ..self.clone() }
+    /// Changes the time that a read may wait for progress.
+    pub fn set_read_timeout(&mut self, limit: time::Millis) {
+        self.read_timeout = limit;
+        self.read_timer = None;
     }
 
     /// The stream below.
@@ -53,8 +45,7 @@
 impl Clone for GuardedStream {
     fn clone(&self) -> Self {
         let stream = self.stream.clone();
-        let copy = GuardedStream::new(stream, self.read_timeout, self.write_timeout);
-        GuardedStream { allowance: self.allowance, ..copy }
+        GuardedStream::new(stream, self.read_timeout, self.write_timeout)
     }
 }
 
@@ -83,14 +74,7 @@
         buf: &mut [u8],
     ) -> task::Poll<io::Result<usize>> {
         let this = &mut *self;
-        if this.allowance.get() == 0 {
-            return task::Poll::Ready(Err(io::ErrorKind::FileTooLarge.into()));
-        }
         let polled = pin::Pin::new(&mut this.stream).poll_read(cx, buf);
-        if let task::Poll::Ready(Ok(count)) = &polled {
-            let left = this.allowance.get().saturating_sub(*count as u64);
-            this.allowance = quantity::ByteCount::new(left);
-        }
         bounded(polled, &mut this.read_timer, this.read_timeout, cx)
     }
 }
--- a/crates/httpio/src/lib.rs
+++ b/crates/httpio/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod body;
 pub mod client;
+pub mod framing;
 pub mod guard;
 pub mod problem;
 pub mod server;
--- a/crates/httpio/src/server.rs
+++ b/crates/httpio/src/server.rs
@@ -19,6 +19,7 @@
 use samphiremoor_base::reason;
 use samphiremoor_base::time;
 
+use crate::framing;
 use crate::guard;
 use crate::problem;
 
@@ -162,27 +163,21 @@
 ) {
     // Without this small writes wait for the acknowledgement of the one before.
     let _ = stream.inner().set_nodelay(true);
+    let requests = framing::RequestStream::new(stream.clone());
     while !stop.is_given() {
-        let decoding = async_h1::server::decode(stream.with_allowance(limits.max_request));
-        let deadline = limits.head_timeout.to_duration();
-        let decoded = future::timeout(deadline, decoding);
-        let stopping = async {
-            stop.given().await;
-            Ok(Ok(None))
-        };
-        let (request, body_rest) = match decoded.or(stopping).await {
-            Ok(Ok(Some(decoded))) => decoded,
-            Ok(Ok(None)) | Err(_) => return,
-            Ok(Err(cause)) => {
-                let reason = refusal_of(&cause);
+        let decoded = match next_request(&requests, limits, &stop).await {
+            Ok(Some(decoded)) => decoded,
+            Ok(None) => return,
+            Err(reason) => {
                 handler.refused(reason);
-                return refuse(stream, malformed(reason)).await;
+                return refuse(stream, unreadable(reason)).await;
             }
         };
+        let DecodedRequest { request, body_rest } = decoded;
+        requests.start_body(request.len(), limits.read_timeout);
         let closes = request
             .header("connection")
-            .is_some_and(|value| value.as_str().eq_ignore_ascii_case("close"))
-            || request.version() == Some(http_types::Version::Http1_0);
+            .is_some_and(|value| value.as_str().eq_ignore_ascii_case("close"));
         let method = request.method();
         let response = handler.handle(request).await;
         if write_response(stream.clone(), response, method).await.is_err() || closes {
@@ -195,6 +190,39 @@
     }
 }
 
+/// A decoded request and its body's reader, which outlives the handler.
+struct DecodedRequest {
+    request: Request,
+    body_rest: Box<dyn io::Read + Send + Unpin>,
+}
+
+/// Decodes the next request; `None` where the caller or the server ends the connection.
+async fn next_request(
+    requests: &framing::RequestStream,
+    limits: ServerLimits,
+    stop: &StopSignal,
+) -> Result<Option<DecodedRequest>, reason::RefusalReason> {
+    requests.start_request(limits.max_request, limits.head_timeout);
+    let decoding = async_h1::server::decode(requests.clone());
+    let decoded = future::timeout(limits.head_timeout.to_duration(), decoding);
+    let stopping = async {
+        stop.given().await;
+        Ok(Ok(None))
+    };
+    match decoded.or(stopping).await {
+        Ok(Ok(Some((request, body)))) => {
+            Ok(Some(DecodedRequest { request, body_rest: Box::new(body) }))
+        }
+        Ok(Ok(None)) => Ok(None),
+        Ok(Err(cause)) => match refusal_of(&cause) {
+            reason::RefusalReason::SlowCaller if !requests.has_started() => Ok(None),
+            reason => Err(reason),
+        },
+        Err(_) if requests.has_started() => Err(reason::RefusalReason::SlowCaller),
+        Err(_) => Ok(None),
+    }
+}
+
 /// Reads at most a little of what the handler left of the body; true where more remains.
 async fn has_unread_body(mut rest: impl io::Read + Unpin) -> bool {
     const DRAIN_LIMIT_BYTES: u64 = 64 * 1024;
@@ -222,29 +250,31 @@
 }
 
 fn refusal_of(cause: &http_types::Error) -> reason::RefusalReason {
-    let kind = cause.downcast_ref::<std::io::Error>().map(std::io::Error::kind);
-    // The decoder reports a head over its own limit only through this text.
-    if kind == Some(std::io::ErrorKind::FileTooLarge)
-        || cause.to_string().contains("Head byte length")
-    {
-        return reason::RefusalReason::TooLarge;
+    match cause.downcast_ref::<std::io::Error>().map(std::io::Error::kind) {
+        Some(std::io::ErrorKind::FileTooLarge) => reason::RefusalReason::TooLarge,
+        Some(std::io::ErrorKind::TimedOut) => reason::RefusalReason::SlowCaller,
+        // The decoder reports a head over its own limit only through this text.
+        _ if cause.to_string().contains("Head byte length") => reason::RefusalReason::TooLarge,
+        _ => reason::RefusalReason::MalformedHttp,
     }
-    reason::RefusalReason::MalformedHttp
 }
 
-fn malformed(reason: reason::RefusalReason) -> problem::CallProblem {
-    match reason {
-        reason::RefusalReason::TooLarge => problem::CallProblem::not_run(
+fn unreadable(reason: reason::RefusalReason) -> problem::CallProblem {
+    let (status, detail) = match reason {
+        reason::RefusalReason::TooLarge => (
             StatusCode::RequestHeaderFieldsTooLarge,
-            reason,
             "the header section exceeds 8 KiB; send shorter headers",
         ),
-        _ => problem::CallProblem::not_run(
+        reason::RefusalReason::SlowCaller => (
+            StatusCode::RequestTimeout,
+            "the header section came too slowly; send it without pauses",
+        ),
+        _ => (
             StatusCode::BadRequest,
-            reason,
             "the message is not HTTP/1.1; check the request line and the headers",
         ),
-    }
+    };
+    problem::CallProblem::not_run(status, reason, detail)
 }
 
 fn too_many_connections() -> problem::CallProblem {
--- a/crates/peers/src/link.rs
+++ b/crates/peers/src/link.rs
@@ -6,6 +6,8 @@
 use std::sync;
 
 use async_std::channel;
+use async_std::future;
+use async_std::task;
 use samphiremoor_base::event;
 use samphiremoor_base::log_event;
 use samphiremoor_base::time;
@@ -82,7 +84,7 @@
     }
 
     async fn exchange(&self, bytes: &[u8]) -> Result<Vec<u8>, LinkError> {
-        let socket = self.connected()?;
+        let socket = self.connected().await?;
         let settled = exchange_on(&socket, bytes, self.timeout).await;
         if settled.is_err() {
             self.forget(&socket);
@@ -90,19 +92,27 @@
         settled
     }
 
-    fn connected(&self) -> Result<nng::Socket, LinkError> {
-        let mut slot = self.socket.lock().unwrap_or_else(sync::PoisonError::into_inner);
-        if let Some(socket) = slot.as_ref() {
+    async fn connected(&self) -> Result<nng::Socket, LinkError> {
+        if let Some(socket) = self.slot().as_ref() {
             return Ok(socket.clone());
         }
-        let socket = nng::Socket::new(nng::Protocol::Req0).map_err(|_| LinkError::Library)?;
-        socket.dial(&format!("tcp://{}", self.address)).map_err(|_| LinkError::Unreachable)?;
-        *slot = Some(socket.clone());
-        Ok(socket)
+        let dialling = task::spawn_blocking({
+            let address = self.address;
+            move || dial(address)
+        });
+        // The library's own limit for a host that drops packets is minutes long.
+        let dialled = future::timeout(self.timeout.to_duration(), dialling).await;
+        let fresh = dialled.map_err(|_| LinkError::Unreachable)??;
+        // A concurrent call may have dialled too; the first connection serves both.
+        Ok(self.slot().get_or_insert(fresh).clone())
+    }
+
+    fn slot(&self) -> sync::MutexGuard<'_, Option<nng::Socket>> {
+        self.socket.lock().unwrap_or_else(sync::PoisonError::into_inner)
     }
 
     fn forget(&self, failed: &nng::Socket) {
-        let mut slot = self.socket.lock().unwrap_or_else(sync::PoisonError::into_inner);
+        let mut slot = self.slot();
         if slot.as_ref() == Some(failed) {
             *slot = None;
         }
@@ -110,6 +120,12 @@
     }
 }
 
+fn dial(address: net::SocketAddr) -> Result<nng::Socket, LinkError> {
+    let socket = nng::Socket::new(nng::Protocol::Req0).map_err(|_| LinkError::Library)?;
+    socket.dial(&format!("tcp://{address}")).map_err(|_| LinkError::Unreachable)?;
+    Ok(socket)
+}
+
 async fn exchange_on(
     socket: &nng::Socket,
     bytes: &[u8],
--- a/crates/peers/tests/exchange.rs
+++ b/crates/peers/tests/exchange.rs
@@ -61,3 +61,24 @@
     let _second = server::PeerServer::start(address, handler).expect("the server starts again");
     assert_eq!(task::block_on(link.call::<u64, u64>(&2)), Ok(4));
 }
+
+#[test]
+fn dead_end_is_reported_as_silent() {
+    // A listener that never speaks: the connection stands and nothing comes back.
+    let listener = net::TcpListener::bind("127.0.0.1:0").expect("loopback has free ports");
+    let address = listener.local_addr().expect("the listener has an address");
+    let link = link::PeerLink::new(address, time::Millis::new(200));
+    let answer = task::block_on(link.call::<u64, u64>(&1));
+    assert!(matches!(answer, Err(link::LinkError::Silent | link::LinkError::Unreachable)));
+}
+
+#[test]
+fn undecodable_message_is_not_answered_and_harms_nothing() {
+    let address = free_address();
+    let handler = sync::Arc::new(DoublingHandler);
+    let _server = server::PeerServer::start(address, handler).expect("the server starts");
+    let link = link::PeerLink::new(address, time::Millis::new(200));
+    let garbled = task::block_on(link.call::<(), u64>(&()));
+    assert_eq!(garbled, Err(link::LinkError::Silent));
+    assert_eq!(task::block_on(link.call::<u64, u64>(&4)), Ok(8));
+}
