--- /dev/null
+++ b/crates/records/src/v1.rs
@@ -0,0 +1,220 @@
+//! Schema version 1: flat records.
+
+use samphiremoor_base::digest;
+use samphiremoor_base::id;
+use samphiremoor_base::quantity;
+use samphiremoor_base::time;
+use serde::Deserialize;
+use serde::Serialize;
+use smallvec::SmallVec;
+
+use crate::set;
+
+/// A record file of schema version 1.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct FileWire {
+    /// The schema version.
+    pub schema: u32,
+    /// Workspaces.
+    #[serde(default, rename = "workspace", skip_serializing_if = "Vec::is_empty")]
+    pub workspaces: Vec<WorkspaceWire>,
+    /// Services.
+    #[serde(default, rename = "service", skip_serializing_if = "Vec::is_empty")]
+    pub services: Vec<ServiceWire>,
+    /// Pools.
+    #[serde(default, rename = "pool", skip_serializing_if = "Vec::is_empty")]
+    pub pools: Vec<PoolWire>,
+}
+
+/// A workspace.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct WorkspaceWire {
+    /// The workspace.
+    pub id: id::WorkspaceId,
+    /// SHA-256 digest of the API key.
+    pub key_digest: digest::HexDigest,
+    /// Services that it may call.
+    pub services: Vec<id::ServiceId>,
+    /// Assured share of the capacity in thousandths.
+    pub share: quantity::PerMille,
+    /// Requests in progress at one entry daemon.
+    pub max_in_progress: u32,
+}
+
+/// A service; without `model` it is a plain service.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ServiceWire {
+    /// The service.
+    pub id: id::ServiceId,
+    /// The model, for a model service.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub model: Option<id::ModelId>,
+    /// The model's version, for a model service.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub version: Option<id::VersionId>,
+    /// The adapter, where there is one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub adapter: Option<id::AdapterId>,
+    /// Priority; a smaller number is more urgent.
+    pub priority: quantity::PriorityLevel,
+    /// Time to the first token or to the answer, in milliseconds.
+    pub first_ms: time::Millis,
+    /// Time between two tokens in milliseconds; 0 for a plain service.
+    #[serde(default)]
+    pub between_ms: time::Millis,
+    /// Deadline where the caller sets none, in milliseconds.
+    pub deadline_ms: time::Millis,
+    /// Weight of cost.
+    pub cost_weight: quantity::PerMille,
+    /// Weight of recomputed tokens.
+    pub recomputed_weight: quantity::PerMille,
+    /// Whether a call may run more than once.
+    pub repeatable: bool,
+}
+
+/// A pool of upstreams.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct PoolWire {
+    /// The pool.
+    pub id: id::RecordId,
+    /// Services of its upstreams.
+    pub services: Vec<id::ServiceId>,
+    /// Availability zones.
+    pub zones: Vec<id::ZoneId>,
+    /// VM classes in order of preference.
+    pub classes: Vec<id::VmClass>,
+    /// Least number of replicas.
+    pub min_replicas: u32,
+    /// Greatest number of replicas.
+    pub max_replicas: u32,
+    /// Requests that one replica serves at the same time.
+    pub concurrency: u32,
+    /// Whether its upstreams refuse an old fencing number.
+    pub checks_fencing: bool,
+}
+
+impl From<WorkspaceWire> for set::WorkspaceRecord {
+    fn from(wire: WorkspaceWire) -> Self {
+        set::WorkspaceRecord {
+            id: wire.id,
+            key_digest: wire.key_digest,
+            services: SmallVec::from_vec(wire.services),
+            share: wire.share,
+            max_in_progress: wire.max_in_progress,
+        }
+    }
+}
+
+impl From<&set::WorkspaceRecord> for WorkspaceWire {
+    fn from(record: &set::WorkspaceRecord) -> Self {
+        WorkspaceWire {
+            id: record.id.clone(),
+            key_digest: record.key_digest.clone(),
+            services: record.services.to_vec(),
+            share: record.share,
+            max_in_progress: record.max_in_progress,
+        }
+    }
+}
+
+/// A service names only some of the fields that name a model.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct TargetError(pub id::ServiceId);
+
+impl std::fmt::Display for TargetError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(
+            f,
+            "service {}: give model and version together, or neither of them nor an adapter for a \
+             plain service",
+            self.0
+        )
+    }
+}
+
+impl std::error::Error for TargetError {}
+
+impl TryFrom<ServiceWire> for set::ServiceRecord {
+    type Error = TargetError;
+
+    fn try_from(wire: ServiceWire) -> Result<Self, TargetError> {
+        let target = match (wire.model, wire.version, wire.adapter) {
+            (Some(model), Some(version), adapter) => {
+                set::ServiceTarget::Model(set::LoadedModel { model, version, adapter })
+            }
+            (None, None, None) => set::ServiceTarget::Plain,
+            _ => return Err(TargetError(wire.id)),
+        };
+        Ok(set::ServiceRecord {
+            id: wire.id,
+            target,
+            priority: wire.priority,
+            latency: set::LatencyTarget {
+                first: wire.first_ms,
+                between: wire.between_ms,
+                deadline: wire.deadline_ms,
+            },
+            weights: set::GoalWeights {
+                cost: wire.cost_weight,
+                recomputed: wire.recomputed_weight,
+            },
+            repeatable: wire.repeatable,
+        })
+    }
+}
+
+impl From<&set::ServiceRecord> for ServiceWire {
+    fn from(record: &set::ServiceRecord) -> Self {
+        let loaded = match &record.target {
+            set::ServiceTarget::Model(loaded) => Some(loaded.clone()),
+            set::ServiceTarget::Plain => None,
+        };
+        ServiceWire {
+            id: record.id.clone(),
+            model: loaded.as_ref().map(|loaded| loaded.model.clone()),
+            version: loaded.as_ref().map(|loaded| loaded.version.clone()),
+            adapter: loaded.and_then(|loaded| loaded.adapter),
+            priority: record.priority,
+            first_ms: record.latency.first,
+            between_ms: record.latency.between,
+            deadline_ms: record.latency.deadline,
+            cost_weight: record.weights.cost,
+            recomputed_weight: record.weights.recomputed,
+            repeatable: record.repeatable,
+        }
+    }
+}
+
+impl From<PoolWire> for set::PoolRecord {
+    fn from(wire: PoolWire) -> Self {
+        set::PoolRecord {
+            id: wire.id,
+            services: SmallVec::from_vec(wire.services),
+            zones: SmallVec::from_vec(wire.zones),
+            classes: SmallVec::from_vec(wire.classes),
+            min_replicas: wire.min_replicas,
+            max_replicas: wire.max_replicas,
+            concurrency: wire.concurrency,
+            checks_fencing: wire.checks_fencing,
+        }
+    }
+}
+
+impl From<&set::PoolRecord> for PoolWire {
+    fn from(record: &set::PoolRecord) -> Self {
+        PoolWire {
+            id: record.id.clone(),
+            services: record.services.to_vec(),
+            zones: record.zones.to_vec(),
+            classes: record.classes.to_vec(),
+            min_replicas: record.min_replicas,
+            max_replicas: record.max_replicas,
+            concurrency: record.concurrency,
+            checks_fencing: record.checks_fencing,
+        }
+    }
+}
