Stand in for the platform with table, VMs, rates, outages and cut zones

Change: `standin` holds what all stand-ins share (program start, JSON answers, faults on order); `standin-platform` serves the state of the platform in memory over HTTP. An address for each zone can be cut off, so that one zone loses the platform while the others keep it. httpio's server closes the connection in place of an answer with the extension `HangUp`, which shows a lost answer as the wire does.

Ruled out: a started VM at an invented address; without a spare process the start is refused, as by a cloud without capacity.

Conclusion: the crate's 10 tests pass over loopback; no rate was measured.

--- a/crates/httpio/src/server.rs
+++ b/crates/httpio/src/server.rs
@@ -62,6 +62,10 @@
     }
 }
 
+/// Extension of an answer that is not sent: the connection is closed in its place.
+#[derive(Clone, Copy, Debug)]
+pub struct HangUp;
+
 /// Tells servers to take no new connections.
 #[derive(Clone, Debug)]
 pub struct StopSignal {
@@ -180,6 +184,9 @@
             .is_some_and(|value| value.as_str().eq_ignore_ascii_case("close"));
         let method = request.method();
         let response = handler.handle(request).await;
+        if response.ext().get::<HangUp>().is_some() {
+            return;
+        }
         if write_response(stream.clone(), response, method).await.is_err() || closes {
             return;
         }
--- /dev/null
+++ b/crates/standin-platform/src/handler.rs
@@ -0,0 +1,310 @@
+//! Answers the platform's calls.
+
+use std::collections;
+use std::sync;
+
+use async_std::task;
+use async_trait::async_trait;
+use http_types::Method;
+use http_types::Request;
+use http_types::Response;
+use http_types::StatusCode;
+use samphiremoor_base::id;
+use samphiremoor_base::time;
+use samphiremoor_httpio::server;
+use samphiremoor_platform::cloud;
+use samphiremoor_platform::cloud::CloudApi as _;
+use samphiremoor_platform::fleet;
+use samphiremoor_platform::memory;
+use samphiremoor_platform::table;
+use samphiremoor_platform::table::TableStore as _;
+use samphiremoor_standin::answer;
+use samphiremoor_standin::fault;
+use samphiremoor_standin::program;
+use serde::Serialize;
+
+use crate::control;
+use crate::rate;
+use crate::settings;
+
+/// Rows that a scan gives where the call names no limit.
+const DEFAULT_SCAN_LIMIT: usize = 1_000;
+
+/// Everything that the platform keeps.
+pub struct PlatformState {
+    table: memory::MemoryTable,
+    cloud: memory::MemoryCloud,
+    clock: time::MonotonicClock,
+    calls: program::CallCounter,
+    shared: sync::Mutex<SharedState>,
+}
+
+struct SharedState {
+    objects: collections::BTreeMap<String, Vec<u8>>,
+    faults: control::PlatformFaults,
+    writes: rate::RateLimit,
+    reads: rate::RateLimit,
+    weights: rate::BandwidthQueue,
+    rate_refusals: u64,
+}
+
+impl PlatformState {
+    /// The platform as the settings describe it.
+    pub fn new(settings: &settings::PlatformSettings, calls: program::CallCounter) -> Self {
+        let cloud = memory::MemoryCloud::new(settings.list_lag);
+        cloud.change(|fleet, now| {
+            settings.vms.iter().for_each(|entry| fleet.put(entry.clone(), now));
+            settings.spares.iter().for_each(|spare| fleet.add_spare(spare.clone()));
+            fleet.set_offers(settings.offers.clone());
+        });
+        let limits = settings.limits;
+        let shared = SharedState {
+            objects: collections::BTreeMap::new(),
+            faults: control::PlatformFaults::default(),
+            writes: rate::RateLimit::new(limits.writes_per_second),
+            reads: rate::RateLimit::new(limits.reads_per_second),
+            weights: rate::BandwidthQueue::new(limits.weight_bytes_per_second),
+            rate_refusals: 0,
+        };
+        PlatformState {
+            table: memory::MemoryTable::new(),
+            cloud,
+            clock: time::MonotonicClock::start(),
+            calls,
+            shared: sync::Mutex::new(shared),
+        }
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, SharedState> {
+        self.shared.lock().unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    fn is_cut(&self, zone: Option<&id::ZoneId>) -> bool {
+        zone.is_some_and(|zone| self.lock().faults.cut_zones.contains(zone))
+    }
+
+    fn admit_read(&self) -> Result<(), answer::CallRefusal> {
+        let now = self.clock.now();
+        let mut shared = self.lock();
+        let admits = shared.reads.admit(now);
+        shared.settle_admission(admits)
+    }
+
+    fn admit_write(&self) -> Result<(), answer::CallRefusal> {
+        let now = self.clock.now();
+        let mut shared = self.lock();
+        let admits = shared.writes.admit(now);
+        shared.settle_admission(admits)
+    }
+
+    fn set_faults(&self, faults: control::PlatformFaults) {
+        self.table.set_faults(faults.table);
+        self.cloud.set_faults(faults.cloud);
+        self.cloud.change(|fleet, _| fleet.refuse_starts(faults.refuse_starts));
+        self.lock().faults = faults;
+    }
+
+    fn counts(&self) -> control::PlatformCounts {
+        control::PlatformCounts {
+            reads: self.table.read_count(),
+            writes: self.table.write_count(),
+            rate_refusals: self.lock().rate_refusals,
+        }
+    }
+}
+
+impl SharedState {
+    fn settle_admission(&mut self, admits: bool) -> Result<(), answer::CallRefusal> {
+        if admits {
+            return Ok(());
+        }
+        self.rate_refusals += 1;
+        let detail = "over the rate limit; call less often";
+        Err(answer::CallRefusal::new(StatusCode::TooManyRequests, detail))
+    }
+}
+
+/// Answers calls at one address.
+pub struct PlatformHandler {
+    state: sync::Arc<PlatformState>,
+    zone: Option<id::ZoneId>,
+}
+
+impl PlatformHandler {
+    /// A handler for callers of the zone, or for callers that are never cut off.
+    pub fn new(state: sync::Arc<PlatformState>, zone: Option<id::ZoneId>) -> Self {
+        PlatformHandler { state, zone }
+    }
+
+    async fn route(&self, mut request: Request) -> Result<Response, answer::CallRefusal> {
+        let path = request.url().path().to_owned();
+        let segments: Vec<&str> = path.trim_start_matches('/').split('/').collect();
+        match (request.method(), segments.as_slice()) {
+            (Method::Post, ["table", "commit"]) => self.commit(&mut request).await,
+            (Method::Get, ["table", "row"]) => self.read_row(&request).await,
+            (Method::Get, ["table", "scan"]) => self.scan(&request).await,
+            (Method::Get, ["objects", ..]) => self.read_object(&path),
+            (Method::Put, ["objects", ..]) => self.write_object(&path, &mut request).await,
+            (Method::Post, ["weights"]) => self.fetch_weights(&request).await,
+            (Method::Get, ["vms"]) => Ok(platform_answer(self.state.cloud.list_vms().await)),
+            (Method::Get, ["notices"]) => self.notices(&request).await,
+            (Method::Get, ["offers"]) => Ok(platform_answer(self.state.cloud.offers().await)),
+            (Method::Post, ["vms", "start"]) => self.start_vm(&mut request).await,
+            (Method::Post, ["vms", .., "release"]) => self.release_vm(&path).await,
+            (method, ["control", ..]) => self.control(method, &path, &mut request).await,
+            _ => Err(answer::CallRefusal::not_found("the platform has no such call")),
+        }
+    }
+
+    async fn commit(&self, request: &mut Request) -> Result<Response, answer::CallRefusal> {
+        let transaction: table::TableTransaction = answer::read_json(request).await?;
+        self.state.admit_write()?;
+        Ok(platform_answer(self.state.table.commit(&transaction).await))
+    }
+
+    async fn read_row(&self, request: &Request) -> Result<Response, answer::CallRefusal> {
+        let key = table::RowKey::new(&answer::required(request, "key")?);
+        self.state.admit_read()?;
+        Ok(platform_answer(self.state.table.read(&key).await))
+    }
+
+    async fn scan(&self, request: &Request) -> Result<Response, answer::CallRefusal> {
+        let prefix = answer::required(request, "prefix")?;
+        let after = answer::parameter(request, "after").map(|after| table::RowKey::new(&after));
+        let limit = answer::parsed(request, "limit", DEFAULT_SCAN_LIMIT)?;
+        self.state.admit_read()?;
+        Ok(platform_answer(self.state.table.scan(&prefix, after.as_ref(), limit).await))
+    }
+
+    fn read_object(&self, path: &str) -> Result<Response, answer::CallRefusal> {
+        let shared = self.state.lock();
+        refuse_unavailable(&shared.faults)?;
+        let Some(bytes) = shared.objects.get(path) else {
+            return Err(answer::CallRefusal::not_found("the object does not exist"));
+        };
+        let mut response = Response::new(StatusCode::Ok);
+        response.set_body(bytes.clone());
+        Ok(response)
+    }
+
+    async fn write_object(
+        &self,
+        path: &str,
+        request: &mut Request,
+    ) -> Result<Response, answer::CallRefusal> {
+        let bytes = answer::read_bytes(request).await?;
+        let mut shared = self.state.lock();
+        refuse_unavailable(&shared.faults)?;
+        shared.objects.insert(path.to_owned(), bytes);
+        Ok(answer::json(&()))
+    }
+
+    /// Answers once the weights are through the store's bandwidth.
+    async fn fetch_weights(&self, request: &Request) -> Result<Response, answer::CallRefusal> {
+        let bytes = answer::parsed(request, "bytes", 0_u64)?;
+        let now = self.state.clock.now();
+        let wait = self.state.lock().weights.book(bytes, now);
+        task::sleep(wait.to_duration()).await;
+        Ok(answer::json(&bytes))
+    }
+
+    async fn notices(&self, request: &Request) -> Result<Response, answer::CallRefusal> {
+        let serial = answer::parsed(request, "after", 0_u64)?;
+        Ok(platform_answer(self.state.cloud.notices(serial).await))
+    }
+
+    async fn start_vm(&self, request: &mut Request) -> Result<Response, answer::CallRefusal> {
+        let start: cloud::VmStart = answer::read_json(request).await?;
+        Ok(platform_answer(self.state.cloud.start_vm(&start).await))
+    }
+
+    async fn release_vm(&self, path: &str) -> Result<Response, answer::CallRefusal> {
+        let name = path.trim_start_matches("/vms/").trim_end_matches("/release");
+        let vm = vm_id(name)?;
+        Ok(platform_answer(self.state.cloud.release_vm(&vm).await))
+    }
+
+    async fn control(
+        &self,
+        method: Method,
+        path: &str,
+        request: &mut Request,
+    ) -> Result<Response, answer::CallRefusal> {
+        let cloud = &self.state.cloud;
+        match (method, path.trim_start_matches("/control/")) {
+            (Method::Post, "faults") => {
+                self.state.set_faults(answer::read_json(request).await?);
+                Ok(answer::json(&()))
+            }
+            (Method::Post, "reclaim") => {
+                let order: control::ReclaimOrder = answer::read_json(request).await?;
+                let reclaim = |fleet: &mut fleet::VmFleet, now| {
+                    fleet.reclaim(&order.scope, order.remaining(), now)
+                };
+                Ok(answer::json(&cloud.change(reclaim)))
+            }
+            (Method::Post, "vms") => {
+                let entry = answer::read_json(request).await?;
+                cloud.change(|fleet, now| fleet.put(entry, now));
+                Ok(answer::json(&()))
+            }
+            (Method::Post, "offers") => {
+                let offers = answer::read_json(request).await?;
+                cloud.change(|fleet, _| fleet.set_offers(offers));
+                Ok(answer::json(&()))
+            }
+            (Method::Post, "spares") => {
+                let spare = answer::read_json(request).await?;
+                cloud.change(|fleet, _| fleet.add_spare(spare));
+                Ok(answer::json(&()))
+            }
+            (Method::Get, "counts") => Ok(answer::json(&self.state.counts())),
+            (Method::Delete, rest) if rest.starts_with("vms/") => {
+                let vm = vm_id(rest.trim_start_matches("vms/"))?;
+                cloud.change(|fleet, now| fleet.remove(&vm, now));
+                Ok(answer::json(&()))
+            }
+            _ => Err(answer::CallRefusal::not_found("the control path has no such call")),
+        }
+    }
+}
+
+#[async_trait]
+impl server::HttpHandler for PlatformHandler {
+    async fn handle(&self, request: Request) -> Response {
+        let _slot = self.state.calls.enter();
+        if self.state.is_cut(self.zone.as_ref()) {
+            fault::stay_silent().await;
+            return answer::hang_up();
+        }
+        let response = self.route(request).await.unwrap_or_else(|refusal| refusal.to_response());
+        if self.state.is_cut(self.zone.as_ref()) {
+            // The effect stays, its answer is lost in the partition.
+            fault::stay_silent().await;
+            return answer::hang_up();
+        }
+        response
+    }
+}
+
+fn platform_answer<T: Serialize>(settled: Result<T, table::PlatformError>) -> Response {
+    match settled {
+        Ok(value) => answer::json(&value),
+        Err(table::PlatformError::NotDone(cause)) => {
+            answer::CallRefusal::new(StatusCode::ServiceUnavailable, &cause).to_response()
+        }
+        Err(table::PlatformError::Unknown(_)) => answer::hang_up(),
+    }
+}
+
+fn refuse_unavailable(faults: &control::PlatformFaults) -> Result<(), answer::CallRefusal> {
+    if faults.table.unavailable {
+        let detail = "the store is unavailable; try again later";
+        return Err(answer::CallRefusal::new(StatusCode::ServiceUnavailable, detail));
+    }
+    Ok(())
+}
+
+fn vm_id(text: &str) -> Result<id::VmId, answer::CallRefusal> {
+    text.parse().map_err(|cause: id::IdError| answer::CallRefusal::malformed(&cause.to_string()))
+}
--- /dev/null
+++ b/crates/standin-platform/src/main.rs
@@ -0,0 +1,27 @@
+//! The stand-in platform's process.
+
+use std::process;
+use std::sync;
+
+use samphiremoor_httpio::server;
+use samphiremoor_standin::program;
+use samphiremoor_standin_platform::handler;
+use samphiremoor_standin_platform::settings;
+
+fn main() -> process::ExitCode {
+    program::run("standin-platform", build)
+}
+
+fn build(settings: settings::PlatformSettings) -> program::StandinServer {
+    let calls = program::CallCounter::default();
+    let state = sync::Arc::new(handler::PlatformState::new(&settings, calls.clone()));
+    let handler: sync::Arc<dyn server::HttpHandler> =
+        sync::Arc::new(handler::PlatformHandler::new(state.clone(), None));
+    let mut addresses = vec![program::ServedAddress { address: settings.listen, handler }];
+    for (zone, address) in &settings.zone_listen {
+        let handler = handler::PlatformHandler::new(state.clone(), Some(zone.clone()));
+        let handler = sync::Arc::new(handler);
+        addresses.push(program::ServedAddress { address: *address, handler });
+    }
+    program::StandinServer { addresses, calls, stop: server::StopSignal::new() }
+}
--- /dev/null
+++ b/crates/standin-platform/tests/platform.rs
@@ -0,0 +1,169 @@
+//! The stand-in platform over loopback, through the daemons' own client.
+
+use std::net::SocketAddr;
+use std::path;
+use std::sync;
+
+use async_std::net;
+use async_std::task;
+use http_types::Method;
+use http_types::Request;
+use http_types::StatusCode;
+use samphiremoor_base::time;
+use samphiremoor_httpio::client;
+use samphiremoor_httpio::server;
+use samphiremoor_platform::cloud::CloudApi as _;
+use samphiremoor_platform::http;
+use samphiremoor_platform::table;
+use samphiremoor_platform::table::TableStore as _;
+use samphiremoor_settings::load;
+use samphiremoor_standin::program;
+use samphiremoor_standin_platform::handler;
+use samphiremoor_standin_platform::rate;
+use samphiremoor_standin_platform::settings;
+
+const EXAMPLE: &str = include_str!("../../../deploy/examples/standin-platform.toml");
+
+fn example() -> settings::PlatformSettings {
+    load::parse(path::Path::new("standin-platform.toml"), EXAMPLE).expect("the example is valid")
+}
+
+/// Serves the example on a free port; the second address belongs to the zone songino.
+async fn start(settings: &settings::PlatformSettings) -> (SocketAddr, SocketAddr) {
+    let calls = program::CallCounter::default();
+    let state = sync::Arc::new(handler::PlatformState::new(settings, calls));
+    let zone = "songino".parse().expect("the text is an identifier");
+    let open = serve(handler::PlatformHandler::new(state.clone(), None)).await;
+    let gated = serve(handler::PlatformHandler::new(state, Some(zone))).await;
+    (open, gated)
+}
+
+async fn serve(handler: handler::PlatformHandler) -> SocketAddr {
+    let listener = net::TcpListener::bind("127.0.0.1:0").await.expect("loopback has free ports");
+    let address = listener.local_addr().expect("the listener has an address");
+    let limits = server::ServerLimits::default();
+    let stop = server::StopSignal::new();
+    task::spawn(server::serve(listener, limits, sync::Arc::new(handler), stop));
+    address
+}
+
+fn limits() -> client::CallLimits {
+    let short = time::Millis::new(300);
+    client::CallLimits { connect: short, head: short, silence: short }
+}
+
+fn platform(address: SocketAddr) -> http::HttpPlatform {
+    http::HttpPlatform::new(address, limits())
+}
+
+async fn order(address: SocketAddr, path: &str, body: &str) {
+    let url = client::url(address, path).expect("the path is valid");
+    let mut request = Request::new(Method::Post, url);
+    request.set_body(body);
+    let response = client::send(address, request, limits()).await.expect("the stand-in answers");
+    assert_eq!(response.status(), StatusCode::Ok);
+}
+
+fn put(text: &str) -> table::TableTransaction {
+    table::TableTransaction {
+        write_id: "write".parse().expect("the text is an identifier"),
+        conditions: vec![],
+        writes: vec![table::RowWrite::Put(key(), sync::Arc::from(text))],
+    }
+}
+
+fn key() -> table::RowKey {
+    table::RowKey::new("lease/shard 7/ü")
+}
+
+async fn stored(platform: &http::HttpPlatform) -> Option<String> {
+    let row = platform.read(&key()).await.expect("the platform answers");
+    row.map(|row| row.value.to_string())
+}
+
+#[test]
+fn rows_and_refusals_travel_over_http() {
+    task::block_on(async {
+        let platform = platform(start(&example()).await.0);
+        assert_eq!(stored(&platform).await, None);
+        platform.commit(&put("one")).await.expect("the platform answers");
+        assert_eq!(stored(&platform).await.as_deref(), Some("one"));
+        assert_eq!(platform.scan("lease/", None, 9).await.expect("an answer").len(), 1);
+        let mut absent = put("two");
+        absent.conditions.push(table::RowCondition::Absent(key()));
+        let answer = platform.commit(&absent).await.expect("the platform answers");
+        assert_eq!(answer, table::CommitAnswer::Refused(key()));
+    });
+}
+
+fn check_write_fault(faults: &'static str, takes_effect: bool, is_unknown: bool) {
+    task::block_on(async {
+        let address = start(&example()).await.0;
+        order(address, "/control/faults", faults).await;
+        let platform = platform(address);
+        let failure = platform.commit(&put("x")).await.expect_err("the write has no answer");
+        assert_eq!(matches!(failure, table::PlatformError::Unknown(_)), is_unknown);
+        order(address, "/control/faults", "{}").await;
+        assert_eq!(stored(&platform).await.is_some(), takes_effect);
+    });
+}
+
+samphiremoor_base::cases! {
+    outage_is_not_done => check_write_fault(r#"{"table":{"unavailable":true}}"#, false, false);
+    lost_answer_is_unknown => check_write_fault(r#"{"table":{"lost_answers":1}}"#, true, true);
+    lost_request_is_unknown => check_write_fault(r#"{"table":{"lost_requests":1}}"#, false, true);
+    slow_answer_is_unknown => check_write_fault(r#"{"table":{"delay":400}}"#, false, true);
+}
+
+#[test]
+fn cut_zone_gets_no_answer_while_others_do() {
+    task::block_on(async {
+        let (open, gated) = start(&example()).await;
+        order(open, "/control/faults", r#"{"cut_zones":["songino"]}"#).await;
+        let failure = platform(gated).commit(&put("x")).await.expect_err("the zone is cut off");
+        assert!(matches!(failure, table::PlatformError::Unknown(_)));
+        assert_eq!(stored(&platform(open)).await, None);
+    });
+}
+
+#[test]
+fn reclaim_gives_notice_over_http() {
+    task::block_on(async {
+        let address = start(&example()).await.0;
+        let platform = platform(address);
+        assert_eq!(platform.list_vms().await.expect("an answer").len(), 2);
+        order(address, "/control/reclaim", r#"{"zone":"bayanzurkh","seconds":5}"#).await;
+        let notices = platform.notices(0).await.expect("an answer");
+        assert_eq!(notices.len(), 1);
+        assert_eq!(notices[0].vm.as_str(), "bayanzurkh-engine-1");
+        order(address, "/control/reclaim", r#"{"vm":"bayanzurkh-entry-1","seconds":5}"#).await;
+        assert_eq!(platform.notices(1).await.expect("an answer").len(), 1);
+    });
+}
+
+#[test]
+fn writes_over_the_rate_are_not_done() {
+    let mut limited = example();
+    limited.limits.writes_per_second = 1;
+    task::block_on(async {
+        let platform = platform(start(&limited).await.0);
+        platform.commit(&put("one")).await.expect("the first write is within the rate");
+        let failure = platform.commit(&put("two")).await.expect_err("the second one is not");
+        assert!(matches!(failure, table::PlatformError::NotDone(_)));
+    });
+}
+
+#[test]
+fn rate_admits_its_units_each_second() {
+    let mut limit = rate::RateLimit::new(100);
+    let admitted = (0..1_000).filter(|at| limit.admit(time::MonotonicTime::new(*at))).count();
+    assert!((100..=120).contains(&admitted), "admitted {admitted}");
+}
+
+#[test]
+fn bandwidth_is_handed_out_in_order() {
+    let mut queue = rate::BandwidthQueue::new(1_000);
+    let now = time::MonotonicTime::new(50);
+    assert_eq!(queue.book(500, now), time::Millis::new(500));
+    assert_eq!(queue.book(500, now), time::Millis::new(1_000));
+}
