--- a/crates/platform/src/http.rs
+++ b/crates/platform-client/src/http.rs
@@ -18,8 +18,8 @@
 use serde::Serialize;
 use serde::de;
 
-use crate::cloud;
-use crate::table;
+use samphiremoor_platform::cloud;
+use samphiremoor_platform::table;
 
 /// Largest answer that is read from the platform.
 const MAX_ANSWER: quantity::ByteCount = quantity::ByteCount::new(64 * 1024 * 1024);
--- a/crates/platform/src/memory.rs
+++ b/crates/platform-client/src/memory.rs
@@ -8,11 +8,11 @@
 use samphiremoor_base::id;
 use samphiremoor_base::time;
 
-use crate::cloud;
-use crate::faults;
-use crate::fleet;
-use crate::rows;
-use crate::table;
+use samphiremoor_platform::cloud;
+use samphiremoor_platform::faults;
+use samphiremoor_platform::fleet;
+use samphiremoor_platform::rows;
+use samphiremoor_platform::table;
 
 /// A table in memory. Clones of one `Arc` share it as daemons share the platform's.
 #[derive(Debug, Default)]
--- a/crates/platform/tests/rows.rs
+++ b/crates/platform/tests/rows.rs
@@ -8,10 +8,10 @@
 use proptest::test_runner;
 use samphiremoor_base::testing;
 use samphiremoor_platform::faults;
-use samphiremoor_platform::memory;
 use samphiremoor_platform::rows;
 use samphiremoor_platform::table;
 use samphiremoor_platform::table::TableStore as _;
+use samphiremoor_platform_client::memory;
 
 fn key(number: u8) -> table::RowKey {
     table::RowKey::new(&format!("row/{number}"))
