Routing: scored policy with prefix history, queue forecast, pace and health

Cause: the entry daemon needs a choice that weighs cached prefixes, queues, price and reclaim risk, at a bounded cost for each request. History of blocks in two generations bounds memory; cache events, lost events and reuse distance correct it. A slow or failing replica is ejected, probed and taken back. Ruled out: sending every request to the least score; daemons with the same reports would all choose the same replica, so a choice among close scores is random. Tests: scenarios under scenarios/routing, properties for all policies; green.

--- /dev/null
+++ b/crates/routing/src/index.rs
@@ -0,0 +1,275 @@
+//! What the scored policy keeps of each replica, and the lists from which it draws candidates.
+
+use std::collections;
+
+use samphiremoor_base::id;
+use samphiremoor_base::quantity;
+use samphiremoor_base::time;
+use samphiremoor_view::zone;
+use smallvec::SmallVec;
+
+use crate::health;
+use crate::history;
+use crate::pace;
+use crate::picker;
+use crate::queue;
+
+/// One request that was dispatched and has not ended.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct OpenRequest {
+    pub(crate) at: time::MonotonicTime,
+    pub(crate) prompt_tokens: quantity::TokenCount,
+    pub(crate) expected_hit: quantity::TokenCount,
+    pub(crate) reuse_distance: quantity::TokenCount,
+    pub(crate) forecast_ms: f64,
+}
+
+/// What is kept of one replica.
+#[derive(Debug)]
+pub(crate) struct ReplicaState {
+    pub(crate) id: id::ReplicaId,
+    pub(crate) pool: id::RecordId,
+    pub(crate) is_local: bool,
+    pub(crate) price: f64,
+    pub(crate) concurrency: u32,
+    /// Chance that the VM is reclaimed in the middle of a request.
+    pub(crate) reclaim_risk: f64,
+    pub(crate) queue: queue::QueueEstimate,
+    pub(crate) pace: pace::PaceEstimate,
+    pub(crate) health: health::HealthTracker,
+    pub(crate) open: Vec<OpenRequest>,
+    services: SmallVec<[id::ServiceId; 4]>,
+    last_sync: u64,
+}
+
+impl ReplicaState {
+    /// Whether the replica may serve the service.
+    pub(crate) fn serves(&self, service: &id::ServiceId) -> bool {
+        self.services.contains(service)
+    }
+}
+
+/// Replicas that may serve one service.
+#[derive(Debug, Default)]
+pub(crate) struct ServiceList {
+    pub(crate) pools: SmallVec<[id::RecordId; 2]>,
+    pub(crate) local: Vec<history::ReplicaSlot>,
+    pub(crate) remote: Vec<history::ReplicaSlot>,
+    pub(crate) mean_price: f64,
+    price_sum: f64,
+}
+
+impl ServiceList {
+    /// Replicas in all availability zones.
+    pub(crate) fn len(&self) -> usize {
+        self.local.len() + self.remote.len()
+    }
+
+    /// Every replica, local ones first.
+    pub(crate) fn all(&self) -> impl Iterator<Item = history::ReplicaSlot> {
+        self.local.iter().chain(&self.remote).copied()
+    }
+}
+
+/// What is kept of one pool.
+#[derive(Debug, Default)]
+pub(crate) struct PoolState {
+    pub(crate) pace: pace::PoolPace,
+    pub(crate) replicas: usize,
+    /// Replicas that are kept out by their health.
+    pub(crate) ejected: SmallVec<[history::ReplicaSlot; 4]>,
+}
+
+/// A view that was taken in, by the life and serial of its maker.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct ViewMark {
+    incarnation: quantity::Incarnation,
+    serial: u64,
+}
+
+/// Every replica of the last view.
+#[derive(Debug, Default)]
+pub(crate) struct ReplicaIndex {
+    mark: Option<ViewMark>,
+    syncs: u64,
+    slots: collections::HashMap<id::ReplicaId, history::ReplicaSlot>,
+    states: Vec<Option<ReplicaState>>,
+    free: Vec<history::ReplicaSlot>,
+    services: collections::HashMap<id::ServiceId, ServiceList>,
+    pools: collections::HashMap<id::RecordId, PoolState>,
+}
+
+/// Share of reclaimable VMs that are reclaimed during a request on a quiet day.
+const QUIET_RECLAIM_RISK: f64 = 0.002;
+
+impl ReplicaIndex {
+    /// Takes in a view unless it is the present one; returns the slots that were given up.
+    pub(crate) fn sync(
+        &mut self,
+        view: &zone::ZoneView,
+        now: time::MonotonicTime,
+    ) -> SmallVec<[history::ReplicaSlot; 4]> {
+        let mark = ViewMark { incarnation: view.incarnation, serial: view.serial };
+        if self.mark == Some(mark) {
+            return SmallVec::new();
+        }
+        self.mark = Some(mark);
+        self.syncs += 1;
+        let risks = reclaim_risks(view);
+        for list in self.services.values_mut() {
+            *list = ServiceList::default();
+        }
+        for pool in self.pools.values_mut() {
+            pool.replicas = 0;
+            pool.ejected.clear();
+        }
+        for replica in &view.replicas {
+            let risk = risks.get(&replica.zone).copied().unwrap_or(QUIET_RECLAIM_RISK);
+            let slot = self.take_in(view, replica, risk, now);
+            self.enlist(view, replica, slot);
+        }
+        for list in self.services.values_mut() {
+            list.mean_price = list.price_sum / list.len().max(1) as f64;
+        }
+        self.drop_missing()
+    }
+
+    pub(crate) fn service(&self, service: &id::ServiceId) -> Option<&ServiceList> {
+        self.services.get(service)
+    }
+
+    pub(crate) fn slot(&self, replica: &id::ReplicaId) -> Option<history::ReplicaSlot> {
+        self.slots.get(replica).copied()
+    }
+
+    pub(crate) fn state(&self, slot: history::ReplicaSlot) -> Option<&ReplicaState> {
+        self.states.get(slot.0 as usize)?.as_ref()
+    }
+
+    pub(crate) fn state_mut(&mut self, slot: history::ReplicaSlot) -> Option<&mut ReplicaState> {
+        self.states.get_mut(slot.0 as usize)?.as_mut()
+    }
+
+    pub(crate) fn pool_mut(&mut self, pool: &id::RecordId) -> &mut PoolState {
+        self.pools.entry(pool.clone()).or_default()
+    }
+
+    pub(crate) fn pool(&self, pool: &id::RecordId) -> Option<&PoolState> {
+        self.pools.get(pool)
+    }
+
+    fn take_in(
+        &mut self,
+        view: &zone::ZoneView,
+        replica: &zone::ReplicaView,
+        zone_risk: f64,
+        now: time::MonotonicTime,
+    ) -> history::ReplicaSlot {
+        let slot = self.slot_for(replica);
+        let syncs = self.syncs;
+        let concurrency = view.records.pool(&replica.pool).map_or(1, |pool| pool.concurrency);
+        if let Some(state) = self.state_mut(slot) {
+            state.last_sync = syncs;
+            state.services.clear();
+            state.is_local = replica.zone == view.zone;
+            state.price = replica.price.get() as f64;
+            state.concurrency = concurrency;
+            state.reclaim_risk = if replica.reclaimable { zone_risk } else { 0.0 };
+            state.queue.report(&replica.load, now);
+        }
+        slot
+    }
+
+    fn slot_for(&mut self, replica: &zone::ReplicaView) -> history::ReplicaSlot {
+        if let Some(slot) = self.slots.get(&replica.id) {
+            return *slot;
+        }
+        let slot = self.free.pop().unwrap_or_else(|| {
+            self.states.push(None);
+            history::ReplicaSlot(self.states.len() as u32 - 1)
+        });
+        self.slots.insert(replica.id.clone(), slot);
+        self.states[slot.0 as usize] = Some(ReplicaState {
+            id: replica.id.clone(),
+            pool: replica.pool.clone(),
+            is_local: false,
+            price: 0.0,
+            concurrency: 1,
+            reclaim_risk: 0.0,
+            queue: queue::QueueEstimate::default(),
+            pace: pace::PaceEstimate::default(),
+            health: health::HealthTracker::default(),
+            open: Vec::new(),
+            services: SmallVec::new(),
+            last_sync: 0,
+        });
+        slot
+    }
+
+    fn enlist(
+        &mut self,
+        view: &zone::ZoneView,
+        replica: &zone::ReplicaView,
+        slot: history::ReplicaSlot,
+    ) {
+        if replica.state != zone::UpstreamState::Live {
+            return;
+        }
+        let Some(pool) = view.records.pool(&replica.pool) else { return };
+        let is_ejected = self.state(slot).is_some_and(|state| !state.health.is_healthy());
+        let pool_state = self.pool_mut(&replica.pool);
+        pool_state.replicas += 1;
+        if is_ejected {
+            pool_state.ejected.push(slot);
+        }
+        for service in &pool.services {
+            let Some(record) = view.records.service(service) else { continue };
+            if !picker::is_eligible(&view.records, record, replica) {
+                continue;
+            }
+            let list = self.services.entry(service.clone()).or_default();
+            list.price_sum += replica.price.get() as f64;
+            if !list.pools.contains(&replica.pool) {
+                list.pools.push(replica.pool.clone());
+            }
+            let is_local = replica.zone == view.zone;
+            let slots = if is_local { &mut list.local } else { &mut list.remote };
+            slots.push(slot);
+            if let Some(state) = self.state_mut(slot) {
+                state.services.push(service.clone());
+            }
+        }
+    }
+
+    fn drop_missing(&mut self) -> SmallVec<[history::ReplicaSlot; 4]> {
+        let mut dropped = SmallVec::new();
+        for (number, entry) in self.states.iter_mut().enumerate() {
+            let is_missing = entry.as_ref().is_some_and(|state| state.last_sync != self.syncs);
+            if !is_missing {
+                continue;
+            }
+            let slot = history::ReplicaSlot(number as u32);
+            if let Some(state) = entry.take() {
+                self.slots.remove(&state.id);
+            }
+            self.free.push(slot);
+            dropped.push(slot);
+        }
+        dropped
+    }
+}
+
+/// For each availability zone the share of its reclaimable replicas that is leaving: reclaims
+/// come in waves, so those that are left are likely to follow.
+fn reclaim_risks(view: &zone::ZoneView) -> collections::BTreeMap<id::ZoneId, f64> {
+    let mut counts: collections::BTreeMap<&id::ZoneId, (u32, u32)> = collections::BTreeMap::new();
+    for replica in view.replicas.iter().filter(|replica| replica.reclaimable) {
+        let (leaving, all) = counts.entry(&replica.zone).or_default();
+        *all += 1;
+        *leaving += u32::from(replica.state == zone::UpstreamState::Leaving);
+    }
+    let risk = |(leaving, all): (u32, u32)| {
+        (f64::from(leaving) / f64::from(all.max(1))).max(QUIET_RECLAIM_RISK)
+    };
+    counts.into_iter().map(|(zone, count)| (zone.clone(), risk(count))).collect()
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -1,10 +1,21 @@
 //! Choice of the replica that serves a request.
 //!
 //! Pure decisions: the entry daemon hands in the view, the request, the time and a random number,
-//! and reports what became of each dispatch. [`picker`] is the border, [`baseline`] holds simple
-//! policies behind the same trait, [`prefix`] cuts prompts into blocks whose hashes name cached
-//! prefixes.
+//! and reports what became of each dispatch. [`picker`] is the border; [`scored`] is the policy
+//! that the daemons use, [`baseline`] holds simple ones behind the same trait. [`prefix`] cuts
+//! prompts into blocks whose hashes name cached prefixes.
+//!
+//! The scored policy keeps, for each replica, an estimate of its queue ([`queue`]), of its pace
+//! against the others ([`pace`]) and its health ([`health`]), and remembers in bounded memory
+//! which replica is likely to hold which block ([`history`]). [`score`] turns them into terms.
 
 pub mod baseline;
+pub mod health;
+pub mod history;
+mod index;
+pub mod pace;
 pub mod picker;
 pub mod prefix;
+pub mod queue;
+pub mod score;
+pub mod scored;
--- a/crates/routing/src/picker.rs
+++ b/crates/routing/src/picker.rs
@@ -25,7 +25,7 @@
     /// A dispatched request ended.
     fn finished(&mut self, finish: &FinishReport<'_>);
 
-    /// A replica published cache events.
+    /// A replica published cache events; those of a replica that no view showed are left out.
     fn cache_events(&mut self, batch: &CacheBatch<'_>);
 
     /// A replica reported its load outside the view, for example in an answer.
--- /dev/null
+++ b/crates/routing/tests/properties.rs
@@ -0,0 +1,249 @@
+//! Properties that every policy must have, whatever it was told before.
+
+mod common;
+
+use proptest::prelude::*;
+use proptest::test_runner;
+use samphiremoor_base::quantity;
+use samphiremoor_base::testing;
+use samphiremoor_base::time;
+use samphiremoor_records::set;
+use samphiremoor_routing::baseline;
+use samphiremoor_routing::history;
+use samphiremoor_routing::picker;
+use samphiremoor_routing::picker::ReplicaPicker;
+use samphiremoor_routing::prefix;
+use samphiremoor_routing::scored;
+use samphiremoor_view::zone;
+
+const ZONES: [&str; 4] = ["bayanzurkh", "songino", "khan-uul", "sukhbaatar"];
+const HISTORY_BLOCKS: usize = 500;
+
+fn config() -> test_runner::Config {
+    test_runner::Config {
+        cases: 64,
+        rng_seed: test_runner::RngSeed::Fixed(testing::seed()),
+        failure_persistence: None,
+        ..test_runner::Config::default()
+    }
+}
+
+fn pickers() -> Vec<Box<dyn ReplicaPicker>> {
+    vec![
+        Box::new(baseline::RandomPicker),
+        Box::new(baseline::LeastLoadedPicker::default()),
+        Box::new(baseline::PrefixOnlyPicker::default()),
+        Box::new(scored::ScoredPicker::new(HISTORY_BLOCKS)),
+    ]
+}
+
+fn any_replica(number: usize) -> impl Strategy<Value = zone::ReplicaView> {
+    let state = prop_oneof![
+        4 => Just(zone::UpstreamState::Live),
+        1 => Just(zone::UpstreamState::Leaving),
+        1 => Just(zone::UpstreamState::Joining),
+    ];
+    (0..ZONES.len(), state, prop::bool::weighted(0.8), 0u32..20, 0u64..50_000, 1u64..3_000_000)
+        .prop_map(move |(zone, state, has_model, running, tokens, price)| {
+            let mut replica = common::replica(&format!("r{number}"), ZONES[zone]);
+            replica.state = state;
+            if !has_model {
+                replica.models.clear();
+            }
+            replica.load.running = running;
+            replica.load.queued_tokens = quantity::TokenCount::new(tokens);
+            replica.price = quantity::MicroPrice::new(price);
+            replica
+        })
+}
+
+fn any_replicas() -> impl Strategy<Value = Vec<zone::ReplicaView>> {
+    (0usize..60).prop_flat_map(|count| (0..count).map(any_replica).collect::<Vec<_>>())
+}
+
+/// A call: the session that it belongs to, its length, whether it fails, its time.
+#[derive(Clone, Debug)]
+struct CallPlan {
+    session: usize,
+    blocks: usize,
+    fails: bool,
+    first_ms: u64,
+    cached_blocks: u64,
+}
+
+fn any_call() -> impl Strategy<Value = CallPlan> {
+    (0usize..6, 0usize..40, prop::bool::weighted(0.1), 1u64..5_000, 0u64..50).prop_map(
+        |(session, blocks, fails, first_ms, cached_blocks)| CallPlan {
+            session,
+            blocks,
+            fails,
+            first_ms,
+            cached_blocks,
+        },
+    )
+}
+
+/// Sends the calls one after another; returns the chosen replicas.
+fn drive(
+    picker: &mut dyn ReplicaPicker,
+    service: &set::ServiceRecord,
+    view: &zone::ZoneView,
+    calls: &[CallPlan],
+) -> Vec<Option<picker::RouteChoice>> {
+    let workspace = common::workspace();
+    let mut now = time::MonotonicTime::new(1_000);
+    let mut choices = Vec::new();
+    for (number, call) in calls.iter().enumerate() {
+        let prompt = common::prompt(&[(&format!("session{}", call.session), call.blocks)]);
+        let prompt_tokens = common::tokens(&prompt);
+        let query = picker::RouteQuery {
+            service,
+            workspace: &workspace,
+            prefix: &prompt,
+            prompt_tokens,
+            avoid: &[],
+            now,
+            random: number as u64,
+        };
+        let choice = picker.pick(view, &query);
+        choices.push(choice.clone());
+        let Some(choice) = choice else { continue };
+        let replica = &choice.replica;
+        let dispatched = now;
+        let prefix = prompt.as_slice();
+        picker.dispatched(&picker::DispatchReport { replica, service, prefix, prompt_tokens, now });
+        now = now + time::Millis::new(call.first_ms);
+        let cached = quantity::TokenCount::new(call.cached_blocks * prefix::BLOCK_TOKENS);
+        picker.finished(&picker::FinishReport {
+            replica,
+            service: &service.id,
+            prefix,
+            prompt_tokens,
+            dispatched,
+            now,
+            outcome: if call.fails {
+                picker::FinishOutcome::Failed
+            } else {
+                picker::FinishOutcome::Complete
+            },
+            first: (!call.fails).then_some(time::Millis::new(call.first_ms)),
+            usage: Some(picker::PromptUsage { cached, computed: prompt_tokens }),
+        });
+    }
+    choices
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn choices_are_eligible_and_exist_where_one_is(
+        replicas in any_replicas(),
+        calls in prop::collection::vec(any_call(), 1..40),
+    ) {
+        let service = common::service(500, 500);
+        let view = common::view(&service, replicas);
+        let is_eligible = |replica: &&zone::ReplicaView| {
+            picker::is_eligible(&view.records, &service, replica)
+        };
+        let has_eligible = view.replicas.iter().any(|replica| is_eligible(&replica));
+        for mut picker in pickers() {
+            for choice in drive(picker.as_mut(), &service, &view, &calls) {
+                prop_assert_eq!(choice.is_some(), has_eligible);
+                let Some(choice) = choice else { continue };
+                let chosen = view.replicas.iter().find(|replica| replica.id == choice.replica);
+                prop_assert!(chosen.as_ref().is_some_and(is_eligible));
+            }
+        }
+    }
+
+    #[test]
+    fn same_inputs_make_the_same_choices(
+        replicas in any_replicas(),
+        calls in prop::collection::vec(any_call(), 1..40),
+    ) {
+        let service = common::service(300, 700);
+        let view = common::view(&service, replicas);
+        for (mut left, mut right) in pickers().into_iter().zip(pickers()) {
+            let once = drive(left.as_mut(), &service, &view, &calls);
+            let again = drive(right.as_mut(), &service, &view, &calls);
+            prop_assert_eq!(once, again);
+        }
+    }
+
+    #[test]
+    fn avoided_replicas_are_never_chosen(replicas in any_replicas(), random in any::<u64>()) {
+        let service = common::service(500, 500);
+        let view = common::view(&service, replicas);
+        let workspace = common::workspace();
+        let avoid: Vec<_> =
+            view.replicas.iter().step_by(2).map(|replica| replica.id.clone()).collect();
+        let prefix = common::prompt(&[("a", 4)]);
+        let query = picker::RouteQuery {
+            service: &service,
+            workspace: &workspace,
+            prefix: &prefix,
+            prompt_tokens: common::tokens(&prefix),
+            avoid: &avoid,
+            now: time::MonotonicTime::new(1),
+            random,
+        };
+        for mut picker in pickers() {
+            let choice = picker.pick(&view, &query);
+            prop_assert!(choice.is_none_or(|choice| !avoid.contains(&choice.replica)));
+        }
+    }
+
+    #[test]
+    fn history_stays_within_its_bound(prompts in prop::collection::vec((0u32..8, 0usize..300), 1..60)) {
+        let mut history = history::PrefixHistory::new(HISTORY_BLOCKS);
+        for (number, (slot, blocks)) in prompts.iter().enumerate() {
+            let prompt = common::prompt(&[(&format!("prompt{number}"), *blocks)]);
+            let now = time::MonotonicTime::new(number as u64);
+            history.note(history::ReplicaSlot(*slot), &prompt, common::tokens(&prompt), now);
+            prop_assert!(history.len() <= HISTORY_BLOCKS);
+        }
+    }
+
+    #[test]
+    fn expected_hits_never_exceed_the_prompt(
+        noted in prop::collection::vec((0u32..4, 0usize..40), 1..20),
+        asked in 0usize..60,
+    ) {
+        let mut history = history::PrefixHistory::new(HISTORY_BLOCKS);
+        for (slot, blocks) in noted {
+            let prompt = common::prompt(&[("shared", blocks)]);
+            let now = time::MonotonicTime::new(5);
+            history.note(history::ReplicaSlot(slot), &prompt, common::tokens(&prompt), now);
+        }
+        let prompt = common::prompt(&[("shared", asked)]);
+        for hit in history.expected_hits(&prompt) {
+            prop_assert!(hit.tokens <= common::tokens(&prompt));
+        }
+    }
+
+    #[test]
+    fn session_stays_while_its_replica_is_idle(
+        count in 2usize..200,
+        blocks in 4usize..100,
+    ) {
+        let service = common::service(500, 500);
+        let replicas = (0..count).map(|number| common::replica(&format!("r{number}"), "songino"));
+        let view = common::view(&service, replicas.collect());
+        let mut picker = scored::ScoredPicker::new(10_000);
+        let calls: Vec<CallPlan> = (0..4)
+            .map(|turn| CallPlan {
+                session: 0,
+                blocks: blocks + turn * blocks / 4,
+                fails: false,
+                first_ms: 30,
+                cached_blocks: 1_000,
+            })
+            .collect();
+        let choices = drive(&mut picker, &service, &view, &calls);
+        let first = choices[0].as_ref().map(|choice| choice.replica.clone());
+        for choice in &choices {
+            prop_assert_eq!(choice.as_ref().map(|choice| choice.replica.clone()), first.clone());
+        }
+    }
+}
--- /dev/null
+++ b/crates/routing/tests/scenarios.rs
@@ -0,0 +1,389 @@
+//! Runs `scenarios/routing` against the scored policy.
+
+mod common;
+
+use std::collections;
+use std::error;
+use std::fmt::Write as _;
+use std::str;
+
+use samphiremoor_base::id;
+use samphiremoor_base::quantity;
+use samphiremoor_base::time;
+use samphiremoor_records::set;
+use samphiremoor_routing::picker;
+use samphiremoor_routing::picker::ReplicaPicker;
+use samphiremoor_routing::prefix;
+use samphiremoor_routing::scored;
+use samphiremoor_view::zone;
+
+type RunResult<T> = Result<T, Box<dyn error::Error>>;
+
+struct SentCall {
+    replica: id::ReplicaId,
+    prompt: Vec<prefix::PrefixHash>,
+    at: time::MonotonicTime,
+}
+
+struct RoutingRunner {
+    picker: scored::ScoredPicker,
+    service: set::ServiceRecord,
+    view: zone::ZoneView,
+    now: time::MonotonicTime,
+    calls: collections::BTreeMap<String, SentCall>,
+    calls_made: u64,
+}
+
+impl RoutingRunner {
+    fn new() -> Self {
+        let service = common::service(300, 700);
+        RoutingRunner {
+            picker: scored::ScoredPicker::default(),
+            view: common::view(&service, Vec::new()),
+            service,
+            now: time::MonotonicTime::new(10_000),
+            calls: collections::BTreeMap::new(),
+            calls_made: 0,
+        }
+    }
+
+    fn explain(&mut self, prompt: &[prefix::PrefixHash], random: u64) -> Vec<picker::RouteChoice> {
+        let workspace = common::workspace();
+        let query = query(&self.service, &workspace, prompt, self.now, random);
+        self.picker.explain(&self.view, &query)
+    }
+
+    fn pick(&mut self, prompt: &[prefix::PrefixHash], random: u64) -> Option<picker::RouteChoice> {
+        let workspace = common::workspace();
+        let query = query(&self.service, &workspace, prompt, self.now, random);
+        self.picker.pick(&self.view, &query)
+    }
+
+    fn send(&mut self, call: &str, prompt: Vec<prefix::PrefixHash>, random: u64) -> String {
+        let Some(choice) = self.pick(&prompt, random) else { return "none".to_owned() };
+        self.picker.dispatched(&picker::DispatchReport {
+            replica: &choice.replica,
+            service: &self.service,
+            prefix: &prompt,
+            prompt_tokens: common::tokens(&prompt),
+            now: self.now,
+        });
+        let replica = choice.replica.clone();
+        let line = format!("{replica} hit={}", choice.terms.expected_hit);
+        self.calls.insert(call.to_owned(), SentCall { replica, prompt, at: self.now });
+        line
+    }
+
+    fn end(&mut self, call: &str, first: Option<u64>, outcome: picker::FinishOutcome) {
+        let call = self.calls.remove(call).expect("the script ends calls that it sent");
+        self.picker.finished(&picker::FinishReport {
+            replica: &call.replica,
+            service: &self.service.id,
+            prefix: &call.prompt,
+            prompt_tokens: common::tokens(&call.prompt),
+            dispatched: call.at,
+            now: self.now,
+            outcome,
+            first: first.map(time::Millis::new),
+            usage: None,
+        });
+    }
+
+    fn replica(&mut self, name: &str, change: &ReplicaChange) -> RunResult<()> {
+        let known = self.view.replicas.iter().position(|replica| replica.id.as_str() == name);
+        let index = known.unwrap_or_else(|| {
+            self.view.replicas.push(common::replica(name, "songino"));
+            self.view.replicas.len() - 1
+        });
+        let replica = &mut self.view.replicas[index];
+        if let Some(zone) = &change.zone {
+            replica.zone = zone.parse()?;
+        }
+        if let Some(price) = change.price {
+            replica.price = quantity::MicroPrice::new(price);
+        }
+        if let Some(reclaimable) = change.reclaimable {
+            replica.reclaimable = reclaimable;
+        }
+        if let Some(state) = &change.state {
+            replica.state = match state.as_str() {
+                "joining" => zone::UpstreamState::Joining,
+                "leaving" => zone::UpstreamState::Leaving,
+                _ => zone::UpstreamState::Live,
+            };
+        }
+        if let Some(version) = &change.version {
+            replica.models[0].version = version.parse()?;
+        }
+        replica.load = change.load;
+        self.view.serial += 1;
+        Ok(())
+    }
+
+    fn events(
+        &mut self,
+        replica: &str,
+        first_number: u64,
+        events: &[picker::CacheEvent],
+        age: u64,
+    ) -> RunResult<()> {
+        let replica: id::ReplicaId = replica.parse()?;
+        let age = time::Millis::new(age);
+        let batch =
+            picker::CacheBatch { replica: &replica, first_number, events, age, now: self.now };
+        self.picker.cache_events(&batch);
+        Ok(())
+    }
+
+    /// Sends and ends calls until one goes to the replica; that one fails where it has no `first`.
+    fn probe(&mut self, wanted: &str, first: Option<u64>) -> String {
+        const USUAL_FIRST_MS: u64 = 20;
+        const MAX_CALLS: u64 = 200;
+        for random in 0..MAX_CALLS {
+            // Distinct prompts: a common prefix would hold them on one replica.
+            self.calls_made += 1;
+            let prompt = common::prompt(&[(&format!("probe{}", self.calls_made), 1)]);
+            let line = self.send("probe", prompt, random);
+            self.now = self.now + time::Millis::new(1);
+            let is_wanted = line.starts_with(wanted);
+            let outcome = match (is_wanted, first) {
+                (true, None) => picker::FinishOutcome::Failed,
+                _ => picker::FinishOutcome::Complete,
+            };
+            self.end("probe", if is_wanted { first } else { Some(USUAL_FIRST_MS) }, outcome);
+            if is_wanted {
+                return format!("call reached {wanted}");
+            }
+        }
+        format!("no call reached {wanted}")
+    }
+}
+
+/// What a script changes of a replica.
+#[derive(Default)]
+struct ReplicaChange {
+    zone: Option<String>,
+    price: Option<u64>,
+    reclaimable: Option<bool>,
+    state: Option<String>,
+    version: Option<String>,
+    load: zone::LoadReport,
+}
+
+#[derive(goldenscript::Command)]
+enum RoutingCommand {
+    /// Sets the weights of the service's record.
+    Weights {
+        #[arg(key)]
+        cost: u16,
+        #[arg(key)]
+        recomputed: u16,
+    },
+    /// Adds or changes a replica; its load report is replaced.
+    Replica {
+        name: String,
+        #[arg(key)]
+        zone: Option<String>,
+        #[arg(key)]
+        price: Option<u64>,
+        #[arg(key)]
+        reclaimable: Option<bool>,
+        #[arg(key)]
+        state: Option<String>,
+        #[arg(key)]
+        version: Option<String>,
+        #[arg(key)]
+        running: Option<u32>,
+        #[arg(key)]
+        queued: Option<u32>,
+        #[arg(key)]
+        tokens: Option<u64>,
+        #[arg(key)]
+        age: Option<u64>,
+    },
+    /// Publishes cache events of a replica.
+    Events {
+        replica: String,
+        #[arg(key)]
+        number: u64,
+        #[arg(key)]
+        stored: Option<PromptText>,
+        #[arg(key)]
+        evicted: Option<PromptText>,
+        #[arg(key)]
+        cleared: Option<bool>,
+        #[arg(key)]
+        age: Option<u64>,
+    },
+    /// Lets milliseconds pass.
+    Pass(u64),
+    /// Prints the scores, best first.
+    Explain {
+        #[arg(key)]
+        prompt: PromptText,
+    },
+    /// Picks a replica and sends a call.
+    Send {
+        call: String,
+        #[arg(key)]
+        prompt: PromptText,
+        #[arg(key)]
+        random: Option<u64>,
+    },
+    /// Ends a call.
+    End {
+        call: String,
+        #[arg(key)]
+        first: Option<u64>,
+        #[arg(key)]
+        failed: Option<bool>,
+    },
+    /// Sends calls until one reaches the replica; that one takes `first` milliseconds.
+    Probe {
+        replica: String,
+        #[arg(key)]
+        first: u64,
+    },
+    /// Sends calls until one reaches the replica; that one fails.
+    Fail {
+        replica: String,
+        #[arg(key)]
+        times: u32,
+    },
+    /// Prints the health of a replica.
+    Health(String),
+}
+
+/// A prompt as scripts write it: `template:20,session:10`.
+struct PromptText(Vec<prefix::PrefixHash>);
+
+impl str::FromStr for PromptText {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        let mut parts = Vec::new();
+        for part in text.split(',') {
+            let (name, blocks) = part.split_once(':').ok_or("a part reads NAME:BLOCKS")?;
+            parts.push((name, blocks.parse().map_err(|_| "blocks are a number")?));
+        }
+        Ok(PromptText(common::prompt(&parts)))
+    }
+}
+
+fn query<'a>(
+    service: &'a set::ServiceRecord,
+    workspace: &'a id::WorkspaceId,
+    prompt: &'a [prefix::PrefixHash],
+    now: time::MonotonicTime,
+    random: u64,
+) -> picker::RouteQuery<'a> {
+    picker::RouteQuery {
+        service,
+        workspace,
+        prefix: prompt,
+        prompt_tokens: common::tokens(prompt),
+        avoid: &[],
+        now,
+        random,
+    }
+}
+
+impl goldenscript::Runner for RoutingRunner {
+    type Command = RoutingCommand;
+
+    fn run(&mut self, command: &RoutingCommand, _: &goldenscript::Context) -> RunResult<String> {
+        let mut output = String::new();
+        match command {
+            RoutingCommand::Weights { cost, recomputed } => {
+                self.service = common::service(*cost, *recomputed);
+                self.view.records.services = vec![self.service.clone()];
+                self.view.serial += 1;
+            }
+            RoutingCommand::Replica {
+                name,
+                zone,
+                price,
+                reclaimable,
+                state,
+                version,
+                running,
+                queued,
+                tokens,
+                age,
+            } => {
+                let change = ReplicaChange {
+                    zone: zone.clone(),
+                    price: *price,
+                    reclaimable: *reclaimable,
+                    state: state.clone(),
+                    version: version.clone(),
+                    load: zone::LoadReport {
+                        running: running.unwrap_or(0),
+                        queued: queued.unwrap_or(0),
+                        queued_tokens: quantity::TokenCount::new(tokens.unwrap_or(0)),
+                        age: time::Millis::new(age.unwrap_or(0)),
+                    },
+                };
+                self.replica(name, &change)?;
+            }
+            RoutingCommand::Events { replica, number, stored, evicted, cleared, age } => {
+                let mut events = Vec::new();
+                if let Some(PromptText(blocks)) = stored {
+                    events.push(picker::CacheEvent::Stored(blocks.as_slice().into()));
+                }
+                if let Some(PromptText(blocks)) = evicted {
+                    events.push(picker::CacheEvent::Evicted(blocks.as_slice().into()));
+                }
+                if *cleared == Some(true) {
+                    events.push(picker::CacheEvent::Cleared);
+                }
+                self.events(replica, *number, &events, age.unwrap_or(0))?;
+            }
+            RoutingCommand::Pass(length) => self.now = self.now + time::Millis::new(*length),
+            RoutingCommand::Explain { prompt } => {
+                for choice in self.explain(&prompt.0, 1) {
+                    writeln!(output, "{} {}", choice.replica, choice.terms)?;
+                }
+            }
+            RoutingCommand::Send { call, prompt, random } => {
+                let line = self.send(call, prompt.0.clone(), random.unwrap_or(1));
+                writeln!(output, "{line}")?;
+            }
+            RoutingCommand::End { call, first, failed } => {
+                let outcome = match failed {
+                    Some(true) => picker::FinishOutcome::Failed,
+                    _ => picker::FinishOutcome::Complete,
+                };
+                self.end(call, *first, outcome);
+            }
+            RoutingCommand::Probe { replica, first } => {
+                let line = self.probe(replica, Some(*first));
+                writeln!(output, "{line}")?;
+            }
+            RoutingCommand::Fail { replica, times } => {
+                for _ in 0..*times {
+                    let line = self.probe(replica, None);
+                    writeln!(output, "{line}")?;
+                }
+            }
+            RoutingCommand::Health(replica) => {
+                writeln!(output, "{:?}", self.picker.health(&replica.parse()?))?;
+            }
+        }
+        Ok(output)
+    }
+}
+
+fn check(name: &str) {
+    let path = format!("../../scenarios/routing/{name}");
+    goldenscript::run(&mut RoutingRunner::new(), path).expect("the scenario file can be read");
+}
+
+samphiremoor_base::cases! {
+    session_stays_with_its_prefix => check("session");
+    weights_decide_between_price_and_prefix => check("weights");
+    cache_events_correct_the_history => check("cache_events");
+    slow_replica_is_ejected_probed_and_taken_back => check("slow_replica");
+    leaving_replicas_and_other_versions_get_nothing => check("eligibility");
+    reports_are_corrected_by_what_was_sent => check("queue");
+}
