Routing: a slow replica no longer raises the pool's pace by which it is judged

Cause: in the scenario slow_replica three slow answers of one replica lifted the pool's young average so far that the replica was never ejected. Change: once a pool has four samples, one counts at most twice its average.

--- a/crates/routing/src/pace.rs
+++ b/crates/routing/src/pace.rs
@@ -15,6 +15,10 @@
 const REPLICA_WEIGHT: f64 = 0.15;
 /// Weight of a new sample in a pool's average.
 const POOL_WEIGHT: f64 = 0.02;
+/// Samples after which a pool's average is settled.
+const POOL_SETTLED_SAMPLES: u32 = 4;
+/// A sample counts at most this many times a settled pool's average.
+const POOL_SAMPLE_FACTOR: f64 = 2.0;
 /// Time in which half of a replica's difference from its pool is forgotten: a replica that was
 /// slow gets no requests, and without them nothing would show that it is well again.
 const HALF_LIFE: time::Millis = time::Millis::new(5_000);
@@ -116,7 +120,11 @@
 impl PoolPace {
     /// Takes in one request of any of the pool's replicas.
     pub fn sample(&mut self, forecast_ms: f64, first: time::Millis) {
-        let ratio = sample_ratio(forecast_ms, first);
+        let mut ratio = sample_ratio(forecast_ms, first);
+        if self.samples >= POOL_SETTLED_SAMPLES {
+            // One slow replica must not raise the yardstick by which it is judged.
+            ratio = ratio.min(self.ratio * POOL_SAMPLE_FACTOR);
+        }
         self.samples = self.samples.saturating_add(1);
         // A plain mean until the moving average has enough samples to stand on.
         let weight = POOL_WEIGHT.max(1.0 / f64::from(self.samples));
--- a/crates/routing/tests/common/mod.rs
+++ b/crates/routing/tests/common/mod.rs
@@ -1,5 +1,7 @@
 //! Views, services and prompts for the tests.
 
+#![allow(clippy::unwrap_used, reason = "the lint sees test functions only, not their helpers")]
+
 use samphiremoor_base::digest;
 use samphiremoor_base::id;
 use samphiremoor_base::quantity;
