Stand in for a model engine with batching, prefix cache and streams that resume

Tokens are a function of the prompt's hash and the index, so a test can compare a continued answer token by token, and the engine refuses a continuation whose delivered text it would not have given. Block hashes are those of the routing crate, so cache events name what the entry daemon looks for. A stopping stand-in goes on listening until its calls have ended, to say that it is stopping.

Ruled out: 404 for a model that is not loaded, which an entry daemon would take for the caller's mistake; it is a refusal with not-run.

--- /dev/null
+++ b/crates/standin-engine/src/handler.rs
@@ -0,0 +1,248 @@
+//! Answers the engine's calls.
+
+use std::sync;
+use std::time::Instant;
+
+use async_std::task;
+use async_trait::async_trait;
+use http_types::Body;
+use http_types::Method;
+use http_types::Request;
+use http_types::Response;
+use http_types::StatusCode;
+use samphiremoor_base::id;
+use samphiremoor_base::quantity;
+use samphiremoor_base::time;
+use samphiremoor_httpio::problem;
+use samphiremoor_httpio::server;
+use samphiremoor_standin::answer;
+use samphiremoor_standin::fault;
+use serde_json::json;
+
+use crate::orders;
+use crate::runtime;
+use crate::stream;
+use crate::tokens;
+use crate::wire;
+
+/// Header with the request's priority.
+pub const PRIORITY_HEADER: &str = "Samphiremoor-Priority";
+
+/// Tokens of an answer where the call names no number.
+pub const DEFAULT_MAX_TOKENS: u64 = 64;
+
+/// Priority of a call that names none.
+const DEFAULT_PRIORITY: quantity::PriorityLevel = quantity::PriorityLevel::new(100);
+
+/// Path of the calls on one request.
+const REQUEST_PREFIX: &str = "/v1/requests/";
+
+/// Answers calls to one engine.
+pub struct EngineHandler {
+    runtime: sync::Arc<runtime::EngineRuntime>,
+}
+
+impl EngineHandler {
+    /// A handler for a running engine.
+    pub fn new(runtime: sync::Arc<runtime::EngineRuntime>) -> Self {
+        EngineHandler { runtime }
+    }
+
+    async fn route(&self, mut request: Request) -> Result<Response, answer::CallRefusal> {
+        let path = request.url().path().to_owned();
+        if !path.starts_with("/control/") {
+            self.runtime.faults.resumed().await;
+        }
+        match (request.method(), path.as_str()) {
+            (Method::Post, "/v1/chat/completions") => {
+                self.generate(request, stream::AnswerForm::Chat).await
+            }
+            (Method::Post, "/v1/completions") => {
+                self.generate(request, stream::AnswerForm::Completion).await
+            }
+            (Method::Post, path) if path.starts_with(REQUEST_PREFIX) => self.cancel(path),
+            (Method::Get, "/state") => Ok(answer::json(&self.runtime.state())),
+            (Method::Get, "/load") => Ok(answer::json(&self.runtime.load())),
+            (Method::Get, "/cache/events") => self.cache_events(&request),
+            (Method::Get, "/kv/export") => self.export(&request),
+            (Method::Post, "/kv/import") => self.import(&mut request).await,
+            (Method::Post, "/orders") => self.order(&mut request).await,
+            (Method::Post, "/control/faults") => {
+                self.runtime.faults.set(answer::read_json(&mut request).await?);
+                Ok(answer::json(&()))
+            }
+            (Method::Get, "/control/counts") => Ok(answer::json(&self.runtime.counts())),
+            _ => Err(answer::CallRefusal::not_found("the engine has no such call")),
+        }
+    }
+
+    async fn generate(
+        &self,
+        mut request: Request,
+        form: stream::AnswerForm,
+    ) -> Result<Response, answer::CallRefusal> {
+        let slot = self.runtime.calls.enter();
+        let received = Instant::now();
+        let body: wire::GenerateBody = answer::read_json(&mut request).await?;
+        let pass = self.admit(&body)?;
+        let call = self.engine_call(&request, &body)?;
+        let engine_answer = stream::EngineAnswer {
+            runtime: self.runtime.clone(),
+            form,
+            model: body.model.to_string(),
+            events: self.runtime.submit(&call),
+            pass,
+            _slot: slot,
+            deadline: header::<time::Millis>(&request, problem::TIMEOUT_HEADER)?
+                .map(|limit| received + limit.to_duration()),
+            drops: self.runtime.faults.drops_answer(),
+            call,
+        };
+        let request_id = engine_answer.call.request.clone();
+        let mut response = if body.stream {
+            stream_answer(engine_answer)
+        } else {
+            whole_answer(engine_answer).await
+        };
+        response.insert_header(problem::REQUEST_ID_HEADER, request_id.as_str());
+        Ok(response)
+    }
+
+    /// Refuses what the engine can't run; nothing was run then.
+    fn admit(&self, body: &wire::GenerateBody) -> Result<fault::CallPass, answer::CallRefusal> {
+        let refuse = |detail| answer::CallRefusal::new(StatusCode::ServiceUnavailable, detail);
+        if self.runtime.draining.is_given() {
+            return Err(refuse("the engine is stopping; call another one"));
+        }
+        let loaded = self.runtime.loaded();
+        if !loaded.iter().any(|model| body.is_served_by(model)) {
+            return Err(refuse("the model is not loaded; call another engine"));
+        }
+        self.runtime.faults.admit().ok_or_else(|| refuse("the engine was told to refuse"))
+    }
+
+    fn engine_call(
+        &self,
+        request: &Request,
+        body: &wire::GenerateBody,
+    ) -> Result<runtime::EngineCall, answer::CallRefusal> {
+        let prompt = body.prompt_text();
+        if let Some(delivered) = &body.continue_text {
+            let expected = tokens::PromptHash::of(&prompt).text(body.continue_from);
+            if *delivered != expected {
+                self.runtime.note_wrong_continuation();
+                let detail = "the delivered text is not this prompt's answer; start anew";
+                return Err(answer::CallRefusal::malformed(detail));
+            }
+        }
+        let unnamed = || "unnamed".parse().expect("the text is an identifier");
+        Ok(runtime::EngineCall {
+            request: header(request, problem::REQUEST_ID_HEADER)?.unwrap_or_else(unnamed),
+            priority: header(request, PRIORITY_HEADER)?.unwrap_or(DEFAULT_PRIORITY),
+            prompt,
+            continue_from: body.continue_from,
+            target: body.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS).max(body.continue_from),
+        })
+    }
+
+    fn cancel(&self, path: &str) -> Result<Response, answer::CallRefusal> {
+        let name = path.strip_prefix(REQUEST_PREFIX).and_then(|rest| rest.strip_suffix("/cancel"));
+        let Some(name) = name else {
+            return Err(answer::CallRefusal::not_found("the engine has no such call"));
+        };
+        let request = request_id(name)?;
+        Ok(answer::json(&json!({"cancelled": self.runtime.cancel(&request)})))
+    }
+
+    fn cache_events(&self, request: &Request) -> Result<Response, answer::CallRefusal> {
+        let serial = answer::parsed(request, "after", 0_u64)?;
+        Ok(answer::json(&self.runtime.cache_events(serial)))
+    }
+
+    fn export(&self, request: &Request) -> Result<Response, answer::CallRefusal> {
+        let request = request_id(&answer::required(request, "request")?)?;
+        match self.runtime.export(&request) {
+            Some(blob) => Ok(answer::json(&blob)),
+            None => Err(answer::CallRefusal::not_found("no KV cache of the request; recompute it")),
+        }
+    }
+
+    async fn import(&self, request: &mut Request) -> Result<Response, answer::CallRefusal> {
+        let blob: wire::KvBlob = answer::read_json(request).await?;
+        self.runtime.import(&blob).await;
+        Ok(answer::json(&json!({"tokens": blob.tokens})))
+    }
+
+    async fn order(&self, request: &mut Request) -> Result<Response, answer::CallRefusal> {
+        let received = self.runtime.now();
+        let order: wire::EngineOrder = answer::read_json(request).await?;
+        self.runtime.faults.resumed().await;
+        self.runtime.order(&order, received).map_err(order_refusal)?;
+        if self.runtime.faults.drops_answer() {
+            return Ok(answer::hang_up());
+        }
+        Ok(answer::json(&self.runtime.state()))
+    }
+}
+
+#[async_trait]
+impl server::HttpHandler for EngineHandler {
+    async fn handle(&self, request: Request) -> Response {
+        self.route(request).await.unwrap_or_else(|refusal| refusal.to_response())
+    }
+}
+
+fn stream_answer(engine_answer: stream::EngineAnswer) -> Response {
+    let (sender, encoder) = async_sse::encode();
+    task::spawn(engine_answer.stream(sender));
+    let mut response = Response::new(StatusCode::Ok);
+    response.set_body(Body::from_reader(encoder, None));
+    response.insert_header("Content-Type", "text/event-stream");
+    response
+}
+
+async fn whole_answer(engine_answer: stream::EngineAnswer) -> Response {
+    let end = engine_answer.collect().await;
+    if engine_answer.drops {
+        return answer::hang_up();
+    }
+    if engine_answer.runtime.faults.is_silent(engine_answer.pass) {
+        drop(engine_answer);
+        fault::stay_silent().await;
+        return answer::hang_up();
+    }
+    match end {
+        stream::AnswerEnd::Whole(usage) => answer::json(&engine_answer.whole(&usage)),
+        // The call may have run for a while, so nothing is said of its outcome.
+        stream::AnswerEnd::CutShort => Response::new(StatusCode::GatewayTimeout),
+    }
+}
+
+fn order_refusal(refusal: orders::OrderRefusal) -> answer::CallRefusal {
+    match refusal {
+        orders::OrderRefusal::OldFence(newest) => answer::CallRefusal::new(
+            StatusCode::Conflict,
+            &format!("an order with fencing number {newest} came before; take the lease again"),
+        ),
+        orders::OrderRefusal::Expired => {
+            answer::CallRefusal::new(StatusCode::Gone, "the order has expired; send a new one")
+        }
+        orders::OrderRefusal::NoRoom => answer::CallRefusal::new(
+            StatusCode::InsufficientStorage,
+            "no room for another model; unload one first",
+        ),
+    }
+}
+
+fn header<T: std::str::FromStr>(
+    request: &Request,
+    name: &str,
+) -> Result<Option<T>, answer::CallRefusal> {
+    let Some(value) = request.header(name) else { return Ok(None) };
+    let malformed = |_| answer::CallRefusal::malformed(&format!("the header {name} is malformed"));
+    value.as_str().parse().map(Some).map_err(malformed)
+}
+
+fn request_id(text: &str) -> Result<id::RequestId, answer::CallRefusal> {
+    text.parse().map_err(|cause: id::IdError| answer::CallRefusal::malformed(&cause.to_string()))
+}
--- /dev/null
+++ b/crates/standin-engine/src/runtime.rs
@@ -0,0 +1,342 @@
+//! Runs the pure parts against the clock.
+
+use std::collections;
+use std::sync;
+use std::time::Instant;
+
+use async_std::channel;
+use async_std::task;
+use samphiremoor_base::id;
+use samphiremoor_base::quantity;
+use samphiremoor_base::time;
+use samphiremoor_httpio::server;
+use samphiremoor_records::set;
+use samphiremoor_routing::prefix;
+use samphiremoor_standin::fault;
+use samphiremoor_standin::program;
+
+use crate::batch;
+use crate::cache;
+use crate::journal;
+use crate::orders;
+use crate::settings;
+use crate::tokens;
+use crate::wire;
+
+/// Ended requests whose KV cache can still be exported.
+const MAX_EXPORTS: usize = 1_024;
+
+/// A running engine.
+pub struct EngineRuntime {
+    settings: settings::EngineSettings,
+    clock: time::MonotonicClock,
+    /// Faults on order.
+    pub faults: fault::FaultSwitch,
+    /// Calls in progress.
+    pub calls: program::CallCounter,
+    /// Given when the engine is told to stop.
+    pub draining: server::StopSignal,
+    wake_sender: channel::Sender<()>,
+    wake_receiver: channel::Receiver<()>,
+    shared: sync::Mutex<SharedState>,
+}
+
+struct SharedState {
+    scheduler: batch::BatchScheduler,
+    journal: journal::CacheJournal,
+    orders: orders::OrderBook,
+    jobs: collections::HashMap<batch::SequenceNumber, JobHandle>,
+    exports: collections::VecDeque<wire::KvBlob>,
+    imported: collections::HashMap<id::RequestId, quantity::TokenCount>,
+    counts: wire::EngineCounts,
+    sampled: LoadSample,
+}
+
+struct JobHandle {
+    request: id::RequestId,
+    sender: channel::Sender<batch::SequenceEvent>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct LoadSample {
+    taken: time::MonotonicTime,
+    load: batch::BatchLoad,
+}
+
+/// A call as the engine runs it.
+#[derive(Clone, Debug)]
+pub struct EngineCall {
+    /// The request.
+    pub request: id::RequestId,
+    /// Its priority.
+    pub priority: quantity::PriorityLevel,
+    /// The whole prompt.
+    pub prompt: String,
+    /// Tokens of the answer that were delivered before.
+    pub continue_from: u64,
+    /// Tokens of the whole answer.
+    pub target: u64,
+}
+
+impl EngineRuntime {
+    /// An idle engine.
+    pub fn new(settings: settings::EngineSettings) -> Self {
+        let (wake_sender, wake_receiver) = channel::bounded(1);
+        let memory = settings.memory;
+        let reports = settings.reports;
+        let cache = cache::PrefixCache::new(memory.cache_blocks);
+        let shared = SharedState {
+            scheduler: batch::BatchScheduler::new(settings.speed.into(), cache),
+            journal: journal::CacheJournal::new(reports.cache_lag, reports.cache_gap_every),
+            orders: orders::OrderBook::new(
+                settings.checks_fencing,
+                memory.max_models,
+                memory.load_time,
+                &settings.models,
+            ),
+            jobs: collections::HashMap::new(),
+            exports: collections::VecDeque::new(),
+            imported: collections::HashMap::new(),
+            counts: wire::EngineCounts::default(),
+            sampled: LoadSample::default(),
+        };
+        EngineRuntime {
+            settings,
+            clock: time::MonotonicClock::start(),
+            faults: fault::FaultSwitch::default(),
+            calls: program::CallCounter::default(),
+            draining: server::StopSignal::new(),
+            wake_sender,
+            wake_receiver,
+            shared: sync::Mutex::new(shared),
+        }
+    }
+
+    /// Computes for ever, a step at a time.
+    pub async fn run(&self) {
+        let mut next_step = Instant::now();
+        loop {
+            self.faults.resumed().await;
+            let Some(step) = self.next_step() else {
+                // The sender lives in this value, so the channel is never closed.
+                let _ = self.wake_receiver.recv().await;
+                continue;
+            };
+            next_step = next_step.max(Instant::now()) + self.faults.slowed(step.length);
+            task::sleep(next_step.saturating_duration_since(Instant::now())).await;
+            self.faults.resumed().await;
+            self.deliver(&step);
+        }
+    }
+
+    /// Present time on the engine's clock.
+    pub fn now(&self) -> time::MonotonicTime {
+        self.clock.now()
+    }
+
+    /// Queues a call; dropping the receiver cancels it.
+    pub fn submit(&self, call: &EngineCall) -> channel::Receiver<batch::SequenceEvent> {
+        let words = tokens::prompt_tokens(&call.prompt);
+        let blocks = prefix::hash_blocks(&words);
+        let mut shared = self.lock();
+        let job = batch::SequenceJob {
+            priority: call.priority,
+            blocks: blocks.clone(),
+            prompt: quantity::TokenCount::new(words.len() as u64),
+            delivered: quantity::TokenCount::new(call.continue_from),
+            imported: shared.imported.remove(&call.request).unwrap_or_default(),
+            target: quantity::TokenCount::new(call.target),
+        };
+        let (sender, receiver) = channel::unbounded();
+        let number = shared.scheduler.submit(job);
+        shared.counts.calls += 1;
+        shared.jobs.insert(number, JobHandle { request: call.request.clone(), sender });
+        let tokens = words.len() as u64 + call.continue_from;
+        shared.remember_export(self.blob(&call.request, blocks, tokens));
+        drop(shared);
+        // A full channel means that the engine is about to wake up already.
+        let _ = self.wake_sender.try_send(());
+        receiver
+    }
+
+    /// Cancels a request and returns how many of its calls ended.
+    pub fn cancel(&self, request: &id::RequestId) -> usize {
+        let mut shared = self.lock();
+        let numbers: Vec<_> = shared
+            .jobs
+            .iter()
+            .filter(|(_, job)| job.request == *request)
+            .map(|(number, _)| *number)
+            .collect();
+        numbers.iter().for_each(|number| shared.cancel(*number));
+        numbers.len()
+    }
+
+    /// Carries out an order that came at `received`.
+    ///
+    /// # Errors
+    ///
+    /// As [`orders::OrderBook::carry_out`].
+    pub fn order(
+        &self,
+        order: &wire::EngineOrder,
+        received: time::MonotonicTime,
+    ) -> Result<(), orders::OrderRefusal> {
+        let now = self.clock.now();
+        self.lock().orders.carry_out(order, received, now)
+    }
+
+    /// The state that is reported.
+    pub fn state(&self) -> wire::EngineState {
+        let models = self.loaded();
+        let shared = self.lock();
+        let draining = self.draining.is_given();
+        wire::EngineState {
+            id: self.settings.id.clone(),
+            ready: !draining && !models.is_empty(),
+            models,
+            fence: shared.orders.fence(),
+            draining,
+            role: shared.orders.role(),
+        }
+    }
+
+    /// Models that are loaded.
+    pub fn loaded(&self) -> Vec<set::LoadedModel> {
+        self.lock().orders.loaded(self.clock.now())
+    }
+
+    /// The load as it was last sampled.
+    pub fn load(&self) -> wire::LoadBody {
+        let now = self.clock.now();
+        let mut shared = self.lock();
+        if now.since(shared.sampled.taken) >= self.settings.reports.load_interval {
+            shared.sampled = LoadSample { taken: now, load: shared.scheduler.load() };
+        }
+        let LoadSample { taken, load } = shared.sampled;
+        wire::LoadBody {
+            running: load.running,
+            queued: load.queued,
+            queued_tokens: load.queued_tokens.get(),
+            age_ms: now.since(taken).get(),
+        }
+    }
+
+    /// Published cache events after `serial`.
+    pub fn cache_events(&self, serial: u64) -> Vec<wire::CacheEvent> {
+        self.lock().journal.after(serial, self.clock.now())
+    }
+
+    /// Counts since the start.
+    pub fn counts(&self) -> wire::EngineCounts {
+        self.lock().counts
+    }
+
+    /// Counts a continuation whose delivered text is wrong.
+    pub fn note_wrong_continuation(&self) {
+        self.lock().counts.wrong_continuations += 1;
+    }
+
+    /// The KV cache of a request that is running or ended lately.
+    pub fn export(&self, request: &id::RequestId) -> Option<wire::KvBlob> {
+        self.lock().exports.iter().rev().find(|blob| blob.request == *request).cloned()
+    }
+
+    /// Takes in a KV cache, after the time that its transfer takes.
+    pub async fn import(&self, blob: &wire::KvBlob) {
+        let rate = self.settings.memory.kv_bytes_per_second.get();
+        let length = time::Millis::new(blob.bytes.saturating_mul(1_000) / rate);
+        task::sleep(self.faults.slowed(length.to_duration())).await;
+        let now = self.clock.now();
+        let mut shared = self.lock();
+        let changes = shared.scheduler.import(&blob.blocks);
+        shared.journal.note(&changes, now);
+        shared.imported.insert(blob.request.clone(), quantity::TokenCount::new(blob.tokens));
+    }
+
+    fn blob(
+        &self,
+        request: &id::RequestId,
+        blocks: Vec<prefix::PrefixHash>,
+        tokens: u64,
+    ) -> wire::KvBlob {
+        let bytes = tokens * self.settings.memory.kv_bytes_per_token.get();
+        wire::KvBlob { request: request.clone(), blocks, tokens, bytes }
+    }
+
+    fn next_step(&self) -> Option<batch::BatchStep> {
+        let mut shared = self.lock();
+        (!shared.scheduler.is_idle()).then(|| shared.scheduler.step())
+    }
+
+    fn deliver(&self, step: &batch::BatchStep) {
+        let now = self.clock.now();
+        let bytes_per_token = self.settings.memory.kv_bytes_per_token.get();
+        let mut shared = self.lock();
+        shared.journal.note(&step.changes, now);
+        for batch::StepEvent { sequence, event } in &step.events {
+            shared.counts.note(event);
+            shared.deliver(*sequence, *event, bytes_per_token);
+        }
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, SharedState> {
+        self.shared.lock().unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
+
+impl SharedState {
+    fn deliver(
+        &mut self,
+        number: batch::SequenceNumber,
+        event: batch::SequenceEvent,
+        bytes_per_token: u64,
+    ) {
+        // A cancelled sequence has no job any more.
+        let Some(job) = self.jobs.get(&number) else { return };
+        let is_gone = job.sender.try_send(event).is_err();
+        if matches!(event, batch::SequenceEvent::Token(_)) {
+            let request = job.request.clone();
+            self.grow_export(&request, bytes_per_token);
+        }
+        if event == batch::SequenceEvent::Finished {
+            self.jobs.remove(&number);
+        } else if is_gone {
+            self.cancel(number);
+        }
+    }
+
+    fn cancel(&mut self, number: batch::SequenceNumber) {
+        self.scheduler.cancel(number);
+        self.jobs.remove(&number);
+        self.counts.cancelled += 1;
+    }
+
+    fn remember_export(&mut self, blob: wire::KvBlob) {
+        self.exports.push_back(blob);
+        if self.exports.len() > MAX_EXPORTS {
+            self.exports.pop_front();
+        }
+    }
+
+    fn grow_export(&mut self, request: &id::RequestId, bytes_per_token: u64) {
+        let found = self.exports.iter_mut().rev().find(|blob| blob.request == *request);
+        if let Some(blob) = found {
+            blob.tokens += 1;
+            blob.bytes += bytes_per_token;
+        }
+    }
+}
+
+impl wire::EngineCounts {
+    fn note(&mut self, event: &batch::SequenceEvent) {
+        match event {
+            batch::SequenceEvent::Admitted { cached, computed } => {
+                self.cached_tokens += cached.get();
+                self.computed_tokens += computed.get();
+            }
+            batch::SequenceEvent::Token(_) => self.answer_tokens += 1,
+            batch::SequenceEvent::Finished => {}
+        }
+    }
+}
--- a/crates/standin-platform/src/main.rs
+++ b/crates/standin-platform/src/main.rs
@@ -23,5 +23,5 @@
         let handler = sync::Arc::new(handler);
         addresses.push(program::ServedAddress { address: *address, handler });
     }
-    program::StandinServer { addresses, calls, stop: server::StopSignal::new() }
+    program::StandinServer { addresses, calls, draining: server::StopSignal::new() }
 }
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -6,7 +6,6 @@
 use async_std::task;
 use samphiremoor_base::event;
 use samphiremoor_base::log_event;
-use samphiremoor_base::time;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -101,8 +100,8 @@
     }
 
     /// The time that something takes which normally takes `length`.
-    pub fn slowed(&self, length: time::Millis) -> time::Millis {
-        time::Millis::new(length.get() * u64::from(self.lock().faults.slow_percent) / 100)
+    pub fn slowed(&self, length: Duration) -> Duration {
+        length * self.lock().faults.slow_percent / 100
     }
 
     fn lock(&self) -> sync::MutexGuard<'_, SwitchState> {
--- a/crates/standin/src/program.rs
+++ b/crates/standin/src/program.rs
@@ -106,8 +106,9 @@
     pub addresses: Vec<ServedAddress>,
     /// Counter of the calls that a stop waits for.
     pub calls: CallCounter,
-    /// Given when the process is told to stop.
-    pub stop: server::StopSignal,
+    /// Given when the process is told to stop. It goes on listening until its calls have ended,
+    /// so that it can say that it is stopping.
+    pub draining: server::StopSignal,
 }
 
 /// Reads the settings, and runs what `build` makes of them until SIGTERM.
@@ -147,8 +148,9 @@
 }
 
 fn serve(program: &'static str, standin: StandinServer) -> Result<(), ProgramError> {
-    watch_signals(standin.stop.clone()).map_err(ProgramError::Signals)?;
+    watch_signals(standin.draining.clone()).map_err(ProgramError::Signals)?;
     task::block_on(async {
+        let closed = server::StopSignal::new();
         let mut serving = Vec::new();
         for served in standin.addresses {
             let listener = net::TcpListener::bind(served.address)
@@ -160,16 +162,22 @@
                 address = served.address
             );
             let limits = server::ServerLimits::default();
-            let stop = standin.stop.clone();
-            serving.push(task::spawn(server::serve(listener, limits, served.handler, stop)));
-        }
-        for server in serving {
-            server.await;
+            serving.push(task::spawn(server::serve(
+                listener,
+                limits,
+                served.handler,
+                closed.clone(),
+            )));
         }
+        standin.draining.given().await;
         log_event!(event::LogEvent::ProcessStopping, calls = standin.calls.count());
         while standin.calls.count() > 0 {
             task::sleep(DRAIN_POLL).await;
         }
+        closed.give();
+        for server in serving {
+            server.await;
+        }
         task::sleep(LAST_BYTES_TIME).await;
         log_event!(event::LogEvent::ProcessStopped, program = program);
         Ok(())
@@ -177,14 +185,14 @@
 }
 
 /// The first signal stops the stand-in gracefully, the second one at once.
-fn watch_signals(stop: server::StopSignal) -> Result<(), io::Error> {
+fn watch_signals(draining: server::StopSignal) -> Result<(), io::Error> {
     let mut signals = iterator::Signals::new([consts::SIGTERM, consts::SIGINT])?;
     thread::spawn(move || {
         for _ in signals.forever() {
-            if stop.is_given() {
+            if draining.is_given() {
                 process::exit(1);
             }
-            stop.give();
+            draining.give();
         }
     });
     Ok(())
