Stand in for a plain service that counts each key it ran

Change: any method on any path runs once for each call that reaches it; the effect is in the middle of the latency, so a kill or a fault can fall before or after it. Receipts are unique for each run. Refusals say not-run.

Ruled out: a test of the slow factor by a caller's time limit; its verdict hung on which timer came first, so it was left out before landing.

--- /dev/null
+++ b/crates/standin-service/src/handler.rs
@@ -0,0 +1,144 @@
+//! Answers the service's calls.
+
+use std::sync;
+use std::sync::atomic;
+use std::time::Duration;
+
+use async_std::task;
+use async_trait::async_trait;
+use http_types::Method;
+use http_types::Request;
+use http_types::Response;
+use http_types::StatusCode;
+use samphiremoor_base::quantity;
+use samphiremoor_httpio::server;
+use samphiremoor_standin::answer;
+use samphiremoor_standin::fault;
+use samphiremoor_standin::program;
+
+use crate::ledger;
+use crate::settings;
+use crate::wire;
+
+/// Header with the caller's idempotency key.
+pub const KEY_HEADER: &str = "Idempotency-Key";
+
+/// Spreads the latency of successive calls; coprime to any usual spread.
+const SPREAD_STEP: u64 = 7_919;
+
+/// Answers calls to one service.
+pub struct ServiceHandler {
+    settings: settings::ServiceSettings,
+    faults: fault::FaultSwitch,
+    ledger: sync::Mutex<ledger::RunLedger>,
+    call_count: atomic::AtomicU64,
+    /// Calls in progress.
+    pub calls: program::CallCounter,
+    /// Given when the service is told to stop.
+    pub draining: server::StopSignal,
+}
+
+impl ServiceHandler {
+    /// A service that has run nothing.
+    pub fn new(settings: settings::ServiceSettings) -> Self {
+        ServiceHandler {
+            settings,
+            faults: fault::FaultSwitch::default(),
+            ledger: sync::Mutex::default(),
+            call_count: atomic::AtomicU64::new(0),
+            calls: program::CallCounter::default(),
+            draining: server::StopSignal::new(),
+        }
+    }
+
+    async fn route(&self, mut request: Request) -> Result<Response, answer::CallRefusal> {
+        let path = request.url().path().to_owned();
+        match (request.method(), path.as_str()) {
+            (Method::Post, "/control/faults") => {
+                self.faults.set(answer::read_json(&mut request).await?);
+                return Ok(answer::json(&()));
+            }
+            (Method::Get, "/control/counts") => return Ok(answer::json(&self.lock().counts())),
+            _ => self.faults.resumed().await,
+        }
+        match (request.method(), path.as_str()) {
+            (Method::Get, "/state") => Ok(answer::json(&self.state())),
+            (Method::Get, "/load") => Ok(answer::json(&self.load())),
+            _ => self.run(request, path).await,
+        }
+    }
+
+    async fn run(
+        &self,
+        mut request: Request,
+        path: String,
+    ) -> Result<Response, answer::CallRefusal> {
+        let slot = self.calls.enter();
+        let body = answer::read_bytes(&mut request).await?;
+        let pass = self.admit()?;
+        let half = self.next_latency() / 2;
+        task::sleep(half).await;
+        self.faults.resumed().await;
+        let key = request.header(KEY_HEADER).map(|value| value.as_str().to_owned());
+        let number = self.lock().note(key.as_deref(), &body);
+        task::sleep(half).await;
+        self.faults.resumed().await;
+        if self.faults.is_silent(pass) {
+            drop(slot);
+            fault::stay_silent().await;
+            return Ok(answer::hang_up());
+        }
+        if self.faults.drops_answer() {
+            return Ok(answer::hang_up());
+        }
+        Ok(answer::json(&wire::ServiceReceipt {
+            receipt: format!("{}-{number}", self.settings.id),
+            method: request.method().to_string(),
+            path,
+            key,
+            echo: String::from_utf8_lossy(&body).into_owned(),
+        }))
+    }
+
+    /// Refuses what is not run.
+    fn admit(&self) -> Result<fault::CallPass, answer::CallRefusal> {
+        let refuse = |detail| answer::CallRefusal::new(StatusCode::ServiceUnavailable, detail);
+        if self.draining.is_given() {
+            return Err(refuse("the service is stopping; call another replica"));
+        }
+        self.faults.admit().ok_or_else(|| refuse("the service was told to refuse"))
+    }
+
+    fn next_latency(&self) -> Duration {
+        let number = self.call_count.fetch_add(1, atomic::Ordering::Relaxed);
+        let spread = number.wrapping_mul(SPREAD_STEP) % (self.settings.latency_spread.get() + 1);
+        let length = self.settings.latency.to_duration() + Duration::from_millis(spread);
+        self.faults.slowed(length)
+    }
+
+    fn state(&self) -> wire::ServiceState {
+        let draining = self.draining.is_given();
+        wire::ServiceState {
+            id: self.settings.id.clone(),
+            ready: !draining,
+            models: Vec::new(),
+            fence: quantity::FenceNumber::default(),
+            draining,
+        }
+    }
+
+    fn load(&self) -> wire::ServiceLoad {
+        wire::ServiceLoad { running: self.calls.count() as u32, ..Default::default() }
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, ledger::RunLedger> {
+        self.ledger.lock().unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
+
+#[async_trait]
+impl server::HttpHandler for ServiceHandler {
+    async fn handle(&self, request: Request) -> Response {
+        self.route(request).await.unwrap_or_else(|refusal| refusal.to_response())
+    }
+}
