Hold shards by leases: claims with group commit, peer copies, takeover and forwarding

Ruled out: own copy set in the takeover write. A holder that fails before it has sealed its predecessor's group would hide that group from the next one, so groups stay in the lease row until the holder opens.

--- a/crates/claims/src/lib.rs
+++ b/crates/claims/src/lib.rs
@@ -4,4 +4,11 @@
 //! it runs a call, and the result after it; whoever takes the shard over reads both. The shell in
 //! the shards crate hands in answers and the time, and carries out the actions.
 
+pub mod copies;
+pub mod journal;
 pub mod key;
+pub mod ledger;
+pub mod opening;
+pub mod policy;
+pub mod shard;
+pub mod writer;
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -5,4 +5,9 @@
 //! the lease row, so that renewals never clash with them. The shells hand in rows, answers and the
 //! time, and carry out the actions.
 
+pub mod answer;
+pub mod keeper;
+pub mod policy;
 pub mod row;
+pub mod spread;
+pub mod watch;
--- /dev/null
+++ b/crates/shards/src/effects.rs
@@ -0,0 +1,300 @@
+//! Carries out what the decisions want: table, peers and runs. Each effect is a task that sends its
+//! end to the control thread as an event.
+
+use std::future::Future;
+use std::sync;
+
+use async_std::channel;
+use async_std::future;
+use async_std::task;
+use samphiremoor_base::quantity;
+use samphiremoor_base::reason;
+use samphiremoor_base::time;
+use samphiremoor_claims::journal;
+use samphiremoor_claims::opening;
+use samphiremoor_claims::shard;
+use samphiremoor_claims::writer;
+use samphiremoor_lease::answer;
+use samphiremoor_lease::keeper;
+use samphiremoor_lease::row;
+use samphiremoor_lease::spread;
+use samphiremoor_platform::table;
+use samphiremoor_view::zone;
+
+use crate::call;
+use crate::event;
+use crate::message;
+use crate::peer;
+use crate::service;
+use crate::stored;
+
+/// Rows that one read of the table asks for.
+const SCAN_PAGE: usize = 500;
+
+/// Longest wait for an answer of the table; the write may have taken effect after it.
+const TABLE_LIMIT: time::Millis = time::Millis::new(5_000);
+
+/// Time beyond the caller's deadline that a runner may take to end.
+const RUN_GRACE: time::Millis = time::Millis::new(1_000);
+
+/// Starts effects and sends their ends to the control thread.
+#[derive(Clone)]
+pub(crate) struct EffectStarter {
+    parts: sync::Arc<service::ShardParts>,
+    sender: channel::Sender<event::ControlEvent>,
+}
+
+impl EffectStarter {
+    pub(crate) fn new(
+        parts: sync::Arc<service::ShardParts>,
+        sender: channel::Sender<event::ControlEvent>,
+    ) -> Self {
+        EffectStarter { parts, sender }
+    }
+
+    /// Reads every lease row.
+    pub(crate) fn scan_leases(&self) {
+        let parts = self.parts.clone();
+        self.start(async move {
+            let input = match scan_all(&*parts.table, row::LEASE_PREFIX).await {
+                Ok(rows) => keeper::LeaseInput::Scanned(rows),
+                Err(_) => keeper::LeaseInput::ScanFailed,
+            };
+            event::ControlEvent::Lease(input)
+        });
+    }
+
+    /// Commits a transaction of the lease keeper.
+    pub(crate) fn commit_lease(&self, transaction: table::TableTransaction) {
+        let parts = self.parts.clone();
+        self.start(async move {
+            let answer = commit(&*parts.table, &transaction).await;
+            event::ControlEvent::Lease(keeper::LeaseInput::Answered(answer))
+        });
+    }
+
+    /// Carries out something for a shard's journal.
+    pub(crate) fn write(&self, hold: event::HoldId, action: writer::WriterAction) {
+        match action {
+            writer::WriterAction::Commit(transaction) => self.commit_journal(hold, transaction),
+            writer::WriterAction::ReadLease => self.read_lease(hold),
+            writer::WriterAction::Copy { round, member, written, batches } => {
+                let question = message::ShardQuestion::Keep {
+                    incarnation: member.incarnation,
+                    shard: hold.shard,
+                    fence: hold.fence,
+                    written,
+                    batches,
+                };
+                self.copy(hold, round, member, question);
+            }
+        }
+    }
+
+    /// Reads a shard's journal.
+    pub(crate) fn read_journal(&self, hold: event::HoldId) {
+        let parts = self.parts.clone();
+        self.start(async move {
+            let rows = scan_all(&*parts.table, &journal::shard_prefix(hold.shard)).await;
+            // A row that can't be read may hide a claim, so the shard must not open without it.
+            let decoded = rows.ok().and_then(|rows| {
+                rows.iter().map(journal::JournalBatch::decode).collect::<Option<Vec<_>>>()
+            });
+            event::ControlEvent::Claim(hold, shard::ClaimInput::JournalRead(decoded))
+        });
+    }
+
+    /// Seals another daemon.
+    pub(crate) fn seal(&self, hold: event::HoldId, member: row::DaemonLife) {
+        let parts = self.parts.clone();
+        self.start(async move {
+            let answer = seal(&parts, hold, &member).await;
+            event::ControlEvent::Claim(hold, shard::ClaimInput::SealAnswered { member, answer })
+        });
+    }
+
+    /// Runs a call whose claim is durable.
+    pub(crate) fn run(&self, hold: event::HoldId, call: sync::Arc<call::OnceCall>) {
+        let parts = self.parts.clone();
+        self.start(async move {
+            let end = run(&parts, &call).await;
+            event::ControlEvent::Claim(
+                hold,
+                shard::ClaimInput::RunEnded { key: call.key.clone(), end },
+            )
+        });
+    }
+
+    /// Asks peers which life they live, for the choice of copy sets.
+    pub(crate) fn ping(&self, peers: Vec<peer::PeerEntry>) {
+        for peer in peers {
+            let parts = self.parts.clone();
+            self.start(async move {
+                let answer = parts.transport.ask(&peer, message::ShardQuestion::Ping).await;
+                let seen = match answer {
+                    Ok(message::ShardAnswer::Pong { incarnation }) => {
+                        let life = row::DaemonLife { daemon: peer.id.clone(), incarnation };
+                        Some(spread::CopyCandidate { life, zone: peer.zone.clone() })
+                    }
+                    _ => None,
+                };
+                event::ControlEvent::Pinged(peer.id, seen)
+            });
+        }
+    }
+
+    /// Tells peers that a lease can be taken.
+    pub(crate) fn notify_released(&self, peers: Vec<peer::PeerEntry>) {
+        for peer in peers {
+            let parts = self.parts.clone();
+            task::spawn(async move {
+                // Peers that don't get it find the lease at their next scan.
+                let _ = parts.transport.ask(&peer, message::ShardQuestion::Released).await;
+            });
+        }
+    }
+
+    fn commit_journal(&self, hold: event::HoldId, transaction: table::TableTransaction) {
+        let parts = self.parts.clone();
+        self.start(async move {
+            let answer = commit(&*parts.table, &transaction).await;
+            event::ControlEvent::Claim(hold, shard::ClaimInput::TableAnswered(answer))
+        });
+    }
+
+    fn read_lease(&self, hold: event::HoldId) {
+        let parts = self.parts.clone();
+        self.start(async move {
+            let reading = read_lease(&*parts.table, hold.shard).await;
+            event::ControlEvent::Claim(hold, shard::ClaimInput::LeaseRead(reading))
+        });
+    }
+
+    fn copy(
+        &self,
+        hold: event::HoldId,
+        round: writer::RoundNumber,
+        member: row::DaemonLife,
+        question: message::ShardQuestion,
+    ) {
+        let parts = self.parts.clone();
+        self.start(async move {
+            let answer = match ask(&parts, &member, question).await {
+                Some(message::ShardAnswer::Kept) => writer::CopyAnswer::Kept,
+                Some(message::ShardAnswer::Refused) => writer::CopyAnswer::Sealed,
+                Some(message::ShardAnswer::OtherLife) => writer::CopyAnswer::Gone,
+                _ => writer::CopyAnswer::Failed,
+            };
+            event::ControlEvent::Claim(
+                hold,
+                shard::ClaimInput::CopyAnswered { round, member, answer },
+            )
+        });
+    }
+
+    fn start(&self, effect: impl Future<Output = event::ControlEvent> + Send + 'static) {
+        let sender = self.sender.clone();
+        task::spawn(async move {
+            let event = effect.await;
+            // The control thread has ended: nobody needs the event.
+            let _ = sender.send(event).await;
+        });
+    }
+}
+
+async fn commit(
+    table: &dyn table::TableStore,
+    transaction: &table::TableTransaction,
+) -> answer::TableAnswer {
+    match future::timeout(TABLE_LIMIT.to_duration(), table.commit(transaction)).await {
+        Ok(settled) => answer::TableAnswer::from(settled),
+        Err(_) => answer::TableAnswer::Unknown,
+    }
+}
+
+async fn read_lease(
+    table: &dyn table::TableStore,
+    shard: quantity::ShardNumber,
+) -> writer::LeaseReading {
+    let Ok(found) = table.read(&row::shard_key(shard)).await else {
+        return writer::LeaseReading::Failed;
+    };
+    let Some(found) = found else { return writer::LeaseReading::Found(None) };
+    let decoded = row::LeaseRow::decode(&found.value);
+    writer::LeaseReading::Found(
+        decoded.map(|row| Box::new(row::HeldLease { row, version: found.version })),
+    )
+}
+
+/// Reads every row under a prefix, page by page.
+async fn scan_all(
+    table: &dyn table::TableStore,
+    prefix: &str,
+) -> Result<Vec<table::TableRow>, table::PlatformError> {
+    let mut rows: Vec<table::TableRow> = Vec::new();
+    loop {
+        let after = rows.last().map(|row| row.key.clone());
+        let page = table.scan(prefix, after.as_ref(), SCAN_PAGE).await?;
+        let is_last = page.len() < SCAN_PAGE;
+        rows.extend(page);
+        if is_last {
+            return Ok(rows);
+        }
+    }
+}
+
+async fn seal(
+    parts: &service::ShardParts,
+    hold: event::HoldId,
+    member: &row::DaemonLife,
+) -> opening::SealAnswer {
+    if is_gone(parts, member) {
+        return opening::SealAnswer::Gone;
+    }
+    let question = message::ShardQuestion::Seal {
+        incarnation: member.incarnation,
+        shard: hold.shard,
+        fence: hold.fence,
+    };
+    match ask(parts, member, question).await {
+        Some(message::ShardAnswer::Sealed(batches)) => opening::SealAnswer::Sealed(batches),
+        Some(message::ShardAnswer::OtherLife) => opening::SealAnswer::Gone,
+        _ => opening::SealAnswer::Failed,
+    }
+}
+
+fn is_gone(parts: &service::ShardParts, member: &row::DaemonLife) -> bool {
+    let daemons = parts.directory.daemons();
+    let entry = daemons.iter().find(|entry| entry.id == member.daemon);
+    entry.is_some_and(|entry| entry.state == zone::UpstreamState::Gone)
+}
+
+async fn ask(
+    parts: &service::ShardParts,
+    member: &row::DaemonLife,
+    question: message::ShardQuestion,
+) -> Option<message::ShardAnswer> {
+    let daemons = parts.directory.daemons();
+    let peer = daemons.iter().find(|entry| entry.id == member.daemon)?;
+    parts.transport.ask(peer, question).await.ok()
+}
+
+async fn run(parts: &service::ShardParts, call: &call::OnceCall) -> shard::RunEnd {
+    if call.remaining == time::Millis::new(0) {
+        let reason = reason::RefusalReason::DeadlinePassed;
+        return shard::RunEnd::NotRun(shard::NotRunCause { reason, retry_after: None });
+    }
+    let limit = call.remaining.to_duration() + RUN_GRACE.to_duration();
+    let Ok(result) = future::timeout(limit, parts.runner.run(call)).await else {
+        return shard::RunEnd::MaybeRun(reason::RefusalReason::DeadlinePassed);
+    };
+    match result {
+        call::RunResult::Completed(result) => {
+            shard::RunEnd::Completed(stored::StoredResult::from(&result).encode())
+        }
+        call::RunResult::NotRun { reason, retry_after } => {
+            shard::RunEnd::NotRun(shard::NotRunCause { reason, retry_after })
+        }
+        call::RunResult::MaybeRun(reason) => shard::RunEnd::MaybeRun(reason),
+    }
+}
--- /dev/null
+++ b/crates/shards/src/forward.rs
@@ -0,0 +1,192 @@
+//! Finds the holder of a call's shard and gets the call's answer from it.
+
+use std::collections;
+use std::sync;
+use std::time as std_time;
+
+use async_std::task;
+use samphiremoor_base::id;
+use samphiremoor_base::quantity;
+use samphiremoor_base::reason;
+use samphiremoor_base::time;
+use samphiremoor_lease::row;
+use samphiremoor_peers::link;
+
+use crate::call;
+use crate::message;
+use crate::peer;
+use crate::service;
+use crate::stored;
+
+/// Longest wait of the holder before it says that a call still runs.
+const POLL_WAIT: time::Millis = time::Millis::new(500);
+
+/// Pause before the holder is looked up again.
+const LOOKUP_PAUSE: time::Millis = time::Millis::new(50);
+
+/// Time since the last answer of a daemon after which it is pinged before it gets a call.
+const CONTACT_AGE: std_time::Duration = std_time::Duration::from_millis(500);
+
+/// When a refused caller is told to come back.
+const RETRY_AFTER: time::Millis = time::Millis::new(1_000);
+
+/// When each daemon answered last.
+#[derive(Debug, Default)]
+pub(crate) struct ContactTimes {
+    times: sync::Mutex<collections::HashMap<id::DaemonId, std_time::Instant>>,
+}
+
+impl ContactTimes {
+    pub(crate) fn new() -> Self {
+        ContactTimes::default()
+    }
+
+    fn is_fresh(&self, daemon: &id::DaemonId) -> bool {
+        let times = self.times.lock().unwrap_or_else(sync::PoisonError::into_inner);
+        times.get(daemon).is_some_and(|last| last.elapsed() < CONTACT_AGE)
+    }
+
+    fn note(&self, daemon: &id::DaemonId) {
+        let mut times = self.times.lock().unwrap_or_else(sync::PoisonError::into_inner);
+        times.insert(daemon.clone(), std_time::Instant::now());
+    }
+
+    fn forget(&self, daemon: &id::DaemonId) {
+        let mut times = self.times.lock().unwrap_or_else(sync::PoisonError::into_inner);
+        times.remove(daemon);
+    }
+}
+
+/// One attempt's result.
+enum ForwardStep {
+    /// The call ended.
+    Ended(call::OnceAnswer),
+    /// The call runs; ask again at once.
+    Running,
+    /// The holder is not known, or does not hold the shard any more.
+    NoHolder,
+    /// The holder did not answer, and it may have got the call.
+    Silent,
+}
+
+/// Gets the answer of one call.
+pub(crate) struct CallForwarder<'a> {
+    shared: &'a service::ServiceShared,
+    call: sync::Arc<call::OnceCall>,
+    start: std_time::Instant,
+    /// A holder may have run the call, so it can't be called not run any more.
+    maybe_run: bool,
+}
+
+impl<'a> CallForwarder<'a> {
+    pub(crate) fn new(shared: &'a service::ServiceShared, call: call::OnceCall) -> Self {
+        CallForwarder {
+            shared,
+            call: sync::Arc::new(call),
+            start: std_time::Instant::now(),
+            maybe_run: false,
+        }
+    }
+
+    pub(crate) async fn submit(mut self) -> call::OnceAnswer {
+        loop {
+            match self.step().await {
+                ForwardStep::Ended(answer) => return self.qualified(answer),
+                ForwardStep::Running => self.maybe_run = true,
+                ForwardStep::NoHolder => self.pause().await,
+                ForwardStep::Silent => {
+                    self.maybe_run = true;
+                    self.pause().await;
+                }
+            }
+            if self.is_over() {
+                return self.given_up();
+            }
+        }
+    }
+
+    async fn step(&self) -> ForwardStep {
+        let Some(map) = self.shared.map.load_full() else { return ForwardStep::NoHolder };
+        let shard = map.layout.shard_of(&self.call.key);
+        let Some(holder) = map.holder(shard) else { return ForwardStep::NoHolder };
+        if self.shared.is_self(holder) {
+            let call = sync::Arc::new(self.present_call());
+            let answer = self.shared.submit_here(shard, call).await;
+            return stored::once_answer(answer).map_or(ForwardStep::NoHolder, ForwardStep::Ended);
+        }
+        let daemons = self.shared.parts.directory.daemons();
+        let Some(peer) = daemons.iter().find(|peer| peer.id == holder.daemon) else {
+            return ForwardStep::NoHolder;
+        };
+        if !self.is_reachable(peer, holder).await {
+            return ForwardStep::NoHolder;
+        }
+        self.forward(peer, shard).await
+    }
+
+    /// Makes sure that the holder answers before it gets a call, so that a cut link costs no
+    /// unknown outcome.
+    async fn is_reachable(&self, peer: &peer::PeerEntry, holder: &row::DaemonLife) -> bool {
+        if self.shared.contacts.is_fresh(&peer.id) {
+            return true;
+        }
+        let answer = self.shared.parts.transport.ask(peer, message::ShardQuestion::Ping).await;
+        let Ok(message::ShardAnswer::Pong { incarnation }) = answer else { return false };
+        if incarnation != holder.incarnation {
+            return false;
+        }
+        self.shared.contacts.note(&peer.id);
+        true
+    }
+
+    async fn forward(&self, peer: &peer::PeerEntry, shard: quantity::ShardNumber) -> ForwardStep {
+        let call = self.present_call();
+        let wait = Ord::min(POLL_WAIT, call.remaining);
+        let question = message::ShardQuestion::Submit { shard, call: Box::new(call), wait };
+        let answer = self.shared.parts.transport.ask(peer, question).await;
+        match &answer {
+            Ok(_) => self.shared.contacts.note(&peer.id),
+            Err(_) => self.shared.contacts.forget(&peer.id),
+        }
+        match answer {
+            Ok(message::ShardAnswer::Ended(answer)) => ForwardStep::Ended(*answer),
+            Ok(message::ShardAnswer::Running) => ForwardStep::Running,
+            Ok(_) | Err(link::LinkError::Unreachable) => ForwardStep::NoHolder,
+            Err(_) => ForwardStep::Silent,
+        }
+    }
+
+    /// The call with the time that is left now.
+    fn present_call(&self) -> call::OnceCall {
+        let mut call = call::OnceCall::clone(&self.call);
+        call.remaining = call.remaining.saturating_sub(time::Millis::from(self.start.elapsed()));
+        call
+    }
+
+    async fn pause(&self) {
+        self.shared.refresh_map().await;
+        task::sleep(LOOKUP_PAUSE.to_duration()).await;
+    }
+
+    /// Whether it is time to give up: at the deadline, and earlier where nobody may have the call.
+    fn is_over(&self) -> bool {
+        let elapsed = time::Millis::from(self.start.elapsed());
+        let limit = self.shared.parts.settings.claim_timeout;
+        elapsed >= self.call.remaining || (!self.maybe_run && elapsed >= limit)
+    }
+
+    fn given_up(&self) -> call::OnceAnswer {
+        let reason = reason::RefusalReason::ShardUnavailable;
+        self.qualified(call::OnceAnswer::NotRun { reason, retry_after: Some(RETRY_AFTER) })
+    }
+
+    /// Turns `not run` into `unknown` where an earlier holder may have run the call.
+    fn qualified(&self, answer: call::OnceAnswer) -> call::OnceAnswer {
+        match answer {
+            call::OnceAnswer::NotRun { reason, retry_after } if self.maybe_run => {
+                call::OnceAnswer::Unknown { reason, retry_after }
+            }
+            answer => answer,
+        }
+    }
+}
--- /dev/null
+++ b/crates/shards/src/layout.rs
@@ -0,0 +1,47 @@
+//! The layout of the shards, which every daemon takes from the table.
+
+use std::sync;
+
+use async_std::task;
+use samphiremoor_base::time;
+use samphiremoor_claims::key;
+use samphiremoor_platform::table;
+
+/// Key of the row that has the layout.
+const LAYOUT_KEY: &str = "shards/layout";
+
+/// Pause between attempts to read the layout.
+const LAYOUT_RETRY: time::Millis = time::Millis::new(100);
+
+/// Reads the layout, and writes one where there is none; tries until the table answers.
+pub(crate) async fn agree_layout(table: &dyn table::TableStore, count: u16) -> key::ShardLayout {
+    loop {
+        match read_layout(table).await {
+            Ok(Some(layout)) => return layout,
+            Ok(None) => propose_layout(table, count).await,
+            Err(_) => {}
+        }
+        task::sleep(LAYOUT_RETRY.to_duration()).await;
+    }
+}
+
+async fn read_layout(
+    table: &dyn table::TableStore,
+) -> Result<Option<key::ShardLayout>, table::PlatformError> {
+    let row = table.read(&table::RowKey::new(LAYOUT_KEY)).await?;
+    Ok(row.and_then(|row| serde_json::from_str(&row.value).ok()))
+}
+
+/// Writes a layout unless another daemon was faster; the next read shows which one holds.
+async fn propose_layout(table: &dyn table::TableStore, count: u16) {
+    let layout = key::ShardLayout { count, hash_key: rand::random() };
+    let text = serde_json::to_string(&layout).expect("a layout has no fallible values");
+    let key = table::RowKey::new(LAYOUT_KEY);
+    let transaction = table::TableTransaction {
+        write_id: "shard-layout".parse().expect("letters and dashes make an identifier"),
+        conditions: vec![table::RowCondition::Absent(key.clone())],
+        writes: vec![table::RowWrite::Put(key, sync::Arc::from(text))],
+    };
+    // Whatever the answer, the next read shows which layout holds.
+    let _ = table.commit(&transaction).await;
+}
--- a/crates/shards/src/lib.rs
+++ b/crates/shards/src/lib.rs
@@ -6,7 +6,15 @@
 //! thread owns their state, and traffic talks to it by channels.
 
 pub mod call;
+mod control;
+mod effects;
+mod event;
+mod forward;
+mod layout;
+mod map;
 pub mod message;
+mod metrics;
 pub mod peer;
 pub mod service;
 pub mod settings;
+mod stored;
--- a/crates/shards/src/message.rs
+++ b/crates/shards/src/message.rs
@@ -2,18 +2,19 @@
 
 use samphiremoor_base::quantity;
 use samphiremoor_base::time;
+use samphiremoor_claims::journal;
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::call;
 
-/// What a daemon asks another about shards.
+/// What a daemon asks another about shards. Each question may be sent again.
 #[derive(Clone, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
 pub enum ShardQuestion {
-    /// Whether the daemon answers, asked before a call is forwarded to it.
+    /// Whether the daemon answers, and which life it lives.
     Ping,
-    /// Runs the call, or joins it where it runs already. May be sent again.
+    /// Runs the call, or joins it where it runs already.
     Submit {
         /// The shard of the call's key.
         shard: quantity::ShardNumber,
@@ -22,6 +23,30 @@
         /// Longest time to wait for the answer before saying that the call still runs.
         wait: time::Millis,
     },
+    /// Keeps copies of claims.
+    Keep {
+        /// Life that the lease row names; another one must not answer for it.
+        incarnation: quantity::Incarnation,
+        /// The shard.
+        shard: quantity::ShardNumber,
+        /// Fencing number of the holder.
+        fence: quantity::FenceNumber,
+        /// The table has every batch of the holder before this number.
+        written: u64,
+        /// The batches.
+        batches: Vec<journal::JournalBatch>,
+    },
+    /// Refuses copies of earlier holders from now on, and closes an earlier holder here.
+    Seal {
+        /// Life that the lease row names; another one must not answer for it.
+        incarnation: quantity::Incarnation,
+        /// The shard.
+        shard: quantity::ShardNumber,
+        /// Fencing number of the asking holder.
+        fence: quantity::FenceNumber,
+    },
+    /// A lease was given away: it can be taken.
+    Released,
 }
 
 /// What a daemon answers about shards.
@@ -29,11 +54,24 @@
 #[derive(Deserialize, Serialize)]
 pub enum ShardAnswer {
     /// The daemon answers.
-    Pong,
+    Pong {
+        /// Its life.
+        incarnation: quantity::Incarnation,
+    },
     /// The call ended.
     Ended(Box<call::OnceAnswer>),
     /// The call was taken and has not ended yet; ask again.
     Running,
-    /// The daemon does not hold the shard, and it did not take the call.
+    /// The daemon does not hold the shard, and it did not run the call.
     NotHolder,
+    /// The copies are kept.
+    Kept,
+    /// A later holder sealed the daemon: copies are refused.
+    Refused,
+    /// The daemon is sealed; these are the copies that it kept.
+    Sealed(Vec<journal::JournalBatch>),
+    /// The daemon lives another life and has lost what the named one kept.
+    OtherLife,
+    /// The daemon stops and can't answer.
+    Stopping,
 }
