--- a/crates/base/src/reason.rs
+++ b/crates/base/src/reason.rs
@@ -89,6 +89,10 @@
         Stopping => "stopping",
         /// The daemon has no configuration yet.
         NotReady => "not-ready",
+        /// Nobody waited for the answer.
+        Abandoned => "abandoned",
+        /// The daemon that keeps the request can't be reached.
+        OwnerUnreachable => "owner-unreachable",
     }
 );
 
--- /dev/null
+++ b/crates/entry/src/core.rs
@@ -0,0 +1,322 @@
+//! What the tasks of one entry daemon share.
+
+use std::collections::HashMap;
+use std::sync;
+use std::sync::Arc;
+use std::sync::atomic;
+
+use arc_swap::ArcSwapOption;
+use rand::Rng as _;
+use samphiremoor_base::event;
+use samphiremoor_base::id;
+use samphiremoor_base::log_event;
+use samphiremoor_base::reason;
+use samphiremoor_base::time;
+use samphiremoor_httpio::server;
+use samphiremoor_limits::gate;
+use samphiremoor_requests::backoff;
+use samphiremoor_requests::budget;
+use samphiremoor_requests::policy;
+use samphiremoor_routing::picker;
+use samphiremoor_view::zone;
+
+use crate::kept;
+use crate::metrics;
+use crate::registry;
+use crate::settings;
+use crate::snapshot;
+use crate::source;
+
+/// State of one entry daemon.
+pub struct EntryCore {
+    /// Its settings.
+    pub settings: settings::EntrySettings,
+    /// Its clock.
+    pub clock: time::MonotonicClock,
+    /// Its metrics.
+    pub metrics: metrics::EntryMetrics,
+    /// The kept requests.
+    pub registry: registry::RequestRegistry,
+    /// Given when new work is refused.
+    pub stopping: server::StopSignal,
+    /// Given when the daemon ends.
+    pub ending: server::StopSignal,
+    /// Requests in progress.
+    pub in_progress: atomic::AtomicUsize,
+    view: ArcSwapOption<snapshot::ViewSnapshot>,
+    view_answered_at: atomic::AtomicU64,
+    picker: sync::Mutex<Box<dyn picker::ReplicaPicker>>,
+    gate: sync::Mutex<Box<dyn gate::AdmissionGate>>,
+    budget: sync::Mutex<budget::RetryBudget>,
+    blamed: sync::Mutex<HashMap<id::ReplicaId, time::MonotonicTime>>,
+}
+
+/// Policies that are chosen when the daemon starts.
+pub struct EntryPolicies {
+    /// Chooses replicas.
+    pub picker: Box<dyn picker::ReplicaPicker>,
+    /// Admits requests.
+    pub gate: Box<dyn gate::AdmissionGate>,
+}
+
+impl EntryCore {
+    /// State of a daemon that has no view yet.
+    pub fn new(settings: settings::EntrySettings, policies: EntryPolicies) -> Self {
+        let limits = registry::RegistryLimits {
+            max_bytes: settings.kept.max_bytes,
+            retention: settings.kept.retention_ms,
+        };
+        let budget = budget::RetryBudget::new(settings.budget_policy());
+        EntryCore {
+            settings,
+            clock: time::MonotonicClock::start(),
+            metrics: metrics::EntryMetrics::new(),
+            registry: registry::RequestRegistry::new(limits),
+            stopping: server::StopSignal::new(),
+            ending: server::StopSignal::new(),
+            in_progress: atomic::AtomicUsize::new(0),
+            view: ArcSwapOption::empty(),
+            view_answered_at: atomic::AtomicU64::new(0),
+            picker: sync::Mutex::new(policies.picker),
+            gate: sync::Mutex::new(policies.gate),
+            budget: sync::Mutex::new(budget),
+            blamed: sync::Mutex::default(),
+        }
+    }
+
+    /// The present instant.
+    pub fn now(&self) -> time::MonotonicTime {
+        self.clock.now()
+    }
+
+    /// The last view, where one came.
+    pub fn view(&self) -> Option<Arc<snapshot::ViewSnapshot>> {
+        self.view.load_full()
+    }
+
+    /// Whether the daemon takes new work.
+    pub fn is_ready(&self) -> bool {
+        !self.stopping.is_given() && self.view.load().is_some()
+    }
+
+    /// A new request id.
+    pub fn new_request_id(&self) -> id::RequestId {
+        let unique = uuid::Uuid::now_v7();
+        format!("{}:{unique}", self.settings.daemon)
+            .parse()
+            .expect("a daemon id leaves room for a UUID, as the settings' check says")
+    }
+
+    /// Chooses a replica; a blamed one only where no other is left.
+    pub fn pick(&self, query: &PickQuery<'_>) -> Option<id::ReplicaId> {
+        let snapshot = self.view()?;
+        let now = self.now();
+        let mut avoid = query.avoid.to_vec();
+        avoid.extend(self.blamed_at(now));
+        let mut route = picker::RouteQuery {
+            service: query.target.service,
+            workspace: query.target.workspace,
+            prefix: query.target.prefix,
+            prompt_tokens: query.target.prompt_tokens,
+            avoid: &avoid,
+            now,
+            random: rand::rng().random(),
+        };
+        let mut picker = lock(&self.picker);
+        if let Some(choice) = picker.pick(&snapshot.view, &route) {
+            return Some(choice.replica);
+        }
+        route.avoid = query.avoid;
+        picker.pick(&snapshot.view, &route).map(|choice| choice.replica)
+    }
+
+    /// Tells the routing policy of a dispatch.
+    pub fn dispatched(&self, dispatch: &picker::DispatchReport<'_>) {
+        lock(&self.picker).dispatched(dispatch);
+    }
+
+    /// Tells the routing policy of the end of a dispatch.
+    pub fn dispatch_finished(&self, finish: &picker::FinishReport<'_>) {
+        lock(&self.picker).finished(finish);
+    }
+
+    /// Keeps new requests from a replica for a while.
+    pub fn blame(&self, replica: &id::ReplicaId) {
+        let until = self.now() + self.settings.upstreams.blame_ms;
+        lock(&self.blamed).insert(replica.clone(), until);
+    }
+
+    /// Admits a request.
+    ///
+    /// # Errors
+    ///
+    /// Says why not, and when a later try can help.
+    pub fn admit(
+        self: &Arc<Self>,
+        request: &gate::AdmissionRequest<'_>,
+    ) -> Result<AdmittedRequest, gate::AdmissionRefusal> {
+        let slot = ProgressSlot::take(self)?;
+        let permit = lock(&self.gate).admit(request)?;
+        lock(&self.budget).earn();
+        Ok(AdmittedRequest { core: self.clone(), permit, report: None, _slot: slot })
+    }
+
+    /// The gate of one request's retries.
+    pub fn retry_gate(&self) -> SharedRetryGate<'_> {
+        SharedRetryGate { budget: &self.budget }
+    }
+
+    /// Ends what the limits of time end; called by the control thread.
+    pub fn sweep(&self) {
+        let now = self.now();
+        let size = self.registry.sweep(now);
+        self.metrics.kept_requests.set(size.requests as i64);
+        self.metrics.kept_bytes.set(size.bytes as i64);
+        let in_progress = self.in_progress.load(atomic::Ordering::Relaxed);
+        self.metrics.in_progress.set(in_progress as i64);
+        self.metrics.ready.set(i64::from(self.is_ready()));
+        let limit = self.settings.kept.abandon_after_ms;
+        for kept in self.registry.in_progress() {
+            if kept.is_abandoned(now, limit) {
+                log_event!(event::LogEvent::CallerGone, request = kept.head.id);
+                kept.command(kept::RunCommand::Abandon);
+            }
+        }
+    }
+
+    fn blamed_at(&self, now: time::MonotonicTime) -> Vec<id::ReplicaId> {
+        let mut blamed = lock(&self.blamed);
+        blamed.retain(|_, until| *until > now);
+        blamed.keys().cloned().collect()
+    }
+}
+
+/// Where a request is to go.
+#[derive(Clone, Copy, Debug)]
+pub struct PickQuery<'a> {
+    /// What is to be served.
+    pub target: RouteTarget<'a>,
+    /// Replicas that were tried already.
+    pub avoid: &'a [id::ReplicaId],
+}
+
+/// What is to be served.
+#[derive(Clone, Copy, Debug)]
+pub struct RouteTarget<'a> {
+    /// Record of the service.
+    pub service: &'a samphiremoor_records::set::ServiceRecord,
+    /// The caller's workspace.
+    pub workspace: &'a id::WorkspaceId,
+    /// Hashes of the prompt's blocks.
+    pub prefix: &'a [samphiremoor_routing::prefix::PrefixHash],
+    /// Length of the prompt.
+    pub prompt_tokens: samphiremoor_base::quantity::TokenCount,
+}
+
+impl source::ViewSink for EntryCore {
+    fn changed(&self, view: zone::ZoneView) {
+        let now = self.now();
+        let revision = view.records.revision;
+        lock(&self.gate).configure(&view, now);
+        let mut picker = lock(&self.picker);
+        for replica in &view.replicas {
+            picker.load_report(&replica.id, &replica.load, now);
+        }
+        drop(picker);
+        self.metrics.revision.set(i64::try_from(revision.get()).unwrap_or(i64::MAX));
+        let before = self.view.load().as_ref().map(|snapshot| snapshot.view.records.revision);
+        if before != Some(revision) {
+            log_event!(event::LogEvent::RevisionInForce, revision = revision);
+        }
+        self.view.store(Some(Arc::new(snapshot::ViewSnapshot::new(view, now))));
+    }
+
+    fn answered(&self) {
+        self.view_answered_at.store(self.now().get(), atomic::Ordering::Relaxed);
+        self.metrics.view_age.set(0);
+        self.sweep();
+    }
+
+    fn failed(&self, cause: &source::SourceError) {
+        let answered = self.view_answered_at.load(atomic::Ordering::Relaxed);
+        let age = self.now().since(time::MonotonicTime::new(answered));
+        self.metrics.view_age.set(i64::try_from(age.get()).unwrap_or(i64::MAX));
+        log::debug!("{cause}");
+        self.sweep();
+    }
+
+    fn is_ended(&self) -> bool {
+        self.ending.is_given()
+    }
+}
+
+/// A request that was admitted; it is given back when dropped.
+pub struct AdmittedRequest {
+    core: Arc<EntryCore>,
+    permit: gate::PermitId,
+    report: Option<gate::PermitReport>,
+    _slot: ProgressSlot,
+}
+
+impl AdmittedRequest {
+    /// Sets how the request ended.
+    pub fn report(&mut self, outcome: gate::PermitOutcome, first: Option<time::Millis>) {
+        self.report = Some(gate::PermitReport { outcome, first, now: self.core.now() });
+    }
+}
+
+impl Drop for AdmittedRequest {
+    fn drop(&mut self) {
+        let cancelled = gate::PermitReport {
+            outcome: gate::PermitOutcome::Cancelled,
+            first: None,
+            now: self.core.now(),
+        };
+        let report = self.report.unwrap_or(cancelled);
+        lock(&self.core.gate).finished(self.permit, &report);
+    }
+}
+
+/// One request in progress, counted while it lives.
+struct ProgressSlot {
+    core: Arc<EntryCore>,
+}
+
+impl ProgressSlot {
+    fn take(core: &Arc<EntryCore>) -> Result<Self, gate::AdmissionRefusal> {
+        let before = core.in_progress.fetch_add(1, atomic::Ordering::Relaxed);
+        let slot = ProgressSlot { core: core.clone() };
+        if before < core.settings.callers.max_in_progress as usize {
+            return Ok(slot);
+        }
+        Err(gate::AdmissionRefusal {
+            reason: reason::RefusalReason::TooManyRequests,
+            retry_after: core.settings.callers.retry_after_ms,
+        })
+    }
+}
+
+impl Drop for ProgressSlot {
+    fn drop(&mut self) {
+        self.core.in_progress.fetch_sub(1, atomic::Ordering::Relaxed);
+    }
+}
+
+/// The daemon's retry budget and its source of randomness.
+pub struct SharedRetryGate<'a> {
+    budget: &'a sync::Mutex<budget::RetryBudget>,
+}
+
+impl policy::RetryGate for SharedRetryGate<'_> {
+    fn try_take(&mut self) -> bool {
+        lock(self.budget).try_take()
+    }
+
+    fn draw(&mut self) -> backoff::JitterDraw {
+        backoff::JitterDraw::new(rand::rng().random())
+    }
+}
+
+fn lock<T: ?Sized>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/entry/src/daemon.rs
@@ -0,0 +1,216 @@
+//! The running daemon: its servers, its control thread and its planned stop.
+
+use std::error;
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::sync;
+use std::sync::Arc;
+use std::sync::atomic;
+
+use async_std::net;
+use async_std::task;
+use samphiremoor_base::event;
+use samphiremoor_base::log_event;
+use samphiremoor_base::time;
+use samphiremoor_httpio::server;
+use samphiremoor_limits::gate;
+use samphiremoor_peers::link;
+use samphiremoor_peers::server as peer_server;
+use samphiremoor_routing::baseline;
+
+use crate::core;
+use crate::handover;
+use crate::peer;
+use crate::serve::handler;
+use crate::settings;
+use crate::source;
+
+/// Why the daemon does not start.
+#[derive(Debug)]
+pub enum StartError {
+    /// The callers' address can't be listened on.
+    Listen(SocketAddr, io::Error),
+    /// The peers' address can't be listened on.
+    PeerListen(peer_server::ListenError),
+    /// The control thread can't be started.
+    Thread(io::Error),
+}
+
+impl fmt::Display for StartError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            StartError::Listen(address, cause) => {
+                write!(f, "can't listen on {address} ({cause}); set a free http_address")
+            }
+            StartError::PeerListen(cause) => cause.fmt(f),
+            StartError::Thread(cause) => {
+                write!(f, "can't start a thread ({cause}); raise the process's limits")
+            }
+        }
+    }
+}
+
+impl error::Error for StartError {}
+
+/// A running daemon.
+pub struct EntryDaemon {
+    core: Arc<core::EntryCore>,
+    peers: Arc<peer::PeerClients>,
+    address: SocketAddr,
+    accepting: server::StopSignal,
+    forced: server::StopSignal,
+    stop_started: sync::Once,
+    _peer_server: peer_server::PeerServer,
+}
+
+/// How the planned stop ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum StopVerdict {
+    /// Everything in progress was finished.
+    Finished,
+    /// The rest was handed over or ended at the limit.
+    Forced,
+}
+
+impl EntryDaemon {
+    /// Starts the servers and the control thread.
+    ///
+    /// # Errors
+    ///
+    /// Fails where an address is taken.
+    pub async fn start(settings: settings::EntrySettings) -> Result<Self, StartError> {
+        let source = view_source(&settings.view);
+        EntryDaemon::start_with(settings, source, default_policies()).await
+    }
+
+    /// Starts with a source of views and policies of the caller's choice.
+    ///
+    /// # Errors
+    ///
+    /// Fails where an address is taken.
+    pub async fn start_with(
+        settings: settings::EntrySettings,
+        source: Box<dyn source::ViewSource>,
+        policies: core::EntryPolicies,
+    ) -> Result<Self, StartError> {
+        let wanted = settings.http_address;
+        let listener = net::TcpListener::bind(wanted)
+            .await
+            .map_err(|cause| StartError::Listen(wanted, cause))?;
+        let address = listener.local_addr().map_err(|cause| StartError::Listen(wanted, cause))?;
+        let limits = settings.server_limits();
+        let interval = settings.view.interval_ms.to_duration();
+        let peers = Arc::new(peer::PeerClients::new(settings.kept.peer_timeout_ms));
+        let peer_address = settings.peer_address;
+        let core = Arc::new(core::EntryCore::new(settings, policies));
+        let entry_peer = Arc::new(handover::EntryPeer::new(core.clone()));
+        let peer_server = peer_server::PeerServer::start(peer_address, entry_peer)
+            .map_err(StartError::PeerListen)?;
+        source::start(source, core.clone(), interval).map_err(StartError::Thread)?;
+        let accepting = server::StopSignal::new();
+        let handler = Arc::new(handler::EntryHandler::new(core.clone(), peers.clone()));
+        task::spawn(server::serve(listener, limits, handler, accepting.clone()));
+        log_event!(event::LogEvent::ProcessStarted, address = address);
+        Ok(EntryDaemon {
+            core,
+            peers,
+            address,
+            accepting,
+            forced: server::StopSignal::new(),
+            stop_started: sync::Once::new(),
+            _peer_server: peer_server,
+        })
+    }
+
+    /// Where callers are served.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// The daemon's state.
+    pub fn core(&self) -> &Arc<core::EntryCore> {
+        &self.core
+    }
+
+    /// Takes no new work from now on; a second call cuts the wait of [`finish`](Self::finish).
+    pub fn stop(&self) {
+        if self.stop_started.is_completed() {
+            self.forced.give();
+            return;
+        }
+        self.stop_started.call_once(|| {
+            log_event!(event::LogEvent::ProcessStopping);
+            self.core.stopping.give();
+        });
+    }
+
+    /// Waits for the requests in progress after [`stop`](Self::stop), or hands them over at the
+    /// limit; then ends the servers.
+    pub async fn finish(&self) -> StopVerdict {
+        let stop = &self.core.settings.stop;
+        let limit = (stop.limit_ms.get() > 0).then(|| self.core.now() + stop.limit_ms);
+        let grace_end = self.core.now() + stop.grace_ms;
+        let is_cut = |now: time::MonotonicTime| {
+            self.forced.is_given() || limit.is_some_and(|limit| now >= limit)
+        };
+        while !is_cut(self.core.now()) {
+            if self.is_idle() && self.core.now() >= grace_end {
+                self.end();
+                return StopVerdict::Finished;
+            }
+            task::sleep(STOP_POLL.to_duration()).await;
+        }
+        log_event!(event::LogEvent::StopForced);
+        self.hand_over_rest().await;
+        self.end();
+        StopVerdict::Forced
+    }
+
+    async fn hand_over_rest(&self) {
+        let limit = self.core.now() + self.core.settings.stop.hand_over_ms;
+        handover::hand_over_all(&self.core, &self.peers).await;
+        // The callers' streams end with an event that needs a moment to be written.
+        while !self.is_idle() && self.core.now() < limit {
+            task::sleep(STOP_POLL.to_duration()).await;
+        }
+        for kept in self.core.registry.in_progress() {
+            kept.command(crate::kept::RunCommand::Abandon);
+        }
+        task::sleep(FLUSH_TIME.to_duration()).await;
+    }
+
+    fn is_idle(&self) -> bool {
+        self.core.in_progress.load(atomic::Ordering::Relaxed) == 0
+    }
+
+    fn end(&self) {
+        self.accepting.give();
+        self.core.ending.give();
+        log_event!(event::LogEvent::ProcessStopped);
+    }
+}
+
+/// Time between two looks at what is in progress while the daemon stops.
+const STOP_POLL: time::Millis = time::Millis::new(20);
+
+/// Time for the last events of cut streams.
+const FLUSH_TIME: time::Millis = time::Millis::new(100);
+
+fn view_source(settings: &settings::ViewSettings) -> Box<dyn source::ViewSource> {
+    match (settings.control_address, &settings.file) {
+        (Some(address), _) => {
+            let link = link::PeerLink::new(address, settings.timeout_ms);
+            Box::new(source::ControlSource::new(link))
+        }
+        (None, file) => Box::new(source::FileSource::new(file.clone().unwrap_or_default())),
+    }
+}
+
+/// The policies that the daemon runs with.
+pub fn default_policies() -> core::EntryPolicies {
+    core::EntryPolicies {
+        picker: Box::new(baseline::LeastLoadedPicker::default()),
+        gate: Box::new(gate::FixedGate::default()),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/finish.rs
@@ -0,0 +1,180 @@
+//! The end of requests: problems, metrics and log lines.
+
+use http_types::StatusCode;
+use samphiremoor_base::event;
+use samphiremoor_base::log_event;
+use samphiremoor_base::outcome;
+use samphiremoor_base::reason;
+use samphiremoor_base::time;
+use samphiremoor_httpio::problem;
+use samphiremoor_limits::gate;
+use samphiremoor_requests::action;
+
+use crate::core;
+use crate::kept;
+
+/// The problem that a failed request's caller is told.
+pub fn problem_of_end(end: &action::RequestEnd) -> problem::CallProblem {
+    let reason = match end.cause {
+        action::EndCause::Refused(reason) => reason,
+        // Nobody waits, but a caller that attaches again is told that no answer will come.
+        action::EndCause::Abandoned | action::EndCause::Answered => {
+            reason::RefusalReason::Abandoned
+        }
+        action::EndCause::HandedOver => reason::RefusalReason::Stopping,
+    };
+    let mut problem = problem_of(reason, end.outcome);
+    problem.retry_after = end.retry_after;
+    problem
+}
+
+/// The problem of a reason.
+pub fn problem_of(
+    reason: reason::RefusalReason,
+    outcome: outcome::CallOutcome,
+) -> problem::CallProblem {
+    problem::CallProblem {
+        status: status_of(reason),
+        reason,
+        outcome,
+        detail: detail_of(reason).to_owned(),
+        retry_after: None,
+    }
+}
+
+/// What the callers of a request are told that another daemon goes on with.
+pub fn handed_over() -> problem::CallProblem {
+    let mut problem = problem_of(reason::RefusalReason::Stopping, outcome::CallOutcome::Unknown);
+    problem.detail = "another daemon goes on with the request; attach again by its id".to_owned();
+    problem.retry_after = Some(ATTACH_DELAY);
+    problem
+}
+
+/// What the callers of a stream are told that the upstream refused as the caller's mistake.
+pub fn rejected_stream() -> problem::CallProblem {
+    let mut problem =
+        problem_of(reason::RefusalReason::MalformedBody, outcome::CallOutcome::Complete);
+    problem.detail = "the upstream refused the call; read its answer by the request id".to_owned();
+    problem
+}
+
+/// Time after which a caller of a request that was handed over attaches again.
+const ATTACH_DELAY: time::Millis = time::Millis::new(100);
+
+/// HTTP status of a reason.
+pub fn status_of(reason: reason::RefusalReason) -> StatusCode {
+    use reason::RefusalReason;
+    match reason {
+        RefusalReason::MalformedHttp | RefusalReason::MalformedBody | RefusalReason::BadHeader => {
+            StatusCode::BadRequest
+        }
+        RefusalReason::TooLarge => StatusCode::PayloadTooLarge,
+        RefusalReason::SlowCaller => StatusCode::RequestTimeout,
+        RefusalReason::WrongKey => StatusCode::Unauthorized,
+        RefusalReason::UnknownPath
+        | RefusalReason::UnknownService
+        | RefusalReason::UnknownModel
+        | RefusalReason::UnknownRequest => StatusCode::NotFound,
+        RefusalReason::MissingIdempotencyKey => StatusCode::PreconditionRequired,
+        RefusalReason::IdempotencyKeyReused => StatusCode::UnprocessableEntity,
+        RefusalReason::WorkspaceLimit => StatusCode::TooManyRequests,
+        RefusalReason::DeadlinePassed | RefusalReason::DeadlineUnreachable => {
+            StatusCode::GatewayTimeout
+        }
+        RefusalReason::UpstreamFailed | RefusalReason::ClaimWithoutResult => StatusCode::BadGateway,
+        _ => StatusCode::ServiceUnavailable,
+    }
+}
+
+/// What a caller is told to do about a reason.
+fn detail_of(reason: reason::RefusalReason) -> &'static str {
+    use reason::RefusalReason;
+    match reason {
+        RefusalReason::MalformedHttp => "the message is not HTTP/1.1; check its form",
+        RefusalReason::MalformedBody => "the body is not what the call takes; check its form",
+        RefusalReason::BadHeader => "a header has an unusable value; correct it",
+        RefusalReason::TooLarge => "the body exceeds its limit; send less",
+        RefusalReason::SlowCaller => "the request came too slowly; send it without pauses",
+        RefusalReason::WrongKey => "no workspace has this key; send `Authorization: Bearer KEY`",
+        RefusalReason::UnknownPath => "the path names no call; see the API page",
+        RefusalReason::UnknownService => "the workspace has no such service; check its name",
+        RefusalReason::UnknownModel => "no record declares this version; leave it out",
+        RefusalReason::UnknownRequest => "no such request is kept; send it anew",
+        RefusalReason::MissingIdempotencyKey => {
+            "this call may not be repeated; send an `Idempotency-Key` of your own"
+        }
+        RefusalReason::IdempotencyKeyReused => {
+            "the key was used with another call; send a new key for a new call"
+        }
+        RefusalReason::TooManyConnections => "too many connections; try another daemon",
+        RefusalReason::TooManyRequests => "too many requests in progress; try again later",
+        RefusalReason::WorkspaceLimit => "the workspace is at its limit; send fewer at once",
+        RefusalReason::Shed => "load is shed; try again later",
+        RefusalReason::DeadlineUnreachable => "the deadline can't be met; allow more time",
+        RefusalReason::DeadlinePassed => "the deadline passed; allow more time",
+        RefusalReason::NoReplica => "no replica can serve it now; try again later",
+        RefusalReason::RetryBudgetSpent => "too many upstreams fail; try again later",
+        RefusalReason::ClaimUnavailable => "the claim can't be written now; try again later",
+        RefusalReason::ShardUnavailable => "the key's shard has no holder now; try again later",
+        RefusalReason::ClaimWithoutResult => {
+            "an earlier run of this key has no known result; find out at the service"
+        }
+        RefusalReason::UpstreamFailed => "the upstream failed after it may have got the call",
+        RefusalReason::Stopping => "the daemon is stopping; try another daemon",
+        RefusalReason::NotReady => "the daemon has no configuration yet; try again later",
+        RefusalReason::Abandoned => "nobody waited for the answer, so it was given up",
+        RefusalReason::OwnerUnreachable => {
+            "the daemon that keeps the request can't be reached; try again later"
+        }
+    }
+}
+
+/// How the admission policy is told of an end.
+pub fn permit_outcome(end: &action::RequestEnd) -> gate::PermitOutcome {
+    match end.cause {
+        action::EndCause::Answered => gate::PermitOutcome::Complete,
+        action::EndCause::Abandoned | action::EndCause::HandedOver => {
+            gate::PermitOutcome::Cancelled
+        }
+        action::EndCause::Refused(
+            reason::RefusalReason::DeadlinePassed | reason::RefusalReason::DeadlineUnreachable,
+        ) => gate::PermitOutcome::TimedOut,
+        action::EndCause::Refused(_) => gate::PermitOutcome::Failed,
+    }
+}
+
+/// Sets the end of a kept request, counts it and logs it.
+pub fn conclude(
+    core: &core::EntryCore,
+    kept: &kept::KeptRequest,
+    end: &action::RequestEnd,
+    kept_end: kept::KeptEnd,
+) {
+    if let action::EndCause::Refused(reason) = end.cause {
+        core.metrics.refused(reason);
+    }
+    let now = core.now();
+    let total = now.since(kept.head.accepted_at);
+    let revision = core.view().map(|snapshot| snapshot.view.records.revision).unwrap_or_default();
+    core.metrics.finished(&kept.head.service, end.outcome, total.to_duration());
+    log_event!(
+        event::LogEvent::RequestFinished,
+        request = kept.head.id,
+        revision = revision,
+        workspace = kept.head.workspace,
+        service = kept.head.service,
+        outcome = end.outcome,
+        cause = cause_label(end.cause),
+        ms = total.get(),
+    );
+    core.registry.ended(kept, || kept.finish(kept_end, now));
+}
+
+fn cause_label(cause: action::EndCause) -> &'static str {
+    match cause {
+        action::EndCause::Answered => "answered",
+        action::EndCause::Refused(reason) => reason.label(),
+        action::EndCause::Abandoned => "abandoned",
+        action::EndCause::HandedOver => "handed-over",
+    }
+}
--- /dev/null
+++ b/crates/entry/src/handover.rs
@@ -0,0 +1,139 @@
+//! Hands requests over to peers, and goes on with those of peers.
+
+use std::sync::Arc;
+
+use samphiremoor_base::event;
+use samphiremoor_base::log_event;
+use samphiremoor_base::time;
+use samphiremoor_limits::gate;
+use samphiremoor_peers::server;
+use samphiremoor_view::zone;
+
+use crate::core;
+use crate::kept;
+use crate::peer;
+use crate::serve::model;
+use crate::wire::request;
+
+/// Hands every model call in progress to a peer; what nobody takes goes on here.
+pub async fn hand_over_all(core: &Arc<core::EntryCore>, peers: &peer::PeerClients) {
+    let transfers: Vec<_> =
+        core.registry.in_progress().into_iter().map(|kept| hand_over(core, peers, kept)).collect();
+    for transfer in transfers {
+        transfer.await;
+    }
+}
+
+async fn hand_over(
+    core: &Arc<core::EntryCore>,
+    peers: &peer::PeerClients,
+    kept: Arc<kept::KeptRequest>,
+) {
+    let Some(snapshot) = core.view() else { return };
+    let Some(handed) = handed_request(core, &kept) else { return };
+    let live = |daemon: &zone::DaemonView| daemon.state == zone::UpstreamState::Live;
+    for daemon in peer::successors(core, &snapshot, &kept.head.id).into_iter().filter(live) {
+        if peers.hand_over(&daemon, &handed).await == Ok(peer::HandOverAnswer::Taken) {
+            core.metrics.handed_over.inc();
+            let request = &kept.head.id;
+            log_event!(event::LogEvent::RequestHandedOver, request = request, daemon = daemon.id);
+            kept.command(kept::RunCommand::HandOver(daemon.id));
+            return;
+        }
+    }
+}
+
+/// The form in which a call is handed over; none for plain calls, whose answers come whole.
+fn handed_request(core: &core::EntryCore, kept: &kept::KeptRequest) -> Option<peer::HandedRequest> {
+    let kept::KeptWork::Model(body) = &kept.work else { return None };
+    Some(peer::HandedRequest {
+        id: kept.head.id.clone(),
+        workspace: kept.head.workspace.clone(),
+        call: body.call,
+        body: serde_json::to_string(&body.fields).ok()?,
+        tokens: kept.progress(0).tokens,
+        remaining: model::time_left(core, kept),
+        created_s: kept.head.created_s,
+    })
+}
+
+/// Answers the questions of other entry daemons.
+pub struct EntryPeer {
+    core: Arc<core::EntryCore>,
+}
+
+impl EntryPeer {
+    /// A handler for one daemon.
+    pub fn new(core: Arc<core::EntryCore>) -> Self {
+        EntryPeer { core }
+    }
+}
+
+impl server::PeerHandler for EntryPeer {
+    type Question = peer::EntryQuestion;
+    type Answer = peer::EntryAnswer;
+
+    fn answer(&self, question: peer::EntryQuestion) -> server::AnswerFuture<peer::EntryAnswer> {
+        let core = self.core.clone();
+        Box::pin(async move {
+            match question {
+                peer::EntryQuestion::Locate(id) => {
+                    let answer = match core.registry.get(&id) {
+                        Some(_) => peer::LocateAnswer::Kept,
+                        None => peer::LocateAnswer::Absent,
+                    };
+                    peer::EntryAnswer::Located(answer)
+                }
+                peer::EntryQuestion::HandOver(handed) => {
+                    peer::EntryAnswer::HandedOver(take_over(&core, *handed))
+                }
+            }
+        })
+    }
+}
+
+/// Goes on with a request of another daemon; a second send of one is answered alike.
+fn take_over(core: &Arc<core::EntryCore>, handed: peer::HandedRequest) -> peer::HandOverAnswer {
+    if core.registry.get(&handed.id).is_some() {
+        return peer::HandOverAnswer::Taken;
+    }
+    if core.stopping.is_given() {
+        return peer::HandOverAnswer::Refused;
+    }
+    match start_taken(core, handed) {
+        Some(()) => peer::HandOverAnswer::Taken,
+        None => peer::HandOverAnswer::Refused,
+    }
+}
+
+fn start_taken(core: &Arc<core::EntryCore>, handed: peer::HandedRequest) -> Option<()> {
+    let snapshot = core.view()?;
+    let body = request::CallBody::parse(handed.call, handed.body.as_bytes()).ok()?;
+    let service = snapshot.service(&body.model.service)?.clone();
+    let target = model::target_of(&service, &body.model).ok()?;
+    let now = core.now();
+    let admitted = core
+        .admit(&gate::AdmissionRequest {
+            workspace: &handed.workspace,
+            service: &service.id,
+            priority: service.priority,
+            deadline_left: handed.remaining,
+            now,
+        })
+        .ok()?;
+    let accepted = model::AcceptedCall {
+        head: kept::KeptHead {
+            id: handed.id,
+            workspace: handed.workspace,
+            service: service.id.clone(),
+            accepted_at: now,
+            deadline: now + handed.remaining.max(time::Millis::new(1)),
+            created_s: handed.created_s,
+        },
+        body_bytes: handed.body.len(),
+        body: Arc::new(body),
+        tokens: handed.tokens,
+    };
+    model::start(core, accepted, service, target, admitted).ok()?;
+    Some(())
+}
--- /dev/null
+++ b/crates/entry/src/metrics.rs
@@ -0,0 +1,240 @@
+//! Metrics of the entry daemon.
+
+use std::time;
+
+use prometheus::Encoder as _;
+use samphiremoor_base::id;
+use samphiremoor_base::outcome;
+use samphiremoor_base::reason;
+use samphiremoor_requests::action;
+
+/// Bounds of the latency histograms, in seconds.
+const LATENCY_BOUNDS: &[f64] = &[
+    0.000_5, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.071, 0.1, 0.2, 0.5, 1.1, 2.0, 5.0, 10.0, 30.0,
+];
+
+/// Every metric, in a registry of its own.
+#[derive(Debug)]
+pub struct EntryMetrics {
+    registry: prometheus::Registry,
+    requests: prometheus::IntCounterVec,
+    refusals: prometheus::IntCounterVec,
+    retries: prometheus::IntCounterVec,
+    drops: prometheus::IntCounterVec,
+    first_token: prometheus::HistogramVec,
+    between_tokens: prometheus::HistogramVec,
+    total: prometheus::HistogramVec,
+    /// Requests in progress.
+    pub in_progress: prometheus::IntGauge,
+    /// Requests that are kept for callers that attach again.
+    pub kept_requests: prometheus::IntGauge,
+    /// Bytes of the kept requests.
+    pub kept_bytes: prometheus::IntGauge,
+    /// Streams that went on at their offset on another connection.
+    pub moved_streams: prometheus::IntCounter,
+    /// Tokens computed again by a replica that went on with a stream.
+    pub recomputed_tokens: prometheus::IntCounter,
+    /// Requests handed over to peers.
+    pub handed_over: prometheus::IntCounter,
+    /// Revision of the records in force.
+    pub revision: prometheus::IntGauge,
+    /// Age of the last answer of the view's source, in milliseconds.
+    pub view_age: prometheus::IntGauge,
+    /// 1 while the daemon takes new work.
+    pub ready: prometheus::IntGauge,
+}
+
+impl EntryMetrics {
+    /// Registers every metric.
+    pub fn new() -> Self {
+        let registry = prometheus::Registry::new();
+        let metrics = EntryMetrics {
+            requests: counters(
+                &registry,
+                "samphiremoor_requests_total",
+                "Requests that ended, by service and outcome.",
+                &["service", "outcome"],
+            ),
+            refusals: counters(
+                &registry,
+                "samphiremoor_refusals_total",
+                "Requests refused or given up, by reason.",
+                &["reason"],
+            ),
+            retries: counters(
+                &registry,
+                "samphiremoor_retries_total",
+                "Requests tried again, by reason.",
+                &["reason"],
+            ),
+            drops: counters(
+                &registry,
+                "samphiremoor_dropped_answers_total",
+                "Parts of answers that were dropped, by cause.",
+                &["cause"],
+            ),
+            first_token: histogram(
+                &registry,
+                "samphiremoor_first_token_seconds",
+                "Time to the first token, or to the answer of a plain service.",
+            ),
+            between_tokens: histogram(
+                &registry,
+                "samphiremoor_between_tokens_seconds",
+                "Time between two tokens.",
+            ),
+            total: histogram(
+                &registry,
+                "samphiremoor_request_seconds",
+                "Time from acceptance to the end.",
+            ),
+            in_progress: gauge(
+                &registry,
+                "samphiremoor_requests_in_progress",
+                "Requests in progress.",
+            ),
+            kept_requests: gauge(
+                &registry,
+                "samphiremoor_kept_requests",
+                "Requests kept for callers that attach again.",
+            ),
+            kept_bytes: gauge(&registry, "samphiremoor_kept_bytes", "Bytes of the kept requests."),
+            moved_streams: counter(
+                &registry,
+                "samphiremoor_moved_streams_total",
+                "Streams that went on at their offset on another connection.",
+            ),
+            recomputed_tokens: counter(
+                &registry,
+                "samphiremoor_recomputed_tokens_total",
+                "Tokens computed again by a replica that went on with a stream.",
+            ),
+            handed_over: counter(
+                &registry,
+                "samphiremoor_handed_over_total",
+                "Requests handed over to peers.",
+            ),
+            revision: gauge(
+                &registry,
+                "samphiremoor_revision_in_force",
+                "Revision of the records in force.",
+            ),
+            view_age: gauge(
+                &registry,
+                "samphiremoor_view_age_ms",
+                "Time since the control daemon answered, in milliseconds.",
+            ),
+            ready: gauge(&registry, "samphiremoor_ready", "1 while the daemon takes new work."),
+            registry,
+        };
+        metrics.create_reasons();
+        metrics
+    }
+
+    /// Creates each reason's counter, so that a scrape shows it before its first event.
+    fn create_reasons(&self) {
+        for reason in reason::RefusalReason::ALL {
+            self.refusals.with_label_values(&[reason.label()]);
+        }
+        for reason in reason::RetryReason::ALL {
+            self.retries.with_label_values(&[reason.label()]);
+        }
+    }
+
+    /// Counts a refusal.
+    pub fn refused(&self, reason: reason::RefusalReason) {
+        self.refusals.with_label_values(&[reason.label()]).inc();
+    }
+
+    /// Counts a retry.
+    pub fn retried(&self, reason: reason::RetryReason) {
+        self.retries.with_label_values(&[reason.label()]).inc();
+    }
+
+    /// Counts a part of an answer that was dropped.
+    pub fn dropped(&self, cause: action::DropCause) {
+        self.drops.with_label_values(&[cause.label()]).inc();
+    }
+
+    /// Counts a request that ended.
+    pub fn finished(
+        &self,
+        service: &id::ServiceId,
+        outcome: outcome::CallOutcome,
+        total: time::Duration,
+    ) {
+        self.requests.with_label_values(&[service.as_str(), outcome.label()]).inc();
+        self.total.with_label_values(&[service.as_str()]).observe(total.as_secs_f64());
+    }
+
+    /// The histograms of one service's tokens.
+    pub fn token_latency(&self, service: &id::ServiceId) -> TokenLatency {
+        TokenLatency {
+            first: self.first_token.with_label_values(&[service.as_str()]),
+            between: self.between_tokens.with_label_values(&[service.as_str()]),
+        }
+    }
+
+    /// Every metric in the text form.
+    pub fn render(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        prometheus::TextEncoder::new()
+            .encode(&self.registry.gather(), &mut text)
+            .expect("writing to memory succeeds and every family has a metric");
+        text
+    }
+}
+
+impl Default for EntryMetrics {
+    fn default() -> Self {
+        EntryMetrics::new()
+    }
+}
+
+/// Histograms of one service, looked up once for a request.
+#[derive(Clone, Debug)]
+pub struct TokenLatency {
+    /// Time to the first token.
+    pub first: prometheus::Histogram,
+    /// Time between two tokens.
+    pub between: prometheus::Histogram,
+}
+
+fn counters(
+    registry: &prometheus::Registry,
+    name: &str,
+    help: &str,
+    labels: &[&str],
+) -> prometheus::IntCounterVec {
+    let vec = prometheus::IntCounterVec::new(prometheus::Opts::new(name, help), labels)
+        .expect("the name and the labels are valid");
+    register(registry, &vec);
+    vec
+}
+
+fn counter(registry: &prometheus::Registry, name: &str, help: &str) -> prometheus::IntCounter {
+    let counter = prometheus::IntCounter::new(name, help).expect("the name is valid");
+    register(registry, &counter);
+    counter
+}
+
+fn gauge(registry: &prometheus::Registry, name: &str, help: &str) -> prometheus::IntGauge {
+    let gauge = prometheus::IntGauge::new(name, help).expect("the name is valid");
+    register(registry, &gauge);
+    gauge
+}
+
+fn histogram(registry: &prometheus::Registry, name: &str, help: &str) -> prometheus::HistogramVec {
+    let opts = prometheus::HistogramOpts::new(name, help).buckets(LATENCY_BOUNDS.to_vec());
+    let vec = prometheus::HistogramVec::new(opts, &["service"])
+        .expect("the name, the bounds and the label are valid");
+    register(registry, &vec);
+    vec
+}
+
+fn register<C>(registry: &prometheus::Registry, collector: &C)
+where
+    C: prometheus::core::Collector + Clone + 'static,
+{
+    registry.register(Box::new(collector.clone())).expect("each metric is registered once");
+}
--- /dev/null
+++ b/crates/entry/src/serve/mod.rs
@@ -0,0 +1,9 @@
+//! The callers' side: HTTP calls and their answers.
+
+pub mod access;
+pub mod attach;
+pub mod events;
+pub mod handler;
+pub mod model;
+pub mod reply;
+pub mod service;
--- /dev/null
+++ b/crates/entry/src/snapshot.rs
@@ -0,0 +1,59 @@
+//! The view as the traffic tasks read it.
+
+use std::collections::HashMap;
+
+use samphiremoor_base::digest;
+use samphiremoor_base::id;
+use samphiremoor_base::time;
+use samphiremoor_records::set;
+use samphiremoor_view::zone;
+
+/// A view with its indexes; immutable once published.
+#[derive(Debug)]
+pub struct ViewSnapshot {
+    /// The view.
+    pub view: zone::ZoneView,
+    /// When this daemon got it.
+    pub received_at: time::MonotonicTime,
+    workspaces: HashMap<digest::HexDigest, usize>,
+    services: HashMap<id::ServiceId, usize>,
+    daemons: HashMap<id::DaemonId, usize>,
+}
+
+impl ViewSnapshot {
+    /// Indexes a view.
+    pub fn new(view: zone::ZoneView, received_at: time::MonotonicTime) -> Self {
+        let records = &view.records;
+        let workspaces = indexed(&records.workspaces, |record| record.key_digest.clone());
+        let services = indexed(&records.services, |record| record.id.clone());
+        let daemons = indexed(&view.daemons, |daemon| daemon.id.clone());
+        ViewSnapshot { view, received_at, workspaces, services, daemons }
+    }
+
+    /// The workspace whose key has the digest.
+    pub fn workspace_by_key(&self, digest: &digest::HexDigest) -> Option<&set::WorkspaceRecord> {
+        let index = self.workspaces.get(digest)?;
+        self.view.records.workspaces.get(*index)
+    }
+
+    /// The service with the id.
+    pub fn service(&self, id: &id::ServiceId) -> Option<&set::ServiceRecord> {
+        let index = self.services.get(id)?;
+        self.view.records.services.get(*index)
+    }
+
+    /// The entry daemon with the id.
+    pub fn daemon(&self, id: &id::DaemonId) -> Option<&zone::DaemonView> {
+        let index = self.daemons.get(id)?;
+        self.view.daemons.get(*index)
+    }
+
+    /// The replica with the id.
+    pub fn replica(&self, id: &id::ReplicaId) -> Option<&zone::ReplicaView> {
+        self.view.replicas.iter().find(|replica| replica.id == *id)
+    }
+}
+
+fn indexed<T, K: Eq + std::hash::Hash>(items: &[T], key: impl Fn(&T) -> K) -> HashMap<K, usize> {
+    items.iter().enumerate().map(|(index, item)| (key(item), index)).collect()
+}
--- /dev/null
+++ b/crates/entry/src/source.rs
@@ -0,0 +1,146 @@
+//! Where the view comes from, and the thread that pulls it.
+
+use std::error;
+use std::fmt;
+use std::fs;
+use std::path;
+use std::sync;
+use std::thread;
+
+use async_std::task;
+use async_trait::async_trait;
+use samphiremoor_base::quantity;
+use samphiremoor_peers::link;
+use samphiremoor_view::message;
+use samphiremoor_view::zone;
+
+/// The view that is known already.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct KnownView {
+    /// Life of the control daemon that made it.
+    pub incarnation: quantity::Incarnation,
+    /// Its serial.
+    pub serial: u64,
+}
+
+/// Why no view came.
+#[derive(Debug)]
+pub enum SourceError {
+    /// The control daemon does not answer.
+    Link(link::LinkError),
+    /// The view file can't be read as a view.
+    File(path::PathBuf, String),
+}
+
+impl fmt::Display for SourceError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            SourceError::Link(cause) => write!(f, "no view from the control daemon: {cause}"),
+            SourceError::File(file, cause) => {
+                write!(f, "{}: no view ({cause}); write a view as JSON", file.display())
+            }
+        }
+    }
+}
+
+impl error::Error for SourceError {}
+
+/// Gives views.
+#[async_trait]
+pub trait ViewSource: Send + Sync {
+    /// The view, where it is not the known one.
+    async fn pull(&self, known: KnownView) -> Result<Option<zone::ZoneView>, SourceError>;
+}
+
+/// Asks the control daemon of this VM.
+#[derive(Debug)]
+pub struct ControlSource {
+    link: link::PeerLink,
+}
+
+impl ControlSource {
+    /// A source over a link.
+    pub fn new(link: link::PeerLink) -> Self {
+        ControlSource { link }
+    }
+}
+
+#[async_trait]
+impl ViewSource for ControlSource {
+    async fn pull(&self, known: KnownView) -> Result<Option<zone::ZoneView>, SourceError> {
+        let question =
+            message::ViewQuestion::View { incarnation: known.incarnation, serial: known.serial };
+        let answer = self.link.call(&question).await.map_err(SourceError::Link)?;
+        match answer {
+            message::ViewAnswer::Changed(view) => Ok(Some(*view)),
+            message::ViewAnswer::Same | message::ViewAnswer::NotReady => Ok(None),
+        }
+    }
+}
+
+/// Reads a file, for development and tests.
+#[derive(Debug)]
+pub struct FileSource {
+    file: path::PathBuf,
+}
+
+impl FileSource {
+    /// A source that reads the file at each pull.
+    pub fn new(file: path::PathBuf) -> Self {
+        FileSource { file }
+    }
+}
+
+#[async_trait]
+impl ViewSource for FileSource {
+    async fn pull(&self, known: KnownView) -> Result<Option<zone::ZoneView>, SourceError> {
+        let fail = |cause: String| SourceError::File(self.file.clone(), cause);
+        let text = fs::read(&self.file).map_err(|cause| fail(cause.to_string()))?;
+        let view: zone::ZoneView =
+            serde_json::from_slice(&text).map_err(|cause| fail(cause.to_string()))?;
+        let found = KnownView { incarnation: view.incarnation, serial: view.serial };
+        Ok((found != known).then_some(view))
+    }
+}
+
+/// What the pulling thread tells its owner.
+pub trait ViewSink: Send + Sync {
+    /// A newer view came.
+    fn changed(&self, view: zone::ZoneView);
+
+    /// The source answered.
+    fn answered(&self);
+
+    /// The source failed.
+    fn failed(&self, cause: &SourceError);
+
+    /// Whether the thread is to end.
+    fn is_ended(&self) -> bool;
+}
+
+/// Starts the thread that owns the control state: it pulls the view and publishes it.
+///
+/// # Errors
+///
+/// Fails where the system starts no thread.
+pub fn start(
+    source: Box<dyn ViewSource>,
+    sink: sync::Arc<dyn ViewSink>,
+    interval: std::time::Duration,
+) -> std::io::Result<thread::JoinHandle<()>> {
+    thread::Builder::new().name("control-state".to_owned()).spawn(move || {
+        let mut known = KnownView::default();
+        while !sink.is_ended() {
+            match task::block_on(source.pull(known)) {
+                Ok(Some(view)) => {
+                    known = KnownView { incarnation: view.incarnation, serial: view.serial };
+                    sink.answered();
+                    sink.changed(view);
+                }
+                Ok(None) => sink.answered(),
+                Err(cause) => sink.failed(&cause),
+            }
+            thread::sleep(interval);
+        }
+    })
+}
--- /dev/null
+++ b/crates/entry/src/wire/request.rs
@@ -0,0 +1,231 @@
+//! Bodies of chat and completion calls as callers send them and upstreams get them.
+
+use std::error;
+use std::fmt;
+use std::str;
+
+use samphiremoor_base::id;
+use samphiremoor_base::quantity;
+use samphiremoor_records::set;
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::Map;
+use serde_json::Value;
+
+/// Which of the two calls it is.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub enum ModelCall {
+    /// `POST /v1/chat/completions`.
+    Chat,
+    /// `POST /v1/completions`.
+    Completion,
+}
+
+impl ModelCall {
+    /// The call's path, at this daemon and at upstreams.
+    pub const fn path(self) -> &'static str {
+        match self {
+            ModelCall::Chat => "/v1/chat/completions",
+            ModelCall::Completion => "/v1/completions",
+        }
+    }
+
+    /// Name of the field that holds the prompt.
+    const fn prompt_field(self) -> &'static str {
+        match self {
+            ModelCall::Chat => "messages",
+            ModelCall::Completion => "prompt",
+        }
+    }
+}
+
+/// The service that a caller names as `model`, with a version where it asks for one.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ModelName {
+    /// The service.
+    pub service: id::ServiceId,
+    /// The version after `@`.
+    pub version: Option<id::VersionId>,
+}
+
+impl str::FromStr for ModelName {
+    type Err = id::IdError;
+
+    fn from_str(text: &str) -> Result<Self, id::IdError> {
+        match text.split_once('@') {
+            None => Ok(ModelName { service: text.parse()?, version: None }),
+            Some((service, version)) => {
+                Ok(ModelName { service: service.parse()?, version: Some(version.parse()?) })
+            }
+        }
+    }
+}
+
+/// Why a body is refused.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum BodyFault {
+    /// It is not a JSON object.
+    NotJson(String),
+    /// It has no `model`, or one that is no name.
+    BadModel,
+    /// It has no prompt of the expected form.
+    BadPrompt(&'static str),
+    /// It asks for more than one choice.
+    ManyChoices,
+    /// `stream` is neither true nor false.
+    BadStream,
+}
+
+impl fmt::Display for BodyFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            BodyFault::NotJson(cause) => {
+                write!(f, "the body is not a JSON object ({cause}); send one")
+            }
+            BodyFault::BadModel => {
+                f.write_str("`model` names no service; set it to SERVICE or SERVICE@VERSION")
+            }
+            BodyFault::BadPrompt(field) => {
+                write!(f, "`{field}` is missing or of another type; send it as the API has it")
+            }
+            BodyFault::ManyChoices => f.write_str("`n` is not 1; send one request for each choice"),
+            BodyFault::BadStream => f.write_str("`stream` is not a boolean; set true or false"),
+        }
+    }
+}
+
+impl error::Error for BodyFault {}
+
+/// A body that was read.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CallBody {
+    /// Which call it is.
+    pub call: ModelCall,
+    /// The service.
+    pub model: ModelName,
+    /// Whether the caller wants the answer as a stream.
+    pub stream: bool,
+    /// Whether the caller wants the usage at the end of a stream.
+    pub include_usage: bool,
+    /// Every field, as it came.
+    pub fields: Map<String, Value>,
+}
+
+impl CallBody {
+    /// Reads a body.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a body that names no service or has no prompt.
+    pub fn parse(call: ModelCall, bytes: &[u8]) -> Result<Self, BodyFault> {
+        let fields: Map<String, Value> =
+            serde_json::from_slice(bytes).map_err(|cause| BodyFault::NotJson(cause.to_string()))?;
+        let model = fields.get("model").and_then(Value::as_str).ok_or(BodyFault::BadModel)?;
+        let model: ModelName = model.parse().map_err(|_| BodyFault::BadModel)?;
+        if !has_prompt(call, &fields) {
+            return Err(BodyFault::BadPrompt(call.prompt_field()));
+        }
+        if fields.get("n").is_some_and(|count| count.as_u64() != Some(1)) {
+            return Err(BodyFault::ManyChoices);
+        }
+        let stream = match fields.get("stream") {
+            None | Some(Value::Null) => false,
+            Some(Value::Bool(stream)) => *stream,
+            Some(_) => return Err(BodyFault::BadStream),
+        };
+        let include_usage = fields
+            .get("stream_options")
+            .and_then(|options| options.get("include_usage"))
+            .and_then(Value::as_bool)
+            .unwrap_or(false);
+        Ok(CallBody { call, model, stream, include_usage, fields })
+    }
+
+    /// The prompt's text, for routing by prefix.
+    pub fn prompt_text(&self) -> String {
+        match self.fields.get(self.call.prompt_field()) {
+            Some(Value::String(text)) => text.clone(),
+            Some(Value::Array(items)) => items.iter().map(message_text).collect(),
+            _ => String::new(),
+        }
+    }
+
+    /// The body that an upstream gets.
+    pub fn to_upstream(&self, target: &set::LoadedModel, resume: &ResumePoint) -> Vec<u8> {
+        let body = UpstreamBody {
+            model: &target.model,
+            version: &target.version,
+            adapter: target.adapter.as_ref(),
+            stream: true,
+            stream_options: StreamOptions { include_usage: true },
+            continue_from: (resume.offset.get() > 0).then_some(resume.offset),
+            continue_text: (resume.offset.get() > 0).then_some(resume.text.as_str()),
+            fields: UpstreamFields(&self.fields),
+        };
+        serde_json::to_vec(&body).expect("the body has text keys and plain values")
+    }
+}
+
+/// Where an answer goes on.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct ResumePoint {
+    /// Tokens that are kept already.
+    pub offset: quantity::TokenCount,
+    /// Their text.
+    pub text: String,
+}
+
+#[derive(Serialize)]
+struct StreamOptions {
+    include_usage: bool,
+}
+
+#[derive(Serialize)]
+struct UpstreamBody<'a> {
+    model: &'a id::ModelId,
+    version: &'a id::VersionId,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    adapter: Option<&'a id::AdapterId>,
+    stream: bool,
+    stream_options: StreamOptions,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    continue_from: Option<quantity::TokenCount>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    continue_text: Option<&'a str>,
+    #[serde(flatten)]
+    fields: UpstreamFields<'a>,
+}
+
+/// The caller's fields but for those that this system sets.
+struct UpstreamFields<'a>(&'a Map<String, Value>);
+
+/// Fields that this system sets itself.
+const OWN_FIELDS: &[&str] =
+    &["model", "version", "adapter", "stream", "stream_options", "continue_from", "continue_text"];
+
+impl Serialize for UpstreamFields<'_> {
+    fn serialize<S: serde::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let foreign = self.0.iter().filter(|(key, _)| !OWN_FIELDS.contains(&key.as_str()));
+        serializer.collect_map(foreign)
+    }
+}
+
+fn has_prompt(call: ModelCall, fields: &Map<String, Value>) -> bool {
+    match (call, fields.get(call.prompt_field())) {
+        (ModelCall::Chat, Some(Value::Array(messages))) => {
+            !messages.is_empty() && messages.iter().all(Value::is_object)
+        }
+        (ModelCall::Completion, Some(Value::String(_))) => true,
+        _ => false,
+    }
+}
+
+fn message_text(message: &Value) -> String {
+    let role = message.get("role").and_then(Value::as_str).unwrap_or_default();
+    match message.get("content") {
+        Some(Value::String(content)) => format!("{role}:{content}\n"),
+        Some(other) => format!("{role}:{other}\n"),
+        None => format!("{role}:\n"),
+    }
+}
--- /dev/null
+++ b/crates/entry/tests/streams.rs
@@ -0,0 +1,63 @@
+//! Streams over failing replicas: whole, once, in order.
+
+mod fixture;
+
+use async_std::task;
+use fixture::caller::TestCall;
+use fixture::upstream;
+use fixture::upstream::EngineFault;
+use fixture::upstream::FakeEngine;
+use samphiremoor_base::cases;
+
+const LENGTH: u64 = 12;
+
+/// Two engines, the first of which has a fault; the answer must be whole all the same.
+fn check(fault: EngineFault, expected_moves: f64) {
+    let faulty = FakeEngine::start(LENGTH);
+    let sound = FakeEngine::start(LENGTH);
+    faulty.set_fault(fault);
+    let view = fixture::SharedView::new(&[faulty.address(), sound.address()], &[]);
+    // The faulty engine is the less loaded one and so is chosen first.
+    view.change(|view| view.replicas[1].load.running = 9);
+    let daemon = fixture::TestDaemon::start(&view);
+    let call = TestCall::chat(daemon.entry.address(), "hello", true);
+    let answer = task::block_on(call.stream());
+    assert!(!faulty.calls().is_empty());
+    assert_eq!(answer.text(), upstream::whole_text("hello", LENGTH));
+    let ids: Vec<u64> = answer.tokens.iter().map(|token| token.id).collect();
+    assert_eq!(ids, (0..LENGTH).collect::<Vec<_>>());
+    assert_eq!(answer.finish_reason.as_deref(), Some("stop"));
+    assert!(answer.is_done, "{answer:?}");
+    assert_eq!(daemon.metric("samphiremoor_moved_streams_total", ""), expected_moves);
+    assert_eq!(daemon.metric("samphiremoor_requests_total", "complete"), 1.0);
+}
+
+cases! {
+    sound_stream_is_whole => check(EngineFault::None, 0.0);
+    closed_at_the_start => check(EngineFault::CloseAfter(0), 0.0);
+    closed_in_the_middle => check(EngineFault::CloseAfter(5), 1.0);
+    silent_connection_is_dialled_anew => check(EngineFault::SilentOnceAfter(5), 1.0);
+    silent_replica_is_left => check(EngineFault::SilentAfter(5), 2.0);
+    refused_without_a_run => check(EngineFault::Refuse, 0.0);
+    server_error => check(EngineFault::ServerError, 0.0);
+    gap_moves_the_stream => check(EngineFault::SkipToken(5), 1.0);
+    duplicate_is_dropped => check(EngineFault::RepeatToken(5), 0.0);
+    crossed_answer_is_dropped => check(EngineFault::Crossed, 0.0);
+    answer_to_another_request => check(EngineFault::WrongHead, 0.0);
+}
+
+#[test]
+fn whole_answer_survives_a_closed_connection() {
+    let faulty = FakeEngine::start(LENGTH);
+    let sound = FakeEngine::start(LENGTH);
+    faulty.set_fault(EngineFault::CloseAfter(3));
+    let view = fixture::SharedView::new(&[faulty.address(), sound.address()], &[]);
+    let daemon = fixture::TestDaemon::start(&view);
+    let address = daemon.entry.address();
+    for _ in 0..4 {
+        let answer = TestCall::chat(address, "whole", false).whole_blocking();
+        assert_eq!(answer.status, 200, "{answer:?}");
+        assert_eq!(answer.outcome.as_deref(), Some("complete"));
+        assert_eq!(answer.chat_text(), upstream::whole_text("whole", LENGTH));
+    }
+}
