--- a/crates/standin-engine/src/batch.rs
+++ b/crates/standin-engine/src/batch.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use samphiremoor_base::quantity;
-use samphiremoor_routing::prefix;
 
+use crate::blocks;
 use crate::cache;
 
 /// Speed of an engine.
@@ -36,7 +36,7 @@
     /// Priority; a smaller one is admitted first.
     pub priority: quantity::PriorityLevel,
     /// Blocks of the prompt.
-    pub blocks: Vec<prefix::PrefixHash>,
+    pub blocks: Vec<blocks::BlockHash>,
     /// Tokens of the prompt.
     pub prompt: quantity::TokenCount,
     /// Tokens of the answer that were delivered before; they are computed like the prompt.
@@ -161,7 +161,7 @@
     }
 
     /// Puts imported blocks into the cache.
-    pub fn import(&mut self, blocks: &[prefix::PrefixHash]) -> Vec<cache::CacheChange> {
+    pub fn import(&mut self, blocks: &[blocks::BlockHash]) -> Vec<cache::CacheChange> {
         self.cache.store(blocks)
     }
 
@@ -193,7 +193,7 @@
     }
 
     fn cached_tokens(&mut self, job: &SequenceJob) -> u64 {
-        let prompt_cached = self.cache.use_prefix(&job.blocks) as u64 * prefix::BLOCK_TOKENS;
+        let prompt_cached = self.cache.use_prefix(&job.blocks) as u64 * blocks::BLOCK_TOKENS;
         // Imported state holds the tokens after the last whole block too.
         prompt_cached.max(job.imported.get().min(job.total_prompt()))
     }
--- a/crates/standin-engine/src/cache.rs
+++ b/crates/standin-engine/src/cache.rs
@@ -2,19 +2,20 @@
 
 use std::collections;
 
-use samphiremoor_routing::prefix;
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::blocks;
+
 /// A change of the cache.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum CacheChange {
     /// The block is in the cache now.
-    Stored(prefix::PrefixHash),
+    Stored(blocks::BlockHash),
     /// The block is not in the cache any more.
-    Evicted(prefix::PrefixHash),
+    Evicted(blocks::BlockHash),
 }
 
 /// The blocks in an engine's memory.
@@ -22,8 +23,8 @@
 pub struct PrefixCache {
     capacity: usize,
     last_tick: u64,
-    ticks: collections::HashMap<prefix::PrefixHash, u64>,
-    by_tick: collections::BTreeMap<u64, prefix::PrefixHash>,
+    ticks: collections::HashMap<blocks::BlockHash, u64>,
+    by_tick: collections::BTreeMap<u64, blocks::BlockHash>,
 }
 
 impl PrefixCache {
@@ -43,14 +44,14 @@
     }
 
     /// Leading blocks of a prompt that are in the cache; they count as used.
-    pub fn use_prefix(&mut self, blocks: &[prefix::PrefixHash]) -> usize {
+    pub fn use_prefix(&mut self, blocks: &[blocks::BlockHash]) -> usize {
         let count = blocks.iter().take_while(|hash| self.ticks.contains_key(hash)).count();
         self.touch(&blocks[..count]);
         count
     }
 
     /// Stores the blocks of a prompt and returns what changed.
-    pub fn store(&mut self, blocks: &[prefix::PrefixHash]) -> Vec<CacheChange> {
+    pub fn store(&mut self, blocks: &[blocks::BlockHash]) -> Vec<CacheChange> {
         let kept = &blocks[..blocks.len().min(self.capacity)];
         let mut changes: Vec<_> = kept
             .iter()
@@ -68,7 +69,7 @@
 
     /// Marks blocks as used. The first block gets the latest mark: a block without the ones before
     /// it is of no use, so the last ones are evicted first.
-    fn touch(&mut self, blocks: &[prefix::PrefixHash]) {
+    fn touch(&mut self, blocks: &[blocks::BlockHash]) {
         for hash in blocks.iter().rev() {
             self.last_tick += 1;
             if let Some(before) = self.ticks.insert(*hash, self.last_tick) {
--- a/crates/standin-engine/src/lib.rs
+++ b/crates/standin-engine/src/lib.rs
@@ -5,6 +5,7 @@
 //! deterministic answers that tests compare with. [`runtime`] and [`handler`] are the shell.
 
 pub mod batch;
+pub mod blocks;
 pub mod cache;
 pub mod handler;
 pub mod journal;
--- a/crates/standin-engine/src/runtime.rs
+++ b/crates/standin-engine/src/runtime.rs
@@ -11,11 +11,11 @@
 use samphiremoor_base::time;
 use samphiremoor_httpio::server;
 use samphiremoor_records::set;
-use samphiremoor_routing::prefix;
 use samphiremoor_standin::fault;
 use samphiremoor_standin::program;
 
 use crate::batch;
+use crate::blocks;
 use crate::cache;
 use crate::journal;
 use crate::orders;
@@ -137,7 +137,7 @@
     /// Queues a call; dropping the receiver cancels it.
     pub fn submit(&self, call: &EngineCall) -> channel::Receiver<batch::SequenceEvent> {
         let words = tokens::prompt_tokens(&call.prompt);
-        let blocks = prefix::hash_blocks(&words);
+        let blocks = blocks::hash_blocks(&words);
         let mut shared = self.lock();
         let job = batch::SequenceJob {
             priority: call.priority,
@@ -257,7 +257,7 @@
     fn blob(
         &self,
         request: &id::RequestId,
-        blocks: Vec<prefix::PrefixHash>,
+        blocks: Vec<blocks::BlockHash>,
         tokens: u64,
     ) -> wire::KvBlob {
         let bytes = tokens * self.settings.memory.kv_bytes_per_token.get();
--- a/crates/standin-engine/src/wire.rs
+++ b/crates/standin-engine/src/wire.rs
@@ -4,10 +4,10 @@
 use samphiremoor_base::quantity;
 use samphiremoor_base::time;
 use samphiremoor_records::set;
-use samphiremoor_routing::prefix;
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::blocks;
 use crate::cache;
 use crate::tokens;
 
@@ -183,7 +183,7 @@
     /// The request.
     pub request: id::RequestId,
     /// Blocks of its prompt.
-    pub blocks: Vec<prefix::PrefixHash>,
+    pub blocks: Vec<blocks::BlockHash>,
     /// Tokens of prompt and answer in the cache.
     pub tokens: u64,
     /// Size that the cache would have.
--- a/crates/standin-engine/tests/model.rs
+++ b/crates/standin-engine/tests/model.rs
@@ -8,8 +8,8 @@
 use samphiremoor_base::testing;
 use samphiremoor_base::time;
 use samphiremoor_records::set;
-use samphiremoor_routing::prefix;
 use samphiremoor_standin_engine::batch;
+use samphiremoor_standin_engine::blocks;
 use samphiremoor_standin_engine::cache;
 use samphiremoor_standin_engine::journal;
 use samphiremoor_standin_engine::orders;
@@ -31,7 +31,7 @@
     let words: Vec<String> = (0..words).map(|index| format!("w{index}")).collect();
     batch::SequenceJob {
         priority: quantity::PriorityLevel::new(priority),
-        blocks: prefix::hash_blocks(&words),
+        blocks: blocks::hash_blocks(&words),
         prompt: quantity::TokenCount::new(words.len() as u64),
         delivered: quantity::TokenCount::new(0),
         imported: quantity::TokenCount::new(0),
@@ -149,7 +149,7 @@
         let mut replayed = std::collections::BTreeSet::new();
         for (family, length) in prompts {
             let blocks: Vec<_> =
-                (0..length as u64).map(|at| prefix::PrefixHash::new(family * 100 + at)).collect();
+                (0..length as u64).map(|at| blocks::BlockHash::new(family * 100 + at)).collect();
             for change in cache.store(&blocks) {
                 match change {
                     cache::CacheChange::Stored(hash) => prop_assert!(replayed.insert(hash)),
@@ -166,7 +166,7 @@
 #[test]
 fn journal_is_late_and_has_gaps() {
     let mut journal = journal::CacheJournal::new(time::Millis::new(100), 2);
-    let change = cache::CacheChange::Stored(prefix::PrefixHash::new(1));
+    let change = cache::CacheChange::Stored(blocks::BlockHash::new(1));
     journal.note(&[change; 4], time::MonotonicTime::new(0));
     assert!(journal.after(0, time::MonotonicTime::new(99)).is_empty());
     let serials: Vec<_> = journal
