--- a/crates/control/src/main.rs
+++ b/crates/control/src/main.rs
@@ -19,7 +19,7 @@
 use samphiremoor_httpio::server as http_server;
 use samphiremoor_membership::news;
 use samphiremoor_peers::server as peer_server;
-use samphiremoor_platform::http as platform;
+use samphiremoor_platform_client::http as platform;
 use samphiremoor_settings::load;
 use samphiremoor_settings::logging;
 use samphiremoor_view::zone;
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -11,7 +11,7 @@
 use samphiremoor_ctl::force;
 use samphiremoor_ctl::outcome;
 use samphiremoor_ctl::settings;
-use samphiremoor_platform::http as platform;
+use samphiremoor_platform_client::http as platform;
 use samphiremoor_settings::load;
 
 fn main() -> process::ExitCode {
