Name the entry daemon in control's settings; serve left-out keys as left out

The entry daemon's name differs from its VM's, and peers locate requests by it. between_ms of schema version 1 came back as 0 where it was left out. A change that changes nothing writes no revision; apply without files is a usage error.

--- a/crates/control/src/main.rs
+++ b/crates/control/src/main.rs
@@ -8,6 +8,7 @@
 use async_std::net;
 use async_std::task;
 use samphiremoor_base::event;
+use samphiremoor_base::id;
 use samphiremoor_base::log_event;
 use samphiremoor_base::quantity;
 use samphiremoor_control::http;
@@ -92,8 +93,11 @@
 fn start_of(settings: &settings::ControlSettings) -> shell::ControlStart {
     let addresses = &settings.addresses;
     let incarnation = shell::new_incarnation();
+    let id: id::DaemonId =
+        settings.vm.as_str().parse().expect("every id type accepts the same texts");
     let own = news::DaemonNews {
-        id: settings.vm.as_str().parse().expect("every id type accepts the same texts"),
+        entry: settings.entry_daemon.clone().unwrap_or_else(|| id.clone()),
+        id,
         vm: settings.vm.clone(),
         zone: settings.zone.clone(),
         http_address: addresses.entry_http,
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -12,8 +12,11 @@
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ControlSettings {
-    /// The VM, as the platform's list names it; the daemons of the VM have its name too.
+    /// The VM, as the platform's list names it; the control daemon has its name too.
     pub vm: id::VmId,
+    /// The entry daemon of the VM, as its own settings name it; the VM's name where left out.
+    #[serde(default)]
+    pub entry_daemon: Option<id::DaemonId>,
     /// Its availability zone.
     pub zone: id::ZoneId,
     /// Log filter.
--- a/crates/control/src/shell.rs
+++ b/crates/control/src/shell.rs
@@ -13,6 +13,7 @@
 use samphiremoor_base::log_event;
 use samphiremoor_base::quantity;
 use samphiremoor_base::time;
+use samphiremoor_membership::daemons;
 use samphiremoor_membership::news;
 use samphiremoor_membership::state as membership;
 use samphiremoor_peers::link;
@@ -436,12 +437,16 @@
 }
 
 fn log_daemon(news: &news::DaemonNews) {
-    let id = &news.id;
-    if news.standing.is_suspected || news.standing.state == zone::UpstreamState::Gone {
-        log_event!(event::LogEvent::DaemonSuspected, daemon = id, state = news.standing.state);
+    let kind = if daemons::is_gone(news) {
+        event::LogEvent::DaemonGone
+    } else if news.standing.is_suspected {
+        event::LogEvent::DaemonSuspected
+    } else if news.standing.state == zone::UpstreamState::Live {
+        event::LogEvent::DaemonBack
     } else {
-        log_event!(event::LogEvent::DaemonBack, daemon = id, state = news.standing.state);
-    }
+        event::LogEvent::DaemonJoined
+    };
+    log_event!(kind, daemon = news.id, zone = news.zone, state = news.standing.state);
 }
 
 fn log_upstream(news: &news::UpstreamNews) {
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -528,7 +528,7 @@
         return None;
     }
     Some(zone::DaemonView {
-        id: news.id.clone(),
+        id: news.entry.clone(),
         vm: news.vm.clone(),
         zone: news.zone.clone(),
         http_address: news.http_address,
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -38,6 +38,9 @@
     let Some(command) = &args.command else {
         return usage("name a command; --help lists them");
     };
+    if let Some(missing) = command.missing_words() {
+        return usage(missing);
+    }
     match task::block_on(run(&settings, args.output, command)) {
         Ok(()) => process::ExitCode::SUCCESS,
         Err(cause) => fail(cause.code(), &cause.to_string()),
--- a/crates/ctl/src/store.rs
+++ b/crates/ctl/src/store.rs
@@ -133,7 +133,8 @@
         Ok(history)
     }
 
-    /// Makes a change and returns its revision once it is written.
+    /// Makes a change and returns its revision once it is written; a change that changes nothing
+    /// writes nothing and returns the newest revision.
     ///
     /// # Errors
     ///
@@ -183,6 +184,9 @@
         let next = head.as_ref().map(|head| head.row.revision).unwrap_or_default().next();
         bundle.to_set(next)?;
         let changed = old.changed_keys(&bundle);
+        if let Some(head) = head.as_ref().filter(|_| changed.is_empty()) {
+            return Ok(change::ChangeEnd::Written(head.row.revision));
+        }
         let driver = change::ChangeDriver::new(head.as_ref(), &bundle, changed, author.clone());
         Ok(self.drive(driver, next).await)
     }
--- a/crates/membership/src/daemons.rs
+++ b/crates/membership/src/daemons.rs
@@ -252,8 +252,11 @@
         cloud::VmState::Live => zone::UpstreamState::Joining,
         cloud::VmState::Leaving => zone::UpstreamState::Leaving,
     };
+    let id: id::DaemonId =
+        entry.id.as_str().parse().expect("every id type accepts the same texts");
     Some(news::DaemonNews {
-        id: entry.id.as_str().parse().expect("every id type accepts the same texts"),
+        id: id.clone(),
+        entry: id,
         vm: entry.id.clone(),
         zone: entry.zone.clone(),
         http_address,
--- a/crates/membership/src/news.rs
+++ b/crates/membership/src/news.rs
@@ -40,8 +40,10 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
 pub struct DaemonNews {
-    /// The daemon, named as its VM.
+    /// The control daemon, named as its VM.
     pub id: id::DaemonId,
+    /// The entry daemon of the VM; the platform's list does not know its name.
+    pub entry: id::DaemonId,
     /// Its VM.
     pub vm: id::VmId,
     /// Its availability zone.
@@ -209,6 +211,7 @@
             NewsItem::Daemon(news) => {
                 DAEMON_NEWS_BYTES
                     + news.id.as_str().len()
+                    + news.entry.as_str().len()
                     + news.vm.as_str().len()
                     + news.zone.as_str().len()
             }
--- a/crates/records/src/v1.rs
+++ b/crates/records/src/v1.rs
@@ -62,9 +62,9 @@
     pub priority: quantity::PriorityLevel,
     /// Time to the first token or to the answer, in milliseconds.
     pub first_ms: time::Millis,
-    /// Time between two tokens in milliseconds; 0 for a plain service.
-    #[serde(default)]
-    pub between_ms: time::Millis,
+    /// Time between two tokens in milliseconds; left out for a plain service.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub between_ms: Option<time::Millis>,
     /// Deadline where the caller sets none, in milliseconds.
     pub deadline_ms: time::Millis,
     /// Weight of cost.
@@ -155,7 +155,7 @@
             priority: wire.priority,
             latency: set::LatencyTarget {
                 first: wire.first_ms,
-                between: wire.between_ms,
+                between: wire.between_ms.unwrap_or_default(),
                 deadline: wire.deadline_ms,
             },
             weights: set::GoalWeights {
@@ -173,6 +173,7 @@
             set::ServiceTarget::Model(loaded) => Some(loaded.clone()),
             set::ServiceTarget::Plain => None,
         };
+        let between = record.latency.between;
         ServiceWire {
             id: record.id.clone(),
             model: loaded.as_ref().map(|loaded| loaded.model.clone()),
@@ -180,7 +181,7 @@
             adapter: loaded.and_then(|loaded| loaded.adapter),
             priority: record.priority,
             first_ms: record.latency.first,
-            between_ms: record.latency.between,
+            between_ms: (between != time::Millis::default()).then_some(between),
             deadline_ms: record.latency.deadline,
             cost_weight: record.weights.cost,
             recomputed_weight: record.weights.recomputed,
--- a/crates/records/tests/records.rs
+++ b/crates/records/tests/records.rs
@@ -98,6 +98,14 @@
     assert_eq!(schemas, [2, 1, 2, 2, 1, 1, 1, 2, 1, 2]);
 }
 
+#[test]
+fn left_out_keys_stay_left_out() {
+    let courier = "service/courier".parse().expect("a key");
+    let bundle = bundle(&[EXAMPLE_V1]).expect("the example is read");
+    let entry = bundle.get(&courier).expect("the example has the service");
+    assert!(!entry.text.contains("between_ms"), "{}", entry.text);
+}
+
 #[test]
 fn revision_row_with_changed_records_is_refused() {
     let bundle = bundle(&[EXAMPLE_V1]).expect("the example is read");
