--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -67,7 +67,9 @@
     /// What must be typed besides, where something is missing.
     pub fn missing_words(&self) -> Option<&'static str> {
         match self {
-            Command::Validate(args) if args.files.is_empty() => Some("name at least one record file"),
+            Command::Validate(args) if args.files.is_empty() => {
+                Some("name at least one record file")
+            }
             Command::Apply(args) if args.files.is_empty() => Some("name at least one record file"),
             Command::Withdraw(args) if args.keys.is_empty() => {
                 Some("name at least one record, such as service/drafts")
--- a/crates/membership/src/daemons.rs
+++ b/crates/membership/src/daemons.rs
@@ -252,8 +252,7 @@
         cloud::VmState::Live => zone::UpstreamState::Joining,
         cloud::VmState::Leaving => zone::UpstreamState::Leaving,
     };
-    let id: id::DaemonId =
-        entry.id.as_str().parse().expect("every id type accepts the same texts");
+    let id: id::DaemonId = entry.id.as_str().parse().expect("every id type accepts the same texts");
     Some(news::DaemonNews {
         id: id.clone(),
         entry: id,
