Start the real programs in tests; fail replicas in the middle of streams

Change: `process-tests` starts the stand-ins and daemons on free loopback ports below the range of outgoing connections, kills each child when its value is dropped, runs one cluster at a time, and keeps the files of a failed test.

Ruled out: port 0 for daemons whose address others must know before they start; ports from the range of outgoing connections, which can be taken between the look and the bind.

--- /dev/null
+++ b/crates/process-tests/src/cluster.rs
@@ -0,0 +1,265 @@
+//! Starts the stand-ins and the daemons of a few availability zones.
+
+use std::collections;
+use std::fs;
+use std::net;
+use std::path;
+use std::process;
+use std::sync;
+use std::sync::atomic;
+use std::thread;
+
+use async_std::task;
+use samphiremoor_standin_service::wire as service_wire;
+use samphiremoor_view::zone;
+
+use crate::child;
+use crate::control;
+use crate::operator;
+use crate::plan;
+use crate::ports;
+use crate::records;
+use crate::texts;
+use crate::view_file;
+use crate::wait;
+
+/// One cluster at a time in each test process, so that few processes run at once.
+static GATE: sync::Mutex<()> = sync::Mutex::new(());
+
+static CLUSTER_COUNT: atomic::AtomicU32 = atomic::AtomicU32::new(0);
+
+/// A running cluster; its processes are killed when it is dropped.
+pub struct TestCluster {
+    /// Address of the platform that is never cut off.
+    pub platform_address: net::SocketAddr,
+    /// The platform.
+    pub platform: child::DaemonProcess,
+    /// Entry VMs of all zones, zone by zone.
+    pub entries: Vec<EntryVm>,
+    /// Engines of all zones, zone by zone.
+    pub engines: Vec<UpstreamVm>,
+    /// Plain services of all zones, zone by zone.
+    pub services: Vec<UpstreamVm>,
+    plan: plan::ClusterPlan,
+    zone_platforms: collections::BTreeMap<String, net::SocketAddr>,
+    view_serial: u64,
+    directory: path::PathBuf,
+    _gate: sync::MutexGuard<'static, ()>,
+}
+
+/// A VM with the daemons of the system.
+#[derive(Debug)]
+pub struct EntryVm {
+    /// Its name and addresses.
+    pub place: plan::EntryPlace,
+    /// The entry daemon.
+    pub entry: child::DaemonProcess,
+    /// The control daemon, where the view comes from there.
+    pub control: Option<child::DaemonProcess>,
+    /// State in the view file.
+    pub state: zone::UpstreamState,
+}
+
+/// A VM with an upstream.
+#[derive(Debug)]
+pub struct UpstreamVm {
+    /// Its name and address.
+    pub place: plan::UpstreamPlace,
+    /// Its process.
+    pub process: child::DaemonProcess,
+    /// State in the view file.
+    pub state: zone::UpstreamState,
+}
+
+impl TestCluster {
+    /// Starts everything and waits until the entry daemons take requests.
+    ///
+    /// # Panics
+    ///
+    /// Panics where a program is not built or does not come up.
+    pub fn start(plan: plan::ClusterPlan) -> Self {
+        let gate = GATE.lock().unwrap_or_else(sync::PoisonError::into_inner);
+        let directory = new_directory();
+        let zone_platforms: collections::BTreeMap<_, _> =
+            plan.zones.iter().map(|zone| (zone.clone(), ports::free_address())).collect();
+        let entry_places = plan.entry_places();
+        let engine_places = plan.engine_places();
+        let service_places = plan.service_places();
+        let upstream_places = [engine_places.as_slice(), service_places.as_slice()].concat();
+        let platform_address = ports::free_address();
+        let text =
+            texts::platform(platform_address, &zone_platforms, &entry_places, &upstream_places);
+        let platform =
+            child::DaemonProcess::start("standin-platform", "platform", &text, &directory);
+        let mut cluster = TestCluster {
+            platform_address,
+            platform,
+            entries: Vec::new(),
+            engines: Vec::new(),
+            services: Vec::new(),
+            plan,
+            zone_platforms,
+            view_serial: 0,
+            directory,
+            _gate: gate,
+        };
+        wait::until("the platform listens", || child::listens(platform_address));
+        cluster.engines = engine_places.into_iter().map(|place| cluster.engine_vm(place)).collect();
+        cluster.services =
+            service_places.into_iter().map(|place| cluster.service_vm(place)).collect();
+        cluster.entries = entry_places.into_iter().map(|place| cluster.entry_vm(place)).collect();
+        cluster.bring_into_service();
+        cluster
+    }
+
+    /// Address of the first zone's first entry daemon.
+    pub fn entry(&self, index: usize) -> net::SocketAddr {
+        self.entries[index].place.http
+    }
+
+    /// The directory with the settings and logs.
+    pub fn directory(&self) -> &path::Path {
+        &self.directory
+    }
+
+    /// Puts the states of the VMs into force where the view comes from a file.
+    pub fn publish_view(&mut self) {
+        self.view_serial += 1;
+        let upstreams: Vec<_> = self.engines.iter().chain(&self.services).collect();
+        let view =
+            view_file::zone_view(self.view_serial, &self.plan.zones, &self.entries, &upstreams);
+        let text = serde_json::to_string(&view).expect("a view has plain values");
+        let new = self.directory.join("view.new");
+        fs::write(&new, text).expect("the test's directory takes files");
+        // Renaming replaces the file at once, so that no daemon reads half of it.
+        fs::rename(&new, self.view_path()).expect("the view can be replaced");
+    }
+
+    /// Starts the daemons of an entry VM again after their end.
+    pub fn restart_entry_vm(&mut self, index: usize) {
+        let place = self.entries[index].place.clone();
+        self.entries[index].entry.kill();
+        if let Some(control) = &mut self.entries[index].control {
+            control.kill();
+        }
+        self.entries[index] = self.entry_vm(place);
+        wait_ready(self.entry(index));
+    }
+
+    /// Starts a control daemon again after its end.
+    pub fn restart_control(&mut self, index: usize) {
+        let place = self.entries[index].place.clone();
+        self.entries[index].control = Some(self.control_process(&place));
+    }
+
+    /// Starts an engine again after its end.
+    pub fn restart_engine(&mut self, index: usize) {
+        let place = self.engines[index].place.clone();
+        self.engines[index].process.kill();
+        self.engines[index] = self.engine_vm(place);
+        wait::until("the engine listens", || child::listens(self.engines[index].place.address));
+    }
+
+    /// What the services counted; those that do not answer are left out.
+    pub fn service_counts(&self) -> Vec<service_wire::ServiceCounts> {
+        let addresses = self.services.iter().map(|vm| vm.place.address);
+        addresses.filter_map(|at| task::block_on(control::service_counts(at))).collect()
+    }
+
+    /// Index of the engine that has tokens to give now, once there is one.
+    pub fn busy_engine(&self) -> usize {
+        let mut busy = None;
+        wait::until("an engine computes", || {
+            busy = (0..self.engines.len()).find(|index| self.answer_tokens(*index) > 0);
+            busy.is_some()
+        });
+        busy.expect("the wait ended with an engine")
+    }
+
+    /// Tokens of answers that an engine has given since its start.
+    pub fn answer_tokens(&self, index: usize) -> u64 {
+        let address = self.engines[index].place.address;
+        let counts = task::block_on(control::engine_counts(address));
+        counts.map_or(0, |counts| counts.answer_tokens)
+    }
+
+    fn bring_into_service(&mut self) {
+        match self.plan.view {
+            plan::ViewOrigin::File => self.publish_view(),
+            plan::ViewOrigin::Control => {
+                let file = self.directory.join("records.toml");
+                fs::write(&file, records::text(&self.plan.zones))
+                    .expect("the test's directory takes files");
+                operator::apply_until_accepted(self.entries[0].place.control, &file);
+            }
+        }
+        for index in 0..self.entries.len() {
+            wait_ready(self.entry(index));
+        }
+    }
+
+    fn engine_vm(&self, place: plan::UpstreamPlace) -> UpstreamVm {
+        let text = texts::engine(&place, &self.plan);
+        self.upstream_vm("standin-engine", place, &text)
+    }
+
+    fn service_vm(&self, place: plan::UpstreamPlace) -> UpstreamVm {
+        let text = texts::service(&place, &self.plan);
+        self.upstream_vm("standin-service", place, &text)
+    }
+
+    fn upstream_vm(
+        &self,
+        program: &'static str,
+        place: plan::UpstreamPlace,
+        text: &str,
+    ) -> UpstreamVm {
+        let process = child::DaemonProcess::start(program, &place.name, text, &self.directory);
+        UpstreamVm { place, process, state: zone::UpstreamState::Live }
+    }
+
+    fn entry_vm(&self, place: plan::EntryPlace) -> EntryVm {
+        let view_path = self.view_path();
+        let is_file = self.plan.view == plan::ViewOrigin::File;
+        let platform = self.zone_platforms[&place.zone];
+        let text = texts::entry(&place, is_file.then_some(view_path.as_path()), platform);
+        let control = (!is_file).then(|| self.control_process(&place));
+        let entry =
+            child::DaemonProcess::start("samphiremoor-entry", &place.name, &text, &self.directory);
+        EntryVm { place, entry, control, state: zone::UpstreamState::Live }
+    }
+
+    fn control_process(&self, place: &plan::EntryPlace) -> child::DaemonProcess {
+        let text = texts::control(place, self.zone_platforms[&place.zone]);
+        let name = format!("{}-control", place.name);
+        child::DaemonProcess::start("samphiremoor-control", &name, &text, &self.directory)
+    }
+
+    fn view_path(&self) -> path::PathBuf {
+        self.directory.join("view.json")
+    }
+}
+
+impl Drop for TestCluster {
+    fn drop(&mut self) {
+        // The files of a failed test stay for whoever looks into it.
+        if !thread::panicking() {
+            let _ = fs::remove_dir_all(&self.directory);
+        }
+    }
+}
+
+/// Waits until an entry daemon takes new work.
+pub fn wait_ready(entry: net::SocketAddr) {
+    wait::until(&format!("the entry daemon at {entry} is ready"), || {
+        task::block_on(control::status_of(entry, "/readyz")) == Some(200)
+    });
+}
+
+fn new_directory() -> path::PathBuf {
+    let number = CLUSTER_COUNT.fetch_add(1, atomic::Ordering::Relaxed);
+    let name = format!("{}-{number}", process::id());
+    let directory = child::profile_directory().join("process-tests").join(name);
+    fs::create_dir_all(&directory).expect("the target directory takes files");
+    directory
+}
--- /dev/null
+++ b/crates/process-tests/src/control.rs
@@ -0,0 +1,83 @@
+//! The control paths of the stand-ins.
+
+use std::net;
+
+use http_types::Method;
+use http_types::Request;
+use samphiremoor_base::time;
+use samphiremoor_httpio::client;
+use samphiremoor_platform::fleet;
+use samphiremoor_standin::fault;
+use samphiremoor_standin_engine::wire as engine_wire;
+use samphiremoor_standin_platform::control;
+use samphiremoor_standin_service::wire as service_wire;
+use serde::Serialize;
+use serde::de;
+
+/// Time limits towards stand-ins, which answer their control paths at once.
+const LIMITS: client::CallLimits = client::CallLimits {
+    connect: time::Millis::new(5_000),
+    head: time::Millis::new(20_000),
+    silence: time::Millis::new(20_000),
+};
+
+/// Gives an upstream its faults; the default ends them.
+pub async fn set_faults(address: net::SocketAddr, faults: fault::CallFaults) {
+    post(address, "/control/faults", &faults).await;
+}
+
+/// Gives the platform its faults; the default ends them.
+pub async fn set_platform_faults(address: net::SocketAddr, faults: &control::PlatformFaults) {
+    post(address, "/control/faults", faults).await;
+}
+
+/// Announces the reclaim of VMs.
+pub async fn reclaim(address: net::SocketAddr, scope: fleet::ReclaimScope, seconds: u64) {
+    post(address, "/control/reclaim", &control::ReclaimOrder { scope, seconds }).await;
+}
+
+/// What a service counted; none where it does not answer.
+pub async fn service_counts(address: net::SocketAddr) -> Option<service_wire::ServiceCounts> {
+    get(address, "/control/counts").await
+}
+
+/// What an engine counted; none where it does not answer.
+pub async fn engine_counts(address: net::SocketAddr) -> Option<engine_wire::EngineCounts> {
+    get(address, "/control/counts").await
+}
+
+/// What the platform counted.
+pub async fn platform_counts(address: net::SocketAddr) -> control::PlatformCounts {
+    get(address, "/control/counts").await.expect("the stand-in platform answers")
+}
+
+/// Reads JSON; none where there is no answer.
+pub async fn get<A: de::DeserializeOwned>(address: net::SocketAddr, path: &str) -> Option<A> {
+    let url = client::url(address, path).expect("the path is valid");
+    let request = Request::new(Method::Get, url);
+    let mut response = client::send(address, request, LIMITS).await.ok()?;
+    response.body_json().await.ok()
+}
+
+/// Reads a text; none where there is no answer.
+pub async fn get_text(address: net::SocketAddr, path: &str) -> Option<String> {
+    let url = client::url(address, path).expect("the path is valid");
+    let request = Request::new(Method::Get, url);
+    let mut response = client::send(address, request, LIMITS).await.ok()?;
+    response.body_string().await.ok()
+}
+
+/// HTTP status of a path; none where there is no answer.
+pub async fn status_of(address: net::SocketAddr, path: &str) -> Option<u16> {
+    let url = client::url(address, path).expect("the path is valid");
+    let response = client::send(address, Request::new(Method::Get, url), LIMITS).await.ok()?;
+    Some(u16::from(response.status()))
+}
+
+async fn post<T: Serialize>(address: net::SocketAddr, path: &str, body: &T) {
+    let url = client::url(address, path).expect("the path is valid");
+    let mut request = Request::new(Method::Post, url);
+    request.set_body(serde_json::to_string(body).expect("orders are plain values"));
+    let response = client::send(address, request, LIMITS).await.expect("the stand-in answers");
+    assert!(response.status().is_success(), "{path} refused with {}", response.status());
+}
--- /dev/null
+++ b/crates/process-tests/src/texts.rs
@@ -0,0 +1,98 @@
+//! Texts of the settings files.
+
+use std::collections;
+use std::fmt::Write as _;
+use std::net;
+use std::path;
+
+use crate::plan;
+
+/// Settings of the stand-in platform.
+pub(crate) fn platform(
+    listen: net::SocketAddr,
+    zones: &collections::BTreeMap<String, net::SocketAddr>,
+    entries: &[plan::EntryPlace],
+    upstreams: &[plan::UpstreamPlace],
+) -> String {
+    let mut text = format!("listen = \"{listen}\"\nlist_lag = 300\n\n[zone_listen]\n");
+    for (zone, address) in zones {
+        let _ = writeln!(text, "{zone} = \"{address}\"");
+    }
+    for place in entries {
+        let role = format!(
+            "role = \"entry\"\nhttp_address = \"{}\"\npeer_address = \"{}\"\ncontrol_address = \"{}\"",
+            place.http, place.peer, place.control
+        );
+        text += &vm(&place.name, &place.zone, "entry-small", &role);
+    }
+    for place in upstreams {
+        let role = format!(
+            "role = \"upstream\"\npool = \"{}\"\naddress = \"{}\"",
+            place.pool, place.address
+        );
+        text += &vm(&place.name, &place.zone, "gpu-small", &role);
+    }
+    text
+}
+
+fn vm(name: &str, zone: &str, class: &str, role: &str) -> String {
+    format!(
+        "\n[[vms]]\nid = \"{name}\"\nzone = \"{zone}\"\nclass = \"{class}\"\nreclaimable = true\n\
+         price = 100000\nstate = \"live\"\n[vms.role]\n{role}\n"
+    )
+}
+
+/// Settings of an engine.
+pub(crate) fn engine(place: &plan::UpstreamPlace, plan: &plan::ClusterPlan) -> String {
+    format!(
+        "id = \"{}\"\nlisten = \"{}\"\nchecks_fencing = true\n\n[[models]]\nmodel = \"steppe-8b\"\n\
+         version = \"1\"\n\n[speed]\ndecode_base_us = {}\n",
+        place.name, place.address, plan.decode_base_us
+    )
+}
+
+/// Settings of a plain service.
+pub(crate) fn service(place: &plan::UpstreamPlace, plan: &plan::ClusterPlan) -> String {
+    format!(
+        "id = \"{}\"\nlisten = \"{}\"\nlatency = {}\nlatency_spread = 5\n",
+        place.name, place.address, plan.service_latency_ms
+    )
+}
+
+/// Settings of an entry daemon.
+pub(crate) fn entry(
+    place: &plan::EntryPlace,
+    view_file: Option<&path::Path>,
+    platform: net::SocketAddr,
+) -> String {
+    let view = match view_file {
+        Some(file) => format!("file = {:?}", file.display().to_string()),
+        None => format!("control_address = \"{}\"", place.view),
+    };
+    let _ = platform;
+    format!(
+        "daemon = \"{name}\"\nvm = \"{name}\"\nzone = \"{zone}\"\nhttp_address = \"{http}\"\n\
+         peer_address = \"{peer}\"\nlog = \"debug\"\n\n[view]\n{view}\ninterval_ms = 100\n\n\
+         [upstreams]\nsilence_ms = 1500\n\n[stop]\ngrace_ms = 500\n",
+        name = place.name,
+        zone = place.zone,
+        http = place.http,
+        peer = place.peer,
+    )
+}
+
+/// Settings of a control daemon.
+pub(crate) fn control(place: &plan::EntryPlace, platform: net::SocketAddr) -> String {
+    format!(
+        "vm = \"{name}\"\nzone = \"{zone}\"\nlog = \"debug\"\n\n[addresses]\ncontrol = \"{control}\"\n\
+         view = \"{view}\"\nhttp = \"{http}\"\nentry_http = \"{entry_http}\"\n\
+         entry_peer = \"{entry_peer}\"\n\n[platform]\naddress = \"{platform}\"\n",
+        name = place.name,
+        zone = place.zone,
+        control = place.control,
+        view = place.view,
+        http = place.control_http,
+        entry_http = place.http,
+        entry_peer = place.peer,
+    )
+}
