Demonstrate two availability zones with real requests

Cause: the whole path must be seen on a fresh machine with one command. Change: crates/demo and cargo xtask demo start a stand-in platform, two zones with two engines and one plain service each, entry and control daemons; apply the records of both deployments; send a streamed draft from each zone, a booking twice with one key, a look-up; show status and metrics; stop. Shares of workspaces are summed for each pool, since two deployments that share no pool can't crowd each other out; over all workspaces the second deployment was refused. Ruled out: a demo inside xtask (it would need the HTTP crates before cmake is installed).

--- /dev/null
+++ b/crates/demo/src/system.rs
@@ -0,0 +1,170 @@
+//! The processes of the demonstration.
+
+use std::fs;
+use std::net;
+use std::path;
+use std::process;
+
+use samphiremoor_process_tests::child;
+use samphiremoor_process_tests::ports;
+use samphiremoor_process_tests::wait;
+
+use crate::settings;
+
+/// Key of an example workspace.
+pub(crate) fn key_of(workspace: &str) -> String {
+    format!("example-key-{workspace}")
+}
+
+/// One zone's entry VM.
+pub(crate) struct DemoZone {
+    /// The zone.
+    pub(crate) spec: settings::ZoneSpec,
+    /// Addresses of its daemons.
+    pub(crate) addresses: settings::EntryAddresses,
+    entry: child::DaemonProcess,
+    control: child::DaemonProcess,
+}
+
+/// The running demonstration; its processes are killed when it is dropped.
+pub(crate) struct DemoSystem {
+    /// The zones.
+    pub(crate) zones: Vec<DemoZone>,
+    /// Directory of the settings and logs.
+    pub(crate) directory: path::PathBuf,
+    upstreams: Vec<child::DaemonProcess>,
+    platform: child::DaemonProcess,
+}
+
+impl DemoSystem {
+    /// Starts the stand-ins and the daemons; callers are not served before records are applied.
+    pub(crate) fn start() -> Self {
+        let directory = new_directory();
+        let platform_address = ports::free_address();
+        let entries: Vec<_> =
+            settings::ZONES.iter().map(|spec| (*spec, entry_addresses())).collect();
+        let specs = upstream_specs();
+        let text = settings::platform(platform_address, &entries, &specs);
+        let platform =
+            child::DaemonProcess::start("standin-platform", "platform", &text, &directory);
+        wait::until("the platform listens", || child::listens(platform_address));
+        let upstreams = specs.iter().map(|spec| start_upstream(spec, &directory)).collect();
+        for spec in &specs {
+            wait::until("the upstream listens", || child::listens(spec.address));
+        }
+        let zones = entries
+            .into_iter()
+            .map(|(spec, addresses)| start_zone(spec, addresses, platform_address, &directory))
+            .collect::<Vec<_>>();
+        let ctl = settings::ctl(zones[0].addresses.control, platform_address);
+        fs::write(directory.join("samphiremoorctl.toml"), ctl).expect("the directory takes files");
+        println!("demo: {} zones, logs in {}", zones.len(), directory.display());
+        DemoSystem { zones, directory, upstreams, platform }
+    }
+
+    /// Waits until every entry daemon takes requests.
+    pub(crate) fn wait_ready(&self) {
+        for zone in &self.zones {
+            wait::until("the entry daemon is ready", || is_ready(zone.addresses.http));
+        }
+    }
+
+    /// Prints where requests can be sent, a line each.
+    pub(crate) fn print_endpoints(&self) {
+        for zone in &self.zones {
+            println!("entry {} {}", zone.spec.zone, zone.addresses.http);
+        }
+        for (workspace, model, path) in [
+            ("municipal-rental", "rental-draft", "-"),
+            ("courier-crews", "-", "/v1/services/courier-slot/bookings"),
+            ("records-office", "letter-draft", "-"),
+            ("counters-casablanca", "letter-draft", "/v1/services/redirect-check/orders"),
+        ] {
+            println!("workspace {workspace} {} {model} {path}", key_of(workspace));
+        }
+    }
+
+    /// Stops the daemons as an operator does, then the stand-ins.
+    pub(crate) fn stop(&mut self) {
+        for zone in &self.zones {
+            zone.entry.terminate();
+        }
+        for zone in &mut self.zones {
+            zone.entry.wait_end();
+            zone.control.terminate();
+            zone.control.wait_end();
+        }
+        self.upstreams.clear();
+        self.platform.kill();
+    }
+}
+
+fn new_directory() -> path::PathBuf {
+    let directory = child::profile_directory().join("demo").join(process::id().to_string());
+    fs::create_dir_all(&directory).expect("the target directory takes files");
+    directory
+}
+
+fn entry_addresses() -> settings::EntryAddresses {
+    settings::EntryAddresses {
+        http: ports::free_address(),
+        peer: ports::free_address(),
+        control: ports::free_address(),
+        view: ports::free_address(),
+        control_http: ports::free_address(),
+    }
+}
+
+fn upstream_specs() -> Vec<settings::UpstreamSpec> {
+    let mut specs = Vec::new();
+    for spec in settings::ZONES {
+        for (index, engine) in settings::ENGINES.iter().enumerate() {
+            specs.push(settings::UpstreamSpec {
+                name: format!("{}-engine-{}", spec.zone, index + 1),
+                zone: spec.zone,
+                pool: engine.pool,
+                class: "gpu-small",
+                address: ports::free_address(),
+            });
+        }
+        specs.push(settings::UpstreamSpec {
+            name: format!("{}-service-1", spec.zone),
+            zone: spec.zone,
+            pool: spec.service_pool,
+            class: "cpu-small",
+            address: ports::free_address(),
+        });
+    }
+    specs
+}
+
+fn start_upstream(spec: &settings::UpstreamSpec, directory: &path::Path) -> child::DaemonProcess {
+    let engine = settings::ENGINES.iter().find(|engine| engine.pool == spec.pool);
+    let (program, text) = match engine {
+        Some(engine) => ("standin-engine", settings::engine(spec, engine.models)),
+        None => ("standin-service", settings::service(spec)),
+    };
+    child::DaemonProcess::start(program, &spec.name, &text, directory)
+}
+
+fn start_zone(
+    spec: settings::ZoneSpec,
+    addresses: settings::EntryAddresses,
+    platform: net::SocketAddr,
+    directory: &path::Path,
+) -> DemoZone {
+    let text = settings::control(spec.zone, &addresses, platform);
+    let name = format!("control-{}", spec.zone);
+    let control = child::DaemonProcess::start("samphiremoor-control", &name, &text, directory);
+    let text = settings::entry(spec.zone, &addresses, platform);
+    let name = format!("entry-{}", spec.zone);
+    let entry = child::DaemonProcess::start("samphiremoor-entry", &name, &text, directory);
+    wait::until("the daemons listen", || {
+        child::listens(addresses.http) && child::listens(addresses.control)
+    });
+    DemoZone { spec, addresses, entry, control }
+}
+
+fn is_ready(address: net::SocketAddr) -> bool {
+    async_std::task::block_on(crate::call::status_of(address, "/readyz")) == Some(200)
+}
--- a/crates/records/src/check.rs
+++ b/crates/records/src/check.rs
@@ -11,7 +11,7 @@
 /// Greatest number of a priority.
 pub const MAX_PRIORITY: u8 = 9;
 
-/// Sum of the assured shares of all workspaces, in thousandths.
+/// Greatest sum of the assured shares of a pool's workspaces, in thousandths.
 const WHOLE_SHARE: u32 = 1_000;
 
 /// Why a set does not hold together.
@@ -23,8 +23,8 @@
     UnknownServiceOfPool(id::RecordId, id::ServiceId),
     /// Two workspaces have one key.
     SharedKey(id::WorkspaceId, id::WorkspaceId),
-    /// The assured shares are more than the whole.
-    SharesOverWhole(u32),
+    /// The assured shares of the workspaces that a pool serves are more than the whole of it.
+    SharesOverWhole(id::RecordId, u32),
     /// A workspace may have no request in progress.
     NoRequests(id::WorkspaceId),
     /// No pool serves a service.
@@ -57,9 +57,9 @@
                 f,
                 "workspace/{second}: has the key of workspace/{first}; give each a key of its own"
             ),
-            RecordFault::SharesOverWhole(sum) => write!(
+            RecordFault::SharesOverWhole(id, sum) => write!(
                 f,
-                "the shares of all workspaces add up to {sum} thousandths; lower them to 1000"
+                "pool/{id}: the shares of its workspaces add up to {sum} thousandths; lower them to 1000"
             ),
             RecordFault::NoRequests(id) => {
                 write!(f, "workspace/{id}: max_in_progress is 0; give at least 1")
@@ -120,10 +120,6 @@
             faults.push(RecordFault::SharedKey(first.clone(), workspace.id.clone()));
         }
     }
-    let sum = records.workspaces.iter().map(|workspace| u32::from(workspace.share.get())).sum();
-    if sum > WHOLE_SHARE {
-        faults.push(RecordFault::SharesOverWhole(sum));
-    }
 }
 
 fn check_service(
@@ -171,4 +167,17 @@
     if pool.max_replicas == 0 || pool.min_replicas > pool.max_replicas {
         faults.push(RecordFault::ImpossibleSize(pool.id.clone()));
     }
+    let sum = share_sum(records, pool);
+    if sum > WHOLE_SHARE {
+        faults.push(RecordFault::SharesOverWhole(pool.id.clone(), sum));
+    }
+}
+
+/// Shares of the workspaces that may call any of the pool's services, in thousandths.
+fn share_sum(records: &set::RecordSet, pool: &set::PoolRecord) -> u32 {
+    let calls_pool = |workspace: &&set::WorkspaceRecord| {
+        workspace.services.iter().any(|service| pool.services.contains(service))
+    };
+    let callers = records.workspaces.iter().filter(calls_pool);
+    callers.map(|workspace| u32::from(workspace.share.get())).sum()
 }
--- a/crates/records/tests/records.rs
+++ b/crates/records/tests/records.rs
@@ -77,6 +77,10 @@
     );
     shares_over_the_whole_are_refused =>
         check_refused(&[&changed("share = 300", "share = 1001")], "lower them to 1000");
+    shares_count_in_each_pool => check_accepted(
+        &[&changed("share = 300", "share = 900"), &EXAMPLE_V2.replacen("share = 250", "share = 900", 1)],
+        10,
+    );
     empty_pool_is_refused =>
         check_refused(&[&changed("concurrency = 8", "concurrency = 0")], "pool/assistant-pool: give");
     crossed_bounds_are_refused =>
--- /dev/null
+++ b/xtask/src/demo.rs
@@ -0,0 +1,15 @@
+//! Builds the programs and runs the demonstration.
+
+use crate::packages;
+use crate::run;
+
+/// Runs the demonstration; with `keep` it stays up until a signal.
+pub(crate) fn run_demo(keep: bool) -> Result<(), run::ChoreError> {
+    packages::install_missing()?;
+    run::run("cargo", &["build", "--locked", "--workspace", "--bins"])?;
+    let mut args = vec!["run", "--quiet", "--locked", "--package", "samphiremoor-demo"];
+    if keep {
+        args.extend(["--", "--keep"]);
+    }
+    run::run("cargo", &args)
+}
