Load: experiments with the policies; routing and limits corrected by their trials

Change, routing: a load report that is older than requests last says little, so the open requests of this daemon times the number of daemons count in its stead; each request before a new one adds to the forecast. Change, limits: the most urgent services have a limit of their own, which falls only when the common one can't; the share of late requests is averaged over windows; shares are counted in admitted requests instead of slots. Change, load: workload files of both deployments, seeded open-loop plans, and an experiment that drives routing and limits against the stand-in engine's time model. Ruled out: slots kept for each workspace; a daemon's part of a small pool is about five slots, and keeping some refused priority duties although there was capacity. Windows of eight requests, in which one late request made the limit fall.

--- a/crates/limits/src/adaptive.rs
+++ b/crates/limits/src/adaptive.rs
@@ -18,6 +18,13 @@
 const PRIORITY_STEP: f64 = 0.15;
 /// Least part of the limit that the least urgent services may use.
 const LEAST_PRIORITY_PART: f64 = 0.4;
+/// Multiple of the limit that the most urgent services may fill together with the others.
+pub const URGENT_FACTOR: f64 = 1.5;
+/// Least common limit, as a part of the declared capacity: it may fall until nearly only the most
+/// urgent requests are admitted.
+const COMMON_FLOOR: f64 = 0.0;
+/// Least limit of the most urgent requests, as a part of the declared capacity.
+const URGENT_FLOOR: f64 = 0.25;
 /// Duration of a request before any has ended.
 const FIRST_DURATION_MS: f64 = 1_000.0;
 /// Weight of a new duration in the average.
@@ -39,8 +46,7 @@
     target: time::Millis,
     first_ms: f64,
     sampled: Option<time::MonotonicTime>,
-    /// Priorities of the pool's services that are more urgent.
-    rank: u32,
+    rank: share::PriorityRank,
 }
 
 /// Refusals and admissions of late.
@@ -71,10 +77,14 @@
 /// State of one pool.
 #[derive(Clone, Debug)]
 struct PoolGate {
-    limit: concurrency::AdaptiveLimit,
+    /// Limit on all requests; falls first.
+    common: concurrency::AdaptiveLimit,
+    /// Limit on the most urgent requests; falls when the common one can't fall further.
+    urgent: concurrency::AdaptiveLimit,
     shares: share::ShareTable,
     services: collections::BTreeMap<id::ServiceId, ServiceState>,
     in_progress: u32,
+    urgent_in_progress: u32,
     duration_ms: f64,
     pressure: PressureGauge,
     refusals: u64,
@@ -86,6 +96,7 @@
     pool: id::RecordId,
     workspace: id::WorkspaceId,
     service: id::ServiceId,
+    rank: share::PriorityRank,
     admitted: time::MonotonicTime,
 }
 
@@ -96,6 +107,8 @@
     pub pool: id::RecordId,
     /// Requests that may be in progress.
     pub limit: f64,
+    /// Requests of the most urgent services that may be in progress.
+    pub urgent_limit: f64,
     /// Requests in progress.
     pub in_progress: u32,
 }
@@ -116,7 +129,8 @@
     pub fn status(&self) -> Vec<PoolStatus> {
         let status = |(pool, state): (&id::RecordId, &PoolGate)| PoolStatus {
             pool: pool.clone(),
-            limit: state.limit.get(),
+            limit: state.common.get(),
+            urgent_limit: state.urgent.get(),
             in_progress: state.in_progress,
         };
         self.pools.iter().map(status).collect()
@@ -145,7 +159,7 @@
             let capacity = declared_capacity(view, pool);
             let state =
                 self.pools.entry(pool.id.clone()).or_insert_with(|| PoolGate::new(capacity, now));
-            state.configure(&view.records, pool, capacity, now);
+            state.configure(&view.records, pool, capacity);
         }
         let records = &view.records;
         self.pools.retain(|id, state| records.pool(id).is_some() || state.in_progress > 0);
@@ -165,15 +179,16 @@
             let retry_after = time::Millis::new(RETRY_AFTER_MS.0 as u64);
             return Err(gate::AdmissionRefusal { reason, retry_after });
         };
-        state.shares.want(request.workspace, request.now);
+        let rank = state.rank(request.service);
+        state.shares.pass(request.now);
         let decision = workspace_check.and_then(|()| state.check(request));
         state.pressure.note(decision.is_ok(), request.now);
         if let Err(reason) = decision {
-            state.shares.refused(request.workspace);
+            state.note_refusal(request.workspace, rank, request.now);
             let retry_after = state.retry_after(request.service);
             return Err(gate::AdmissionRefusal { reason, retry_after });
         }
-        state.add(request.workspace);
+        state.add(request.workspace, rank);
         *self.in_progress.entry(request.workspace.clone()).or_default() += 1;
         self.last_permit += 1;
         let permit = gate::PermitId::new(self.last_permit);
@@ -181,6 +196,7 @@
             pool,
             workspace: request.workspace.clone(),
             service: request.service.clone(),
+            rank,
             admitted: request.now,
         };
         self.permits.insert(permit, open);
@@ -211,29 +227,26 @@
 impl PoolGate {
     fn new(capacity: f64, now: time::MonotonicTime) -> Self {
         PoolGate {
-            limit: concurrency::AdaptiveLimit::new(capacity, now),
+            common: concurrency::AdaptiveLimit::new(capacity, COMMON_FLOOR, now),
+            urgent: concurrency::AdaptiveLimit::new(capacity, URGENT_FLOOR, now),
             shares: share::ShareTable::default(),
             services: collections::BTreeMap::new(),
             in_progress: 0,
+            urgent_in_progress: 0,
             duration_ms: FIRST_DURATION_MS,
             pressure: PressureGauge::default(),
             refusals: 0,
         }
     }
 
-    fn configure(
-        &mut self,
-        records: &set::RecordSet,
-        pool: &set::PoolRecord,
-        capacity: f64,
-        now: time::MonotonicTime,
-    ) {
-        self.limit.declare(capacity);
+    fn configure(&mut self, records: &set::RecordSet, pool: &set::PoolRecord, capacity: f64) {
+        self.common.declare(capacity);
+        self.urgent.declare(capacity);
         let entitled = records.workspaces.iter().filter(|workspace| {
             workspace.services.iter().any(|service| pool.services.contains(service))
         });
         let shares = entitled.map(|workspace| (&workspace.id, workspace.share));
-        self.shares.configure(shares, now);
+        self.shares.configure(shares);
         let services: Vec<_> =
             pool.services.iter().filter_map(|service| records.service(service)).collect();
         let mut states = collections::BTreeMap::new();
@@ -248,13 +261,17 @@
                 target: record.latency.first,
                 first_ms: known.map_or(0.0, |known| known.first_ms),
                 sampled: known.and_then(|known| known.sampled),
-                rank: more_urgent.len() as u32,
+                rank: share::PriorityRank(more_urgent.len()),
             };
             states.insert(record.id.clone(), state);
         }
         self.services = states;
     }
 
+    fn rank(&self, service: &id::ServiceId) -> share::PriorityRank {
+        self.services.get(service).map_or(share::PriorityRank::default(), |state| state.rank)
+    }
+
     fn check(&self, request: &gate::AdmissionRequest<'_>) -> Result<(), reason::RefusalReason> {
         let Some(service) = self.services.get(request.service) else {
             return Err(reason::RefusalReason::UnknownService);
@@ -262,58 +279,86 @@
         if !service.can_meet(request.deadline_left, request.now) {
             return Err(reason::RefusalReason::DeadlineUnreachable);
         }
-        let limit = self.limit.get();
-        let in_progress = f64::from(self.in_progress);
-        let usable = limit * self.usable_part(request.workspace, service);
-        if in_progress + 1.0 > usable.max(1.0) {
+        if !self.has_room(request.workspace, service.rank) {
             return Err(reason::RefusalReason::Shed);
         }
-        let kept = self.shares.kept_for_others(request.workspace, limit, request.now);
-        let is_within = self.shares.is_within(request.workspace, limit);
-        if !is_within && in_progress + 1.0 + kept > limit {
+        let is_over = self.shares.is_over(request.workspace);
+        if is_over && self.shares.has_hungry_other(request.workspace, service.rank, request.now) {
             return Err(reason::RefusalReason::WorkspaceLimit);
         }
         Ok(())
     }
 
-    /// Part of the limit up to which a request of the service is admitted.
-    fn usable_part(&self, workspace: &id::WorkspaceId, service: &ServiceState) -> f64 {
-        if self.shares.is_below_floor(workspace, self.limit.get()) {
-            return 1.0;
+    /// Whether one more request of the rank fits.
+    fn has_room(&self, workspace: &id::WorkspaceId, rank: share::PriorityRank) -> bool {
+        let in_progress = f64::from(self.in_progress) + 1.0;
+        let common = self.common.get().max(1.0);
+        let most = common.max(self.urgent.get());
+        if rank.is_most_urgent() {
+            // The most urgent don't wait for those that came before them and are less urgent.
+            let urgent = f64::from(self.urgent_in_progress) + 1.0;
+            return urgent <= self.urgent.get().max(1.0) && in_progress <= most * URGENT_FACTOR;
+        }
+        if self.shares.is_below_floor(workspace) {
+            return in_progress <= most;
+        }
+        let part = 1.0 - PRIORITY_STEP * rank.0 as f64;
+        in_progress <= (common * part.max(LEAST_PRIORITY_PART)).max(1.0)
+    }
+
+    fn note_refusal(
+        &mut self,
+        workspace: &id::WorkspaceId,
+        rank: share::PriorityRank,
+        now: time::MonotonicTime,
+    ) {
+        self.shares.refused(workspace, rank, now);
+        self.common.note_refusal();
+        if rank.is_most_urgent() {
+            self.urgent.note_refusal();
+        }
+    }
+
+    fn note_end(&mut self, rank: share::PriorityRank, is_late: bool, now: time::MonotonicTime) {
+        self.common.sample(is_late, now);
+        if rank.is_most_urgent() {
+            self.urgent.sample(is_late && self.common.is_at_floor(), now);
         }
-        let by_priority = 1.0 - PRIORITY_STEP * f64::from(service.rank);
-        by_priority.max(LEAST_PRIORITY_PART)
     }
 
     /// Time in which the refused requests of late can be worked off; the least urgent wait longest.
     fn retry_after(&mut self, service: &id::ServiceId) -> time::Millis {
         self.refusals += 1;
-        let rank = self.services.get(service).map_or(0, |state| state.rank);
+        let rank = self.rank(service);
         let spread = (self.refusals % RETRY_SPREAD_STEPS) as f64 / RETRY_SPREAD_STEPS as f64;
-        let urgency = 1.0 + f64::from(rank) / 2.0;
+        let urgency = 1.0 + rank.0 as f64 / 2.0;
         let wait_ms = self.duration_ms * (0.5 + self.pressure.ratio()) * urgency;
         let (least, greatest) = RETRY_AFTER_MS;
         time::Millis::new((wait_ms * (0.75 + spread / 2.0)).clamp(least, greatest) as u64)
     }
 
-    fn add(&mut self, workspace: &id::WorkspaceId) {
+    fn add(&mut self, workspace: &id::WorkspaceId, rank: share::PriorityRank) {
         self.in_progress += 1;
-        self.limit.note_use(self.in_progress);
-        self.shares.add(workspace);
+        self.urgent_in_progress += u32::from(rank.is_most_urgent());
+        self.shares.admitted(workspace);
+        self.common.note_use(self.in_progress);
+        self.urgent.note_use(self.urgent_in_progress);
     }
 
     fn remove(&mut self, open: &OpenPermit, report: &gate::PermitReport) {
         self.in_progress = self.in_progress.saturating_sub(1);
-        self.shares.remove(&open.workspace);
+        let urgent = u32::from(open.rank.is_most_urgent());
+        self.urgent_in_progress = self.urgent_in_progress.saturating_sub(urgent);
         let Some(service) = self.services.get_mut(&open.service) else { return };
         match (report.outcome, report.first) {
             (gate::PermitOutcome::Complete, Some(first)) => {
                 service.sample(first, report.now);
                 let duration = report.now.since(open.admitted).get() as f64;
                 self.duration_ms += (duration - self.duration_ms) * DURATION_WEIGHT;
-                self.limit.sample(first > service.target, report.now);
+                let is_late = first > service.target;
+                self.note_end(open.rank, is_late, report.now);
             }
-            (gate::PermitOutcome::TimedOut, _) => self.limit.sample(true, report.now),
+            (gate::PermitOutcome::TimedOut, _) => self.note_end(open.rank, true, report.now),
             // A failed upstream says nothing of the load that the others bear.
             _ => {}
         }
--- a/crates/limits/src/concurrency.rs
+++ b/crates/limits/src/concurrency.rs
@@ -4,14 +4,14 @@
 
 /// Length of a window after which the limit is judged.
 const WINDOW: time::Millis = time::Millis::new(500);
-/// Least number of ended requests in a judged window.
-const MIN_SAMPLES: u32 = 8;
+/// Weight of a request in the average share of late ones.
+const LATE_WEIGHT: f64 = 0.03;
 /// Share of late requests that is accepted.
 const LATE_SHARE: f64 = 0.05;
 /// Share of late requests from which on the limit falls faster.
 const VERY_LATE_SHARE: f64 = 0.5;
 /// Factor of a fall.
-const FALL_FACTOR: f64 = 0.92;
+const FALL_FACTOR: f64 = 0.87;
 /// Factor of a fast fall.
 const FAST_FALL_FACTOR: f64 = 0.75;
 /// Relative rise of a limit that is used and keeps the target.
@@ -20,30 +20,32 @@
 const USED_SHARE: f64 = 0.8;
 /// Greatest limit, as a multiple of the declared capacity.
 const CEILING_FACTOR: f64 = 2.0;
-/// Least limit, as a share of the declared capacity.
-const FLOOR_FACTOR: f64 = 0.25;
+/// Least rise.
+const LEAST_RISE: f64 = 0.5;
 
 /// The limit of one pool at one daemon.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct AdaptiveLimit {
     limit: f64,
     declared: f64,
+    floor_part: f64,
     window_start: time::MonotonicTime,
-    samples: u32,
-    late: u32,
+    late: f64,
     peak: u32,
+    has_refused: bool,
 }
 
 impl AdaptiveLimit {
-    /// A limit that starts at the declared capacity.
-    pub fn new(declared: f64, now: time::MonotonicTime) -> Self {
+    /// A limit that starts at the declared capacity and does not fall below a part of it.
+    pub fn new(declared: f64, floor_part: f64, now: time::MonotonicTime) -> Self {
         AdaptiveLimit {
             limit: declared.max(1.0),
             declared: declared.max(1.0),
+            floor_part,
             window_start: now,
-            samples: 0,
-            late: 0,
+            late: 0.0,
             peak: 0,
+            has_refused: false,
         }
     }
 
@@ -60,39 +62,50 @@
         self.limit
     }
 
+    /// Whether it can't fall further.
+    pub fn is_at_floor(&self) -> bool {
+        self.limit <= self.floor()
+    }
+
     /// Notes how many requests are in progress.
     pub fn note_use(&mut self, in_progress: u32) {
         self.peak = self.peak.max(in_progress);
     }
 
+    /// Notes that a request was refused for want of room.
+    pub fn note_refusal(&mut self) {
+        self.has_refused = true;
+    }
+
     /// Notes an ended request.
     pub fn sample(&mut self, is_late: bool, now: time::MonotonicTime) {
-        self.samples += 1;
-        self.late += u32::from(is_late);
-        let is_full = now.since(self.window_start) >= WINDOW && self.samples >= MIN_SAMPLES;
-        if is_full {
+        // An average over windows: with few requests in a window one late request would count as
+        // far too many.
+        self.late += (f64::from(u8::from(is_late)) - self.late) * LATE_WEIGHT;
+        if now.since(self.window_start) >= WINDOW {
             self.judge();
             self.window_start = now;
-            self.samples = 0;
-            self.late = 0;
             self.peak = 0;
+            self.has_refused = false;
         }
     }
 
     fn judge(&mut self) {
-        let late = f64::from(self.late) / f64::from(self.samples);
-        if late > VERY_LATE_SHARE {
+        if self.late > VERY_LATE_SHARE {
             self.limit *= FAST_FALL_FACTOR;
-        } else if late > LATE_SHARE {
+        } else if self.late > LATE_SHARE {
             self.limit *= FALL_FACTOR;
-        } else if f64::from(self.peak) >= self.limit * USED_SHARE {
-            self.limit += (self.limit * RISE_SHARE).max(1.0);
+        } else if self.has_refused || f64::from(self.peak) >= self.limit * USED_SHARE {
+            self.limit += (self.limit * RISE_SHARE).max(LEAST_RISE);
         }
         self.clamp();
     }
 
     fn clamp(&mut self) {
-        let floor = (self.declared * FLOOR_FACTOR).max(1.0);
-        self.limit = self.limit.clamp(floor, self.declared * CEILING_FACTOR);
+        self.limit = self.limit.clamp(self.floor(), self.declared * CEILING_FACTOR);
+    }
+
+    fn floor(&self) -> f64 {
+        (self.declared * self.floor_part).max(1.0)
     }
 }
--- a/crates/limits/src/share.rs
+++ b/crates/limits/src/share.rs
@@ -1,4 +1,7 @@
-//! Shares of workspaces in a pool's limit.
+//! Shares of workspaces in a pool's throughput.
+//!
+//! Shares are counted in admitted requests, not in slots: one daemon's part of a pool is a few
+//! slots, too few to be divided among workspaces.
 
 use std::collections;
 
@@ -6,37 +9,59 @@
 use samphiremoor_base::quantity;
 use samphiremoor_base::time;
 
-/// Time in which half of a workspace's past use is forgotten.
+/// Time in which half of the counted admissions is forgotten.
 const HALF_LIFE: time::Millis = time::Millis::new(2_000);
-/// Part of its assured share that a workspace gets whatever the priority of its requests.
-const FLOOR_SHARE: f64 = 0.25;
+/// Part of its share that a workspace gets whatever the priority of its requests.
+pub const FLOOR_SHARE: f64 = 0.25;
+/// Time for which a refused workspace goes before those that are over their share.
+const HUNGER: time::Millis = time::Millis::new(1_000);
+/// Counted admissions from which on shares are told apart.
+const LEAST_ADMITTED: f64 = 4.0;
+
+/// Step of a service's priority below the most urgent one of its pool.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct PriorityRank(pub usize);
+
+impl PriorityRank {
+    /// Rank of the most urgent services.
+    pub const MOST_URGENT: PriorityRank = PriorityRank(0);
+
+    /// Whether no service of the pool is more urgent.
+    pub fn is_most_urgent(self) -> bool {
+        self == PriorityRank::MOST_URGENT
+    }
+}
 
-/// Refused requests of one workspace that count at most.
-const MAX_WAITING: f64 = 64.0;
+/// A workspace within its share that was refused.
+#[derive(Clone, Copy, Debug)]
+struct HungerMark {
+    rank: PriorityRank,
+    until: time::MonotonicTime,
+}
 
 /// Use of one pool by one workspace.
 #[derive(Clone, Copy, Debug)]
 struct WorkspaceUse {
     /// Part of the pool that the workspace is sure of, from 0 to 1.
     assured: f64,
-    in_progress: u32,
-    /// Requests that it had in progress or wanted lately.
-    wanted: f64,
-    noted: time::MonotonicTime,
+    /// Admissions, with those of long ago counting less.
+    admitted: f64,
+    hunger: Option<HungerMark>,
 }
 
 /// Use of one pool by all workspaces that may call its services.
 #[derive(Clone, Debug, Default)]
 pub struct ShareTable {
     uses: collections::BTreeMap<id::WorkspaceId, WorkspaceUse>,
+    admitted: f64,
+    noted: time::MonotonicTime,
 }
 
 impl ShareTable {
-    /// Takes over the shares; requests in progress stay counted.
+    /// Takes over the shares; what was counted stays counted.
     pub fn configure<'a>(
         &mut self,
         shares: impl Iterator<Item = (&'a id::WorkspaceId, quantity::PerMille)> + Clone,
-        now: time::MonotonicTime,
     ) {
         let sum: f64 = shares.clone().map(|(_, share)| f64::from(share.get())).sum();
         for known in self.uses.values_mut() {
@@ -44,80 +69,70 @@
         }
         for (workspace, share) in shares {
             let assured = f64::from(share.get()) / sum.max(1.0);
-            let unused = WorkspaceUse { assured, in_progress: 0, wanted: 0.0, noted: now };
+            let unused = WorkspaceUse { assured, admitted: 0.0, hunger: None };
             self.uses.entry(workspace.clone()).or_insert(unused).assured = assured;
         }
-        self.uses.retain(|_, known| known.assured > 0.0 || known.in_progress > 0);
+        self.uses.retain(|_, known| known.assured > 0.0);
     }
 
-    /// Notes that the workspace wants one more request.
-    pub fn want(&mut self, workspace: &id::WorkspaceId, now: time::MonotonicTime) {
-        let Some(known) = self.uses.get_mut(workspace) else { return };
-        known.wanted = known.wanted_at(now).max(f64::from(known.in_progress) + 1.0);
-        known.noted = now;
-    }
-
-    /// Notes that the workspace was refused a request: it wants one more than it was seen to use.
-    pub fn refused(&mut self, workspace: &id::WorkspaceId) {
-        let Some(known) = self.uses.get_mut(workspace) else { return };
-        // Far beyond any share; keeps callers that repeat without pause from counting for ever.
-        known.wanted = (known.wanted + 1.0).min(f64::from(known.in_progress) + MAX_WAITING);
+    /// Lets past admissions fade; called before the others with the same time.
+    pub fn pass(&mut self, now: time::MonotonicTime) {
+        let age = now.since(self.noted).get() as f64 / HALF_LIFE.get() as f64;
+        let kept = 0.5_f64.powf(age);
+        self.noted = now;
+        self.admitted *= kept;
+        for known in self.uses.values_mut() {
+            known.admitted *= kept;
+        }
     }
 
     /// Counts an admitted request.
-    pub fn add(&mut self, workspace: &id::WorkspaceId) {
+    pub fn admitted(&mut self, workspace: &id::WorkspaceId) {
+        self.admitted += 1.0;
         if let Some(known) = self.uses.get_mut(workspace) {
-            known.in_progress += 1;
+            known.admitted += 1.0;
+            known.hunger = None;
         }
     }
 
-    /// Counts an ended request.
-    pub fn remove(&mut self, workspace: &id::WorkspaceId) {
-        if let Some(known) = self.uses.get_mut(workspace) {
-            known.in_progress = known.in_progress.saturating_sub(1);
+    /// Notes that there was no room for a request of the rank.
+    pub fn refused(
+        &mut self,
+        workspace: &id::WorkspaceId,
+        rank: PriorityRank,
+        now: time::MonotonicTime,
+    ) {
+        let is_within = !self.is_over(workspace);
+        // Below its floor a workspace goes before others whatever the priority.
+        let rank = if self.is_below_floor(workspace) { PriorityRank::MOST_URGENT } else { rank };
+        let Some(known) = self.uses.get_mut(workspace) else { return };
+        if is_within {
+            known.hunger = Some(HungerMark { rank, until: now + HUNGER });
         }
     }
 
-    /// Whether the workspace is within its assured share of the limit.
-    pub fn is_within(&self, workspace: &id::WorkspaceId, limit: f64) -> bool {
-        self.uses
-            .get(workspace)
-            .is_some_and(|known| f64::from(known.in_progress) + 1.0 <= known.assured_slots(limit))
+    /// Whether the workspace would have more than its share.
+    pub fn is_over(&self, workspace: &id::WorkspaceId) -> bool {
+        let Some(known) = self.uses.get(workspace) else { return true };
+        self.admitted >= LEAST_ADMITTED && known.admitted > known.assured * self.admitted
     }
 
-    /// Whether the workspace has so little in progress that priority does not count.
-    pub fn is_below_floor(&self, workspace: &id::WorkspaceId, limit: f64) -> bool {
-        self.uses.get(workspace).is_some_and(|known| {
-            f64::from(known.in_progress) < known.assured_slots(limit) * FLOOR_SHARE
-        })
+    /// Whether the workspace has so little that priority does not count.
+    pub fn is_below_floor(&self, workspace: &id::WorkspaceId) -> bool {
+        let Some(known) = self.uses.get(workspace) else { return false };
+        let floor = known.assured * FLOOR_SHARE * self.admitted;
+        self.admitted >= LEAST_ADMITTED && known.admitted < floor
     }
 
-    /// Slots that are kept for other workspaces: what each is sure of and asked for lately.
-    pub fn kept_for_others(
+    /// Whether another workspace within its share was refused a request as urgent as the rank.
+    pub fn has_hungry_other(
         &self,
         workspace: &id::WorkspaceId,
-        limit: f64,
+        rank: PriorityRank,
         now: time::MonotonicTime,
-    ) -> f64 {
+    ) -> bool {
         let others = self.uses.iter().filter(|(id, _)| *id != workspace);
-        let kept = |known: &WorkspaceUse| {
-            let wanted = known.wanted_at(now).min(known.assured_slots(limit));
-            (wanted - f64::from(known.in_progress)).max(0.0)
-        };
-        others.map(|(_, known)| kept(known)).sum()
-    }
-}
-
-impl WorkspaceUse {
-    fn assured_slots(&self, limit: f64) -> f64 {
-        // Even the smallest share is good for one request.
-        (self.assured * limit).max(1.0)
-    }
-
-    fn wanted_at(&self, now: time::MonotonicTime) -> f64 {
-        let age = now.since(self.noted).get() as f64 / HALF_LIFE.get() as f64;
-        let wanted = self.wanted * 0.5_f64.powf(age);
-        // A fraction of a request is none: a workspace that is silent for long keeps nothing.
-        if wanted < 0.5 { 0.0 } else { wanted }
+        let mut hungers = others.filter_map(|(_, known)| known.hunger);
+        hungers.any(|hunger| hunger.rank <= rank && now < hunger.until)
     }
 }
--- /dev/null
+++ b/crates/load/src/experiment/deployment.rs
@@ -0,0 +1,152 @@
+//! A deployment: its records, its replicas and its callers, read from its folder.
+
+use std::collections;
+use std::error;
+use std::fmt;
+use std::fs;
+use std::io;
+use std::path;
+
+use samphiremoor_base::id;
+use samphiremoor_base::quantity;
+use samphiremoor_platform::cloud;
+use samphiremoor_records::entry;
+use samphiremoor_records::file;
+use samphiremoor_records::set;
+use samphiremoor_settings::load;
+use samphiremoor_view::zone;
+use serde::Deserialize;
+use smallvec::SmallVec;
+
+use crate::workload;
+
+/// Record files of a deployment's folder.
+const RECORD_FILES: [&str; 3] =
+    ["records/workspaces.toml", "records/services.toml", "records/pools.toml"];
+
+/// One deployment.
+#[derive(Clone, Debug)]
+pub struct Deployment {
+    /// Name of its folder.
+    pub name: String,
+    /// Its records.
+    pub records: set::RecordSet,
+    /// Its replicas, ready with every model of their pools.
+    pub replicas: Vec<zone::ReplicaView>,
+    /// Its entry daemons.
+    pub daemons: Vec<zone::DaemonView>,
+    /// What the cloud offers.
+    pub offers: Vec<cloud::VmOffer>,
+    /// Its callers.
+    pub workload: workload::WorkloadFile,
+}
+
+/// The parts that are used of the stand-in platform's settings.
+#[derive(Debug, Deserialize)]
+struct FleetFile {
+    vms: Vec<cloud::VmEntry>,
+    offers: Vec<cloud::VmOffer>,
+}
+
+/// Why a deployment can't be read.
+#[derive(Debug)]
+pub enum DeploymentError {
+    /// A file can't be read.
+    Unreadable(path::PathBuf, io::Error),
+    /// A file can't be understood.
+    Malformed(path::PathBuf, String),
+}
+
+impl fmt::Display for DeploymentError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            DeploymentError::Unreadable(file, cause) => write!(
+                f,
+                "{}: can't be read ({cause}); name the folder of a deployment",
+                file.display()
+            ),
+            DeploymentError::Malformed(file, cause) => {
+                write!(f, "{}: {cause}; correct the file", file.display())
+            }
+        }
+    }
+}
+
+impl error::Error for DeploymentError {}
+
+/// Reads a deployment.
+///
+/// # Errors
+///
+/// Names the file that can't be read or understood.
+pub fn read(folder: &path::Path) -> Result<Deployment, DeploymentError> {
+    let records = read_records(folder)?;
+    let fleet_path = folder.join("standin-platform.toml");
+    let fleet: FleetFile = toml::from_str(&read_text(&fleet_path)?)
+        .map_err(|cause| DeploymentError::Malformed(fleet_path.clone(), cause.to_string()))?;
+    let workload_path = folder.join("workload.toml");
+    let workload = load::load(&workload_path)
+        .map_err(|cause| DeploymentError::Malformed(workload_path.clone(), cause.to_string()))?;
+    let name = folder.file_name().unwrap_or_default().to_string_lossy().into_owned();
+    let replicas = fleet.vms.iter().filter_map(|vm| replica(&records, vm)).collect();
+    let daemons = fleet.vms.iter().filter_map(daemon).collect();
+    Ok(Deployment { name, records, replicas, daemons, offers: fleet.offers, workload })
+}
+
+fn read_text(file: &path::Path) -> Result<String, DeploymentError> {
+    fs::read_to_string(file).map_err(|cause| DeploymentError::Unreadable(file.to_owned(), cause))
+}
+
+fn read_records(folder: &path::Path) -> Result<set::RecordSet, DeploymentError> {
+    let mut bundle = entry::RecordBundle::default();
+    for name in RECORD_FILES {
+        let path = folder.join(name);
+        let parsed = file::parse(&read_text(&path)?)
+            .map_err(|cause| DeploymentError::Malformed(path.clone(), cause.to_string()))?;
+        parsed.entries.into_iter().for_each(|entry| bundle.put(entry));
+    }
+    bundle
+        .to_set(quantity::RevisionNumber::new(1))
+        .map_err(|cause| DeploymentError::Malformed(folder.join("records"), format!("{cause:?}")))
+}
+
+fn replica(records: &set::RecordSet, vm: &cloud::VmEntry) -> Option<zone::ReplicaView> {
+    let cloud::VmRole::Upstream { pool, address } = &vm.role else { return None };
+    Some(zone::ReplicaView {
+        id: vm.id.as_str().parse().ok()?,
+        vm: vm.id.clone(),
+        zone: vm.zone.clone(),
+        pool: pool.clone(),
+        address: *address,
+        state: zone::UpstreamState::Live,
+        models: models_of(records, pool),
+        price: vm.price,
+        reclaimable: vm.reclaimable,
+        load: zone::LoadReport::default(),
+    })
+}
+
+/// Every model that the pool's services need.
+pub fn models_of(records: &set::RecordSet, pool: &id::RecordId) -> SmallVec<[set::LoadedModel; 2]> {
+    let services = records.pool(pool).map(|record| record.services.clone()).unwrap_or_default();
+    let models: collections::BTreeSet<set::LoadedModel> = services
+        .iter()
+        .filter_map(|service| match &records.service(service)?.target {
+            set::ServiceTarget::Model(model) => Some(model.clone()),
+            set::ServiceTarget::Plain => None,
+        })
+        .collect();
+    models.into_iter().collect()
+}
+
+fn daemon(vm: &cloud::VmEntry) -> Option<zone::DaemonView> {
+    let cloud::VmRole::Entry { http_address, peer_address, .. } = &vm.role else { return None };
+    Some(zone::DaemonView {
+        id: vm.id.as_str().parse().ok()?,
+        vm: vm.id.clone(),
+        zone: vm.zone.clone(),
+        http_address: *http_address,
+        peer_address: *peer_address,
+        state: zone::UpstreamState::Live,
+    })
+}
--- /dev/null
+++ b/crates/load/src/experiment/policy.rs
@@ -0,0 +1,79 @@
+//! The policies that are compared.
+
+use std::fmt;
+
+use samphiremoor_limits::adaptive;
+use samphiremoor_limits::baseline as limits_baseline;
+use samphiremoor_limits::gate::AdmissionGate;
+use samphiremoor_routing::baseline as routing_baseline;
+use samphiremoor_routing::picker::ReplicaPicker;
+use samphiremoor_routing::scored;
+use serde::Serialize;
+
+/// A routing policy with an admission policy.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum PolicyKind {
+    /// Any replica; fixed limits.
+    Random,
+    /// The least loaded replica; fixed limits.
+    LeastLoaded,
+    /// The last replica of the prefix; fixed limits.
+    PrefixOnly,
+    /// The least loaded replica; adaptive limits.
+    LeastLoadedAdaptive,
+    /// The best score; fixed limits.
+    ScoredFixed,
+    /// The best score; adaptive limits: what the daemons run.
+    Scored,
+}
+
+impl PolicyKind {
+    /// Every policy, in the order of the tables.
+    pub const ALL: [PolicyKind; 6] = [
+        PolicyKind::Random,
+        PolicyKind::LeastLoaded,
+        PolicyKind::PrefixOnly,
+        PolicyKind::LeastLoadedAdaptive,
+        PolicyKind::ScoredFixed,
+        PolicyKind::Scored,
+    ];
+
+    /// A new routing policy.
+    pub fn picker(self) -> Box<dyn ReplicaPicker> {
+        match self {
+            PolicyKind::Random => Box::new(routing_baseline::RandomPicker),
+            PolicyKind::LeastLoaded | PolicyKind::LeastLoadedAdaptive => {
+                Box::new(routing_baseline::LeastLoadedPicker::default())
+            }
+            PolicyKind::PrefixOnly => Box::new(routing_baseline::PrefixOnlyPicker::default()),
+            PolicyKind::ScoredFixed | PolicyKind::Scored => {
+                Box::new(scored::ScoredPicker::default())
+            }
+        }
+    }
+
+    /// A new admission policy.
+    pub fn gate(self) -> Box<dyn AdmissionGate> {
+        match self {
+            PolicyKind::LeastLoadedAdaptive | PolicyKind::Scored => {
+                Box::new(adaptive::AdaptiveGate::default())
+            }
+            _ => Box::new(limits_baseline::FixedGate::default()),
+        }
+    }
+}
+
+impl fmt::Display for PolicyKind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(match self {
+            PolicyKind::Random => "random",
+            PolicyKind::LeastLoaded => "least loaded",
+            PolicyKind::PrefixOnly => "prefix only",
+            PolicyKind::LeastLoadedAdaptive => "least loaded, our limits",
+            PolicyKind::ScoredFixed => "our routing, fixed limits",
+            PolicyKind::Scored => "ours",
+        })
+    }
+}
--- /dev/null
+++ b/crates/load/src/experiment/table.rs
@@ -0,0 +1,77 @@
+//! The table of an experiment.
+
+use std::fmt;
+
+use serde::Serialize;
+
+use crate::experiment::policy;
+use crate::experiment::situation;
+use crate::experiment::tally;
+
+/// One run of an experiment.
+#[derive(Clone, Debug, Serialize)]
+pub struct ExperimentRow {
+    /// The deployment.
+    pub deployment: String,
+    /// The situation.
+    pub situation: situation::Situation,
+    /// The policy.
+    pub policy: policy::PolicyKind,
+    /// Its results.
+    pub report: tally::RunReport,
+}
+
+/// Every run of an experiment, printed as Markdown. Under each service, by its priority, stand the
+/// share of its calls that met every target and the 95th percentile of the time to the first token.
+#[derive(Clone, Debug, Serialize)]
+pub struct ExperimentTable {
+    /// The seed of all runs.
+    pub seed: u64,
+    /// The runs.
+    pub rows: Vec<ExperimentRow>,
+}
+
+impl fmt::Display for ExperimentTable {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut heading = None;
+        for row in &self.rows {
+            let place = (row.deployment.as_str(), row.situation);
+            if heading != Some(place) {
+                heading = Some(place);
+                write_heading(f, row)?;
+            }
+            write_row(f, row)?;
+        }
+        Ok(())
+    }
+}
+
+fn write_heading(f: &mut fmt::Formatter<'_>, row: &ExperimentRow) -> fmt::Result {
+    writeln!(f, "\n### {}: {}\n", row.deployment, row.situation)?;
+    write!(f, "| policy | answers in target/s | cost per 1000 | busy cost per 1000 ")?;
+    for service in &row.report.services {
+        write!(f, "| {} ({}) ", service.service, service.priority)?;
+    }
+    writeln!(f, "| recomputed tokens | moved | not answered |")?;
+    let columns = 7 + row.report.services.len();
+    writeln!(f, "|{}", " --- |".repeat(columns))
+}
+
+fn write_row(f: &mut fmt::Formatter<'_>, row: &ExperimentRow) -> fmt::Result {
+    let report = &row.report;
+    write!(
+        f,
+        "| {} | {:.1} | {:.3} | {:.3} ",
+        row.policy,
+        report.goodput_per_second,
+        report.cost_per_thousand,
+        report.busy_cost_per_thousand
+    )?;
+    for service in &report.services {
+        write!(f, "| {:.1}%, {} ms ", service.within_percent, service.first_p95_ms)?;
+    }
+    let ends: Vec<String> =
+        report.other_ends.iter().map(|(reason, count)| format!("{reason} {count}")).collect();
+    let ends = if ends.is_empty() { "none".to_owned() } else { ends.join(", ") };
+    writeln!(f, "| {} | {} | {ends} |", report.recomputed_tokens, report.moved)
+}
--- /dev/null
+++ b/crates/load/tests/experiment.rs
@@ -0,0 +1,56 @@
+//! What must hold of the daemons' policies in both deployments, with simulated time.
+
+use std::path;
+
+use samphiremoor_base::testing;
+use samphiremoor_base::time;
+use samphiremoor_load::experiment::deployment;
+use samphiremoor_load::experiment::policy;
+use samphiremoor_load::experiment::situation;
+use samphiremoor_load::experiment::tally;
+use samphiremoor_load::experiment::world;
+
+const LENGTH: time::Millis = time::Millis::new(20_000);
+
+fn run(name: &str, policy: policy::PolicyKind, kind: situation::Situation) -> tally::RunReport {
+    let root = path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy");
+    let deployment = deployment::read(&root.join(name)).expect("the deployment can be read");
+    let plan = world::RunPlan { policy, situation: kind, length: LENGTH, seed: testing::seed() };
+    world::run(&deployment, &plan)
+}
+
+/// Goodput at twice the load stays near that at capacity, retries included.
+fn check_overload(name: &str) {
+    const NEAR: f64 = 0.8;
+    let at_capacity = run(name, policy::PolicyKind::Scored, situation::Situation::AtCapacity);
+    let twice = run(name, policy::PolicyKind::Scored, situation::Situation::TwiceCapacity);
+    let (most, left) = (at_capacity.goodput_per_second, twice.goodput_per_second);
+    assert!(left >= most * NEAR, "{left} of {most} answers within target in a second");
+}
+
+/// Every call ends: answered, or refused with a reason.
+fn check_ends(name: &str, kind: situation::Situation) {
+    for policy in policy::PolicyKind::ALL {
+        let report = run(name, policy, kind);
+        let others: u64 = report.other_ends.values().sum();
+        assert_eq!(report.sent, report.complete + others, "{policy}");
+    }
+}
+
+/// The same seed gives the same figures.
+fn check_repeats(name: &str) {
+    let kind = situation::Situation::ZoneReclaimed;
+    let once = run(name, policy::PolicyKind::Scored, kind);
+    let again = run(name, policy::PolicyKind::Scored, kind);
+    assert_eq!(format!("{once:?}"), format!("{again:?}"));
+}
+
+samphiremoor_base::cases! {
+    overload_does_not_collapse_in_ulaanbaatar => check_overload("ulaanbaatar");
+    overload_does_not_collapse_in_casa_settat => check_overload("casa-settat");
+    every_call_ends_when_a_zone_is_reclaimed =>
+        check_ends("ulaanbaatar", situation::Situation::ZoneReclaimed);
+    every_call_ends_when_the_platform_is_down =>
+        check_ends("casa-settat", situation::Situation::PlatformDown);
+    runs_repeat => check_repeats("casa-settat");
+}
--- /dev/null
+++ b/crates/load/tests/workload.rs
@@ -0,0 +1,77 @@
+//! Workload files and the calls that are planned from them.
+
+use std::path;
+
+use samphiremoor_base::time;
+use samphiremoor_load::plan;
+use samphiremoor_load::prompt;
+use samphiremoor_load::workload;
+use samphiremoor_settings::load;
+
+fn workload(name: &str) -> workload::WorkloadFile {
+    let root = path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy");
+    load::load(&root.join(name).join("workload.toml")).expect("the workload file is valid")
+}
+
+fn span(seed: u64) -> plan::PlanSpan {
+    plan::PlanSpan { length: time::Millis::new(5_000), rate_factor: 1.0, seed }
+}
+
+fn check_same_seed(name: &str) {
+    let file = workload(name);
+    let text = |seed| format!("{:?}", plan::calls(&file, &span(seed)));
+    assert_eq!(text(3), text(3));
+    assert_ne!(text(3), text(4));
+}
+
+fn check_order(name: &str) {
+    let calls = plan::calls(&workload(name), &span(1));
+    assert!(!calls.is_empty());
+    assert!(calls.is_sorted_by_key(|call| call.at));
+    assert!(calls.iter().all(|call| call.at < time::Millis::new(5_000)));
+}
+
+/// A later call of a session starts with the whole of the earlier one and its answer.
+fn check_session_prefix() {
+    let session = plan::SessionPlan {
+        number: 1,
+        service: "rental-draft".parse().expect("the name is valid"),
+        template: 0,
+        template_tokens: 20,
+        turns: vec![plan::TurnPlan { tokens: 5, answer_tokens: 7 }; 2],
+    };
+    let earlier = prompt::messages(&session, 0);
+    let later = prompt::messages(&session, 1);
+    let answer = prompt::answer(&earlier, 7);
+    let start = prompt::prompt_text(&earlier) + "assistant:" + &answer;
+    assert!(prompt::prompt_text(&later).starts_with(&start));
+}
+
+fn check_refused(text: &str, key: &str) {
+    let refused = load::parse::<workload::WorkloadFile>(path::Path::new("w.toml"), text);
+    let message = refused.expect_err("the file is refused").to_string();
+    assert!(message.contains(key), "{message}");
+}
+
+const NO_WORKSPACE: &str = r#"
+[[plain]]
+service = "courier-slot"
+calls_per_second = 1.0
+path = "book"
+idempotency_key = true
+body_bytes = [1, 2]
+service_ms = [1, 2]
+workspaces = []
+"#;
+
+samphiremoor_base::cases! {
+    ulaanbaatar_repeats => check_same_seed("ulaanbaatar");
+    casa_settat_repeats => check_same_seed("casa-settat");
+    ulaanbaatar_is_in_order => check_order("ulaanbaatar");
+    casa_settat_is_in_order => check_order("casa-settat");
+    sessions_share_their_prefix => check_session_prefix();
+    missing_workspaces_are_refused => check_refused(NO_WORKSPACE, "plain.workspaces");
+    reversed_ranges_are_refused =>
+        check_refused(&NO_WORKSPACE.replace("[1, 2]", "[2, 1]"), "plain.body_bytes");
+    unknown_keys_are_refused => check_refused("speed = 1", "speed");
+}
--- a/crates/routing/src/index.rs
+++ b/crates/routing/src/index.rs
@@ -92,6 +92,7 @@
 pub(crate) struct ReplicaIndex {
     mark: Option<ViewMark>,
     syncs: u64,
+    daemons: u32,
     slots: collections::HashMap<id::ReplicaId, history::ReplicaSlot>,
     states: Vec<Option<ReplicaState>>,
     free: Vec<history::ReplicaSlot>,
@@ -115,6 +116,9 @@
         }
         self.mark = Some(mark);
         self.syncs += 1;
+        let daemons = view.daemons.iter();
+        let live = daemons.filter(|daemon| daemon.state == zone::UpstreamState::Live).count();
+        self.daemons = u32::try_from(live).unwrap_or(u32::MAX).max(1);
         let risks = reclaim_risks(view);
         for list in self.services.values_mut() {
             *list = ServiceList::default();
@@ -134,6 +138,11 @@
         self.drop_missing()
     }
 
+    /// Live daemons, this one included.
+    pub(crate) fn daemons(&self) -> u32 {
+        self.daemons
+    }
+
     pub(crate) fn service(&self, service: &id::ServiceId) -> Option<&ServiceList> {
         self.services.get(service)
     }
--- a/crates/routing/src/pace.rs
+++ b/crates/routing/src/pace.rs
@@ -9,6 +9,8 @@
 const PREFILL_TOKENS_PER_MS: f64 = 5.0;
 /// Time of a request that waits for nothing, before the pace is known.
 const OVERHEAD_MS: f64 = 10.0;
+/// Time that each request before a new one adds, before the pace is known.
+const EACH_REQUEST_MS: f64 = 10.0;
 /// Duration of a request before any has ended.
 const FIRST_DURATION_MS: f64 = 2_000.0;
 /// Weight of a new sample in a replica's averages.
@@ -37,9 +39,11 @@
     concurrency: u32,
     duration_ms: f64,
 ) -> f64 {
-    let excess = (queue.requests + 1).saturating_sub(concurrency.max(1));
-    let slot_wait = f64::from(excess) * duration_ms / f64::from(concurrency.max(1));
-    OVERHEAD_MS + compute_ms(queue.waiting_tokens) + compute_ms(missing) + slot_wait
+    let slots = f64::from(concurrency.max(1));
+    let slot_wait = (queue.requests + 1.0 - slots).max(0.0) * duration_ms / slots;
+    let sharing = queue.requests * EACH_REQUEST_MS;
+    let compute = compute_ms(queue.waiting_tokens) + compute_ms(missing);
+    OVERHEAD_MS + sharing + compute + slot_wait
 }
 
 /// Pace of one replica.
--- a/crates/routing/src/queue.rs
+++ b/crates/routing/src/queue.rs
@@ -17,14 +17,23 @@
 }
 
 /// What is expected to stand before a new request.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct QueueForecast {
     /// Requests that run or wait.
-    pub requests: u32,
+    pub requests: f64,
     /// Prompt tokens that wait to be computed.
     pub waiting_tokens: quantity::TokenCount,
 }
 
+/// How fast the requests of a queue are replaced by others.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct QueueTurnover {
+    /// Average duration of a request, in milliseconds.
+    pub duration_ms: f64,
+    /// Daemons that send to the replica.
+    pub daemons: u32,
+}
+
 /// Estimate of one replica's queue.
 #[derive(Clone, Debug, Default)]
 pub struct QueueEstimate {
@@ -78,12 +87,20 @@
     }
 
     /// What is expected to stand before a new request.
-    pub fn forecast(&self) -> QueueForecast {
+    ///
+    /// A report that is older than requests last says little: the requests in it have ended, and
+    /// those of other daemons came in their place. In its stead counts what this daemon has open,
+    /// times the number of daemons that send alike.
+    pub fn forecast(&self, now: time::MonotonicTime, turnover: &QueueTurnover) -> QueueForecast {
+        let age_ms = now.since(self.taken).get() as f64;
+        let trust = 0.5_f64.powf(age_ms / turnover.duration_ms.max(1.0));
+        let daemons = f64::from(turnover.daemons.max(1));
         let reported = self.report.running.saturating_add(self.report.queued);
-        let sent = u32::try_from(self.sent.len()).unwrap_or(u32::MAX);
-        let requests = reported.saturating_sub(self.ended).saturating_add(sent).max(self.open);
+        let reported = f64::from(reported.saturating_sub(self.ended)) + self.sent.len() as f64;
+        let alike = f64::from(self.open) * daemons;
+        let requests = (trust * reported + (1.0 - trust) * alike).max(f64::from(self.open));
         let sent_tokens: u64 = self.sent.iter().map(|sent| sent.tokens.get()).sum();
-        let waiting = self.report.queued_tokens.get().saturating_add(sent_tokens);
-        QueueForecast { requests, waiting_tokens: quantity::TokenCount::new(waiting) }
+        let waiting = trust * self.report.queued_tokens.get() as f64 + sent_tokens as f64;
+        QueueForecast { requests, waiting_tokens: quantity::TokenCount::new(waiting as u64) }
     }
 }
--- a/crates/routing/src/scored.rs
+++ b/crates/routing/src/scored.rs
@@ -14,6 +14,7 @@
 use crate::pace;
 use crate::picker;
 use crate::picker::ReplicaPicker;
+use crate::queue;
 use crate::score;
 
 /// Replicas of a service up to which every one is scored; beyond, a sample.
@@ -181,7 +182,7 @@
         let missing = quantity::TokenCount::new(missing);
         let pool = self.index.pool(&state.pool)?;
         let ratio = state.pace.expected_ratio(&pool.pace, query.now);
-        let first_ms = forecast_ms(state, missing) * ratio;
+        let first_ms = forecast_ms(state, missing, self.index.daemons(), query.now) * ratio;
         let input = score::ScoreInput {
             prompt_tokens: query.prompt_tokens,
             expected_hit,
@@ -249,13 +250,14 @@
         let missing = dispatch.prompt_tokens.get().saturating_sub(expected_hit.get());
         let missing = quantity::TokenCount::new(missing);
         self.history.note(slot, dispatch.prefix, missing, dispatch.now);
+        let daemons = self.index.daemons();
         let Some(state) = self.index.state_mut(slot) else { return };
         state.open.push(index::OpenRequest {
             at: dispatch.now,
             prompt_tokens: dispatch.prompt_tokens,
             expected_hit,
             reuse_distance: distance.unwrap_or_default(),
-            forecast_ms: forecast_ms(state, missing),
+            forecast_ms: forecast_ms(state, missing, daemons, dispatch.now),
         });
         state.queue.sent(missing, dispatch.now);
         state.health.sent(dispatch.now);
@@ -343,9 +345,15 @@
     }
 }
 
-fn forecast_ms(state: &index::ReplicaState, missing: quantity::TokenCount) -> f64 {
-    let queue = state.queue.forecast();
-    pace::unscaled_first_ms(queue, missing, state.concurrency, state.pace.duration_ms())
+fn forecast_ms(
+    state: &index::ReplicaState,
+    missing: quantity::TokenCount,
+    daemons: u32,
+    now: time::MonotonicTime,
+) -> f64 {
+    let duration_ms = state.pace.duration_ms();
+    let queue = state.queue.forecast(now, &queue::QueueTurnover { duration_ms, daemons });
+    pace::unscaled_first_ms(queue, missing, state.concurrency, duration_ms)
 }
 
 /// The replica that holds a session's prefix, while it keeps the latency target.
