--- a/crates/load/src/experiment/replica.rs
+++ b/crates/load/src/experiment/replica.rs
@@ -6,6 +6,7 @@
 use samphiremoor_base::quantity;
 use samphiremoor_base::time;
 use samphiremoor_routing::picker;
+use samphiremoor_routing::prefix;
 use samphiremoor_standin_engine::batch;
 use samphiremoor_standin_engine::cache;
 use samphiremoor_standin_engine::journal;
@@ -182,8 +183,12 @@
         let mut runs: Vec<EventRun> = Vec::new();
         for published in engine.journal.after(self.last_event, now) {
             let event = match published.change {
-                cache::CacheChange::Stored(block) => picker::CacheEvent::Stored(smallvec![block]),
-                cache::CacheChange::Evicted(block) => picker::CacheEvent::Evicted(smallvec![block]),
+                cache::CacheChange::Stored(block) => {
+                    picker::CacheEvent::Stored(smallvec![prefix::PrefixHash::new(block.get())])
+                }
+                cache::CacheChange::Evicted(block) => {
+                    picker::CacheEvent::Evicted(smallvec![prefix::PrefixHash::new(block.get())])
+                }
             };
             let is_next = published.serial == self.last_event + 1;
             self.last_event = published.serial;
--- a/crates/load/src/experiment/world.rs
+++ b/crates/load/src/experiment/world.rs
@@ -17,6 +17,7 @@
 use samphiremoor_routing::picker::ReplicaPicker;
 use samphiremoor_routing::prefix;
 use samphiremoor_standin_engine::batch;
+use samphiremoor_standin_engine::blocks;
 use samphiremoor_standin_engine::tokens;
 use samphiremoor_view::zone;
 use smallvec::SmallVec;
@@ -368,7 +369,11 @@
             replica::ReplicaWork::Engine(engine) => {
                 let job = batch::SequenceJob {
                     priority: state.service.priority,
-                    blocks: state.prompt.to_vec(),
+                    blocks: state
+                        .prompt
+                        .iter()
+                        .map(|hash| blocks::BlockHash::new(hash.get()))
+                        .collect(),
                     prompt: state.prompt_tokens,
                     delivered: quantity::TokenCount::new(state.delivered),
                     imported: quantity::TokenCount::new(0),
