Say accepted only once every known daemon serves by the revision, and prove it

specs/in_force.pml is the model of when a change is accepted. Its first form failed: a daemon that had answered the operator started anew, was given the old revision by a peer that had not been asked yet, and served by it after the change was called accepted. Now a daemon is asked again where another one knows it in a later life, a daemon reports no revision for 2 s after its start, and a daemon's first revision never comes from a late answer. Ruled out: waiting until all zones acknowledge before the head is written, since one cut-off zone would then stop every change.

--- a/crates/control/src/shell.rs
+++ b/crates/control/src/shell.rs
@@ -247,7 +247,7 @@
         message::InForceReport {
             daemon: own.id.clone(),
             zone: own.zone.clone(),
-            revision: self.board.serving(self.state.revision()),
+            revision: self.board.serving(self.state.reported_revision(now)),
             age: self.state.revision_age(now),
             known: self.state.known_daemons(),
         }
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -28,6 +28,8 @@
     pub per_vm: time::Millis,
     /// A daemon that reached no peer by then serves without one.
     pub join_limit: time::Millis,
+    /// A daemon reports no revision as in force for this long after its start.
+    pub report_quiet: time::Millis,
     /// Least time between two views.
     pub view_interval: time::Millis,
     /// Replicas for which a millisecond is added to that time.
@@ -41,6 +43,7 @@
             other_interval: time::Millis::new(30_000),
             per_vm: time::Millis::new(20),
             join_limit: time::Millis::new(3_000),
+            report_quiet: time::Millis::new(2_000),
             view_interval: time::Millis::new(100),
             replicas_per_milli: 4,
         }
@@ -206,6 +209,17 @@
         self.records.as_ref().map(|records| records.revision).unwrap_or_default()
     }
 
+    /// The revision that this daemon may report as in force; 0 for a while after its start.
+    ///
+    /// Until the news of the daemons that ran at its start had the time to reach it, it could name
+    /// too few of them to an operator who asks where a change is in force.
+    pub fn reported_revision(&self, now: time::MonotonicTime) -> quantity::RevisionNumber {
+        if now.since(self.started_at) < self.times.report_quiet {
+            return quantity::RevisionNumber::default();
+        }
+        self.revision()
+    }
+
     /// Time since the revision came into force.
     pub fn revision_age(&self, now: time::MonotonicTime) -> time::Millis {
         now.since(self.in_force_since)
--- a/crates/ctl/src/force.rs
+++ b/crates/ctl/src/force.rs
@@ -1,8 +1,9 @@
 //! Finds out where a revision is in force.
 //!
-//! Every daemon that the platform's list or another daemon knows of is asked. A revision is
-//! accepted once all of them serve by it: then no daemon is left that could give an older one to a
-//! daemon that starts.
+//! Every daemon that the platform's list or another daemon knows of is asked, and asked again where
+//! another daemon knows it in a later life than the one that answered. A revision is accepted once
+//! all of them serve by it: then no daemon is left that could give an older one to a daemon that
+//! starts. `specs/in_force.pml` is the model of this.
 
 use std::collections;
 use std::net;
@@ -23,6 +24,9 @@
 /// Daemons that are asked at the same time.
 const MAX_ASKED: usize = 32;
 
+/// Rounds of one survey.
+const MAX_ROUNDS: usize = 200;
+
 /// Between two rounds of questions.
 const ROUND_INTERVAL: time::Millis = time::Millis::new(100);
 
@@ -87,6 +91,13 @@
 }
 
 impl AskedDaemon {
+    /// The life in which the daemon answered, or in which it is known where it did not.
+    fn life(&self) -> quantity::Incarnation {
+        let report = self.report.as_ref();
+        let own = report.and_then(|report| report.known.iter().find(|news| news.id == self.news.id));
+        own.unwrap_or(&self.news).standing.incarnation
+    }
+
     /// Whether the daemon serves by the revision or a higher one.
     pub fn has(&self, revision: quantity::RevisionNumber) -> bool {
         self.report.as_ref().is_some_and(|report| report.revision >= revision)
@@ -151,13 +162,10 @@
     for answer in ask_all(asker, seeds).await.into_iter().flatten() {
         waiting.extend(answer.known);
     }
-    loop {
-        waiting.sort_by(|first, second| first.id.cmp(&second.id));
-        waiting.dedup_by(|first, second| first.id == second.id);
-        waiting.retain(|news| !asked.contains_key(&news.id));
-        let round: Vec<news::DaemonNews> = waiting.drain(..waiting.len().min(MAX_ASKED)).collect();
+    for _ in 0..MAX_ROUNDS {
+        let round = next_round(&mut waiting, &asked);
         if round.is_empty() {
-            return ForceSurvey { daemons: asked.into_values().collect() };
+            break;
         }
         let addresses: Vec<_> = round.iter().map(|news| news.control_address).collect();
         let reports = ask_all(asker, &addresses).await;
@@ -168,6 +176,25 @@
             asked.insert(news.id.clone(), AskedDaemon { news, report });
         }
     }
+    ForceSurvey { daemons: asked.into_values().collect() }
+}
+
+/// Takes some of the daemons that were not asked yet in the latest life in which they are known.
+fn next_round(
+    waiting: &mut Vec<news::DaemonNews>,
+    asked: &collections::BTreeMap<id::DaemonId, AskedDaemon>,
+) -> Vec<news::DaemonNews> {
+    // The latest life of each daemon first, and then that one alone.
+    waiting.sort_by(|first, second| {
+        let lives = second.standing.incarnation.cmp(&first.standing.incarnation);
+        first.id.cmp(&second.id).then(lives)
+    });
+    waiting.dedup_by(|first, second| first.id == second.id);
+    waiting.retain(|news| {
+        let last = asked.get(&news.id).map(AskedDaemon::life);
+        last.is_none_or(|life| news.standing.incarnation > life)
+    });
+    waiting.drain(..waiting.len().min(MAX_ASKED)).collect()
 }
 
 async fn ask_all(
--- a/crates/head/src/follow.rs
+++ b/crates/head/src/follow.rs
@@ -143,22 +143,25 @@
             _ if !self.is_joined => None,
             FollowInput::Tick(duty) => self.tick(now, duty),
             FollowInput::HeadRead(head) => {
+                let is_late = self.head.is_over(now);
                 self.head = Awaited::Nothing;
-                self.head_read(now, head)
+                if is_late && self.store.newest().is_none() { None } else { self.head_read(now, head) }
             }
             FollowInput::HeadFailed => {
                 self.head = Awaited::Nothing;
                 None
             }
             FollowInput::RevisionRead(content) => {
+                let is_late = self.content.is_over(now);
                 self.content = Awaited::Nothing;
-                self.offer(content?)
+                self.offer(content?, is_late)
             }
             FollowInput::PeerHas(peer, revision) => self.peer_has(now, peer, revision),
             FollowInput::PeerSent(delta) => {
+                let is_late = self.content.is_over(now);
                 self.content = Awaited::Nothing;
                 let content = delta?.apply(self.store.newest())?;
-                self.offer(content)
+                self.offer(content, is_late)
             }
         }
     }
@@ -211,8 +214,13 @@
     }
 
     /// Answers come late and crossed: only a higher revision is put in force.
-    fn offer(&mut self, content: relay::RevisionContent) -> Option<FollowAction> {
-        if content.revision <= self.in_force() {
+    ///
+    /// A daemon that was paused before its first revision must not begin by a late answer: others
+    /// may have forgotten it meanwhile, and an operator may have been told that a newer revision is
+    /// in force everywhere.
+    fn offer(&mut self, content: relay::RevisionContent, is_late: bool) -> Option<FollowAction> {
+        let is_first = self.store.newest().is_none();
+        if content.revision <= self.in_force() || (is_first && is_late) {
             return None;
         }
         self.store.keep(content.clone());
--- a/crates/head/tests/properties.rs
+++ b/crates/head/tests/properties.rs
@@ -147,6 +147,29 @@
     }
 }
 
+#[test]
+fn damaged_differences_are_not_taken() {
+    let mut world = common::World::default();
+    world.begin("ana");
+    world.step("ana", common::WriteFate::Answered, false);
+    world.start("d1");
+    world.give("d1", follow::FollowInput::Tick(follow::ReaderDuty::Reader));
+    world.deliver("d1", 0);
+    world.deliver("d1", 0);
+    let none = samphiremoor_base::quantity::RevisionNumber::default();
+    let whole = world.daemons["d1"].follower.delta_for(none).expect("d1 has a revision");
+    assert!(whole.clone().apply(None).is_some());
+    let mut shortened = whole.clone();
+    shortened.put.clear();
+    assert_eq!(shortened.apply(None), None);
+    let mut misplaced = whole.clone();
+    misplaced.base = Some(none.next());
+    assert_eq!(misplaced.apply(None), None);
+    let mut crossed = whole;
+    crossed.removed.push("pool/absent".parse().expect("a key"));
+    assert_eq!(crossed.apply(None), None);
+}
+
 #[test]
 fn old_revisions_are_deleted_behind_the_head() {
     let mut world = common::World::default();
--- /dev/null
+++ b/specs/in_force.pml
@@ -0,0 +1,226 @@
+/* check: ok */
+/* check: fault -DNO_REGISTRATION */
+/* check: fault -DNO_KNOWN */
+/* check: fault -DNO_LIFE */
+/* check: fault -DNO_QUIET */
+/*
+ * When a change is accepted: an operator whose change is written asks daemons until every daemon
+ * that anyone knows of serves by it. Daemons take revisions from the table or from one another, and
+ * start anew without what they knew. The table may be down at any time: no step of a daemon needs
+ * it. How the change is written is in head.pml.
+ *
+ * Proved: once the change is accepted, no daemon serves by an older revision, also after it starts
+ * anew.
+ *
+ * Each define takes one protection out:
+ *   NO_REGISTRATION  a daemon that starts is told a revision without being known from there on
+ *   NO_KNOWN         the operator asks the daemons of the platform's list only
+ *   NO_LIFE          the operator does not ask a daemon again that started anew after its answer
+ *   NO_QUIET         a daemon that started anew reports at once, before the news of the daemons
+ *                    that ran at its start had the time to reach it
+ */
+
+#define DAEMONS 3
+#define FIRST 1
+#define RESTARTS 2
+/* The platform's list lags: it has the daemon 0 alone. */
+#define IS_LISTED(daemon) (daemon == 0)
+
+/* The life of a daemon that another one knows of; 0 is none. */
+#define KNOWN(holder, daemon) known[(holder) * DAEMONS + (daemon)]
+/* The life of a daemon that ran when the holder started. */
+#define AWAITS(holder, daemon) awaits[(holder) * DAEMONS + (daemon)]
+
+byte head = FIRST;
+byte accepted = FIRST;
+byte restarts = 0;
+
+bool up[DAEMONS];
+bool absent[DAEMONS];
+byte revision[DAEMONS];
+byte life[DAEMONS];
+byte known[DAEMONS * DAEMONS];
+byte awaits[DAEMONS * DAEMONS];
+
+/* What a daemon knows is no longer than what another one tells. */
+inline learn(holder, daemon, heard) {
+    if
+    :: heard > KNOWN(holder, daemon) -> KNOWN(holder, daemon) = heard
+    :: else
+    fi
+}
+
+/*
+ * A daemon that started anew reports nothing until the news of each daemon that ran at its start
+ * had the time to reach it.
+ */
+#ifdef NO_QUIET
+#define REPORTS(daemon) true
+#else
+#define REPORTS(daemon) (KNOWN(daemon, 0) >= AWAITS(daemon, 0) \
+    && KNOWN(daemon, 1) >= AWAITS(daemon, 1) && KNOWN(daemon, 2) >= AWAITS(daemon, 2))
+#endif
+
+#ifdef NO_LIFE
+#define ASKED_LIFE 255
+#else
+#define ASKED_LIFE life[daemon]
+#endif
+
+active proctype Operator() {
+    byte asked[DAEMONS];
+    byte found[DAEMONS];
+    byte daemon;
+    byte other;
+
+    atomic { head == FIRST; head = FIRST + 1 };
+    found[0] = 1;
+    do
+    :: atomic {
+           found[0] <= asked[0] && found[1] <= asked[1] && found[2] <= asked[2] -> break
+       }
+    :: atomic {
+           else ->
+           daemon = 0;
+           do
+           :: found[daemon] <= asked[daemon] -> daemon++
+           :: else -> break
+           od
+       };
+end_asking:
+        atomic {
+            up[daemon] && revision[daemon] > FIRST && REPORTS(daemon);
+            asked[daemon] = ASKED_LIFE;
+#ifndef NO_KNOWN
+            other = 0;
+            do
+            :: other == DAEMONS -> break
+            :: other < DAEMONS && KNOWN(daemon, other) > found[other] ->
+               found[other] = KNOWN(daemon, other);
+               other++
+            :: else -> other++
+            od;
+            other = 0;
+#endif
+            daemon = 0
+        }
+    od;
+    accepted = FIRST + 1
+}
+
+inline await(daemon) {
+    if
+    :: daemon != me && !absent[daemon] -> AWAITS(me, daemon) = life[daemon]
+    :: else
+    fi
+}
+
+inline take() {
+    if
+    :: got > revision[me] -> revision[me] = got
+    :: else
+    fi
+}
+
+proctype Daemon(byte me) {
+    byte peer;
+    byte got;
+
+    if
+    :: up[me] -> goto end_serving
+    :: else
+    fi;
+
+    /* It makes itself known to a daemon that serves, and learns whom that one knows. */
+end_joining:
+    atomic {
+        if
+        :: up[0] && me != 0 -> peer = 0
+        :: up[1] && me != 1 -> peer = 1
+        :: up[2] && me != 2 -> peer = 2
+        fi;
+        absent[me] = false;
+        life[me]++;
+#ifndef NO_REGISTRATION
+        learn(peer, me, life[me]);
+#endif
+        learn(me, 0, KNOWN(peer, 0));
+        learn(me, 1, KNOWN(peer, 1));
+        learn(me, 2, KNOWN(peer, 2));
+        learn(me, peer, life[peer]);
+        peer = 0
+    };
+    /* Then it asks; the answer takes its time. */
+    if
+    :: got = head
+    :: atomic {
+           if
+           :: up[0] && me != 0 -> peer = 0
+           :: up[1] && me != 1 -> peer = 1
+           :: up[2] && me != 2 -> peer = 2
+           fi;
+#ifndef NO_REGISTRATION
+           learn(peer, me, life[me]);
+#endif
+           got = revision[peer];
+           peer = 0
+       }
+    fi;
+    atomic { revision[me] = got; up[me] = true; got = 0; peer = 0 };
+
+end_serving:
+    do
+    /* From the table, as it was when it was read. */
+    :: revision[me] < head -> got = head;
+       atomic { take(); got = 0; peer = 0 }
+    /* From a peer. */
+    :: atomic {
+           if
+           :: up[0] && revision[0] > revision[me] -> peer = 0
+           :: up[1] && revision[1] > revision[me] -> peer = 1
+           :: up[2] && revision[2] > revision[me] -> peer = 2
+           fi;
+           got = revision[peer]
+       };
+       atomic { take(); got = 0; peer = 0 }
+    /* Messages between daemons make each known again. */
+    :: atomic {
+           if
+           :: me != 0 && up[0] && KNOWN(0, me) != life[me] -> peer = 0
+           :: me != 1 && up[1] && KNOWN(1, me) != life[me] -> peer = 1
+           :: me != 2 && up[2] && KNOWN(2, me) != life[me] -> peer = 2
+           fi;
+#ifndef NO_REGISTRATION
+           learn(peer, me, life[me]);
+#endif
+           learn(me, peer, life[peer]);
+           peer = 0
+       }
+    /* It starts anew and knows nothing. */
+    :: atomic {
+           restarts < RESTARTS -> restarts++;
+           up[me] = false; absent[me] = true; revision[me] = 0; got = 0; peer = 0;
+           KNOWN(me, 0) = 0; KNOWN(me, 1) = 0; KNOWN(me, 2) = 0;
+           await(0); await(1); await(2)
+       };
+       goto end_joining
+    od
+}
+
+/* What must hold, checked in every state. */
+active proctype Monitor() {
+end:
+    do
+    :: atomic { up[0] && revision[0] < accepted -> assert(false) }
+    :: atomic { up[1] && revision[1] < accepted -> assert(false) }
+    :: atomic { up[2] && revision[2] < accepted -> assert(false) }
+    od
+}
+
+init {
+    atomic {
+        up[0] = true; revision[0] = FIRST; life[0] = 1;
+        absent[1] = true; absent[2] = true;
+        run Daemon(0); run Daemon(1); run Daemon(2)
+    }
+}
