--- a/crates/ctl/src/force.rs
+++ b/crates/ctl/src/force.rs
@@ -94,7 +94,8 @@
     /// The life in which the daemon answered, or in which it is known where it did not.
     fn life(&self) -> quantity::Incarnation {
         let report = self.report.as_ref();
-        let own = report.and_then(|report| report.known.iter().find(|news| news.id == self.news.id));
+        let own =
+            report.and_then(|report| report.known.iter().find(|news| news.id == self.news.id));
         own.unwrap_or(&self.news).standing.incarnation
     }
 
--- a/crates/ctl/tests/commands.rs
+++ b/crates/ctl/tests/commands.rs
@@ -161,9 +161,7 @@
     fn head(&self) -> u64 {
         let row = task::block_on(self.table.read(&table::RowKey::new(revision::HEAD_KEY)));
         let row = row.expect("the table answers");
-        row.map_or(0, |row| {
-            revision::HeadRow::parse(&row.value).expect("a head").revision.get()
-        })
+        row.map_or(0, |row| revision::HeadRow::parse(&row.value).expect("a head").revision.get())
     }
 
     fn printed(&self) -> String {
--- a/crates/head/src/follow.rs
+++ b/crates/head/src/follow.rs
@@ -145,7 +145,11 @@
             FollowInput::HeadRead(head) => {
                 let is_late = self.head.is_over(now);
                 self.head = Awaited::Nothing;
-                if is_late && self.store.newest().is_none() { None } else { self.head_read(now, head) }
+                if is_late && self.store.newest().is_none() {
+                    None
+                } else {
+                    self.head_read(now, head)
+                }
             }
             FollowInput::HeadFailed => {
                 self.head = Awaited::Nothing;
