Entry: route by score and admit by the adaptive limits

Cause: the daemon ran on the baselines while the policies were being written. Change: two constructors; the old path of the fixed gate is gone.

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -14,10 +14,10 @@
 use samphiremoor_base::log_event;
 use samphiremoor_base::time;
 use samphiremoor_httpio::server;
-use samphiremoor_limits::gate;
+use samphiremoor_limits::adaptive;
 use samphiremoor_peers::link;
 use samphiremoor_peers::server as peer_server;
-use samphiremoor_routing::baseline;
+use samphiremoor_routing::scored;
 
 use crate::core;
 use crate::handover;
@@ -210,7 +210,7 @@
 /// The policies that the daemon runs with.
 pub fn default_policies() -> core::EntryPolicies {
     core::EntryPolicies {
-        picker: Box::new(baseline::LeastLoadedPicker::default()),
-        gate: Box::new(gate::FixedGate::default()),
+        picker: Box::new(scored::ScoredPicker::default()),
+        gate: Box::new(adaptive::AdaptiveGate::default()),
     }
 }
--- a/crates/limits/src/gate.rs
+++ b/crates/limits/src/gate.rs
@@ -6,8 +6,6 @@
 use samphiremoor_base::time;
 use samphiremoor_view::zone;
 
-pub use crate::baseline::FixedGate;
-
 /// An admission policy.
 ///
 /// Each admitted request is ended by exactly one [`finished`](AdmissionGate::finished).
