Find daemons again after a cut, and prove membership by scenarios and properties

A scenario showed that two sides that took each other for gone never met again: nobody called a daemon that was gone. Each daemon now calls one of them a second, and remembers them for an hour. What an operator is told now tells daemons that are silent, which may serve behind a cut, from those whose VM left the list.

--- a/crates/control/src/main.rs
+++ b/crates/control/src/main.rs
@@ -106,7 +106,7 @@
         standing: news::DaemonStanding {
             incarnation,
             state: zone::UpstreamState::Joining,
-            is_suspected: false,
+            doubt: news::DaemonDoubt::None,
         },
     };
     shell::ControlStart {
--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -65,6 +65,6 @@
     pub revision: quantity::RevisionNumber,
     /// Time since the revision came into force here.
     pub age: time::Millis,
-    /// Every daemon that it knows and does not take for gone.
+    /// Every daemon that may serve callers, as far as it knows.
     pub known: Vec<news::DaemonNews>,
 }
--- a/crates/control/src/shell.rs
+++ b/crates/control/src/shell.rs
@@ -439,7 +439,7 @@
 fn log_daemon(news: &news::DaemonNews) {
     let kind = if daemons::is_gone(news) {
         event::LogEvent::DaemonGone
-    } else if news.standing.is_suspected {
+    } else if !daemons::is_answering(news) {
         event::LogEvent::DaemonSuspected
     } else if news.standing.state == zone::UpstreamState::Live {
         event::LogEvent::DaemonBack
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -230,9 +230,9 @@
         &self.membership
     }
 
-    /// Daemons that are known and not gone, the own one included.
+    /// Daemons that may serve callers, the own one included.
     pub fn known_daemons(&self) -> Vec<news::DaemonNews> {
-        let present = self.membership.daemons().all().filter(|news| !daemons::is_gone(news));
+        let present = self.membership.daemons().all().filter(|news| daemons::may_serve(news));
         present.cloned().collect()
     }
 
--- a/crates/membership/src/daemons.rs
+++ b/crates/membership/src/daemons.rs
@@ -17,8 +17,9 @@
 /// A suspected daemon that does not refute it in this time is gone.
 pub const SUSPECT_LIMIT: time::Millis = time::Millis::new(4_000);
 
-/// A daemon that is gone is remembered for this long, so that old news do not bring it back.
-pub const GONE_RETENTION: time::Millis = time::Millis::new(120_000);
+/// A daemon that is gone is remembered for this long, so that old news do not bring it back, and
+/// that it is found again after a long cut.
+pub const GONE_RETENTION: time::Millis = time::Millis::new(3_600_000);
 
 /// Lists in a row that must lack a daemon before it is taken for gone.
 const ABSENT_LISTS: u32 = 2;
@@ -115,7 +116,7 @@
             own.state = zone::UpstreamState::Leaving;
         }
         own.incarnation = own.incarnation.max(heard.incarnation).next();
-        own.is_suspected = false;
+        own.doubt = news::DaemonDoubt::None;
         member.since = now;
         true
     }
@@ -137,7 +138,7 @@
         if *id == self.own || !is_answering(&member.news) {
             return false;
         }
-        member.news.standing.is_suspected = true;
+        member.news.standing.doubt = news::DaemonDoubt::Silent;
         member.since = now;
         true
     }
@@ -159,7 +160,8 @@
         for member in self.members.values_mut() {
             let standing = &mut member.news.standing;
             let is_over = now.since(member.since) >= SUSPECT_LIMIT;
-            if standing.is_suspected && is_over && standing.state != zone::UpstreamState::Gone {
+            let is_silent = standing.doubt != news::DaemonDoubt::None;
+            if is_silent && is_over && standing.state != zone::UpstreamState::Gone {
                 standing.state = zone::UpstreamState::Gone;
                 member.since = now;
                 changed.push(member.news.id.clone());
@@ -222,10 +224,12 @@
             let Some(count) = member.absent_lists.as_mut() else { continue };
             *count += 1;
             // A daemon that answers is there, whatever the list says; a leaving one is believed gone.
-            let is_silent = member.news.standing.is_suspected
-                || member.news.standing.state == zone::UpstreamState::Leaving;
-            if *count >= ABSENT_LISTS && is_silent && !is_gone(&member.news) {
-                member.news.standing.state = zone::UpstreamState::Gone;
+            let standing = &mut member.news.standing;
+            let is_silent = standing.doubt == news::DaemonDoubt::Silent
+                || standing.state == zone::UpstreamState::Leaving;
+            if *count >= ABSENT_LISTS && is_silent {
+                standing.state = zone::UpstreamState::Gone;
+                standing.doubt = news::DaemonDoubt::Unlisted;
                 member.since = now;
                 changed.push(id.clone());
             }
@@ -233,9 +237,14 @@
     }
 }
 
-/// Whether the daemon is neither suspected nor gone.
+/// Whether the daemon is neither silent nor gone.
 pub fn is_answering(news: &news::DaemonNews) -> bool {
-    !news.standing.is_suspected && !is_gone(news)
+    news.standing.doubt == news::DaemonDoubt::None && !is_gone(news)
+}
+
+/// Whether the daemon may serve callers, though perhaps nobody here reaches it.
+pub fn may_serve(news: &news::DaemonNews) -> bool {
+    news.standing.doubt != news::DaemonDoubt::Unlisted
 }
 
 /// Whether the daemon is gone.
@@ -264,7 +273,7 @@
         standing: news::DaemonStanding {
             incarnation: quantity::Incarnation::default(),
             state,
-            is_suspected: false,
+            doubt: news::DaemonDoubt::None,
         },
     })
 }
--- a/crates/membership/src/news.rs
+++ b/crates/membership/src/news.rs
@@ -32,8 +32,20 @@
     pub incarnation: quantity::Incarnation,
     /// Its state.
     pub state: zone::UpstreamState,
-    /// Whether another daemon got no answer from it.
-    pub is_suspected: bool,
+    /// Why it may not run.
+    pub doubt: DaemonDoubt,
+}
+
+/// Why a daemon may not run. Order is precedence.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
+pub enum DaemonDoubt {
+    /// No reason.
+    None,
+    /// Nobody reaches it; it may run behind a cut.
+    Silent,
+    /// Nobody reaches it, and its VM left the platform's list.
+    Unlisted,
 }
 
 /// News on a daemon.
--- a/crates/membership/src/state.rs
+++ b/crates/membership/src/state.rs
@@ -30,6 +30,8 @@
     pub zone_fanout: usize,
     /// Daemons of other availability zones that a round calls.
     pub other_fanout: usize,
+    /// Between two calls to daemons that are taken for gone.
+    pub gone_interval: time::Millis,
     /// Daemons that are asked to try a daemon that did not answer.
     pub indirect_probes: usize,
     /// Bytes of news in one message.
@@ -51,6 +53,7 @@
             urgent_interval: time::Millis::new(100),
             zone_fanout: 2,
             other_fanout: 1,
+            gone_interval: time::Millis::new(1_000),
             indirect_probes: 2,
             message_bytes: 640,
             poll_gap: time::Millis::new(100),
@@ -116,6 +119,8 @@
     is_urgent: bool,
     zone_order: Vec<id::DaemonId>,
     other_order: Vec<id::DaemonId>,
+    gone_order: Vec<id::DaemonId>,
+    next_gone_call: time::MonotonicTime,
     probes: collections::BTreeMap<id::DaemonId, ProbeRound>,
     next_poll: time::MonotonicTime,
     polled_at: collections::BTreeMap<id::VmId, time::MonotonicTime>,
@@ -148,6 +153,8 @@
             is_urgent: true,
             zone_order: Vec::new(),
             other_order: Vec::new(),
+            gone_order: Vec::new(),
+            next_gone_call: now,
             probes: collections::BTreeMap::new(),
             next_poll: now,
             polled_at: collections::BTreeMap::new(),
@@ -362,6 +369,7 @@
             self.last_round = now;
             self.next_round = now + self.limits.round_interval;
             actions.extend(self.pick_peers().into_iter().map(MembershipAction::Call));
+            actions.extend(self.next_of_gone(now).map(MembershipAction::Call));
         }
         actions.extend(self.next_poll(now).map(MembershipAction::Poll));
         actions
@@ -384,7 +392,7 @@
     fn next_of_zone(&mut self) -> Option<id::DaemonId> {
         if self.zone_order.is_empty() {
             let zone = self.daemons.own().zone.clone();
-            self.zone_order = self.shuffled(|news| news.zone == zone);
+            self.zone_order = self.shuffled(|news| !daemons::is_gone(news) && news.zone == zone);
         }
         self.zone_order.pop()
     }
@@ -392,18 +400,28 @@
     fn next_of_others(&mut self) -> Option<id::DaemonId> {
         if self.other_order.is_empty() {
             let zone = self.daemons.own().zone.clone();
-            self.other_order = self.shuffled(|news| news.zone != zone);
+            self.other_order = self.shuffled(|news| !daemons::is_gone(news) && news.zone != zone);
         }
         self.other_order.pop()
     }
 
+    /// Daemons that are gone are called at times: after a cut in which each side took the other
+    /// for gone, nobody else would end it.
+    fn next_of_gone(&mut self, now: time::MonotonicTime) -> Option<id::DaemonId> {
+        if now < self.next_gone_call {
+            return None;
+        }
+        self.next_gone_call = now + self.limits.gone_interval;
+        if self.gone_order.is_empty() {
+            self.gone_order = self.shuffled(daemons::is_gone);
+        }
+        self.gone_order.pop()
+    }
+
     /// Suspected daemons are called too: that is how they learn of it.
     fn shuffled(&mut self, is_wanted: impl Fn(&news::DaemonNews) -> bool) -> Vec<id::DaemonId> {
         let own = self.daemons.own().id.clone();
-        let wanted = self
-            .daemons
-            .all()
-            .filter(|news| news.id != own && !daemons::is_gone(news) && is_wanted(news));
+        let wanted = self.daemons.all().filter(|news| news.id != own && is_wanted(news));
         let mut ids: Vec<id::DaemonId> = wanted.map(|news| news.id.clone()).collect();
         ids.shuffle(&mut self.random);
         ids
--- /dev/null
+++ b/crates/membership/tests/properties.rs
@@ -0,0 +1,190 @@
+//! Deaths, cuts and reports in any order, and the bounds of messages.
+
+mod common;
+
+use std::collections;
+
+use proptest::prelude;
+use proptest::prelude::Strategy;
+use proptest::test_runner;
+use samphiremoor_base::cases;
+use samphiremoor_base::id;
+use samphiremoor_base::testing;
+use samphiremoor_base::time;
+use samphiremoor_membership::news;
+use samphiremoor_membership::share;
+use samphiremoor_membership::state;
+use samphiremoor_view::zone;
+
+const NAMES: [&str; 6] = ["d1", "d2", "d3", "d4", "e1", "e2"];
+
+#[derive(Clone, Debug)]
+enum Event {
+    Kill(usize),
+    Start(usize),
+    Cut(usize, usize),
+    Heal,
+    Notice(usize, usize),
+    Unlist(usize),
+    Answer(usize, news::ReplicaAnswer),
+    Run(u64),
+}
+
+fn answers() -> impl Strategy<Value = news::ReplicaAnswer> {
+    prelude::prop_oneof![
+        prelude::Just(news::ReplicaAnswer::Silent),
+        prelude::Just(news::ReplicaAnswer::NotReady),
+        (0..100_u32).prop_map(common::ready),
+    ]
+}
+
+fn events() -> impl Strategy<Value = Event> {
+    prelude::prop_oneof![
+        (0..6_usize).prop_map(Event::Kill),
+        (0..6_usize).prop_map(Event::Start),
+        (0..6_usize, 0..6_usize).prop_map(|(from, to)| Event::Cut(from, to)),
+        prelude::Just(Event::Heal),
+        (0..6_usize, 0..4_usize).prop_map(|(daemon, upstream)| Event::Notice(daemon, upstream)),
+        (0..4_usize).prop_map(Event::Unlist),
+        (0..4_usize, answers()).prop_map(|(upstream, answer)| Event::Answer(upstream, answer)),
+        (100..3_000_u64).prop_map(Event::Run),
+    ]
+}
+
+fn cluster() -> common::Cluster {
+    let mut cluster = common::Cluster::new();
+    for name in NAMES {
+        cluster.add_daemon(name, &name[..1]);
+    }
+    (0..4).for_each(|number| cluster.add_upstream(&format!("u{number}"), "d"));
+    cluster.run(time::Millis::new(3_000));
+    cluster
+}
+
+fn apply(cluster: &mut common::Cluster, event: &Event) {
+    match event {
+        Event::Kill(daemon) => cluster.kill(NAMES[*daemon]),
+        Event::Start(daemon) => cluster.start(NAMES[*daemon]),
+        Event::Cut(from, to) => {
+            let id = |name: &str| name.parse::<id::DaemonId>().expect("a daemon");
+            cluster.cuts.insert((id(NAMES[*from]), id(NAMES[*to])));
+        }
+        Event::Heal => cluster.cuts.clear(),
+        Event::Notice(daemon, upstream) => {
+            let now = cluster.now;
+            let vm = format!("u{upstream}").parse().expect("a VM");
+            let daemon: id::DaemonId = NAMES[*daemon].parse().expect("a daemon");
+            if let Some(member) = cluster.daemons.get_mut(&daemon) {
+                member.leave(now, &vm);
+            }
+        }
+        Event::Unlist(upstream) => cluster.unlist(&format!("u{upstream}")),
+        Event::Answer(upstream, answer) => cluster.answer(&format!("u{upstream}"), answer.clone()),
+        Event::Run(length) => cluster.run(time::Millis::new(*length)),
+    }
+}
+
+/// Upstreams that each daemon takes for leaving or gone.
+type Left = collections::BTreeSet<(id::DaemonId, id::VmId)>;
+
+fn left(cluster: &common::Cluster) -> Left {
+    let mut left = Left::new();
+    for (name, member) in &cluster.daemons {
+        let upstreams = member.upstreams().all();
+        let away = upstreams.filter(|news| news.standing.state >= zone::UpstreamState::Leaving);
+        left.extend(away.map(|news| (name.clone(), news.vm.clone())));
+    }
+    left
+}
+
+fn config(cases: u32) -> test_runner::Config {
+    test_runner::Config {
+        cases,
+        rng_seed: test_runner::RngSeed::Fixed(testing::seed()),
+        failure_persistence: None,
+        ..test_runner::Config::default()
+    }
+}
+
+proptest::proptest! {
+    #![proptest_config(config(48))]
+
+    #[test]
+    fn daemons_agree_once_the_faults_end(events in proptest::collection::vec(events(), 1..30)) {
+        let mut cluster = cluster();
+        let mut before = left(&cluster);
+        for event in &events {
+            apply(&mut cluster, event);
+            let started = matches!(event, Event::Start(_));
+            let now = left(&cluster);
+            if !started {
+                let is_kept = |(name, vm): &(id::DaemonId, id::VmId)| {
+                    !cluster.daemons.contains_key(name) || now.contains(&(name.clone(), vm.clone()))
+                };
+                prelude::prop_assert!(before.iter().all(is_kept), "an upstream came back");
+            }
+            before = now;
+        }
+        cluster.cuts.clear();
+        (0..4).for_each(|number| cluster.answer(&format!("u{number}"), common::ready(0)));
+        cluster.run(time::Millis::new(20_000));
+        let running: Vec<String> = cluster.daemons.keys().map(ToString::to_string).collect();
+        for viewer in &running {
+            for name in NAMES.iter().filter(|name| *name != viewer) {
+                let standing = cluster.standing(viewer, name);
+                let is_running = running.iter().any(|running| running == name);
+                let expected = if is_running { "live" } else { "gone" };
+                prelude::prop_assert_eq!(&standing, expected, "{} of {}", viewer, name);
+            }
+        }
+        let views: collections::BTreeSet<Vec<String>> = running.iter().map(|viewer| {
+            let state = |number| cluster.shown(viewer, &format!("u{number}")).map(|view| view.state);
+            (0..4).map(|number| format!("{:?}", state(number))).collect()
+        }).collect();
+        prelude::prop_assert!(views.len() <= 1, "daemons differ: {:?}", views);
+        let limit = state::MembershipLimits::default().message_bytes;
+        prelude::prop_assert!(cluster.largest_message <= limit + MESSAGE_FRAME_BYTES);
+    }
+}
+
+/// Bytes of a message beside its news: the sender, and what is known of the receiver.
+const MESSAGE_FRAME_BYTES: usize = 200;
+
+#[track_caller]
+fn check_load(value: u32) {
+    let load = zone::LoadReport { running: value, ..zone::LoadReport::default() };
+    let shown = news::LoadLevel::of(&load).to_load().running;
+    assert!(shown.abs_diff(value) <= value / 4, "{value} is shown as {shown}");
+}
+
+cases! {
+    no_load_is_exact => check_load(0);
+    small_load_is_exact => check_load(3);
+    middling_load_is_near => check_load(7);
+    large_load_is_near => check_load(1_000);
+    huge_load_is_near => check_load(3_000_000_000);
+}
+
+#[test]
+fn duties_are_divided_among_the_daemons() {
+    let ids: Vec<id::DaemonId> =
+        (0..36).map(|number| format!("d{number}").parse().expect("a daemon")).collect();
+    let mut counts = collections::BTreeMap::new();
+    for number in 0..618 {
+        let duty = format!("u{number}");
+        let holders: Vec<_> =
+            ids.iter().filter(|own| share::has_duty(&duty, own, ids.iter(), 2)).collect();
+        assert_eq!(holders.len(), 2);
+        holders.into_iter().for_each(|holder| *counts.entry(holder).or_insert(0) += 1);
+    }
+    assert!(counts.values().all(|count| (10..70).contains(count)), "{counts:?}");
+}
+
+proptest::proptest! {
+    #![proptest_config(config(256))]
+
+    #[test]
+    fn any_bytes_are_a_message_or_refused(bytes in proptest::collection::vec(proptest::num::u8::ANY, 0..300)) {
+        let _ = postcard::from_bytes::<state::GossipMessage>(&bytes);
+    }
+}
