Planner: purchase of VMs and placement of models with reasons

Cause: control needs one pure planner for both, whose plan operators can read. Change: needs come from the fading peak of requests in progress; the balanced policy buys the cheapest mix that still serves the demand after the loss of one zone's reclaimable VMs; refused offers are held back with doubling waits while another class or zone is bought; a surplus must last before the dearest VM is given back. Placement loads a new version before the old one is unloaded, bounds loads at the same time, spreads models that don't all fit, and makes split engines whole. On-demand only and cheapest only stand behind the same trait. Ruled out: one backoff for each refused start; several starts of one plan would have doubled the wait several times. Splitting prompts from answers over engines is not built.

--- /dev/null
+++ b/crates/planner/tests/properties.rs
@@ -0,0 +1,172 @@
+//! Properties of plans for any fleet.
+
+mod common;
+
+use proptest::prelude::*;
+use proptest::test_runner;
+use samphiremoor_base::testing;
+use samphiremoor_base::time;
+use samphiremoor_planner::fleet;
+use samphiremoor_planner::placement;
+use samphiremoor_planner::plan;
+use samphiremoor_planner::planner;
+use samphiremoor_planner::purchase;
+use samphiremoor_platform::cloud;
+use samphiremoor_records::set;
+use samphiremoor_view::zone;
+
+fn config() -> test_runner::Config {
+    test_runner::Config {
+        cases: 128,
+        rng_seed: test_runner::RngSeed::Fixed(testing::seed()),
+        failure_persistence: None,
+        ..test_runner::Config::default()
+    }
+}
+
+fn any_replica(number: usize) -> impl Strategy<Value = fleet::FleetReplica> {
+    let state = prop_oneof![
+        5 => Just(zone::UpstreamState::Live),
+        1 => Just(zone::UpstreamState::Joining),
+        1 => Just(zone::UpstreamState::Leaving),
+    ];
+    let models = prop::sample::subsequence(vec!["m@1", "m@2", "n@1"], 0..=2);
+    (0usize..12, state, 0u32..15, models).prop_map(move |(offer, state, running, models)| {
+        let offer = &common::offers()[offer];
+        let mut replica = common::replica(&format!("r{number}"), offer, &models);
+        replica.state = state;
+        replica.load.running = running;
+        replica
+    })
+}
+
+fn any_fleet() -> impl Strategy<Value = Vec<fleet::FleetReplica>> {
+    (0usize..14).prop_flat_map(|count| (0..count).map(any_replica).collect::<Vec<_>>())
+}
+
+fn any_offers() -> impl Strategy<Value = Vec<cloud::VmOffer>> {
+    prop::sample::subsequence(common::offers(), 0..=12)
+}
+
+fn plan_of(
+    records: &set::RecordSet,
+    replicas: &[fleet::FleetReplica],
+    offers: &[cloud::VmOffer],
+) -> plan::FleetPlan {
+    let policy = Box::new(purchase::BalancedPurchase);
+    let mut planner = planner::FleetPlanner::new(policy, placement::PlacementLimits::default());
+    let now = time::MonotonicTime::new(1);
+    planner.plan(&planner::PlanInput { records, replicas, offers, now })
+}
+
+fn starts(plan: &plan::FleetPlan) -> Vec<&cloud::VmOffer> {
+    let start =
+        |planned: &'_ plan::PlannedAction| matches!(planned.action, plan::PlanAction::Start { .. });
+    plan.actions
+        .iter()
+        .filter(|planned| start(planned))
+        .filter_map(|planned| match &planned.action {
+            plan::PlanAction::Start { offer, .. } => Some(offer),
+            _ => None,
+        })
+        .collect()
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn the_maximum_is_kept_and_only_offers_are_bought(
+        replicas in any_fleet(),
+        offers in any_offers(),
+    ) {
+        let records = common::records(&["m@1"]);
+        let plan = plan_of(&records, &replicas, &offers);
+        let held = replicas.iter().filter(|replica| replica.counts()).count();
+        let started = starts(&plan);
+        prop_assert!(started.is_empty() || held + started.len() <= 12);
+        prop_assert!(started.iter().all(|offer| offers.contains(offer)));
+    }
+
+    #[test]
+    fn whole_offers_cover_the_demand_and_the_loss_of_a_zone(replicas in any_fleet()) {
+        let records = common::records(&["m@1"]);
+        let plan = plan_of(&records, &replicas, &common::offers());
+        let holdings: Vec<fleet::VmHolding> = replicas
+            .iter()
+            .filter(|replica| replica.counts())
+            .map(fleet::FleetReplica::holding)
+            .collect();
+        let mut counts = fleet::HeldCounts::of(&holdings);
+        starts(&plan).iter().for_each(|offer| counts.add(&offer.zone, offer.reclaimable));
+        let pool = &plan.pools[0];
+        prop_assert!(counts.count() >= pool.wanted);
+        prop_assert!(counts.left_after_loss() >= pool.after_loss || counts.count() >= 12);
+    }
+
+    #[test]
+    fn releases_leave_what_is_needed(replicas in any_fleet()) {
+        let records = common::records(&["m@1"]);
+        let policy = Box::new(purchase::BalancedPurchase);
+        let mut planner = planner::FleetPlanner::new(policy, placement::PlacementLimits::default());
+        let offers = common::offers();
+        for round in 0..4 {
+            let now = time::MonotonicTime::new(1 + round * 70_000);
+            let input =
+                planner::PlanInput { records: &records, replicas: &replicas, offers: &offers, now };
+            let plan = planner.plan(&input);
+            let released = plan.actions.iter().filter(|planned| {
+                matches!(planned.action, plan::PlanAction::Release { .. })
+            });
+            let held = replicas.iter().filter(|replica| replica.counts()).count();
+            prop_assert!(held - released.count() >= (plan.pools[0].wanted as usize).min(held));
+        }
+    }
+
+    /// Carrying out plans ends with every service's model on some live replica, and at no time
+    /// does the last replica with a wanted model lose it.
+    #[test]
+    fn placement_settles_without_a_gap(replicas in any_fleet()) {
+        const ROUNDS: usize = 60;
+        let records = common::records(&["m@1", "m@2", "n@1"]);
+        let wanted: Vec<_> = ["m@1", "m@2", "n@1"].map(common::model).into();
+        let mut live: Vec<fleet::FleetReplica> = replicas;
+        live.retain(|replica| replica.state == zone::UpstreamState::Live);
+        prop_assume!(live.len() >= 3);
+        let pool = records.pools[0].clone();
+        for _ in 0..ROUNDS {
+            let before: Vec<bool> = wanted.iter().map(|model| has(&live, model)).collect();
+            let references: Vec<&fleet::FleetReplica> = live.iter().collect();
+            let limits = placement::PlacementLimits::default();
+            let mut loading = 0;
+            let orders = placement::orders(&records, &pool, &references, &limits, &mut loading);
+            prop_assert!(loading <= limits.max_loading);
+            if orders.is_empty() {
+                break;
+            }
+            orders.iter().for_each(|planned| carry_out(&mut live, &planned.action));
+            for (model, had) in wanted.iter().zip(before) {
+                prop_assert!(!had || has(&live, model), "{model:?} is lost");
+            }
+        }
+        prop_assert!(wanted.iter().all(|model| has(&live, model)));
+    }
+}
+
+fn has(replicas: &[fleet::FleetReplica], model: &set::LoadedModel) -> bool {
+    replicas.iter().any(|replica| replica.models.contains(model))
+}
+
+fn carry_out(replicas: &mut [fleet::FleetReplica], action: &plan::PlanAction) {
+    for candidate in replicas {
+        match action {
+            plan::PlanAction::Load { replica, model } if candidate.id == *replica => {
+                candidate.models.push(model.clone());
+            }
+            plan::PlanAction::Unload { replica, model } if candidate.id == *replica => {
+                candidate.models.retain(|loaded| loaded != model);
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/planner/tests/scenarios.rs
@@ -0,0 +1,265 @@
+//! Runs `scenarios/planner`.
+
+mod common;
+
+use std::error;
+use std::fmt::Write as _;
+
+use samphiremoor_base::id;
+use samphiremoor_base::time;
+use samphiremoor_planner::fleet;
+use samphiremoor_planner::placement;
+use samphiremoor_planner::plan;
+use samphiremoor_planner::planner;
+use samphiremoor_planner::purchase;
+use samphiremoor_platform::cloud;
+use samphiremoor_records::set;
+use samphiremoor_view::zone;
+
+type RunResult<T> = Result<T, Box<dyn error::Error>>;
+
+struct PlannerRunner {
+    planner: planner::FleetPlanner,
+    records: set::RecordSet,
+    replicas: Vec<fleet::FleetReplica>,
+    offers: Vec<cloud::VmOffer>,
+    now: time::MonotonicTime,
+    started: u32,
+    last: plan::FleetPlan,
+}
+
+#[derive(goldenscript::Command)]
+enum PlannerCommand {
+    /// Sets the models of the services, such as `m@1+forms`.
+    Models(Vec<String>),
+    /// Sets the purchase policy: balanced, on-demand or cheapest.
+    Policy(String),
+    /// Adds or changes a replica.
+    Vm {
+        name: String,
+        #[arg(key)]
+        zone: Option<String>,
+        #[arg(key)]
+        reclaimable: Option<bool>,
+        #[arg(key)]
+        price: Option<u64>,
+        #[arg(key)]
+        state: Option<String>,
+        #[arg(key)]
+        running: Option<u32>,
+        #[arg(key)]
+        model: Option<String>,
+        #[arg(key)]
+        role: Option<String>,
+    },
+    /// Sets the running requests of every replica.
+    Load(u32),
+    /// Removes every reclaimable replica of an availability zone.
+    Reclaim(String),
+    /// Makes and prints a plan.
+    Plan,
+    /// Carries out the last plan: the cloud accepts starts, except in the zones that are named.
+    Apply {
+        #[arg(key)]
+        refused: Option<String>,
+    },
+    /// Makes started VMs live, and loads done.
+    Ready,
+    /// Plans and applies until nothing is left to do.
+    Settle,
+    /// Lets milliseconds pass.
+    Pass(u64),
+    /// Prints the VMs.
+    Vms,
+}
+
+impl PlannerRunner {
+    fn new() -> Self {
+        PlannerRunner {
+            planner: planner(Box::new(purchase::BalancedPurchase)),
+            records: common::records(&["m@1"]),
+            replicas: Vec::new(),
+            offers: common::offers(),
+            now: time::MonotonicTime::new(1_000),
+            started: 0,
+            last: plan::FleetPlan::default(),
+        }
+    }
+
+    fn plan(&mut self) {
+        let input = planner::PlanInput {
+            records: &self.records,
+            replicas: &self.replicas,
+            offers: &self.offers,
+            now: self.now,
+        };
+        self.last = self.planner.plan(&input);
+    }
+
+    fn apply(&mut self, refused: Option<&str>) -> String {
+        let mut output = String::new();
+        for planned in std::mem::take(&mut self.last.actions) {
+            match planned.action {
+                plan::PlanAction::Start { pool, offer } => {
+                    if refused.is_some_and(|zones| zones.contains(offer.zone.as_str())) {
+                        let until = self.planner.refused(&offer, self.now);
+                        let wait = until.since(self.now);
+                        output += &format!("refused zone={} wait={wait}\n", offer.zone);
+                        continue;
+                    }
+                    self.started += 1;
+                    let name = format!("vm{}", self.started);
+                    let mut replica = common::replica(&name, &offer, &[]);
+                    self.planner.started(&pool, &offer, replica.vm.clone(), self.now);
+                    replica.state = zone::UpstreamState::Joining;
+                    self.replicas.push(replica);
+                }
+                plan::PlanAction::Release { vm, .. } => {
+                    self.replicas.retain(|replica| replica.vm != vm);
+                }
+                plan::PlanAction::Load { replica, model } => {
+                    if let Some(replica) = self.replica(&replica) {
+                        replica.loading.push(model);
+                    }
+                }
+                plan::PlanAction::Unload { replica, model } => {
+                    if let Some(replica) = self.replica(&replica) {
+                        replica.models.retain(|loaded| *loaded != model);
+                    }
+                }
+                plan::PlanAction::UnifyRole { replica } => {
+                    if let Some(replica) = self.replica(&replica) {
+                        replica.role = Some(fleet::EngineRole::Both);
+                    }
+                }
+            }
+        }
+        output
+    }
+
+    fn replica(&mut self, id: &id::ReplicaId) -> Option<&mut fleet::FleetReplica> {
+        self.replicas.iter_mut().find(|replica| replica.id == *id)
+    }
+
+    fn ready(&mut self) {
+        for replica in &mut self.replicas {
+            replica.state = zone::UpstreamState::Live;
+            let loaded: Vec<_> = replica.loading.drain(..).collect();
+            replica.models.extend(loaded);
+        }
+    }
+
+    fn settle(&mut self) -> usize {
+        const MAX_ROUNDS: usize = 50;
+        for round in 0..MAX_ROUNDS {
+            self.plan();
+            if self.last.actions.is_empty() {
+                return round;
+            }
+            self.apply(None);
+            self.ready();
+            self.now = self.now + time::Millis::new(5_000);
+        }
+        MAX_ROUNDS
+    }
+
+    fn vms(&self) -> String {
+        let mut output = String::new();
+        for replica in &self.replicas {
+            let kind = if replica.reclaimable { "reclaimable" } else { "on-demand" };
+            let models: Vec<String> = replica
+                .models
+                .iter()
+                .map(|model| format!("{}@{}", model.model, model.version))
+                .collect();
+            let (id, zone, class) = (&replica.id, &replica.zone, &replica.class);
+            output += &format!("{id} {zone} {class} {kind} [{}]\n", models.join(" "));
+        }
+        output
+    }
+}
+
+fn planner(policy: Box<dyn purchase::PurchasePolicy>) -> planner::FleetPlanner {
+    planner::FleetPlanner::new(policy, placement::PlacementLimits::default())
+}
+
+impl goldenscript::Runner for PlannerRunner {
+    type Command = PlannerCommand;
+
+    fn run(&mut self, command: &PlannerCommand, _: &goldenscript::Context) -> RunResult<String> {
+        let mut output = String::new();
+        match command {
+            PlannerCommand::Models(models) => {
+                let models: Vec<&str> = models.iter().map(String::as_str).collect();
+                self.records = common::records(&models);
+            }
+            PlannerCommand::Policy(name) => {
+                self.planner = planner(match name.as_str() {
+                    "on-demand" => Box::new(purchase::OnDemandPurchase),
+                    "cheapest" => Box::new(purchase::CheapestPurchase),
+                    _ => Box::new(purchase::BalancedPurchase),
+                });
+            }
+            PlannerCommand::Vm { name, zone, reclaimable, price, state, running, model, role } => {
+                let id: id::ReplicaId = name.parse()?;
+                if self.replica(&id).is_none() {
+                    let zone = zone.as_deref().unwrap_or("a");
+                    let price = price.unwrap_or(30);
+                    let offer = common::offer("small", zone, reclaimable.unwrap_or(true), price);
+                    self.replicas.push(common::replica(name, &offer, &["m@1"]));
+                }
+                let Some(replica) = self.replica(&id) else { return Ok(output) };
+                if let Some(running) = running {
+                    replica.load.running = *running;
+                }
+                if let Some(model) = model {
+                    replica.models = [common::model(model)].into_iter().collect();
+                }
+                match state.as_deref() {
+                    Some("leaving") => replica.state = zone::UpstreamState::Leaving,
+                    Some("joining") => replica.state = zone::UpstreamState::Joining,
+                    _ => {}
+                }
+                match role.as_deref() {
+                    Some("prefill") => replica.role = Some(fleet::EngineRole::Prefill),
+                    Some("decode") => replica.role = Some(fleet::EngineRole::Decode),
+                    _ => {}
+                }
+            }
+            PlannerCommand::Load(running) => {
+                self.replicas.iter_mut().for_each(|replica| replica.load.running = *running);
+            }
+            PlannerCommand::Reclaim(zone) => {
+                self.replicas
+                    .retain(|replica| !(replica.reclaimable && replica.zone.as_str() == zone));
+            }
+            PlannerCommand::Plan => {
+                self.plan();
+                write!(output, "{}", self.last)?;
+            }
+            PlannerCommand::Apply { refused } => {
+                output += &self.apply(refused.as_deref());
+            }
+            PlannerCommand::Ready => self.ready(),
+            PlannerCommand::Settle => writeln!(output, "settled after {} plans", self.settle())?,
+            PlannerCommand::Pass(length) => self.now = self.now + time::Millis::new(*length),
+            PlannerCommand::Vms => output += &self.vms(),
+        }
+        Ok(output)
+    }
+}
+
+fn check(name: &str) {
+    let path = format!("../../scenarios/planner/{name}");
+    goldenscript::run(&mut PlannerRunner::new(), path).expect("the scenario file can be read");
+}
+
+samphiremoor_base::cases! {
+    demand_is_met_by_the_cheapest_safe_mix => check("purchase");
+    baselines_buy_otherwise => check("baselines");
+    reclaimed_zone_is_replaced_elsewhere => check("reclaim_wave");
+    refused_offers_are_held_back => check("refused_starts");
+    surplus_is_given_back_slowly => check("surplus");
+    versions_roll_over_without_a_gap => check("roll_over");
+    loads_are_few_at_a_time => check("placement");
+}
