Load: run against entry daemons, and compare two runs

Cause: the policies are to be measured with real processes too. Change: samphiremoor-load run sends the seeded calls open-loop over HTTP, tries refused ones again as told, checks every streamed answer token by token, orders faults of stand-ins at their times, and reports outcome counts, latency by service, cost and recomputed tokens in text or JSON; compare sets two reports side by side. Calls in all, calls in progress and time are bounded.

--- a/crates/load/src/experiment/mod.rs
+++ b/crates/load/src/experiment/mod.rs
@@ -2,12 +2,11 @@
 //!
 //! Time is simulated and every draw comes from a seed, so a run gives the same figures anywhere.
 //! There is no network but a delay, no membership and no platform: [`situation`] changes what the
-//! view shows. [`world`] is the event loop, [`replica`] the upstreams, [`tally`] the results.
+//! view shows. [`world`] is the event loop, [`replica`] the upstreams.
 
 pub mod deployment;
 pub mod policy;
 pub mod replica;
 pub mod situation;
 pub mod table;
-pub mod tally;
 pub mod world;
--- a/crates/load/src/experiment/table.rs
+++ b/crates/load/src/experiment/table.rs
@@ -6,7 +6,7 @@
 
 use crate::experiment::policy;
 use crate::experiment::situation;
-use crate::experiment::tally;
+use crate::tally;
 
 /// One run of an experiment.
 #[derive(Clone, Debug, Serialize)]
@@ -61,11 +61,13 @@
     let report = &row.report;
     write!(
         f,
-        "| {} | {:.1} | {:.3} | {:.3} ",
+        "| {} | {:.1} | {:.3} | {} ",
         row.policy,
         report.goodput_per_second,
         report.cost_per_thousand,
-        report.busy_cost_per_thousand
+        report
+            .busy_cost_per_thousand
+            .map_or_else(|| "not known".to_owned(), |cost| format!("{cost:.3}"))
     )?;
     for service in &report.services {
         write!(f, "| {:.1}%, {} ms ", service.within_percent, service.first_p95_ms)?;
--- a/crates/load/src/experiment/world.rs
+++ b/crates/load/src/experiment/world.rs
@@ -27,9 +27,9 @@
 use crate::experiment::replica;
 use crate::experiment::replica::CallNumber;
 use crate::experiment::situation;
-use crate::experiment::tally;
 use crate::plan;
 use crate::prompt;
+use crate::tally;
 
 /// How often daemons get a view.
 const VIEW_INTERVAL: Duration = Duration::from_millis(200);
@@ -616,14 +616,14 @@
         let counted = length.get() - length.get() * WARM_UP_PER_MILLE / 1_000;
         let counted = time::Millis::new(counted);
         let hours = |length: Duration| length.as_secs_f64() / 3_600.0;
-        let mut cost = tally::RunCost::default();
+        let (mut whole, mut busy) = (0.0, 0.0);
         const MICROS: f64 = 1_000_000.0;
         for replica in &self.replicas {
             let price = replica.shown.price.get() as f64 / MICROS;
-            cost.whole += price * hours(counted.to_duration());
-            cost.busy += price * hours(replica.busy);
+            whole += price * hours(counted.to_duration());
+            busy += price * hours(replica.busy);
         }
-        self.tally.report(counted, cost)
+        self.tally.report(counted, tally::RunCost { whole, busy: Some(busy) })
     }
 }
 
--- /dev/null
+++ b/crates/load/src/live/run.rs
@@ -0,0 +1,285 @@
+//! A run: calls at their planned times, whatever became of the earlier ones.
+
+use std::collections;
+use std::error;
+use std::fmt;
+use std::sync;
+use std::sync::atomic;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_std::channel;
+use async_std::task;
+use rand::Rng as _;
+use rand::SeedableRng as _;
+use samphiremoor_base::id;
+use samphiremoor_routing::prefix;
+use samphiremoor_settings::secret;
+use samphiremoor_standin_engine::tokens;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::experiment::deployment;
+use crate::live::call;
+use crate::live::standin;
+use crate::plan;
+use crate::prompt;
+use crate::settings;
+use crate::tally;
+
+/// Results of a run against entry daemons.
+#[derive(Clone, Debug)]
+#[derive(Deserialize, Serialize)]
+pub struct LiveReport {
+    /// Name of the deployment.
+    pub deployment: String,
+    /// Factor on the rates of its workload.
+    pub rate_factor: f64,
+    /// The seed.
+    pub seed: u64,
+    /// Calls that were planned.
+    pub planned: u64,
+    /// Calls that were not sent since too many were in progress at the tool.
+    pub not_sent: u64,
+    /// Answers that are not the ones that their prompts have.
+    pub wrong_answers: u64,
+    /// Orders that stand-ins did not take.
+    pub orders_failed: u64,
+    /// Engines whose counts could not be read.
+    pub engines_unread: u64,
+    /// The counts.
+    pub run: tally::RunReport,
+}
+
+/// Why a run did not start.
+#[derive(Debug)]
+pub enum RunError {
+    /// The deployment can't be read.
+    Deployment(deployment::DeploymentError),
+    /// A key can't be read.
+    Key(secret::SecretError),
+    /// A workspace of the workload has no key.
+    NoKey(id::WorkspaceId),
+}
+
+impl fmt::Display for RunError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            RunError::Deployment(cause) => cause.fmt(f),
+            RunError::Key(cause) => cause.fmt(f),
+            RunError::NoKey(workspace) => {
+                write!(f, "workspace {workspace} has no key; name its file in the table keys")
+            }
+        }
+    }
+}
+
+impl error::Error for RunError {}
+
+/// Carries out a run.
+///
+/// # Errors
+///
+/// Fails before the first call where the deployment or a key can't be read.
+pub async fn run(settings: &settings::LoadSettings) -> Result<LiveReport, RunError> {
+    let deployment = deployment::read(&settings.deployment).map_err(RunError::Deployment)?;
+    let span = plan::PlanSpan {
+        length: settings.length_ms,
+        rate_factor: settings.rate_factor,
+        seed: settings.seed,
+    };
+    let mut calls = plan::calls(&deployment.workload, &span);
+    calls.truncate(settings.max_calls);
+    let keys = read_keys(settings, &calls)?;
+    let before = engine_totals(settings).await;
+    let faults = task::spawn(give_orders(settings.faults.clone()));
+    let outcome = send_all(settings, &deployment, &calls, &keys).await;
+    let orders_failed = faults.await;
+    let after = engine_totals(settings).await;
+    let mut tally = outcome.tally;
+    let prompts = prompt_totals(&calls);
+    tally.prompt_tokens = prompts.tokens;
+    tally.computed_tokens = after.computed.saturating_sub(before.computed);
+    tally.recomputed_tokens = tally.computed_tokens.saturating_sub(prompts.distinct);
+    Ok(LiveReport {
+        deployment: deployment.name.clone(),
+        rate_factor: settings.rate_factor,
+        seed: settings.seed,
+        planned: calls.len() as u64,
+        not_sent: outcome.not_sent,
+        wrong_answers: outcome.wrong_answers,
+        orders_failed,
+        engines_unread: before.unread.max(after.unread),
+        run: tally.report(settings.length_ms, cost(settings)),
+    })
+}
+
+struct RunOutcome {
+    tally: tally::RunTally,
+    not_sent: u64,
+    wrong_answers: u64,
+}
+
+type KeyTable = collections::BTreeMap<id::WorkspaceId, secret::SecretText>;
+
+fn read_keys(
+    settings: &settings::LoadSettings,
+    calls: &[plan::PlannedCall],
+) -> Result<KeyTable, RunError> {
+    let mut keys = KeyTable::new();
+    let workspaces: collections::BTreeSet<&id::WorkspaceId> =
+        calls.iter().map(|call| &call.workspace).collect();
+    for workspace in workspaces {
+        let file = settings.keys.get(workspace);
+        let file = file.ok_or_else(|| RunError::NoKey(workspace.clone()))?;
+        keys.insert(workspace.clone(), secret::read(file).map_err(RunError::Key)?);
+    }
+    Ok(keys)
+}
+
+async fn send_all(
+    settings: &settings::LoadSettings,
+    deployment: &deployment::Deployment,
+    calls: &[plan::PlannedCall],
+    keys: &KeyTable,
+) -> RunOutcome {
+    let mut outcome =
+        RunOutcome { tally: tally::RunTally::default(), not_sent: 0, wrong_answers: 0 };
+    let mut generator = rand_chacha::ChaCha8Rng::seed_from_u64(settings.seed);
+    let (sender, results) = channel::unbounded();
+    let in_progress = sync::Arc::new(atomic::AtomicUsize::new(0));
+    let mixes: sync::Arc<[crate::workload::PlainMix]> =
+        sync::Arc::from(deployment.workload.plain.clone());
+    let run = format!("load-{}-{}", settings.seed, std::process::id());
+    let start = Instant::now();
+    for planned in calls {
+        let due = start + planned.at.to_duration();
+        task::sleep(due.saturating_duration_since(Instant::now())).await;
+        let Some(service) = deployment.records.service(&planned.service) else { continue };
+        if in_progress.load(atomic::Ordering::Relaxed) >= settings.max_in_progress {
+            outcome.not_sent += 1;
+            continue;
+        }
+        let entries = (0..settings.max_tries)
+            .map(|_| settings.entries[generator.random_range(0..settings.entries.len())])
+            .collect();
+        let place = call::CallPlace {
+            entries,
+            key: keys[&planned.workspace].clone(),
+            service: service.clone(),
+            planned: due,
+            run: run.clone(),
+        };
+        let (planned, mixes) = (planned.clone(), mixes.clone());
+        let (sender, counter) = (sender.clone(), in_progress.clone());
+        counter.fetch_add(1, atomic::Ordering::Relaxed);
+        task::spawn(async move {
+            let result = call::perform(&place, &mixes, &planned).await;
+            counter.fetch_sub(1, atomic::Ordering::Relaxed);
+            // The receiver goes only after every sender has gone.
+            let _ = sender.send((place.service, result)).await;
+        });
+    }
+    drop(sender);
+    while let Ok((service, result)) = results.recv().await {
+        outcome.tally.refusals += result.refusals;
+        outcome.wrong_answers += u64::from(result.is_wrong);
+        outcome.tally.end(&service, result.end);
+    }
+    outcome
+}
+
+/// Gives the orders at their times; returns how many were not taken.
+async fn give_orders(mut faults: Vec<settings::FaultSettings>) -> u64 {
+    faults.sort_by_key(|fault| fault.at_ms);
+    let start = Instant::now();
+    let mut failed = 0;
+    for fault in faults {
+        let due = start + fault.at_ms.to_duration();
+        task::sleep(due.saturating_duration_since(Instant::now())).await;
+        let is_taken = standin::order(fault.address, &fault.path, &fault.body).await;
+        failed += u64::from(!is_taken);
+    }
+    failed
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct EngineTotals {
+    computed: u64,
+    unread: u64,
+}
+
+async fn engine_totals(settings: &settings::LoadSettings) -> EngineTotals {
+    let mut totals = EngineTotals::default();
+    for engine in &settings.engines {
+        match standin::counts(engine.address).await {
+            Some(counts) => totals.computed += counts.computed_tokens,
+            None => totals.unread += 1,
+        }
+    }
+    totals
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct PromptTotals {
+    tokens: u64,
+    /// Tokens that have to be computed once: every distinct block, and what follows whole blocks.
+    distinct: u64,
+}
+
+fn prompt_totals(calls: &[plan::PlannedCall]) -> PromptTotals {
+    let mut totals = PromptTotals::default();
+    let mut known = collections::HashSet::new();
+    for planned in calls {
+        let plan::CallContent::Model { session, turn } = &planned.content else { continue };
+        let text = prompt::prompt_text(&prompt::messages(session, *turn));
+        let tokens = tokens::prompt_tokens(&text);
+        let blocks = prefix::hash_blocks(&tokens);
+        let fresh = blocks.iter().filter(|block| known.insert(**block)).count() as u64;
+        let rest = tokens.len() as u64 - blocks.len() as u64 * prefix::BLOCK_TOKENS;
+        totals.tokens += tokens.len() as u64;
+        totals.distinct += fresh * prefix::BLOCK_TOKENS + rest;
+    }
+    totals
+}
+
+fn cost(settings: &settings::LoadSettings) -> tally::RunCost {
+    const MICROS: f64 = 1_000_000.0;
+    let hours = Duration::as_secs_f64(&settings.length_ms.to_duration()) / 3_600.0;
+    let price: u64 = settings.engines.iter().map(|engine| engine.price.get()).sum();
+    tally::RunCost { whole: price as f64 / MICROS * hours, busy: None }
+}
+
+impl fmt::Display for LiveReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let run = &self.run;
+        writeln!(f, "deployment {} rate {} seed {}", self.deployment, self.rate_factor, self.seed)?;
+        writeln!(
+            f,
+            "planned {} sent {} not sent {} answered {} wrong answers {} refusals {}",
+            self.planned, run.sent, self.not_sent, run.complete, self.wrong_answers, run.refusals
+        )?;
+        writeln!(f, "answers in target a second {:.1}", run.goodput_per_second)?;
+        writeln!(f, "cost per 1000 answers in target {:.4}", run.cost_per_thousand)?;
+        writeln!(
+            f,
+            "prompt tokens {} computed {} recomputed {} (engines not read {})",
+            run.prompt_tokens, run.computed_tokens, run.recomputed_tokens, self.engines_unread
+        )?;
+        for service in &run.services {
+            writeln!(
+                f,
+                "{} priority {}: sent {} in target {:.1}% first p50 {} p95 {} p99 {} ms other {:?}",
+                service.service,
+                service.priority,
+                service.sent,
+                service.within_percent,
+                service.first_p50_ms,
+                service.first_p95_ms,
+                service.first_p99_ms,
+                service.other_ends
+            )?;
+        }
+        Ok(())
+    }
+}
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -1,14 +1,21 @@
 //! `samphiremoor-load`: load and experiments, for development only.
 
+use std::error;
 use std::path;
 use std::process;
 
+use async_std::task;
 use samphiremoor_base::time;
+use samphiremoor_load::compare;
 use samphiremoor_load::experiment::deployment;
 use samphiremoor_load::experiment::policy;
 use samphiremoor_load::experiment::situation;
 use samphiremoor_load::experiment::table;
 use samphiremoor_load::experiment::world;
+use samphiremoor_load::live::run;
+use samphiremoor_load::settings;
+use samphiremoor_settings::load;
+use samphiremoor_settings::logging;
 
 /// Load and experiments, for development only.
 #[derive(argh::FromArgs)]
@@ -20,9 +27,38 @@
 #[derive(argh::FromArgs)]
 #[argh(subcommand)]
 enum LoadCommand {
+    Run(RunArgs),
+    Compare(CompareArgs),
     Experiment(ExperimentArgs),
 }
 
+/// Sends the calls of a workload to entry daemons and checks every answer.
+#[derive(argh::FromArgs)]
+#[argh(subcommand, name = "run")]
+struct RunArgs {
+    /// settings file, in TOML
+    #[argh(option)]
+    settings: path::PathBuf,
+    /// check the settings and exit
+    #[argh(switch)]
+    check: bool,
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+/// Compares the JSON reports of two runs.
+#[derive(argh::FromArgs)]
+#[argh(subcommand, name = "compare")]
+struct CompareArgs {
+    /// report of the earlier run
+    #[argh(positional)]
+    before: path::PathBuf,
+    /// report of the later run
+    #[argh(positional)]
+    after: path::PathBuf,
+}
+
 /// Drives the policies against a time model of engines, with simulated time.
 #[derive(argh::FromArgs)]
 #[argh(subcommand, name = "experiment")]
@@ -47,19 +83,54 @@
 fn main() -> process::ExitCode {
     let args: LoadArgs = argh::from_env();
     match args.command {
+        LoadCommand::Run(args) => live(&args),
+        LoadCommand::Compare(args) => compare(&args),
         LoadCommand::Experiment(args) => experiment(&args),
     }
 }
 
+fn fail(cause: &dyn error::Error) -> process::ExitCode {
+    eprintln!("samphiremoor-load: {cause}");
+    process::ExitCode::FAILURE
+}
+
+fn live(args: &RunArgs) -> process::ExitCode {
+    let settings: settings::LoadSettings = match load::load(&args.settings) {
+        Ok(settings) => settings,
+        Err(cause) => return fail(&cause),
+    };
+    if args.check {
+        return process::ExitCode::SUCCESS;
+    }
+    logging::start("samphiremoor-load", &settings.log);
+    let report = match task::block_on(run::run(&settings)) {
+        Ok(report) => report,
+        Err(cause) => return fail(&cause),
+    };
+    if args.json {
+        println!("{}", serde_json::json!(report));
+    } else {
+        print!("{report}");
+    }
+    if report.wrong_answers == 0 { process::ExitCode::SUCCESS } else { process::ExitCode::FAILURE }
+}
+
+fn compare(args: &CompareArgs) -> process::ExitCode {
+    match compare::read(&args.before, &args.after) {
+        Ok(comparison) => {
+            print!("{comparison}");
+            process::ExitCode::SUCCESS
+        }
+        Err(cause) => fail(&cause),
+    }
+}
+
 fn experiment(args: &ExperimentArgs) -> process::ExitCode {
     let mut rows = Vec::new();
     for folder in &args.deployment {
         let deployment = match deployment::read(folder) {
             Ok(deployment) => deployment,
-            Err(cause) => {
-                eprintln!("{cause}");
-                return process::ExitCode::FAILURE;
-            }
+            Err(cause) => return fail(&cause),
         };
         let is_wanted = |kind: &situation::Situation| {
             args.situation.is_empty() || args.situation.contains(kind)
--- a/crates/load/src/experiment/tally.rs
+++ b/crates/load/src/tally.rs
@@ -7,6 +7,7 @@
 use samphiremoor_base::quantity;
 use samphiremoor_base::time;
 use samphiremoor_records::set;
+use serde::Deserialize;
 use serde::Serialize;
 
 /// Longest latency that is told apart, in milliseconds.
@@ -69,7 +70,8 @@
 }
 
 /// Results of one service, for reports.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize, Serialize)]
 pub struct ServiceReport {
     /// The service.
     pub service: id::ServiceId,
@@ -88,11 +90,12 @@
     /// 99th percentile of it.
     pub first_p99_ms: u64,
     /// Calls that ended otherwise, by reason.
-    pub other_ends: collections::BTreeMap<&'static str, u64>,
+    pub other_ends: collections::BTreeMap<String, u64>,
 }
 
 /// Results of a run, for reports.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize, Serialize)]
 pub struct RunReport {
     /// Calls.
     pub sent: u64,
@@ -103,7 +106,7 @@
     /// By service, the most urgent first.
     pub services: Vec<ServiceReport>,
     /// Calls that ended otherwise, by reason.
-    pub other_ends: collections::BTreeMap<&'static str, u64>,
+    pub other_ends: collections::BTreeMap<String, u64>,
     /// Refusals, those that were followed by another try included.
     pub refusals: u64,
     /// Calls that were sent again since a replica was lost.
@@ -116,8 +119,8 @@
     pub recomputed_tokens: u64,
     /// Price of the replicas' whole time for a thousand answers within target, in currency units.
     pub cost_per_thousand: f64,
-    /// Price of the replicas' busy time for a thousand answers within target.
-    pub busy_cost_per_thousand: f64,
+    /// Price of the replicas' busy time for a thousand answers within target, where it is known.
+    pub busy_cost_per_thousand: Option<f64>,
 }
 
 /// Price of the replicas over a run, in currency units.
@@ -125,8 +128,8 @@
 pub struct RunCost {
     /// Of all their time.
     pub whole: f64,
-    /// Of the time in which they computed.
-    pub busy: f64,
+    /// Of the time in which they computed, where it is known.
+    pub busy: Option<f64>,
 }
 
 impl RunTally {
@@ -146,10 +149,10 @@
         }
     }
 
-    fn other_ends(&self) -> collections::BTreeMap<&'static str, u64> {
-        let mut sums = collections::BTreeMap::new();
+    fn other_ends(&self) -> collections::BTreeMap<String, u64> {
+        let mut sums: collections::BTreeMap<String, u64> = collections::BTreeMap::new();
         for (reason, count) in self.services.values().flat_map(|tally| &tally.ends) {
-            *sums.entry(*reason).or_default() += count;
+            *sums.entry((*reason).to_owned()).or_default() += count;
         }
         sums
     }
@@ -171,7 +174,7 @@
             computed_tokens: self.computed_tokens,
             recomputed_tokens: self.recomputed_tokens,
             cost_per_thousand: per_thousand(cost.whole),
-            busy_cost_per_thousand: per_thousand(cost.busy),
+            busy_cost_per_thousand: cost.busy.map(per_thousand),
         }
     }
 }
@@ -186,6 +189,10 @@
         first_p50_ms: tally.first.value_at_quantile(0.50),
         first_p95_ms: tally.first.value_at_quantile(0.95),
         first_p99_ms: tally.first.value_at_quantile(0.99),
-        other_ends: tally.ends.clone(),
+        other_ends: owned(&tally.ends),
     }
 }
+
+fn owned(ends: &collections::BTreeMap<&'static str, u64>) -> collections::BTreeMap<String, u64> {
+    ends.iter().map(|(reason, count)| ((*reason).to_owned(), *count)).collect()
+}
--- a/crates/load/tests/experiment.rs
+++ b/crates/load/tests/experiment.rs
@@ -7,8 +7,8 @@
 use samphiremoor_load::experiment::deployment;
 use samphiremoor_load::experiment::policy;
 use samphiremoor_load::experiment::situation;
-use samphiremoor_load::experiment::tally;
 use samphiremoor_load::experiment::world;
+use samphiremoor_load::tally;
 
 const LENGTH: time::Millis = time::Millis::new(20_000);
 
--- /dev/null
+++ b/crates/load/tests/settings.rs
@@ -0,0 +1,34 @@
+//! Settings of the load tool.
+
+use std::path;
+
+use samphiremoor_load::settings;
+use samphiremoor_settings::load;
+
+fn example() -> String {
+    let root = path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    let file = root.join("deploy/examples/samphiremoor-load.toml");
+    std::fs::read_to_string(file).expect("the example exists")
+}
+
+fn parse(text: &str) -> Result<settings::LoadSettings, load::SettingsError> {
+    load::parse(path::Path::new("load.toml"), text)
+}
+
+fn check_refused(from: &str, to: &str, key: &str) {
+    let text = example().replace(from, to);
+    let message = parse(&text).expect_err("the settings are refused").to_string();
+    assert!(message.contains(key), "{message}");
+}
+
+samphiremoor_base::cases! {
+    example_is_valid => assert!(parse(&example()).is_ok());
+    unknown_key_is_refused => check_refused("seed = 7", "sede = 7", "sede");
+    missing_entries_are_refused =>
+        check_refused("entries = [\"127.0.0.1:21010\", \"127.0.0.1:21013\"]", "entries = []", "entries");
+    endless_run_is_refused => check_refused("length_ms = 30000", "length_ms = 0", "length_ms");
+    rate_of_nothing_is_refused =>
+        check_refused("rate_factor = 0.2", "rate_factor = 0.0", "rate_factor");
+    order_to_others_is_refused =>
+        check_refused("path = \"/control/faults\"", "path = \"/v1/requests\"", "faults");
+}
