--- a/crates/shards/tests/harness/mod.rs
+++ b/crates/shards/tests/harness/mod.rs
@@ -43,23 +43,23 @@
 
 impl CountingRunner {
     pub(crate) fn plan(&self, plan: RunPlan) {
-        *self.plan.lock().unwrap() = Some(plan);
+        *self.plan.lock().expect("no test panics with the lock") = Some(plan);
     }
 
     pub(crate) fn runs(&self, key: &str) -> u32 {
-        self.runs.lock().unwrap().get(key).copied().unwrap_or(0)
+        self.runs.lock().expect("no test panics with the lock").get(key).copied().unwrap_or(0)
     }
 
     pub(crate) fn total(&self) -> u32 {
-        self.runs.lock().unwrap().values().sum()
+        self.runs.lock().expect("no test panics with the lock").values().sum()
     }
 
     pub(crate) fn most(&self) -> u32 {
-        self.runs.lock().unwrap().values().copied().max().unwrap_or(0)
+        self.runs.lock().expect("no test panics with the lock").values().copied().max().unwrap_or(0)
     }
 
     fn count(&self, call: &call::OnceCall) -> u32 {
-        let mut runs = self.runs.lock().unwrap();
+        let mut runs = self.runs.lock().expect("no test panics with the lock");
         let count = runs.entry(call.key.key.to_string()).or_default();
         *count += 1;
         *count
@@ -69,7 +69,12 @@
 #[async_trait]
 impl call::CallRunner for CountingRunner {
     async fn run(&self, call: &call::OnceCall) -> call::RunResult {
-        let plan = self.plan.lock().unwrap().clone().unwrap_or(RunPlan::Complete);
+        let plan = self
+            .plan
+            .lock()
+            .expect("no test panics with the lock")
+            .clone()
+            .unwrap_or(RunPlan::Complete);
         if plan == RunPlan::NotRun {
             let reason = reason::RefusalReason::NoReplica;
             return call::RunResult::NotRun { reason, retry_after: None };
@@ -98,15 +103,15 @@
 
 impl MemoryNetwork {
     pub(crate) fn cut(&self, daemon: &str) {
-        self.cut.lock().unwrap().insert(daemon.to_owned());
+        self.cut.lock().expect("no test panics with the lock").insert(daemon.to_owned());
     }
 
     pub(crate) fn heal(&self, daemon: &str) {
-        self.cut.lock().unwrap().remove(daemon);
+        self.cut.lock().expect("no test panics with the lock").remove(daemon);
     }
 
     fn is_cut(&self, daemon: &str) -> bool {
-        self.cut.lock().unwrap().contains(daemon)
+        self.cut.lock().expect("no test panics with the lock").contains(daemon)
     }
 }
 
@@ -118,7 +123,7 @@
 
 impl peer::PeerDirectory for DaemonLink {
     fn daemons(&self) -> Vec<peer::PeerEntry> {
-        self.network.entries.lock().unwrap().clone()
+        self.network.entries.lock().expect("no test panics with the lock").clone()
     }
 }
 
@@ -129,7 +134,13 @@
         peer: &peer::PeerEntry,
         question: message::ShardQuestion,
     ) -> Result<message::ShardAnswer, link::LinkError> {
-        let service = self.network.services.lock().unwrap().get(peer.id.as_str()).cloned();
+        let service = self
+            .network
+            .services
+            .lock()
+            .expect("no test panics with the lock")
+            .get(peer.id.as_str())
+            .cloned();
         let Some(service) = service else { return Err(link::LinkError::Unreachable) };
         let is_cut = || self.network.is_cut(&self.daemon) || self.network.is_cut(peer.id.as_str());
         if is_cut() {
@@ -217,7 +228,7 @@
             lives: sync::atomic::AtomicU64::new(1),
         };
         let entries = (0..count).map(entry).collect();
-        *cluster.network.entries.lock().unwrap() = entries;
+        *cluster.network.entries.lock().expect("no test panics with the lock") = entries;
         for index in 0..count {
             cluster.start_daemon(&name(index));
         }
@@ -227,8 +238,9 @@
     /// Starts a daemon, or starts it anew with another life.
     pub(crate) fn start_daemon(&self, daemon: &str) {
         let lives = self.lives.fetch_add(1, sync::atomic::Ordering::Relaxed);
-        let entries = self.network.entries.lock().unwrap().clone();
-        let entry = entries.iter().find(|entry| entry.id.as_str() == daemon).unwrap();
+        let entries = self.network.entries.lock().expect("no test panics with the lock").clone();
+        let entry =
+            entries.iter().find(|entry| entry.id.as_str() == daemon).expect("the test set it up");
         let link = || DaemonLink { daemon: daemon.to_owned(), network: self.network.clone() };
         let parts = service::ShardParts {
             daemon: entry.id.clone(),
@@ -245,27 +257,43 @@
             transport: sync::Arc::new(link()),
         };
         let registry = prometheus::Registry::new();
-        let service = service::ShardService::start(parts, &registry).unwrap();
-        self.network.services.lock().unwrap().insert(daemon.to_owned(), service);
+        let service = service::ShardService::start(parts, &registry).expect("the test set it up");
+        self.network
+            .services
+            .lock()
+            .expect("no test panics with the lock")
+            .insert(daemon.to_owned(), service);
     }
 
     /// Ends a daemon without notice.
     pub(crate) fn kill(&self, daemon: &str) {
-        self.network.services.lock().unwrap().remove(daemon);
+        self.network.services.lock().expect("no test panics with the lock").remove(daemon);
     }
 
     pub(crate) fn service(&self, daemon: &str) -> service::ShardService {
-        self.network.services.lock().unwrap().get(daemon).unwrap().clone()
+        self.network
+            .services
+            .lock()
+            .expect("no test panics with the lock")
+            .get(daemon)
+            .expect("the test set it up")
+            .clone()
     }
 
     pub(crate) fn names(&self) -> Vec<String> {
-        self.network.services.lock().unwrap().keys().cloned().collect()
+        self.network
+            .services
+            .lock()
+            .expect("no test panics with the lock")
+            .keys()
+            .cloned()
+            .collect()
     }
 
     /// Waits until every shard is held, by every present daemon's account.
     pub(crate) fn wait_covered(&self) {
         wait_until("every shard has a live holder", || {
-            let services = self.network.services.lock().unwrap();
+            let services = self.network.services.lock().expect("no test panics with the lock");
             let own: usize = services.values().map(|service| service.coverage().own).sum();
             services.values().all(|service| {
                 let coverage = service.coverage();
@@ -282,7 +310,10 @@
     /// The daemon that held the greatest number of shards.
     pub(crate) fn busiest(&self) -> String {
         let names = self.names();
-        names.into_iter().max_by_key(|name| self.service(name).coverage().own).unwrap()
+        names
+            .into_iter()
+            .max_by_key(|name| self.service(name).coverage().own)
+            .expect("the test set it up")
     }
 }
 
@@ -302,12 +333,12 @@
     let serial = SERIAL.fetch_add(1, sync::atomic::Ordering::Relaxed);
     call::OnceCall {
         key: key::CallKey {
-            workspace: "agency".parse().unwrap(),
-            service: "address-check".parse().unwrap(),
-            key: key.parse().unwrap(),
+            workspace: "agency".parse().expect("a valid identifier"),
+            service: "address-check".parse().expect("a valid identifier"),
+            key: key.parse().expect("a valid identifier"),
         },
         digest: digest::HexDigest::of(body.as_bytes()),
-        request: format!("{daemon}:{serial}").parse().unwrap(),
+        request: format!("{daemon}:{serial}").parse().expect("a valid identifier"),
         method: sync::Arc::from("POST"),
         path: sync::Arc::from("/confirm"),
         headers: Vec::new(),
@@ -326,14 +357,16 @@
 }
 
 pub(crate) fn name(index: usize) -> String {
-    char::from(b'a' + u8::try_from(index).unwrap()).to_string()
+    char::from(b'a' + u8::try_from(index).expect("few daemons")).to_string()
 }
 
 fn entry(index: usize) -> peer::PeerEntry {
-    let port = 9_000 + u16::try_from(index).unwrap();
+    let port = 9_000 + u16::try_from(index).expect("few daemons");
     peer::PeerEntry {
-        id: name(index).parse().unwrap(),
-        zone: if index % 2 == 0 { "north" } else { "south" }.parse().unwrap(),
+        id: name(index).parse().expect("a valid identifier"),
+        zone: if index.is_multiple_of(2) { "north" } else { "south" }
+            .parse()
+            .expect("a valid identifier"),
         address: net::SocketAddr::from(([127, 0, 0, 1], port)),
         state: zone::UpstreamState::Live,
     }
--- a/crates/shards/tests/service.rs
+++ b/crates/shards/tests/service.rs
@@ -12,7 +12,7 @@
 fn completed(answer: &call::OnceAnswer) -> Option<String> {
     match answer {
         call::OnceAnswer::Completed { result, .. } => {
-            Some(String::from_utf8(result.body.to_vec()).unwrap())
+            Some(String::from_utf8(result.body.to_vec()).expect("the test set it up"))
         }
         _ => None,
     }
@@ -226,7 +226,8 @@
 fn wait_for_copy_sets(cluster: &harness::ShardCluster) {
     use samphiremoor_platform::table::TableStore as _;
     harness::wait_until("each lease row names peers", || {
-        let rows = task::block_on(cluster.table.scan("lease/shard/", None, 100)).unwrap();
+        let rows = task::block_on(cluster.table.scan("lease/shard/", None, 100))
+            .expect("the test set it up");
         rows.len() == 4 && rows.iter().all(|row| !row.value.contains("\"copy_set\":[]"))
     });
 }
