entry: run once-only calls through the shards; prove refusals, services, attach and hand-over

Cause: calls that may not be repeated were refused, and attach and the planned stop were untested. Change: runner, directory and transport for the shards, their messages on the entry's peer server; a watch for streams without tokens beside the connection's own limit; one type for whole answers. peers: a dropped server leaves the library's socket to the process's end instead of closing it.

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -12,15 +12,20 @@
 use async_std::task;
 use samphiremoor_base::event;
 use samphiremoor_base::log_event;
+use samphiremoor_base::quantity;
 use samphiremoor_base::time;
 use samphiremoor_httpio::server;
 use samphiremoor_limits::adaptive;
 use samphiremoor_peers::link;
 use samphiremoor_peers::server as peer_server;
+use samphiremoor_platform::table;
+use samphiremoor_platform_client::http;
 use samphiremoor_routing::scored;
+use samphiremoor_shards::service;
 
 use crate::core;
 use crate::handover;
+use crate::once;
 use crate::peer;
 use crate::serve::handler;
 use crate::settings;
@@ -35,6 +40,8 @@
     PeerListen(peer_server::ListenError),
     /// The control thread can't be started.
     Thread(io::Error),
+    /// The shards can't be started.
+    Shards(service::StartError),
 }
 
 impl fmt::Display for StartError {
@@ -44,6 +51,7 @@
                 write!(f, "can't listen on {address} ({cause}); set a free http_address")
             }
             StartError::PeerListen(cause) => cause.fmt(f),
+            StartError::Shards(cause) => cause.fmt(f),
             StartError::Thread(cause) => {
                 write!(f, "can't start a thread ({cause}); raise the process's limits")
             }
@@ -53,10 +61,21 @@
 
 impl error::Error for StartError {}
 
+/// What a daemon is built from beside its settings.
+pub struct EntryParts {
+    /// Gives views.
+    pub source: Box<dyn source::ViewSource>,
+    /// Routes and admits.
+    pub policies: core::EntryPolicies,
+    /// The platform's table; without it, calls that may not be repeated are refused.
+    pub table: Option<Arc<dyn table::TableStore>>,
+}
+
 /// A running daemon.
 pub struct EntryDaemon {
     core: Arc<core::EntryCore>,
     peers: Arc<peer::PeerClients>,
+    shards: Option<service::ShardService>,
     address: SocketAddr,
     accepting: server::StopSignal,
     forced: server::StopSignal,
@@ -80,19 +99,22 @@
     ///
     /// Fails where an address is taken.
     pub async fn start(settings: settings::EntrySettings) -> Result<Self, StartError> {
-        let source = view_source(&settings.view);
-        EntryDaemon::start_with(settings, source, default_policies()).await
+        let parts = EntryParts {
+            source: view_source(&settings.view),
+            policies: default_policies(),
+            table: settings.platform.as_ref().map(platform_table),
+        };
+        EntryDaemon::start_with(settings, parts).await
     }
 
-    /// Starts with a source of views and policies of the caller's choice.
+    /// Starts with parts of the caller's choice.
     ///
     /// # Errors
     ///
     /// Fails where an address is taken.
     pub async fn start_with(
         settings: settings::EntrySettings,
-        source: Box<dyn source::ViewSource>,
-        policies: core::EntryPolicies,
+        parts: EntryParts,
     ) -> Result<Self, StartError> {
         let wanted = settings.http_address;
         let listener = net::TcpListener::bind(wanted)
@@ -103,18 +125,21 @@
         let interval = settings.view.interval_ms.to_duration();
         let peers = Arc::new(peer::PeerClients::new(settings.kept.peer_timeout_ms));
         let peer_address = settings.peer_address;
-        let core = Arc::new(core::EntryCore::new(settings, policies));
-        let entry_peer = Arc::new(handover::EntryPeer::new(core.clone()));
+        let core = Arc::new(core::EntryCore::new(settings, parts.policies));
+        let shards = start_shards(&core, &peers, parts.table)?;
+        let entry_peer = Arc::new(handover::EntryPeer::new(core.clone(), shards.clone()));
         let peer_server = peer_server::PeerServer::start(peer_address, entry_peer)
             .map_err(StartError::PeerListen)?;
-        source::start(source, core.clone(), interval).map_err(StartError::Thread)?;
+        source::start(parts.source, core.clone(), interval).map_err(StartError::Thread)?;
         let accepting = server::StopSignal::new();
-        let handler = Arc::new(handler::EntryHandler::new(core.clone(), peers.clone()));
+        let handler =
+            Arc::new(handler::EntryHandler::new(core.clone(), peers.clone(), shards.clone()));
         task::spawn(server::serve(listener, limits, handler, accepting.clone()));
         log_event!(event::LogEvent::ProcessStarted, address = address);
         Ok(EntryDaemon {
             core,
             peers,
+            shards,
             address,
             accepting,
             forced: server::StopSignal::new(),
@@ -133,6 +158,11 @@
         &self.core
     }
 
+    /// The shards of the idempotency keys, where the daemon has a table.
+    pub fn shards(&self) -> Option<&service::ShardService> {
+        self.shards.as_ref()
+    }
+
     /// Takes no new work from now on; a second call cuts the wait of [`finish`](Self::finish).
     pub fn stop(&self) {
         if self.stop_started.is_completed() {
@@ -156,14 +186,14 @@
         };
         while !is_cut(self.core.now()) {
             if self.is_idle() && self.core.now() >= grace_end {
-                self.end();
+                self.end().await;
                 return StopVerdict::Finished;
             }
             task::sleep(STOP_POLL.to_duration()).await;
         }
         log_event!(event::LogEvent::StopForced);
         self.hand_over_rest().await;
-        self.end();
+        self.end().await;
         StopVerdict::Forced
     }
 
@@ -184,7 +214,10 @@
         self.core.in_progress.load(atomic::Ordering::Relaxed) == 0
     }
 
-    fn end(&self) {
+    async fn end(&self) {
+        if let Some(shards) = &self.shards {
+            shards.stop(self.core.settings.stop.hand_over_ms).await;
+        }
         self.accepting.give();
         self.core.ending.give();
         log_event!(event::LogEvent::ProcessStopped);
@@ -207,6 +240,38 @@
     }
 }
 
+fn platform_table(platform: &settings::PlatformSettings) -> Arc<dyn table::TableStore> {
+    Arc::new(http::HttpPlatform::new(platform.address, http::DEFAULT_LIMITS))
+}
+
+fn start_shards(
+    core: &Arc<core::EntryCore>,
+    peers: &Arc<peer::PeerClients>,
+    table: Option<Arc<dyn table::TableStore>>,
+) -> Result<Option<service::ShardService>, StartError> {
+    let settings = &core.settings;
+    let Some(table) = table else { return Ok(None) };
+    let parts = service::ShardParts {
+        daemon: settings.daemon.clone(),
+        incarnation: new_incarnation(),
+        zone: settings.zone.clone(),
+        settings: settings.shards.clone(),
+        table,
+        runner: Arc::new(once::ClaimedRunner::new(core.clone())),
+        directory: Arc::new(once::ViewDirectory::new(core.clone())),
+        transport: Arc::new(once::LinkTransport::new(peers.clone())),
+    };
+    let started = service::ShardService::start(parts, core.metrics.registry());
+    started.map(Some).map_err(StartError::Shards)
+}
+
+/// The start's time: greater after each restart on a VM whose clock goes forward.
+fn new_incarnation() -> quantity::Incarnation {
+    let epoch = std::time::SystemTime::UNIX_EPOCH;
+    let length = std::time::SystemTime::now().duration_since(epoch).unwrap_or_default();
+    quantity::Incarnation::new(time::Millis::from(length).get())
+}
+
 /// The policies that the daemon runs with.
 pub fn default_policies() -> core::EntryPolicies {
     core::EntryPolicies {
--- a/crates/entry/src/handover.rs
+++ b/crates/entry/src/handover.rs
@@ -7,6 +7,8 @@
 use samphiremoor_base::time;
 use samphiremoor_limits::gate;
 use samphiremoor_peers::server;
+use samphiremoor_shards::message;
+use samphiremoor_shards::service;
 use samphiremoor_view::zone;
 
 use crate::core;
@@ -60,12 +62,13 @@
 /// Answers the questions of other entry daemons.
 pub struct EntryPeer {
     core: Arc<core::EntryCore>,
+    shards: Option<service::ShardService>,
 }
 
 impl EntryPeer {
     /// A handler for one daemon.
-    pub fn new(core: Arc<core::EntryCore>) -> Self {
-        EntryPeer { core }
+    pub fn new(core: Arc<core::EntryCore>, shards: Option<service::ShardService>) -> Self {
+        EntryPeer { core, shards }
     }
 }
 
@@ -75,6 +78,7 @@
 
     fn answer(&self, question: peer::EntryQuestion) -> server::AnswerFuture<peer::EntryAnswer> {
         let core = self.core.clone();
+        let shards = self.shards.clone();
         Box::pin(async move {
             match question {
                 peer::EntryQuestion::Locate(id) => {
@@ -87,6 +91,13 @@
                 peer::EntryQuestion::HandOver(handed) => {
                     peer::EntryAnswer::HandedOver(take_over(&core, *handed))
                 }
+                peer::EntryQuestion::Shard(question) => {
+                    let answer = match shards {
+                        Some(shards) => shards.answer(*question).await,
+                        None => message::ShardAnswer::NotHolder,
+                    };
+                    peer::EntryAnswer::Shard(Box::new(answer))
+                }
             }
         })
     }
--- a/crates/entry/src/headers.rs
+++ b/crates/entry/src/headers.rs
@@ -6,8 +6,7 @@
 use http_types::headers;
 use samphiremoor_base::id;
 use samphiremoor_httpio::problem;
-
-use crate::kept;
+use samphiremoor_shards::call;
 
 /// Header that carries the service's priority to upstreams.
 pub const PRIORITY_HEADER: &str = "Samphiremoor-Priority";
@@ -42,7 +41,7 @@
 /// The headers that are passed on.
 pub fn forwarded<'a>(
     headers: impl Iterator<Item = (&'a headers::HeaderName, &'a headers::HeaderValues)>,
-) -> Vec<kept::HeaderLine> {
+) -> Vec<call::CallHeader> {
     let mut lines = Vec::new();
     for (name, values) in headers {
         let name = name.as_str();
@@ -52,7 +51,7 @@
         let name: Arc<str> = Arc::from(name);
         for value in values {
             let value = Arc::from(value.as_str());
-            lines.push(kept::HeaderLine { name: name.clone(), value });
+            lines.push(call::CallHeader { name: name.clone(), value });
         }
     }
     lines
--- a/crates/entry/src/kept.rs
+++ b/crates/entry/src/kept.rs
@@ -9,32 +9,13 @@
 use samphiremoor_base::quantity;
 use samphiremoor_base::time;
 use samphiremoor_httpio::problem;
+use samphiremoor_shards::call;
 
 use crate::signal;
 use crate::wire::answer;
 use crate::wire::chunk;
 use crate::wire::request;
 
-/// A whole answer that is passed on as the upstream gave it.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct PlainAnswer {
-    /// HTTP status.
-    pub status: u16,
-    /// Headers but for those of the connection.
-    pub headers: Vec<HeaderLine>,
-    /// Body.
-    pub body: Arc<[u8]>,
-}
-
-/// One header.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct HeaderLine {
-    /// Name, in lower case.
-    pub name: Arc<str>,
-    /// Value.
-    pub value: Arc<str>,
-}
-
 /// How a kept request ended.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum KeptEnd {
@@ -46,7 +27,7 @@
         usage: Option<chunk::TokenUsage>,
     },
     /// The upstream's whole answer.
-    Plain(PlainAnswer),
+    Plain(call::CallResult),
     /// It failed.
     Failed(problem::CallProblem),
     /// Another daemon goes on with it.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod headers;
 pub mod kept;
 pub mod metrics;
+pub mod once;
 pub mod peer;
 pub mod registry;
 pub mod run;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -141,6 +141,11 @@
         }
     }
 
+    /// The registry, for the metrics of other crates.
+    pub fn registry(&self) -> &prometheus::Registry {
+        &self.registry
+    }
+
     /// Counts a refusal.
     pub fn refused(&self, reason: reason::RefusalReason) {
         self.refusals.with_label_values(&[reason.label()]).inc();
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -8,6 +8,7 @@
 use samphiremoor_base::id;
 use samphiremoor_base::time;
 use samphiremoor_peers::link;
+use samphiremoor_shards::message;
 use samphiremoor_view::zone;
 use serde::Deserialize;
 use serde::Serialize;
@@ -25,6 +26,8 @@
     Locate(id::RequestId),
     /// To go on with a request. May be sent again.
     HandOver(Box<HandedRequest>),
+    /// A question about shards.
+    Shard(Box<message::ShardQuestion>),
 }
 
 /// What an entry daemon answers.
@@ -35,6 +38,8 @@
     Located(LocateAnswer),
     /// Whether the request was taken.
     HandedOver(HandOverAnswer),
+    /// The answer about shards.
+    Shard(Box<message::ShardAnswer>),
 }
 
 /// Whether a daemon keeps a request.
@@ -138,7 +143,7 @@
         let question = EntryQuestion::Locate(id.clone());
         match self.ask(daemon.peer_address, &question).await? {
             EntryAnswer::Located(answer) => Ok(answer),
-            EntryAnswer::HandedOver(_) => Err(link::LinkError::Codec),
+            _ => Err(link::LinkError::Codec),
         }
     }
 
@@ -155,7 +160,23 @@
         let question = EntryQuestion::HandOver(Box::new(request.clone()));
         match self.ask(daemon.peer_address, &question).await? {
             EntryAnswer::HandedOver(answer) => Ok(answer),
-            EntryAnswer::Located(_) => Err(link::LinkError::Codec),
+            _ => Err(link::LinkError::Codec),
+        }
+    }
+
+    /// Asks a daemon about shards.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the daemon does not answer.
+    pub async fn ask_shard(
+        &self,
+        address: std::net::SocketAddr,
+        question: message::ShardQuestion,
+    ) -> Result<message::ShardAnswer, link::LinkError> {
+        match self.ask(address, &EntryQuestion::Shard(Box::new(question))).await? {
+            EntryAnswer::Shard(answer) => Ok(*answer),
+            _ => Err(link::LinkError::Codec),
         }
     }
 
--- a/crates/entry/src/run/attempt.rs
+++ b/crates/entry/src/run/attempt.rs
@@ -6,7 +6,9 @@
 use std::net;
 use std::pin;
 use std::sync::Arc;
+use std::time::Instant;
 
+use futures_lite::FutureExt as _;
 use futures_lite::StreamExt as _;
 use http_types::Method;
 use http_types::Request;
@@ -20,9 +22,9 @@
 use samphiremoor_httpio::client;
 use samphiremoor_httpio::problem;
 use samphiremoor_requests::input;
+use samphiremoor_shards::call;
 
 use crate::headers;
-use crate::kept;
 use crate::wire::chunk;
 
 /// What is sent to an upstream.
@@ -44,6 +46,8 @@
     pub body: Vec<u8>,
     /// Time limits.
     pub limits: client::CallLimits,
+    /// Time from the head of the answer to the first token.
+    pub first_token: time::Millis,
     /// Bytes of an answer that is not a stream.
     pub max_answer: quantity::ByteCount,
 }
@@ -70,7 +74,7 @@
         usage: Option<chunk::TokenUsage>,
     },
     /// The upstream refused the call as the caller's mistake.
-    Rejected(kept::PlainAnswer),
+    Rejected(call::CallResult),
     /// The dispatch failed.
     Failed(input::AttemptFailure),
 }
@@ -85,7 +89,7 @@
 
 enum OpenedAnswer {
     Stream(Box<Response>),
-    Rejected(kept::PlainAnswer),
+    Rejected(call::CallResult),
     Failed(input::AttemptFailure),
 }
 
@@ -97,6 +101,7 @@
     answer_name: Option<Arc<str>>,
     finish_reason: Option<Arc<str>>,
     usage: Option<chunk::TokenUsage>,
+    silence: SilenceWatch,
     ready: VecDeque<AttemptEvent>,
 }
 
@@ -105,6 +110,7 @@
     pub fn open(call: AttemptCall) -> Self {
         let request = call.request.clone();
         let next_offset = call.continue_from;
+        let silence = SilenceWatch::new(call.first_token, call.limits.silence);
         StreamAttempt {
             phase: AttemptPhase::Opening(Box::pin(open_answer(call))),
             request,
@@ -112,6 +118,7 @@
             answer_name: None,
             finish_reason: None,
             usage: None,
+            silence,
             ready: VecDeque::new(),
         }
     }
@@ -128,8 +135,17 @@
                     self.take_opened(opened);
                 }
                 AttemptPhase::Reading(decoder) => {
-                    let read = decoder.next().await;
-                    self.take_read(read);
+                    let read = async { Some(decoder.next().await) };
+                    let silence = async {
+                        self.silence.wait().await;
+                        None
+                    };
+                    match read.or(silence).await {
+                        Some(read) => self.take_read(read),
+                        None => {
+                            self.close_with(AttemptEvent::Failed(input::AttemptFailure::Silent));
+                        }
+                    }
                 }
                 AttemptPhase::Over => return future::pending().await,
             }
@@ -140,6 +156,7 @@
         match opened {
             OpenedAnswer::Stream(response) => {
                 self.phase = AttemptPhase::Reading(Box::new(async_sse::decode(*response)));
+                self.silence.start();
                 self.ready.push_back(AttemptEvent::Head);
             }
             OpenedAnswer::Rejected(answer) => self.close_with(AttemptEvent::Rejected(answer)),
@@ -176,6 +193,7 @@
         if let Some(text) = chunk.text() {
             let offset = self.offset_of(id);
             self.next_offset = offset.next();
+            self.silence.note_token();
             self.ready.push_back(AttemptEvent::Token { offset, text });
         }
         if let Some(reason) = chunk.finish_reason() {
@@ -221,6 +239,47 @@
     name.rsplit_once(':').is_some_and(|(_, unique)| uuid::Uuid::try_parse(unique).is_ok())
 }
 
+/// Finds a stream that brings no token in time.
+struct SilenceWatch {
+    first: time::Millis,
+    between: time::Millis,
+    since: Instant,
+    has_token: bool,
+    /// Set for the limit at some earlier token, and set anew only when it has run out.
+    timer: Option<async_io::Timer>,
+}
+
+impl SilenceWatch {
+    fn new(first: time::Millis, between: time::Millis) -> Self {
+        SilenceWatch { first, between, since: Instant::now(), has_token: false, timer: None }
+    }
+
+    fn start(&mut self) {
+        self.since = Instant::now();
+    }
+
+    fn note_token(&mut self) {
+        self.since = Instant::now();
+        if !self.has_token {
+            self.has_token = true;
+            self.timer = None;
+        }
+    }
+
+    async fn wait(&mut self) {
+        let limit = if self.has_token { self.between } else { self.first };
+        loop {
+            let end = self.since + limit.to_duration();
+            if Instant::now() >= end {
+                return;
+            }
+            let timer = self.timer.get_or_insert_with(|| async_io::Timer::at(end));
+            timer.await;
+            self.timer = None;
+        }
+    }
+}
+
 async fn open_answer(call: AttemptCall) -> OpenedAnswer {
     let request = match upstream_request(&call) {
         Ok(request) => request,
@@ -287,7 +346,7 @@
 pub async fn whole_answer(
     mut response: Response,
     limit: quantity::ByteCount,
-) -> Result<kept::PlainAnswer, input::AttemptFailure> {
+) -> Result<call::CallResult, input::AttemptFailure> {
     let status = u16::from(response.status());
     let headers = headers::forwarded(response.iter());
     let bytes = body::read(response.take_body(), limit).await.map_err(|cause| match cause {
@@ -295,7 +354,7 @@
         body::BodyError::Broken => input::AttemptFailure::Closed,
         body::BodyError::TooLarge(_) => input::AttemptFailure::WrongAnswer,
     })?;
-    Ok(kept::PlainAnswer { status, headers, body: Arc::from(bytes) })
+    Ok(call::CallResult { status, headers, body: Arc::from(bytes) })
 }
 
 fn read_failure(cause: &http_types::Error) -> input::AttemptFailure {
--- a/crates/entry/src/run/model.rs
+++ b/crates/entry/src/run/model.rs
@@ -255,6 +255,7 @@
             continue_from: order.continue_from,
             body: self.body.to_upstream(&self.target, &resume),
             limits: self.limits,
+            first_token: self.core.settings.upstreams.first_token_ms,
             max_answer: self.core.settings.upstreams.max_answer_bytes,
         };
         self.current = Some(CurrentAttempt {
@@ -321,9 +322,11 @@
 }
 
 fn prompt_usage(usage: chunk::TokenUsage) -> picker::PromptUsage {
-    let cached = usage.prompt_tokens_details.unwrap_or_default().cached_tokens;
-    let computed = usage.prompt_tokens.get().saturating_sub(cached.get());
-    picker::PromptUsage { cached, computed: quantity::TokenCount::new(computed) }
+    let details = usage.prompt_tokens_details.unwrap_or_default();
+    let cached = details.cached_tokens;
+    let uncached = usage.prompt_tokens.get().saturating_sub(cached.get());
+    let computed = details.computed_tokens.unwrap_or(quantity::TokenCount::new(uncached));
+    picker::PromptUsage { cached, computed }
 }
 
 /// Tells a replica that nobody wants the answer; a replica that does not hear it ends it when the
--- a/crates/entry/src/run/plain.rs
+++ b/crates/entry/src/run/plain.rs
@@ -18,10 +18,10 @@
 use samphiremoor_requests::input;
 use samphiremoor_requests::input::RequestInput;
 use samphiremoor_requests::policy;
+use samphiremoor_shards::call;
 
 use crate::core;
 use crate::headers;
-use crate::kept;
 use crate::run::attempt;
 use crate::run::shell;
 
@@ -33,7 +33,7 @@
     /// Path and query at the upstream.
     pub path: Arc<str>,
     /// Headers that are passed on.
-    pub headers: Vec<kept::HeaderLine>,
+    pub headers: Vec<call::CallHeader>,
     /// Body.
     pub body: Arc<[u8]>,
 }
@@ -44,7 +44,7 @@
     /// The end.
     pub end: action::RequestEnd,
     /// The answer, where the call was answered.
-    pub answer: Option<kept::PlainAnswer>,
+    pub answer: Option<call::CallResult>,
 }
 
 /// Runs a call to its end. A call that may not be repeated must be claimed before.
@@ -89,7 +89,7 @@
     }
 }
 
-type WholeResult = Result<kept::PlainAnswer, input::AttemptFailure>;
+type WholeResult = Result<call::CallResult, input::AttemptFailure>;
 
 enum PlainEvent {
     Woken,
--- a/crates/entry/src/serve/handler.rs
+++ b/crates/entry/src/serve/handler.rs
@@ -10,6 +10,7 @@
 use samphiremoor_base::id;
 use samphiremoor_base::reason;
 use samphiremoor_httpio::server;
+use samphiremoor_shards::service as shard_service;
 
 use crate::core;
 use crate::peer;
@@ -23,12 +24,17 @@
 pub struct EntryHandler {
     core: Arc<core::EntryCore>,
     peers: Arc<peer::PeerClients>,
+    shards: Option<shard_service::ShardService>,
 }
 
 impl EntryHandler {
     /// A handler for one daemon.
-    pub fn new(core: Arc<core::EntryCore>, peers: Arc<peer::PeerClients>) -> Self {
-        EntryHandler { core, peers }
+    pub fn new(
+        core: Arc<core::EntryCore>,
+        peers: Arc<peer::PeerClients>,
+        shards: Option<shard_service::ShardService>,
+    ) -> Self {
+        EntryHandler { core, peers, shards }
     }
 
     async fn call(
@@ -38,7 +44,9 @@
     ) -> Result<Response, reply::CallRefusal> {
         match CallPath::parse(&request) {
             Some(CallPath::Model(call)) => model::serve(&self.core, id, call, request).await,
-            Some(CallPath::Service(path)) => service::serve(&self.core, id, path, request).await,
+            Some(CallPath::Service(path)) => {
+                service::serve(&self.core, self.shards.as_ref(), id, path, request).await
+            }
             Some(CallPath::Attach(wanted)) => {
                 attach::serve(&self.core, &self.peers, &wanted, &request).await
             }
--- a/crates/entry/src/serve/reply.rs
+++ b/crates/entry/src/serve/reply.rs
@@ -9,10 +9,10 @@
 use samphiremoor_base::reason;
 use samphiremoor_base::time;
 use samphiremoor_httpio::problem;
+use samphiremoor_shards::call;
 
 use crate::core;
 use crate::finish;
-use crate::kept;
 
 /// A refusal, before it is an answer.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -75,7 +75,7 @@
 }
 
 /// The answer of an upstream, as it came.
-pub fn plain_reply(answer: &kept::PlainAnswer, request: &id::RequestId) -> Response {
+pub fn plain_reply(answer: &call::CallResult, request: &id::RequestId) -> Response {
     let status = StatusCode::try_from(answer.status).unwrap_or(StatusCode::BadGateway);
     let mut response = Response::new(status);
     response.set_body(answer.body.as_ref());
--- a/crates/entry/src/serve/service.rs
+++ b/crates/entry/src/serve/service.rs
@@ -5,19 +5,23 @@
 use async_std::task;
 use http_types::Request;
 use http_types::Response;
+use samphiremoor_base::digest;
 use samphiremoor_base::id;
-use samphiremoor_base::outcome;
 use samphiremoor_base::quantity;
 use samphiremoor_base::reason;
+use samphiremoor_claims::key;
 use samphiremoor_limits::gate;
 use samphiremoor_records::set;
 use samphiremoor_requests::action;
 use samphiremoor_requests::policy;
+use samphiremoor_shards::call;
+use samphiremoor_shards::service as shard_service;
 
 use crate::core;
 use crate::finish;
 use crate::headers;
 use crate::kept;
+use crate::once;
 use crate::registry;
 use crate::run::plain;
 use crate::run::shell;
@@ -54,6 +58,7 @@
 /// Refuses a call before anything of it has run.
 pub async fn serve(
     core: &Arc<core::EntryCore>,
+    shards: Option<&shard_service::ShardService>,
     id: id::RequestId,
     target: ServicePath,
     mut http_request: Request,
@@ -101,7 +106,8 @@
         let refusal = reply::CallRefusal::new(reason::RefusalReason::TooManyRequests);
         return Err(refusal.retry_after(core.settings.callers.retry_after_ms));
     }
-    let job = ServiceJob { kept: kept.clone(), service, call, key, admitted };
+    let shards = shards.cloned();
+    let job = ServiceJob { kept: kept.clone(), service, call, key, shards, admitted };
     task::spawn(job.run(core.clone()));
     Ok(whole_reply(core, kept).await)
 }
@@ -141,13 +147,14 @@
     service: set::ServiceRecord,
     call: plain::PlainCall,
     key: Option<id::IdempotencyKey>,
+    shards: Option<shard_service::ShardService>,
     admitted: core::AdmittedRequest,
 }
 
 impl ServiceJob {
     async fn run(mut self, core: Arc<core::EntryCore>) {
         let ended = match (self.service.repeatable, &self.key) {
-            (false, Some(key)) => run_once(&self, key),
+            (false, Some(key)) => self.run_once(&core, key.clone()).await,
             _ => self.run_repeatable(&core).await,
         };
         let first = core.now().since(self.kept.head.accepted_at);
@@ -178,14 +185,27 @@
         let deadline = self.kept.head.deadline;
         plain::run(core.clone(), context, self.call.clone(), rule, deadline).await
     }
-}
 
-/// Runs a call that may not be repeated.
-fn run_once(_: &ServiceJob, _: &id::IdempotencyKey) -> plain::PlainEnd {
-    let end = action::RequestEnd {
-        outcome: outcome::CallOutcome::NotRun,
-        cause: action::EndCause::Refused(reason::RefusalReason::ShardUnavailable),
-        retry_after: None,
-    };
-    plain::PlainEnd { end, answer: None }
+    async fn run_once(&self, core: &core::EntryCore, key: id::IdempotencyKey) -> plain::PlainEnd {
+        let Some(shards) = &self.shards else {
+            return once::refused(reason::RefusalReason::ShardUnavailable);
+        };
+        let head = &self.kept.head;
+        let parts = [self.call.method.as_ref().as_bytes(), self.call.path.as_bytes()];
+        let once_call = call::OnceCall {
+            key: key::CallKey {
+                workspace: head.workspace.clone(),
+                service: head.service.clone(),
+                key,
+            },
+            digest: digest::HexDigest::of_parts(&[parts[0], parts[1], &self.call.body]),
+            request: head.id.clone(),
+            method: Arc::from(self.call.method.as_ref()),
+            path: self.call.path.clone(),
+            headers: self.call.headers.clone(),
+            body: self.call.body.clone(),
+            remaining: head.deadline.since(core.now()),
+        };
+        once::submit(shards, once_call).await
+    }
 }
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -12,6 +12,7 @@
 use samphiremoor_requests::budget;
 use samphiremoor_requests::policy;
 use samphiremoor_settings::load;
+use samphiremoor_shards::settings as shard_settings;
 use serde::Deserialize;
 
 /// Everything that the settings file holds.
@@ -34,6 +35,11 @@
     pub log: String,
     /// Where the view comes from.
     pub view: ViewSettings,
+    /// The platform, which calls that may not be repeated need; without it they are refused.
+    pub platform: Option<PlatformSettings>,
+    /// Shards of the idempotency keys.
+    #[serde(default)]
+    pub shards: shard_settings::ShardSettings,
     /// Limits towards callers.
     #[serde(default)]
     pub callers: CallerSettings,
@@ -80,6 +86,15 @@
     time::Millis::new(1_000)
 }
 
+/// The platform.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PlatformSettings {
+    /// Where it answers.
+    pub address: net::SocketAddr,
+}
+
 /// Limits towards callers.
 #[derive(Clone, Debug, Eq, PartialEq)]
 #[derive(Deserialize)]
@@ -127,6 +142,8 @@
     pub connect_timeout_ms: time::Millis,
     /// Time to the head of a model's answer.
     pub head_timeout_ms: time::Millis,
+    /// Time from the head of a model's answer to its first token.
+    pub first_token_ms: time::Millis,
     /// Time to the head of a plain service's answer.
     pub answer_timeout_ms: time::Millis,
     /// Time without a byte after which a connection is silent.
@@ -141,7 +158,8 @@
     fn default() -> Self {
         UpstreamSettings {
             connect_timeout_ms: time::Millis::new(500),
-            head_timeout_ms: time::Millis::new(5_000),
+            head_timeout_ms: time::Millis::new(3_000),
+            first_token_ms: time::Millis::new(10_000),
             answer_timeout_ms: time::Millis::new(10_000),
             silence_ms: time::Millis::new(3_000),
             max_answer_bytes: quantity::ByteCount::new(4 * 1024 * 1024),
@@ -240,6 +258,7 @@
 impl load::CheckedSettings for EntrySettings {
     fn check(&self) -> Result<(), load::ValueError> {
         check_view(&self.view)?;
+        self.shards.check()?;
         for limit in self.counts() {
             limit.check()?;
         }
@@ -305,7 +324,7 @@
 }
 
 impl EntrySettings {
-    fn counts(&self) -> [PositiveLimit; 14] {
+    fn counts(&self) -> [PositiveLimit; 15] {
         let callers = &self.callers;
         let upstreams = &self.upstreams;
         [
@@ -320,6 +339,7 @@
             PositiveLimit::new("callers.max_deadline_ms", callers.max_deadline_ms.get()),
             PositiveLimit::new("upstreams.connect_timeout_ms", upstreams.connect_timeout_ms.get()),
             PositiveLimit::new("upstreams.head_timeout_ms", upstreams.head_timeout_ms.get()),
+            PositiveLimit::new("upstreams.first_token_ms", upstreams.first_token_ms.get()),
             PositiveLimit::new("upstreams.answer_timeout_ms", upstreams.answer_timeout_ms.get()),
             PositiveLimit::new("upstreams.silence_ms", upstreams.silence_ms.get()),
             PositiveLimit::new("retries.max_attempts", u64::from(self.retries.max_attempts)),
--- a/crates/entry/src/wire/chunk.rs
+++ b/crates/entry/src/wire/chunk.rs
@@ -74,6 +74,9 @@
     /// Tokens that were in the replica's cache.
     #[serde(default)]
     pub cached_tokens: quantity::TokenCount,
+    /// Tokens that were computed, where the upstream says it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub computed_tokens: Option<quantity::TokenCount>,
 }
 
 impl UpstreamChunk {
--- a/crates/peers/src/server.rs
+++ b/crates/peers/src/server.rs
@@ -3,9 +3,11 @@
 use std::error;
 use std::fmt;
 use std::future;
+use std::mem;
 use std::net;
 use std::pin;
 use std::sync;
+use std::sync::atomic;
 
 use async_std::task;
 use serde::Serialize;
@@ -52,8 +54,10 @@
 #[derive(Debug)]
 pub struct PeerServer {
     socket: nng::Socket,
+    listener: nng::Listener,
     // Dropping an operation would end its worker.
-    _workers: Vec<(nng::Context, nng::Aio)>,
+    workers: Vec<(nng::Context, nng::Aio)>,
+    ended: sync::Arc<atomic::AtomicBool>,
 }
 
 impl PeerServer {
@@ -68,31 +72,41 @@
     ) -> Result<PeerServer, ListenError> {
         let fail = |cause| ListenError { address, cause };
         let socket = nng::Socket::new(nng::Protocol::Rep0).map_err(fail)?;
+        let ended = sync::Arc::new(atomic::AtomicBool::new(false));
         let mut workers = Vec::with_capacity(CONTEXT_COUNT);
         for _ in 0..CONTEXT_COUNT {
             let context = nng::Context::new(&socket).map_err(fail)?;
-            let aio = worker(context.clone(), handler.clone()).map_err(fail)?;
+            let aio = worker(context.clone(), handler.clone(), ended.clone()).map_err(fail)?;
             workers.push((context, aio));
         }
-        socket.listen(&format!("tcp://{address}")).map_err(fail)?;
+        let listener = nng::Listener::new(&socket, &format!("tcp://{address}")).map_err(fail)?;
         for (context, aio) in &workers {
             context.recv(aio).map_err(fail)?;
         }
-        Ok(PeerServer { socket, _workers: workers })
+        Ok(PeerServer { socket, listener, workers, ended })
     }
 }
 
 impl Drop for PeerServer {
     fn drop(&mut self) {
-        self.socket.close();
+        self.ended.store(true, atomic::Ordering::Release);
+        // The address is free again when this returns.
+        self.listener.close();
+        // The library's close can wait for ever, or fail, while answers are being made. A process
+        // has one server, so what is left of it stays until the process ends.
+        mem::forget(mem::take(&mut self.workers));
+        mem::forget(self.socket.clone());
     }
 }
 
 fn worker<H: PeerHandler>(
     context: nng::Context,
     handler: sync::Arc<H>,
+    ended: sync::Arc<atomic::AtomicBool>,
 ) -> Result<nng::Aio, nng::Error> {
     nng::Aio::new(move |aio, result| match result {
+        // Callers see silence and dial anew.
+        _ if ended.load(atomic::Ordering::Acquire) => {}
         nng::AioResult::Send(_) | nng::AioResult::Sleep(_) => receive_next(&context, &aio),
         nng::AioResult::Recv(Ok(message)) => answer_one(&context, &aio, &handler, &message),
         // The socket is closed: the worker ends.
