--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -173,7 +173,7 @@
 #[derive(Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct RetrySettings {
-    /// Dispatches of one request, the first included.
+    /// Dispatches of one request that bring no new token, the first included.
     pub max_attempts: u32,
     /// Retries earned by each accepted request, in thousandths.
     pub budget_per_mille: quantity::PerMille,
--- a/crates/requests/src/action.rs
+++ b/crates/requests/src/action.rs
@@ -81,7 +81,7 @@
     WriteClaim,
     /// Choose a replica but for these, then hand in `ReplicaChosen` or `NoReplica`.
     ChooseReplica(AvoidedReplicas),
-    /// Send the request on a fresh connection.
+    /// Send the request on a fresh connection, in place of the last dispatch.
     Dispatch(DispatchOrder),
     /// Keep the token at this offset and pass it on to the caller.
     DeliverToken(quantity::TokenCount),
--- a/crates/requests/src/machine.rs
+++ b/crates/requests/src/machine.rs
@@ -39,6 +39,8 @@
     state: RequestState,
     assembly: stream::StreamAssembly,
     last_attempt: input::AttemptNumber,
+    /// Dispatches since the last token that was new.
+    fruitless: u32,
     replica: Option<id::ReplicaId>,
     redialled: bool,
     avoided: action::AvoidedReplicas,
@@ -61,6 +63,7 @@
             state: RequestState::Accepted,
             assembly: stream::StreamAssembly::resumed(delivered),
             last_attempt: input::AttemptNumber::default(),
+            fruitless: 0,
             replica: None,
             redialled: false,
             avoided: action::AvoidedReplicas::new(),
@@ -188,7 +191,11 @@
         }
         self.state = RequestState::Streaming(attempt);
         match self.assembly.accept(offset) {
-            stream::TokenVerdict::Next => smallvec![RequestAction::DeliverToken(offset)],
+            stream::TokenVerdict::Next => {
+                self.fruitless = 0;
+                self.lost_at = None;
+                smallvec![RequestAction::DeliverToken(offset)]
+            }
             stream::TokenVerdict::Duplicate => {
                 smallvec![RequestAction::Drop(action::DropCause::Duplicate)]
             }
@@ -226,20 +233,28 @@
         if now >= self.deadline {
             return self.give_up(reason::RefusalReason::DeadlinePassed);
         }
-        if self.last_attempt.get() >= self.policy.max_attempts {
+        if self.fruitless >= self.policy.max_attempts {
             return self.give_up(reason::RefusalReason::UpstreamFailed);
         }
         if !self.is_moved_freely(failure) && !gate.try_take() {
             return self.give_up(reason::RefusalReason::RetryBudgetSpent);
         }
         self.lost_at.get_or_insert(now);
-        let mut actions = self.leave_attempt(attempt, &replica, failure);
+        self.state = RequestState::Moved;
+        let mut actions = action::ActionList::new();
+        if self.delivered().get() > 0 {
+            actions.push(RequestAction::CountMove);
+        }
         actions.push(RequestAction::CountRetry(failure.retry_reason()));
         if failure == input::AttemptFailure::Silent && !self.redialled {
+            // No cancel: it could overtake the new dispatch and end that one at the replica.
             self.redialled = true;
             actions.extend(self.dispatch(now, replica));
             return actions;
         }
+        if !failure.is_not_run() {
+            actions.push(RequestAction::CancelAttempt { attempt, replica: replica.clone() });
+        }
         actions.extend(self.leave_replica(now, replica, failure, gate));
         actions
     }
@@ -250,23 +265,6 @@
         failure == input::AttemptFailure::ReplicaLeaving || self.delivered().get() > 0
     }
 
-    fn leave_attempt(
-        &mut self,
-        attempt: input::AttemptNumber,
-        replica: &id::ReplicaId,
-        failure: input::AttemptFailure,
-    ) -> action::ActionList {
-        self.state = RequestState::Moved;
-        let mut actions = action::ActionList::new();
-        if !failure.is_not_run() {
-            actions.push(RequestAction::CancelAttempt { attempt, replica: replica.clone() });
-        }
-        if self.delivered().get() > 0 {
-            actions.push(RequestAction::CountMove);
-        }
-        actions
-    }
-
     fn leave_replica(
         &mut self,
         now: time::MonotonicTime,
@@ -279,13 +277,13 @@
             actions.push(RequestAction::BlameReplica(replica.clone()));
         }
         self.avoided.push(replica);
-        let is_first_move = self.last_attempt.get() == 1 && self.is_moved_freely(failure);
+        let is_first_move = self.fruitless <= 1 && self.is_moved_freely(failure);
         if is_first_move {
             self.choose_at = Some(now);
             actions.push(RequestAction::ChooseReplica(self.avoided.clone()));
             return actions;
         }
-        let retry = self.last_attempt.get().saturating_sub(1);
+        let retry = self.fruitless.saturating_sub(1);
         let choose_at = now + self.policy.backoff.delay(retry, gate.draw());
         if choose_at >= self.deadline {
             actions.extend(self.give_up(reason::RefusalReason::DeadlineUnreachable));
@@ -329,6 +327,7 @@
 
     fn dispatch(&mut self, now: time::MonotonicTime, replica: id::ReplicaId) -> action::ActionList {
         self.last_attempt = self.last_attempt.next();
+        self.fruitless += 1;
         self.state = RequestState::Dispatched(self.last_attempt);
         self.replica = Some(replica.clone());
         self.doubtful += 1;
@@ -349,8 +348,12 @@
     }
 
     fn give_up(&mut self, reason: reason::RefusalReason) -> action::ActionList {
-        let retry_after = can_try_later(reason).then_some(self.policy.retry_after);
         let outcome = self.failed_outcome();
+        // Sending a call again that may have run tells no more of it.
+        let is_settled = self.policy.repeat == policy::RepeatRule::Once
+            && outcome == outcome::CallOutcome::Unknown;
+        let can_help = can_try_later(reason) && !is_settled;
+        let retry_after = can_help.then_some(self.policy.retry_after);
         self.finish(outcome, action::EndCause::Refused(reason), retry_after)
     }
 
--- a/crates/requests/src/policy.rs
+++ b/crates/requests/src/policy.rs
@@ -18,7 +18,7 @@
 pub struct RequestPolicy {
     /// Whether the call may be run more than once.
     pub repeat: RepeatRule,
-    /// Dispatches of one request, the first included.
+    /// Dispatches of one request that bring no new token, the first included.
     pub max_attempts: u32,
     /// Delays between attempts.
     pub backoff: backoff::BackoffPolicy,
