entry: move streams from leaving replicas with their KV cache; hand over on the VM's notice

Cause: a stream on an announced replica waited for its death, and lost the cache that could still be exported; a notice for the daemon's own VM was not acted on. Change: after a grace, streams on leaving replicas move; from a number of tokens on the KV cache goes along, while the old replica still streams. A daemon whose VM leaves stops and hands over after its own limit, also in the middle of a planned stop. Recomputed tokens are counted in one place, when a dispatch closes. Ruled out: moving at once at the notice (most short answers end in the grace, and each move costs at least the answer so far).

--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -39,6 +39,8 @@
     pub registry: registry::RequestRegistry,
     /// Given when new work is refused.
     pub stopping: server::StopSignal,
+    /// Given when the VM of this daemon is about to go.
+    pub reclaimed: server::StopSignal,
     /// Given when the daemon ends.
     pub ending: server::StopSignal,
     /// Requests in progress.
@@ -49,6 +51,8 @@
     gate: sync::Mutex<Box<dyn gate::AdmissionGate>>,
     budget: sync::Mutex<budget::RetryBudget>,
     blamed: sync::Mutex<HashMap<id::ReplicaId, time::MonotonicTime>>,
+    /// Leaving replicas, with the times at which their streams move.
+    leaving: sync::Mutex<HashMap<id::ReplicaId, time::MonotonicTime>>,
 }
 
 /// Policies that are chosen when the daemon starts.
@@ -73,6 +77,7 @@
             metrics: metrics::EntryMetrics::new(),
             registry: registry::RequestRegistry::new(limits),
             stopping: server::StopSignal::new(),
+            reclaimed: server::StopSignal::new(),
             ending: server::StopSignal::new(),
             in_progress: atomic::AtomicUsize::new(0),
             view: ArcSwapOption::empty(),
@@ -81,6 +86,7 @@
             gate: sync::Mutex::new(policies.gate),
             budget: sync::Mutex::new(budget),
             blamed: sync::Mutex::default(),
+            leaving: sync::Mutex::default(),
         }
     }
 
@@ -176,7 +182,11 @@
         self.metrics.in_progress.set(in_progress as i64);
         self.metrics.ready.set(i64::from(self.is_ready()));
         let limit = self.settings.kept.abandon_after_ms;
+        let left = self.left_replicas(now);
         for kept in self.registry.in_progress() {
+            for replica in &left {
+                kept.command(kept::RunCommand::LeaveReplica(replica.clone()));
+            }
             if kept.is_abandoned(now, limit) {
                 log_event!(event::LogEvent::CallerGone, request = kept.head.id);
                 kept.command(kept::RunCommand::Abandon);
@@ -184,6 +194,44 @@
         }
     }
 
+    /// Replicas whose streams move now.
+    fn left_replicas(&self, now: time::MonotonicTime) -> Vec<id::ReplicaId> {
+        let mut leaving = lock(&self.leaving);
+        let is_due = |(_, due): &(&id::ReplicaId, &time::MonotonicTime)| **due <= now;
+        let left: Vec<_> = leaving.iter().filter(is_due).map(|(id, _)| id.clone()).collect();
+        for replica in &left {
+            leaving.remove(replica);
+        }
+        left
+    }
+
+    /// Notes the replicas that leave since the last view.
+    fn note_leaving(&self, view: &zone::ZoneView, now: time::MonotonicTime) {
+        let before = self.view();
+        let was_leaving = |id: &id::ReplicaId| {
+            let known = before.as_ref().and_then(|snapshot| snapshot.replica(id));
+            known.is_some_and(|replica| replica.state != zone::UpstreamState::Live)
+        };
+        let due = now + self.settings.upstreams.leave_grace_ms;
+        let mut leaving = lock(&self.leaving);
+        for replica in &view.replicas {
+            if replica.state == zone::UpstreamState::Leaving && !was_leaving(&replica.id) {
+                leaving.insert(replica.id.clone(), due);
+            }
+        }
+    }
+
+    /// Stops the daemon where its VM is about to go.
+    fn note_own_state(&self, view: &zone::ZoneView) {
+        let own = view.daemons.iter().find(|daemon| daemon.id == self.settings.daemon);
+        let is_leaving = own.is_some_and(|own| own.state == zone::UpstreamState::Leaving);
+        if is_leaving && !self.reclaimed.is_given() {
+            log_event!(event::LogEvent::ProcessStopping, cause = "reclaim");
+            self.reclaimed.give();
+            self.stopping.give();
+        }
+    }
+
     fn blamed_at(&self, now: time::MonotonicTime) -> Vec<id::ReplicaId> {
         let mut blamed = lock(&self.blamed);
         blamed.retain(|_, until| *until > now);
@@ -224,6 +272,8 @@
         }
         drop(picker);
         self.metrics.revision.set(i64::try_from(revision.get()).unwrap_or(i64::MAX));
+        self.note_leaving(&view, now);
+        self.note_own_state(&view);
         let before = self.view.load().as_ref().map(|snapshot| snapshot.view.records.revision);
         if before != Some(revision) {
             log_event!(event::LogEvent::RevisionInForce, revision = revision);
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -178,17 +178,19 @@
     /// Waits for the requests in progress after [`stop`](Self::stop), or hands them over at the
     /// limit; then ends the servers.
     pub async fn finish(&self) -> StopVerdict {
-        let stop = &self.core.settings.stop;
-        let limit = (stop.limit_ms.get() > 0).then(|| self.core.now() + stop.limit_ms);
-        let grace_end = self.core.now() + stop.grace_ms;
-        let is_cut = |now: time::MonotonicTime| {
-            self.forced.is_given() || limit.is_some_and(|limit| now >= limit)
-        };
-        while !is_cut(self.core.now()) {
+        let grace_end = self.core.now() + self.core.settings.stop.grace_ms;
+        let mut limit = self.planned_limit();
+        let mut is_reclaim_noted = false;
+        while !self.is_cut(limit) {
             if self.is_idle() && self.core.now() >= grace_end {
                 self.end().await;
                 return StopVerdict::Finished;
             }
+            // The notice can come in the middle of a planned stop.
+            if self.core.reclaimed.is_given() && !is_reclaim_noted {
+                is_reclaim_noted = true;
+                limit = Some(self.core.now() + self.core.settings.stop.reclaim_ms);
+            }
             task::sleep(STOP_POLL.to_duration()).await;
         }
         log_event!(event::LogEvent::StopForced);
@@ -197,6 +199,16 @@
         StopVerdict::Forced
     }
 
+    /// When the wait for the requests in progress ends; never, where it has no limit.
+    fn planned_limit(&self) -> Option<time::MonotonicTime> {
+        let length = self.core.settings.stop.limit_ms;
+        (length.get() > 0).then(|| self.core.now() + length)
+    }
+
+    fn is_cut(&self, limit: Option<time::MonotonicTime>) -> bool {
+        self.forced.is_given() || limit.is_some_and(|limit| self.core.now() >= limit)
+    }
+
     async fn hand_over_rest(&self) {
         let limit = self.core.now() + self.core.settings.stop.hand_over_ms;
         handover::hand_over_all(&self.core, &self.peers).await;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -32,6 +32,8 @@
     pub kept_bytes: prometheus::IntGauge,
     /// Streams that went on at their offset on another connection.
     pub moved_streams: prometheus::IntCounter,
+    /// KV caches that were moved to the next replica.
+    pub moved_caches: prometheus::IntCounter,
     /// Tokens computed again by a replica that went on with a stream.
     pub recomputed_tokens: prometheus::IntCounter,
     /// Requests handed over to peers.
@@ -104,6 +106,11 @@
                 "samphiremoor_moved_streams_total",
                 "Streams that went on at their offset on another connection.",
             ),
+            moved_caches: counter(
+                &registry,
+                "samphiremoor_moved_caches_total",
+                "KV caches that were moved from a leaving replica to the next one.",
+            ),
             recomputed_tokens: counter(
                 &registry,
                 "samphiremoor_recomputed_tokens_total",
--- a/crates/entry/src/run/mod.rs
+++ b/crates/entry/src/run/mod.rs
@@ -4,3 +4,4 @@
 pub mod model;
 pub mod plain;
 pub mod shell;
+pub mod transfer;
--- a/crates/entry/src/run/model.rs
+++ b/crates/entry/src/run/model.rs
@@ -1,6 +1,8 @@
 //! Runs chat and completion calls: a stream that goes on over replicas.
 
+use std::future;
 use std::net;
+use std::pin;
 use std::sync::Arc;
 use std::time;
 
@@ -26,6 +28,7 @@
 use crate::metrics;
 use crate::run::attempt;
 use crate::run::shell;
+use crate::run::transfer;
 use crate::wire::chunk;
 use crate::wire::request;
 
@@ -55,6 +58,13 @@
     admitted: core::AdmittedRequest,
     commands: channel::Receiver<kept::RunCommand>,
     timer: RunTimer,
+    leaving: Option<LeavingMove>,
+}
+
+/// A move from a leaving replica that is being prepared while that replica still streams.
+struct LeavingMove {
+    attempt: input::AttemptNumber,
+    transfer: pin::Pin<Box<dyn future::Future<Output = transfer::TransferVerdict> + Send>>,
 }
 
 /// What wakes a run.
@@ -62,6 +72,7 @@
     Attempt(attempt::AttemptEvent),
     Woken,
     Command(kept::RunCommand),
+    Prepared(transfer::TransferVerdict),
 }
 
 impl ModelRun {
@@ -88,7 +99,7 @@
         let shell =
             shell::RequestShell::new(core.clone(), job.context, policy, deadline, delivered);
         let timer = RunTimer::default();
-        ModelRun { core, shell, driver, admitted: job.admitted, commands, timer }
+        ModelRun { core, shell, driver, admitted: job.admitted, commands, timer, leaving: None }
     }
 
     async fn run(mut self) {
@@ -99,6 +110,7 @@
                 RunEvent::Attempt(event) => self.take_attempt(event, &mut answer),
                 RunEvent::Woken => self.shell.feed(RequestInput::Woken, &mut self.driver),
                 RunEvent::Command(command) => self.take_command(command, &mut answer),
+                RunEvent::Prepared(verdict) => self.leave_replica(verdict),
             }
         }
         let end = self.shell.end().expect("the loop ends with an end");
@@ -111,7 +123,7 @@
         let attempt = async {
             match current {
                 Some(current) => RunEvent::Attempt(current.stream.next().await),
-                None => std::future::pending().await,
+                None => future::pending().await,
             }
         };
         let timer = &mut self.timer;
@@ -123,10 +135,17 @@
         let command = async {
             match commands.recv().await {
                 Ok(command) => RunEvent::Command(command),
-                Err(_) => std::future::pending().await,
+                Err(_) => future::pending().await,
             }
         };
-        attempt.or(woken).or(command).await
+        let leaving = &mut self.leaving;
+        let prepared = async {
+            match leaving {
+                Some(leaving) => RunEvent::Prepared((&mut leaving.transfer).await),
+                None => future::pending().await,
+            }
+        };
+        attempt.or(woken).or(command).or(prepared).await
     }
 
     fn take_attempt(&mut self, event: attempt::AttemptEvent, answer: &mut Option<kept::KeptEnd>) {
@@ -143,7 +162,7 @@
                 if let Some(usage) = usage {
                     self.shell.note_usage(prompt_usage(usage));
                 }
-                self.driver.count_recomputed(usage);
+                self.driver.close_attempt(usage);
                 let usage = usage.map(|usage| self.driver.caller_usage(usage));
                 *answer = Some(kept::KeptEnd::Streamed { finish_reason, usage });
                 RequestInput::AnswerEnded(number)
@@ -153,8 +172,7 @@
                 RequestInput::AnswerEnded(number)
             }
             attempt::AttemptEvent::Failed(failure) => {
-                self.driver.count_recomputed(None);
-                self.driver.current = None;
+                self.driver.close_attempt(None);
                 RequestInput::AttemptFailed { attempt: number, failure }
             }
         };
@@ -168,15 +186,46 @@
                 *answer = Some(kept::KeptEnd::HandedOver(peer));
                 RequestInput::HandedOver
             }
-            kept::RunCommand::LeaveReplica(replica) => {
-                let Some(attempt) = self.driver.attempt_number() else { return };
-                if self.shell.replica() != Some(&replica) {
-                    return;
-                }
-                let failure = input::AttemptFailure::ReplicaLeaving;
-                RequestInput::AttemptFailed { attempt, failure }
-            }
+            kept::RunCommand::LeaveReplica(replica) => return self.prepare_move(&replica),
+        };
+        self.shell.feed(input, &mut self.driver);
+    }
+
+    /// Starts the transfer of the KV cache; where no other replica is left, the stream stays.
+    fn prepare_move(&mut self, replica: &id::ReplicaId) {
+        let Some(attempt) = self.driver.attempt_number() else { return };
+        if self.shell.replica() != Some(replica) {
+            return;
+        }
+        let Some(next) = self.shell.plan_move() else { return };
+        let addresses = (self.shell.address_of(replica), self.shell.address_of(&next));
+        let (Some(from), Some(to)) = addresses else { return };
+        let upstreams = &self.core.settings.upstreams;
+        let tokens = self.driver.prompt_tokens.get() + self.driver.kept.token_count().get();
+        if tokens < upstreams.kv_transfer_min_tokens.get() {
+            let verdict = transfer::TransferVerdict::Failed;
+            let transfer = Box::pin(future::ready(verdict));
+            self.leaving = Some(LeavingMove { attempt, transfer });
+            return;
+        }
+        let transfer = transfer::KvTransfer {
+            from,
+            to,
+            request: self.driver.kept.head.id.clone(),
+            limits: self.driver.limits,
+            max_bytes: upstreams.max_answer_bytes,
         };
+        self.leaving = Some(LeavingMove { attempt, transfer: Box::pin(transfer.run()) });
+    }
+
+    fn leave_replica(&mut self, verdict: transfer::TransferVerdict) {
+        let Some(leaving) = self.leaving.take() else { return };
+        if verdict == transfer::TransferVerdict::Moved {
+            self.core.metrics.moved_caches.inc();
+        }
+        let failure = input::AttemptFailure::ReplicaLeaving;
+        let input = RequestInput::AttemptFailed { attempt: leaving.attempt, failure };
+        // An attempt that ended meanwhile is not the present one, and nothing happens.
         self.shell.feed(input, &mut self.driver);
     }
 
@@ -214,7 +263,7 @@
                 timer.await;
                 self.at = None;
             }
-            None => std::future::pending().await,
+            None => future::pending().await,
         }
     }
 }
@@ -223,6 +272,7 @@
 struct CurrentAttempt {
     number: input::AttemptNumber,
     continue_from: quantity::TokenCount,
+    has_token: bool,
     stream: attempt::StreamAttempt,
 }
 
@@ -244,6 +294,7 @@
 
 impl shell::CallDriver for StreamDriver {
     fn dispatch(&mut self, order: &action::DispatchOrder, address: net::SocketAddr) {
+        self.close_attempt(None);
         let tokens = self.kept.progress(0).tokens;
         let resume = request::ResumePoint { offset: order.continue_from, text: tokens.concat() };
         let call = attempt::AttemptCall {
@@ -261,6 +312,7 @@
         self.current = Some(CurrentAttempt {
             number: order.attempt,
             continue_from: order.continue_from,
+            has_token: false,
             stream: attempt::StreamAttempt::open(call),
         });
     }
@@ -268,11 +320,14 @@
     fn deliver(&mut self, _: quantity::TokenCount) {
         let Some(text) = self.announced.take() else { return };
         self.observe_token();
+        if let Some(current) = &mut self.current {
+            current.has_token = true;
+        }
         self.kept.push_token(text);
     }
 
     fn cancel(&mut self, address: Option<net::SocketAddr>) {
-        self.current = None;
+        self.close_attempt(None);
         let Some(address) = address else { return };
         let cancel = cancel_call(address, self.kept.head.id.clone(), self.limits);
         task::spawn(cancel);
@@ -296,10 +351,10 @@
         }
     }
 
-    /// Counts what a replica computed again to go on with the stream.
-    fn count_recomputed(&self, usage: Option<chunk::TokenUsage>) {
-        let Some(current) = &self.current else { return };
-        if current.continue_from.get() == 0 {
+    /// Closes the open dispatch and counts what its replica computed again to go on with the stream.
+    fn close_attempt(&mut self, usage: Option<chunk::TokenUsage>) {
+        let Some(current) = self.current.take() else { return };
+        if current.continue_from.get() == 0 || !(current.has_token || usage.is_some()) {
             return;
         }
         let recomputed = match usage.map(prompt_usage) {
--- a/crates/entry/src/run/shell.rs
+++ b/crates/entry/src/run/shell.rs
@@ -55,6 +55,7 @@
     machine: machine::RequestMachine,
     wakes: SmallVec<[time::MonotonicTime; 2]>,
     open: Option<OpenDispatch>,
+    planned: Option<id::ReplicaId>,
     end: Option<action::RequestEnd>,
 }
 
@@ -77,7 +78,15 @@
         delivered: quantity::TokenCount,
     ) -> Self {
         let machine = machine::RequestMachine::new(policy, deadline, delivered);
-        RequestShell { core, context, machine, wakes: SmallVec::new(), open: None, end: None }
+        RequestShell {
+            core,
+            context,
+            machine,
+            wakes: SmallVec::new(),
+            open: None,
+            planned: None,
+            end: None,
+        }
     }
 
     /// The request's end, once it has one.
@@ -90,6 +99,18 @@
         self.open.as_ref().map(|open| &open.replica)
     }
 
+    /// Chooses the replica that is to go on when the present one is left.
+    pub fn plan_move(&mut self) -> Option<id::ReplicaId> {
+        let present = self.replica()?.clone();
+        match self.choose(&[present]) {
+            RequestInput::ReplicaChosen(next) => {
+                self.planned = Some(next.clone());
+                Some(next)
+            }
+            _ => None,
+        }
+    }
+
     /// When the machine wants to be woken next.
     pub fn next_wake(&self) -> Option<time::MonotonicTime> {
         self.wakes.iter().min().copied()
@@ -146,7 +167,11 @@
         match action {
             // The claim is written by the shards before a runner is started.
             RequestAction::WriteClaim => return Some(RequestInput::Claimed),
-            RequestAction::ChooseReplica(avoided) => return Some(self.choose(&avoided)),
+            RequestAction::ChooseReplica(avoided) => {
+                let planned = self.planned.take().filter(|planned| !avoided.contains(planned));
+                let chosen = planned.map(RequestInput::ReplicaChosen);
+                return Some(chosen.unwrap_or_else(|| self.choose(&avoided)));
+            }
             RequestAction::Dispatch(order) => return self.dispatch(&order, driver),
             RequestAction::DeliverToken(offset) => driver.deliver(offset),
             RequestAction::Drop(cause) => self.core.metrics.dropped(cause),
@@ -230,7 +255,8 @@
         });
     }
 
-    fn address_of(&self, replica: &id::ReplicaId) -> Option<net::SocketAddr> {
+    /// Where a replica serves, while the view has it.
+    pub fn address_of(&self, replica: &id::ReplicaId) -> Option<net::SocketAddr> {
         let snapshot = self.core.view()?;
         snapshot.replica(replica).map(|replica| replica.address)
     }
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -152,6 +152,10 @@
     pub max_answer_bytes: quantity::ByteCount,
     /// Time for which a blamed replica gets no requests.
     pub blame_ms: time::Millis,
+    /// Time after which streams on a leaving replica move, so that short ones end there.
+    pub leave_grace_ms: time::Millis,
+    /// Tokens of prompt and answer from which on their KV cache is moved along.
+    pub kv_transfer_min_tokens: quantity::TokenCount,
 }
 
 impl Default for UpstreamSettings {
@@ -164,6 +168,8 @@
             silence_ms: time::Millis::new(3_000),
             max_answer_bytes: quantity::ByteCount::new(4 * 1024 * 1024),
             blame_ms: time::Millis::new(2_000),
+            leave_grace_ms: time::Millis::new(500),
+            kv_transfer_min_tokens: quantity::TokenCount::new(64),
         }
     }
 }
@@ -241,6 +247,8 @@
     pub grace_ms: time::Millis,
     /// Time after which the requests in progress are handed over; 0 waits without a limit.
     pub limit_ms: time::Millis,
+    /// Time after which the requests in progress are handed over where the VM is about to go.
+    pub reclaim_ms: time::Millis,
     /// Time for the hand-over itself.
     pub hand_over_ms: time::Millis,
 }
@@ -250,6 +258,7 @@
         StopSettings {
             grace_ms: time::Millis::new(3_000),
             limit_ms: time::Millis::new(0),
+            reclaim_ms: time::Millis::new(1_500),
             hand_over_ms: time::Millis::new(3_000),
         }
     }
--- a/crates/entry/tests/attach.rs
+++ b/crates/entry/tests/attach.rs
@@ -189,3 +189,23 @@
     assert_eq!(answer.text(), upstream::whole_text("hello", LENGTH));
     assert!(answer.is_done);
 }
+
+#[test]
+fn notice_for_the_vm_hands_the_streams_over() {
+    let engine = FakeEngine::start(1_000);
+    let view = fixture::SharedView::new(&[engine.address()], &[]);
+    let owner = fixture::TestDaemon::start_with(&view, |settings| {
+        settings.stop.reclaim_ms = samphiremoor_base::time::Millis::new(50);
+    });
+    let other = fixture::TestDaemon::start(&view);
+    owner.wait_for_view();
+    let before = start_and_leave(&owner, &engine);
+    view.change(|view| view.daemons[0].state = zone::UpstreamState::Leaving);
+    task::block_on(owner.entry.core().stopping.given());
+    let verdict = task::block_on(owner.entry.finish());
+    assert_eq!(verdict, samphiremoor_entry::daemon::StopVerdict::Forced);
+    engine.set_fault(EngineFault::None);
+    let kept = other.entry.core().registry.in_progress();
+    assert_eq!(kept.len(), 1);
+    assert_eq!(kept[0].head.id.as_str(), before.request_id);
+}
--- a/crates/entry/tests/streams.rs
+++ b/crates/entry/tests/streams.rs
@@ -61,3 +61,36 @@
         assert_eq!(answer.chat_text(), upstream::whole_text("whole", LENGTH));
     }
 }
+
+/// Moves a stream from an engine that is announced to leave; the cache goes along or not.
+fn check_leaving(min_tokens: u64, expected_paths: &[&str]) {
+    let leaving = FakeEngine::start(200);
+    let next = FakeEngine::start(200);
+    leaving.set_fault(EngineFault::Slow(10));
+    let view = fixture::SharedView::new(&[leaving.address(), next.address()], &[]);
+    view.change(|view| view.replicas[1].load.running = 9);
+    let daemon = fixture::TestDaemon::start_with(&view, |settings| {
+        settings.upstreams.leave_grace_ms = samphiremoor_base::time::Millis::new(1);
+        settings.upstreams.kv_transfer_min_tokens =
+            samphiremoor_base::quantity::TokenCount::new(min_tokens);
+    });
+    let reading = task::spawn(TestCall::chat(daemon.entry.address(), "hello", true).stream());
+    fixture::wait_until("the stream has begun", || {
+        let kept = daemon.entry.core().registry.in_progress();
+        kept.iter().any(|kept| kept.token_count().get() > 2)
+    });
+    view.change(|view| view.replicas[0].state = samphiremoor_view::zone::UpstreamState::Leaving);
+    let answer = task::block_on(reading);
+    assert_eq!(answer.text(), upstream::whole_text("hello", 200));
+    assert!(answer.is_done);
+    let paths = [leaving.paths(), next.paths()].concat();
+    let moved: Vec<_> = paths.iter().filter(|path| path.starts_with("/kv")).collect();
+    assert_eq!(moved, expected_paths);
+    assert_eq!(daemon.metric("samphiremoor_moved_streams_total", ""), 1.0);
+    assert!(daemon.metric("samphiremoor_recomputed_tokens_total", "") > 0.0);
+}
+
+cases! {
+    leaving_replica_exports_its_cache => check_leaving(1, &["/kv/export", "/kv/import"]);
+    short_stream_is_computed_again => check_leaving(100_000, &[]);
+}
