--- /dev/null
+++ b/crates/entry/tests/wire.rs
@@ -0,0 +1,168 @@
+//! Wire types: nothing panics on input, and nothing of the caller's body is lost.
+
+use std::sync::Arc;
+
+use proptest::prelude;
+use proptest::prelude::Strategy as _;
+use proptest::strategy;
+use proptest::test_runner;
+use samphiremoor_base::quantity;
+use samphiremoor_base::testing;
+use samphiremoor_base::time;
+use samphiremoor_entry::peer;
+use samphiremoor_entry::serve::service;
+use samphiremoor_entry::wire::chunk;
+use samphiremoor_entry::wire::request;
+use samphiremoor_records::set;
+use serde_json::Map;
+use serde_json::Value;
+
+const CALLS: [request::ModelCall; 2] = [request::ModelCall::Chat, request::ModelCall::Completion];
+
+/// JSON of every shape, with the names that the calls know among its keys.
+fn json() -> impl strategy::Strategy<Value = Value> {
+    let leaf = proptest::prop_oneof![
+        strategy::Just(Value::Null),
+        proptest::bool::ANY.prop_map(Value::Bool),
+        proptest::num::i64::ANY.prop_map(Value::from),
+        "[a-z@/é\"\\\\]{0,8}".prop_map(Value::String),
+    ];
+    leaf.prop_recursive(4, 32, 6, |inner| {
+        let items = proptest::collection::vec(inner.clone(), 0..6);
+        let fields = proptest::collection::btree_map(key(), inner, 0..6);
+        proptest::prop_oneof![
+            items.prop_map(Value::Array),
+            fields.prop_map(|fields| Value::Object(fields.into_iter().collect())),
+        ]
+    })
+}
+
+fn key() -> impl strategy::Strategy<Value = String> {
+    let known = [
+        "model",
+        "messages",
+        "prompt",
+        "stream",
+        "n",
+        "role",
+        "content",
+        "id",
+        "choices",
+        "delta",
+        "text",
+        "finish_reason",
+        "usage",
+        "prompt_tokens",
+        "stream_options",
+        "include_usage",
+    ];
+    proptest::prop_oneof![
+        4 => proptest::sample::select(known.to_vec()).prop_map(str::to_owned),
+        1 => "[a-z]{0,4}",
+    ]
+}
+
+fn target() -> set::LoadedModel {
+    let id = |text: &str| text.to_owned();
+    set::LoadedModel {
+        model: id("drafter").try_into().expect("a valid identifier"),
+        version: id("3").try_into().expect("a valid identifier"),
+        adapter: None,
+    }
+}
+
+fn config() -> test_runner::Config {
+    test_runner::Config {
+        rng_seed: test_runner::RngSeed::Fixed(testing::seed()),
+        failure_persistence: None,
+        ..test_runner::Config::default()
+    }
+}
+
+proptest::proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn any_bytes_are_a_body_or_a_fault(bytes in proptest::collection::vec(0..=255_u8, 0..200)) {
+        for call in CALLS {
+            let _ = request::CallBody::parse(call, &bytes);
+        }
+        let _ = chunk::UpstreamChunk::parse(&bytes);
+    }
+
+    #[test]
+    fn any_json_is_a_body_or_a_fault(value in json()) {
+        let bytes = value.to_string().into_bytes();
+        for call in CALLS {
+            if let Ok(body) = request::CallBody::parse(call, &bytes) {
+                body.prompt_text();
+                body.to_upstream(&target(), &request::ResumePoint::default());
+            }
+        }
+        if let Ok(chunk) = chunk::UpstreamChunk::parse(&bytes) {
+            chunk.text();
+            chunk.finish_reason();
+        }
+    }
+
+    #[test]
+    fn upstream_gets_every_field_of_the_caller(
+        extra in proptest::collection::btree_map("x_[a-z]{1,4}", json(), 0..4),
+        offset in 0..9_u64,
+    ) {
+        let mut fields: Map<String, Value> = extra.into_iter().collect();
+        fields.insert("model".to_owned(), Value::from("assistant@3"));
+        fields.insert("prompt".to_owned(), Value::from("hello"));
+        // A caller can't set what the daemon sets.
+        fields.insert("continue_from".to_owned(), Value::from(77));
+        let bytes = serde_json::to_vec(&fields).expect("JSON");
+        let body = request::CallBody::parse(request::ModelCall::Completion, &bytes);
+        let body = body.expect("the body is whole");
+        let resume = request::ResumePoint {
+            offset: quantity::TokenCount::new(offset),
+            text: "so far".to_owned(),
+        };
+        let sent: Map<String, Value> =
+            serde_json::from_slice(&body.to_upstream(&target(), &resume)).expect("JSON");
+        for (key, value) in fields.iter().filter(|(key, _)| key.starts_with("x_")) {
+            prelude::prop_assert_eq!(sent.get(key), Some(value));
+        }
+        prelude::prop_assert_eq!(&sent["model"], "drafter");
+        prelude::prop_assert_eq!(&sent["prompt"], "hello");
+        let from = sent.get("continue_from").and_then(Value::as_u64);
+        prelude::prop_assert_eq!(from, (offset > 0).then_some(offset));
+    }
+
+    #[test]
+    fn any_path_is_a_service_or_none(rest in "\\PC{0,40}", query in proptest::option::of("\\PC{0,9}")) {
+        let parsed = service::ServicePath::parse(&rest, query.as_deref());
+        if let Some(parsed) = parsed {
+            prelude::prop_assert!(parsed.path.starts_with('/'));
+        }
+    }
+
+    #[test]
+    fn any_bytes_are_a_message_or_a_fault(bytes in proptest::collection::vec(0..=255_u8, 0..200)) {
+        let _ = postcard::from_bytes::<peer::EntryQuestion>(&bytes);
+        let _ = postcard::from_bytes::<peer::EntryAnswer>(&bytes);
+    }
+
+    #[test]
+    fn handed_request_comes_over_whole(
+        body in "\\PC{0,40}",
+        tokens in proptest::collection::vec("\\PC{0,9}", 0..9),
+    ) {
+        let handed = peer::HandedRequest {
+            id: "entry-1:1".parse().expect("a valid identifier"),
+            workspace: "clinic".parse().expect("a valid identifier"),
+            call: request::ModelCall::Chat,
+            body,
+            tokens: tokens.into_iter().map(Arc::from).collect(),
+            remaining: time::Millis::new(9),
+            created_s: 7,
+        };
+        let question = peer::EntryQuestion::HandOver(Box::new(handed));
+        let bytes = postcard::to_stdvec(&question).expect("the message has a wire form");
+        prelude::prop_assert_eq!(postcard::from_bytes::<peer::EntryQuestion>(&bytes), Ok(question));
+    }
+}
