--- /dev/null
+++ b/crates/control/examples/distribution.rs
@@ -0,0 +1,293 @@
+//! Measures control with many small daemons in one process, over loopback.
+//!
+//! `cargo run --release -p samphiremoor-control --example distribution -- --daemons 100 --zones 4
+//! --replicas 400 --changes 20`. The platform is in memory and upstreams answer at once; messages
+//! between daemons are real. Bytes are those of encoded messages, without the frames of TCP.
+
+use std::fs;
+use std::net;
+use std::sync;
+use std::thread;
+use std::time::Instant;
+
+use async_std::task;
+use async_trait::async_trait;
+use samphiremoor_base::id;
+use samphiremoor_base::quantity;
+use samphiremoor_base::time;
+use samphiremoor_control::metrics;
+use samphiremoor_control::shell;
+use samphiremoor_control::upstream;
+use samphiremoor_head::change;
+use samphiremoor_membership::daemons;
+use samphiremoor_membership::news;
+use samphiremoor_platform::cloud;
+use samphiremoor_platform::table;
+use samphiremoor_platform::table::TableStore as _;
+use samphiremoor_platform_client::memory;
+use samphiremoor_records::entry;
+use samphiremoor_records::file;
+use samphiremoor_records::revision;
+use samphiremoor_view::zone;
+use smallvec::SmallVec;
+
+/// Many daemons in one process.
+#[derive(Debug, argh::FromArgs)]
+struct MeasureArgs {
+    /// daemons
+    #[argh(option, default = "40")]
+    daemons: usize,
+    /// availability zones
+    #[argh(option, default = "4")]
+    zones: usize,
+    /// upstreams over all zones
+    #[argh(option, default = "80")]
+    replicas: usize,
+    /// changes of the records
+    #[argh(option, default = "20")]
+    changes: usize,
+    /// connections that each daemon keeps
+    #[argh(option, default = "24")]
+    links: usize,
+    /// seconds without a change in which traffic and processor time are measured
+    #[argh(option, default = "15")]
+    seconds: u64,
+    /// lowest port
+    #[argh(option, default = "30000")]
+    port: u16,
+}
+
+/// Upstreams that are ready; the load of one changes between polls.
+#[derive(Debug, Default)]
+struct BusyPoller {
+    polls: sync::atomic::AtomicU32,
+}
+
+#[async_trait]
+impl upstream::UpstreamPoller for BusyPoller {
+    async fn poll(&self, address: net::SocketAddr) -> news::ReplicaAnswer {
+        let count = self.polls.fetch_add(1, sync::atomic::Ordering::Relaxed);
+        let running = (count.wrapping_mul(7) ^ u32::from(address.port())) % 32;
+        let load = zone::LoadReport { running, ..zone::LoadReport::default() };
+        let model = samphiremoor_records::set::LoadedModel {
+            model: "steppe-8b".parse().expect("a model"),
+            version: "2026-05".parse().expect("a version"),
+            adapter: None,
+        };
+        news::ReplicaAnswer::Ready {
+            models: SmallVec::from_iter([model]),
+            load: news::LoadLevel::of(&load),
+        }
+    }
+}
+
+fn address(port: u16, offset: usize) -> net::SocketAddr {
+    let port = usize::from(port) + offset;
+    net::SocketAddr::from(([127, 0, 0, 1], u16::try_from(port).expect("ports are left")))
+}
+
+fn zone_name(args: &MeasureArgs, index: usize) -> id::ZoneId {
+    format!("zone-{}", index % args.zones).parse().expect("a zone")
+}
+
+fn entry_vm(args: &MeasureArgs, index: usize) -> cloud::VmEntry {
+    vm(
+        &format!("entry-vm-{index:04}"),
+        zone_name(args, index),
+        cloud::VmRole::Entry {
+            http_address: address(1, index),
+            peer_address: address(1_001, index),
+            control_address: address(args.port, index),
+        },
+    )
+}
+
+fn upstream_vm(args: &MeasureArgs, index: usize) -> cloud::VmEntry {
+    let role = cloud::VmRole::Upstream {
+        pool: "assistant-pool".parse().expect("a pool"),
+        address: address(1, index),
+    };
+    vm(&format!("engine-vm-{index:05}"), zone_name(args, index), role)
+}
+
+fn vm(name: &str, zone: id::ZoneId, role: cloud::VmRole) -> cloud::VmEntry {
+    cloud::VmEntry {
+        id: name.parse().expect("a VM"),
+        zone,
+        class: "class".parse().expect("a class"),
+        reclaimable: true,
+        price: quantity::MicroPrice::new(1),
+        state: cloud::VmState::Live,
+        role,
+    }
+}
+
+/// The example's records, with a limit that differs in each change.
+fn records(change: usize) -> entry::RecordBundle {
+    let text = include_str!("../../../deploy/examples/records-v1.toml");
+    let text = text.replace("max_in_progress = 64", &format!("max_in_progress = {}", 64 + change));
+    entry::RecordBundle::new(file::parse(&text).expect("the example is read").entries)
+}
+
+fn write(table: &memory::MemoryTable, change: usize) {
+    let head_key = table::RowKey::new(revision::HEAD_KEY);
+    let row = task::block_on(table.read(&head_key)).expect("the table is in memory");
+    let base = row.map(|row| change::BaseHead {
+        row: revision::HeadRow::parse(&row.value).expect("a head"),
+        version: row.version,
+    });
+    let author = change::ChangeAuthor {
+        write_id: format!("change-{change}").parse().expect("a write id"),
+        name: sync::Arc::from("measure"),
+        written_at: 0,
+    };
+    let driver = change::ChangeDriver::new(base.as_ref(), &records(change), Vec::new(), author);
+    task::block_on(table.commit(driver.transaction())).expect("the table is in memory");
+}
+
+fn start(
+    args: &MeasureArgs,
+    index: usize,
+    ports: &shell::ControlPorts,
+) -> shell::ControlDaemon {
+    let mut own = daemons::from_entry(&entry_vm(args, index)).expect("an entry VM");
+    own.standing.incarnation = shell::new_incarnation();
+    let start = shell::ControlStart {
+        own,
+        seeds: Vec::new(),
+        peer_timeout: time::Millis::new(1_000),
+        max_links: args.links,
+        seed: index as u64,
+    };
+    let metrics = metrics::ControlMetrics::new();
+    shell::ControlDaemon::start(start, ports.clone(), metrics).expect("the ports are free")
+}
+
+fn revision_of(daemon: &shell::ControlDaemon) -> u64 {
+    daemon.board().shown().map_or(0, |view| view.records.revision.get())
+}
+
+/// Milliseconds until each daemon has the revision; none where one lacks it after 30 s.
+fn await_revision(running: &[shell::ControlDaemon], revision: u64) -> Option<Vec<u64>> {
+    let begin = Instant::now();
+    let mut times: Vec<Option<u64>> = vec![None; running.len()];
+    while times.iter().any(Option::is_none) {
+        let passed = u64::try_from(begin.elapsed().as_millis()).unwrap_or(u64::MAX);
+        if passed > 30_000 {
+            return None;
+        }
+        for (daemon, time) in running.iter().zip(&mut times) {
+            if time.is_none() && revision_of(daemon) >= revision {
+                *time = Some(passed);
+            }
+        }
+        thread::sleep(std::time::Duration::from_millis(2));
+    }
+    times.into_iter().collect()
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Totals {
+    calls: u64,
+    bytes: u64,
+    polls: u64,
+    reads: u64,
+    cpu_ms: u64,
+}
+
+fn totals(running: &[shell::ControlDaemon]) -> Totals {
+    let mut totals = Totals { cpu_ms: cpu_ms(), ..Totals::default() };
+    for daemon in running {
+        let text = daemon.metrics().to_text();
+        totals.calls += sum(&text, "samphiremoor_peer_calls_total");
+        totals.bytes += sum(&text, "samphiremoor_peer_bytes_total");
+        totals.polls += sum(&text, "samphiremoor_upstream_polls_total");
+        totals.reads += sum(&text, "samphiremoor_platform_reads_total");
+    }
+    totals
+}
+
+fn sum(text: &str, name: &str) -> u64 {
+    let lines = text.lines().filter(|line| line.starts_with(name));
+    lines.filter_map(|line| line.rsplit(' ').next()?.parse::<u64>().ok()).sum()
+}
+
+/// Processor time of this process; a tick of the kernel's account is 10 ms.
+fn cpu_ms() -> u64 {
+    let text = fs::read_to_string("/proc/self/stat").unwrap_or_default();
+    let fields: Vec<&str> = text.rsplit(')').next().unwrap_or("").split_whitespace().collect();
+    let ticks = |index: usize| fields.get(index).and_then(|field| field.parse::<u64>().ok());
+    (ticks(11).unwrap_or(0) + ticks(12).unwrap_or(0)) * 10
+}
+
+fn resident_kib() -> u64 {
+    let text = fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = text.lines().find(|line| line.starts_with("VmRSS:")).unwrap_or("");
+    line.split_whitespace().nth(1).and_then(|field| field.parse().ok()).unwrap_or(0)
+}
+
+fn main() {
+    let args: MeasureArgs = argh::from_env();
+    let table: sync::Arc<memory::MemoryTable> = sync::Arc::default();
+    let cloud = sync::Arc::new(memory::MemoryCloud::new(time::Millis::new(500)));
+    cloud.change(|fleet, now| {
+        (0..args.daemons).for_each(|index| fleet.put(entry_vm(&args, index), now));
+        (0..args.replicas).for_each(|index| fleet.put(upstream_vm(&args, index), now));
+    });
+    write(&table, 1);
+    let ports = shell::ControlPorts {
+        table: table.clone(),
+        cloud,
+        poller: sync::Arc::new(BusyPoller::default()),
+    };
+    let running: Vec<_> = (0..args.daemons).map(|index| start(&args, index, &ports)).collect();
+    let Some(_) = await_revision(&running, 1) else { return println!("a daemon did not start") };
+    thread::sleep(std::time::Duration::from_secs(10));
+    report_traffic(&args, &running);
+    report_changes(&args, &table, &running);
+}
+
+fn report_traffic(args: &MeasureArgs, running: &[shell::ControlDaemon]) {
+    let before = totals(running);
+    thread::sleep(std::time::Duration::from_secs(args.seconds));
+    let after = totals(running);
+    let each = |count: u64| count as f64 / args.seconds as f64 / args.daemons as f64;
+    let calls = each(after.calls - before.calls);
+    // What one daemon sends as a caller, another one receives and answers.
+    let bytes = 2.0 * each(after.bytes - before.bytes);
+    println!(
+        "daemons={} zones={} replicas={} calls/s={calls:.1} bytes/s={bytes:.0} polls/s={:.1} \
+         reads/s={:.2} cpu_ms/s={:.2} resident_kib={:.0}",
+        args.daemons,
+        args.zones,
+        args.replicas,
+        each(after.polls - before.polls),
+        each(after.reads - before.reads),
+        each(after.cpu_ms - before.cpu_ms),
+        resident_kib() as f64 / args.daemons as f64,
+    );
+}
+
+fn report_changes(
+    args: &MeasureArgs,
+    table: &memory::MemoryTable,
+    running: &[shell::ControlDaemon],
+) {
+    let mut histogram =
+        hdrhistogram::Histogram::<u64>::new(3).expect("three digits are within its range");
+    for change in 2..args.changes + 2 {
+        write(table, change);
+        let Some(times) = await_revision(running, change as u64) else {
+            return println!("change {change} was not in force everywhere after 30 s");
+        };
+        times.into_iter().for_each(|time| histogram.saturating_record(time));
+        thread::sleep(std::time::Duration::from_millis(300 + 37 * (change as u64 % 10)));
+    }
+    println!(
+        "changes={} in_force_ms p50={} p99={} max={}",
+        args.changes,
+        histogram.value_at_quantile(0.5),
+        histogram.value_at_quantile(0.99),
+        histogram.max(),
+    );
+}
--- a/crates/control/src/main.rs
+++ b/crates/control/src/main.rs
@@ -113,6 +113,7 @@
         own,
         seeds: settings.peers.seeds.clone(),
         peer_timeout: settings.peers.timeout_ms,
+        max_links: settings.peers.max_links,
         seed: seed_of(incarnation),
     }
 }
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -66,11 +66,13 @@
     pub seeds: Vec<net::SocketAddr>,
     /// Time in which a peer must answer.
     pub timeout_ms: time::Millis,
+    /// Connections to peers that are kept open.
+    pub max_links: usize,
 }
 
 impl Default for PeerSettings {
     fn default() -> Self {
-        PeerSettings { seeds: Vec::new(), timeout_ms: time::Millis::new(500) }
+        PeerSettings { seeds: Vec::new(), timeout_ms: time::Millis::new(500), max_links: 64 }
     }
 }
 
@@ -106,6 +108,13 @@
                 remedy: "give a time above 0, such as 500".to_owned(),
             });
         }
+        if self.peers.max_links == 0 {
+            return Err(load::ValueError {
+                key: "peers.max_links",
+                problem: "0 leaves no connection".to_owned(),
+                remedy: "give at least 1, such as 64".to_owned(),
+            });
+        }
         if self.peers.seeds.len() > MAX_SEEDS {
             return Err(load::ValueError {
                 key: "peers.seeds",
--- a/crates/control/src/shell.rs
+++ b/crates/control/src/shell.rs
@@ -1,6 +1,5 @@
 //! The control thread, and the tasks that make its calls.
 
-use std::collections;
 use std::net;
 use std::sync;
 use std::sync::mpsc;
@@ -16,13 +15,13 @@
 use samphiremoor_membership::daemons;
 use samphiremoor_membership::news;
 use samphiremoor_membership::state as membership;
-use samphiremoor_peers::link;
 use samphiremoor_peers::server;
 use samphiremoor_platform::cloud;
 use samphiremoor_platform::table;
 use samphiremoor_records::revision;
 use samphiremoor_view::zone;
 
+use crate::caller;
 use crate::message;
 use crate::metrics;
 use crate::state;
@@ -58,6 +57,8 @@
     pub seeds: Vec<net::SocketAddr>,
     /// Time in which a peer must answer.
     pub peer_timeout: time::Millis,
+    /// Connections to peers that are kept open.
+    pub max_links: usize,
     /// Orders its calls to peers.
     pub seed: u64,
 }
@@ -97,7 +98,8 @@
         let questions =
             sync::Arc::new(QuestionHandler { inputs: inputs.clone(), metrics: metrics.clone() });
         let server = server::PeerServer::start(start.own.control_address, questions)?;
-        let caller = sync::Arc::new(PeerCaller::new(start.peer_timeout, metrics.clone()));
+        let caller = caller::PeerCaller::new(start.peer_timeout, start.max_links, metrics.clone());
+        let caller = sync::Arc::new(caller);
         let worker = ControlWorker {
             clock,
             state: state::ControlState::new(start.own, start.seeds, start.seed, clock.now()),
@@ -165,7 +167,7 @@
     clock: time::MonotonicClock,
     state: state::ControlState,
     ports: ControlPorts,
-    caller: sync::Arc<PeerCaller>,
+    caller: sync::Arc<caller::PeerCaller>,
     board: sync::Arc<view_server::ViewBoard>,
     metrics: metrics::ControlMetrics,
     inputs: mpsc::SyncSender<ThreadInput>,
@@ -459,55 +461,6 @@
     log_event!(kind, vm = news.vm, pool = news.pool);
 }
 
-/// Links to peers, by address.
-#[derive(Debug)]
-struct PeerCaller {
-    timeout: time::Millis,
-    metrics: metrics::ControlMetrics,
-    links: sync::Mutex<collections::HashMap<net::SocketAddr, sync::Arc<link::PeerLink>>>,
-}
-
-/// Links that are kept; beyond them, all are dialled anew.
-const MAX_LINKS: usize = 512;
-
-impl PeerCaller {
-    fn new(timeout: time::Millis, metrics: metrics::ControlMetrics) -> Self {
-        PeerCaller { timeout, metrics, links: sync::Mutex::new(collections::HashMap::new()) }
-    }
-
-    async fn call(
-        &self,
-        peer: &news::DaemonNews,
-        question: &message::PeerQuestion,
-        name: &'static str,
-    ) -> Option<message::PeerAnswer> {
-        self.call_at(peer.control_address, question, name).await
-    }
-
-    async fn call_at(
-        &self,
-        address: net::SocketAddr,
-        question: &message::PeerQuestion,
-        name: &'static str,
-    ) -> Option<message::PeerAnswer> {
-        let answer = self.link(address).call(question).await;
-        let result = if answer.is_ok() { "answered" } else { "failed" };
-        self.metrics.peer_calls.with_label_values(&[name, result]).inc();
-        answer.ok()
-    }
-
-    fn link(&self, address: net::SocketAddr) -> sync::Arc<link::PeerLink> {
-        let mut links = self.links.lock().unwrap_or_else(sync::PoisonError::into_inner);
-        if links.len() >= MAX_LINKS && !links.contains_key(&address) {
-            links.clear();
-        }
-        let link = links
-            .entry(address)
-            .or_insert_with(|| sync::Arc::new(link::PeerLink::new(address, self.timeout)));
-        link.clone()
-    }
-}
-
 /// The life of a process that starts now: milliseconds since 1970, so that it rises over restarts.
 pub fn new_incarnation() -> quantity::Incarnation {
     let since_epoch = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
