Drop a peer exchange's operation only after its callback has returned

With 20 control daemons in one process every message stopped after seconds: the 16 threads of the messaging library all waited, inside a callback, for the end of that same callback. The exchange gets its answer from the callback and drops its operation; where the callback still held the operation, its own drop was the last one.

--- a/crates/peers/src/link.rs
+++ b/crates/peers/src/link.rs
@@ -147,7 +147,21 @@
         let _ = sender.try_send(settled);
     })
     .map_err(|_| LinkError::Library)?;
-    aio.set_timeout(Some(timeout.to_duration())).map_err(|_| LinkError::Library)?;
-    context.send(&aio, bytes).map_err(|_| LinkError::Library)?;
+    let operation = AioGuard(aio);
+    operation.0.set_timeout(Some(timeout.to_duration())).map_err(|_| LinkError::Library)?;
+    context.send(&operation.0, bytes).map_err(|_| LinkError::Library)?;
     receiver.recv().await.unwrap_or(Err(LinkError::Library))
 }
+
+/// An operation that is dropped only after its callback has returned.
+///
+/// While it runs, the callback holds the operation too. Were it the last to drop it, the library
+/// would wait inside the callback for the callback's end, and one of its few threads were lost.
+struct AioGuard(nng::Aio);
+
+impl Drop for AioGuard {
+    fn drop(&mut self) {
+        self.0.cancel();
+        self.0.wait();
+    }
+}
--- a/crates/peers/tests/exchange.rs
+++ b/crates/peers/tests/exchange.rs
@@ -82,3 +82,29 @@
     assert_eq!(garbled, Err(link::LinkError::Silent));
     assert_eq!(task::block_on(link.call::<u64, u64>(&4)), Ok(8));
 }
+
+#[test]
+fn many_exchanges_leave_the_library_working() {
+    const LINKS: usize = 16;
+    const ROUNDS: u64 = 400;
+    let handler = sync::Arc::new(DoublingHandler);
+    let (address, _server) = (0..10)
+        .find_map(|_| {
+            let address = free_address();
+            let server = server::PeerServer::start(address, handler.clone()).ok()?;
+            Some((address, server))
+        })
+        .expect("a port is free");
+    let callers: Vec<_> = (0..LINKS)
+        .map(|_| {
+            task::spawn(async move {
+                let link = link::PeerLink::new(address, time::Millis::new(5_000));
+                for number in 0..ROUNDS {
+                    let answer = link.call::<u64, u64>(&number).await;
+                    assert_eq!(answer, Ok(number * 2));
+                }
+            })
+        })
+        .collect();
+    callers.into_iter().for_each(task::block_on);
+}
