--- a/crates/control/examples/distribution.rs
+++ b/crates/control/examples/distribution.rs
@@ -145,11 +145,7 @@
     task::block_on(table.commit(driver.transaction())).expect("the table is in memory");
 }
 
-fn start(
-    args: &MeasureArgs,
-    index: usize,
-    ports: &shell::ControlPorts,
-) -> shell::ControlDaemon {
+fn start(args: &MeasureArgs, index: usize, ports: &shell::ControlPorts) -> shell::ControlDaemon {
     let mut own = daemons::from_entry(&entry_vm(args, index)).expect("an entry VM");
     own.standing.incarnation = shell::new_incarnation();
     let start = shell::ControlStart {
--- a/crates/control/src/caller.rs
+++ b/crates/control/src/caller.rs
@@ -35,11 +35,7 @@
 
 impl PeerCaller {
     /// A caller that awaits an answer for `timeout` and keeps `max_links` connections.
-    pub fn new(
-        timeout: time::Millis,
-        max_links: usize,
-        metrics: metrics::ControlMetrics,
-    ) -> Self {
+    pub fn new(timeout: time::Millis, max_links: usize, metrics: metrics::ControlMetrics) -> Self {
         PeerCaller { timeout, max_links, metrics, links: sync::Mutex::default() }
     }
 
