entry: one way to accept a call; measure what the daemon adds

Cause: admission and keeping stood three times (model calls, plain calls, hand-over). Change: serve::accept holds them once. An example measures first byte and whole answer direct and through the daemon in turns, and requests a second.

--- /dev/null
+++ b/crates/entry/examples/added_latency.rs
@@ -0,0 +1,196 @@
+//! Measures what an entry daemon adds to calls of an engine and of a plain service.
+//!
+//! Direct calls and calls through the daemon take turns, so that both meet the same machine. Then
+//! calls run at the same time for as long as the settings say, for the daemon's requests a second.
+
+use std::net;
+use std::path;
+use std::time;
+
+use async_std::task;
+use futures_lite::AsyncReadExt as _;
+use http_types::Method;
+use http_types::Request;
+use samphiremoor_base::time as base_time;
+use samphiremoor_httpio::client;
+
+/// Measures what an entry daemon adds.
+#[derive(argh::FromArgs)]
+struct MeasureArgs {
+    /// where the entry daemon serves
+    #[argh(option)]
+    entry: net::SocketAddr,
+    /// where the engine serves
+    #[argh(option)]
+    engine: net::SocketAddr,
+    /// where the plain service serves
+    #[argh(option)]
+    service: net::SocketAddr,
+    /// body of a completion call at the engine, as JSON
+    #[argh(option)]
+    engine_body: path::PathBuf,
+    /// body of a completion call at the daemon, as JSON
+    #[argh(option)]
+    entry_body: path::PathBuf,
+    /// path of the plain service at the daemon
+    #[argh(option)]
+    service_path: String,
+    /// file with the workspace's key
+    #[argh(option)]
+    key: path::PathBuf,
+    /// calls of each kind that take turns
+    #[argh(option, default = "500")]
+    calls: usize,
+    /// calls at the same time in the second part
+    #[argh(option, default = "32")]
+    at_once: usize,
+    /// calls of each task in the second part
+    #[argh(option, default = "200")]
+    calls_each: usize,
+}
+
+const LIMITS: client::CallLimits = client::CallLimits {
+    connect: base_time::Millis::new(2_000),
+    head: base_time::Millis::new(20_000),
+    silence: base_time::Millis::new(20_000),
+};
+
+/// Size of one read.
+const BUFFER_BYTES: usize = 16 * 1024;
+
+/// A call that can be sent often.
+#[derive(Clone)]
+struct MeasuredCall {
+    address: net::SocketAddr,
+    path: String,
+    body: String,
+    key: String,
+}
+
+impl MeasuredCall {
+    /// Time to the first event and to the end of the answer.
+    async fn send(&self) -> Option<CallTimes> {
+        let started = time::Instant::now();
+        let mut request = Request::new(Method::Post, client::url(self.address, &self.path).ok()?);
+        request.set_body(self.body.as_str());
+        request.insert_header("Content-Type", "application/json");
+        request.insert_header("Authorization", format!("Bearer {}", self.key));
+        let mut response = client::send(self.address, request, LIMITS).await.ok()?;
+        if !response.status().is_success() {
+            return None;
+        }
+        let mut buffer = vec![0_u8; BUFFER_BYTES];
+        response.read(&mut buffer).await.ok()?;
+        let first = started.elapsed();
+        while response.read(&mut buffer).await.ok()? > 0 {}
+        Some(CallTimes { first, whole: started.elapsed() })
+    }
+}
+
+/// Times of one call.
+struct CallTimes {
+    first: time::Duration,
+    whole: time::Duration,
+}
+
+/// Times of many calls, in microseconds.
+struct TimeTable {
+    name: &'static str,
+    first: hdrhistogram::Histogram<u64>,
+    whole: hdrhistogram::Histogram<u64>,
+    failed: u64,
+}
+
+impl TimeTable {
+    fn new(name: &'static str) -> Self {
+        let histogram = || hdrhistogram::Histogram::new(3).expect("three digits are supported");
+        TimeTable { name, first: histogram(), whole: histogram(), failed: 0 }
+    }
+
+    fn note(&mut self, times: Option<CallTimes>) {
+        let Some(times) = times else {
+            self.failed += 1;
+            return;
+        };
+        self.first.saturating_record(times.first.as_micros() as u64);
+        self.whole.saturating_record(times.whole.as_micros() as u64);
+    }
+
+    fn print(&self) {
+        println!(
+            "{}: {} calls, {} failed; first byte p50 {} us p99 {} us; whole p50 {} us p99 {} us",
+            self.name,
+            self.whole.len(),
+            self.failed,
+            self.first.value_at_quantile(0.5),
+            self.first.value_at_quantile(0.99),
+            self.whole.value_at_quantile(0.5),
+            self.whole.value_at_quantile(0.99),
+        );
+    }
+}
+
+async fn take_turns(direct: &MeasuredCall, through: &MeasuredCall, calls: usize, name: &str) {
+    let mut direct_times = TimeTable::new("direct ");
+    let mut through_times = TimeTable::new("through");
+    for _ in 0..calls {
+        direct_times.note(direct.send().await);
+        through_times.note(through.send().await);
+    }
+    println!("{name}");
+    direct_times.print();
+    through_times.print();
+}
+
+async fn run_at_once(call: &MeasuredCall, args: &MeasureArgs, name: &str) {
+    let started = time::Instant::now();
+    let tasks: Vec<_> = (0..args.at_once)
+        .map(|_| {
+            let call = call.clone();
+            let count = args.calls_each;
+            task::spawn(async move {
+                let mut failed = 0_usize;
+                for _ in 0..count {
+                    failed += usize::from(call.send().await.is_none());
+                }
+                failed
+            })
+        })
+        .collect();
+    let mut failed = 0;
+    for task in tasks {
+        failed += task.await;
+    }
+    let seconds = started.elapsed().as_secs_f64();
+    let calls = args.at_once * args.calls_each;
+    println!(
+        "{name}, {} at once: {calls} calls, {failed} failed, {:.0} a second",
+        args.at_once,
+        calls as f64 / seconds
+    );
+}
+
+fn main() -> std::io::Result<()> {
+    let args: MeasureArgs = argh::from_env();
+    let key = std::fs::read_to_string(&args.key)?.trim().to_owned();
+    let engine_body = std::fs::read_to_string(&args.engine_body)?;
+    let entry_body = std::fs::read_to_string(&args.entry_body)?;
+    let call = |address, path: &str, body: &str| MeasuredCall {
+        address,
+        path: path.to_owned(),
+        body: body.to_owned(),
+        key: key.clone(),
+    };
+    let completions = "/v1/completions";
+    task::block_on(async {
+        let direct = call(args.engine, completions, &engine_body);
+        let through = call(args.entry, completions, &entry_body);
+        take_turns(&direct, &through, args.calls, "streamed completion").await;
+        let direct = call(args.service, "/lookup", "{}");
+        let plain = call(args.entry, &format!("{}/lookup", args.service_path), "{}");
+        take_turns(&direct, &plain, args.calls, "plain call").await;
+        run_at_once(&plain, &args, "plain call").await;
+        run_at_once(&through, &args, "streamed completion").await;
+    });
+    Ok(())
+}
--- a/crates/entry/src/handover.rs
+++ b/crates/entry/src/handover.rs
@@ -5,7 +5,6 @@
 use samphiremoor_base::event;
 use samphiremoor_base::log_event;
 use samphiremoor_base::time;
-use samphiremoor_limits::gate;
 use samphiremoor_peers::server;
 use samphiremoor_shards::message;
 use samphiremoor_shards::service;
@@ -14,6 +13,7 @@
 use crate::core;
 use crate::kept;
 use crate::peer;
+use crate::serve::accept;
 use crate::serve::model;
 use crate::wire::request;
 
@@ -122,25 +122,11 @@
     let body = request::CallBody::parse(handed.call, handed.body.as_bytes()).ok()?;
     let service = snapshot.service(&body.model.service)?.clone();
     let target = model::target_of(&service, &body.model).ok()?;
-    let now = core.now();
-    let admitted = core
-        .admit(&gate::AdmissionRequest {
-            workspace: &handed.workspace,
-            service: &service.id,
-            priority: service.priority,
-            deadline_left: handed.remaining,
-            now,
-        })
-        .ok()?;
+    let remaining = handed.remaining.max(time::Millis::new(1));
+    let head = accept::new_head(core, handed.id, &handed.workspace, &service, remaining);
+    let admitted = accept::admit(core, &head, &service).ok()?;
     let accepted = model::AcceptedCall {
-        head: kept::KeptHead {
-            id: handed.id,
-            workspace: handed.workspace,
-            service: service.id.clone(),
-            accepted_at: now,
-            deadline: now + handed.remaining.max(time::Millis::new(1)),
-            created_s: handed.created_s,
-        },
+        head: kept::KeptHead { created_s: handed.created_s, ..head },
         body_bytes: handed.body.len(),
         body: Arc::new(body),
         tokens: handed.tokens,
--- a/crates/entry/src/serve/mod.rs
+++ b/crates/entry/src/serve/mod.rs
@@ -1,5 +1,6 @@
 //! The callers' side: HTTP calls and their answers.
 
+pub mod accept;
 pub mod access;
 pub mod attach;
 pub mod events;
--- a/crates/entry/src/serve/model.rs
+++ b/crates/entry/src/serve/model.rs
@@ -1,27 +1,23 @@
 //! Chat and completion calls.
 
 use std::sync::Arc;
-use std::time;
 
 use async_std::task;
 use http_types::Request;
 use http_types::Response;
-use samphiremoor_base::event;
 use samphiremoor_base::id;
-use samphiremoor_base::log_event;
 use samphiremoor_base::quantity;
 use samphiremoor_base::reason;
-use samphiremoor_base::time as base_time;
-use samphiremoor_limits::gate;
+use samphiremoor_base::time;
 use samphiremoor_records::set;
 use samphiremoor_routing::prefix;
 
 use crate::core;
 use crate::finish;
 use crate::kept;
-use crate::registry;
 use crate::run::model;
 use crate::run::shell;
+use crate::serve::accept;
 use crate::serve::access;
 use crate::serve::events;
 use crate::serve::reply;
@@ -47,29 +43,13 @@
     let service = caller.service(&body.model.service)?.clone();
     let target = target_of(&service, &body.model)?;
     let limit = access::time_limit(core, &http_request, &service)?;
-    let now = core.now();
     let accepted = AcceptedCall {
-        head: kept::KeptHead {
-            id,
-            workspace: caller.workspace.id.clone(),
-            service: service.id.clone(),
-            accepted_at: now,
-            deadline: now + limit,
-            created_s: unix_seconds(),
-        },
+        head: accept::new_head(core, id, &caller.workspace.id, &service, limit),
         body: Arc::new(body),
         body_bytes: bytes.len(),
         tokens: Vec::new(),
     };
-    let admitted = core
-        .admit(&gate::AdmissionRequest {
-            workspace: &accepted.head.workspace,
-            service: &service.id,
-            priority: service.priority,
-            deadline_left: limit,
-            now,
-        })
-        .map_err(admission_refusal)?;
+    let admitted = accept::admit(core, &accepted.head, &service)?;
     let body = accepted.body.clone();
     let kept = start(core, accepted, service, target, admitted)?;
     if body.stream {
@@ -105,11 +85,7 @@
     let work = kept::KeptWork::Model(accepted.body.clone());
     let head = accepted.head;
     let kept = kept::KeptRequest::new(head, work, accepted.body_bytes, accepted.tokens);
-    let kept = Arc::new(kept);
-    if core.registry.keep(kept.clone()) != registry::KeepVerdict::Kept {
-        let refusal = reply::CallRefusal::new(reason::RefusalReason::TooManyRequests);
-        return Err(refusal.retry_after(core.settings.callers.retry_after_ms));
-    }
+    let kept = accept::keep(core, kept)?;
     let prompt = accepted.body.prompt_text();
     let tokens: Vec<&str> = prompt.split_whitespace().collect();
     let context = shell::RunContext {
@@ -119,15 +95,6 @@
         prefix: prefix::hash_blocks(&tokens),
         prompt_tokens: quantity::TokenCount::new(tokens.len() as u64),
     };
-    let request = &kept.head.id;
-    let workspace = &kept.head.workspace;
-    let service = &kept.head.service;
-    log_event!(
-        event::LogEvent::RequestAccepted,
-        request = request,
-        workspace = workspace,
-        service = service
-    );
     let job =
         model::ModelJob { kept: kept.clone(), body: accepted.body, target, context, admitted };
     task::spawn(model::run(core.clone(), job));
@@ -152,11 +119,6 @@
     Ok(target.clone())
 }
 
-/// The refusal of an admission policy.
-pub fn admission_refusal(refusal: gate::AdmissionRefusal) -> reply::CallRefusal {
-    reply::CallRefusal::new(refusal.reason).retry_after(refusal.retry_after)
-}
-
 /// The answer as a stream; a call that fails before its first token gets a plain problem instead.
 async fn stream_reply(
     core: &core::EntryCore,
@@ -196,13 +158,7 @@
     }
 }
 
-/// The present time in seconds of the Unix epoch, for the callers' `created` fields only.
-pub fn unix_seconds() -> u64 {
-    let epoch = time::SystemTime::UNIX_EPOCH;
-    time::SystemTime::now().duration_since(epoch).map_or(0, |length| length.as_secs())
-}
-
 /// Time that is left to a kept request.
-pub fn time_left(core: &core::EntryCore, kept: &kept::KeptRequest) -> base_time::Millis {
+pub fn time_left(core: &core::EntryCore, kept: &kept::KeptRequest) -> time::Millis {
     kept.head.deadline.since(core.now())
 }
--- a/crates/entry/src/serve/service.rs
+++ b/crates/entry/src/serve/service.rs
@@ -10,7 +10,6 @@
 use samphiremoor_base::quantity;
 use samphiremoor_base::reason;
 use samphiremoor_claims::key;
-use samphiremoor_limits::gate;
 use samphiremoor_records::set;
 use samphiremoor_requests::action;
 use samphiremoor_requests::policy;
@@ -22,11 +21,10 @@
 use crate::headers;
 use crate::kept;
 use crate::once;
-use crate::registry;
 use crate::run::plain;
 use crate::run::shell;
+use crate::serve::accept;
 use crate::serve::access;
-use crate::serve::model;
 use crate::serve::reply;
 
 /// Where a plain call goes.
@@ -81,31 +79,11 @@
         headers: headers::forwarded(http_request.iter()),
         body: Arc::from(bytes),
     };
-    let now = core.now();
-    let head = kept::KeptHead {
-        id,
-        workspace: caller.workspace.id.clone(),
-        service: service.id.clone(),
-        accepted_at: now,
-        deadline: now + limit,
-        created_s: model::unix_seconds(),
-    };
-    let admitted = core
-        .admit(&gate::AdmissionRequest {
-            workspace: &head.workspace,
-            service: &service.id,
-            priority: service.priority,
-            deadline_left: limit,
-            now,
-        })
-        .map_err(model::admission_refusal)?;
+    let head = accept::new_head(core, id, &caller.workspace.id, &service, limit);
+    let admitted = accept::admit(core, &head, &service)?;
     let body_bytes = call.body.len();
     let kept = kept::KeptRequest::new(head, kept::KeptWork::Plain, body_bytes, Vec::new());
-    let kept = Arc::new(kept);
-    if core.registry.keep(kept.clone()) != registry::KeepVerdict::Kept {
-        let refusal = reply::CallRefusal::new(reason::RefusalReason::TooManyRequests);
-        return Err(refusal.retry_after(core.settings.callers.retry_after_ms));
-    }
+    let kept = accept::keep(core, kept)?;
     let shards = shards.cloned();
     let job = ServiceJob { kept: kept.clone(), service, call, key, shards, admitted };
     task::spawn(job.run(core.clone()));
