--- a/crates/process-tests/src/cluster.rs
+++ b/crates/process-tests/src/cluster.rs
@@ -160,6 +160,13 @@
         wait::until("the engine listens", || child::listens(self.engines[index].place.address));
     }
 
+    /// An operator of this cluster.
+    pub fn operator(&self) -> operator::TestOperator {
+        let places: Vec<_> = self.entries.iter().map(|vm| vm.place.clone()).collect();
+        let text = texts::operator(self.platform_address, &places);
+        operator::TestOperator::new(&text, &self.directory)
+    }
+
     /// What the services counted; those that do not answer are left out.
     pub fn service_counts(&self) -> Vec<service_wire::ServiceCounts> {
         let addresses = self.services.iter().map(|vm| vm.place.address);
@@ -187,10 +194,9 @@
         match self.plan.view {
             plan::ViewOrigin::File => self.publish_view(),
             plan::ViewOrigin::Control => {
-                let file = self.directory.join("records.toml");
-                fs::write(&file, records::text(&self.plan.zones))
-                    .expect("the test's directory takes files");
-                operator::apply_until_accepted(self.entries[0].place.control, &file);
+                let operator = self.operator();
+                let file = operator.write_file("records.toml", &records::text(&self.plan.zones));
+                operator.apply_until_in_force(&file);
             }
         }
         for index in 0..self.entries.len() {
--- a/crates/process-tests/src/texts.rs
+++ b/crates/process-tests/src/texts.rs
@@ -96,3 +96,9 @@
         entry_peer = place.peer,
     )
 }
+
+/// Settings of an operator's command line.
+pub(crate) fn operator(platform: net::SocketAddr, places: &[plan::EntryPlace]) -> String {
+    let seeds: Vec<_> = places.iter().map(|place| place.control.to_string()).collect();
+    format!("author = \"tester\"\nseeds = {seeds:?}\n\n[platform]\naddress = \"{platform}\"\n")
+}
--- a/crates/process-tests/tests/streams.rs
+++ b/crates/process-tests/tests/streams.rs
@@ -17,10 +17,7 @@
 const BEFORE: usize = 20;
 
 fn two_engines() -> cluster::TestCluster {
-    cluster::TestCluster::start(plan::ClusterPlan {
-        view: plan::ViewOrigin::File,
-        ..plan::ClusterPlan::default()
-    })
+    cluster::TestCluster::start(plan::ClusterPlan::default())
 }
 
 #[test]
