--- a/crates/lease/src/keeper.rs
+++ b/crates/lease/src/keeper.rs
@@ -143,9 +143,9 @@
         actions
     }
 
-    /// Who holds a shard, as the last scan showed it.
-    pub fn holder_of(&self, shard: quantity::ShardNumber) -> Option<&row::DaemonLife> {
-        self.rows.get(&shard).and_then(|held| held.row.holder.as_ref())
+    /// The lease of a shard, as the last scan showed it.
+    pub fn lease_of(&self, shard: quantity::ShardNumber) -> Option<&row::LeaseRow> {
+        self.rows.get(&shard).map(|held| &held.row)
     }
 
     /// Number of leases that are held here.
--- a/crates/shards/src/control.rs
+++ b/crates/shards/src/control.rs
@@ -139,8 +139,8 @@
             event::ControlEvent::Layout(layout) => self.start_keeper(layout),
             event::ControlEvent::Lease(input) => self.lease_input(input),
             event::ControlEvent::Claim(hold, input) => self.claim_input(hold, input),
-            event::ControlEvent::Submit { shard, call, responder } => {
-                self.submit(shard, call, responder);
+            event::ControlEvent::Submit { hold, call, responder } => {
+                self.submit(hold, call, responder);
             }
             event::ControlEvent::Keep { hold, written, batches, responder } => {
                 let answer = match self.copies.keep(hold.shard, hold.fence, written, batches) {
@@ -252,14 +252,14 @@
 
     fn submit(
         &mut self,
-        shard: quantity::ShardNumber,
+        hold: event::HoldId,
         call: sync::Arc<call::OnceCall>,
         responder: channel::Sender<shard::ClaimAnswer>,
     ) {
-        let Some(hold) = self.hold_for(shard, &call.key) else {
+        if !self.holders.contains_key(&hold) {
             respond(&responder, shard::ClaimAnswer::Moved);
             return;
-        };
+        }
         let received = self.clock.now();
         self.call_count += 1;
         let number = ledger::CallNumber(self.call_count);
@@ -274,15 +274,6 @@
         self.claim_input(hold, shard::ClaimInput::Submit(send));
     }
 
-    /// The open hold of a shard, else a closed one that still runs the key.
-    fn hold_for(&self, shard: quantity::ShardNumber, key: &key::CallKey) -> Option<event::HoldId> {
-        let closed = || {
-            let mut holds = self.holders.iter().filter(|(hold, _)| hold.shard == shard);
-            holds.find(|(_, holder)| holder.is_active(key)).map(|(hold, _)| *hold)
-        };
-        closed().or_else(|| self.open_hold(shard))
-    }
-
     fn claim_input(&mut self, hold: event::HoldId, input: shard::ClaimInput) {
         let now = self.clock.now();
         note_answer(hold, &input);
@@ -493,7 +484,11 @@
     /// Shows traffic who holds what.
     fn publish(&self) {
         let (Some(layout), Some(keeper)) = (self.layout, &self.keeper) else { return };
-        let holder = |number| keeper.holder_of(quantity::ShardNumber::new(number)).cloned();
+        let holder = |number| {
+            let row = keeper.lease_of(quantity::ShardNumber::new(number))?;
+            let life = row.holder.clone()?;
+            Some(map::ShardTarget { life, fence: row.fence })
+        };
         let holders: Vec<_> = (0..layout.count).map(holder).collect();
         let is_same = self.map.load().as_ref().is_some_and(|map| map.holders == holders);
         if !is_same {
--- a/crates/shards/src/event.rs
+++ b/crates/shards/src/event.rs
@@ -33,8 +33,8 @@
     Claim(HoldId, shard::ClaimInput),
     /// A send of a call.
     Submit {
-        /// The shard of its key.
-        shard: quantity::ShardNumber,
+        /// The hold that it is meant for.
+        hold: HoldId,
         /// The call.
         call: sync::Arc<call::OnceCall>,
         /// Takes the answer.
--- a/crates/shards/src/forward.rs
+++ b/crates/shards/src/forward.rs
@@ -6,13 +6,13 @@
 
 use async_std::task;
 use samphiremoor_base::id;
-use samphiremoor_base::quantity;
 use samphiremoor_base::reason;
 use samphiremoor_base::time;
 use samphiremoor_lease::row;
 use samphiremoor_peers::link;
 
 use crate::call;
+use crate::event;
 use crate::message;
 use crate::peer;
 use crate::service;
@@ -69,11 +69,20 @@
     Silent,
 }
 
+/// A hold, and the daemon that has it.
+#[derive(Clone)]
+struct HoldTarget {
+    id: event::HoldId,
+    life: row::DaemonLife,
+}
+
 /// Gets the answer of one call.
 pub(crate) struct CallForwarder<'a> {
     shared: &'a service::ServiceShared,
     call: sync::Arc<call::OnceCall>,
     start: std_time::Instant,
+    /// The holder that said that it runs the call.
+    runs_at: Option<HoldTarget>,
     /// A holder may have run the call, so it can't be called not run any more.
     maybe_run: bool,
 }
@@ -84,6 +93,7 @@
             shared,
             call: sync::Arc::new(call),
             start: std_time::Instant::now(),
+            runs_at: None,
             maybe_run: false,
         }
     }
@@ -105,23 +115,40 @@
         }
     }
 
-    async fn step(&self) -> ForwardStep {
-        let Some(map) = self.shared.map.load_full() else { return ForwardStep::NoHolder };
+    async fn step(&mut self) -> ForwardStep {
+        let Some(hold) = self.target() else { return ForwardStep::NoHolder };
+        let step = self.send(&hold).await;
+        // A holder that runs the call is asked again, also when it has lost the shard since.
+        let is_running = matches!(step, ForwardStep::Running);
+        self.runs_at = Some(hold).filter(|_| is_running);
+        step
+    }
+
+    fn target(&self) -> Option<HoldTarget> {
+        if let Some(hold) = &self.runs_at {
+            return Some(hold.clone());
+        }
+        let map = self.shared.map.load_full()?;
         let shard = map.layout.shard_of(&self.call.key);
-        let Some(holder) = map.holder(shard) else { return ForwardStep::NoHolder };
-        if self.shared.is_self(holder) {
+        let target = map.holder(shard)?.clone();
+        let id = event::HoldId { shard, fence: target.fence };
+        Some(HoldTarget { id, life: target.life })
+    }
+
+    async fn send(&self, hold: &HoldTarget) -> ForwardStep {
+        if self.shared.is_self(&hold.life) {
             let call = sync::Arc::new(self.present_call());
-            let answer = self.shared.submit_here(shard, call).await;
+            let answer = self.shared.submit_here(hold.id, call).await;
             return stored::once_answer(answer).map_or(ForwardStep::NoHolder, ForwardStep::Ended);
         }
         let daemons = self.shared.parts.directory.daemons();
-        let Some(peer) = daemons.iter().find(|peer| peer.id == holder.daemon) else {
+        let Some(peer) = daemons.iter().find(|peer| peer.id == hold.life.daemon) else {
             return ForwardStep::NoHolder;
         };
-        if !self.is_reachable(peer, holder).await {
+        if !self.is_reachable(peer, &hold.life).await {
             return ForwardStep::NoHolder;
         }
-        self.forward(peer, shard).await
+        self.forward(peer, hold.id).await
     }
 
     /// Makes sure that the holder answers before it gets a call, so that a cut link costs no
@@ -139,10 +166,11 @@
         true
     }
 
-    async fn forward(&self, peer: &peer::PeerEntry, shard: quantity::ShardNumber) -> ForwardStep {
+    async fn forward(&self, peer: &peer::PeerEntry, hold: event::HoldId) -> ForwardStep {
         let call = self.present_call();
         let wait = Ord::min(POLL_WAIT, call.remaining);
-        let question = message::ShardQuestion::Submit { shard, call: Box::new(call), wait };
+        let event::HoldId { shard, fence } = hold;
+        let question = message::ShardQuestion::Submit { shard, fence, call: Box::new(call), wait };
         let answer = self.shared.parts.transport.ask(peer, question).await;
         match &answer {
             Ok(_) => self.shared.contacts.note(&peer.id),
--- a/crates/shards/src/map.rs
+++ b/crates/shards/src/map.rs
@@ -10,12 +10,21 @@
     /// The layout.
     pub(crate) layout: key::ShardLayout,
     /// Holder of each shard, by its number.
-    pub(crate) holders: Vec<Option<row::DaemonLife>>,
+    pub(crate) holders: Vec<Option<ShardTarget>>,
 }
 
 impl ShardMap {
     /// The holder of a shard.
-    pub(crate) fn holder(&self, shard: quantity::ShardNumber) -> Option<&row::DaemonLife> {
+    pub(crate) fn holder(&self, shard: quantity::ShardNumber) -> Option<&ShardTarget> {
         self.holders.get(usize::from(shard.get())).and_then(Option::as_ref)
     }
 }
+
+/// The holder of a shard, and the hold that calls are meant for.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct ShardTarget {
+    /// The holder.
+    pub(crate) life: row::DaemonLife,
+    /// Its fencing number: a call that arrives late must not reach a later hold.
+    pub(crate) fence: quantity::FenceNumber,
+}
--- a/crates/shards/src/message.rs
+++ b/crates/shards/src/message.rs
@@ -18,6 +18,8 @@
     Submit {
         /// The shard of the call's key.
         shard: quantity::ShardNumber,
+        /// Fencing number of the hold that the call is meant for.
+        fence: quantity::FenceNumber,
         /// The call.
         call: Box<call::OnceCall>,
         /// Longest time to wait for the answer before saying that the call still runs.
--- a/crates/shards/src/service.rs
+++ b/crates/shards/src/service.rs
@@ -106,7 +106,11 @@
         let holders = map.as_ref().map_or(&[][..], |map| &map.holders);
         ShardCoverage {
             held: holders.iter().flatten().count(),
-            own: holders.iter().flatten().filter(|life| self.shared.is_self(life)).count(),
+            own: holders
+                .iter()
+                .flatten()
+                .filter(|target| self.shared.is_self(&target.life))
+                .count(),
             total: holders.len(),
         }
     }
@@ -163,11 +167,11 @@
     /// Hands a call to the holder on this daemon and awaits its answer.
     pub(crate) async fn submit_here(
         &self,
-        shard: quantity::ShardNumber,
+        hold: event::HoldId,
         call: sync::Arc<call::OnceCall>,
     ) -> shard::ClaimAnswer {
         let (responder, receiver) = channel::bounded(1);
-        self.send(event::ControlEvent::Submit { shard, call, responder }).await;
+        self.send(event::ControlEvent::Submit { hold, call, responder }).await;
         // The thread has ended, and it has not run the call.
         receiver.recv().await.unwrap_or(shard::ClaimAnswer::Moved)
     }
@@ -186,8 +190,8 @@
         let own = self.parts.incarnation;
         match question {
             message::ShardQuestion::Ping => message::ShardAnswer::Pong { incarnation: own },
-            message::ShardQuestion::Submit { shard, call, wait } => {
-                self.answer_submit(shard, *call, wait).await
+            message::ShardQuestion::Submit { shard, fence, call, wait } => {
+                self.answer_submit(event::HoldId { shard, fence }, *call, wait).await
             }
             message::ShardQuestion::Keep { incarnation, .. }
             | message::ShardQuestion::Seal { incarnation, .. }
@@ -218,11 +222,11 @@
 
     async fn answer_submit(
         &self,
-        shard: quantity::ShardNumber,
+        hold: event::HoldId,
         call: call::OnceCall,
         wait: time::Millis,
     ) -> message::ShardAnswer {
-        let answer = self.submit_here(shard, sync::Arc::new(call));
+        let answer = self.submit_here(hold, sync::Arc::new(call));
         let Ok(answer) = future::timeout(wait.to_duration(), answer).await else {
             return message::ShardAnswer::Running;
         };
