Bound what control sends and polls to its budget

Messages were always full: 15.3 KB a second for each daemon, with polls and the frames of TCP over 21 KB. Queueing is no longer linear in what waits.

--- a/crates/membership/src/spread.rs
+++ b/crates/membership/src/spread.rs
@@ -20,76 +20,59 @@
     AllZones,
 }
 
+/// Bytes of news in one message.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct NewsBudget {
+    /// All of them.
+    pub message_bytes: usize,
+    /// Those of the walk at most.
+    pub walk_bytes: usize,
+}
+
 /// News that wait to be told.
 #[derive(Clone, Debug, Default)]
 pub struct NewsQueue {
-    waiting: collections::VecDeque<QueuedNews>,
+    all_zones: FreshQueue,
+    own_zone: FreshQueue,
     walk_after: Option<news::NewsSubject>,
 }
 
-#[derive(Clone, Debug)]
-struct QueuedNews {
-    subject: news::NewsSubject,
-    scope: NewsScope,
-    sends_left: u32,
-}
-
 impl NewsQueue {
-    /// Queues news on a subject in front of what was told already.
+    /// Queues news on a subject: those for all zones before what waits, loads behind it.
     pub fn push(&mut self, subject: news::NewsSubject, scope: NewsScope, daemon_count: usize) {
-        // News that wait for a wider scope keep it.
-        let waits = self.waiting.iter().find(|queued| queued.subject == subject);
-        let scope = waits.map_or(scope, |queued| queued.scope.max(scope));
-        self.waiting.retain(|queued| queued.subject != subject);
         let sends_left = daemon_count.max(1).ilog2() + 1 + EXTRA_SENDS;
-        self.waiting.push_front(QueuedNews { subject, scope, sends_left });
-    }
-
-    /// Whether fresh news wait.
-    pub fn has_fresh(&self) -> bool {
-        !self.waiting.is_empty()
+        match scope {
+            NewsScope::AllZones => {
+                self.own_zone.remove(&subject);
+                self.all_zones.push_front(subject, sends_left);
+            }
+            // News that wait for every daemon reach the own zone too.
+            NewsScope::OwnZone if self.all_zones.has(&subject) => {}
+            NewsScope::OwnZone => self.own_zone.push_back(subject, sends_left),
+        }
     }
 
-    /// Takes subjects whose news fit into `budget` bytes: fresh ones, then the walk.
+    /// Takes subjects whose news fit into the budget: fresh ones, then the walk.
     ///
-    /// Fresh news are taken where their scope is at least `scope`. `look_up` gives the present news
-    /// on a subject; `next_after` gives the subject that follows in the order of all that is known.
+    /// `look_up` gives the present news on a subject; `next_after` gives the subject that follows
+    /// in the order of all that is known.
     pub fn take(
         &mut self,
-        budget: usize,
+        budget: NewsBudget,
         scope: NewsScope,
         look_up: impl Fn(&news::NewsSubject) -> Option<news::NewsItem>,
         next_after: impl Fn(Option<&news::NewsSubject>) -> Option<news::NewsSubject>,
     ) -> Vec<news::NewsItem> {
-        let mut taken = TakenNews { items: Vec::new(), left: budget };
-        self.take_fresh(&mut taken, scope, &look_up);
+        let mut taken = TakenNews { items: Vec::new(), left: budget.message_bytes };
+        self.all_zones.take(&mut taken, &look_up);
+        if scope == NewsScope::OwnZone {
+            self.own_zone.take(&mut taken, &look_up);
+        }
+        taken.left = taken.left.min(budget.walk_bytes);
         self.walk(&mut taken, &look_up, &next_after);
         taken.items
     }
 
-    fn take_fresh(
-        &mut self,
-        taken: &mut TakenNews,
-        scope: NewsScope,
-        look_up: &impl Fn(&news::NewsSubject) -> Option<news::NewsItem>,
-    ) {
-        let mut told = Vec::new();
-        for _ in 0..self.waiting.len() {
-            let Some(mut queued) = self.waiting.pop_front() else { break };
-            // What is not known any more is no news.
-            let Some(item) = look_up(&queued.subject) else { continue };
-            if queued.scope >= scope && taken.add(item) {
-                queued.sends_left -= 1;
-                told.push(queued);
-            } else {
-                self.waiting.push_back(queued);
-            }
-        }
-        // What was told most often waits behind the rest.
-        told.retain(|queued| queued.sends_left > 0);
-        self.waiting.extend(told);
-    }
-
     fn walk(
         &mut self,
         taken: &mut TakenNews,
@@ -113,19 +96,88 @@
     }
 }
 
+/// Subjects in the order in which they are told, each a number of times.
+#[derive(Clone, Debug, Default)]
+struct FreshQueue {
+    places: collections::HashMap<news::NewsSubject, i64>,
+    waiting: collections::BTreeMap<i64, QueuedNews>,
+}
+
+#[derive(Clone, Debug)]
+struct QueuedNews {
+    subject: news::NewsSubject,
+    sends_left: u32,
+}
+
+impl FreshQueue {
+    fn has(&self, subject: &news::NewsSubject) -> bool {
+        self.places.contains_key(subject)
+    }
+
+    fn push_front(&mut self, subject: news::NewsSubject, sends_left: u32) {
+        self.remove(&subject);
+        let place = self.waiting.first_key_value().map_or(0, |(place, _)| place - 1);
+        self.insert(place, QueuedNews { subject, sends_left });
+    }
+
+    /// News that wait already keep their place.
+    fn push_back(&mut self, subject: news::NewsSubject, sends_left: u32) {
+        if let Some(place) = self.places.get(&subject) {
+            self.waiting.insert(*place, QueuedNews { subject, sends_left });
+            return;
+        }
+        let place = self.waiting.last_key_value().map_or(0, |(place, _)| place + 1);
+        self.insert(place, QueuedNews { subject, sends_left });
+    }
+
+    fn insert(&mut self, place: i64, queued: QueuedNews) {
+        self.places.insert(queued.subject.clone(), place);
+        self.waiting.insert(place, queued);
+    }
+
+    fn remove(&mut self, subject: &news::NewsSubject) {
+        if let Some(place) = self.places.remove(subject) {
+            self.waiting.remove(&place);
+        }
+    }
+
+    /// Takes from the front what fits; what was told waits behind the rest, until it was told often
+    /// enough.
+    fn take(
+        &mut self,
+        taken: &mut TakenNews,
+        look_up: &impl Fn(&news::NewsSubject) -> Option<news::NewsItem>,
+    ) {
+        let mut told = Vec::new();
+        while let Some((place, queued)) = self.waiting.pop_first() {
+            self.places.remove(&queued.subject);
+            // What is not known any more is no news.
+            let Some(item) = look_up(&queued.subject) else { continue };
+            if !taken.add(item) {
+                self.insert(place, queued);
+                break;
+            }
+            told.push(queued);
+        }
+        for queued in told.into_iter().filter(|queued| queued.sends_left > 1) {
+            self.push_back(queued.subject, queued.sends_left - 1);
+        }
+    }
+}
+
 struct TakenNews {
     items: Vec<news::NewsItem>,
     left: usize,
 }
 
 impl TakenNews {
-    /// Adds an item where it fits.
+    /// Adds an item where it fits; the first one always does, so that long names stop nothing.
     fn add(&mut self, item: news::NewsItem) -> bool {
         let size = item.wire_bytes();
-        if size > self.left {
+        if size > self.left && !self.items.is_empty() {
             return false;
         }
-        self.left -= size;
+        self.left = self.left.saturating_sub(size);
         self.items.push(item);
         true
     }
--- a/crates/membership/src/state.rs
+++ b/crates/membership/src/state.rs
@@ -35,7 +35,7 @@
     /// Daemons that are asked to try a daemon that did not answer.
     pub indirect_probes: usize,
     /// Bytes of news in one message.
-    pub message_bytes: usize,
+    pub budget: spread::NewsBudget,
     /// Between two polls that a daemon makes.
     pub poll_gap: time::Millis,
     /// Least time between two polls of one upstream by one daemon.
@@ -55,8 +55,8 @@
             other_fanout: 1,
             gone_interval: time::Millis::new(1_000),
             indirect_probes: 2,
-            message_bytes: 640,
-            poll_gap: time::Millis::new(100),
+            budget: spread::NewsBudget { message_bytes: 400, walk_bytes: 200 },
+            poll_gap: time::Millis::new(250),
             poll_interval: time::Millis::new(500),
             report_refresh: time::Millis::new(30_000),
             load_interval: time::Millis::new(1_000),
@@ -277,7 +277,7 @@
         let daemons = &self.daemons;
         let upstreams = &self.upstreams;
         let news = self.queue.take(
-            self.limits.message_bytes,
+            self.limits.budget,
             scope,
             |subject| look_up(daemons, upstreams, subject),
             |subject| next_after(daemons, upstreams, subject),
--- a/crates/membership/tests/properties.rs
+++ b/crates/membership/tests/properties.rs
@@ -142,7 +142,7 @@
             (0..4).map(|number| format!("{:?}", state(number))).collect()
         }).collect();
         prelude::prop_assert!(views.len() <= 1, "daemons differ: {:?}", views);
-        let limit = state::MembershipLimits::default().message_bytes;
+        let limit = state::MembershipLimits::default().budget.message_bytes;
         prelude::prop_assert!(cluster.largest_message <= limit + MESSAGE_FRAME_BYTES);
     }
 }
