Number written batches by their own holder when peers forget copies

A holder that still had an adopted batch of its predecessor in its queue told its peers that the table had its own batches up to the predecessor's number; the peers forgot a claim that only they had. Change: the number comes from the holder's own batches.

--- a/crates/claims/src/writer.rs
+++ b/crates/claims/src/writer.rs
@@ -529,7 +529,10 @@
         let number = RoundNumber(self.round_count);
         let unsecured = self.unwritten.iter().filter(|open| !open.copied);
         let batches: Vec<_> = unsecured.map(|open| open.batch.clone()).collect();
-        let written = self.unwritten.front().map_or(self.next_seq, |open| open.batch.id.seq);
+        // Batches of earlier holders have numbers of their own.
+        let fence = self.lease.row.fence;
+        let first = self.unwritten.iter().find(|open| open.batch.id.fence == fence);
+        let written = first.map_or(self.next_seq, |open| open.batch.id.seq);
         for member in &self.lease.row.copy_set {
             let member = member.clone();
             let batches = batches.clone();
