process-tests: book through failing daemons, table and services

Change: callers that send again until they know the outcome, by a fixed seed; each test ends by holding what they were told against the services' counts. Shard holder killed, paused past its lease and woken, stopped; table down, slow, answers and requests lost, holder killed in an outage; one zone cut off from the platform; services silent, closing before the answer, refusing; racing sends of one key through four daemons; the same key of another workspace or with another body.

Ruled out: to call it a violation when a later send of a key is told not-run after an earlier send got no answer: that is said of the send.

Known red: refused_call_is_not_run_at_another_daemon, a real fault of shards::forward (unknown where not-run is certain; nothing runs twice).

--- a/crates/process-tests/src/cluster.rs
+++ b/crates/process-tests/src/cluster.rs
@@ -167,6 +167,24 @@
         operator::TestOperator::new(&text, &self.directory)
     }
 
+    /// Shards that an entry daemon has open; none where it does not answer.
+    pub fn open_shards(&self, index: usize) -> Option<u64> {
+        let text = task::block_on(control::get_text(self.entry(index), "/metrics"))?;
+        let mut lines = text.lines();
+        lines.find_map(|line| line.strip_prefix("samphiremoor_shards_open ")?.parse().ok())
+    }
+
+    /// Index of an entry daemon among `candidates` that has shards open, once there is one.
+    pub fn shard_holder(&self, candidates: &[usize]) -> usize {
+        let mut holder = None;
+        wait::until("a shard is open", || {
+            let has_open = |index: &usize| self.open_shards(*index).is_some_and(|open| open > 0);
+            holder = candidates.iter().copied().find(has_open);
+            holder.is_some()
+        });
+        holder.expect("the wait ended with a holder")
+    }
+
     /// What the services counted; those that do not answer are left out.
     pub fn service_counts(&self) -> Vec<service_wire::ServiceCounts> {
         let addresses = self.services.iter().map(|vm| vm.place.address);
@@ -228,7 +246,8 @@
         let view_path = self.view_path();
         let is_file = self.plan.view == plan::ViewOrigin::File;
         let platform = self.zone_platforms[&place.zone];
-        let text = texts::entry(&place, is_file.then_some(view_path.as_path()), platform);
+        let text =
+            texts::entry(&place, &self.plan, is_file.then_some(view_path.as_path()), platform);
         let control = (!is_file).then(|| self.control_process(&place));
         let entry =
             child::DaemonProcess::start("samphiremoor-entry", &place.name, &text, &self.directory);
--- a/crates/process-tests/src/lib.rs
+++ b/crates/process-tests/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod child;
 pub mod cluster;
 pub mod control;
+pub mod fleet;
 pub mod operator;
 pub mod plan;
 pub mod ports;
--- a/crates/process-tests/src/plan.rs
+++ b/crates/process-tests/src/plan.rs
@@ -20,6 +20,8 @@
     pub decode_base_us: u64,
     /// Milliseconds that a plain service takes.
     pub service_latency_ms: u64,
+    /// Shards of the idempotency keys.
+    pub shards: u16,
     /// Where the entry daemons' view comes from.
     pub view: ViewOrigin,
 }
@@ -42,6 +44,7 @@
             services: 1,
             decode_base_us: 5_000,
             service_latency_ms: 20,
+            shards: 4,
             view: ViewOrigin::Control,
         }
     }
--- a/crates/process-tests/src/texts.rs
+++ b/crates/process-tests/src/texts.rs
@@ -62,6 +62,7 @@
 /// Settings of an entry daemon.
 pub(crate) fn entry(
     place: &plan::EntryPlace,
+    plan: &plan::ClusterPlan,
     view_file: Option<&path::Path>,
     platform: net::SocketAddr,
 ) -> String {
@@ -69,11 +70,13 @@
         Some(file) => format!("file = {:?}", file.display().to_string()),
         None => format!("control_address = \"{}\"", place.view),
     };
-    let _ = platform;
     format!(
         "daemon = \"{name}\"\nvm = \"{name}\"\nzone = \"{zone}\"\nhttp_address = \"{http}\"\n\
          peer_address = \"{peer}\"\nlog = \"debug\"\n\n[view]\n{view}\ninterval_ms = 100\n\n\
-         [upstreams]\nsilence_ms = 1500\n\n[stop]\ngrace_ms = 500\n",
+         [upstreams]\nsilence_ms = 1500\n\n[stop]\ngrace_ms = 500\n\n\
+         [platform]\naddress = \"{platform}\"\n\n\
+         [shards]\ncount = {shards}\nlease_time = 2000\nidle_scan_interval = 1000\n",
+        shards = plan.shards,
         name = place.name,
         zone = place.zone,
         http = place.http,
