Hold each zone's duties by a lease and carry out the plans under it

One row for each zone, renewed every 2 s; a candidate takes it over after 8 s without a change on its own clock, under a greater fencing number, and a holder without a renewal for 5 s orders nothing. The holder plans every 5 s from the upstreams' own states, starts VMs with one write id for all sends, orders with its fencing number and a validity of 2 s, and gives a VM back only after a mark in the table, 10 s and no request, so that a successor goes on where it died. Ruled out: the shards' lease keeper, whose rows and takeover rules are those of shards; its life and answer types are used.

--- a/crates/control/examples/distribution.rs
+++ b/crates/control/examples/distribution.rs
@@ -79,6 +79,14 @@
             load: news::LoadLevel::of(&load),
         }
     }
+
+    async fn order(
+        &self,
+        _: net::SocketAddr,
+        _: &upstream::UpstreamOrder,
+    ) -> upstream::OrderAnswer {
+        upstream::OrderAnswer::Accepted
+    }
 }
 
 fn address(port: u16, offset: usize) -> net::SocketAddr {
--- /dev/null
+++ b/crates/control/src/capacity.rs
@@ -0,0 +1,274 @@
+//! Carries out the plans for an availability zone, while its duties are held.
+//!
+//! Pure decisions over the planner: which of its actions are this zone's, what is in flight, and
+//! when a drained VM is given back. What must survive the holder is in the table: a VM that is to
+//! be given back is first marked as leaving there, with this module's name as the author.
+
+use std::collections;
+
+use samphiremoor_base::id;
+use samphiremoor_base::quantity;
+use samphiremoor_base::time;
+use samphiremoor_membership::news;
+use samphiremoor_membership::upstreams;
+use samphiremoor_planner::fleet;
+use samphiremoor_planner::placement;
+use samphiremoor_planner::plan;
+use samphiremoor_planner::planner;
+use samphiremoor_planner::purchase;
+use samphiremoor_platform::cloud;
+use samphiremoor_records::set;
+use samphiremoor_view::zone;
+use smallvec::SmallVec;
+
+/// Author of the marks on VMs that are given back once they are idle.
+pub const CAPACITY_AUTHOR: &str = "capacity";
+
+/// Between two plans.
+const PLAN_INTERVAL: time::Millis = time::Millis::new(5_000);
+
+/// An order that shows no effect in the upstream's state after this time is given again.
+const ORDER_MEMORY: time::Millis = time::Millis::new(30_000);
+
+/// A VM that leaves is given back no sooner: by then no daemon sends it new work.
+const DRAIN_TIME: time::Millis = time::Millis::new(10_000);
+
+/// A VM that leaves is given back after this time, also where it still reports requests.
+const DRAIN_LIMIT: time::Millis = time::Millis::new(600_000);
+
+/// A mark on a VM that leaves.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct DrainMark {
+    /// The VM.
+    pub vm: id::VmId,
+    /// Who marked it.
+    pub author: std::sync::Arc<str>,
+}
+
+/// Something to carry out under the lease.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum CapacityStep {
+    /// Start a VM.
+    Start(cloud::VmStart),
+    /// Mark a VM as leaving.
+    Mark(id::VmId),
+    /// Give a VM back, and take its mark away.
+    Release(id::VmId),
+    /// Order an upstream.
+    Order {
+        /// The upstream.
+        upstream: news::UpstreamNews,
+        /// What is ordered.
+        action: plan::PlanAction,
+    },
+}
+
+/// What is planned and in flight.
+pub struct CapacityState {
+    planner: planner::FleetPlanner,
+    next_plan: time::MonotonicTime,
+    ordered: collections::BTreeMap<id::ReplicaId, SmallVec<[SentOrder; 2]>>,
+    leaving_since: collections::BTreeMap<id::VmId, time::MonotonicTime>,
+    starts: u64,
+}
+
+#[derive(Clone, Debug)]
+struct SentOrder {
+    action: plan::PlanAction,
+    at: time::MonotonicTime,
+}
+
+impl std::fmt::Debug for CapacityState {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("CapacityState").field("next_plan", &self.next_plan).finish_non_exhaustive()
+    }
+}
+
+/// What a plan is made from.
+#[derive(Clone, Copy, Debug)]
+pub struct CapacityInput<'a> {
+    /// The availability zone whose duties are held.
+    pub zone: &'a id::ZoneId,
+    /// Life of the daemon, which marks its starts.
+    pub life: quantity::Incarnation,
+    /// Records in force.
+    pub records: &'a set::RecordSet,
+    /// The upstreams.
+    pub upstreams: &'a upstreams::UpstreamTable,
+    /// Offers that were read just now.
+    pub offers: &'a [cloud::VmOffer],
+}
+
+impl Default for CapacityState {
+    fn default() -> Self {
+        let policy = Box::new(purchase::BalancedPurchase);
+        CapacityState {
+            planner: planner::FleetPlanner::new(policy, placement::PlacementLimits::default()),
+            next_plan: time::MonotonicTime::default(),
+            ordered: collections::BTreeMap::new(),
+            leaving_since: collections::BTreeMap::new(),
+            starts: 0,
+        }
+    }
+}
+
+impl CapacityState {
+    /// Whether it is time for a plan, which starts with reading the offers.
+    pub fn is_due(&mut self, now: time::MonotonicTime) -> bool {
+        if now < self.next_plan {
+            return false;
+        }
+        self.next_plan = now + PLAN_INTERVAL;
+        true
+    }
+
+    /// Makes a plan and returns its steps in this zone.
+    pub fn plan(
+        &mut self,
+        now: time::MonotonicTime,
+        input: &CapacityInput<'_>,
+    ) -> Vec<CapacityStep> {
+        self.forget_orders(now);
+        let replicas = self.fleet(now, input.upstreams);
+        let made = self.planner.plan(&planner::PlanInput {
+            records: input.records,
+            replicas: &replicas,
+            offers: input.offers,
+            now,
+        });
+        let planned = made.actions.into_iter().map(|planned| planned.action);
+        planned.filter_map(|action| self.step_of(now, input, action)).collect()
+    }
+
+    /// Marked VMs of the zone that are idle, or have left for too long.
+    pub fn releases(
+        &mut self,
+        now: time::MonotonicTime,
+        zone: &id::ZoneId,
+        marks: &[DrainMark],
+        upstreams: &upstreams::UpstreamTable,
+    ) -> Vec<CapacityStep> {
+        let mine = marks.iter().filter(|mark| &*mark.author == CAPACITY_AUTHOR);
+        let mut steps = Vec::new();
+        let mut marked = collections::BTreeSet::new();
+        for mark in mine {
+            let Some(known) = upstreams.get(&mark.vm) else { continue };
+            if known.zone != *zone {
+                continue;
+            }
+            marked.insert(mark.vm.clone());
+            let since = *self.leaving_since.entry(mark.vm.clone()).or_insert(now);
+            let is_over = now.since(since) >= DRAIN_LIMIT;
+            let is_gone = known.standing.state == zone::UpstreamState::Gone;
+            let is_idle = now.since(since) >= DRAIN_TIME && upstreams.is_idle(&mark.vm);
+            if is_gone || is_over || is_idle {
+                steps.push(CapacityStep::Release(mark.vm.clone()));
+            }
+        }
+        self.leaving_since.retain(|vm, _| marked.contains(vm));
+        steps
+    }
+
+    /// The cloud answered a start; returns when a refused offer is tried again.
+    pub fn start_answered(
+        &mut self,
+        now: time::MonotonicTime,
+        start: &cloud::VmStart,
+        answer: &cloud::StartAnswer,
+    ) -> Option<time::MonotonicTime> {
+        match answer {
+            cloud::StartAnswer::Started(vm) => {
+                self.planner.started(&start.pool, &start.offer, vm.clone(), now);
+                None
+            }
+            cloud::StartAnswer::Refused => Some(self.planner.refused(&start.offer, now)),
+        }
+    }
+
+    fn forget_orders(&mut self, now: time::MonotonicTime) {
+        self.ordered.retain(|_, orders| {
+            orders.retain(|order| now.since(order.at) < ORDER_MEMORY);
+            !orders.is_empty()
+        });
+    }
+
+    fn fleet(
+        &self,
+        now: time::MonotonicTime,
+        upstreams: &upstreams::UpstreamTable,
+    ) -> Vec<fleet::FleetReplica> {
+        upstreams.views(now).into_iter().map(|view| self.replica(view, upstreams)).collect()
+    }
+
+    fn replica(
+        &self,
+        view: zone::ReplicaView,
+        upstreams: &upstreams::UpstreamTable,
+    ) -> fleet::FleetReplica {
+        let orders = self.ordered.get(&view.id).map(SmallVec::as_slice).unwrap_or_default();
+        let loads = orders.iter().filter_map(|order| match &order.action {
+            plan::PlanAction::Load { model, .. } => Some(model),
+            _ => None,
+        });
+        let loading = loads.filter(|model| !view.models.contains(*model)).cloned().collect();
+        let class = upstreams.get(&view.vm).map(|news| news.class.clone());
+        fleet::FleetReplica {
+            class: class.expect("views are made of the table's upstreams"),
+            id: view.id,
+            vm: view.vm,
+            zone: view.zone,
+            pool: view.pool,
+            reclaimable: view.reclaimable,
+            price: view.price,
+            state: view.state,
+            models: view.models,
+            loading,
+            role: None,
+            load: view.load,
+        }
+    }
+
+    /// The step of an action; none where it is another zone's, or was ordered already.
+    fn step_of(
+        &mut self,
+        now: time::MonotonicTime,
+        input: &CapacityInput<'_>,
+        action: plan::PlanAction,
+    ) -> Option<CapacityStep> {
+        match action {
+            plan::PlanAction::Start { pool, offer } if offer.zone == *input.zone => {
+                self.starts += 1;
+                let write_id = format!("start-{}-{}-{}", input.zone, input.life, self.starts);
+                let write_id = write_id.parse().expect("a zone's id and numbers make an id");
+                Some(CapacityStep::Start(cloud::VmStart { write_id, offer, pool }))
+            }
+            plan::PlanAction::Release { vm, zone, .. } if zone == *input.zone => {
+                Some(CapacityStep::Mark(vm))
+            }
+            plan::PlanAction::Start { .. } | plan::PlanAction::Release { .. } => None,
+            order => self.order(now, input, order),
+        }
+    }
+
+    fn order(
+        &mut self,
+        now: time::MonotonicTime,
+        input: &CapacityInput<'_>,
+        action: plan::PlanAction,
+    ) -> Option<CapacityStep> {
+        let replica = match &action {
+            plan::PlanAction::Load { replica, .. }
+            | plan::PlanAction::Unload { replica, .. }
+            | plan::PlanAction::UnifyRole { replica } => replica.clone(),
+            plan::PlanAction::Start { .. } | plan::PlanAction::Release { .. } => return None,
+        };
+        let vm: id::VmId = replica.as_str().parse().expect("every id type accepts the same texts");
+        let upstream = input.upstreams.get(&vm).filter(|news| news.zone == *input.zone)?.clone();
+        let orders = self.ordered.entry(replica).or_default();
+        if orders.iter().any(|order| order.action == action) {
+            return None;
+        }
+        orders.push(SentOrder { action: action.clone(), at: now });
+        Some(CapacityStep::Order { upstream, action })
+    }
+}
--- a/crates/control/src/shell.rs
+++ b/crates/control/src/shell.rs
@@ -8,7 +8,6 @@
 use async_std::channel;
 use async_std::task;
 use samphiremoor_base::event;
-use samphiremoor_base::id;
 use samphiremoor_base::log_event;
 use samphiremoor_base::quantity;
 use samphiremoor_base::time;
@@ -22,6 +21,8 @@
 use samphiremoor_view::zone;
 
 use crate::caller;
+use crate::capacity;
+use crate::carry_out;
 use crate::message;
 use crate::metrics;
 use crate::state;
@@ -282,6 +283,20 @@
             }
             state::ControlAction::DaemonChanged(news) => log_daemon(&news),
             state::ControlAction::UpstreamChanged(news) => log_upstream(&news),
+            state::ControlAction::WriteDuty(write) => self.write_duty(write),
+            state::ControlAction::CarryOut(step, fence) => self.carry_out(step, fence),
+            state::ControlAction::DutyChanged(Some(fence)) => {
+                log_event!(event::LogEvent::LeaseTaken, duty = "zone", fence = fence);
+            }
+            state::ControlAction::DutyChanged(None) => {
+                log_event!(event::LogEvent::LeaseLost, duty = "zone");
+            }
+            state::ControlAction::StartRefused(offer, wait) => log_event!(
+                event::LogEvent::VmStartRefused,
+                class = offer.class,
+                zone = offer.zone,
+                wait = wait
+            ),
             state::ControlAction::Publish(view) => self.publish(*view),
         }
     }
@@ -298,8 +313,9 @@
     fn read(&self, read: state::PlatformRead) {
         let ports = self.ports.clone();
         let metrics = self.metrics.clone();
+        let duty_key = self.state.duty_key().clone();
         self.spawn(async move {
-            let input = read_platform(&ports, read).await;
+            let input = read_platform(&ports, &duty_key, read).await;
             let result = if input.is_some() { "done" } else { "failed" };
             metrics.platform_reads.with_label_values(&[label(read), result]).inc();
             input.unwrap_or(state::ControlInput::ReadFailed(read))
@@ -368,6 +384,23 @@
         });
     }
 
+    fn write_duty(&self, write: table::TableTransaction) {
+        let table = self.ports.table.clone();
+        self.spawn(
+            async move { state::ControlInput::DutyWritten(table.commit(&write).await.into()) },
+        );
+    }
+
+    fn carry_out(&self, step: capacity::CapacityStep, fence: quantity::FenceNumber) {
+        let ports = self.ports.clone();
+        let inputs = self.inputs.clone();
+        task::spawn(async move {
+            if let Some(input) = carry_out::carry_out(ports, step, fence).await {
+                send(&inputs, input);
+            }
+        });
+    }
+
     fn spawn(&self, call: impl std::future::Future<Output = state::ControlInput> + Send + 'static) {
         let inputs = self.inputs.clone();
         task::spawn(async move { send(&inputs, call.await) });
@@ -381,6 +414,7 @@
 
 async fn read_platform(
     ports: &ControlPorts,
+    duty_key: &table::RowKey,
     read: state::PlatformRead,
 ) -> Option<state::ControlInput> {
     match read {
@@ -409,14 +443,21 @@
         }
         state::PlatformRead::Drains => {
             let rows = ports.table.scan(revision::DRAIN_PREFIX, None, MAX_DRAINS).await.ok()?;
-            let vms = rows.iter().filter_map(|row| drained_vm(&row.key)).collect();
-            Some(state::ControlInput::DrainsRead(vms))
+            let marks = rows.iter().filter_map(drain_mark).collect();
+            Some(state::ControlInput::DrainsRead(marks))
+        }
+        state::PlatformRead::Offers => {
+            Some(state::ControlInput::OffersRead(ports.cloud.offers().await.ok()?))
+        }
+        state::PlatformRead::Duty => {
+            Some(state::ControlInput::DutyRead(ports.table.read(duty_key).await.ok()?))
         }
     }
 }
 
-fn drained_vm(key: &table::RowKey) -> Option<id::VmId> {
-    key.as_str().strip_prefix(revision::DRAIN_PREFIX)?.parse().ok()
+fn drain_mark(row: &table::TableRow) -> Option<capacity::DrainMark> {
+    let vm = row.key.as_str().strip_prefix(revision::DRAIN_PREFIX)?.parse().ok()?;
+    Some(capacity::DrainMark { vm, author: row.value.clone() })
 }
 
 fn label(read: state::PlatformRead) -> &'static str {
@@ -426,6 +467,8 @@
         state::PlatformRead::List => "list",
         state::PlatformRead::Notices(_) => "notices",
         state::PlatformRead::Drains => "drains",
+        state::PlatformRead::Offers => "offers",
+        state::PlatformRead::Duty => "duty",
     }
 }
 
@@ -433,7 +476,7 @@
     match answer {
         news::ReplicaAnswer::Silent => "silent",
         news::ReplicaAnswer::NotReady => "not-ready",
-        news::ReplicaAnswer::Draining => "draining",
+        news::ReplicaAnswer::Draining { .. } => "draining",
         news::ReplicaAnswer::Ready { .. } => "ready",
     }
 }
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -7,14 +7,19 @@
 use samphiremoor_base::time;
 use samphiremoor_head::follow;
 use samphiremoor_head::relay;
+use samphiremoor_lease::answer;
+use samphiremoor_lease::row;
 use samphiremoor_membership::daemons;
 use samphiremoor_membership::news;
 use samphiremoor_membership::state;
 use samphiremoor_platform::cloud;
+use samphiremoor_platform::table;
 use samphiremoor_records::revision;
 use samphiremoor_records::set;
 use samphiremoor_view::zone;
 
+use crate::capacity;
+use crate::duty;
 use crate::message;
 
 /// How often the platform is read beside the head.
@@ -63,8 +68,16 @@
     ListRead(Vec<cloud::VmEntry>),
     /// Notices were read.
     NoticesRead(Vec<cloud::ReclaimNotice>),
-    /// VMs that operators marked as leaving were read.
-    DrainsRead(Vec<id::VmId>),
+    /// Marks on VMs that leave were read.
+    DrainsRead(Vec<capacity::DrainMark>),
+    /// Offers were read.
+    OffersRead(Vec<cloud::VmOffer>),
+    /// The lease row of the zone's duties was read.
+    DutyRead(Option<table::TableRow>),
+    /// The table answered the write of the lease row.
+    DutyWritten(answer::TableAnswer),
+    /// The cloud answered a start.
+    StartAnswered(cloud::VmStart, cloud::StartAnswer),
     /// The platform did not answer this read.
     ReadFailed(PlatformRead),
     /// A peer answered a message.
@@ -104,6 +117,10 @@
     Notices(u64),
     /// Rows that mark VMs as leaving.
     Drains,
+    /// Offers of the cloud.
+    Offers,
+    /// The lease row of the zone's duties.
+    Duty,
 }
 
 /// A call to make or a thing to tell.
@@ -134,6 +151,14 @@
     DaemonChanged(news::DaemonNews),
     /// An upstream's state changed.
     UpstreamChanged(news::UpstreamNews),
+    /// Write the lease row of the zone's duties.
+    WriteDuty(table::TableTransaction),
+    /// Carry out a step of the plan under this fencing number.
+    CarryOut(capacity::CapacityStep, quantity::FenceNumber),
+    /// The duties of the zone are held under this fencing number, or no more.
+    DutyChanged(Option<quantity::FenceNumber>),
+    /// The cloud refused a start, and the offer waits for this long.
+    StartRefused(cloud::VmOffer, time::Millis),
     /// Show this view to the entry daemon.
     Publish(Box<zone::ZoneView>),
 }
@@ -157,6 +182,10 @@
     platform: zone::PlatformState,
     life: quantity::Incarnation,
     serial: u64,
+    duty: duty::DutyLease,
+    shown_fence: Option<quantity::FenceNumber>,
+    capacity: capacity::CapacityState,
+    marks: Vec<capacity::DrainMark>,
     shown_changes: Option<ShownChanges>,
     next_view: time::MonotonicTime,
 }
@@ -182,6 +211,8 @@
     ) -> Self {
         let limits = state::MembershipLimits::default();
         let life = own.standing.incarnation;
+        let holder = row::DaemonLife { daemon: own.id.clone(), incarnation: life };
+        let duty = duty::DutyLease::new(&own.zone, holder, duty::DutyTimes::default());
         ControlState {
             times: ReadTimes::default(),
             membership: state::MembershipState::new(own, limits, seed, now),
@@ -199,6 +230,10 @@
             platform: zone::PlatformState::Unavailable,
             life,
             serial: 0,
+            duty,
+            shown_fence: None,
+            capacity: capacity::CapacityState::default(),
+            marks: Vec::new(),
             shown_changes: None,
             next_view: now,
         }
@@ -225,6 +260,11 @@
         now.since(self.in_force_since)
     }
 
+    /// Key of the lease row of the zone's duties.
+    pub fn duty_key(&self) -> &table::RowKey {
+        self.duty.key()
+    }
+
     /// The membership.
     pub fn membership(&self) -> &state::MembershipState {
         &self.membership
@@ -308,7 +348,22 @@
                 self.membership.list_read(now, &entries);
             }
             ControlInput::NoticesRead(notices) => self.notices_read(now, &notices),
-            ControlInput::DrainsRead(vms) => self.membership.drains_read(now, &vms),
+            ControlInput::DrainsRead(marks) => {
+                let vms: Vec<id::VmId> = marks.iter().map(|mark| mark.vm.clone()).collect();
+                self.membership.drains_read(now, &vms);
+                self.marks = marks;
+            }
+            ControlInput::OffersRead(offers) => self.plan(now, &offers, actions),
+            ControlInput::DutyRead(row) => self.hold(now, duty::DutyInput::Read(row), actions),
+            ControlInput::DutyWritten(answer) => {
+                self.hold(now, duty::DutyInput::Written(answer), actions);
+            }
+            ControlInput::StartAnswered(start, answer) => {
+                if let Some(until) = self.capacity.start_answered(now, &start, &answer) {
+                    let wait = until.since(now);
+                    actions.push(ControlAction::StartRefused(start.offer, wait));
+                }
+            }
             ControlInput::ReadFailed(read) => self.read_failed(now, read, actions),
             ControlInput::GossipAnswered(message) => {
                 self.follow(now, follow::FollowInput::Joined, actions);
@@ -341,6 +396,58 @@
         self.follow(now, follow::FollowInput::Tick(duty), actions);
         let ticked = self.membership.tick(now);
         self.act(ticked, actions);
+        self.hold(now, duty::DutyInput::Tick { is_candidate: is_reader }, actions);
+        self.look_after_capacity(now, actions);
+    }
+
+    fn hold(
+        &mut self,
+        now: time::MonotonicTime,
+        input: duty::DutyInput,
+        actions: &mut Vec<ControlAction>,
+    ) {
+        match self.duty.step(now, input) {
+            None => {}
+            Some(duty::DutyAction::Read) => actions.push(ControlAction::Read(PlatformRead::Duty)),
+            Some(duty::DutyAction::Write(write)) => actions.push(ControlAction::WriteDuty(write)),
+        }
+        let fence = self.duty.fence(now);
+        if fence != self.shown_fence {
+            self.shown_fence = fence;
+            actions.push(ControlAction::DutyChanged(fence));
+        }
+    }
+
+    /// Starts a plan where one is due, and gives marked VMs back that are idle.
+    fn look_after_capacity(&mut self, now: time::MonotonicTime, actions: &mut Vec<ControlAction>) {
+        let Some(fence) = self.duty.fence(now) else { return };
+        if self.records.is_none() || !self.capacity.is_due(now) {
+            return;
+        }
+        actions.push(ControlAction::Read(PlatformRead::Offers));
+        let zone = self.membership.daemons().own().zone.clone();
+        let upstreams = self.membership.upstreams();
+        let steps = self.capacity.releases(now, &zone, &self.marks, upstreams);
+        actions.extend(steps.into_iter().map(|step| ControlAction::CarryOut(step, fence)));
+    }
+
+    fn plan(
+        &mut self,
+        now: time::MonotonicTime,
+        offers: &[cloud::VmOffer],
+        actions: &mut Vec<ControlAction>,
+    ) {
+        let Some(fence) = self.duty.fence(now) else { return };
+        let Some(records) = &self.records else { return };
+        let input = capacity::CapacityInput {
+            zone: &self.membership.daemons().own().zone,
+            life: self.life,
+            records,
+            upstreams: self.membership.upstreams(),
+            offers,
+        };
+        let steps = self.capacity.plan(now, &input);
+        actions.extend(steps.into_iter().map(|step| ControlAction::CarryOut(step, fence)));
     }
 
     fn try_to_join(&mut self, now: time::MonotonicTime, actions: &mut Vec<ControlAction>) {
@@ -399,7 +506,8 @@
                 self.follow(now, follow::FollowInput::RevisionRead(None), actions);
             }
             PlatformRead::List => self.is_list_tried = true,
-            PlatformRead::Notices(_) | PlatformRead::Drains => {}
+            PlatformRead::Duty => self.hold(now, duty::DutyInput::ReadFailed, actions),
+            PlatformRead::Notices(_) | PlatformRead::Drains | PlatformRead::Offers => {}
         }
     }
 
--- a/crates/control/src/upstream.rs
+++ b/crates/control/src/upstream.rs
@@ -14,6 +14,7 @@
 use samphiremoor_records::set;
 use samphiremoor_view::zone;
 use serde::Deserialize;
+use serde::Serialize;
 use serde::de;
 
 /// Time limits of a poll.
@@ -31,6 +32,55 @@
 pub trait UpstreamPoller: Send + Sync {
     /// State and load of the upstream at the address; silent where it does not answer in time.
     async fn poll(&self, address: net::SocketAddr) -> news::ReplicaAnswer;
+
+    /// Gives an order; what became of it shows in the upstream's state.
+    async fn order(&self, address: net::SocketAddr, order: &UpstreamOrder) -> OrderAnswer;
+}
+
+/// The body of `POST /orders`.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Serialize)]
+pub struct UpstreamOrder {
+    /// Fencing number of who orders.
+    pub fence: quantity::FenceNumber,
+    /// Time from the receipt in which the order may be carried out.
+    pub valid_ms: time::Millis,
+    /// What is ordered.
+    #[serde(flatten)]
+    pub action: OrderAction,
+}
+
+/// What is ordered.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum OrderAction {
+    /// Load a model.
+    Load(set::LoadedModel),
+    /// Unload a model.
+    Unload(set::LoadedModel),
+    /// Take a role.
+    Role(UpstreamRole),
+}
+
+/// Role of an engine.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum UpstreamRole {
+    /// Computes prompts and answers.
+    Both,
+}
+
+/// What an upstream answered to an order.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum OrderAnswer {
+    /// It was accepted.
+    Accepted,
+    /// It was refused with this HTTP status.
+    Refused(u16),
+    /// No answer: it may have been accepted.
+    NotKnown,
 }
 
 /// Asks upstreams over HTTP.
@@ -45,6 +95,18 @@
             None => news::ReplicaAnswer::Silent,
         }
     }
+
+    async fn order(&self, address: net::SocketAddr, order: &UpstreamOrder) -> OrderAnswer {
+        let Ok(url) = client::url(address, "/orders") else { return OrderAnswer::NotKnown };
+        let mut request = Request::new(Method::Post, url);
+        request.set_body(serde_json::to_string(order).expect("an order has only plain fields"));
+        request.insert_header("Content-Type", "application/json");
+        match client::send(address, request, POLL_LIMITS).await {
+            Ok(response) if response.status().is_success() => OrderAnswer::Accepted,
+            Ok(response) => OrderAnswer::Refused(u16::from(response.status())),
+            Err(_) => OrderAnswer::NotKnown,
+        }
+    }
 }
 
 /// The answer of `GET /state`; what control does not need is left out.
@@ -68,10 +130,7 @@
 
 async fn ask(address: net::SocketAddr) -> Option<news::ReplicaAnswer> {
     let state: StateWire = get(address, "/state").await?;
-    if state.draining {
-        return Some(news::ReplicaAnswer::Draining);
-    }
-    if !state.ready {
+    if !state.ready && !state.draining {
         return Some(news::ReplicaAnswer::NotReady);
     }
     // A plain service may report no load.
@@ -82,10 +141,11 @@
         queued_tokens: load.queued_tokens,
         ..zone::LoadReport::default()
     });
-    Some(news::ReplicaAnswer::Ready {
-        models: state.models.into(),
-        load: news::LoadLevel::of(&report.unwrap_or_default()),
-    })
+    let load = news::LoadLevel::of(&report.unwrap_or_default());
+    if state.draining {
+        return Some(news::ReplicaAnswer::Draining { load });
+    }
+    Some(news::ReplicaAnswer::Ready { models: state.models.into(), load })
 }
 
 async fn get<A: de::DeserializeOwned>(address: net::SocketAddr, path: &str) -> Option<A> {
--- a/crates/membership/src/news.rs
+++ b/crates/membership/src/news.rs
@@ -90,6 +90,8 @@
     pub zone: id::ZoneId,
     /// Its pool.
     pub pool: id::RecordId,
+    /// Class of the VM.
+    pub class: id::VmClass,
     /// Where it serves.
     pub address: net::SocketAddr,
     /// Its price.
@@ -133,7 +135,10 @@
     /// It is not ready for work.
     NotReady,
     /// It finishes its work and takes no new one.
-    Draining,
+    Draining {
+        /// Its load.
+        load: LoadLevel,
+    },
     /// It is ready.
     Ready {
         /// Models that it has loaded.
@@ -232,6 +237,7 @@
                     + news.vm.as_str().len()
                     + news.zone.as_str().len()
                     + news.pool.as_str().len()
+                    + news.class.as_str().len()
             }
             NewsItem::Report(report) => {
                 let models = match &report.answer {
--- a/crates/membership/src/state.rs
+++ b/crates/membership/src/state.rs
@@ -545,6 +545,7 @@
             news::ReplicaAnswer::Ready { models: first, .. },
             news::ReplicaAnswer::Ready { models: second, .. },
         ) => first == second,
+        (news::ReplicaAnswer::Draining { .. }, news::ReplicaAnswer::Draining { .. }) => true,
         _ => first == second,
     }
 }
--- a/crates/membership/src/upstreams.rs
+++ b/crates/membership/src/upstreams.rs
@@ -65,6 +65,18 @@
         pollers
     }
 
+    /// Whether every daemon that polls the upstream last heard that it has no request.
+    pub fn is_idle(&self, vm: &id::VmId) -> bool {
+        let Some(known) = self.known.get(vm) else { return true };
+        let is_busy = |known: &KnownReport| match &known.report.answer {
+            news::ReplicaAnswer::Ready { load, .. } | news::ReplicaAnswer::Draining { load } => {
+                load.running > 0 || load.queued > 0
+            }
+            news::ReplicaAnswer::Silent | news::ReplicaAnswer::NotReady => false,
+        };
+        !known.reports.iter().any(is_busy)
+    }
+
     /// The upstream that follows `vm` in the order of ids.
     pub fn next_after(&self, vm: Option<&id::VmId>) -> Option<&id::VmId> {
         match vm {
@@ -100,7 +112,7 @@
         let Some(known) = self.known.get_mut(&report.vm) else { return false };
         let state = match report.answer {
             news::ReplicaAnswer::Ready { .. } => zone::UpstreamState::Live,
-            news::ReplicaAnswer::Draining => zone::UpstreamState::Leaving,
+            news::ReplicaAnswer::Draining { .. } => zone::UpstreamState::Leaving,
             news::ReplicaAnswer::Silent | news::ReplicaAnswer::NotReady => {
                 zone::UpstreamState::Joining
             }
@@ -284,6 +296,7 @@
         vm: entry.id.clone(),
         zone: entry.zone.clone(),
         pool: pool.clone(),
+        class: entry.class.clone(),
         address: *address,
         price: entry.price,
         reclaimable: entry.reclaimable,
--- a/crates/membership/tests/scenarios.rs
+++ b/crates/membership/tests/scenarios.rs
@@ -90,7 +90,9 @@
                 let answer = match answer.as_str() {
                     "silent" => news::ReplicaAnswer::Silent,
                     "not-ready" => news::ReplicaAnswer::NotReady,
-                    "draining" => news::ReplicaAnswer::Draining,
+                    "draining" => {
+                        news::ReplicaAnswer::Draining { load: news::LoadLevel::default() }
+                    }
                     _ => common::ready(0),
                 };
                 cluster.answer(name, answer);
