--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -61,6 +61,10 @@
     Status(StatusArgs),
     /// Takes a VM out of service.
     Drain(DrainArgs),
+    /// Shows where a request would go.
+    Explain(ExplainArgs),
+    /// Shows what would be started, given back and ordered.
+    Plan(PlanArgs),
 }
 
 impl Command {
@@ -74,6 +78,9 @@
             Command::Withdraw(args) if args.keys.is_empty() => {
                 Some("name at least one record, such as service/drafts")
             }
+            Command::Plan(args) if !args.dry_run => {
+                Some("write plan --dry-run; plans are carried out by the control daemons alone")
+            }
             _ => None,
         }
     }
@@ -171,3 +178,23 @@
     #[argh(positional)]
     pub vm: id::VmId,
 }
+
+/// show where the request of a file would go, and why
+#[derive(Clone, Debug, PartialEq)]
+#[derive(FromArgs)]
+#[argh(subcommand, name = "explain")]
+pub struct ExplainArgs {
+    /// request file
+    #[argh(positional)]
+    pub file: path::PathBuf,
+}
+
+/// show what would be started, given back and ordered now, and why
+#[derive(Clone, Debug, PartialEq)]
+#[derive(FromArgs)]
+#[argh(subcommand, name = "plan")]
+pub struct PlanArgs {
+    /// change nothing; the only form
+    #[argh(switch)]
+    pub dry_run: bool,
+}
--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -5,16 +5,20 @@
 use std::net;
 use std::sync;
 
+use samphiremoor_base::id;
 use samphiremoor_base::quantity;
 use samphiremoor_base::time;
 use samphiremoor_head::change;
 use samphiremoor_platform::cloud;
 use samphiremoor_platform::table;
 use samphiremoor_records::entry;
+use samphiremoor_view::zone;
 
 use crate::args;
+use crate::explain;
 use crate::force;
 use crate::outcome;
+use crate::plan;
 use crate::show;
 use crate::status;
 use crate::store;
@@ -78,6 +82,8 @@
             args::Command::History(args) => self.history(args).await,
             args::Command::Status(_) => self.status().await,
             args::Command::Drain(args) => self.drain(args).await,
+            args::Command::Explain(args) => self.explain(args).await,
+            args::Command::Plan(_) => self.plan().await,
         }
     }
 
@@ -190,22 +196,58 @@
         };
         let listed = self.ports.cloud.list_vms().await.unwrap_or_default();
         let survey = force::survey(&self.ports.asker, &listed, &self.context.seeds).await;
+        let views = self.views(&survey).await?;
+        let status = status::make(written, &survey, &views);
+        let text = show::status(self.context.form, &status);
+        self.print(&text);
+        Ok(())
+    }
+
+    /// A view of each availability zone that has one, by zone.
+    async fn views(
+        &self,
+        survey: &force::ForceSurvey,
+    ) -> Result<Vec<zone::ZoneView>, outcome::CtlError> {
         if survey.daemons.iter().all(|daemon| daemon.report.is_none()) {
             return Err(outcome::CtlError::NoDaemon);
         }
-        let mut zones = collections::BTreeSet::new();
-        let mut views = Vec::new();
+        let mut views: collections::BTreeMap<id::ZoneId, zone::ZoneView> =
+            collections::BTreeMap::new();
         for daemon in survey.daemons.iter().filter(|daemon| daemon.report.is_some()) {
-            if zones.contains(&daemon.news.zone) {
+            if views.contains_key(&daemon.news.zone) {
                 continue;
             }
             if let Some(view) = force::view_of(&self.ports.asker, &daemon.news).await {
-                zones.insert(daemon.news.zone.clone());
-                views.push(view);
+                views.insert(daemon.news.zone.clone(), view);
             }
         }
-        let status = status::make(written, &survey, &views);
-        let text = show::status(self.context.form, &status);
+        Ok(views.into_values().collect())
+    }
+
+    async fn explain(&mut self, args: &args::ExplainArgs) -> Result<(), outcome::CtlError> {
+        let request = explain::read(&args.file)?;
+        let listed = self.ports.cloud.list_vms().await.unwrap_or_default();
+        let survey = force::survey(&self.ports.asker, &listed, &self.context.seeds).await;
+        let views = self.views(&survey).await?;
+        let is_wanted =
+            |view: &&zone::ZoneView| request.zone.as_ref().is_none_or(|zone| view.zone == *zone);
+        let view = views.iter().find(is_wanted).ok_or(outcome::CtlError::NoDaemon)?;
+        let explanation = explain::explain(&request, view)?;
+        let text = show::explanation(self.context.form, &explanation);
+        self.print(&text);
+        Ok(())
+    }
+
+    async fn plan(&mut self) -> Result<(), outcome::CtlError> {
+        let listed = self.ports.cloud.list_vms().await?;
+        let offers = self.ports.cloud.offers().await?;
+        let survey = force::survey(&self.ports.asker, &listed, &self.context.seeds).await;
+        let views = self.views(&survey).await?;
+        let newest = views.iter().max_by_key(|view| view.records.revision);
+        let newest = newest.ok_or(outcome::CtlError::NoDaemon)?;
+        let replicas = status::newest_replicas(&views);
+        let made = plan::make(&newest.records, &replicas, &listed, &offers);
+        let text = show::plan(self.context.form, &made);
         self.print(&text);
         Ok(())
     }
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -1,13 +1,15 @@
 //! The command line of operators, `samphiremoorctl`.
 //!
 //! [`args`] is what can be typed and [`command`] runs it. [`store`] reads and changes the records in
-//! the platform's table, [`force`] finds out where a revision is in force, [`status`] and [`show`]
-//! make what is printed. Exit codes are those of [`outcome`].
+//! the platform's table, [`force`] finds out where a revision is in force, [`status`],
+//! [`explain`] and [`plan`] work out what is asked, and [`show`] makes what is printed. Exit codes are those of [`outcome`].
 
 pub mod args;
 pub mod command;
+pub mod explain;
 pub mod force;
 pub mod outcome;
+pub mod plan;
 pub mod settings;
 pub mod show;
 pub mod status;
--- a/crates/ctl/src/show.rs
+++ b/crates/ctl/src/show.rs
@@ -3,11 +3,13 @@
 use std::fmt::Write as _;
 
 use samphiremoor_base::quantity;
+use samphiremoor_planner::plan;
 use samphiremoor_records::entry;
 use samphiremoor_records::revision;
 use serde::Serialize;
 
 use crate::args;
+use crate::explain;
 use crate::status;
 
 /// Millionths in a unit of currency.
@@ -152,6 +154,75 @@
     )
 }
 
+/// Where a request would go.
+pub fn explanation(form: args::OutputForm, explanation: &explain::RouteExplanation) -> String {
+    if form == args::OutputForm::Json {
+        return json(explanation);
+    }
+    let mut text =
+        format!("zone {} serves by revision {}\n", explanation.zone, explanation.revision);
+    for candidate in &explanation.candidates {
+        append(
+            &mut text,
+            format_args!("{}  {}  {}\n", candidate.replica, candidate.zone, candidate.terms),
+        );
+    }
+    if explanation.candidates.is_empty() {
+        text.push_str("no replica may serve it now\n");
+    }
+    for excluded in &explanation.excluded {
+        let reason = excluded.reason.label();
+        append(&mut text, format_args!("{}  excluded  {reason}\n", excluded.replica));
+    }
+    text
+}
+
+/// A plan as it is printed.
+#[derive(Debug, Serialize)]
+struct PlanPage {
+    pools: Vec<PoolLine>,
+    actions: Vec<ActionLine>,
+}
+
+#[derive(Debug, Serialize)]
+struct PoolLine {
+    pool: String,
+    demand: u32,
+    wanted: u32,
+    after_loss: u32,
+    held: u32,
+    price_per_hour: quantity::MicroPrice,
+}
+
+#[derive(Debug, Serialize)]
+struct ActionLine {
+    action: String,
+    reason: &'static str,
+}
+
+/// What the planner would do.
+pub fn plan(form: args::OutputForm, plan: &plan::FleetPlan) -> String {
+    if form == args::OutputForm::Text {
+        return plan.to_string();
+    }
+    let pool = |pool: &plan::PoolPlan| PoolLine {
+        pool: pool.pool.to_string(),
+        demand: pool.demand,
+        wanted: pool.wanted,
+        after_loss: pool.after_loss,
+        held: pool.held,
+        price_per_hour: pool.price,
+    };
+    let action = |planned: &plan::PlannedAction| ActionLine {
+        action: planned.action.to_string(),
+        reason: planned.reason.label(),
+    };
+    json(&PlanPage {
+        pools: plan.pools.iter().map(pool).collect(),
+        actions: plan.actions.iter().map(action).collect(),
+    })
+}
+
 fn or_dash<T: std::fmt::Display>(value: Option<T>) -> String {
     value.map_or_else(|| "-".to_owned(), |value| value.to_string())
 }
--- a/crates/ctl/src/status.rs
+++ b/crates/ctl/src/status.rs
@@ -135,7 +135,7 @@
 }
 
 /// Each replica as its own zone sees it; as another zone sees it where its own does not answer.
-fn newest_replicas(views: &[zone::ZoneView]) -> Vec<&zone::ReplicaView> {
+pub fn newest_replicas(views: &[zone::ZoneView]) -> Vec<&zone::ReplicaView> {
     let mut replicas = collections::BTreeMap::new();
     for view in views {
         for replica in &view.replicas {
