entry: index replicas and requests in progress; give the added latency

Cause: a profile showed the control thread cloning the ends of all kept requests five times a second, and each dispatch looked through every replica of the view. Change: requests in progress have a map of their own, the view an index of replicas.

--- a/crates/entry/examples/added_latency.rs
+++ b/crates/entry/examples/added_latency.rs
@@ -112,8 +112,8 @@
             self.failed += 1;
             return;
         };
-        self.first.saturating_record(times.first.as_micros() as u64);
-        self.whole.saturating_record(times.whole.as_micros() as u64);
+        self.first += times.first.as_micros() as u64;
+        self.whole += times.whole.as_micros() as u64;
     }
 
     fn print(&self) {
--- a/crates/entry/src/registry.rs
+++ b/crates/entry/src/registry.rs
@@ -30,6 +30,8 @@
 #[derive(Debug, Default)]
 struct RegistryEntries {
     by_id: HashMap<id::RequestId, Arc<kept::KeptRequest>>,
+    /// Those that go on; far fewer than those that are kept.
+    in_progress: HashMap<id::RequestId, Arc<kept::KeptRequest>>,
     /// Ended requests, the oldest first, with the bytes that each was counted with.
     ended: VecDeque<EndedEntry>,
     bytes: u64,
@@ -80,6 +82,7 @@
             }
         }
         entries.bytes += bytes;
+        entries.in_progress.insert(kept.head.id.clone(), kept.clone());
         entries.by_id.insert(kept.head.id.clone(), kept);
         KeepVerdict::Kept
     }
@@ -88,6 +91,7 @@
     pub fn ended(&self, kept: &kept::KeptRequest, finish: impl FnOnce()) {
         finish();
         let mut entries = self.lock();
+        entries.in_progress.remove(&kept.head.id);
         let grown = kept.bytes();
         let answer = grown.saturating_sub(kept.first_bytes());
         entries.bytes = entries.bytes.saturating_add(answer);
@@ -102,8 +106,7 @@
 
     /// The requests that go on.
     pub fn in_progress(&self) -> Vec<Arc<kept::KeptRequest>> {
-        let entries = self.lock();
-        entries.by_id.values().filter(|kept| kept.end().is_none()).cloned().collect()
+        self.lock().in_progress.values().cloned().collect()
     }
 
     /// Drops what was kept for longer than the retention time.
--- a/crates/entry/src/snapshot.rs
+++ b/crates/entry/src/snapshot.rs
@@ -18,6 +18,7 @@
     workspaces: HashMap<digest::HexDigest, usize>,
     services: HashMap<id::ServiceId, usize>,
     daemons: HashMap<id::DaemonId, usize>,
+    replicas: HashMap<id::ReplicaId, usize>,
 }
 
 impl ViewSnapshot {
@@ -27,7 +28,8 @@
         let workspaces = indexed(&records.workspaces, |record| record.key_digest.clone());
         let services = indexed(&records.services, |record| record.id.clone());
         let daemons = indexed(&view.daemons, |daemon| daemon.id.clone());
-        ViewSnapshot { view, received_at, workspaces, services, daemons }
+        let replicas = indexed(&view.replicas, |replica| replica.id.clone());
+        ViewSnapshot { view, received_at, workspaces, services, daemons, replicas }
     }
 
     /// The workspace whose key has the digest.
@@ -50,7 +52,8 @@
 
     /// The replica with the id.
     pub fn replica(&self, id: &id::ReplicaId) -> Option<&zone::ReplicaView> {
-        self.view.replicas.iter().find(|replica| replica.id == *id)
+        let index = self.replicas.get(id)?;
+        self.view.replicas.get(*index)
     }
 }
 
