--- a/crates/demo/src/call.rs
+++ b/crates/demo/src/call.rs
@@ -2,8 +2,10 @@
 
 use std::io::Write as _;
 use std::net;
+use std::time::Duration;
 
 use async_std::stream::StreamExt as _;
+use async_std::task;
 use http_types::Method;
 use http_types::Request;
 use http_types::Response;
@@ -21,6 +23,9 @@
     silence: samphiremoor_base::time::Millis::new(20_000),
 };
 
+/// Sends of a call that is refused with a time to come back, the first included.
+const MAX_TRIES: u32 = 20;
+
 /// Metrics that are shown, by their prefix.
 const SHOWN_METRICS: [&str; 3] =
     ["samphiremoor_requests_total", "samphiremoor_refusals_total", "samphiremoor_retries_total"];
@@ -116,18 +121,35 @@
     key: Option<&str>,
     body: &str,
 ) -> Result<(), String> {
-    let mut request = request(address, Method::Post, path)?;
-    request.insert_header("Authorization", format!("Bearer {}", system::key_of(workspace)));
-    request.insert_header("Content-Type", "application/json");
-    if let Some(key) = key {
-        request.insert_header("Idempotency-Key", key);
+    let mut tries = 0;
+    loop {
+        let mut request = request(address, Method::Post, path)?;
+        request.insert_header("Authorization", format!("Bearer {}", system::key_of(workspace)));
+        request.insert_header("Content-Type", "application/json");
+        if let Some(key) = key {
+            request.insert_header("Idempotency-Key", key);
+        }
+        request.set_body(body);
+        let mut response = send(address, request).await?;
+        tries += 1;
+        if let Some(wait) = wait_before_retry(&response).filter(|_| tries < MAX_TRIES) {
+            println!("  {} not run, to be tried again in {wait:?}", response.status());
+            task::sleep(wait).await;
+            continue;
+        }
+        response = accepted(response).await?;
+        print_head(&response);
+        let text = response.body_string().await.map_err(|cause| cause.to_string())?;
+        println!("  {text}");
+        return Ok(());
     }
-    request.set_body(body);
-    let mut response = accepted(send(address, request).await?).await?;
-    print_head(&response);
-    let text = response.body_string().await.map_err(|cause| cause.to_string())?;
-    println!("  {text}");
-    Ok(())
+}
+
+/// The time that an answer asks to wait before a call that was certainly not run is sent again.
+fn wait_before_retry(response: &Response) -> Option<Duration> {
+    let outcome = response.header(problem::OUTCOME_HEADER)?.as_str();
+    let seconds = response.header("Retry-After")?.as_str().parse().ok()?;
+    (outcome == "not-run").then_some(Duration::from_secs(seconds))
 }
 
 fn print_head(response: &Response) {
--- a/crates/demo/src/settings.rs
+++ b/crates/demo/src/settings.rs
@@ -165,7 +165,7 @@
 }
 
 /// Settings of an entry daemon.
-pub(crate) fn entry(zone: &str, addresses: &EntryAddresses, _platform: net::SocketAddr) -> String {
+pub(crate) fn entry(zone: &str, addresses: &EntryAddresses, platform: net::SocketAddr) -> String {
     let name = entry_name(zone);
     let EntryAddresses { http, peer, view, .. } = addresses;
     format!(
@@ -178,6 +178,9 @@
 [view]
 control_address = "{view}"
 
+[platform]
+address = "{platform}"
+
 [stop]
 grace_ms = 200
 limit_ms = 5000
