ctl: name the newest revision when a base is out of date

Change: the refusal carries the newest revision.

Before: one_of_two_racing_operators_wins failed. After: it passes, and the crate's 19 tests.

--- a/crates/ctl/src/outcome.rs
+++ b/crates/ctl/src/outcome.rs
@@ -39,7 +39,14 @@
     /// Another change came first.
     LostRace(change::RaceWinner, Vec<entry::RecordKey>),
     /// A record that is to be written was changed after the revision that the operator started from.
-    ChangedSince(quantity::RevisionNumber, Vec<entry::RecordKey>),
+    ChangedSince {
+        /// The revision that the operator started from.
+        base: quantity::RevisionNumber,
+        /// The newest revision.
+        newest: quantity::RevisionNumber,
+        /// The records that were changed in between.
+        keys: Vec<entry::RecordKey>,
+    },
     /// The revision does not exist or is not kept any more.
     NoRevision(quantity::RevisionNumber),
     /// The answer to the write was lost, and the table can't be read to find out.
@@ -90,9 +97,10 @@
             CtlError::BadRow(cause) => cause.fmt(f),
             CtlError::Platform(cause) => write!(f, "nothing was changed: {cause}"),
             CtlError::LostRace(winner, changed) => write_lost_race(f, winner, changed),
-            CtlError::ChangedSince(base, keys) => write!(
+            CtlError::ChangedSince { base, newest, keys } => write!(
                 f,
-                "changed after revision {base}: {}; get them again, merge your change and apply it",
+                "changed after revision {base}, the newest is revision {newest}: {}; get them \
+                 again, merge your change and apply it",
                 join(keys)
             ),
             CtlError::NoRevision(revision) => {
--- a/crates/ctl/src/store.rs
+++ b/crates/ctl/src/store.rs
@@ -177,7 +177,8 @@
     ) -> Result<change::ChangeEnd, outcome::CtlError> {
         let current = self.current().await?;
         let old = current.as_ref().map(|current| current.row.bundle()).unwrap_or_default();
-        self.refuse_stale(wanted, rules, &old).await?;
+        let newest = current.as_ref().map(|current| current.row.revision).unwrap_or_default();
+        self.refuse_stale(wanted, rules, &old, newest).await?;
         let mut bundle = old.clone();
         wanted.apply(&mut bundle)?;
         let head = current.map(|current| current.head);
@@ -237,12 +238,16 @@
         wanted: &RecordChange,
         rules: ChangeRules,
         current: &entry::RecordBundle,
+        newest: quantity::RevisionNumber,
     ) -> Result<(), outcome::CtlError> {
         let Some(base) = rules.base else { return Ok(()) };
         let seen = self.revision(base).await?.bundle();
         let changed = seen.changed_keys(current);
-        let stale: Vec<_> = wanted.keys().into_iter().filter(|key| changed.contains(key)).collect();
-        if stale.is_empty() { Ok(()) } else { Err(outcome::CtlError::ChangedSince(base, stale)) }
+        let keys: Vec<_> = wanted.keys().into_iter().filter(|key| changed.contains(key)).collect();
+        if keys.is_empty() {
+            return Ok(());
+        }
+        Err(outcome::CtlError::ChangedSince { base, newest, keys })
     }
 
     async fn head(&self) -> Result<Option<change::BaseHead>, outcome::CtlError> {
