process-tests: operators that race, reclaims, and a long run of mixed failures

`failure-run` sends a bounded load while a seeded schedule brings about 13 kinds of failures, and prints what callers were told against what ran.

--- a/crates/process-tests/src/cluster.rs
+++ b/crates/process-tests/src/cluster.rs
@@ -160,6 +160,14 @@
         wait::until("the engine listens", || child::listens(self.engines[index].place.address));
     }
 
+    /// Starts an engine again and lists its VM anew after a reclaim.
+    pub fn replace_engine_vm(&mut self, index: usize) {
+        self.restart_engine(index);
+        let place = &self.engines[index].place;
+        let listed = control::list_upstream(self.platform_address, place);
+        task::block_on(listed);
+    }
+
     /// An operator of this cluster.
     pub fn operator(&self) -> operator::TestOperator {
         let places: Vec<_> = self.entries.iter().map(|vm| vm.place.clone()).collect();
--- a/crates/process-tests/src/control.rs
+++ b/crates/process-tests/src/control.rs
@@ -4,8 +4,10 @@
 
 use http_types::Method;
 use http_types::Request;
+use samphiremoor_base::quantity;
 use samphiremoor_base::time;
 use samphiremoor_httpio::client;
+use samphiremoor_platform::cloud;
 use samphiremoor_platform::fleet;
 use samphiremoor_standin::fault;
 use samphiremoor_standin_engine::wire as engine_wire;
@@ -14,6 +16,8 @@
 use serde::Serialize;
 use serde::de;
 
+use crate::plan;
+
 /// Time limits towards stand-ins, which answer their control paths at once.
 const LIMITS: client::CallLimits = client::CallLimits {
     connect: time::Millis::new(5_000),
@@ -36,6 +40,24 @@
     post(address, "/control/reclaim", &control::ReclaimOrder { scope, seconds }).await;
 }
 
+/// Adds an upstream's VM to the platform's list, or puts it back.
+pub async fn list_upstream(platform: net::SocketAddr, place: &plan::UpstreamPlace) {
+    let name = "the harness's names are identifiers";
+    let entry = cloud::VmEntry {
+        id: place.name.parse().expect(name),
+        zone: place.zone.parse().expect(name),
+        class: "gpu-small".parse().expect(name),
+        reclaimable: true,
+        price: quantity::MicroPrice::new(100_000),
+        state: cloud::VmState::Live,
+        role: cloud::VmRole::Upstream {
+            pool: place.pool.parse().expect(name),
+            address: place.address,
+        },
+    };
+    post(platform, "/control/vms", &entry).await;
+}
+
 /// What a service counted; none where it does not answer.
 pub async fn service_counts(address: net::SocketAddr) -> Option<service_wire::ServiceCounts> {
     get(address, "/control/counts").await
--- /dev/null
+++ b/crates/process-tests/src/main.rs
@@ -0,0 +1,100 @@
+//! `failure-run`: a bounded load on the real daemons while a seeded schedule brings about failures.
+//!
+//! Prints what was sent, what failed, what callers were told, and every broken promise; its exit
+//! code is 1 where there is one. Build the programs before: `cargo build --workspace --bins`.
+
+use std::process;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_std::task;
+use samphiremoor_process_tests::cluster;
+use samphiremoor_process_tests::control;
+use samphiremoor_process_tests::fleet;
+use samphiremoor_process_tests::mayhem;
+use samphiremoor_process_tests::plan;
+
+/// Longest run, in seconds.
+const MAX_SECONDS: u64 = 600;
+
+/// Most callers at the same time.
+const MAX_CALLERS: u32 = 64;
+
+/// Shards of the idempotency keys.
+const SHARDS: u16 = 8;
+
+/// Time after the last failure in which the system settles under load.
+const SETTLE_TIME: Duration = Duration::from_secs(5);
+
+/// Sends load while processes and stores fail, and checks every answer.
+#[derive(argh::FromArgs)]
+struct RunArgs {
+    /// seed of the load and of the failures (default 7)
+    #[argh(option, default = "7")]
+    seed: u64,
+    /// seconds of failures (default 60)
+    #[argh(option, default = "60")]
+    seconds: u64,
+    /// callers at the same time (default 40)
+    #[argh(option, default = "40")]
+    callers: u32,
+}
+
+fn main() -> process::ExitCode {
+    let args: RunArgs = argh::from_env();
+    let mut cluster = cluster::TestCluster::start(plan::ClusterPlan {
+        entries: 2,
+        engines: 2,
+        services: 2,
+        shards: SHARDS,
+        ..plan::ClusterPlan::default()
+    });
+    let platform = cluster.platform_address;
+    let before = task::block_on(control::platform_counts(platform));
+    let start = Instant::now();
+    let callers = fleet::CallerFleet::start(&fleet::FleetPlan {
+        entries: (0..cluster.entries.len()).map(|index| cluster.entry(index)).collect(),
+        callers: args.callers.min(MAX_CALLERS),
+        pause: Duration::from_millis(100),
+        chats_per_mille: 300,
+        chat_tokens: 40,
+        seed: args.seed,
+    });
+    let length = Duration::from_secs(args.seconds.min(MAX_SECONDS));
+    let failures = mayhem::rage(&mut cluster, u64::from(SHARDS), length, args.seed);
+    thread::sleep(SETTLE_TIME);
+    let report = callers.finish();
+    let seconds = start.elapsed().as_secs_f64();
+    let after = task::block_on(control::platform_counts(platform));
+    println!("seed {}, {seconds:.1} s, {} callers", args.seed, args.callers.min(MAX_CALLERS));
+    println!("sends {} ({:.1} a second)", report.sends, report.sends as f64 / seconds);
+    println!("failures brought about:");
+    for (kind, count) in &failures.failures {
+        println!("  {kind:?} {count}");
+    }
+    println!("calls by what was told in the end:");
+    for (label, count) in &report.outcomes {
+        println!("  {label} {count}");
+    }
+    println!("takeovers of a killed holder's shards: {:?}", failures.takeovers);
+    let writes = after.writes.saturating_sub(before.writes);
+    println!("table writes {writes} ({:.1} a second)", writes as f64 / seconds);
+    println!("refused by the table's rate limits {}", after.rate_refusals);
+    end(&cluster, &report)
+}
+
+/// Prints the violations, and makes the exit code of them.
+fn end(cluster: &cluster::TestCluster, report: &fleet::FleetReport) -> process::ExitCode {
+    let counts = cluster.service_counts();
+    if counts.len() != cluster.services.len() {
+        println!("only {} of {} services gave their counts", counts.len(), cluster.services.len());
+        return process::ExitCode::FAILURE;
+    }
+    let violations = report.ledger.violations(&counts);
+    let count = violations.len() + report.stream_violations.len();
+    println!("violations {count}");
+    violations.iter().for_each(|violation| println!("  {violation}"));
+    report.stream_violations.iter().for_each(|violation| println!("  {violation}"));
+    if count == 0 { process::ExitCode::SUCCESS } else { process::ExitCode::FAILURE }
+}
--- /dev/null
+++ b/crates/process-tests/tests/control.rs
@@ -0,0 +1,103 @@
+//! Records and control daemons while operators race and processes die.
+
+use async_std::task;
+use samphiremoor_process_tests::caller;
+use samphiremoor_process_tests::cluster;
+use samphiremoor_process_tests::operator;
+use samphiremoor_process_tests::plan;
+use samphiremoor_process_tests::records;
+use samphiremoor_process_tests::wait;
+
+const PROMPT: &str = "summarise the history of one rowing machine";
+
+const TOKENS: u64 = 20;
+
+fn zones() -> Vec<String> {
+    plan::ClusterPlan::default().zones
+}
+
+/// The test's records with another priority of the model service.
+fn changed_records(first_ms: u32) -> String {
+    records::text(&zones()).replacen("first_ms = 2000", &format!("first_ms = {first_ms}"), 1)
+}
+
+fn chat(cluster: &cluster::TestCluster, entry: usize) -> caller::StreamAnswer {
+    task::block_on(caller::TestCaller::new().chat(cluster.entry(entry), PROMPT, TOKENS))
+}
+
+#[test]
+fn one_of_two_racing_operators_wins() {
+    let cluster = cluster::TestCluster::start(plan::ClusterPlan::default());
+    let operator = cluster.operator();
+    let files: Vec<_> = [2_100, 2_200]
+        .iter()
+        .map(|first_ms| {
+            operator.write_file(&format!("{first_ms}.toml"), &changed_records(*first_ms))
+        })
+        .collect();
+    let racing: Vec<_> =
+        files.iter().map(|file| operator.start(&["apply", "--base", "1", file])).collect();
+    let ends: Vec<_> = racing.into_iter().map(operator::RunningCommand::wait).collect();
+    let mut codes: Vec<_> = ends.iter().map(|end| end.code).collect();
+    codes.sort_unstable();
+    assert_eq!(codes, [operator::DONE, operator::REFUSED], "{ends:?}");
+    let loser = ends.iter().find(|end| end.code == operator::REFUSED).expect("one is refused");
+    assert!(loser.errors.contains("revision 2"), "names the winner: {}", loser.errors);
+    let history = operator.run(&["history"]);
+    assert_eq!(history.code, operator::DONE, "{history:?}");
+}
+
+#[test]
+fn killed_control_daemons_stop_no_request() {
+    let mut cluster = cluster::TestCluster::start(plan::ClusterPlan::default());
+    for vm in &mut cluster.entries {
+        vm.control.as_mut().expect("the plan has control daemons").kill();
+    }
+    for entry in 0..cluster.entries.len() {
+        chat(&cluster, entry).assert_whole(PROMPT, TOKENS);
+    }
+    let caller = caller::TestCaller::new();
+    let booked =
+        task::block_on(caller.call(cluster.entry(0), records::LOOKUP, None, "treadmill 7"));
+    assert_eq!(booked.status, 200, "{booked:?}");
+    for index in 0..cluster.entries.len() {
+        cluster.restart_control(index);
+    }
+    let operator = cluster.operator();
+    let file = operator.write_file("next.toml", &changed_records(2_300));
+    operator.apply_until_in_force(&file);
+    chat(&cluster, 0).assert_whole(PROMPT, TOKENS);
+}
+
+#[test]
+fn replaced_entry_vm_serves_again() {
+    let mut cluster = cluster::TestCluster::start(plan::ClusterPlan::default());
+    cluster.restart_entry_vm(0);
+    chat(&cluster, 0).assert_whole(PROMPT, TOKENS);
+}
+
+#[test]
+fn daemons_that_start_in_an_outage_take_the_records_from_peers() {
+    let mut cluster = cluster::TestCluster::start(plan::ClusterPlan {
+        entries: 2,
+        ..plan::ClusterPlan::default()
+    });
+    cluster.platform.kill();
+    cluster.restart_entry_vm(0);
+    chat(&cluster, 0).assert_whole(PROMPT, TOKENS);
+}
+
+#[test]
+fn change_is_in_force_on_every_daemon() {
+    let cluster = cluster::TestCluster::start(plan::ClusterPlan::default());
+    let operator = cluster.operator();
+    let withdrawn = operator.run(&["withdraw", &format!("workspace/{}", "clinics")]);
+    assert_eq!(withdrawn.code, operator::DONE, "{withdrawn:?}");
+    let stranger = caller::TestCaller { key: records::OTHER_KEY };
+    for entry in 0..cluster.entries.len() {
+        wait::until("the withdrawn key is refused", || {
+            let calling = stranger.call(cluster.entry(entry), records::LOOKUP, None, "x");
+            task::block_on(calling).status == 401
+        });
+    }
+}
