--- a/crates/claims/src/journal.rs
+++ b/crates/claims/src/journal.rs
@@ -72,6 +72,11 @@
 }
 
 impl JournalBatch {
+    /// Size of the results in the batch.
+    pub fn result_bytes(&self) -> usize {
+        self.entries.iter().map(JournalEntry::result_bytes).sum()
+    }
+
     /// The row's value in the table.
     pub fn encode(&self) -> sync::Arc<str> {
         let text = serde_json::to_string(&self.entries)
--- a/crates/claims/src/policy.rs
+++ b/crates/claims/src/policy.rs
@@ -8,6 +8,12 @@
 /// Time after which a failed round of copies is sent again.
 pub const COPY_RETRY: time::Millis = time::Millis::new(100);
 
+/// Batches of a shard that may follow each other at once before the flush interval paces them.
+pub const FLUSH_BURST: u64 = 4;
+
+/// Flush intervals for which results wait for a claim to be written with.
+pub const RESULT_INTERVALS: u64 = 2;
+
 /// Most batches in one transaction.
 pub const MAX_BATCHES: usize = 32;
 
@@ -23,7 +29,7 @@
 /// Limits and times of a shard, from the settings.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ClaimPolicy {
-    /// Shortest time between two batches.
+    /// Mean time between two batches under load.
     pub flush_interval: time::Millis,
     /// Time after which the table counts as unavailable.
     pub table_timeout: time::Millis,
--- a/crates/claims/src/writer.rs
+++ b/crates/claims/src/writer.rs
@@ -143,11 +143,15 @@
     lease: row::HeldLease,
     policy: policy::ClaimPolicy,
     pending: Vec<journal::JournalEntry>,
+    backlog_bytes: usize,
     unwritten: collections::VecDeque<OpenBatch>,
     next_seq: u64,
     write: Option<TableWrite>,
     write_count: u64,
-    last_flush: Option<time::MonotonicTime>,
+    /// When the next batch would be due at an even pace; batches may run ahead of it a little.
+    next_flush: time::MonotonicTime,
+    /// Since when entries wait for a batch.
+    pending_since: Option<time::MonotonicTime>,
     table_retry: Option<time::MonotonicTime>,
     wanted: Option<LeaseChange>,
     /// A write of the lease row may take effect later: which copy set holds is not known.
@@ -174,11 +178,13 @@
             lease,
             policy,
             pending: Vec::new(),
+            backlog_bytes: 0,
             unwritten: collections::VecDeque::new(),
             next_seq: 0,
             write: None,
             write_count: 0,
-            last_flush: None,
+            next_flush: time::MonotonicTime::default(),
+            pending_since: None,
             table_retry: None,
             wanted: None,
             lease_unsettled: false,
@@ -204,12 +210,12 @@
 
     /// Bytes of results that are not in the table yet.
     pub fn backlog_bytes(&self) -> usize {
-        let unwritten = self.unwritten.iter().flat_map(|open| &open.batch.entries);
-        unwritten.chain(&self.pending).map(journal::JournalEntry::result_bytes).sum()
+        self.backlog_bytes
     }
 
     /// Adds an entry and gives the batch that it will be in.
     pub fn push(&mut self, entry: journal::JournalEntry) -> journal::BatchId {
+        self.backlog_bytes += entry.result_bytes();
         self.pending.push(entry);
         self.next_id()
     }
@@ -230,6 +236,7 @@
 
     /// Takes over batches of an earlier holder that are not in the table.
     pub fn adopt(&mut self, batch: journal::JournalBatch) {
+        self.backlog_bytes += batch.result_bytes();
         // They count as durable: their claims may have been run by the earlier holder.
         self.unwritten.push_back(OpenBatch { batch, copied: true });
     }
@@ -359,18 +366,13 @@
     /// When the writer wants to be driven again, if not by an answer.
     pub fn next_wakeup(&self, now: time::MonotonicTime) -> Option<time::MonotonicTime> {
         let has_work = !self.pending.is_empty() || self.has_unsecured();
-        let due_flush = self.last_flush.map(|last| last + self.policy.flush_interval);
+        let due_flush = self.flush_due_at();
         let due_copy = self.write.as_ref().map(|write| write.since + self.policy.table_timeout);
-        [
-            due_flush.filter(|_| has_work),
-            due_copy.filter(|_| has_work),
-            self.table_retry,
-            self.copy_retry,
-        ]
-        .into_iter()
-        .flatten()
-        .filter(|due| *due > now)
-        .min()
+        [due_flush, due_copy.filter(|_| has_work), self.table_retry, self.copy_retry]
+            .into_iter()
+            .flatten()
+            .filter(|due| *due > now)
+            .min()
     }
 
     fn next_id(&self) -> journal::BatchId {
@@ -393,17 +395,38 @@
 
     /// Closes a batch when one is due, but gathers more entries while the table is at work.
     fn drive_flush(&mut self, now: time::MonotonicTime) {
-        let is_due =
-            self.last_flush.is_none_or(|last| now.since(last) >= self.policy.flush_interval);
+        if self.pending.is_empty() {
+            return;
+        }
+        self.pending_since.get_or_insert(now);
         // The last row of a hold goes along with the release.
-        let is_due = is_due || matches!(self.wanted, Some(LeaseChange::Release));
+        let is_released = matches!(self.wanted, Some(LeaseChange::Release));
+        let is_due = is_released || self.flush_due_at().is_some_and(|due| due <= now);
         let is_free = self.write.is_none() || self.is_table_late(now);
-        if is_due && is_free && !self.pending.is_empty() {
-            self.last_flush = Some(now);
+        if is_due && is_free {
+            self.next_flush = self.next_flush.max(now) + self.policy.flush_interval;
+            self.pending_since = None;
             self.cut_batch();
         }
     }
 
+    /// When the waiting entries should be closed into a batch.
+    ///
+    /// A claim is held up by the pace of batches only; results wait for a claim to go with.
+    fn flush_due_at(&self) -> Option<time::MonotonicTime> {
+        let since = self.pending_since?;
+        let interval = self.policy.flush_interval.get();
+        let ahead = interval * (policy::FLUSH_BURST - 1);
+        let paced = time::MonotonicTime::new(self.next_flush.get().saturating_sub(ahead));
+        let is_claim =
+            |entry: &journal::JournalEntry| matches!(entry, journal::JournalEntry::Claimed { .. });
+        if self.pending.iter().any(is_claim) {
+            return Some(paced);
+        }
+        let patience = time::Millis::new(interval * policy::RESULT_INTERVALS);
+        Some(paced.max(since + patience))
+    }
+
     fn drive_table(&mut self, now: time::MonotonicTime, actions: &mut Vec<WriterAction>) {
         if self.write.is_some() {
             return;
@@ -490,6 +513,7 @@
     fn written(&mut self, now: time::MonotonicTime, count: usize) -> Vec<journal::JournalBatch> {
         let done: Vec<_> = self.unwritten.drain(..count).collect();
         for open in &done {
+            self.backlog_bytes = self.backlog_bytes.saturating_sub(open.batch.result_bytes());
             self.rows.push_back(OldRow { id: open.batch.id, written_at: now });
         }
         let secured = done.into_iter().filter(|open| !open.copied);
--- /dev/null
+++ b/crates/shards/examples/claims_rate.rs
@@ -0,0 +1,158 @@
+//! Measures once-only calls through one holder against the flush interval.
+//!
+//! A table in memory takes 5 ms for each call, the upstream answers at once. For each flush interval
+//! and number of concurrent callers it prints calls and table transactions per second and the
+//! latency. Run with `cargo run --release -p samphiremoor-shards --example claims_rate`.
+
+use std::sync;
+use std::sync::atomic;
+use std::time as std_time;
+
+use async_std::task;
+use async_trait::async_trait;
+use samphiremoor_base::digest;
+use samphiremoor_base::quantity;
+use samphiremoor_base::time;
+use samphiremoor_claims::key;
+use samphiremoor_peers::link;
+use samphiremoor_platform::faults;
+use samphiremoor_platform_client::memory;
+use samphiremoor_shards::call;
+use samphiremoor_shards::message;
+use samphiremoor_shards::peer;
+use samphiremoor_shards::service;
+use samphiremoor_shards::settings;
+
+/// Delay of the table.
+const TABLE_DELAY: time::Millis = time::Millis::new(5);
+
+/// Length of one measurement.
+const RUN_LENGTH: std_time::Duration = std_time::Duration::from_secs(3);
+
+/// Longest latency that the histogram holds, in microseconds.
+const MAX_LATENCY_US: u64 = 60_000_000;
+
+/// Answers each call at once.
+struct InstantRunner;
+
+#[async_trait]
+impl call::CallRunner for InstantRunner {
+    async fn run(&self, _: &call::OnceCall) -> call::RunResult {
+        let body = sync::Arc::from(&b"{\"confirmed\":true}"[..]);
+        call::RunResult::Completed(call::CallResult { status: 200, headers: Vec::new(), body })
+    }
+}
+
+/// A daemon without peers.
+struct NoPeers;
+
+impl peer::PeerDirectory for NoPeers {
+    fn daemons(&self) -> Vec<peer::PeerEntry> {
+        Vec::new()
+    }
+}
+
+#[async_trait]
+impl peer::PeerTransport for NoPeers {
+    async fn ask(
+        &self,
+        _: &peer::PeerEntry,
+        _: message::ShardQuestion,
+    ) -> Result<message::ShardAnswer, link::LinkError> {
+        Err(link::LinkError::Unreachable)
+    }
+}
+
+fn start(table: sync::Arc<memory::MemoryTable>, flush_interval: u64) -> service::ShardService {
+    let settings = settings::ShardSettings {
+        flush_interval: time::Millis::new(flush_interval),
+        lease_time: time::Millis::new(600),
+        max_keys: 10_000_000,
+        ..settings::ShardSettings::default()
+    };
+    let parts = service::ShardParts {
+        daemon: "bench".parse().expect("a valid identifier"),
+        incarnation: quantity::Incarnation::new(1),
+        zone: "zone".parse().expect("a valid identifier"),
+        settings,
+        table,
+        runner: sync::Arc::new(InstantRunner),
+        directory: sync::Arc::new(NoPeers),
+        transport: sync::Arc::new(NoPeers),
+    };
+    let registry = prometheus::Registry::new();
+    service::ShardService::start(parts, &registry).expect("a new registry is empty")
+}
+
+fn once_call(serial: u64) -> call::OnceCall {
+    call::OnceCall {
+        key: key::CallKey {
+            workspace: "agency".parse().expect("a valid identifier"),
+            service: "address-check".parse().expect("a valid identifier"),
+            key: format!("key-{serial}").parse().expect("a valid identifier"),
+        },
+        digest: digest::HexDigest::of(b"body"),
+        request: format!("bench:{serial}").parse().expect("a valid identifier"),
+        method: sync::Arc::from("POST"),
+        path: sync::Arc::from("/confirm"),
+        headers: Vec::new(),
+        body: sync::Arc::from(&b"{\"order\":1}"[..]),
+        remaining: time::Millis::new(30_000),
+    }
+}
+
+async fn caller(
+    service: service::ShardService,
+    serials: sync::Arc<atomic::AtomicU64>,
+    end: std_time::Instant,
+) -> Vec<std_time::Duration> {
+    let mut latencies = Vec::new();
+    while std_time::Instant::now() < end {
+        let serial = serials.fetch_add(1, atomic::Ordering::Relaxed);
+        let start = std_time::Instant::now();
+        let answer = service.submit(once_call(serial)).await;
+        assert!(matches!(answer, call::OnceAnswer::Completed { .. }), "{answer:?}");
+        latencies.push(start.elapsed());
+    }
+    latencies
+}
+
+fn measure(flush_interval: u64, callers: usize) {
+    let table = sync::Arc::new(memory::MemoryTable::new());
+    table.set_faults(faults::StoreFaults { delay: TABLE_DELAY, ..Default::default() });
+    let service = start(table.clone(), flush_interval);
+    while service.coverage().own == 0 || service.coverage().own < service.coverage().total {
+        std::thread::sleep(std_time::Duration::from_millis(20));
+    }
+    let serials = sync::Arc::new(atomic::AtomicU64::new(0));
+    let writes = table.write_count();
+    let start = std_time::Instant::now();
+    let end = start + RUN_LENGTH;
+    let callers_tasks: Vec<_> =
+        (0..callers).map(|_| task::spawn(caller(service.clone(), serials.clone(), end))).collect();
+    let mut histogram = hdrhistogram::Histogram::<u64>::new_with_max(MAX_LATENCY_US, 3)
+        .expect("the bounds are valid");
+    for latency in callers_tasks.into_iter().flat_map(task::block_on) {
+        let micros = u64::try_from(latency.as_micros()).unwrap_or(MAX_LATENCY_US);
+        histogram.saturating_record(micros);
+    }
+    let seconds = start.elapsed().as_secs_f64();
+    let writes = table.write_count() - writes;
+    println!(
+        "| {flush_interval} | {callers} | {:.0} | {:.0} | {:.1} | {:.1} |",
+        histogram.len() as f64 / seconds,
+        writes as f64 / seconds,
+        histogram.value_at_quantile(0.5) as f64 / 1_000.0,
+        histogram.value_at_quantile(0.99) as f64 / 1_000.0,
+    );
+}
+
+fn main() {
+    println!("| flush interval ms | callers | calls/s | table writes/s | p50 ms | p99 ms |");
+    println!("| ---: | ---: | ---: | ---: | ---: | ---: |");
+    for flush_interval in [5, 20, 60, 120] {
+        for callers in [1, 16, 256] {
+            measure(flush_interval, callers);
+        }
+    }
+}
--- a/crates/shards/src/settings.rs
+++ b/crates/shards/src/settings.rs
@@ -42,7 +42,7 @@
     pub lease_time: time::Millis,
     /// Time between reads of the lease rows by a daemon that only forwards.
     pub idle_scan_interval: time::Millis,
-    /// Shortest time between two writes of one shard's journal.
+    /// Mean time between two writes of one shard's journal under load.
     pub flush_interval: time::Millis,
     /// Time after which the table counts as unavailable for claims, and peers keep them.
     pub table_timeout: time::Millis,
