entry: heartbeats on streams; a body's silence has the limit that its caller set

Cause: the HTTP client held an answer's body to the greater of its head's and its silence limit, so a stream that one daemon relays for another could be silent for ten minutes before it was given up. Change: httpio sets the body's limit once the head is there. Streams carry an event without data when nothing comes for callers.heartbeat_ms, which SSE readers skip; a relayed stream is silent after four. Ruled out: SSE comments (async-sse writes none) and `retry` fields (they change the caller's reconnection time).

--- a/crates/entry/src/run/attempt.rs
+++ b/crates/entry/src/run/attempt.rs
@@ -48,6 +48,8 @@
     pub limits: client::CallLimits,
     /// Time from the head of the answer to the first token.
     pub first_token: time::Millis,
+    /// Time between two tokens.
+    pub silence: time::Millis,
     /// Bytes of an answer that is not a stream.
     pub max_answer: quantity::ByteCount,
 }
@@ -110,7 +112,7 @@
     pub fn open(call: AttemptCall) -> Self {
         let request = call.request.clone();
         let next_offset = call.continue_from;
-        let silence = SilenceWatch::new(call.first_token, call.limits.silence);
+        let silence = SilenceWatch::new(call.first_token, call.silence);
         StreamAttempt {
             phase: AttemptPhase::Opening(Box::pin(open_answer(call))),
             request,
--- a/crates/entry/src/run/model.rs
+++ b/crates/entry/src/run/model.rs
@@ -297,6 +297,7 @@
         self.close_attempt(None);
         let tokens = self.kept.progress(0).tokens;
         let resume = request::ResumePoint { offset: order.continue_from, text: tokens.concat() };
+        let upstreams = &self.core.settings.upstreams;
         let call = attempt::AttemptCall {
             address,
             path: self.body.call.path(),
@@ -305,9 +306,14 @@
             remaining: order.remaining,
             continue_from: order.continue_from,
             body: self.body.to_upstream(&self.target, &resume),
-            limits: self.limits,
-            first_token: self.core.settings.upstreams.first_token_ms,
-            max_answer: self.core.settings.upstreams.max_answer_bytes,
+            limits: client::CallLimits {
+                // The watch for silent streams is the stricter one after the first token.
+                silence: upstreams.first_token_ms.max(upstreams.silence_ms),
+                ..self.limits
+            },
+            silence: upstreams.silence_ms,
+            first_token: upstreams.first_token_ms,
+            max_answer: upstreams.max_answer_bytes,
         };
         self.current = Some(CurrentAttempt {
             number: order.attempt,
--- a/crates/entry/src/serve/attach.rs
+++ b/crates/entry/src/serve/attach.rs
@@ -8,6 +8,7 @@
 use http_types::Response;
 use samphiremoor_base::id;
 use samphiremoor_base::reason;
+use samphiremoor_base::time;
 use samphiremoor_httpio::client;
 use samphiremoor_httpio::problem;
 
@@ -67,6 +68,9 @@
     })
 }
 
+/// Heartbeats of a relayed stream that are missed before it is silent.
+const MISSED_HEARTBEATS: u64 = 4;
+
 async fn kept_reply(
     core: &Arc<core::EntryCore>,
     kept: Arc<kept::KeptRequest>,
@@ -131,11 +135,12 @@
         }
     }
     request.insert_header(headers::RELAYED_HEADER, core.settings.daemon.as_str());
-    // The other daemon is silent while no token comes, so its answer has the caller's limits.
+    // A whole answer has no head before its end; a stream has heartbeats.
+    let heartbeat = core.settings.callers.heartbeat_ms.get();
     let limits = client::CallLimits {
         connect: core.settings.upstreams.connect_timeout_ms,
         head: core.settings.callers.max_deadline_ms,
-        silence: core.settings.callers.max_deadline_ms,
+        silence: time::Millis::new(heartbeat.saturating_mul(MISSED_HEARTBEATS)),
     };
     let mut upstream = client::send(address, request, limits).await.ok()?;
     let mut response = Response::new(upstream.status());
@@ -162,7 +167,6 @@
 
 fn unreachable() -> reply::CallRefusal {
     /// Time in which a partition or a restart most often ends.
-    const RETRY_AFTER: samphiremoor_base::time::Millis =
-        samphiremoor_base::time::Millis::new(1_000);
+    const RETRY_AFTER: time::Millis = time::Millis::new(1_000);
     reply::CallRefusal::new(reason::RefusalReason::OwnerUnreachable).retry_after(RETRY_AFTER)
 }
--- a/crates/entry/src/serve/events.rs
+++ b/crates/entry/src/serve/events.rs
@@ -3,10 +3,12 @@
 use std::io;
 use std::sync::Arc;
 
+use async_std::future;
 use async_std::task;
 use http_types::Body;
 use http_types::Response;
 use http_types::StatusCode;
+use samphiremoor_base::time;
 use samphiremoor_httpio::problem;
 
 use crate::core;
@@ -40,7 +42,8 @@
     let frame = kept.frame(options.call);
     let offset = usize::try_from(options.from).unwrap_or(usize::MAX);
     let reader = kept::AnswerReader::new(kept.clone(), core.clock, offset);
-    let writer = EventWriter { sender, frame, options, next: options.from };
+    let heartbeat = core.settings.callers.heartbeat_ms;
+    let writer = EventWriter { sender, heartbeat, frame, options, next: options.from };
     task::spawn(async move {
         // A caller that is gone ends the writing; the request goes on for a while.
         let _ = writer.run(reader).await;
@@ -53,8 +56,12 @@
     response
 }
 
+/// Name of the events that keep a stream from being silent.
+const HEARTBEAT_NAME: &str = "heartbeat";
+
 struct EventWriter {
     sender: async_sse::Sender,
+    heartbeat: time::Millis,
     frame: answer::AnswerFrame,
     options: EventOptions,
     /// Id of the next event.
@@ -64,7 +71,11 @@
 impl EventWriter {
     async fn run(mut self, mut reader: kept::AnswerReader) -> io::Result<()> {
         loop {
-            let progress = reader.next().await;
+            let Some(progress) = self.next_or_pause(&mut reader).await else {
+                // An event without data is none to the caller, but its bytes show that we live.
+                self.sender.send(HEARTBEAT_NAME, "", None).await?;
+                continue;
+            };
             for text in &progress.tokens {
                 let chunk = self.frame.token_chunk(text, self.next == 0);
                 self.send(&chunk).await?;
@@ -75,6 +86,11 @@
         }
     }
 
+    /// The next tokens; none where none came for the time of a heartbeat.
+    async fn next_or_pause(&self, reader: &mut kept::AnswerReader) -> Option<kept::AnswerProgress> {
+        future::timeout(self.heartbeat.to_duration(), reader.next()).await.ok()
+    }
+
     async fn end(&mut self, end: &kept::KeptEnd, token_count: u64) -> io::Result<()> {
         match end {
             kept::KeptEnd::Streamed { finish_reason, usage } => {
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -110,6 +110,8 @@
     pub read_timeout_ms: time::Millis,
     /// Time in which a caller must take some of the answer.
     pub write_timeout_ms: time::Millis,
+    /// Time without an event after which a stream carries an empty one.
+    pub heartbeat_ms: time::Millis,
     /// Requests in progress at the same time.
     pub max_in_progress: u32,
     /// Greatest deadline that a caller may set.
@@ -126,6 +128,7 @@
             head_timeout_ms: time::Millis::new(30_000),
             read_timeout_ms: time::Millis::new(10_000),
             write_timeout_ms: time::Millis::new(30_000),
+            heartbeat_ms: time::Millis::new(1_000),
             max_in_progress: 2_048,
             max_deadline_ms: time::Millis::new(600_000),
             retry_after_ms: time::Millis::new(1_000),
@@ -333,7 +336,7 @@
 }
 
 impl EntrySettings {
-    fn counts(&self) -> [PositiveLimit; 15] {
+    fn counts(&self) -> [PositiveLimit; 16] {
         let callers = &self.callers;
         let upstreams = &self.upstreams;
         [
@@ -344,6 +347,7 @@
             PositiveLimit::new("callers.head_timeout_ms", callers.head_timeout_ms.get()),
             PositiveLimit::new("callers.read_timeout_ms", callers.read_timeout_ms.get()),
             PositiveLimit::new("callers.write_timeout_ms", callers.write_timeout_ms.get()),
+            PositiveLimit::new("callers.heartbeat_ms", callers.heartbeat_ms.get()),
             PositiveLimit::new("callers.max_in_progress", u64::from(callers.max_in_progress)),
             PositiveLimit::new("callers.max_deadline_ms", callers.max_deadline_ms.get()),
             PositiveLimit::new("upstreams.connect_timeout_ms", upstreams.connect_timeout_ms.get()),
--- a/crates/entry/tests/attach.rs
+++ b/crates/entry/tests/attach.rs
@@ -61,6 +61,28 @@
     assert_eq!(engine.calls().len(), 1);
 }
 
+#[test]
+fn relayed_stream_outlives_a_pause_by_its_heartbeats() {
+    let engine = FakeEngine::start(4);
+    let view = fixture::SharedView::new(&[engine.address()], &[]);
+    let short = |settings: &mut samphiremoor_entry::settings::EntrySettings| {
+        settings.callers.heartbeat_ms = samphiremoor_base::time::Millis::new(20);
+        settings.upstreams.first_token_ms = samphiremoor_base::time::Millis::new(20_000);
+        settings.upstreams.silence_ms = samphiremoor_base::time::Millis::new(20_000);
+    };
+    let owner = fixture::TestDaemon::start_with(&view, short);
+    let other = fixture::TestDaemon::start_with(&view, short);
+    // The pause between two tokens is longer than the relaying daemon bears without heartbeats.
+    engine.set_fault(EngineFault::Slow(300));
+    let call = TestCall::chat(owner.entry.address(), "hello", true);
+    let before = task::block_on(async { caller::read_stream(call.send().await, 1).await });
+    let last = before.tokens[0].id.to_string();
+    let call = attach(other.entry.address(), &before.request_id, fixture::KEY);
+    let rest = task::block_on(call.header("Last-Event-ID", &last).stream());
+    assert_eq!(before.text() + &rest.text(), upstream::whole_text("hello", 4));
+    assert!(rest.is_done);
+}
+
 #[test]
 fn request_of_another_workspace_is_as_if_absent() {
     let engine = FakeEngine::start(LENGTH);
--- a/crates/httpio/src/client.rs
+++ b/crates/httpio/src/client.rs
@@ -81,12 +81,15 @@
     };
     // Without this small writes wait for the acknowledgement of the one before.
     stream.set_nodelay(true).map_err(CallError::NotConnected)?;
-    // The head has a limit of its own, so reads of the body alone are bounded by silence.
-    let read_limit = limits.silence.max(limits.head);
-    let guarded = guard::GuardedStream::new(stream, read_limit, limits.head);
+    let guarded = guard::GuardedStream::new(stream, limits.head, limits.head);
+    let read_limit = guarded.read_limit();
     let exchange = async_h1::connect(guarded, request);
     match future::timeout(limits.head.to_duration(), exchange).await {
-        Ok(Ok(response)) => Ok(response),
+        Ok(Ok(response)) => {
+            // From here on reads are those of the body.
+            read_limit.set(limits.silence);
+            Ok(response)
+        }
         Ok(Err(cause)) => Err(CallError::Broken(cause.to_string())),
         Err(_) => Err(CallError::Silent),
     }
--- a/crates/httpio/src/guard.rs
+++ b/crates/httpio/src/guard.rs
@@ -3,6 +3,8 @@
 use std::future::Future as _;
 use std::io;
 use std::pin;
+use std::sync;
+use std::sync::atomic;
 use std::task;
 
 use async_std::net;
@@ -14,12 +16,31 @@
 #[derive(Debug)]
 pub struct GuardedStream {
     stream: net::TcpStream,
-    read_timeout: time::Millis,
+    read_limit: ReadLimit,
     write_timeout: time::Millis,
     read_timer: Option<async_io::Timer>,
     write_timer: Option<async_io::Timer>,
 }
 
+/// A time that a read may wait for progress; a change holds from the next wait on.
+#[derive(Clone, Debug)]
+pub struct ReadLimit(sync::Arc<atomic::AtomicU64>);
+
+impl ReadLimit {
+    fn new(limit: time::Millis) -> Self {
+        ReadLimit(sync::Arc::new(atomic::AtomicU64::new(limit.get())))
+    }
+
+    /// Changes the limit.
+    pub fn set(&self, limit: time::Millis) {
+        self.0.store(limit.get(), atomic::Ordering::Relaxed);
+    }
+
+    fn get(&self) -> time::Millis {
+        time::Millis::new(self.0.load(atomic::Ordering::Relaxed))
+    }
+}
+
 impl GuardedStream {
     /// Guards a stream with one limit for each direction.
     pub fn new(
@@ -27,15 +48,21 @@
         read_timeout: time::Millis,
         write_timeout: time::Millis,
     ) -> Self {
-        GuardedStream { stream, read_timeout, write_timeout, read_timer: None, write_timer: None }
+        let read_limit = ReadLimit::new(read_timeout);
+        GuardedStream { stream, read_limit, write_timeout, read_timer: None, write_timer: None }
     }
 
     /// Changes the time that a read may wait for progress.
     pub fn set_read_timeout(&mut self, limit: time::Millis) {
-        self.read_timeout = limit;
+        self.read_limit.set(limit);
         self.read_timer = None;
     }
 
+    /// The time that a read may wait for progress, to be changed while another owns the stream.
+    pub fn read_limit(&self) -> ReadLimit {
+        self.read_limit.clone()
+    }
+
     /// The stream below.
     pub fn inner(&self) -> &net::TcpStream {
         &self.stream
@@ -45,7 +72,7 @@
 impl Clone for GuardedStream {
     fn clone(&self) -> Self {
         let stream = self.stream.clone();
-        GuardedStream::new(stream, self.read_timeout, self.write_timeout)
+        GuardedStream::new(stream, self.read_limit.get(), self.write_timeout)
     }
 }
 
@@ -75,7 +102,7 @@
     ) -> task::Poll<io::Result<usize>> {
         let this = &mut *self;
         let polled = pin::Pin::new(&mut this.stream).poll_read(cx, buf);
-        bounded(polled, &mut this.read_timer, this.read_timeout, cx)
+        bounded(polled, &mut this.read_timer, this.read_limit.get(), cx)
     }
 }
 
