--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -134,11 +134,10 @@
         &mut self,
         revision: quantity::RevisionNumber,
     ) -> Result<(), outcome::CtlError> {
-        let listed = self.ports.cloud.list_vms().await.unwrap_or_default();
         let progress = &mut *self.progress;
         let survey = force::await_revision(
             &self.ports.asker,
-            &listed,
+            &self.ports.cloud,
             &self.context.seeds,
             revision,
             self.context.wait,
--- a/crates/ctl/src/force.rs
+++ b/crates/ctl/src/force.rs
@@ -224,16 +224,19 @@
 /// round that differs from the last one.
 pub async fn await_revision(
     asker: &sync::Arc<dyn DaemonAsker>,
-    listed: &[cloud::VmEntry],
+    cloud: &sync::Arc<dyn cloud::CloudApi>,
     seeds: &[net::SocketAddr],
     revision: quantity::RevisionNumber,
     limit: time::Millis,
     mut progress: impl FnMut(&[ZoneCount]),
 ) -> ForceSurvey {
     let clock = time::MonotonicClock::start();
+    let mut listed = Vec::new();
     let mut last = Vec::new();
     loop {
-        let survey = survey(asker, listed, seeds).await;
+        // VMs come and go meanwhile; without the platform the last list has to do.
+        listed = cloud.list_vms().await.unwrap_or(listed);
+        let survey = survey(asker, &listed, seeds).await;
         let zones = survey.zones(revision);
         if zones != last {
             progress(&zones);
--- a/crates/ctl/tests/commands.rs
+++ b/crates/ctl/tests/commands.rs
@@ -285,6 +285,23 @@
     assert_eq!(bench.head(), 1);
 }
 
+#[test]
+fn vm_that_leaves_the_list_is_not_awaited() {
+    let mut bench = Bench::new();
+    bench.add_daemon("d1", 100, &[1], &[]);
+    let entry = entry_vm("d2", "a", 200);
+    let cloud = bench.cloud.clone();
+    let vm = entry.id.clone();
+    cloud.change(|fleet, now| fleet.put(entry, now));
+    let removing = task::spawn(async move {
+        task::sleep(std::time::Duration::from_millis(100)).await;
+        cloud.change(|fleet, now| fleet.remove(&vm, now));
+    });
+    let file = example(1);
+    bench.run(&["apply", file.to_str().expect("the path is text")]).expect("d1 has it");
+    task::block_on(removing);
+}
+
 #[test]
 fn daemon_that_started_anew_after_its_answer_is_asked_again() {
     let mut bench = Bench::new();
