--- a/crates/control/tests/capacity.rs
+++ b/crates/control/tests/capacity.rs
@@ -99,11 +99,13 @@
 }
 
 fn starts(steps: &[capacity::CapacityStep]) -> Vec<&cloud::VmStart> {
-    let start = |step| match step {
-        &capacity::CapacityStep::Start(ref start) => Some(start),
-        _ => None,
-    };
-    steps.iter().filter_map(start).collect()
+    let mut starts = Vec::new();
+    for step in steps {
+        if let capacity::CapacityStep::Start(start) = step {
+            starts.push(start);
+        }
+    }
+    starts
 }
 
 #[test]
