--- /dev/null
+++ b/crates/lease/tests/properties.rs
@@ -0,0 +1,107 @@
+//! Random deaths, pauses, cuts and lost answers: never two holders under one fencing number, and an
+//! even spread once everything is quiet.
+
+mod common;
+
+use proptest::prelude::*;
+use proptest::test_runner;
+use samphiremoor_base::time;
+
+const SHARDS: u16 = 6;
+const NAMES: [&str; 3] = ["a", "b", "c"];
+
+#[derive(Clone, Debug)]
+enum Step {
+    Start(usize),
+    Kill(usize),
+    Stop(usize),
+    Pause(usize),
+    Resume(usize),
+    Cut(usize),
+    Heal,
+    TableDown(bool),
+    LoseAnswers(u32),
+    Candidate(usize, bool),
+    Run(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let name = || 0..NAMES.len();
+    prop_oneof![
+        1 => name().prop_map(Step::Start),
+        1 => name().prop_map(Step::Kill),
+        1 => name().prop_map(Step::Stop),
+        1 => name().prop_map(Step::Pause),
+        1 => name().prop_map(Step::Resume),
+        1 => name().prop_map(Step::Cut),
+        1 => Just(Step::Heal),
+        1 => any::<bool>().prop_map(Step::TableDown),
+        1 => (0..4_u32).prop_map(Step::LoseAnswers),
+        1 => (name(), any::<bool>()).prop_map(|(index, is)| Step::Candidate(index, is)),
+        6 => (50..6_000_u64).prop_map(Step::Run),
+    ]
+}
+
+fn apply(cluster: &mut common::LeaseCluster, step: &Step) {
+    match step {
+        Step::Start(index) => cluster.start(NAMES[*index]),
+        Step::Kill(index) => cluster.kill(NAMES[*index]),
+        Step::Stop(index) => cluster.stop(NAMES[*index]),
+        Step::Pause(index) => {
+            cluster.paused.insert(NAMES[*index].to_owned());
+        }
+        Step::Resume(index) => {
+            cluster.paused.remove(NAMES[*index]);
+        }
+        Step::Cut(index) => {
+            cluster.cut.insert(NAMES[*index].to_owned());
+        }
+        Step::Heal => cluster.cut.clear(),
+        Step::TableDown(is_down) => cluster.is_table_down = *is_down,
+        Step::LoseAnswers(count) => cluster.lost_answers = *count,
+        Step::Candidate(index, is) => cluster.set_candidate(NAMES[*index], *is),
+        Step::Run(length) => cluster.run(time::Millis::new(*length)),
+    }
+}
+
+fn run(is_conditional: bool) -> Result<(), test_runner::TestError<Vec<Step>>> {
+    let config = test_runner::Config {
+        cases: 300,
+        rng_seed: test_runner::RngSeed::Fixed(samphiremoor_base::testing::seed()),
+        failure_persistence: None,
+        max_shrink_iters: 100,
+        ..test_runner::Config::default()
+    };
+    let steps = prop::collection::vec(step(), 5..60);
+    let mut runner = test_runner::TestRunner::new(config);
+    runner.run(&steps, |steps| {
+        let mut cluster = common::LeaseCluster::new(SHARDS);
+        cluster.is_conditional = is_conditional;
+        for step in &steps {
+            apply(&mut cluster, step);
+        }
+        cluster.is_table_down = false;
+        cluster.lost_answers = 0;
+        cluster.cut.clear();
+        cluster.paused.clear();
+        NAMES.iter().for_each(|name| cluster.start(name));
+        cluster.run(time::Millis::new(30_000));
+        prop_assert!(cluster.violations.is_empty(), "{:?}", cluster.violations);
+        prop_assert!(cluster.holders().iter().all(Option::is_some), "{:?}", cluster.holders());
+        let counts = cluster.counts();
+        prop_assert!(counts.iter().all(|(_, count)| *count == 2), "{counts:?}");
+        Ok(())
+    })
+}
+
+#[test]
+fn one_holder_for_each_fence_and_an_even_spread() {
+    if let Err(failure) = run(true) {
+        panic!("{failure}");
+    }
+}
+
+#[test]
+fn conditions_are_needed() {
+    assert!(run(false).is_err(), "no violation was found without conditional writes");
+}
