entry: a relayed stream that breaks off ends with an error event

Cause: a daemon that relayed another's stream passed its bytes on, so the other daemon's death closed the caller's connection without a word. Change: serve::relay passes events on and ends a broken stream with an error event that carries the request id, outcome unknown and a time to come back; attach.rs loses the relay.

--- a/crates/entry/src/headers.rs
+++ b/crates/entry/src/headers.rs
@@ -14,6 +14,9 @@
 /// Header that marks a call which another entry daemon passed on.
 pub const RELAYED_HEADER: &str = "Samphiremoor-Relayed";
 
+/// Header that names the last event that the caller got.
+pub const LAST_EVENT_HEADER: &str = "Last-Event-ID";
+
 /// Header by which callers mark repeated sends of one call.
 pub const IDEMPOTENCY_HEADER: &str = "Idempotency-Key";
 
--- a/crates/entry/src/serve/attach.rs
+++ b/crates/entry/src/serve/attach.rs
@@ -1,16 +1,12 @@
 //! Callers that attach again to a request.
 
-use std::net;
 use std::sync::Arc;
 
-use http_types::Method;
 use http_types::Request;
 use http_types::Response;
 use samphiremoor_base::id;
 use samphiremoor_base::reason;
 use samphiremoor_base::time;
-use samphiremoor_httpio::client;
-use samphiremoor_httpio::problem;
 
 use crate::core;
 use crate::headers;
@@ -19,12 +15,10 @@
 use crate::serve::access;
 use crate::serve::events;
 use crate::serve::model;
+use crate::serve::relay;
 use crate::serve::reply;
 use crate::serve::service;
 
-/// Header that names the last event that the caller got.
-const LAST_EVENT_HEADER: &str = "Last-Event-ID";
-
 /// Serves `GET /v1/requests/{id}`.
 ///
 /// # Errors
@@ -50,7 +44,9 @@
         }
         let Some(next) = next else { return Ok(kept_reply(core, kept, from).await) };
         let daemon = caller.snapshot.daemon(&next).ok_or_else(unreachable)?;
-        return relay(core, daemon.http_address, id, http_request).await.ok_or_else(unreachable);
+        return relay::relay(core, daemon.http_address, id, http_request)
+            .await
+            .ok_or_else(unreachable);
     }
     if is_relayed {
         return Err(unknown());
@@ -60,17 +56,16 @@
 
 /// Index of the first event that the caller lacks.
 fn first_wanted(request: &Request) -> Result<u64, reply::CallRefusal> {
-    let Some(value) = request.header(LAST_EVENT_HEADER) else { return Ok(0) };
+    let Some(value) = request.header(headers::LAST_EVENT_HEADER) else { return Ok(0) };
     let last = value.as_str().trim().parse::<u64>().ok().and_then(|last| last.checked_add(1));
     last.ok_or_else(|| {
-        reply::CallRefusal::new(reason::RefusalReason::BadHeader)
-            .detail(format!("`{LAST_EVENT_HEADER}` is no event id of this system; leave it out"))
+        reply::CallRefusal::new(reason::RefusalReason::BadHeader).detail(format!(
+            "`{}` is no event id of this system; leave it out",
+            headers::LAST_EVENT_HEADER
+        ))
     })
 }
 
-/// Heartbeats of a relayed stream that are missed before it is silent.
-const MISSED_HEARTBEATS: u64 = 4;
-
 async fn kept_reply(
     core: &Arc<core::EntryCore>,
     kept: Arc<kept::KeptRequest>,
@@ -101,7 +96,7 @@
     if let Some(daemon) = owner_view
         && daemon.id != core.settings.daemon
     {
-        match relay(core, daemon.http_address, id, http_request).await {
+        match relay::relay(core, daemon.http_address, id, http_request).await {
             Some(response) if !is_unknown(&response) => return Ok(response),
             Some(_) => {}
             None => is_certain = false,
@@ -110,7 +105,7 @@
     for daemon in peer::successors(core, &caller.snapshot, id) {
         match peers.locate(&daemon, id).await {
             Ok(peer::LocateAnswer::Kept) => {
-                let relayed = relay(core, daemon.http_address, id, http_request).await;
+                let relayed = relay::relay(core, daemon.http_address, id, http_request).await;
                 return relayed.ok_or_else(unreachable);
             }
             Ok(peer::LocateAnswer::Absent) => {}
@@ -120,43 +115,6 @@
     Err(if is_certain { unknown() } else { unreachable() })
 }
 
-/// Asks another daemon for the request on the caller's behalf; none where it can't be reached.
-async fn relay(
-    core: &core::EntryCore,
-    address: net::SocketAddr,
-    id: &id::RequestId,
-    http_request: &Request,
-) -> Option<Response> {
-    let url = client::url(address, &format!("/v1/requests/{id}")).ok()?;
-    let mut request = Request::new(Method::Get, url);
-    for name in ["authorization", LAST_EVENT_HEADER] {
-        if let Some(value) = http_request.header(name) {
-            request.insert_header(name, value);
-        }
-    }
-    request.insert_header(headers::RELAYED_HEADER, core.settings.daemon.as_str());
-    // A whole answer has no head before its end; a stream has heartbeats.
-    let heartbeat = core.settings.callers.heartbeat_ms.get();
-    let limits = client::CallLimits {
-        connect: core.settings.upstreams.connect_timeout_ms,
-        head: core.settings.callers.max_deadline_ms,
-        silence: time::Millis::new(heartbeat.saturating_mul(MISSED_HEARTBEATS)),
-    };
-    let mut upstream = client::send(address, request, limits).await.ok()?;
-    let mut response = Response::new(upstream.status());
-    response.set_body(upstream.take_body());
-    response.remove_header("content-type");
-    for line in headers::forwarded(upstream.iter()) {
-        response.append_header(line.name.as_ref(), line.value.as_ref());
-    }
-    for name in [problem::REQUEST_ID_HEADER, problem::OUTCOME_HEADER] {
-        if let Some(value) = upstream.header(name) {
-            response.insert_header(name, value);
-        }
-    }
-    Some(response)
-}
-
 fn is_unknown(response: &Response) -> bool {
     response.status() == http_types::StatusCode::NotFound
 }
--- a/crates/entry/src/serve/events.rs
+++ b/crates/entry/src/serve/events.rs
@@ -115,14 +115,7 @@
 
     /// The event has no id, so that a caller that attaches again starts after its last token.
     async fn fail(&self, problem: &problem::CallProblem) -> io::Result<()> {
-        let body = problem::ProblemBody::from(problem);
-        let error = answer::StreamError {
-            kind: body.kind,
-            detail: body.detail,
-            outcome: problem.outcome,
-            request_id: self.frame.id.clone(),
-            retry_after_ms: body.retry_after_ms,
-        };
+        let error = answer::StreamError::new(problem, self.frame.id.clone());
         self.sender.send("error", &error.to_data(), None).await
     }
 }
--- a/crates/entry/src/serve/mod.rs
+++ b/crates/entry/src/serve/mod.rs
@@ -6,5 +6,6 @@
 pub mod events;
 pub mod handler;
 pub mod model;
+pub mod relay;
 pub mod reply;
 pub mod service;
--- a/crates/entry/src/wire/answer.rs
+++ b/crates/entry/src/wire/answer.rs
@@ -4,6 +4,7 @@
 
 use samphiremoor_base::id;
 use samphiremoor_base::outcome;
+use samphiremoor_httpio::problem;
 use serde::Serialize;
 
 use crate::wire::chunk;
@@ -166,6 +167,18 @@
 }
 
 impl StreamError {
+    /// The error that tells a problem.
+    pub fn new(problem: &problem::CallProblem, request_id: id::RequestId) -> Self {
+        let body = problem::ProblemBody::from(problem);
+        StreamError {
+            kind: body.kind,
+            detail: body.detail,
+            outcome: problem.outcome,
+            request_id,
+            retry_after_ms: body.retry_after_ms,
+        }
+    }
+
     /// The event's data.
     pub fn to_data(&self) -> Arc<str> {
         let text = serde_json::to_string(self).expect("the error has text keys and plain values");
--- a/crates/entry/tests/attach.rs
+++ b/crates/entry/tests/attach.rs
@@ -121,6 +121,32 @@
     assert!(answer.json()["retry_after_ms"].as_u64().is_some());
 }
 
+/// A stream of one token that breaks off.
+const BROKEN_STREAM: &str = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\
+    samphiremoor-request-id: entry-gone:1\r\ntransfer-encoding: chunked\r\n\r\n\
+    56\r\nid: 0\ndata: {\"id\":\"entry-gone:1\",\"choices\":[{\"index\":0,\"delta\":{\"content\":\"one \"}}]}\n\n\r\n";
+
+#[test]
+fn relayed_stream_that_breaks_off_ends_with_an_error() {
+    let owner = fixture::upstream::FakeService::start(Some(BROKEN_STREAM));
+    let view = fixture::SharedView::new(&[], &[]);
+    let daemon = fixture::TestDaemon::start(&view);
+    view.change(|view| {
+        let mut gone = view.daemons[0].clone();
+        gone.id = fixture::parsed("entry-gone");
+        gone.http_address = owner.address();
+        view.daemons.push(gone);
+    });
+    daemon.wait_for_view();
+    let call = attach(daemon.entry.address(), "entry-gone:1", fixture::KEY);
+    let answer = task::block_on(call.stream());
+    assert_eq!(answer.text(), "one ");
+    assert!(!answer.is_done);
+    let error = answer.error.expect("the stream ends with an error event");
+    assert_eq!(error["outcome"], "unknown");
+    assert_eq!(error["request_id"], "entry-gone:1");
+}
+
 #[test]
 fn abandoned_stream_is_cancelled() {
     let engine = FakeEngine::start(1_000);
