control: put the first view off until the upstreams have answered

A relayed revision came into force before the first answers of the upstreams, the entry daemon was ready by a view in which all of them were joining, and refused what came in with no-replica.

Change: the first view waits, 2 s at most, until there are upstreams and none is joining. A zone whose upstreams are all gone is served after that.

Ruled out: a readiness check on live replicas in the entry daemon; with all engines gone it would take the plain services out as well.

--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -201,6 +201,9 @@
 /// Between two attempts to join.
 const JOIN_INTERVAL: time::Millis = time::Millis::new(500);
 
+/// Longest wait of the first view for the first answers of the upstreams.
+const FIRST_VIEW_WAIT: time::Millis = time::Millis::new(2_000);
+
 impl ControlState {
     /// A daemon that starts. `seed` orders its calls to peers.
     pub fn new(
@@ -611,6 +614,18 @@
         }
     }
 
+    /// Whether the first view is put off: an entry daemon takes requests from its first view on,
+    /// and would refuse them all while no upstream is known to be live.
+    fn waits_for_upstreams(&self, now: time::MonotonicTime) -> bool {
+        if self.shown_changes.is_some() || now.since(self.started_at) >= FIRST_VIEW_WAIT {
+            return false;
+        }
+        let replicas = self.membership.upstreams().views(now);
+        let is_joining =
+            |replica: &zone::ReplicaView| replica.state == zone::UpstreamState::Joining;
+        replicas.is_empty() || replicas.iter().any(is_joining)
+    }
+
     /// Makes a view where something changed and the last one is old enough.
     fn publish(&mut self, now: time::MonotonicTime, actions: &mut Vec<ControlAction>) {
         let Some(records) = &self.records else { return };
@@ -622,7 +637,7 @@
         let is_new_revision =
             self.shown_changes.is_none_or(|shown| shown.revision != changes.revision);
         let is_due = is_new_revision || now >= self.next_view;
-        if self.shown_changes == Some(changes) || !is_due {
+        if self.shown_changes == Some(changes) || !is_due || self.waits_for_upstreams(now) {
             return;
         }
         self.shown_changes = Some(changes);
