Count a replica as live only where it has the service's model

A run with real daemons showed a service with one live replica that had another model loaded. explain names the zones that have a view where the wanted one has none.

--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -230,7 +230,7 @@
         let views = self.views(&survey).await?;
         let is_wanted =
             |view: &&zone::ZoneView| request.zone.as_ref().is_none_or(|zone| view.zone == *zone);
-        let view = views.iter().find(is_wanted).ok_or(outcome::CtlError::NoDaemon)?;
+        let view = views.iter().find(is_wanted).ok_or_else(|| no_view(&views))?;
         let explanation = explain::explain(&request, view)?;
         let text = show::explanation(self.context.form, &explanation);
         self.print(&text);
@@ -290,3 +290,9 @@
         let _ = self.progress.write_all(text.as_bytes());
     }
 }
+
+fn no_view(views: &[zone::ZoneView]) -> outcome::CtlError {
+    let zones: Vec<&str> = views.iter().map(|view| view.zone.as_str()).collect();
+    let zones = zones.join(", ");
+    outcome::CtlError::BadRequest(format!("no daemon of its zone answers; name one of: {zones}"))
+}
--- a/crates/ctl/src/status.rs
+++ b/crates/ctl/src/status.rs
@@ -6,6 +6,7 @@
 use samphiremoor_base::quantity;
 use samphiremoor_base::time;
 use samphiremoor_records::set;
+use samphiremoor_routing::picker;
 use samphiremoor_view::zone;
 use serde::Serialize;
 
@@ -67,7 +68,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 #[derive(Serialize)]
 pub struct ReplicaCounts {
-    /// Started, and not yet ready.
+    /// Started, and not ready yet for this service.
     pub joining: usize,
     /// Taking new work.
     pub live: usize,
@@ -164,7 +165,8 @@
     };
     for pool in records.pools_of(&service.id) {
         for replica in replicas.iter().filter(|replica| replica.pool == pool.id) {
-            add_replica(&mut status, replica, pool.concurrency);
+            let can_serve = picker::is_eligible(records, service, replica);
+            add_replica(&mut status, replica, can_serve, pool.concurrency);
         }
     }
     if status.replicas.live > 0 {
@@ -175,13 +177,20 @@
     status
 }
 
-fn add_replica(status: &mut ServiceStatus, replica: &zone::ReplicaView, concurrency: u32) {
+/// A replica that is live without the service's model counts as joining.
+fn add_replica(
+    status: &mut ServiceStatus,
+    replica: &zone::ReplicaView,
+    can_serve: bool,
+    concurrency: u32,
+) {
     let price = status.price_per_hour.get().saturating_add(replica.price.get());
     status.price_per_hour = quantity::MicroPrice::new(price);
     match replica.state {
         zone::UpstreamState::Joining => status.replicas.joining += 1,
         zone::UpstreamState::Leaving => status.replicas.leaving += 1,
         zone::UpstreamState::Gone => {}
+        zone::UpstreamState::Live if !can_serve => status.replicas.joining += 1,
         zone::UpstreamState::Live => {
             status.replicas.live += 1;
             status.running += u64::from(replica.load.running);
