entry: hand over all requests at the same time; tell what a forced stop cuts

Cause: requests were handed over one after the other, so one silent peer could use up the seconds before a reclaim; a plain call cut by a forced stop got no answer, and a cut stream the reason `abandoned`. Change: one task for each hand-over, all bounded by stop.hand_over_ms; what is left then is ended as `stopping` with outcome unknown. The log line of a retry names the replica.

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -24,6 +24,7 @@
 use samphiremoor_shards::service;
 
 use crate::core;
+use crate::finish;
 use crate::handover;
 use crate::once;
 use crate::peer;
@@ -217,7 +218,7 @@
             task::sleep(STOP_POLL.to_duration()).await;
         }
         for kept in self.core.registry.in_progress() {
-            kept.command(crate::kept::RunCommand::Abandon);
+            finish::cut(&self.core, &kept);
         }
         task::sleep(FLUSH_TIME.to_duration()).await;
     }
--- a/crates/entry/src/finish.rs
+++ b/crates/entry/src/finish.rs
@@ -170,6 +170,16 @@
     core.registry.ended(kept, || kept.finish(kept_end, now));
 }
 
+/// Ends a request that the daemon can't wait for: its callers are told at once.
+pub fn cut(core: &core::EntryCore, kept: &kept::KeptRequest) {
+    let reason = reason::RefusalReason::Stopping;
+    core.metrics.refused(reason);
+    let mut problem = problem_of(reason, outcome::CallOutcome::Unknown);
+    problem.detail =
+        "the daemon ended before the answer was whole; send it anew if that is safe".to_owned();
+    kept.finish(kept::KeptEnd::Failed(problem), core.now());
+}
+
 fn cause_label(cause: action::EndCause) -> &'static str {
     match cause {
         action::EndCause::Answered => "answered",
--- a/crates/entry/src/handover.rs
+++ b/crates/entry/src/handover.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use async_std::future;
+use async_std::task;
 use samphiremoor_base::event;
 use samphiremoor_base::log_event;
 use samphiremoor_base::time;
@@ -17,24 +19,33 @@
 use crate::serve::model;
 use crate::wire::request;
 
-/// Hands every model call in progress to a peer; what nobody takes goes on here.
-pub async fn hand_over_all(core: &Arc<core::EntryCore>, peers: &peer::PeerClients) {
-    let transfers: Vec<_> =
-        core.registry.in_progress().into_iter().map(|kept| hand_over(core, peers, kept)).collect();
-    for transfer in transfers {
-        transfer.await;
-    }
+/// Hands every model call in progress to a peer, all at the same time; what nobody takes within
+/// the settings' time goes on here.
+pub async fn hand_over_all(core: &Arc<core::EntryCore>, peers: &Arc<peer::PeerClients>) {
+    let transfers: Vec<_> = core
+        .registry
+        .in_progress()
+        .into_iter()
+        .map(|kept| task::spawn(hand_over(core.clone(), peers.clone(), kept)))
+        .collect();
+    let all = async {
+        for transfer in transfers {
+            transfer.await;
+        }
+    };
+    // A peer that does not answer must not hold up the end.
+    let _ = future::timeout(core.settings.stop.hand_over_ms.to_duration(), all).await;
 }
 
 async fn hand_over(
-    core: &Arc<core::EntryCore>,
-    peers: &peer::PeerClients,
+    core: Arc<core::EntryCore>,
+    peers: Arc<peer::PeerClients>,
     kept: Arc<kept::KeptRequest>,
 ) {
     let Some(snapshot) = core.view() else { return };
-    let Some(handed) = handed_request(core, &kept) else { return };
+    let Some(handed) = handed_request(&core, &kept) else { return };
     let live = |daemon: &zone::DaemonView| daemon.state == zone::UpstreamState::Live;
-    for daemon in peer::successors(core, &snapshot, &kept.head.id).into_iter().filter(live) {
+    for daemon in peer::successors(&core, &snapshot, &kept.head.id).into_iter().filter(live) {
         if peers.hand_over(&daemon, &handed).await == Ok(peer::HandOverAnswer::Taken) {
             core.metrics.handed_over.inc();
             let request = &kept.head.id;
--- a/crates/entry/src/run/shell.rs
+++ b/crates/entry/src/run/shell.rs
@@ -8,6 +8,7 @@
 use samphiremoor_base::id;
 use samphiremoor_base::log_event;
 use samphiremoor_base::quantity;
+use samphiremoor_base::reason;
 use samphiremoor_base::time;
 use samphiremoor_records::set;
 use samphiremoor_requests::action;
@@ -56,6 +57,8 @@
     wakes: SmallVec<[time::MonotonicTime; 2]>,
     open: Option<OpenDispatch>,
     planned: Option<id::ReplicaId>,
+    /// Replica of the last dispatch, for log lines.
+    last_replica: Option<id::ReplicaId>,
     end: Option<action::RequestEnd>,
 }
 
@@ -85,6 +88,7 @@
             wakes: SmallVec::new(),
             open: None,
             planned: None,
+            last_replica: None,
             end: None,
         }
     }
@@ -180,11 +184,7 @@
                 self.close_dispatch(picker::FinishOutcome::Cancelled);
             }
             RequestAction::BlameReplica(replica) => self.core.blame(&replica),
-            RequestAction::CountRetry(reason) => {
-                self.core.metrics.retried(reason);
-                let request = &self.context.request;
-                log_event!(event::LogEvent::RequestRetried, request = request, reason = reason);
-            }
+            RequestAction::CountRetry(reason) => self.note_retry(reason),
             RequestAction::CountMove => {
                 self.core.metrics.moved_streams.inc();
                 let offset = self.machine.delivered();
@@ -200,6 +200,18 @@
         None
     }
 
+    fn note_retry(&self, reason: reason::RetryReason) {
+        self.core.metrics.retried(reason);
+        let request = &self.context.request;
+        let replica = self.last_replica.as_ref().map_or("none", |replica| replica.as_str());
+        log_event!(
+            event::LogEvent::RequestRetried,
+            request = request,
+            reason = reason,
+            replica = replica
+        );
+    }
+
     fn choose(&self, avoided: &[id::ReplicaId]) -> RequestInput {
         let target = core::RouteTarget {
             service: &self.context.service,
@@ -235,6 +247,7 @@
             now,
         });
         let replica = order.replica.clone();
+        self.last_replica = Some(replica.clone());
         self.open = Some(OpenDispatch { replica, since: now, first: None, usage: None });
         driver.dispatch(order, address);
         None
--- a/crates/entry/tests/attach.rs
+++ b/crates/entry/tests/attach.rs
@@ -195,6 +195,58 @@
     assert_eq!(owner.metric("samphiremoor_handed_over_total", ""), 1.0);
 }
 
+#[test]
+fn silent_peers_do_not_hold_up_the_hand_over() {
+    let engine = FakeEngine::start(1_000);
+    let silent = fixture::upstream::FakeService::start(None);
+    let view = fixture::SharedView::new(&[engine.address()], &[]);
+    let owner = fixture::TestDaemon::start_with(&view, |settings| {
+        settings.stop.hand_over_ms = samphiremoor_base::time::Millis::new(100);
+        // One link to a silent peer takes longer than the whole test may.
+        settings.kept.peer_timeout_ms = samphiremoor_base::time::Millis::new(3_600_000);
+    });
+    view.change(|view| {
+        let mut peer = view.daemons[0].clone();
+        peer.id = fixture::parsed("entry-silent");
+        peer.peer_address = silent.address();
+        view.daemons.push(peer);
+    });
+    owner.wait_for_view();
+    engine.set_fault(EngineFault::Slow(20));
+    let reading = task::spawn(TestCall::chat(owner.entry.address(), "hello", true).stream());
+    fixture::wait_until("the stream has begun", || {
+        owner.entry.core().registry.in_progress().iter().any(|kept| kept.token_count().get() > 2)
+    });
+    stop_by_force(&owner);
+    let answer = task::block_on(reading);
+    assert!(!answer.is_done);
+    let error = answer.error.expect("the stream ends with an error event");
+    assert_eq!(error["outcome"], "unknown");
+    assert_eq!(error["type"], "urn:samphiremoor:problem:stopping");
+}
+
+#[test]
+fn plain_call_that_is_cut_by_force_is_told_unknown() {
+    let service = fixture::upstream::FakeService::start(None);
+    let view = fixture::SharedView::new(&[], &[service.address()]);
+    let daemon = fixture::TestDaemon::start_with(&view, |settings| {
+        settings.upstreams.answer_timeout_ms = samphiremoor_base::time::Millis::new(20_000);
+        settings.stop.hand_over_ms = samphiremoor_base::time::Millis::new(50);
+    });
+    let call = TestCall::new(
+        daemon.entry.address(),
+        Method::Get,
+        "/v1/services/lookup/orders/1",
+        fixture::KEY,
+    );
+    let calling = task::spawn(call.whole());
+    fixture::wait_until("the service is called", || service.count() > 0);
+    stop_by_force(&daemon);
+    let answer = task::block_on(calling);
+    assert_eq!(answer.problem(), "stopping");
+    assert_eq!(answer.outcome.as_deref(), Some("unknown"));
+}
+
 #[test]
 fn stream_is_handed_over_twice() {
     let engine = FakeEngine::start(40);
