Believe a hold's own not run, also after it said that the call runs

The forwarding daemon turned not run into unknown once the holder had said running, though the same hold then said not run. Change: the forwarder notes which holds may have run the call; only another hold's possible run makes not run unknown.

--- a/crates/shards/src/forward.rs
+++ b/crates/shards/src/forward.rs
@@ -83,8 +83,8 @@
     start: std_time::Instant,
     /// The holder that said that it runs the call.
     runs_at: Option<HoldTarget>,
-    /// A holder may have run the call, so it can't be called not run any more.
-    maybe_run: bool,
+    /// Holds that may have run the call.
+    maybe_run_at: collections::BTreeSet<event::HoldId>,
 }
 
 impl<'a> CallForwarder<'a> {
@@ -94,18 +94,33 @@
             call: sync::Arc::new(call),
             start: std_time::Instant::now(),
             runs_at: None,
-            maybe_run: false,
+            maybe_run_at: collections::BTreeSet::new(),
         }
     }
 
     pub(crate) async fn submit(mut self) -> call::OnceAnswer {
         loop {
-            match self.step().await {
-                ForwardStep::Ended(answer) => return self.qualified(answer),
-                ForwardStep::Running => self.maybe_run = true,
-                ForwardStep::NoHolder => self.pause().await,
+            let Some(hold) = self.target() else {
+                self.pause().await;
+                if self.is_over() {
+                    return self.given_up();
+                }
+                continue;
+            };
+            match self.send(&hold).await {
+                ForwardStep::Ended(answer) => return self.qualified(answer, Some(hold.id)),
+                // A holder that runs the call is asked again, also when it has lost the shard since.
+                ForwardStep::Running => {
+                    self.maybe_run_at.insert(hold.id);
+                    self.runs_at = Some(hold);
+                }
+                ForwardStep::NoHolder => {
+                    self.runs_at = None;
+                    self.pause().await;
+                }
                 ForwardStep::Silent => {
-                    self.maybe_run = true;
+                    self.maybe_run_at.insert(hold.id);
+                    self.runs_at = None;
                     self.pause().await;
                 }
             }
@@ -115,15 +130,6 @@
         }
     }
 
-    async fn step(&mut self) -> ForwardStep {
-        let Some(hold) = self.target() else { return ForwardStep::NoHolder };
-        let step = self.send(&hold).await;
-        // A holder that runs the call is asked again, also when it has lost the shard since.
-        let is_running = matches!(step, ForwardStep::Running);
-        self.runs_at = Some(hold).filter(|_| is_running);
-        step
-    }
-
     fn target(&self) -> Option<HoldTarget> {
         if let Some(hold) = &self.runs_at {
             return Some(hold.clone());
@@ -200,18 +206,25 @@
     fn is_over(&self) -> bool {
         let elapsed = time::Millis::from(self.start.elapsed());
         let limit = self.shared.parts.settings.claim_timeout;
-        elapsed >= self.call.remaining || (!self.maybe_run && elapsed >= limit)
+        elapsed >= self.call.remaining || (self.maybe_run_at.is_empty() && elapsed >= limit)
     }
 
     fn given_up(&self) -> call::OnceAnswer {
         let reason = reason::RefusalReason::ShardUnavailable;
-        self.qualified(call::OnceAnswer::NotRun { reason, retry_after: Some(RETRY_AFTER) })
-    }
-
-    /// Turns `not run` into `unknown` where an earlier holder may have run the call.
-    fn qualified(&self, answer: call::OnceAnswer) -> call::OnceAnswer {
+        let answer = call::OnceAnswer::NotRun { reason, retry_after: Some(RETRY_AFTER) };
+        self.qualified(answer, None)
+    }
+
+    /// Turns `not run` into `unknown` where a hold other than the answering one may have run the
+    /// call. A hold answers for every send that it got: it refuses late copies of a refused request.
+    fn qualified(
+        &self,
+        answer: call::OnceAnswer,
+        answering: Option<event::HoldId>,
+    ) -> call::OnceAnswer {
+        let may_have_run = self.maybe_run_at.iter().any(|hold| Some(*hold) != answering);
         match answer {
-            call::OnceAnswer::NotRun { reason, retry_after } if self.maybe_run => {
+            call::OnceAnswer::NotRun { reason, retry_after } if may_have_run => {
                 call::OnceAnswer::Unknown { reason, retry_after }
             }
             answer => answer,
--- a/crates/shards/tests/harness/mod.rs
+++ b/crates/shards/tests/harness/mod.rs
@@ -31,6 +31,7 @@
     Complete,
     CompleteAfter(time::Millis),
     NotRun,
+    NotRunAfter(time::Millis),
     MaybeRun,
 }
 
@@ -75,7 +76,10 @@
             .expect("no test panics with the lock")
             .clone()
             .unwrap_or(RunPlan::Complete);
-        if plan == RunPlan::NotRun {
+        if let RunPlan::NotRunAfter(delay) = plan {
+            task::sleep(delay.to_duration()).await;
+        }
+        if matches!(plan, RunPlan::NotRun | RunPlan::NotRunAfter(_)) {
             let reason = reason::RefusalReason::NoReplica;
             return call::RunResult::NotRun { reason, retry_after: None };
         }
@@ -85,7 +89,7 @@
             RunPlan::MaybeRun => {
                 return call::RunResult::MaybeRun(reason::RefusalReason::UpstreamFailed);
             }
-            RunPlan::Complete | RunPlan::NotRun => {}
+            RunPlan::Complete | RunPlan::NotRun | RunPlan::NotRunAfter(_) => {}
         }
         let body = format!("{} run {count}", call.key.key);
         let body = sync::Arc::from(body.into_bytes());
--- a/crates/shards/tests/service.rs
+++ b/crates/shards/tests/service.rs
@@ -74,6 +74,18 @@
     assert_eq!(completed(&cluster.call("b", "k", "body")).as_deref(), Some("k run 1"));
 }
 
+#[test]
+fn slow_refusal_is_not_run_through_every_daemon() {
+    let cluster = harness::ShardCluster::start(2);
+    cluster.wait_covered();
+    // Longer than the holder waits before it says that the call still runs.
+    cluster.runner.plan(harness::RunPlan::NotRunAfter(time::Millis::new(1_200)));
+    for daemon in ["a", "b"] {
+        let answer = cluster.call(daemon, "k", "body");
+        assert!(matches!(answer, call::OnceAnswer::NotRun { .. }), "{answer:?}");
+    }
+}
+
 #[test]
 fn call_that_may_have_run_is_never_run_again() {
     let cluster = harness::ShardCluster::start(2);
