entry: tell routing of the engines' cache events

Cause: the routing policy corrects its history by cache events, and nothing gave it any. Change: the daemon polls the engines of its zone in turn within a fixed number of polls a second, and hands runs of events on, parted at lost numbers. Ruled out: a poll of each engine each second (618 a zone at the size to design for). What it does for recomputed tokens was not measured.

--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -146,6 +146,11 @@
         lock(&self.picker).finished(finish);
     }
 
+    /// Tells the routing policy of cache events.
+    pub fn cache_events(&self, batch: &picker::CacheBatch<'_>) {
+        lock(&self.picker).cache_events(batch);
+    }
+
     /// Keeps new requests from a replica for a while.
     pub fn blame(&self, replica: &id::ReplicaId) {
         let until = self.now() + self.settings.upstreams.blame_ms;
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -23,6 +23,7 @@
 use samphiremoor_routing::scored;
 use samphiremoor_shards::service;
 
+use crate::cache;
 use crate::core;
 use crate::finish;
 use crate::handover;
@@ -135,6 +136,7 @@
         let accepting = server::StopSignal::new();
         let handler =
             Arc::new(handler::EntryHandler::new(core.clone(), peers.clone(), shards.clone()));
+        task::spawn(cache::watch(core.clone()));
         task::spawn(server::serve(listener, limits, handler, accepting.clone()));
         log_event!(event::LogEvent::ProcessStarted, address = address);
         Ok(EntryDaemon {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -4,6 +4,7 @@
 //! and stops it; [`serve`] is the callers' side, [`run`] the upstreams' side, [`kept`] what stands
 //! between them; [`source`] pulls the view that all of it serves by.
 
+pub mod cache;
 pub mod core;
 pub mod daemon;
 pub mod finish;
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -155,6 +155,8 @@
     pub max_answer_bytes: quantity::ByteCount,
     /// Time for which a blamed replica gets no requests.
     pub blame_ms: time::Millis,
+    /// Polls of engines' cache events in a second, over all engines of the zone.
+    pub cache_polls: u64,
     /// Time after which streams on a leaving replica move, so that short ones end there.
     pub leave_grace_ms: time::Millis,
     /// Tokens of prompt and answer from which on their KV cache is moved along.
@@ -171,6 +173,7 @@
             silence_ms: time::Millis::new(3_000),
             max_answer_bytes: quantity::ByteCount::new(4 * 1024 * 1024),
             blame_ms: time::Millis::new(2_000),
+            cache_polls: 10,
             leave_grace_ms: time::Millis::new(500),
             kv_transfer_min_tokens: quantity::TokenCount::new(64),
         }
@@ -336,7 +339,7 @@
 }
 
 impl EntrySettings {
-    fn counts(&self) -> [PositiveLimit; 16] {
+    fn counts(&self) -> [PositiveLimit; 17] {
         let callers = &self.callers;
         let upstreams = &self.upstreams;
         [
@@ -354,6 +357,7 @@
             PositiveLimit::new("upstreams.head_timeout_ms", upstreams.head_timeout_ms.get()),
             PositiveLimit::new("upstreams.first_token_ms", upstreams.first_token_ms.get()),
             PositiveLimit::new("upstreams.answer_timeout_ms", upstreams.answer_timeout_ms.get()),
+            PositiveLimit::new("upstreams.cache_polls", upstreams.cache_polls),
             PositiveLimit::new("upstreams.silence_ms", upstreams.silence_ms.get()),
             PositiveLimit::new("retries.max_attempts", u64::from(self.retries.max_attempts)),
         ]
