--- a/crates/control/src/carry_out.rs
+++ b/crates/control/src/carry_out.rs
@@ -16,9 +16,9 @@
 use samphiremoor_platform::table;
 use samphiremoor_records::revision;
 
+use crate::action;
 use crate::capacity;
 use crate::shell;
-use crate::state;
 use crate::upstream;
 
 /// Sends of one start.
@@ -32,7 +32,7 @@
     ports: shell::ControlPorts,
     step: capacity::CapacityStep,
     fence: quantity::FenceNumber,
-) -> Option<state::ControlInput> {
+) -> Option<action::ControlInput> {
     match step {
         capacity::CapacityStep::Start(start) => start_vm(&ports, start).await,
         capacity::CapacityStep::Mark(vm) => {
@@ -55,13 +55,13 @@
 async fn start_vm(
     ports: &shell::ControlPorts,
     start: cloud::VmStart,
-) -> Option<state::ControlInput> {
+) -> Option<action::ControlInput> {
     for _ in 0..START_ATTEMPTS {
         let Ok(answer) = ports.cloud.start_vm(&start).await else { continue };
         if let cloud::StartAnswer::Started(vm) = &answer {
             log_event!(event::LogEvent::VmStarted, vm = vm, pool = start.pool);
         }
-        return Some(state::ControlInput::StartAnswered(start, answer));
+        return Some(action::ControlInput::StartAnswered(start, answer));
     }
     None
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,11 +1,13 @@
 //! The control daemon, which runs beside the entry daemon on every entry VM.
 //!
-//! [`state`] is the control state: one thread owns it, and it does no I/O. In it, [`duty`] is the
-//! lease on the zone's duties and [`capacity`] carries out the plans while it is held. [`shell`] is that thread
-//! with the tasks that make its calls,
-//! those to peers through [`caller`]; [`view_server`] and [`http`] answer from snapshots.
-//! [`message`] is what control daemons and the command line ask one another.
+//! [`state`] is the control state: one thread owns it, and it does no I/O; [`action`] is what goes
+//! in and comes out. In it, [`duty`] is the lease on the zone's duties, and [`capacity`] says what is
+//! carried out while it is held. [`shell`] is that thread with the tasks that make its calls: to peers
+//! through [`caller`], to upstreams through [`upstream`], and [`carry_out`] for plans.
+//! [`view_server`] and [`http`] answer from snapshots. [`message`] is what control daemons and the
+//! command line ask one another.
 
+pub mod action;
 pub mod caller;
 pub mod capacity;
 pub mod carry_out;
--- a/crates/control/src/shell.rs
+++ b/crates/control/src/shell.rs
@@ -20,6 +20,7 @@
 use samphiremoor_records::revision;
 use samphiremoor_view::zone;
 
+use crate::action;
 use crate::caller;
 use crate::capacity;
 use crate::carry_out;
@@ -77,7 +78,7 @@
 /// An input of the control thread.
 #[derive(Debug)]
 enum ThreadInput {
-    Done(state::ControlInput),
+    Done(action::ControlInput),
     Question(message::PeerQuestion, channel::Sender<message::PeerAnswer>),
     Stop,
 }
@@ -188,25 +189,25 @@
                 Err(mpsc::RecvTimeoutError::Timeout) => {}
             }
             if self.clock.now() >= next_tick {
-                self.step(state::ControlInput::Tick);
+                self.step(action::ControlInput::Tick);
                 next_tick = self.clock.now() + TICK_INTERVAL;
             }
         }
     }
 
-    fn step(&mut self, input: state::ControlInput) {
+    fn step(&mut self, input: action::ControlInput) {
         self.note_platform(&input);
         let actions = self.state.step(self.clock.now(), input);
         actions.into_iter().for_each(|action| self.act(action));
     }
 
-    fn note_platform(&mut self, input: &state::ControlInput) {
+    fn note_platform(&mut self, input: &action::ControlInput) {
         match input {
-            state::ControlInput::ReadFailed(read) if self.is_platform_back => {
+            action::ControlInput::ReadFailed(read) if self.is_platform_back => {
                 self.is_platform_back = false;
                 log_event!(event::LogEvent::PlatformUnavailable, read = label(*read));
             }
-            state::ControlInput::HeadRead(_) if !self.is_platform_back => {
+            action::ControlInput::HeadRead(_) if !self.is_platform_back => {
                 self.is_platform_back = true;
                 log_event!(event::LogEvent::PlatformBack);
             }
@@ -264,40 +265,40 @@
         });
     }
 
-    fn act(&self, action: state::ControlAction) {
+    fn act(&self, action: action::ControlAction) {
         match action {
-            state::ControlAction::Read(read) => self.read(read),
-            state::ControlAction::Join(address, own) => self.join(address, own),
-            state::ControlAction::Gossip(peer, message) => self.gossip(peer, message),
-            state::ControlAction::AskRevision(peer, question) => self.ask_revision(peer, question),
-            state::ControlAction::Probe { through, target } => self.probe_through(through, target),
-            state::ControlAction::Poll(upstream) => self.poll(upstream),
-            state::ControlAction::RevisionChanged(revision) => {
+            action::ControlAction::Read(read) => self.read(read),
+            action::ControlAction::Join(address, own) => self.join(address, own),
+            action::ControlAction::Gossip(peer, message) => self.gossip(peer, message),
+            action::ControlAction::AskRevision(peer, question) => self.ask_revision(peer, question),
+            action::ControlAction::Probe { through, target } => self.probe_through(through, target),
+            action::ControlAction::Poll(upstream) => self.poll(upstream),
+            action::ControlAction::RevisionChanged(revision) => {
                 self.metrics.revision.set(i64::try_from(revision.get()).unwrap_or(i64::MAX));
                 self.metrics.revision_changes.inc();
                 log_event!(event::LogEvent::RevisionInForce, revision = revision);
             }
-            state::ControlAction::RevisionRefused(revision, cause) => {
+            action::ControlAction::RevisionRefused(revision, cause) => {
                 self.metrics.revision_refusals.inc();
                 log_event!(event::LogEvent::RecordRefused, revision = revision, cause = cause);
             }
-            state::ControlAction::DaemonChanged(news) => log_daemon(&news),
-            state::ControlAction::UpstreamChanged(news) => log_upstream(&news),
-            state::ControlAction::WriteDuty(write) => self.write_duty(write),
-            state::ControlAction::CarryOut(step, fence) => self.carry_out(step, fence),
-            state::ControlAction::DutyChanged(Some(fence)) => {
+            action::ControlAction::DaemonChanged(news) => log_daemon(&news),
+            action::ControlAction::UpstreamChanged(news) => log_upstream(&news),
+            action::ControlAction::WriteDuty(write) => self.write_duty(write),
+            action::ControlAction::CarryOut(step, fence) => self.carry_out(step, fence),
+            action::ControlAction::DutyChanged(Some(fence)) => {
                 log_event!(event::LogEvent::LeaseTaken, duty = "zone", fence = fence);
             }
-            state::ControlAction::DutyChanged(None) => {
+            action::ControlAction::DutyChanged(None) => {
                 log_event!(event::LogEvent::LeaseLost, duty = "zone");
             }
-            state::ControlAction::StartRefused(offer, wait) => log_event!(
+            action::ControlAction::StartRefused(offer, wait) => log_event!(
                 event::LogEvent::VmStartRefused,
                 class = offer.class,
                 zone = offer.zone,
                 wait = wait
             ),
-            state::ControlAction::Publish(view) => self.publish(*view),
+            action::ControlAction::Publish(view) => self.publish(*view),
         }
     }
 
@@ -310,7 +311,7 @@
         self.board.show(view);
     }
 
-    fn read(&self, read: state::PlatformRead) {
+    fn read(&self, read: action::PlatformRead) {
         let ports = self.ports.clone();
         let metrics = self.metrics.clone();
         let duty_key = self.state.duty_key().clone();
@@ -318,7 +319,7 @@
             let input = read_platform(&ports, &duty_key, read).await;
             let result = if input.is_some() { "done" } else { "failed" };
             metrics.platform_reads.with_label_values(&[label(read), result]).inc();
-            input.unwrap_or(state::ControlInput::ReadFailed(read))
+            input.unwrap_or(action::ControlInput::ReadFailed(read))
         });
     }
 
@@ -329,7 +330,7 @@
             let question = message::PeerQuestion::Join(own);
             let answer = caller.call_at(address, &question, "join").await;
             if let Some(message::PeerAnswer::Joined(known)) = answer {
-                send(&inputs, state::ControlInput::Joined(known));
+                send(&inputs, action::ControlInput::Joined(known));
             }
         });
     }
@@ -340,9 +341,9 @@
             let question = message::PeerQuestion::Gossip(Box::new(message));
             match caller.call(&peer, &question, "gossip").await {
                 Some(message::PeerAnswer::Gossip(answer)) => {
-                    state::ControlInput::GossipAnswered(answer)
+                    action::ControlInput::GossipAnswered(answer)
                 }
-                _ => state::ControlInput::CallFailed(peer.id),
+                _ => action::ControlInput::CallFailed(peer.id),
             }
         });
     }
@@ -359,7 +360,7 @@
                 let revision = delta.revision;
                 log_event!(event::LogEvent::RevisionRelayed, revision = revision, peer = peer.id);
             }
-            state::ControlInput::PeerSent(delta)
+            action::ControlInput::PeerSent(delta)
         });
     }
 
@@ -370,7 +371,7 @@
             let question = message::PeerQuestion::Probe(target);
             let answer = caller.call(&through, &question, "probe").await;
             let is_reached = matches!(answer, Some(message::PeerAnswer::Probe(true)));
-            state::ControlInput::ProbeAnswered { target: id, is_reached }
+            action::ControlInput::ProbeAnswered { target: id, is_reached }
         });
     }
 
@@ -380,14 +381,14 @@
         self.spawn(async move {
             let answer = poller.poll(upstream.address).await;
             metrics.upstream_polls.with_label_values(&[answer_label(&answer)]).inc();
-            state::ControlInput::Polled { vm: upstream.vm, answer }
+            action::ControlInput::Polled { vm: upstream.vm, answer }
         });
     }
 
     fn write_duty(&self, write: table::TableTransaction) {
         let table = self.ports.table.clone();
         self.spawn(
-            async move { state::ControlInput::DutyWritten(table.commit(&write).await.into()) },
+            async move { action::ControlInput::DutyWritten(table.commit(&write).await.into()) },
         );
     }
 
@@ -401,56 +402,59 @@
         });
     }
 
-    fn spawn(&self, call: impl std::future::Future<Output = state::ControlInput> + Send + 'static) {
+    fn spawn(
+        &self,
+        call: impl std::future::Future<Output = action::ControlInput> + Send + 'static,
+    ) {
         let inputs = self.inputs.clone();
         task::spawn(async move { send(&inputs, call.await) });
     }
 }
 
 /// A full queue drops the input: every call is made again, and none is relied upon.
-fn send(inputs: &mpsc::SyncSender<ThreadInput>, input: state::ControlInput) {
+fn send(inputs: &mpsc::SyncSender<ThreadInput>, input: action::ControlInput) {
     let _ = inputs.try_send(ThreadInput::Done(input));
 }
 
 async fn read_platform(
     ports: &ControlPorts,
     duty_key: &table::RowKey,
-    read: state::PlatformRead,
-) -> Option<state::ControlInput> {
+    read: action::PlatformRead,
+) -> Option<action::ControlInput> {
     match read {
-        state::PlatformRead::Head => {
+        action::PlatformRead::Head => {
             let row = ports.table.read(&table::RowKey::new(revision::HEAD_KEY)).await.ok()?;
             let head = match row {
                 Some(row) => Some(revision::HeadRow::parse(&row.value).ok()?),
                 None => None,
             };
-            Some(state::ControlInput::HeadRead(head))
+            Some(action::ControlInput::HeadRead(head))
         }
-        state::PlatformRead::Revision(number) => {
+        action::PlatformRead::Revision(number) => {
             let key = table::RowKey::new(&revision::revision_key(number));
             let row = ports.table.read(&key).await.ok()??;
             let parsed = revision::RevisionRow::parse(&row.value);
             if let Err(cause) = &parsed {
                 log_event!(event::LogEvent::RecordRefused, revision = number, cause = cause);
             }
-            Some(state::ControlInput::RevisionRead(parsed.ok().map(Into::into)))
+            Some(action::ControlInput::RevisionRead(parsed.ok().map(Into::into)))
         }
-        state::PlatformRead::List => {
-            Some(state::ControlInput::ListRead(ports.cloud.list_vms().await.ok()?))
+        action::PlatformRead::List => {
+            Some(action::ControlInput::ListRead(ports.cloud.list_vms().await.ok()?))
         }
-        state::PlatformRead::Notices(serial) => {
-            Some(state::ControlInput::NoticesRead(ports.cloud.notices(serial).await.ok()?))
+        action::PlatformRead::Notices(serial) => {
+            Some(action::ControlInput::NoticesRead(ports.cloud.notices(serial).await.ok()?))
         }
-        state::PlatformRead::Drains => {
+        action::PlatformRead::Drains => {
             let rows = ports.table.scan(revision::DRAIN_PREFIX, None, MAX_DRAINS).await.ok()?;
             let marks = rows.iter().filter_map(drain_mark).collect();
-            Some(state::ControlInput::DrainsRead(marks))
+            Some(action::ControlInput::DrainsRead(marks))
         }
-        state::PlatformRead::Offers => {
-            Some(state::ControlInput::OffersRead(ports.cloud.offers().await.ok()?))
+        action::PlatformRead::Offers => {
+            Some(action::ControlInput::OffersRead(ports.cloud.offers().await.ok()?))
         }
-        state::PlatformRead::Duty => {
-            Some(state::ControlInput::DutyRead(ports.table.read(duty_key).await.ok()?))
+        action::PlatformRead::Duty => {
+            Some(action::ControlInput::DutyRead(ports.table.read(duty_key).await.ok()?))
         }
     }
 }
@@ -460,15 +464,15 @@
     Some(capacity::DrainMark { vm, author: row.value.clone() })
 }
 
-fn label(read: state::PlatformRead) -> &'static str {
+fn label(read: action::PlatformRead) -> &'static str {
     match read {
-        state::PlatformRead::Head => "head",
-        state::PlatformRead::Revision(_) => "revision",
-        state::PlatformRead::List => "list",
-        state::PlatformRead::Notices(_) => "notices",
-        state::PlatformRead::Drains => "drains",
-        state::PlatformRead::Offers => "offers",
-        state::PlatformRead::Duty => "duty",
+        action::PlatformRead::Head => "head",
+        action::PlatformRead::Revision(_) => "revision",
+        action::PlatformRead::List => "list",
+        action::PlatformRead::Notices(_) => "notices",
+        action::PlatformRead::Drains => "drains",
+        action::PlatformRead::Offers => "offers",
+        action::PlatformRead::Duty => "duty",
     }
 }
 
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -7,17 +7,16 @@
 use samphiremoor_base::time;
 use samphiremoor_head::follow;
 use samphiremoor_head::relay;
-use samphiremoor_lease::answer;
 use samphiremoor_lease::row;
 use samphiremoor_membership::daemons;
 use samphiremoor_membership::news;
 use samphiremoor_membership::state;
 use samphiremoor_platform::cloud;
 use samphiremoor_platform::table;
-use samphiremoor_records::revision;
 use samphiremoor_records::set;
 use samphiremoor_view::zone;
 
+use crate::action;
 use crate::capacity;
 use crate::duty;
 use crate::message;
@@ -55,114 +54,6 @@
     }
 }
 
-/// What a call that the state asked for came to.
-#[derive(Debug)]
-pub enum ControlInput {
-    /// Time passed.
-    Tick,
-    /// The head was read.
-    HeadRead(Option<revision::HeadRow>),
-    /// A revision's row was read.
-    RevisionRead(Option<relay::RevisionContent>),
-    /// The VM list was read.
-    ListRead(Vec<cloud::VmEntry>),
-    /// Notices were read.
-    NoticesRead(Vec<cloud::ReclaimNotice>),
-    /// Marks on VMs that leave were read.
-    DrainsRead(Vec<capacity::DrainMark>),
-    /// Offers were read.
-    OffersRead(Vec<cloud::VmOffer>),
-    /// The lease row of the zone's duties was read.
-    DutyRead(Option<table::TableRow>),
-    /// The table answered the write of the lease row.
-    DutyWritten(answer::TableAnswer),
-    /// The cloud answered a start.
-    StartAnswered(cloud::VmStart, cloud::StartAnswer),
-    /// The platform did not answer this read.
-    ReadFailed(PlatformRead),
-    /// A peer answered a message.
-    GossipAnswered(Box<state::GossipMessage>),
-    /// A peer did not answer a message.
-    CallFailed(id::DaemonId),
-    /// A seed or peer knows of this daemon now, and names those that it knows.
-    Joined(Vec<news::DaemonNews>),
-    /// A peer sent its revision, or failed to.
-    PeerSent(Option<relay::RevisionDelta>),
-    /// A peer tried a daemon.
-    ProbeAnswered {
-        /// The daemon that was tried.
-        target: id::DaemonId,
-        /// Whether it answered.
-        is_reached: bool,
-    },
-    /// An upstream answered a poll.
-    Polled {
-        /// The upstream's VM.
-        vm: id::VmId,
-        /// Its answer.
-        answer: news::ReplicaAnswer,
-    },
-}
-
-/// Something that is read from the platform.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum PlatformRead {
-    /// The head row.
-    Head,
-    /// A revision's row.
-    Revision(quantity::RevisionNumber),
-    /// The VM list.
-    List,
-    /// Notices after a serial.
-    Notices(u64),
-    /// Rows that mark VMs as leaving.
-    Drains,
-    /// Offers of the cloud.
-    Offers,
-    /// The lease row of the zone's duties.
-    Duty,
-}
-
-/// A call to make or a thing to tell.
-#[derive(Debug)]
-pub enum ControlAction {
-    /// Read from the platform.
-    Read(PlatformRead),
-    /// Make this daemon known at the address.
-    Join(net::SocketAddr, news::DaemonNews),
-    /// Send a message to a peer.
-    Gossip(news::DaemonNews, state::GossipMessage),
-    /// Ask a peer for its revision.
-    AskRevision(news::DaemonNews, message::PeerQuestion),
-    /// Ask a peer to try a daemon.
-    Probe {
-        /// The peer that is asked.
-        through: news::DaemonNews,
-        /// The daemon to try.
-        target: news::DaemonNews,
-    },
-    /// Ask an upstream for its state and load.
-    Poll(news::UpstreamNews),
-    /// A revision came into force.
-    RevisionChanged(quantity::RevisionNumber),
-    /// The records of a revision can't be served; the last one stays in force.
-    RevisionRefused(quantity::RevisionNumber, String),
-    /// A daemon's standing changed.
-    DaemonChanged(news::DaemonNews),
-    /// An upstream's state changed.
-    UpstreamChanged(news::UpstreamNews),
-    /// Write the lease row of the zone's duties.
-    WriteDuty(table::TableTransaction),
-    /// Carry out a step of the plan under this fencing number.
-    CarryOut(capacity::CapacityStep, quantity::FenceNumber),
-    /// The duties of the zone are held under this fencing number, or no more.
-    DutyChanged(Option<quantity::FenceNumber>),
-    /// The cloud refused a start, and the offer waits for this long.
-    StartRefused(cloud::VmOffer, time::Millis),
-    /// Show this view to the entry daemon.
-    Publish(Box<zone::ZoneView>),
-}
-
 /// The control state.
 #[derive(Debug)]
 pub struct ControlState {
@@ -284,7 +175,7 @@
         &mut self,
         now: time::MonotonicTime,
         message: state::GossipMessage,
-        actions: &mut Vec<ControlAction>,
+        actions: &mut Vec<action::ControlAction>,
     ) -> state::GossipMessage {
         self.peer_has(now, &message, actions);
         let revision = self.follower.in_force();
@@ -323,7 +214,11 @@
     }
 
     /// Takes an input and says what to do.
-    pub fn step(&mut self, now: time::MonotonicTime, input: ControlInput) -> Vec<ControlAction> {
+    pub fn step(
+        &mut self,
+        now: time::MonotonicTime,
+        input: action::ControlInput,
+    ) -> Vec<action::ControlAction> {
         let mut actions = Vec::new();
         self.take(now, input, &mut actions);
         self.publish(now, &mut actions);
@@ -333,65 +228,67 @@
     fn take(
         &mut self,
         now: time::MonotonicTime,
-        input: ControlInput,
-        actions: &mut Vec<ControlAction>,
+        input: action::ControlInput,
+        actions: &mut Vec<action::ControlAction>,
     ) {
         match input {
-            ControlInput::Tick => self.tick(now, actions),
-            ControlInput::HeadRead(head) => {
+            action::ControlInput::Tick => self.tick(now, actions),
+            action::ControlInput::HeadRead(head) => {
                 self.platform = zone::PlatformState::Available;
                 self.follow(now, follow::FollowInput::HeadRead(head), actions);
             }
-            ControlInput::RevisionRead(content) => {
+            action::ControlInput::RevisionRead(content) => {
                 self.follow(now, follow::FollowInput::RevisionRead(content), actions);
             }
-            ControlInput::ListRead(entries) => {
+            action::ControlInput::ListRead(entries) => {
                 self.is_list_tried = true;
                 self.listed = entries.len();
                 self.membership.list_read(now, &entries);
             }
-            ControlInput::NoticesRead(notices) => self.notices_read(now, &notices),
-            ControlInput::DrainsRead(marks) => {
+            action::ControlInput::NoticesRead(notices) => self.notices_read(now, &notices),
+            action::ControlInput::DrainsRead(marks) => {
                 let vms: Vec<id::VmId> = marks.iter().map(|mark| mark.vm.clone()).collect();
                 self.membership.drains_read(now, &vms);
                 self.marks = marks;
             }
-            ControlInput::OffersRead(offers) => self.plan(now, &offers, actions),
-            ControlInput::DutyRead(row) => self.hold(now, duty::DutyInput::Read(row), actions),
-            ControlInput::DutyWritten(answer) => {
+            action::ControlInput::OffersRead(offers) => self.plan(now, &offers, actions),
+            action::ControlInput::DutyRead(row) => {
+                self.hold(now, duty::DutyInput::Read(row), actions)
+            }
+            action::ControlInput::DutyWritten(answer) => {
                 self.hold(now, duty::DutyInput::Written(answer), actions);
             }
-            ControlInput::StartAnswered(start, answer) => {
+            action::ControlInput::StartAnswered(start, answer) => {
                 if let Some(until) = self.capacity.start_answered(now, &start, &answer) {
                     let wait = until.since(now);
-                    actions.push(ControlAction::StartRefused(start.offer, wait));
+                    actions.push(action::ControlAction::StartRefused(start.offer, wait));
                 }
             }
-            ControlInput::ReadFailed(read) => self.read_failed(now, read, actions),
-            ControlInput::GossipAnswered(message) => {
+            action::ControlInput::ReadFailed(read) => self.read_failed(now, read, actions),
+            action::ControlInput::GossipAnswered(message) => {
                 self.follow(now, follow::FollowInput::Joined, actions);
                 self.peer_has(now, &message, actions);
                 self.membership.heard(now, *message);
             }
-            ControlInput::CallFailed(peer) => {
+            action::ControlInput::CallFailed(peer) => {
                 let probes = self.membership.call_failed(now, &peer);
                 self.act(probes, actions);
             }
-            ControlInput::Joined(known) => {
+            action::ControlInput::Joined(known) => {
                 known.into_iter().for_each(|news| self.register(now, news));
                 self.follow(now, follow::FollowInput::Joined, actions);
             }
-            ControlInput::PeerSent(delta) => {
+            action::ControlInput::PeerSent(delta) => {
                 self.follow(now, follow::FollowInput::PeerSent(delta), actions);
             }
-            ControlInput::ProbeAnswered { target, is_reached } => {
+            action::ControlInput::ProbeAnswered { target, is_reached } => {
                 self.membership.probe_answered(now, &target, is_reached);
             }
-            ControlInput::Polled { vm, answer } => self.membership.polled(now, &vm, answer),
+            action::ControlInput::Polled { vm, answer } => self.membership.polled(now, &vm, answer),
         }
     }
 
-    fn tick(&mut self, now: time::MonotonicTime, actions: &mut Vec<ControlAction>) {
+    fn tick(&mut self, now: time::MonotonicTime, actions: &mut Vec<action::ControlAction>) {
         self.try_to_join(now, actions);
         let is_reader = self.membership.is_reader();
         self.read_platform(now, is_reader, actions);
@@ -407,38 +304,46 @@
         &mut self,
         now: time::MonotonicTime,
         input: duty::DutyInput,
-        actions: &mut Vec<ControlAction>,
+        actions: &mut Vec<action::ControlAction>,
     ) {
         match self.duty.step(now, input) {
             None => {}
-            Some(duty::DutyAction::Read) => actions.push(ControlAction::Read(PlatformRead::Duty)),
-            Some(duty::DutyAction::Write(write)) => actions.push(ControlAction::WriteDuty(write)),
+            Some(duty::DutyAction::Read) => {
+                actions.push(action::ControlAction::Read(action::PlatformRead::Duty))
+            }
+            Some(duty::DutyAction::Write(write)) => {
+                actions.push(action::ControlAction::WriteDuty(write))
+            }
         }
         let fence = self.duty.fence(now);
         if fence != self.shown_fence {
             self.shown_fence = fence;
-            actions.push(ControlAction::DutyChanged(fence));
+            actions.push(action::ControlAction::DutyChanged(fence));
         }
     }
 
     /// Starts a plan where one is due, and gives marked VMs back that are idle.
-    fn look_after_capacity(&mut self, now: time::MonotonicTime, actions: &mut Vec<ControlAction>) {
+    fn look_after_capacity(
+        &mut self,
+        now: time::MonotonicTime,
+        actions: &mut Vec<action::ControlAction>,
+    ) {
         let Some(fence) = self.duty.fence(now) else { return };
         if self.records.is_none() || !self.capacity.is_due(now) {
             return;
         }
-        actions.push(ControlAction::Read(PlatformRead::Offers));
+        actions.push(action::ControlAction::Read(action::PlatformRead::Offers));
         let zone = self.membership.daemons().own().zone.clone();
         let upstreams = self.membership.upstreams();
         let steps = self.capacity.releases(now, &zone, &self.marks, upstreams);
-        actions.extend(steps.into_iter().map(|step| ControlAction::CarryOut(step, fence)));
+        actions.extend(steps.into_iter().map(|step| action::ControlAction::CarryOut(step, fence)));
     }
 
     fn plan(
         &mut self,
         now: time::MonotonicTime,
         offers: &[cloud::VmOffer],
-        actions: &mut Vec<ControlAction>,
+        actions: &mut Vec<action::ControlAction>,
     ) {
         let Some(fence) = self.duty.fence(now) else { return };
         let Some(records) = &self.records else { return };
@@ -450,10 +355,10 @@
             offers,
         };
         let steps = self.capacity.plan(now, &input);
-        actions.extend(steps.into_iter().map(|step| ControlAction::CarryOut(step, fence)));
+        actions.extend(steps.into_iter().map(|step| action::ControlAction::CarryOut(step, fence)));
     }
 
-    fn try_to_join(&mut self, now: time::MonotonicTime, actions: &mut Vec<ControlAction>) {
+    fn try_to_join(&mut self, now: time::MonotonicTime, actions: &mut Vec<action::ControlAction>) {
         if self.follower.is_joined() {
             return;
         }
@@ -468,7 +373,7 @@
         }
         self.next_join = now + JOIN_INTERVAL;
         let own = self.membership.daemons().own();
-        let join = |seed: &net::SocketAddr| ControlAction::Join(*seed, own.clone());
+        let join = |seed: &net::SocketAddr| action::ControlAction::Join(*seed, own.clone());
         actions.extend(self.seeds.iter().map(join));
     }
 
@@ -476,7 +381,7 @@
         &mut self,
         now: time::MonotonicTime,
         is_reader: bool,
-        actions: &mut Vec<ControlAction>,
+        actions: &mut Vec<action::ControlAction>,
     ) {
         let interval =
             if is_reader { self.times.reader_interval } else { self.times.other_interval };
@@ -486,31 +391,37 @@
         self.next_list_read = self.next_list_read.min(now + list_interval);
         if now >= self.next_list_read {
             self.next_list_read = now + list_interval;
-            actions.push(ControlAction::Read(PlatformRead::List));
+            actions.push(action::ControlAction::Read(action::PlatformRead::List));
         }
         self.next_notice_read = self.next_notice_read.min(now + interval);
         if now >= self.next_notice_read {
             self.next_notice_read = now + interval;
-            actions.push(ControlAction::Read(PlatformRead::Notices(self.notice_serial)));
-            actions.push(ControlAction::Read(PlatformRead::Drains));
+            actions.push(action::ControlAction::Read(action::PlatformRead::Notices(
+                self.notice_serial,
+            )));
+            actions.push(action::ControlAction::Read(action::PlatformRead::Drains));
         }
     }
 
     fn read_failed(
         &mut self,
         now: time::MonotonicTime,
-        read: PlatformRead,
-        actions: &mut Vec<ControlAction>,
+        read: action::PlatformRead,
+        actions: &mut Vec<action::ControlAction>,
     ) {
         self.platform = zone::PlatformState::Unavailable;
         match read {
-            PlatformRead::Head => self.follow(now, follow::FollowInput::HeadFailed, actions),
-            PlatformRead::Revision(_) => {
+            action::PlatformRead::Head => {
+                self.follow(now, follow::FollowInput::HeadFailed, actions)
+            }
+            action::PlatformRead::Revision(_) => {
                 self.follow(now, follow::FollowInput::RevisionRead(None), actions);
             }
-            PlatformRead::List => self.is_list_tried = true,
-            PlatformRead::Duty => self.hold(now, duty::DutyInput::ReadFailed, actions),
-            PlatformRead::Notices(_) | PlatformRead::Drains | PlatformRead::Offers => {}
+            action::PlatformRead::List => self.is_list_tried = true,
+            action::PlatformRead::Duty => self.hold(now, duty::DutyInput::ReadFailed, actions),
+            action::PlatformRead::Notices(_)
+            | action::PlatformRead::Drains
+            | action::PlatformRead::Offers => {}
         }
     }
 
@@ -525,7 +436,7 @@
         &mut self,
         now: time::MonotonicTime,
         message: &state::GossipMessage,
-        actions: &mut Vec<ControlAction>,
+        actions: &mut Vec<action::ControlAction>,
     ) {
         let peer = message.sender.id.clone();
         self.follow(now, follow::FollowInput::PeerHas(peer, message.revision), actions);
@@ -535,22 +446,22 @@
         &mut self,
         now: time::MonotonicTime,
         input: follow::FollowInput,
-        actions: &mut Vec<ControlAction>,
+        actions: &mut Vec<action::ControlAction>,
     ) {
         match self.follower.step(now, input) {
             None => {}
             Some(follow::FollowAction::ReadHead) => {
-                actions.push(ControlAction::Read(PlatformRead::Head));
+                actions.push(action::ControlAction::Read(action::PlatformRead::Head));
             }
             Some(follow::FollowAction::ReadRevision(revision)) => {
-                actions.push(ControlAction::Read(PlatformRead::Revision(revision)));
+                actions.push(action::ControlAction::Read(action::PlatformRead::Revision(revision)));
             }
             Some(follow::FollowAction::AskPeer(peer)) => {
                 let Some(peer) = self.membership.daemons().get(&peer).cloned() else { return };
                 let asker = self.membership.daemons().own().clone();
                 let have = self.follower.in_force();
                 let question = message::PeerQuestion::Revision { asker, have };
-                actions.push(ControlAction::AskRevision(peer, question));
+                actions.push(action::ControlAction::AskRevision(peer, question));
             }
             Some(follow::FollowAction::PutInForce(content)) => {
                 self.put_in_force(now, &content, actions);
@@ -562,24 +473,28 @@
         &mut self,
         now: time::MonotonicTime,
         content: &relay::RevisionContent,
-        actions: &mut Vec<ControlAction>,
+        actions: &mut Vec<action::ControlAction>,
     ) {
         match content.bundle.to_set(content.revision) {
             Ok(records) => {
                 self.records = Some(records);
                 self.in_force_since = now;
                 self.membership.set_live(now);
-                actions.push(ControlAction::RevisionChanged(content.revision));
+                actions.push(action::ControlAction::RevisionChanged(content.revision));
             }
             Err(cause) => {
                 let cause = cause.to_string();
-                actions.push(ControlAction::RevisionRefused(content.revision, cause));
+                actions.push(action::ControlAction::RevisionRefused(content.revision, cause));
             }
         }
         self.membership.hurry();
     }
 
-    fn act(&mut self, steps: Vec<state::MembershipAction>, actions: &mut Vec<ControlAction>) {
+    fn act(
+        &mut self,
+        steps: Vec<state::MembershipAction>,
+        actions: &mut Vec<action::ControlAction>,
+    ) {
         for step in steps {
             match step {
                 state::MembershipAction::Call(peer) => {
@@ -588,27 +503,27 @@
                     };
                     let revision = self.follower.in_force();
                     let message = self.membership.message_for(&peer, revision);
-                    actions.push(ControlAction::Gossip(news, message));
+                    actions.push(action::ControlAction::Gossip(news, message));
                 }
                 state::MembershipAction::ProbeThrough { through, target } => {
                     let daemons = self.membership.daemons();
                     let through = daemons.get(&through).cloned();
                     let target = daemons.get(&target).cloned();
                     let Some((through, target)) = through.zip(target) else { continue };
-                    actions.push(ControlAction::Probe { through, target });
+                    actions.push(action::ControlAction::Probe { through, target });
                 }
                 state::MembershipAction::Poll(upstream) => {
-                    actions.push(ControlAction::Poll(upstream));
+                    actions.push(action::ControlAction::Poll(upstream));
                 }
                 state::MembershipAction::DaemonChanged(news) => {
-                    actions.push(ControlAction::DaemonChanged(news));
+                    actions.push(action::ControlAction::DaemonChanged(news));
                 }
                 state::MembershipAction::UpstreamChanged(news) => {
                     // New work must stop within seconds, whatever the view's interval.
                     if news.standing.state >= zone::UpstreamState::Leaving {
                         self.next_view = time::MonotonicTime::default();
                     }
-                    actions.push(ControlAction::UpstreamChanged(news));
+                    actions.push(action::ControlAction::UpstreamChanged(news));
                 }
             }
         }
@@ -627,7 +542,7 @@
     }
 
     /// Makes a view where something changed and the last one is old enough.
-    fn publish(&mut self, now: time::MonotonicTime, actions: &mut Vec<ControlAction>) {
+    fn publish(&mut self, now: time::MonotonicTime, actions: &mut Vec<action::ControlAction>) {
         let Some(records) = &self.records else { return };
         let changes = ShownChanges {
             membership: self.membership.change_count(),
@@ -647,7 +562,7 @@
         let stretch = u64::try_from(replicas.len() / self.times.replicas_per_milli);
         let stretch = time::Millis::new(stretch.unwrap_or(u64::MAX));
         self.next_view = now + self.times.view_interval.max(stretch);
-        actions.push(ControlAction::Publish(Box::new(zone::ZoneView {
+        actions.push(action::ControlAction::Publish(Box::new(zone::ZoneView {
             zone: own.zone.clone(),
             serial: self.serial,
             incarnation: self.life,
--- a/crates/ctl/src/store.rs
+++ b/crates/ctl/src/store.rs
@@ -146,7 +146,8 @@
         rules: ChangeRules,
         author: &change::ChangeAuthor,
     ) -> Result<quantity::RevisionNumber, outcome::CtlError> {
-        for attempt in 0.. {
+        let mut rebases = 0;
+        loop {
             let winner = match self.change_once(wanted, rules, author).await? {
                 change::ChangeEnd::Written(revision) => return Ok(revision),
                 change::ChangeEnd::LostRace(winner) => winner,
@@ -162,11 +163,11 @@
             let changed = self.changed_by(&winner).await;
             let keys = wanted.keys();
             let is_apart = !changed.is_empty() && !changed.iter().any(|key| keys.contains(key));
-            if !rules.rebase || !is_apart || attempt >= MAX_REBASES {
+            if !rules.rebase || !is_apart || rebases >= MAX_REBASES {
                 return Err(outcome::CtlError::LostRace(winner, changed));
             }
+            rebases += 1;
         }
-        unreachable!("the loop ends by a return")
     }
 
     async fn change_once(
--- a/crates/membership/src/state.rs
+++ b/crates/membership/src/state.rs
@@ -2,7 +2,6 @@
 
 use std::collections;
 
-use rand::Rng as _;
 use rand::SeedableRng as _;
 use rand::seq::SliceRandom as _;
 use samphiremoor_base::id;
@@ -532,11 +531,6 @@
         self.change_count += 1;
         self.changes.push(MembershipAction::UpstreamChanged(news));
     }
-
-    /// A number for the caller's own use, from the same source as the order of calls.
-    pub fn random_number(&mut self) -> u64 {
-        self.random.random()
-    }
 }
 
 fn is_same_but_load(first: &news::ReplicaAnswer, second: &news::ReplicaAnswer) -> bool {
