--- a/crates/routing/src/scored.rs
+++ b/crates/routing/src/scored.rs
@@ -315,7 +315,9 @@
             self.index.pool_mut(&pool).pace.sample(open.forecast_ms, first);
         }
         let pool_state = self.index.pool_mut(&pool);
-        let may_eject = (pool_state.ejected.len() + 1) * EJECTED_ONE_IN <= pool_state.replicas;
+        // Of two replicas one may be ejected; a single one never.
+        let most = (pool_state.replicas / EJECTED_ONE_IN).max(1);
+        let may_eject = pool_state.replicas > 1 && pool_state.ejected.len() < most;
         let pool_ratio = pool_state.pace.ratio();
         let Some(state) = self.index.state_mut(slot) else { return };
         let sample = match (finish.outcome, finish.first) {
