Part the choice of copy sets from the shards' thread; log an outage once

Change: copy_peers.rs; an outage is logged when it begins and when it ends, copies once for each hold.

--- a/crates/shards/src/control.rs
+++ b/crates/shards/src/control.rs
@@ -8,11 +8,11 @@
 use async_std::future;
 use async_std::task;
 use samphiremoor_base::event as log_event;
-use samphiremoor_base::id;
 use samphiremoor_base::log_event;
 use samphiremoor_base::quantity;
 use samphiremoor_base::time;
 use samphiremoor_claims::copies;
+use samphiremoor_claims::journal;
 use samphiremoor_claims::key;
 use samphiremoor_claims::ledger;
 use samphiremoor_claims::opening;
@@ -21,16 +21,14 @@
 use samphiremoor_lease::answer;
 use samphiremoor_lease::keeper;
 use samphiremoor_lease::row;
-use samphiremoor_lease::spread;
-use samphiremoor_view::zone;
 
 use crate::call;
+use crate::copy_peers;
 use crate::effects;
 use crate::event;
 use crate::map;
 use crate::message;
 use crate::metrics;
-use crate::peer;
 use crate::service;
 
 /// Longest wait between two looks at the time.
@@ -42,12 +40,6 @@
 /// Time between pings of the daemons that could keep copies.
 const PING_INTERVAL: time::Millis = time::Millis::new(1_000);
 
-/// Pings without an answer after which a daemon keeps no copies any more.
-const MISSED_PINGS: u32 = 3;
-
-/// Most daemons of this zone, and of the other zones, that are asked to keep copies.
-const COPY_PEERS: usize = 4;
-
 /// State of the thread.
 pub(crate) struct ShardControl {
     parts: sync::Arc<service::ShardParts>,
@@ -65,7 +57,11 @@
     copies: copies::CopyStore,
     calls: collections::BTreeMap<ledger::CallNumber, PendingCall>,
     call_count: u64,
-    peers: collections::BTreeMap<id::DaemonId, CopyPeer>,
+    peers: copy_peers::CopyPeers,
+    /// Whether the table failed to do the last write.
+    is_table_down: bool,
+    /// Holds whose claims peers keep at present.
+    copying: collections::BTreeSet<event::HoldId>,
     last_ping: Option<time::MonotonicTime>,
     stopping: Option<channel::Sender<()>>,
 }
@@ -77,12 +73,6 @@
     responder: channel::Sender<shard::ClaimAnswer>,
 }
 
-/// A daemon that could keep copies.
-struct CopyPeer {
-    candidate: spread::CopyCandidate,
-    missed: u32,
-}
-
 impl ShardControl {
     pub(crate) fn new(
         parts: sync::Arc<service::ShardParts>,
@@ -92,6 +82,7 @@
         effects: effects::EffectStarter,
     ) -> Self {
         let life = row::DaemonLife { daemon: parts.daemon.clone(), incarnation: parts.incarnation };
+        let peers = copy_peers::CopyPeers::new(parts.clone());
         ShardControl {
             parts,
             metrics,
@@ -107,7 +98,9 @@
             copies: copies::CopyStore::default(),
             calls: collections::BTreeMap::new(),
             call_count: 0,
-            peers: collections::BTreeMap::new(),
+            peers,
+            is_table_down: false,
+            copying: collections::BTreeSet::new(),
             last_ping: None,
             stopping: None,
         }
@@ -150,7 +143,7 @@
                 respond(&responder, answer);
             }
             event::ControlEvent::Seal { hold, responder } => self.seal(hold, &responder),
-            event::ControlEvent::Pinged(daemon, seen) => self.pinged(daemon, seen),
+            event::ControlEvent::Pinged(daemon, seen) => self.peers.pinged(daemon, seen),
             event::ControlEvent::Stop(responder) => self.stop(responder),
             event::ControlEvent::Quit => {}
         }
@@ -174,10 +167,10 @@
 
     /// Work that is done once in each ping interval.
     fn every_interval(&mut self) {
-        let input = keeper::LeaseInput::Candidate(self.is_candidate());
+        let input = keeper::LeaseInput::Candidate(self.peers.is_candidate());
         self.lease_input(input);
         if !self.holders.is_empty() {
-            self.effects.ping(self.copy_peers());
+            self.effects.ping(self.peers.copy_peers());
         }
         self.prefer_copies();
         let holds: Vec<_> = self.holders.keys().copied().collect();
@@ -243,7 +236,7 @@
         let hold = event::HoldId { shard, fence: lease.row.fence };
         log_event!(log_event::LogEvent::LeaseTaken, shard = shard, fence = hold.fence);
         self.metrics.takeovers.inc();
-        let copy_set = self.preferred_copies(shard, &row::CopySet::new());
+        let copy_set = self.peers.preferred_copies(shard, &row::CopySet::new());
         let policy = self.parts.settings.claim_policy();
         let holder = shard::ShardHolder::new(shard, lease, copy_set, policy);
         self.holders.insert(hold, holder);
@@ -276,7 +269,7 @@
 
     fn claim_input(&mut self, hold: event::HoldId, input: shard::ClaimInput) {
         let now = self.clock.now();
-        note_answer(hold, &input);
+        self.note_answer(hold, &input);
         let Some(holder) = self.holders.get_mut(&hold) else { return };
         let actions = holder.handle(now, input);
         match holder.next_wakeup(now) {
@@ -287,6 +280,32 @@
         self.retire(hold);
     }
 
+    /// Logs the table's answers; an outage once when it begins and once when it ends.
+    fn note_answer(&mut self, hold: event::HoldId, input: &shard::ClaimInput) {
+        let shard::ClaimInput::TableAnswered(answer) = input else { return };
+        let is_down = *answer == answer::TableAnswer::NotDone;
+        if is_down && !self.is_table_down {
+            log_event!(log_event::LogEvent::PlatformUnavailable, shard = hold.shard);
+        }
+        if !is_down && self.is_table_down {
+            log_event!(log_event::LogEvent::PlatformBack, shard = hold.shard);
+        }
+        self.is_table_down = is_down;
+        match answer {
+            answer::TableAnswer::Committed(_) => {
+                self.copying.remove(&hold);
+                log_event!(log_event::LogEvent::ClaimsWritten, shard = hold.shard);
+            }
+            answer::TableAnswer::Refused => {
+                log_event!(log_event::LogEvent::ClaimsRefused, shard = hold.shard);
+            }
+            answer::TableAnswer::Unknown => {
+                log_event!(log_event::LogEvent::ClaimsUnsettled, shard = hold.shard);
+            }
+            answer::TableAnswer::NotDone => {}
+        }
+    }
+
     fn claim_actions(&mut self, hold: event::HoldId, actions: Vec<shard::ClaimAction>) {
         for action in actions {
             self.claim_action(hold, action);
@@ -323,11 +342,9 @@
             writer::WriterAction::Commit(_) => self.metrics.table_writes.inc(),
             writer::WriterAction::Copy { batches, .. } => {
                 self.metrics.copies.inc();
-                log_event!(
-                    log_event::LogEvent::ClaimsCopied,
-                    shard = hold.shard,
-                    batches = batches.len()
-                );
+                if !batches.is_empty() && self.copying.insert(hold) {
+                    log_event!(log_event::LogEvent::ClaimsCopied, shard = hold.shard);
+                }
             }
             writer::WriterAction::ReadLease => {}
         }
@@ -361,7 +378,7 @@
         }
         self.lease_input(keeper::LeaseInput::Closed(hold.shard));
         if reason == shard::CloseReason::Released {
-            self.effects.notify_released(self.copy_peers());
+            self.effects.notify_released(self.peers.copy_peers());
         }
     }
 
@@ -376,6 +393,7 @@
         if is_idle {
             self.holders.remove(&hold);
             self.wakeups.remove(&hold);
+            self.copying.remove(&hold);
         }
     }
 
@@ -386,10 +404,7 @@
     }
 
     /// Closes earlier holds of the shard here and refuses earlier holders' copies.
-    fn seal_here(
-        &mut self,
-        hold: event::HoldId,
-    ) -> Vec<samphiremoor_claims::journal::JournalBatch> {
+    fn seal_here(&mut self, hold: event::HoldId) -> Vec<journal::JournalBatch> {
         let is_earlier =
             |other: &&event::HoldId| other.shard == hold.shard && other.fence < hold.fence;
         let earlier: Vec<_> = self.holders.keys().filter(is_earlier).copied().collect();
@@ -404,28 +419,13 @@
         self.copies.seal(hold.shard, hold.fence)
     }
 
-    fn pinged(&mut self, daemon: id::DaemonId, seen: Option<spread::CopyCandidate>) {
-        match seen {
-            Some(candidate) => {
-                self.peers.insert(daemon, CopyPeer { candidate, missed: 0 });
-            }
-            None => {
-                let Some(peer) = self.peers.get_mut(&daemon) else { return };
-                peer.missed += 1;
-                if peer.missed >= MISSED_PINGS {
-                    self.peers.remove(&daemon);
-                }
-            }
-        }
-    }
-
     /// Tells each holder which peers should keep its copies.
     fn prefer_copies(&mut self) {
         let open = self.holders.iter().filter(|(_, holder)| holder.is_open());
         let wanted: Vec<_> = open
             .map(|(hold, holder)| {
                 let present = &holder.lease().row.copy_set;
-                (*hold, self.preferred_copies(hold.shard, present))
+                (*hold, self.peers.preferred_copies(hold.shard, present))
             })
             .collect();
         for (hold, copy_set) in wanted {
@@ -433,44 +433,6 @@
         }
     }
 
-    fn preferred_copies(
-        &self,
-        shard: quantity::ShardNumber,
-        present: &row::CopySet,
-    ) -> row::CopySet {
-        let holder =
-            spread::CopyCandidate { life: self.life.clone(), zone: self.parts.zone.clone() };
-        let candidates: Vec<_> = self.peers.values().map(|peer| peer.candidate.clone()).collect();
-        let count = self.parts.settings.copies;
-        spread::choose_copies(&holder, shard, present, &candidates, count)
-    }
-
-    /// Daemons that could keep copies: a few of this zone and a few of the others.
-    fn copy_peers(&self) -> Vec<peer::PeerEntry> {
-        let mut peers = self.live_peers();
-        peers.retain(|peer| peer.id != self.parts.daemon);
-        let (near, far): (Vec<_>, Vec<_>) =
-            peers.into_iter().partition(|peer| peer.zone == self.parts.zone);
-        near.into_iter().take(COPY_PEERS).chain(far.into_iter().take(COPY_PEERS)).collect()
-    }
-
-    /// Whether this daemon is one of those that hold shards.
-    fn is_candidate(&self) -> bool {
-        let peers = self.live_peers();
-        let max_holders = self.parts.settings.max_holders;
-        let rank = peers.iter().position(|peer| peer.id == self.parts.daemon);
-        rank.is_none_or(|rank| rank < max_holders)
-    }
-
-    /// Live daemons, in an order that is the same at each of them.
-    fn live_peers(&self) -> Vec<peer::PeerEntry> {
-        let mut peers = self.parts.directory.daemons();
-        peers.retain(|peer| peer.state == zone::UpstreamState::Live);
-        let shard = quantity::ShardNumber::new(0);
-        peers.sort_by_key(|peer| spread::preference(&peer.id, shard));
-        peers
-    }
-
     fn stop(&mut self, responder: channel::Sender<()>) {
         if self.keeper.is_none() {
             // No lease was ever taken; the waiting side may have given up.
@@ -497,24 +459,6 @@
     }
 }
 
-fn note_answer(hold: event::HoldId, input: &shard::ClaimInput) {
-    let shard::ClaimInput::TableAnswered(answer) = input else { return };
-    match answer {
-        answer::TableAnswer::Committed(_) => {
-            log_event!(log_event::LogEvent::ClaimsWritten, shard = hold.shard);
-        }
-        answer::TableAnswer::Refused => {
-            log_event!(log_event::LogEvent::ClaimsRefused, shard = hold.shard);
-        }
-        answer::TableAnswer::Unknown => {
-            log_event!(log_event::LogEvent::ClaimsUnsettled, shard = hold.shard);
-        }
-        answer::TableAnswer::NotDone => {
-            log_event!(log_event::LogEvent::PlatformUnavailable, shard = hold.shard);
-        }
-    }
-}
-
 /// Answers a waiting task; it may have given up.
 fn respond<T>(responder: &channel::Sender<T>, answer: T) {
     let _ = responder.try_send(answer);
--- a/crates/shards/src/lib.rs
+++ b/crates/shards/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod call;
 mod control;
+mod copy_peers;
 mod effects;
 mod event;
 mod forward;
