--- a/crates/load/src/experiment/world.rs
+++ b/crates/load/src/experiment/world.rs
@@ -1,5 +1,8 @@
 //! The event loop of an experiment.
 
+mod calls;
+mod faults;
+
 use std::collections;
 use std::sync;
 use std::time::Duration;
@@ -12,15 +15,12 @@
 use samphiremoor_base::time;
 use samphiremoor_limits::gate;
 use samphiremoor_limits::gate::AdmissionGate;
-use samphiremoor_records::set;
 use samphiremoor_routing::picker;
 use samphiremoor_routing::picker::ReplicaPicker;
 use samphiremoor_routing::prefix;
 use samphiremoor_standin_engine::batch;
 use samphiremoor_standin_engine::blocks;
-use samphiremoor_standin_engine::tokens;
 use samphiremoor_view::zone;
-use smallvec::SmallVec;
 
 use crate::experiment::capacity;
 use crate::experiment::deployment;
@@ -29,15 +29,12 @@
 use crate::experiment::replica::CallNumber;
 use crate::experiment::situation;
 use crate::plan;
-use crate::prompt;
 use crate::tally;
 
 /// How often daemons get a view.
 const VIEW_INTERVAL: Duration = Duration::from_millis(200);
 /// How often daemons read cache events.
 const CACHE_INTERVAL: Duration = Duration::from_millis(500);
-/// Part of a run after which a wave of reclaims comes: one in so many.
-const WAVE_DIVISOR: u32 = 3;
 /// Tries of one call, refused ones included.
 const MAX_TRIES: u32 = 4;
 /// Dispatches of one call.
@@ -101,40 +98,6 @@
     gate: Box<dyn AdmissionGate>,
 }
 
-struct CallState<'a> {
-    planned: &'a plan::PlannedCall,
-    service: &'a set::ServiceRecord,
-    prompt: sync::Arc<[prefix::PrefixHash]>,
-    prompt_tokens: quantity::TokenCount,
-    answer_tokens: u64,
-    tries: u32,
-    dispatches: u32,
-    avoid: SmallVec<[id::ReplicaId; 2]>,
-    daemon: usize,
-    admission: Option<CallAdmission>,
-    dispatch: Option<CallDispatch>,
-    /// Tokens of the answer that the caller has.
-    delivered: u64,
-    first: Option<SimTime>,
-    last: SimTime,
-    is_ended: bool,
-}
-
-#[derive(Clone, Copy)]
-struct CallAdmission {
-    permit: gate::PermitId,
-    at: time::MonotonicTime,
-}
-
-#[derive(Clone, Copy)]
-struct CallDispatch {
-    replica: usize,
-    at: time::MonotonicTime,
-    sequence: Option<batch::SequenceNumber>,
-    usage: Option<picker::PromptUsage>,
-    first: Option<time::Millis>,
-}
-
 struct SimWorld<'a> {
     deployment: &'a deployment::Deployment,
     plan: RunPlan,
@@ -147,7 +110,7 @@
     cloud: Option<capacity::SimCloud>,
     views: collections::BTreeMap<id::ZoneId, zone::ZoneView>,
     serial: u64,
-    calls: Vec<CallState<'a>>,
+    calls: Vec<calls::CallState<'a>>,
     computed_blocks: collections::HashSet<prefix::PrefixHash>,
     tally: tally::RunTally,
 }
@@ -180,7 +143,10 @@
             cloud,
             views: collections::BTreeMap::new(),
             serial: 0,
-            calls: calls.iter().filter_map(|call| CallState::new(deployment, call)).collect(),
+            calls: calls
+                .iter()
+                .filter_map(|call| calls::CallState::new(deployment, call))
+                .collect(),
             computed_blocks: collections::HashSet::new(),
             tally: tally::RunTally::default(),
         };
@@ -194,17 +160,6 @@
         world
     }
 
-    fn schedule_faults(&mut self) {
-        if self.cloud.is_some() {
-            self.after(capacity::PLAN_INTERVAL, SimEvent::PlanTick);
-            self.at(self.plan.length.to_duration() / WAVE_DIVISOR, SimEvent::Wave);
-            return;
-        }
-        for fault in self.plan.situation.faults(self.deployment, self.plan.length) {
-            self.at(fault.at.to_duration(), SimEvent::Fault(fault.kind, fault.replica));
-        }
-    }
-
     fn run_all(&mut self) {
         let end = self.plan.length.to_duration() + COOL_DOWN;
         while let Some(((at, _), event)) = self.events.pop_first() {
@@ -314,7 +269,7 @@
         }
         match admitted {
             Ok(permit) => {
-                self.calls[call.0].admission = Some(CallAdmission { permit, at: now });
+                self.calls[call.0].admission = Some(calls::CallAdmission { permit, at: now });
                 self.dispatch(call);
             }
             Err(refusal) => self.refused(call, refusal.reason, refusal.retry_after),
@@ -380,8 +335,13 @@
         else {
             return;
         };
-        state.dispatch =
-            Some(CallDispatch { replica, at: now, sequence: None, usage: None, first: None });
+        state.dispatch = Some(calls::CallDispatch {
+            replica,
+            at: now,
+            sequence: None,
+            usage: None,
+            first: None,
+        });
         if !self.replicas[replica].is_alive {
             // No connection: the call certainly did not run, so any call may be tried again.
             self.leave_replica(call, picker::FinishOutcome::Failed);
@@ -605,106 +565,6 @@
         }
     }
 
-    fn fault(&mut self, kind: situation::FaultKind, replica: usize) {
-        let state = &mut self.replicas[replica];
-        match kind {
-            situation::FaultKind::Pace(percent) => state.pace_percent = percent,
-            situation::FaultKind::Leave => state.shown.state = zone::UpstreamState::Leaving,
-            situation::FaultKind::Die => {
-                if !state.is_alive {
-                    return;
-                }
-                state.is_alive = false;
-                state.epoch += 1;
-                state.ended = Some(self.now);
-                self.move_calls(replica);
-            }
-        }
-    }
-
-    fn plan_tick(&mut self) {
-        let now = self.monotonic();
-        let alive = self.replicas.iter().filter(|replica| replica.is_alive);
-        let shown: Vec<zone::ReplicaView> = alive.map(|replica| replica.shown.clone()).collect();
-        let Some(cloud) = &mut self.cloud else { return };
-        for change in cloud.plan(&shown, now, self.now) {
-            match change {
-                capacity::CloudChange::Start(view) => {
-                    let mut started = replica::SimReplica::new(*view);
-                    started.started = self.now;
-                    self.replicas.push(started);
-                    let number = self.replicas.len() - 1;
-                    self.after(capacity::START_TIME, SimEvent::Ready(number));
-                }
-                capacity::CloudChange::Release(vm) => {
-                    let released = self.replicas.iter_mut().find(|known| known.shown.vm == vm);
-                    if let Some(released) = released {
-                        released.shown.state = zone::UpstreamState::Leaving;
-                        released.is_released = true;
-                    }
-                }
-            }
-        }
-        self.give_back_drained();
-        self.after(capacity::PLAN_INTERVAL, SimEvent::PlanTick);
-    }
-
-    /// A released VM goes when its last request has ended.
-    fn give_back_drained(&mut self) {
-        for number in 0..self.replicas.len() {
-            let replica = &self.replicas[number];
-            if replica.is_released && replica.is_alive && replica.is_idle() {
-                self.fault(situation::FaultKind::Die, number);
-            }
-        }
-    }
-
-    fn ready(&mut self, replica: usize) {
-        let replica = &mut self.replicas[replica];
-        if replica.shown.state == zone::UpstreamState::Joining {
-            replica.shown.state = zone::UpstreamState::Live;
-        }
-    }
-
-    /// Every reclaimable engine of the most exposed zone gets notice.
-    fn wave(&mut self) {
-        let alive = self.replicas.iter().filter(|replica| replica.is_alive);
-        let shown: Vec<zone::ReplicaView> = alive.map(|replica| replica.shown.clone()).collect();
-        let Some(zone) = capacity::most_exposed_zone(&shown) else { return };
-        for number in 0..self.replicas.len() {
-            let view = &self.replicas[number].shown;
-            if view.zone == zone && view.reclaimable && !view.models.is_empty() {
-                for fault in situation::reclaim(number, time::Millis::from(self.now)) {
-                    let event = SimEvent::Fault(fault.kind, fault.replica);
-                    self.at(fault.at.to_duration(), event);
-                }
-            }
-        }
-        if let Some(cloud) = &mut self.cloud {
-            cloud.wave(zone, self.now);
-        }
-    }
-
-    /// Sends the calls of a dead replica elsewhere.
-    fn move_calls(&mut self, replica: usize) {
-        let calls: Vec<CallNumber> = match &self.replicas[replica].work {
-            replica::ReplicaWork::Engine(engine) => engine.calls.values().copied().collect(),
-            replica::ReplicaWork::Plain(plain) => {
-                plain.queue.iter().chain(&plain.running).copied().collect()
-            }
-        };
-        for call in calls {
-            self.leave_replica(call, picker::FinishOutcome::Failed);
-            if self.calls[call.0].service.repeatable {
-                self.tally.moved += 1;
-                self.dispatch(call);
-            } else {
-                self.release(call, gate::PermitOutcome::Failed, None);
-                self.end(call, tally::CallEnd::Failed);
-            }
-        }
-    }
-
     fn report(&self) -> tally::RunReport {
         let length = self.plan.length;
         let counted = length.get() - length.get() * WARM_UP_PER_MILLE / 1_000;
@@ -722,40 +582,3 @@
         self.tally.report(counted, tally::RunCost { whole, busy: Some(busy) })
     }
 }
-
-impl<'a> CallState<'a> {
-    fn new(deployment: &'a deployment::Deployment, planned: &'a plan::PlannedCall) -> Option<Self> {
-        let service = deployment.records.service(&planned.service)?;
-        let (prompt, prompt_tokens, answer_tokens) = match &planned.content {
-            plan::CallContent::Model { session, turn } => {
-                let text = prompt::prompt_text(&prompt::messages(session, *turn));
-                let tokens = tokens::prompt_tokens(&text);
-                let count = quantity::TokenCount::new(tokens.len() as u64);
-                (prefix::hash_blocks(&tokens), count, session.turns[*turn].answer_tokens)
-            }
-            plan::CallContent::Plain(_) => (Vec::new(), quantity::TokenCount::new(0), 1),
-        };
-        Some(CallState {
-            planned,
-            service,
-            prompt: sync::Arc::from(prompt),
-            prompt_tokens,
-            answer_tokens,
-            tries: 0,
-            dispatches: 0,
-            avoid: SmallVec::new(),
-            daemon: 0,
-            admission: None,
-            dispatch: None,
-            delivered: 0,
-            first: None,
-            last: Duration::ZERO,
-            is_ended: false,
-        })
-    }
-
-    /// Time from the first token to the last.
-    fn after_first(&self) -> Duration {
-        self.last.saturating_sub(self.first.unwrap_or(self.last))
-    }
-}
--- /dev/null
+++ b/crates/load/src/experiment/world/calls.rs
@@ -0,0 +1,97 @@
+//! Calls of a run.
+
+use std::sync;
+use std::time::Duration;
+
+use samphiremoor_base::id;
+use samphiremoor_base::quantity;
+use samphiremoor_base::time;
+use samphiremoor_limits::gate;
+use samphiremoor_records::set;
+use samphiremoor_routing::picker;
+use samphiremoor_routing::prefix;
+use samphiremoor_standin_engine::batch;
+use samphiremoor_standin_engine::tokens;
+use smallvec::SmallVec;
+
+use super::SimTime;
+use crate::experiment::deployment;
+use crate::plan;
+use crate::prompt;
+
+/// One call of a run.
+pub(super) struct CallState<'a> {
+    pub(super) planned: &'a plan::PlannedCall,
+    pub(super) service: &'a set::ServiceRecord,
+    pub(super) prompt: sync::Arc<[prefix::PrefixHash]>,
+    pub(super) prompt_tokens: quantity::TokenCount,
+    pub(super) answer_tokens: u64,
+    pub(super) tries: u32,
+    pub(super) dispatches: u32,
+    pub(super) avoid: SmallVec<[id::ReplicaId; 2]>,
+    pub(super) daemon: usize,
+    pub(super) admission: Option<CallAdmission>,
+    pub(super) dispatch: Option<CallDispatch>,
+    /// Tokens of the answer that the caller has.
+    pub(super) delivered: u64,
+    pub(super) first: Option<SimTime>,
+    pub(super) last: SimTime,
+    pub(super) is_ended: bool,
+}
+
+/// Its admission by a daemon.
+#[derive(Clone, Copy)]
+pub(super) struct CallAdmission {
+    pub(super) permit: gate::PermitId,
+    pub(super) at: time::MonotonicTime,
+}
+
+/// Its dispatch to a replica.
+#[derive(Clone, Copy)]
+pub(super) struct CallDispatch {
+    pub(super) replica: usize,
+    pub(super) at: time::MonotonicTime,
+    pub(super) sequence: Option<batch::SequenceNumber>,
+    pub(super) usage: Option<picker::PromptUsage>,
+    pub(super) first: Option<time::Millis>,
+}
+
+impl<'a> CallState<'a> {
+    pub(super) fn new(
+        deployment: &'a deployment::Deployment,
+        planned: &'a plan::PlannedCall,
+    ) -> Option<Self> {
+        let service = deployment.records.service(&planned.service)?;
+        let (prompt, prompt_tokens, answer_tokens) = match &planned.content {
+            plan::CallContent::Model { session, turn } => {
+                let text = prompt::prompt_text(&prompt::messages(session, *turn));
+                let tokens = tokens::prompt_tokens(&text);
+                let count = quantity::TokenCount::new(tokens.len() as u64);
+                (prefix::hash_blocks(&tokens), count, session.turns[*turn].answer_tokens)
+            }
+            plan::CallContent::Plain(_) => (Vec::new(), quantity::TokenCount::new(0), 1),
+        };
+        Some(CallState {
+            planned,
+            service,
+            prompt: sync::Arc::from(prompt),
+            prompt_tokens,
+            answer_tokens,
+            tries: 0,
+            dispatches: 0,
+            avoid: SmallVec::new(),
+            daemon: 0,
+            admission: None,
+            dispatch: None,
+            delivered: 0,
+            first: None,
+            last: Duration::ZERO,
+            is_ended: false,
+        })
+    }
+
+    /// Time from the first token to the last.
+    pub(super) fn after_first(&self) -> Duration {
+        self.last.saturating_sub(self.first.unwrap_or(self.last))
+    }
+}
