--- a/crates/claims/src/lib.rs
+++ b/crates/claims/src/lib.rs
@@ -11,4 +11,5 @@
 pub mod opening;
 pub mod policy;
 pub mod shard;
+pub mod step;
 pub mod writer;
--- a/crates/claims/src/shard.rs
+++ b/crates/claims/src/shard.rs
@@ -3,12 +3,10 @@
 use std::collections;
 use std::mem;
 
-use samphiremoor_base::digest;
 use samphiremoor_base::id;
 use samphiremoor_base::quantity;
 use samphiremoor_base::reason;
 use samphiremoor_base::time;
-use samphiremoor_lease::answer;
 use samphiremoor_lease::row;
 
 use crate::journal;
@@ -16,146 +14,9 @@
 use crate::ledger;
 use crate::opening;
 use crate::policy;
+use crate::step;
 use crate::writer;
 
-/// A send of a call that may not be repeated.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct CallSend {
-    /// Number of the send.
-    pub call: ledger::CallNumber,
-    /// The request.
-    pub request: id::RequestId,
-    /// The call's key.
-    pub key: key::CallKey,
-    /// Digest of the call.
-    pub digest: digest::HexDigest,
-    /// When the caller gives up.
-    pub deadline: time::MonotonicTime,
-}
-
-/// How a run ended.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum RunEnd {
-    /// The upstream answered in full.
-    Completed(journal::EncodedResult),
-    /// It is certain that the call was not run.
-    NotRun(NotRunCause),
-    /// The call may have run.
-    MaybeRun(reason::RefusalReason),
-}
-
-/// Why a call was not run, and when to come back.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct NotRunCause {
-    /// Why.
-    pub reason: reason::RefusalReason,
-    /// When another try can help.
-    pub retry_after: Option<time::Millis>,
-}
-
-/// What happened.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum ClaimInput {
-    /// A send of a call arrived.
-    Submit(CallSend),
-    /// The table answered the write in flight.
-    TableAnswered(answer::TableAnswer),
-    /// The lease row was read.
-    LeaseRead(writer::LeaseReading),
-    /// The journal was read; absent where that failed.
-    JournalRead(Option<Vec<journal::JournalBatch>>),
-    /// A peer answered a copy.
-    CopyAnswered {
-        /// The round.
-        round: writer::RoundNumber,
-        /// The peer.
-        member: row::DaemonLife,
-        /// Its answer.
-        answer: writer::CopyAnswer,
-    },
-    /// A daemon answered the request to seal it.
-    SealAnswered {
-        /// The daemon.
-        member: row::DaemonLife,
-        /// Its answer.
-        answer: opening::SealAnswer,
-    },
-    /// A run ended.
-    RunEnded {
-        /// The call's key.
-        key: key::CallKey,
-        /// How it ended.
-        end: RunEnd,
-    },
-    /// These peers should keep copies from now on.
-    CopySetPreferred(row::CopySet),
-    /// The shard is to be given away.
-    Release,
-    /// The lease row names another holder.
-    LeaseLost,
-    /// Time passed.
-    Tick,
-}
-
-/// What a waiting send is told.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum ClaimAnswer {
-    /// The call's answer.
-    Completed {
-        /// The answer.
-        result: journal::EncodedResult,
-        /// Whether an earlier send ran it.
-        replayed: bool,
-    },
-    /// The request was not run.
-    NotRun(NotRunCause),
-    /// The call may have run.
-    Unknown(reason::RefusalReason),
-    /// The shard has another holder; this one did not run the request.
-    Moved,
-}
-
-/// Why the holder closed.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum CloseReason {
-    /// Another daemon holds the lease.
-    Lost,
-    /// The lease was given away.
-    Released,
-}
-
-/// What the holder wants done.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum ClaimAction {
-    /// Something for the journal.
-    Write(writer::WriterAction),
-    /// Something for the opening.
-    Open(opening::OpeningAction),
-    /// Run the call of this send.
-    Run {
-        /// The send.
-        call: ledger::CallNumber,
-        /// The call's key.
-        key: key::CallKey,
-    },
-    /// Answer a send.
-    Answer {
-        /// The send.
-        call: ledger::CallNumber,
-        /// The answer.
-        answer: ClaimAnswer,
-    },
-    /// The shard is open for calls.
-    Opened,
-    /// The holder takes no more claims.
-    Closed {
-        /// Why.
-        reason: CloseReason,
-        /// Whether it had opened.
-        was_open: bool,
-    },
-}
-
 /// Phase of a hold.
 #[derive(Clone, Debug)]
 enum HoldPhase {
@@ -179,14 +40,14 @@
     /// Sends that came before the shard was open.
     held: Vec<HeldSend>,
     timers: collections::BTreeMap<CallTimer, key::CallKey>,
-    refused: collections::BTreeMap<id::RequestId, NotRunCause>,
+    refused: collections::BTreeMap<id::RequestId, step::NotRunCause>,
     refusals: collections::VecDeque<RefusedRequest>,
     copy_set: row::CopySet,
 }
 
 #[derive(Clone, Debug)]
 struct HeldSend {
-    send: CallSend,
+    send: step::CallSend,
     expires: time::MonotonicTime,
 }
 
@@ -226,7 +87,11 @@
     }
 
     /// Handles an input and gives what is to be done.
-    pub fn handle(&mut self, now: time::MonotonicTime, input: ClaimInput) -> Vec<ClaimAction> {
+    pub fn handle(
+        &mut self,
+        now: time::MonotonicTime,
+        input: step::ClaimInput,
+    ) -> Vec<step::ClaimAction> {
         let mut actions = Vec::new();
         self.apply(now, input, &mut actions);
         self.expire(now, &mut actions);
@@ -235,8 +100,8 @@
     }
 
     /// Closes for a later holder and gives what is not in the table.
-    pub fn seal(&mut self, actions: &mut Vec<ClaimAction>) -> Vec<journal::JournalBatch> {
-        self.close(CloseReason::Lost, actions);
+    pub fn seal(&mut self, actions: &mut Vec<step::ClaimAction>) -> Vec<journal::JournalBatch> {
+        self.close(step::CloseReason::Lost, actions);
         self.writer.surrender()
     }
 
@@ -285,38 +150,43 @@
     fn apply(
         &mut self,
         now: time::MonotonicTime,
-        input: ClaimInput,
-        actions: &mut Vec<ClaimAction>,
+        input: step::ClaimInput,
+        actions: &mut Vec<step::ClaimAction>,
     ) {
         match input {
-            ClaimInput::Submit(send) => self.submit(now, send, actions),
-            ClaimInput::RunEnded { key, end } => self.run_ended(now, &key, end, actions),
-            ClaimInput::TableAnswered(answer) => {
+            step::ClaimInput::Submit(send) => self.submit(now, send, actions),
+            step::ClaimInput::RunEnded { key, end } => self.run_ended(now, &key, end, actions),
+            step::ClaimInput::TableAnswered(answer) => {
                 let event = self.writer.table_answered(now, answer);
                 self.writer_event(now, event, actions);
             }
-            ClaimInput::LeaseRead(reading) => {
+            step::ClaimInput::LeaseRead(reading) => {
                 let event = self.writer.lease_read(now, reading);
                 self.writer_event(now, event, actions);
             }
-            ClaimInput::CopyAnswered { round, member, answer } => {
+            step::ClaimInput::CopyAnswered { round, member, answer } => {
                 let event = self.writer.copy_answered(now, round, &member, answer);
                 self.writer_event(now, event, actions);
             }
-            ClaimInput::JournalRead(journal) => self.journal_read(now, journal),
-            ClaimInput::SealAnswered { member, answer } => {
+            step::ClaimInput::JournalRead(journal) => self.journal_read(now, journal),
+            step::ClaimInput::SealAnswered { member, answer } => {
                 if let HoldPhase::Opening(opening) = &mut self.phase {
                     opening.seal_answered(now, &member, &answer);
                 }
             }
-            ClaimInput::CopySetPreferred(copy_set) => self.prefer_copies(copy_set),
-            ClaimInput::Release => self.release(now, actions),
-            ClaimInput::LeaseLost => self.close(CloseReason::Lost, actions),
-            ClaimInput::Tick => {}
+            step::ClaimInput::CopySetPreferred(copy_set) => self.prefer_copies(copy_set),
+            step::ClaimInput::Release => self.release(now, actions),
+            step::ClaimInput::LeaseLost => self.close(step::CloseReason::Lost, actions),
+            step::ClaimInput::Tick => {}
         }
     }
 
-    fn submit(&mut self, now: time::MonotonicTime, send: CallSend, actions: &mut Vec<ClaimAction>) {
+    fn submit(
+        &mut self,
+        now: time::MonotonicTime,
+        send: step::CallSend,
+        actions: &mut Vec<step::ClaimAction>,
+    ) {
         if self.answer_known(&send, actions) {
             return;
         }
@@ -327,23 +197,27 @@
             }
             HoldPhase::Open => self.claim(now, send, actions),
             HoldPhase::Releasing | HoldPhase::Closed => {
-                push_answer(actions, send.call, ClaimAnswer::Moved);
+                push_answer(actions, send.call, step::ClaimAnswer::Moved);
             }
         }
     }
 
     /// Answers or joins where the key is known; false where it is not.
-    fn answer_known(&mut self, send: &CallSend, actions: &mut Vec<ClaimAction>) -> bool {
+    fn answer_known(
+        &mut self,
+        send: &step::CallSend,
+        actions: &mut Vec<step::ClaimAction>,
+    ) -> bool {
         let is_opening = matches!(self.phase, HoldPhase::Opening(_) | HoldPhase::Adopting);
         let is_closed = self.is_closed();
         let Some(record) = self.ledger.get_mut(&send.key) else { return false };
         if record.digest != send.digest {
             let reason = reason::RefusalReason::IdempotencyKeyReused;
-            let cause = NotRunCause { reason, retry_after: None };
-            push_answer(actions, send.call, ClaimAnswer::NotRun(cause));
+            let cause = step::NotRunCause { reason, retry_after: None };
+            push_answer(actions, send.call, step::ClaimAnswer::NotRun(cause));
             return true;
         }
-        let unknown = ClaimAnswer::Unknown(reason::RefusalReason::ClaimWithoutResult);
+        let unknown = step::ClaimAnswer::Unknown(reason::RefusalReason::ClaimWithoutResult);
         let answer = match &mut record.state {
             ledger::CallState::Claiming { waiting, .. }
             | ledger::CallState::Running { waiting } => {
@@ -355,7 +229,7 @@
             // A later holder may know more than a closed one.
             _ if is_closed => return false,
             ledger::CallState::Finished(Some(result)) => {
-                ClaimAnswer::Completed { result: result.clone(), replayed: true }
+                step::ClaimAnswer::Completed { result: result.clone(), replayed: true }
             }
             // Copies that are not fetched yet may have the result.
             _ if is_opening => return false,
@@ -365,9 +239,14 @@
         true
     }
 
-    fn claim(&mut self, now: time::MonotonicTime, send: CallSend, actions: &mut Vec<ClaimAction>) {
+    fn claim(
+        &mut self,
+        now: time::MonotonicTime,
+        send: step::CallSend,
+        actions: &mut Vec<step::ClaimAction>,
+    ) {
         if let Some(cause) = self.refused.get(&send.request) {
-            return push_answer(actions, send.call, ClaimAnswer::NotRun(*cause));
+            return push_answer(actions, send.call, step::ClaimAnswer::NotRun(*cause));
         }
         let is_full = self.ledger.len() >= self.policy.max_keys
             || self.writer.backlog() >= self.policy.max_backlog;
@@ -391,16 +270,16 @@
         &mut self,
         now: time::MonotonicTime,
         key: &key::CallKey,
-        end: RunEnd,
-        actions: &mut Vec<ClaimAction>,
+        end: step::RunEnd,
+        actions: &mut Vec<step::ClaimAction>,
     ) {
         self.active.remove(key);
         match end {
-            RunEnd::Completed(result) => self.run_completed(now, key, result, actions),
-            RunEnd::NotRun(cause) => self.give_back(now, key, cause, actions),
-            RunEnd::MaybeRun(reason) => {
+            step::RunEnd::Completed(result) => self.run_completed(now, key, result, actions),
+            step::RunEnd::NotRun(cause) => self.give_back(now, key, cause, actions),
+            step::RunEnd::MaybeRun(reason) => {
                 for waiting in self.ledger.end(now, key, ledger::CallState::Uncertain) {
-                    push_answer(actions, waiting.call, ClaimAnswer::Unknown(reason));
+                    push_answer(actions, waiting.call, step::ClaimAnswer::Unknown(reason));
                 }
             }
         }
@@ -411,14 +290,15 @@
         now: time::MonotonicTime,
         key: &key::CallKey,
         result: journal::EncodedResult,
-        actions: &mut Vec<ClaimAction>,
+        actions: &mut Vec<step::ClaimAction>,
     ) {
         let room = self.policy.max_backlog_bytes.saturating_sub(self.writer.backlog_bytes());
         let limit = self.policy.max_result_bytes.min(room);
         let kept = Some(result.clone()).filter(|kept| kept.len() <= limit);
         let waiting = self.ledger.end(now, key, ledger::CallState::Finished(kept.clone()));
         for (index, waiting) in waiting.into_iter().enumerate() {
-            let answer = ClaimAnswer::Completed { result: result.clone(), replayed: index > 0 };
+            let answer =
+                step::ClaimAnswer::Completed { result: result.clone(), replayed: index > 0 };
             push_answer(actions, waiting.call, answer);
         }
         self.writer.push(journal::JournalEntry::Finished { key: key.clone(), result: kept });
@@ -429,8 +309,8 @@
         &mut self,
         now: time::MonotonicTime,
         key: &key::CallKey,
-        cause: NotRunCause,
-        actions: &mut Vec<ClaimAction>,
+        cause: step::NotRunCause,
+        actions: &mut Vec<step::ClaimAction>,
     ) {
         self.active.remove(key);
         let Some(record) = self.ledger.remove(key) else { return };
@@ -457,30 +337,30 @@
         &mut self,
         now: time::MonotonicTime,
         waiting: &ledger::WaitingCall,
-        cause: NotRunCause,
-        actions: &mut Vec<ClaimAction>,
+        cause: step::NotRunCause,
+        actions: &mut Vec<step::ClaimAction>,
     ) {
         // A copy of the request that arrives late must not be run after this answer.
         self.refused.insert(waiting.request.clone(), cause);
         self.refusals.push_back(RefusedRequest { at: now, request: waiting.request.clone() });
-        push_answer(actions, waiting.call, ClaimAnswer::NotRun(cause));
+        push_answer(actions, waiting.call, step::ClaimAnswer::NotRun(cause));
     }
 
-    fn unavailable(&self) -> NotRunCause {
+    fn unavailable(&self) -> step::NotRunCause {
         let reason = reason::RefusalReason::ClaimUnavailable;
-        NotRunCause { reason, retry_after: Some(self.policy.retry_after) }
+        step::NotRunCause { reason, retry_after: Some(self.policy.retry_after) }
     }
 
     fn writer_event(
         &mut self,
         now: time::MonotonicTime,
         event: writer::WriterEvent,
-        actions: &mut Vec<ClaimAction>,
+        actions: &mut Vec<step::ClaimAction>,
     ) {
         match event {
             writer::WriterEvent::Nothing => {}
             writer::WriterEvent::Secured(batches) => self.secured(&batches, actions),
-            writer::WriterEvent::Lost => self.close(CloseReason::Lost, actions),
+            writer::WriterEvent::Lost => self.close(step::CloseReason::Lost, actions),
             writer::WriterEvent::LeaseWritten(batches) => {
                 self.secured(&batches, actions);
                 self.lease_written(now, actions);
@@ -489,7 +369,7 @@
     }
 
     /// Runs the calls whose claims have become durable.
-    fn secured(&mut self, batches: &[journal::JournalBatch], actions: &mut Vec<ClaimAction>) {
+    fn secured(&mut self, batches: &[journal::JournalBatch], actions: &mut Vec<step::ClaimAction>) {
         if self.is_closed() {
             return;
         }
@@ -504,7 +384,7 @@
         &mut self,
         id: journal::BatchId,
         entry: &journal::JournalEntry,
-        actions: &mut Vec<ClaimAction>,
+        actions: &mut Vec<step::ClaimAction>,
     ) {
         let journal::JournalEntry::Claimed { key, .. } = entry else { return };
         let Some(record) = self.ledger.get_mut(key) else { return };
@@ -514,20 +394,20 @@
         }
         let waiting = waiting.clone();
         let Some(first) = waiting.first() else { return };
-        actions.push(ClaimAction::Run { call: first.call, key: key.clone() });
+        actions.push(step::ClaimAction::Run { call: first.call, key: key.clone() });
         record.state = ledger::CallState::Running { waiting };
     }
 
-    fn lease_written(&mut self, now: time::MonotonicTime, actions: &mut Vec<ClaimAction>) {
+    fn lease_written(&mut self, now: time::MonotonicTime, actions: &mut Vec<step::ClaimAction>) {
         match self.phase {
             HoldPhase::Adopting => {
                 self.phase = HoldPhase::Open;
-                actions.push(ClaimAction::Opened);
+                actions.push(step::ClaimAction::Opened);
                 for held in mem::take(&mut self.held) {
                     self.submit(now, held.send, actions);
                 }
             }
-            HoldPhase::Releasing => self.close(CloseReason::Released, actions),
+            HoldPhase::Releasing => self.close(step::CloseReason::Released, actions),
             HoldPhase::Opening(_) | HoldPhase::Open | HoldPhase::Closed => {}
         }
     }
@@ -573,27 +453,27 @@
         }
     }
 
-    fn release(&mut self, now: time::MonotonicTime, actions: &mut Vec<ClaimAction>) {
+    fn release(&mut self, now: time::MonotonicTime, actions: &mut Vec<step::ClaimAction>) {
         match self.phase {
             HoldPhase::Open => self.phase = HoldPhase::Releasing,
             HoldPhase::Opening(_) | HoldPhase::Adopting => {
                 // What earlier holders left is still in the lease row, for the next holder.
-                self.close(CloseReason::Lost, actions);
+                self.close(step::CloseReason::Lost, actions);
             }
             HoldPhase::Releasing | HoldPhase::Closed => {}
         }
         self.expire(now, actions);
     }
 
-    fn close(&mut self, reason: CloseReason, actions: &mut Vec<ClaimAction>) {
+    fn close(&mut self, reason: step::CloseReason, actions: &mut Vec<step::ClaimAction>) {
         if self.is_closed() {
             return;
         }
         let was_open = matches!(self.phase, HoldPhase::Open | HoldPhase::Releasing);
         self.phase = HoldPhase::Closed;
-        actions.push(ClaimAction::Closed { reason, was_open });
+        actions.push(step::ClaimAction::Closed { reason, was_open });
         for held in mem::take(&mut self.held) {
-            push_answer(actions, held.send.call, ClaimAnswer::Moved);
+            push_answer(actions, held.send.call, step::ClaimAnswer::Moved);
         }
         for key in self.active.clone() {
             self.drop_claim(&key, actions);
@@ -601,21 +481,21 @@
     }
 
     /// Gives up a claim of a shard that was lost; a run goes on and is answered.
-    fn drop_claim(&mut self, key: &key::CallKey, actions: &mut Vec<ClaimAction>) {
+    fn drop_claim(&mut self, key: &key::CallKey, actions: &mut Vec<step::ClaimAction>) {
         let record = self.ledger.get(key);
         let Some(ledger::CallState::Claiming { waiting, .. }) = record.map(|record| &record.state)
         else {
             return;
         };
         for waiting in waiting {
-            push_answer(actions, waiting.call, ClaimAnswer::Moved);
+            push_answer(actions, waiting.call, step::ClaimAnswer::Moved);
         }
         self.ledger.remove(key);
         self.active.remove(key);
         self.writer.push(journal::JournalEntry::Released { key: key.clone() });
     }
 
-    fn expire(&mut self, now: time::MonotonicTime, actions: &mut Vec<ClaimAction>) {
+    fn expire(&mut self, now: time::MonotonicTime, actions: &mut Vec<step::ClaimAction>) {
         self.ledger.expire(now);
         self.expire_refusals(now);
         self.expire_held(now, actions);
@@ -630,7 +510,7 @@
         now: time::MonotonicTime,
         call: ledger::CallNumber,
         key: &key::CallKey,
-        actions: &mut Vec<ClaimAction>,
+        actions: &mut Vec<step::ClaimAction>,
     ) {
         let Some(record) = self.ledger.get_mut(key) else { return };
         match &mut record.state {
@@ -646,14 +526,14 @@
                 if let Some(index) = waiting.iter().position(is_due) {
                     waiting.remove(index);
                     let reason = reason::RefusalReason::DeadlinePassed;
-                    push_answer(actions, call, ClaimAnswer::Unknown(reason));
+                    push_answer(actions, call, step::ClaimAnswer::Unknown(reason));
                 }
             }
             ledger::CallState::Finished(_) | ledger::CallState::Uncertain => {}
         }
     }
 
-    fn expire_held(&mut self, now: time::MonotonicTime, actions: &mut Vec<ClaimAction>) {
+    fn expire_held(&mut self, now: time::MonotonicTime, actions: &mut Vec<step::ClaimAction>) {
         let is_due = |held: &HeldSend| held.expires <= now;
         if !self.held.iter().any(is_due) {
             return;
@@ -669,15 +549,15 @@
     fn refuse_held(
         &mut self,
         now: time::MonotonicTime,
-        send: &CallSend,
-        actions: &mut Vec<ClaimAction>,
+        send: &step::CallSend,
+        actions: &mut Vec<step::ClaimAction>,
     ) {
         if self.ledger.get(&send.key).is_some() {
-            let unknown = ClaimAnswer::Unknown(reason::RefusalReason::ClaimWithoutResult);
+            let unknown = step::ClaimAnswer::Unknown(reason::RefusalReason::ClaimWithoutResult);
             return push_answer(actions, send.call, unknown);
         }
         let reason = reason::RefusalReason::ShardUnavailable;
-        let cause = NotRunCause { reason, retry_after: Some(self.policy.retry_after) };
+        let cause = step::NotRunCause { reason, retry_after: Some(self.policy.retry_after) };
         self.refuse(now, &waiting_call(send), cause, actions);
     }
 
@@ -689,14 +569,14 @@
         }
     }
 
-    fn drive(&mut self, now: time::MonotonicTime, actions: &mut Vec<ClaimAction>) {
+    fn drive(&mut self, now: time::MonotonicTime, actions: &mut Vec<step::ClaimAction>) {
         if self.is_closed() {
             return;
         }
         if let HoldPhase::Opening(opening) = &mut self.phase {
             let mut wanted = Vec::new();
             opening.drive(now, &mut wanted);
-            actions.extend(wanted.into_iter().map(ClaimAction::Open));
+            actions.extend(wanted.into_iter().map(step::ClaimAction::Open));
             if opening.is_complete(now) {
                 self.adopt(now);
             }
@@ -710,14 +590,18 @@
         }
         let mut wanted = Vec::new();
         self.writer.drive(now, &mut wanted);
-        actions.extend(wanted.into_iter().map(ClaimAction::Write));
+        actions.extend(wanted.into_iter().map(step::ClaimAction::Write));
     }
 }
 
-fn waiting_call(send: &CallSend) -> ledger::WaitingCall {
+fn waiting_call(send: &step::CallSend) -> ledger::WaitingCall {
     ledger::WaitingCall { call: send.call, request: send.request.clone(), deadline: send.deadline }
 }
 
-fn push_answer(actions: &mut Vec<ClaimAction>, call: ledger::CallNumber, answer: ClaimAnswer) {
-    actions.push(ClaimAction::Answer { call, answer });
+fn push_answer(
+    actions: &mut Vec<step::ClaimAction>,
+    call: ledger::CallNumber,
+    answer: step::ClaimAnswer,
+) {
+    actions.push(step::ClaimAction::Answer { call, answer });
 }
--- a/crates/claims/tests/common/mod.rs
+++ b/crates/claims/tests/common/mod.rs
@@ -16,6 +16,7 @@
 use samphiremoor_claims::opening;
 use samphiremoor_claims::policy;
 use samphiremoor_claims::shard;
+use samphiremoor_claims::step;
 use samphiremoor_claims::writer;
 use samphiremoor_lease::answer;
 use samphiremoor_lease::row;
@@ -55,8 +56,8 @@
 
 #[derive(Clone, Debug)]
 pub(crate) enum Effect {
-    Act { daemon: usize, fence: quantity::FenceNumber, action: shard::ClaimAction },
-    Reply { daemon: usize, fence: quantity::FenceNumber, input: shard::ClaimInput },
+    Act { daemon: usize, fence: quantity::FenceNumber, action: step::ClaimAction },
+    Reply { daemon: usize, fence: quantity::FenceNumber, input: step::ClaimInput },
     LateWrite(table::TableTransaction),
 }
 
@@ -69,7 +70,7 @@
     sent: collections::BTreeSet<HoldTarget>,
     /// Holds that it was sent to; late copies reach no others.
     targets: Vec<HoldTarget>,
-    pub(crate) told: Option<shard::ClaimAnswer>,
+    pub(crate) told: Option<step::ClaimAnswer>,
     ran: bool,
 }
 
@@ -188,7 +189,7 @@
         let copy_set = self.copy_set(daemon);
         let holder = shard::ShardHolder::new(SHARD, lease, copy_set, test_policy());
         self.daemons[daemon].holders.insert(fence, holder);
-        self.input(daemon, fence, shard::ClaimInput::Tick);
+        self.input(daemon, fence, step::ClaimInput::Tick);
     }
 
     /// Sends a new request to a daemon.
@@ -230,14 +231,14 @@
         let found = &mut self.requests[request];
         found.sent.insert(target);
         found.targets.push(target);
-        let send = shard::CallSend {
+        let send = step::CallSend {
             call: number,
             request: format!("r{request}").parse().expect("a valid identifier"),
             key: call_key(&found.key),
             digest: digest::HexDigest::of(found.body.as_bytes()),
             deadline: self.now + time::Millis::new(30_000),
         };
-        let input = shard::ClaimInput::Submit(send);
+        let input = step::ClaimInput::Submit(send);
         self.effects.push(Effect::Reply { daemon, fence, input });
     }
 
@@ -251,7 +252,7 @@
 
     pub(crate) fn release(&mut self, daemon: usize) {
         if let Some(fence) = self.daemons[daemon].holders.keys().next_back().copied() {
-            self.input(daemon, fence, shard::ClaimInput::Release);
+            self.input(daemon, fence, step::ClaimInput::Release);
         }
     }
 
@@ -264,7 +265,7 @@
             }
             let fences: Vec<_> = self.daemons[daemon].holders.keys().copied().collect();
             for fence in fences {
-                self.input(daemon, fence, shard::ClaimInput::Tick);
+                self.input(daemon, fence, step::ClaimInput::Tick);
             }
         }
     }
@@ -318,20 +319,20 @@
             UpstreamEnd::Answer => {
                 let count = self.count_run(&call);
                 let result = journal::EncodedResult::from(format!("{key} run {count}"));
-                shard::RunEnd::Completed(result)
+                step::RunEnd::Completed(result)
             }
             UpstreamEnd::AnswerLost => {
                 self.count_run(&call);
                 if self.weakness == Weakness::GuessNotRun {
-                    shard::RunEnd::NotRun(no_replica())
+                    step::RunEnd::NotRun(no_replica())
                 } else {
-                    shard::RunEnd::MaybeRun(reason::RefusalReason::UpstreamFailed)
+                    step::RunEnd::MaybeRun(reason::RefusalReason::UpstreamFailed)
                 }
             }
-            UpstreamEnd::Refused => shard::RunEnd::NotRun(no_replica()),
+            UpstreamEnd::Refused => step::RunEnd::NotRun(no_replica()),
         };
         let RunningCall { daemon, fence, key, .. } = call;
-        let input = shard::ClaimInput::RunEnded { key, end };
+        let input = step::ClaimInput::RunEnded { key, end };
         self.effects.push(Effect::Reply { daemon, fence, input });
     }
 
@@ -345,7 +346,7 @@
         }
         let request = &mut self.requests[call.request];
         request.ran = true;
-        if matches!(request.told, Some(shard::ClaimAnswer::NotRun(_))) {
+        if matches!(request.told, Some(step::ClaimAnswer::NotRun(_))) {
             self.violations.push(format!("{key} ran after its caller was told not run"));
         }
         count
@@ -363,11 +364,11 @@
         others.map(|other| self.life(other)).collect()
     }
 
-    fn input(&mut self, daemon: usize, fence: quantity::FenceNumber, input: shard::ClaimInput) {
+    fn input(&mut self, daemon: usize, fence: quantity::FenceNumber, input: step::ClaimInput) {
         let now = self.now;
         let Some(holder) = self.daemons[daemon].holders.get_mut(&fence) else {
-            if let shard::ClaimInput::Submit(send) = input {
-                self.told(send.call, shard::ClaimAnswer::Moved);
+            if let step::ClaimInput::Submit(send) = input {
+                self.told(send.call, step::ClaimAnswer::Moved);
             }
             return;
         };
@@ -379,13 +380,13 @@
         &mut self,
         daemon: usize,
         fence: quantity::FenceNumber,
-        actions: Vec<shard::ClaimAction>,
+        actions: Vec<step::ClaimAction>,
     ) {
         for action in actions {
             match action {
-                shard::ClaimAction::Answer { call, answer } => self.told(call, answer),
-                shard::ClaimAction::Opened => self.log.push(format!("{} opened", name(daemon))),
-                shard::ClaimAction::Closed { reason, .. } => {
+                step::ClaimAction::Answer { call, answer } => self.told(call, answer),
+                step::ClaimAction::Opened => self.log.push(format!("{} opened", name(daemon))),
+                step::ClaimAction::Closed { reason, .. } => {
                     self.log.push(format!("{} closed: {reason:?}", name(daemon)));
                     self.absorb(daemon, fence);
                 }
@@ -401,18 +402,16 @@
         daemon.copies.absorb(SHARD, batches);
     }
 
-    fn told(&mut self, call: ledger::CallNumber, answer: shard::ClaimAnswer) {
+    fn told(&mut self, call: ledger::CallNumber, answer: step::ClaimAnswer) {
         let SentCall { request, target } = self.calls[&call];
         let found = &mut self.requests[request];
         let others = found.sent.iter().any(|other| *other != target);
         let answer = match answer {
-            shard::ClaimAnswer::Moved => {
+            step::ClaimAnswer::Moved => {
                 found.sent.remove(&target);
                 return;
             }
-            shard::ClaimAnswer::NotRun(cause) if others => {
-                shard::ClaimAnswer::Unknown(cause.reason)
-            }
+            step::ClaimAnswer::NotRun(cause) if others => step::ClaimAnswer::Unknown(cause.reason),
             answer => answer,
         };
         if found.told.is_some() {
@@ -421,10 +420,10 @@
         let key = found.key.clone();
         let text = answer_text(&answer);
         self.log.push(format!("r{request} {key} at {}: {text}", name(target.daemon)));
-        if matches!(answer, shard::ClaimAnswer::NotRun(_)) && found.ran {
+        if matches!(answer, step::ClaimAnswer::NotRun(_)) && found.ran {
             self.violations.push(format!("{key} was told not run after it ran"));
         }
-        if let shard::ClaimAnswer::Completed { result, .. } = &answer {
+        if let step::ClaimAnswer::Completed { result, .. } = &answer {
             let first = self.results.entry(key.clone()).or_insert_with(|| result.clone());
             if first != result {
                 self.violations.push(format!("{key} has two answers"));
@@ -433,38 +432,38 @@
         found.told = Some(answer);
     }
 
-    fn act(&mut self, daemon: usize, fence: quantity::FenceNumber, action: shard::ClaimAction) {
+    fn act(&mut self, daemon: usize, fence: quantity::FenceNumber, action: step::ClaimAction) {
         let input = match action {
-            shard::ClaimAction::Write(writer::WriterAction::Commit(transaction)) => {
-                shard::ClaimInput::TableAnswered(self.write(transaction))
+            step::ClaimAction::Write(writer::WriterAction::Commit(transaction)) => {
+                step::ClaimInput::TableAnswered(self.write(transaction))
             }
-            shard::ClaimAction::Write(writer::WriterAction::ReadLease) => {
-                shard::ClaimInput::LeaseRead(self.read_lease())
+            step::ClaimAction::Write(writer::WriterAction::ReadLease) => {
+                step::ClaimInput::LeaseRead(self.read_lease())
             }
-            shard::ClaimAction::Write(writer::WriterAction::Copy {
+            step::ClaimAction::Write(writer::WriterAction::Copy {
                 round,
                 member,
                 written,
                 batches,
             }) => {
                 let answer = self.copy(daemon, fence, &member, written, batches);
-                shard::ClaimInput::CopyAnswered { round, member, answer }
+                step::ClaimInput::CopyAnswered { round, member, answer }
             }
-            shard::ClaimAction::Open(opening::OpeningAction::ReadJournal) => {
-                shard::ClaimInput::JournalRead(self.read_journal())
+            step::ClaimAction::Open(opening::OpeningAction::ReadJournal) => {
+                step::ClaimInput::JournalRead(self.read_journal())
             }
-            shard::ClaimAction::Open(opening::OpeningAction::Seal(member)) => {
+            step::ClaimAction::Open(opening::OpeningAction::Seal(member)) => {
                 let answer = self.seal(daemon, fence, &member);
-                shard::ClaimInput::SealAnswered { member, answer }
+                step::ClaimInput::SealAnswered { member, answer }
             }
-            shard::ClaimAction::Run { call, key } => {
+            step::ClaimAction::Run { call, key } => {
                 let request = self.calls[&call].request;
                 self.running.push(RunningCall { daemon, fence, request, key });
                 return;
             }
-            shard::ClaimAction::Answer { .. }
-            | shard::ClaimAction::Opened
-            | shard::ClaimAction::Closed { .. } => return,
+            step::ClaimAction::Answer { .. }
+            | step::ClaimAction::Opened
+            | step::ClaimAction::Closed { .. } => return,
         };
         self.effects.push(Effect::Reply { daemon, fence, input });
     }
@@ -609,18 +608,18 @@
     }
 }
 
-fn no_replica() -> shard::NotRunCause {
-    shard::NotRunCause { reason: reason::RefusalReason::NoReplica, retry_after: None }
+fn no_replica() -> step::NotRunCause {
+    step::NotRunCause { reason: reason::RefusalReason::NoReplica, retry_after: None }
 }
 
-fn answer_text(answer: &shard::ClaimAnswer) -> String {
+fn answer_text(answer: &step::ClaimAnswer) -> String {
     match answer {
-        shard::ClaimAnswer::Completed { result, replayed } => {
+        step::ClaimAnswer::Completed { result, replayed } => {
             format!("complete \"{result}\"{}", if *replayed { " again" } else { "" })
         }
-        shard::ClaimAnswer::NotRun(cause) => format!("not-run {}", cause.reason),
-        shard::ClaimAnswer::Unknown(reason) => format!("unknown {reason}"),
-        shard::ClaimAnswer::Moved => "moved".to_owned(),
+        step::ClaimAnswer::NotRun(cause) => format!("not-run {}", cause.reason),
+        step::ClaimAnswer::Unknown(reason) => format!("unknown {reason}"),
+        step::ClaimAnswer::Moved => "moved".to_owned(),
     }
 }
 
--- a/crates/shards/src/control.rs
+++ b/crates/shards/src/control.rs
@@ -17,6 +17,7 @@
 use samphiremoor_claims::ledger;
 use samphiremoor_claims::opening;
 use samphiremoor_claims::shard;
+use samphiremoor_claims::step;
 use samphiremoor_claims::writer;
 use samphiremoor_lease::answer;
 use samphiremoor_lease::keeper;
@@ -70,7 +71,7 @@
 struct PendingCall {
     call: sync::Arc<call::OnceCall>,
     received: time::MonotonicTime,
-    responder: channel::Sender<shard::ClaimAnswer>,
+    responder: channel::Sender<step::ClaimAnswer>,
 }
 
 impl ShardControl {
@@ -154,7 +155,7 @@
         let due = self.wakeups.iter().filter(|(_, wakeup)| **wakeup <= now);
         let due: Vec<event::HoldId> = due.map(|(hold, _)| *hold).collect();
         for hold in due {
-            self.claim_input(hold, shard::ClaimInput::Tick);
+            self.claim_input(hold, step::ClaimInput::Tick);
         }
         if self.keeper.as_ref().is_some_and(|keeper| keeper.next_wakeup() <= now) {
             self.lease_input(keeper::LeaseInput::Tick);
@@ -175,7 +176,7 @@
         self.prefer_copies();
         let holds: Vec<_> = self.holders.keys().copied().collect();
         for hold in holds {
-            self.claim_input(hold, shard::ClaimInput::Tick);
+            self.claim_input(hold, step::ClaimInput::Tick);
         }
         let keys: usize = self.holders.values().map(shard::ShardHolder::key_count).sum();
         self.metrics.keys.set(i64::try_from(keys).unwrap_or(i64::MAX));
@@ -206,11 +207,9 @@
                 self.effects.commit_lease(transaction);
             }
             keeper::LeaseAction::Taken { shard, lease } => self.open(shard, lease),
-            keeper::LeaseAction::Lost(shard) => {
-                self.each_hold(shard, &shard::ClaimInput::LeaseLost)
-            }
+            keeper::LeaseAction::Lost(shard) => self.each_hold(shard, &step::ClaimInput::LeaseLost),
             keeper::LeaseAction::Release(shard) => {
-                self.each_hold(shard, &shard::ClaimInput::Release);
+                self.each_hold(shard, &step::ClaimInput::Release);
             }
             keeper::LeaseAction::Stopped => {
                 if let Some(responder) = self.stopping.take() {
@@ -222,7 +221,7 @@
     }
 
     /// Hands an input to the open hold of a shard.
-    fn each_hold(&mut self, shard: quantity::ShardNumber, input: &shard::ClaimInput) {
+    fn each_hold(&mut self, shard: quantity::ShardNumber, input: &step::ClaimInput) {
         let Some(hold) = self.open_hold(shard) else { return };
         self.claim_input(hold, input.clone());
     }
@@ -240,23 +239,23 @@
         let policy = self.parts.settings.claim_policy();
         let holder = shard::ShardHolder::new(shard, lease, copy_set, policy);
         self.holders.insert(hold, holder);
-        self.claim_input(hold, shard::ClaimInput::Tick);
+        self.claim_input(hold, step::ClaimInput::Tick);
     }
 
     fn submit(
         &mut self,
         hold: event::HoldId,
         call: sync::Arc<call::OnceCall>,
-        responder: channel::Sender<shard::ClaimAnswer>,
+        responder: channel::Sender<step::ClaimAnswer>,
     ) {
         if !self.holders.contains_key(&hold) {
-            respond(&responder, shard::ClaimAnswer::Moved);
+            respond(&responder, step::ClaimAnswer::Moved);
             return;
         }
         let received = self.clock.now();
         self.call_count += 1;
         let number = ledger::CallNumber(self.call_count);
-        let send = shard::CallSend {
+        let send = step::CallSend {
             call: number,
             request: call.request.clone(),
             key: call.key.clone(),
@@ -264,10 +263,10 @@
             deadline: received + call.remaining,
         };
         self.calls.insert(number, PendingCall { call, received, responder });
-        self.claim_input(hold, shard::ClaimInput::Submit(send));
+        self.claim_input(hold, step::ClaimInput::Submit(send));
     }
 
-    fn claim_input(&mut self, hold: event::HoldId, input: shard::ClaimInput) {
+    fn claim_input(&mut self, hold: event::HoldId, input: step::ClaimInput) {
         let now = self.clock.now();
         self.note_answer(hold, &input);
         let Some(holder) = self.holders.get_mut(&hold) else { return };
@@ -281,8 +280,8 @@
     }
 
     /// Logs the table's answers; an outage once when it begins and once when it ends.
-    fn note_answer(&mut self, hold: event::HoldId, input: &shard::ClaimInput) {
-        let shard::ClaimInput::TableAnswered(answer) = input else { return };
+    fn note_answer(&mut self, hold: event::HoldId, input: &step::ClaimInput) {
+        let step::ClaimInput::TableAnswered(answer) = input else { return };
         let is_down = *answer == answer::TableAnswer::NotDone;
         if is_down && !self.is_table_down {
             log_event!(log_event::LogEvent::PlatformUnavailable, shard = hold.shard);
@@ -306,32 +305,32 @@
         }
     }
 
-    fn claim_actions(&mut self, hold: event::HoldId, actions: Vec<shard::ClaimAction>) {
+    fn claim_actions(&mut self, hold: event::HoldId, actions: Vec<step::ClaimAction>) {
         for action in actions {
             self.claim_action(hold, action);
         }
     }
 
-    fn claim_action(&mut self, hold: event::HoldId, action: shard::ClaimAction) {
+    fn claim_action(&mut self, hold: event::HoldId, action: step::ClaimAction) {
         match action {
-            shard::ClaimAction::Write(action) => self.write(hold, action),
-            shard::ClaimAction::Open(opening::OpeningAction::ReadJournal) => {
+            step::ClaimAction::Write(action) => self.write(hold, action),
+            step::ClaimAction::Open(opening::OpeningAction::ReadJournal) => {
                 self.effects.read_journal(hold);
             }
-            shard::ClaimAction::Open(opening::OpeningAction::Seal(member)) => {
+            step::ClaimAction::Open(opening::OpeningAction::Seal(member)) => {
                 self.seal_member(hold, member);
             }
-            shard::ClaimAction::Run { call, .. } => self.run_call(hold, call),
-            shard::ClaimAction::Answer { call, answer } => {
+            step::ClaimAction::Run { call, .. } => self.run_call(hold, call),
+            step::ClaimAction::Answer { call, answer } => {
                 if let Some(pending) = self.calls.remove(&call) {
                     respond(&pending.responder, answer);
                 }
             }
-            shard::ClaimAction::Opened => {
+            step::ClaimAction::Opened => {
                 self.metrics.open_shards.inc();
                 self.prefer_copies();
             }
-            shard::ClaimAction::Closed { reason, was_open } => {
+            step::ClaimAction::Closed { reason, was_open } => {
                 self.closed(hold, reason, was_open);
             }
         }
@@ -357,7 +356,7 @@
         }
         let batches = self.seal_here(hold);
         let answer = opening::SealAnswer::Sealed(batches);
-        self.claim_input(hold, shard::ClaimInput::SealAnswered { member, answer });
+        self.claim_input(hold, step::ClaimInput::SealAnswered { member, answer });
     }
 
     fn run_call(&mut self, hold: event::HoldId, number: ledger::CallNumber) {
@@ -369,15 +368,15 @@
         self.effects.run(hold, sync::Arc::new(call));
     }
 
-    fn closed(&mut self, hold: event::HoldId, reason: shard::CloseReason, was_open: bool) {
+    fn closed(&mut self, hold: event::HoldId, reason: step::CloseReason, was_open: bool) {
         if was_open {
             self.metrics.open_shards.dec();
         }
-        if reason == shard::CloseReason::Lost {
+        if reason == step::CloseReason::Lost {
             log_event!(log_event::LogEvent::LeaseLost, shard = hold.shard, fence = hold.fence);
         }
         self.lease_input(keeper::LeaseInput::Closed(hold.shard));
-        if reason == shard::CloseReason::Released {
+        if reason == step::CloseReason::Released {
             self.effects.notify_released(self.peers.copy_peers());
         }
     }
@@ -429,7 +428,7 @@
             })
             .collect();
         for (hold, copy_set) in wanted {
-            self.claim_input(hold, shard::ClaimInput::CopySetPreferred(copy_set));
+            self.claim_input(hold, step::ClaimInput::CopySetPreferred(copy_set));
         }
     }
 
--- a/crates/shards/src/effects.rs
+++ b/crates/shards/src/effects.rs
@@ -12,7 +12,7 @@
 use samphiremoor_base::time;
 use samphiremoor_claims::journal;
 use samphiremoor_claims::opening;
-use samphiremoor_claims::shard;
+use samphiremoor_claims::step;
 use samphiremoor_claims::writer;
 use samphiremoor_lease::answer;
 use samphiremoor_lease::keeper;
@@ -100,7 +100,7 @@
             let decoded = rows.ok().and_then(|rows| {
                 rows.iter().map(journal::JournalBatch::decode).collect::<Option<Vec<_>>>()
             });
-            event::ControlEvent::Claim(hold, shard::ClaimInput::JournalRead(decoded))
+            event::ControlEvent::Claim(hold, step::ClaimInput::JournalRead(decoded))
         });
     }
 
@@ -109,7 +109,7 @@
         let parts = self.parts.clone();
         self.start(async move {
             let answer = seal(&parts, hold, &member).await;
-            event::ControlEvent::Claim(hold, shard::ClaimInput::SealAnswered { member, answer })
+            event::ControlEvent::Claim(hold, step::ClaimInput::SealAnswered { member, answer })
         });
     }
 
@@ -120,7 +120,7 @@
             let end = run(&parts, &call).await;
             event::ControlEvent::Claim(
                 hold,
-                shard::ClaimInput::RunEnded { key: call.key.clone(), end },
+                step::ClaimInput::RunEnded { key: call.key.clone(), end },
             )
         });
     }
@@ -158,7 +158,7 @@
         let parts = self.parts.clone();
         self.start(async move {
             let answer = commit(&*parts.table, &transaction).await;
-            event::ControlEvent::Claim(hold, shard::ClaimInput::TableAnswered(answer))
+            event::ControlEvent::Claim(hold, step::ClaimInput::TableAnswered(answer))
         });
     }
 
@@ -166,7 +166,7 @@
         let parts = self.parts.clone();
         self.start(async move {
             let reading = read_lease(&*parts.table, hold.shard).await;
-            event::ControlEvent::Claim(hold, shard::ClaimInput::LeaseRead(reading))
+            event::ControlEvent::Claim(hold, step::ClaimInput::LeaseRead(reading))
         });
     }
 
@@ -187,7 +187,7 @@
             };
             event::ControlEvent::Claim(
                 hold,
-                shard::ClaimInput::CopyAnswered { round, member, answer },
+                step::ClaimInput::CopyAnswered { round, member, answer },
             )
         });
     }
@@ -279,22 +279,22 @@
     parts.transport.ask(peer, question).await.ok()
 }
 
-async fn run(parts: &service::ShardParts, call: &call::OnceCall) -> shard::RunEnd {
+async fn run(parts: &service::ShardParts, call: &call::OnceCall) -> step::RunEnd {
     if call.remaining == time::Millis::new(0) {
         let reason = reason::RefusalReason::DeadlinePassed;
-        return shard::RunEnd::NotRun(shard::NotRunCause { reason, retry_after: None });
+        return step::RunEnd::NotRun(step::NotRunCause { reason, retry_after: None });
     }
     let limit = call.remaining.to_duration() + RUN_GRACE.to_duration();
     let Ok(result) = future::timeout(limit, parts.runner.run(call)).await else {
-        return shard::RunEnd::MaybeRun(reason::RefusalReason::DeadlinePassed);
+        return step::RunEnd::MaybeRun(reason::RefusalReason::DeadlinePassed);
     };
     match result {
         call::RunResult::Completed(result) => {
-            shard::RunEnd::Completed(stored::StoredResult::from(&result).encode())
+            step::RunEnd::Completed(stored::StoredResult::from(&result).encode())
         }
         call::RunResult::NotRun { reason, retry_after } => {
-            shard::RunEnd::NotRun(shard::NotRunCause { reason, retry_after })
+            step::RunEnd::NotRun(step::NotRunCause { reason, retry_after })
         }
-        call::RunResult::MaybeRun(reason) => shard::RunEnd::MaybeRun(reason),
+        call::RunResult::MaybeRun(reason) => step::RunEnd::MaybeRun(reason),
     }
 }
--- a/crates/shards/src/event.rs
+++ b/crates/shards/src/event.rs
@@ -7,7 +7,7 @@
 use samphiremoor_base::quantity;
 use samphiremoor_claims::journal;
 use samphiremoor_claims::key;
-use samphiremoor_claims::shard;
+use samphiremoor_claims::step;
 use samphiremoor_lease::keeper;
 use samphiremoor_lease::spread;
 
@@ -30,7 +30,7 @@
     /// For the keeper of the leases.
     Lease(keeper::LeaseInput),
     /// For the holder of a shard.
-    Claim(HoldId, shard::ClaimInput),
+    Claim(HoldId, step::ClaimInput),
     /// A send of a call.
     Submit {
         /// The hold that it is meant for.
@@ -38,7 +38,7 @@
         /// The call.
         call: sync::Arc<call::OnceCall>,
         /// Takes the answer.
-        responder: channel::Sender<shard::ClaimAnswer>,
+        responder: channel::Sender<step::ClaimAnswer>,
     },
     /// A holder wants copies kept here.
     Keep {
--- a/crates/shards/src/service.rs
+++ b/crates/shards/src/service.rs
@@ -11,7 +11,7 @@
 use samphiremoor_base::id;
 use samphiremoor_base::quantity;
 use samphiremoor_base::time;
-use samphiremoor_claims::shard;
+use samphiremoor_claims::step;
 use samphiremoor_lease::keeper;
 use samphiremoor_peers::server;
 use samphiremoor_platform::table;
@@ -169,11 +169,11 @@
         &self,
         hold: event::HoldId,
         call: sync::Arc<call::OnceCall>,
-    ) -> shard::ClaimAnswer {
+    ) -> step::ClaimAnswer {
         let (responder, receiver) = channel::bounded(1);
         self.send(event::ControlEvent::Submit { hold, call, responder }).await;
         // The thread has ended, and it has not run the call.
-        receiver.recv().await.unwrap_or(shard::ClaimAnswer::Moved)
+        receiver.recv().await.unwrap_or(step::ClaimAnswer::Moved)
     }
 
     /// Has the lease rows read again soon.
--- a/crates/shards/src/stored.rs
+++ b/crates/shards/src/stored.rs
@@ -4,7 +4,7 @@
 use std::sync;
 
 use samphiremoor_base::reason;
-use samphiremoor_claims::shard;
+use samphiremoor_claims::step;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -61,20 +61,20 @@
 }
 
 /// What the caller is told, for a holder's answer; absent where the shard has moved.
-pub(crate) fn once_answer(answer: shard::ClaimAnswer) -> Option<call::OnceAnswer> {
+pub(crate) fn once_answer(answer: step::ClaimAnswer) -> Option<call::OnceAnswer> {
     let answer = match answer {
-        shard::ClaimAnswer::Completed { result, replayed } => match StoredResult::decode(&result) {
+        step::ClaimAnswer::Completed { result, replayed } => match StoredResult::decode(&result) {
             Some(stored) => {
                 call::OnceAnswer::Completed { result: call::CallResult::from(stored), replayed }
             }
             None => unknown(reason::RefusalReason::ClaimWithoutResult),
         },
-        shard::ClaimAnswer::NotRun(cause) => {
-            let shard::NotRunCause { reason, retry_after } = cause;
+        step::ClaimAnswer::NotRun(cause) => {
+            let step::NotRunCause { reason, retry_after } = cause;
             call::OnceAnswer::NotRun { reason, retry_after }
         }
-        shard::ClaimAnswer::Unknown(reason) => unknown(reason),
-        shard::ClaimAnswer::Moved => return None,
+        step::ClaimAnswer::Unknown(reason) => unknown(reason),
+        step::ClaimAnswer::Moved => return None,
     };
     Some(answer)
 }
