--- a/crates/shards/tests/harness/mod.rs
+++ b/crates/shards/tests/harness/mod.rs
@@ -219,16 +219,23 @@
     pub(crate) table: sync::Arc<memory::MemoryTable>,
     pub(crate) runner: sync::Arc<CountingRunner>,
     pub(crate) network: sync::Arc<MemoryNetwork>,
+    settings: settings::ShardSettings,
     lives: sync::atomic::AtomicU64,
 }
 
 impl ShardCluster {
     /// Daemons named `a`, `b` and so on, in two zones by turns.
     pub(crate) fn start(count: usize) -> ShardCluster {
+        ShardCluster::start_with(count, test_settings())
+    }
+
+    /// The same with other settings.
+    pub(crate) fn start_with(count: usize, settings: settings::ShardSettings) -> ShardCluster {
         let cluster = ShardCluster {
             table: sync::Arc::new(memory::MemoryTable::new()),
             runner: sync::Arc::default(),
             network: sync::Arc::default(),
+            settings,
             lives: sync::atomic::AtomicU64::new(1),
         };
         let entries = (0..count).map(entry).collect();
@@ -250,7 +257,7 @@
             daemon: entry.id.clone(),
             incarnation: quantity::Incarnation::new(lives),
             zone: entry.zone.clone(),
-            settings: test_settings(),
+            settings: self.settings.clone(),
             table: sync::Arc::new(DaemonTable {
                 daemon: daemon.to_owned(),
                 network: self.network.clone(),
