control: part the shell into the worker, its calls, the platform's reads and the change log

Change: `shell` starts the daemon and answers peers; `worker` is the thread's loop; `calls` starts the tasks; `platform_read` reads and parses, one function for each kind of row; `change_log` logs. `PlatformRead::label` stands with its type. `is_platform_back` is `is_platform_available`, which is what it says. Behaviour and the public paths are unchanged.

Ruled out: moving `ControlPorts` and `ControlStart` out of `shell`, since the measuring example and the daemon's main name them there and they are what a daemon is started with.

--- a/crates/control/src/action.rs
+++ b/crates/control/src/action.rs
@@ -124,3 +124,18 @@
     /// Show this view to the entry daemon.
     Publish(Box<zone::ZoneView>),
 }
+
+impl PlatformRead {
+    /// Short name for logs and metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            PlatformRead::Head => "head",
+            PlatformRead::Revision(_) => "revision",
+            PlatformRead::List => "list",
+            PlatformRead::Notices(_) => "notices",
+            PlatformRead::Drains => "drains",
+            PlatformRead::Offers => "offers",
+            PlatformRead::Duty => "duty",
+        }
+    }
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -2,21 +2,26 @@
 //!
 //! [`state`] is the control state: one thread owns it, and it does no I/O; [`action`] is what goes
 //! in and comes out. In it, [`duty`] is the lease on the zone's duties, and [`capacity`] says what is
-//! carried out while it is held. [`shell`] is that thread with the tasks that make its calls: to peers
-//! through [`caller`], to upstreams through [`upstream`], and [`carry_out`] for plans.
+//! carried out while it is held. [`shell`] starts that thread, which is `worker`; `calls` starts the
+//! tasks that make its calls: to the platform through `platform_read`, to peers through [`caller`], to
+//! upstreams through [`upstream`], and [`carry_out`] for plans. `change_log` logs what changed.
 //! [`view_server`] and [`http`] answer from snapshots. [`message`] is what control daemons and the
 //! command line ask one another.
 
 pub mod action;
 pub mod caller;
+mod calls;
 pub mod capacity;
 pub mod carry_out;
+mod change_log;
 pub mod duty;
 pub mod http;
 pub mod message;
 pub mod metrics;
+mod platform_read;
 pub mod settings;
 pub mod shell;
 pub mod state;
 pub mod upstream;
 pub mod view_server;
+mod worker;
--- /dev/null
+++ b/crates/control/src/platform_read.rs
@@ -0,0 +1,76 @@
+//! Reads from the platform what the control state asks for.
+
+use samphiremoor_base::event;
+use samphiremoor_base::log_event;
+use samphiremoor_base::quantity;
+use samphiremoor_platform::cloud;
+use samphiremoor_platform::table;
+use samphiremoor_records::revision;
+
+use crate::action;
+use crate::capacity;
+
+/// Rows that mark VMs as leaving which are read at once.
+const MAX_DRAINS: usize = 1_000;
+
+/// Makes a read, and returns what it gave; none where it failed.
+///
+/// A head row that can't be parsed counts as a failed read. A revision that can't be parsed was read
+/// all the same, and is told as absent. Damaged drain marks are left out.
+pub(crate) async fn read(
+    table: &dyn table::TableStore,
+    cloud: &dyn cloud::CloudApi,
+    duty_key: &table::RowKey,
+    read: action::PlatformRead,
+) -> Option<action::ControlInput> {
+    match read {
+        action::PlatformRead::Head => read_head(table).await,
+        action::PlatformRead::Revision(number) => read_revision(table, number).await,
+        action::PlatformRead::List => {
+            Some(action::ControlInput::ListRead(cloud.list_vms().await.ok()?))
+        }
+        action::PlatformRead::Notices(serial) => {
+            Some(action::ControlInput::NoticesRead(cloud.notices(serial).await.ok()?))
+        }
+        action::PlatformRead::Drains => read_drains(table).await,
+        action::PlatformRead::Offers => {
+            Some(action::ControlInput::OffersRead(cloud.offers().await.ok()?))
+        }
+        action::PlatformRead::Duty => {
+            Some(action::ControlInput::DutyRead(table.read(duty_key).await.ok()?))
+        }
+    }
+}
+
+async fn read_head(table: &dyn table::TableStore) -> Option<action::ControlInput> {
+    let row = table.read(&table::RowKey::new(revision::HEAD_KEY)).await.ok()?;
+    let head = match row {
+        Some(row) => Some(revision::HeadRow::parse(&row.value).ok()?),
+        None => None,
+    };
+    Some(action::ControlInput::HeadRead(head))
+}
+
+async fn read_revision(
+    table: &dyn table::TableStore,
+    number: quantity::RevisionNumber,
+) -> Option<action::ControlInput> {
+    let key = table::RowKey::new(&revision::revision_key(number));
+    let row = table.read(&key).await.ok()??;
+    let parsed = revision::RevisionRow::parse(&row.value);
+    if let Err(cause) = &parsed {
+        log_event!(event::LogEvent::RecordRefused, revision = number, cause = cause);
+    }
+    Some(action::ControlInput::RevisionRead(parsed.ok().map(Into::into)))
+}
+
+async fn read_drains(table: &dyn table::TableStore) -> Option<action::ControlInput> {
+    let rows = table.scan(revision::DRAIN_PREFIX, None, MAX_DRAINS).await.ok()?;
+    let marks = rows.iter().filter_map(drain_mark).collect();
+    Some(action::ControlInput::DrainsRead(marks))
+}
+
+fn drain_mark(row: &table::TableRow) -> Option<capacity::DrainMark> {
+    let vm = row.key.as_str().strip_prefix(revision::DRAIN_PREFIX)?.parse().ok()?;
+    Some(capacity::DrainMark { vm, author: row.value.clone() })
+}
--- /dev/null
+++ b/crates/control/src/worker.rs
@@ -0,0 +1,193 @@
+//! The control thread: hands inputs to the control state and carries out its actions.
+
+use std::sync;
+use std::sync::mpsc;
+
+use async_std::channel;
+use samphiremoor_base::event;
+use samphiremoor_base::log_event;
+use samphiremoor_base::quantity;
+use samphiremoor_base::time;
+use samphiremoor_view::zone;
+
+use crate::action;
+use crate::calls;
+use crate::change_log;
+use crate::message;
+use crate::metrics;
+use crate::state;
+use crate::view_server;
+
+/// Between two ticks of the control state.
+const TICK_INTERVAL: time::Millis = time::Millis::new(50);
+
+/// An input of the control thread.
+#[derive(Debug)]
+pub(crate) enum ThreadInput {
+    /// What came of a call.
+    Done(action::ControlInput),
+    /// A peer's question, and where its answer goes.
+    Question(message::PeerQuestion, channel::Sender<message::PeerAnswer>),
+    /// The daemon stops.
+    Stop,
+}
+
+/// What the control thread owns.
+pub(crate) struct ControlWorker {
+    clock: time::MonotonicClock,
+    state: state::ControlState,
+    calls: calls::CallStarter,
+    board: sync::Arc<view_server::ViewBoard>,
+    metrics: metrics::ControlMetrics,
+    is_platform_available: bool,
+}
+
+impl ControlWorker {
+    /// A worker for a state; the platform counts as available until a read fails.
+    pub(crate) fn new(
+        clock: time::MonotonicClock,
+        state: state::ControlState,
+        calls: calls::CallStarter,
+        board: sync::Arc<view_server::ViewBoard>,
+        metrics: metrics::ControlMetrics,
+    ) -> Self {
+        ControlWorker { clock, state, calls, board, metrics, is_platform_available: true }
+    }
+
+    /// Takes inputs and ticks until it is told to stop.
+    pub(crate) fn run(mut self, queue: &mpsc::Receiver<ThreadInput>) {
+        let mut next_tick = self.clock.now();
+        loop {
+            let wait = time::Millis::new(next_tick.get())
+                .saturating_sub(time::Millis::new(self.clock.now().get()));
+            match queue.recv_timeout(wait.to_duration()) {
+                Ok(ThreadInput::Done(input)) => self.step(input),
+                Ok(ThreadInput::Question(question, reply)) => self.answer(question, &reply),
+                Ok(ThreadInput::Stop) | Err(mpsc::RecvTimeoutError::Disconnected) => return,
+                Err(mpsc::RecvTimeoutError::Timeout) => {}
+            }
+            if self.clock.now() >= next_tick {
+                self.step(action::ControlInput::Tick);
+                next_tick = self.clock.now() + TICK_INTERVAL;
+            }
+        }
+    }
+
+    fn step(&mut self, input: action::ControlInput) {
+        self.note_platform(&input);
+        let actions = self.state.step(self.clock.now(), input);
+        actions.into_iter().for_each(|action| self.act(action));
+    }
+
+    fn note_platform(&mut self, input: &action::ControlInput) {
+        match input {
+            action::ControlInput::ReadFailed(read) if self.is_platform_available => {
+                self.is_platform_available = false;
+                log_event!(event::LogEvent::PlatformUnavailable, read = read.label());
+            }
+            action::ControlInput::HeadRead(_) if !self.is_platform_available => {
+                self.is_platform_available = true;
+                log_event!(event::LogEvent::PlatformBack);
+            }
+            _ => {}
+        }
+    }
+
+    fn answer(
+        &mut self,
+        question: message::PeerQuestion,
+        reply: &channel::Sender<message::PeerAnswer>,
+    ) {
+        let now = self.clock.now();
+        let mut actions = Vec::new();
+        let answer = match question {
+            message::PeerQuestion::Gossip(message) => {
+                let answer = self.state.gossip(now, *message, &mut actions);
+                message::PeerAnswer::Gossip(Box::new(answer))
+            }
+            message::PeerQuestion::Join(asker) => {
+                message::PeerAnswer::Joined(self.state.join(now, asker))
+            }
+            message::PeerQuestion::Revision { asker, have } => {
+                message::PeerAnswer::Revision(self.state.revision_for(now, asker, have))
+            }
+            message::PeerQuestion::InForce => message::PeerAnswer::InForce(self.in_force(now)),
+            message::PeerQuestion::View => {
+                let view = self.board.shown();
+                let view = view.map(|view| Box::new(zone::ZoneView::clone(&view)));
+                message::PeerAnswer::View(view)
+            }
+            message::PeerQuestion::Probe(target) => {
+                return self.calls.probe(target, reply.clone());
+            }
+        };
+        // The asker may have given up, and nothing is owed to it then.
+        let _ = reply.try_send(answer);
+        actions.into_iter().for_each(|action| self.act(action));
+    }
+
+    fn in_force(&self, now: time::MonotonicTime) -> message::InForceReport {
+        let own = self.state.membership().daemons().own();
+        message::InForceReport {
+            daemon: own.id.clone(),
+            zone: own.zone.clone(),
+            revision: self.board.serving(self.state.reported_revision(now)),
+            age: self.state.revision_age(now),
+            known: self.state.known_daemons(),
+        }
+    }
+
+    fn act(&self, action: action::ControlAction) {
+        match action {
+            action::ControlAction::Read(read) => {
+                self.calls.read(read, self.state.duty_key().clone())
+            }
+            action::ControlAction::Join(address, own) => self.calls.join(address, own),
+            action::ControlAction::Gossip(peer, message) => self.calls.gossip(peer, message),
+            action::ControlAction::AskRevision(peer, question) => {
+                self.calls.ask_revision(peer, question)
+            }
+            action::ControlAction::Probe { through, target } => {
+                self.calls.probe_through(through, target)
+            }
+            action::ControlAction::Poll(upstream) => self.calls.poll(upstream),
+            action::ControlAction::RevisionChanged(revision) => self.revision_changed(revision),
+            action::ControlAction::RevisionRefused(revision, cause) => {
+                self.metrics.revision_refusals.inc();
+                log_event!(event::LogEvent::RecordRefused, revision = revision, cause = cause);
+            }
+            action::ControlAction::DaemonChanged(news) => change_log::log_daemon(&news),
+            action::ControlAction::UpstreamChanged(news) => change_log::log_upstream(&news),
+            action::ControlAction::WriteDuty(write) => self.calls.write_duty(write),
+            action::ControlAction::CarryOut(step, fence) => self.calls.carry_out(step, fence),
+            action::ControlAction::DutyChanged(Some(fence)) => {
+                log_event!(event::LogEvent::LeaseTaken, duty = "zone", fence = fence);
+            }
+            action::ControlAction::DutyChanged(None) => {
+                log_event!(event::LogEvent::LeaseLost, duty = "zone");
+            }
+            action::ControlAction::StartRefused(offer, wait) => log_event!(
+                event::LogEvent::VmStartRefused,
+                class = offer.class,
+                zone = offer.zone,
+                wait = wait
+            ),
+            action::ControlAction::Publish(view) => self.publish(*view),
+        }
+    }
+
+    fn publish(&self, view: zone::ZoneView) {
+        self.metrics.views.inc();
+        self.metrics.upstreams.reset();
+        for replica in &view.replicas {
+            self.metrics.upstreams.with_label_values(&[replica.state.label()]).inc();
+        }
+        self.board.show(view);
+    }
+
+    fn revision_changed(&self, revision: quantity::RevisionNumber) {
+        self.metrics.revision.set(i64::try_from(revision.get()).unwrap_or(i64::MAX));
+        self.metrics.revision_changes.inc();
+        log_event!(event::LogEvent::RevisionInForce, revision = revision);
+    }
+}
