membership: give peers, probes, polls, reports and the order of news modules of their own

Change: `limits` and `action` hold the types (shown by `state`, whose paths stay); `peers` chooses whom to call and owns the random order, `probes` counts probers, `polls` divides and paces polls, `reports` says which answers are told, `known` orders the subjects. Behaviour is unchanged.

Ruled out: a random source for each part, which would change the order of calls that the seeded scenarios show; new public paths for the types, which would change tests.

--- /dev/null
+++ b/crates/membership/src/known.rs
@@ -0,0 +1,65 @@
+//! Everything that one daemon knows, in one order.
+
+use samphiremoor_base::id;
+
+use crate::daemons;
+use crate::news;
+use crate::upstreams;
+
+/// The daemons, the upstreams and the reports on them as news.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct KnownNews<'a> {
+    pub(crate) daemons: &'a daemons::DaemonTable,
+    pub(crate) upstreams: &'a upstreams::UpstreamTable,
+}
+
+impl KnownNews<'_> {
+    /// The present news on a subject; none where it is not known any more.
+    pub(crate) fn look_up(&self, subject: &news::NewsSubject) -> Option<news::NewsItem> {
+        match subject {
+            news::NewsSubject::Daemon(id) => {
+                self.daemons.get(id).cloned().map(news::NewsItem::Daemon)
+            }
+            news::NewsSubject::Upstream(vm) => {
+                self.upstreams.get(vm).cloned().map(news::NewsItem::Upstream)
+            }
+            news::NewsSubject::Report(vm, poller) => {
+                self.upstreams.report(vm, poller).cloned().map(news::NewsItem::Report)
+            }
+        }
+    }
+
+    /// The subject that follows: daemons first, then each upstream with the reports on it.
+    pub(crate) fn next_after(
+        &self,
+        subject: Option<&news::NewsSubject>,
+    ) -> Option<news::NewsSubject> {
+        match subject {
+            None => self.next_daemon(None),
+            Some(news::NewsSubject::Daemon(id)) => self.next_daemon(Some(id)),
+            Some(news::NewsSubject::Upstream(vm)) => self.next_report(vm, None),
+            Some(news::NewsSubject::Report(vm, poller)) => self.next_report(vm, Some(poller)),
+        }
+    }
+
+    fn next_daemon(&self, after: Option<&id::DaemonId>) -> Option<news::NewsSubject> {
+        let next = self.daemons.next_after(after).cloned().map(news::NewsSubject::Daemon);
+        next.or_else(|| self.next_upstream(None))
+    }
+
+    fn next_upstream(&self, after: Option<&id::VmId>) -> Option<news::NewsSubject> {
+        self.upstreams.next_after(after).cloned().map(news::NewsSubject::Upstream)
+    }
+
+    fn next_report(
+        &self,
+        vm: &id::VmId,
+        after: Option<&id::DaemonId>,
+    ) -> Option<news::NewsSubject> {
+        let mut pollers = self.upstreams.pollers(vm).into_iter();
+        match pollers.find(|poller| after.is_none_or(|after| *poller > after)) {
+            Some(poller) => Some(news::NewsSubject::Report(vm.clone(), poller.clone())),
+            None => self.next_upstream(Some(vm)),
+        }
+    }
+}
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -4,9 +4,21 @@
 //! [`daemons`] holds the daemons and who is suspected, [`upstreams`] the upstreams and their
 //! states, [`share`] divides duties among the daemons of an availability zone, [`spread`] decides
 //! which news go into a message of bounded size, and [`news`] is what is told.
+//!
+//! The parts of the machine are private: `limits` are its bounds and `action` what it sends and
+//! asks for, both shown by [`state`]; `peers` chooses whom to call, `probes` waits for daemons that
+//! try others, `polls` chooses whom to poll, `reports` which answers are told, and `known` puts all
+//! that is known into one order.
 
+mod action;
 pub mod daemons;
+mod known;
+mod limits;
 pub mod news;
+mod peers;
+mod polls;
+mod probes;
+mod reports;
 pub mod share;
 pub mod spread;
 pub mod state;
