control: give joining, the platform's reads, the zone's duties and the views modules of their own

Change: `join` decides how peers are found at the start, `platform_schedule` when the platform is read, `zone_duties` joins the lease with what is carried out under it, `publisher` spaces and makes views. `ReadTimes`, which only ever had its default values, is now constants beside their users; its `replicas_per_milli` was said to add to the views' interval, and the new text says that the longer of the two holds. The inputs of `take` and the steps of the membership are short functions. Behaviour is unchanged.

Ruled out: handing the state to each module, which would hide what each one reads; settings for the constants, since nobody set them.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,12 +1,15 @@
 //! The control daemon, which runs beside the entry daemon on every entry VM.
 //!
 //! [`state`] is the control state: one thread owns it, and it does no I/O; [`action`] is what goes
-//! in and comes out. In it, [`duty`] is the lease on the zone's duties, and [`capacity`] says what is
-//! carried out while it is held. [`shell`] starts that thread, which is `worker`; `calls` starts the
-//! tasks that make its calls: to the platform through `platform_read`, to peers through [`caller`], to
-//! upstreams through [`upstream`], and [`carry_out`] for plans. `change_log` logs what changed.
-//! [`view_server`] and [`http`] answer from snapshots. [`message`] is what control daemons and the
-//! command line ask one another.
+//! in and comes out. In it, `zone_duties` has [`duty`], the lease on the zone's duties, and
+//! [`capacity`], which says what is carried out while it is held; `join` looks for peers at the
+//! start, `platform_schedule` says when the platform is read, and `publisher` makes the views.
+//!
+//! [`shell`] starts that thread, which is `worker`. `calls` starts the tasks that make its calls: to
+//! the platform through `platform_read`, to peers through [`caller`], to upstreams through
+//! [`upstream`], and [`carry_out`] for plans. `change_log` logs what changed. [`view_server`] and
+//! [`http`] answer from snapshots. [`message`] is what control daemons and the command line ask one
+//! another.
 
 pub mod action;
 pub mod caller;
@@ -16,12 +19,16 @@
 mod change_log;
 pub mod duty;
 pub mod http;
+mod join;
 pub mod message;
 pub mod metrics;
 mod platform_read;
+mod platform_schedule;
+mod publisher;
 pub mod settings;
 pub mod shell;
 pub mod state;
 pub mod upstream;
 pub mod view_server;
 mod worker;
+mod zone_duties;
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -19,82 +19,30 @@
 use crate::action;
 use crate::capacity;
 use crate::duty;
+use crate::join;
 use crate::message;
+use crate::platform_schedule;
+use crate::publisher;
+use crate::zone_duties;
 
-/// How often the platform is read beside the head.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct ReadTimes {
-    /// Between two reads of the VM list, the notices and the drains by a reader of the zone.
-    pub reader_interval: time::Millis,
-    /// Between two reads by every other daemon.
-    pub other_interval: time::Millis,
-    /// Added for each VM of the last list, so that long lists are read less often.
-    pub per_vm: time::Millis,
-    /// A daemon that reached no peer by then serves without one.
-    pub join_limit: time::Millis,
-    /// A daemon reports no revision as in force for this long after its start.
-    pub report_quiet: time::Millis,
-    /// Least time between two views.
-    pub view_interval: time::Millis,
-    /// Replicas for which a millisecond is added to that time.
-    pub replicas_per_milli: usize,
-}
-
-impl Default for ReadTimes {
-    fn default() -> Self {
-        ReadTimes {
-            reader_interval: time::Millis::new(1_000),
-            other_interval: time::Millis::new(30_000),
-            per_vm: time::Millis::new(20),
-            join_limit: time::Millis::new(3_000),
-            report_quiet: time::Millis::new(2_000),
-            view_interval: time::Millis::new(100),
-            replicas_per_milli: 4,
-        }
-    }
-}
+/// A daemon reports no revision as in force for this long after its start.
+const REPORT_QUIET: time::Millis = time::Millis::new(2_000);
 
 /// The control state.
 #[derive(Debug)]
 pub struct ControlState {
-    times: ReadTimes,
     membership: state::MembershipState,
     follower: follow::HeadFollower,
     records: Option<set::RecordSet>,
     in_force_since: time::MonotonicTime,
-    seeds: Vec<net::SocketAddr>,
     started_at: time::MonotonicTime,
-    next_join: time::MonotonicTime,
-    is_list_tried: bool,
-    next_list_read: time::MonotonicTime,
-    next_notice_read: time::MonotonicTime,
-    notice_serial: u64,
-    listed: usize,
+    joining: join::JoinAttempts,
     platform: zone::PlatformState,
-    life: quantity::Incarnation,
-    serial: u64,
-    duty: duty::DutyLease,
-    shown_fence: Option<quantity::FenceNumber>,
-    capacity: capacity::CapacityState,
-    marks: Vec<capacity::DrainMark>,
-    shown_changes: Option<ShownChanges>,
-    next_view: time::MonotonicTime,
+    schedule: platform_schedule::PlatformSchedule,
+    duties: zone_duties::ZoneDuties,
+    publisher: publisher::ViewPublisher,
 }
 
-/// What the last view was made of.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-struct ShownChanges {
-    membership: u64,
-    revision: quantity::RevisionNumber,
-    platform: zone::PlatformState,
-}
-
-/// Between two attempts to join.
-const JOIN_INTERVAL: time::Millis = time::Millis::new(500);
-
-/// Longest wait of the first view for the first answers of the upstreams.
-const FIRST_VIEW_WAIT: time::Millis = time::Millis::new(2_000);
-
 impl ControlState {
     /// A daemon that starts. `seed` orders its calls to peers.
     pub fn new(
@@ -104,32 +52,20 @@
         now: time::MonotonicTime,
     ) -> Self {
         let limits = state::MembershipLimits::default();
-        let life = own.standing.incarnation;
-        let holder = row::DaemonLife { daemon: own.id.clone(), incarnation: life };
-        let duty = duty::DutyLease::new(&own.zone, holder, duty::DutyTimes::default());
+        let incarnation = own.standing.incarnation;
+        let holder = row::DaemonLife { daemon: own.id.clone(), incarnation };
+        let duties = zone_duties::ZoneDuties::new(own.zone.clone(), holder);
         ControlState {
-            times: ReadTimes::default(),
             membership: state::MembershipState::new(own, limits, seed, now),
             follower: follow::HeadFollower::new(follow::FollowTimes::default()),
             records: None,
             in_force_since: now,
-            seeds,
             started_at: now,
-            next_join: now,
-            is_list_tried: false,
-            next_list_read: now,
-            next_notice_read: now,
-            notice_serial: 0,
-            listed: 0,
+            joining: join::JoinAttempts::new(seeds, now),
             platform: zone::PlatformState::Unavailable,
-            life,
-            serial: 0,
-            duty,
-            shown_fence: None,
-            capacity: capacity::CapacityState::default(),
-            marks: Vec::new(),
-            shown_changes: None,
-            next_view: now,
+            schedule: platform_schedule::PlatformSchedule::new(now),
+            duties,
+            publisher: publisher::ViewPublisher::new(incarnation, now),
         }
     }
 
@@ -143,7 +79,7 @@
     /// Until the news of the daemons that ran at its start had the time to reach it, it could name
     /// too few of them to an operator who asks where a change is in force.
     pub fn reported_revision(&self, now: time::MonotonicTime) -> quantity::RevisionNumber {
-        if now.since(self.started_at) < self.times.report_quiet {
+        if now.since(self.started_at) < REPORT_QUIET {
             return quantity::RevisionNumber::default();
         }
         self.revision()
@@ -156,7 +92,7 @@
 
     /// Key of the lease row of the zone's duties.
     pub fn duty_key(&self) -> &table::RowKey {
-        self.duty.key()
+        self.duties.key()
     }
 
     /// The membership.
@@ -240,29 +176,18 @@
             action::ControlInput::RevisionRead(content) => {
                 self.follow(now, follow::FollowInput::RevisionRead(content), actions);
             }
-            action::ControlInput::ListRead(entries) => {
-                self.is_list_tried = true;
-                self.listed = entries.len();
-                self.membership.list_read(now, &entries);
-            }
+            action::ControlInput::ListRead(entries) => self.list_read(now, &entries),
             action::ControlInput::NoticesRead(notices) => self.notices_read(now, &notices),
-            action::ControlInput::DrainsRead(marks) => {
-                let vms: Vec<id::VmId> = marks.iter().map(|mark| mark.vm.clone()).collect();
-                self.membership.drains_read(now, &vms);
-                self.marks = marks;
-            }
+            action::ControlInput::DrainsRead(marks) => self.drains_read(now, marks),
             action::ControlInput::OffersRead(offers) => self.plan(now, &offers, actions),
             action::ControlInput::DutyRead(row) => {
-                self.hold(now, duty::DutyInput::Read(row), actions)
+                self.duties.step_lease(now, duty::DutyInput::Read(row), actions);
             }
             action::ControlInput::DutyWritten(answer) => {
-                self.hold(now, duty::DutyInput::Written(answer), actions);
+                self.duties.step_lease(now, duty::DutyInput::Written(answer), actions);
             }
             action::ControlInput::StartAnswered(start, answer) => {
-                if let Some(until) = self.capacity.start_answered(now, &start, &answer) {
-                    let wait = until.since(now);
-                    actions.push(action::ControlAction::StartRefused(start.offer, wait));
-                }
+                self.duties.start_answered(now, start, &answer, actions);
             }
             action::ControlInput::ReadFailed(read) => self.read_failed(now, read, actions),
             action::ControlInput::GossipAnswered(message) => {
@@ -291,115 +216,43 @@
     fn tick(&mut self, now: time::MonotonicTime, actions: &mut Vec<action::ControlAction>) {
         self.try_to_join(now, actions);
         let is_reader = self.membership.is_reader();
-        self.read_platform(now, is_reader, actions);
         let duty = if is_reader { follow::ReaderDuty::Reader } else { follow::ReaderDuty::Other };
+        let reads = self.schedule.due_reads(now, duty);
+        actions.extend(reads.into_iter().map(action::ControlAction::Read));
         self.follow(now, follow::FollowInput::Tick(duty), actions);
         let ticked = self.membership.tick(now);
         self.act(ticked, actions);
-        self.hold(now, duty::DutyInput::Tick { is_candidate: is_reader }, actions);
-        self.look_after_capacity(now, actions);
-    }
-
-    fn hold(
-        &mut self,
-        now: time::MonotonicTime,
-        input: duty::DutyInput,
-        actions: &mut Vec<action::ControlAction>,
-    ) {
-        match self.duty.step(now, input) {
-            None => {}
-            Some(duty::DutyAction::Read) => {
-                actions.push(action::ControlAction::Read(action::PlatformRead::Duty))
-            }
-            Some(duty::DutyAction::Write(write)) => {
-                actions.push(action::ControlAction::WriteDuty(write))
-            }
-        }
-        let fence = self.duty.fence(now);
-        if fence != self.shown_fence {
-            self.shown_fence = fence;
-            actions.push(action::ControlAction::DutyChanged(fence));
+        let tick = duty::DutyInput::Tick { is_candidate: is_reader };
+        self.duties.step_lease(now, tick, actions);
+        // Without records there is nothing to plan for.
+        if self.records.is_some() {
+            self.duties.tick(now, &self.membership, actions);
         }
     }
 
-    /// Starts a plan where one is due, and gives marked VMs back that are idle.
-    fn look_after_capacity(
-        &mut self,
-        now: time::MonotonicTime,
-        actions: &mut Vec<action::ControlAction>,
-    ) {
-        let Some(fence) = self.duty.fence(now) else { return };
-        if self.records.is_none() || !self.capacity.is_due(now) {
-            return;
-        }
-        actions.push(action::ControlAction::Read(action::PlatformRead::Offers));
-        let zone = self.membership.daemons().own().zone.clone();
-        let upstreams = self.membership.upstreams();
-        let steps = self.capacity.releases(now, &zone, &self.marks, upstreams);
-        actions.extend(steps.into_iter().map(|step| action::ControlAction::CarryOut(step, fence)));
-    }
-
     fn plan(
         &mut self,
         now: time::MonotonicTime,
         offers: &[cloud::VmOffer],
         actions: &mut Vec<action::ControlAction>,
     ) {
-        let Some(fence) = self.duty.fence(now) else { return };
         let Some(records) = &self.records else { return };
-        let input = capacity::CapacityInput {
-            zone: &self.membership.daemons().own().zone,
-            life: self.life,
-            records,
-            upstreams: self.membership.upstreams(),
-            offers,
-        };
-        let steps = self.capacity.plan(now, &input);
-        actions.extend(steps.into_iter().map(|step| action::ControlAction::CarryOut(step, fence)));
+        self.duties.plan(now, records, &self.membership, offers, actions);
     }
 
     fn try_to_join(&mut self, now: time::MonotonicTime, actions: &mut Vec<action::ControlAction>) {
         if self.follower.is_joined() {
             return;
         }
-        let is_alone = self.is_list_tried
-            && self.seeds.is_empty()
-            && self.membership.daemons().all().count() == 1;
-        if is_alone || now.since(self.started_at) >= self.times.join_limit {
-            return self.follow(now, follow::FollowInput::Joined, actions);
-        }
-        if now < self.next_join {
-            return;
-        }
-        self.next_join = now + JOIN_INTERVAL;
-        let own = self.membership.daemons().own();
-        let join = |seed: &net::SocketAddr| action::ControlAction::Join(*seed, own.clone());
-        actions.extend(self.seeds.iter().map(join));
-    }
-
-    fn read_platform(
-        &mut self,
-        now: time::MonotonicTime,
-        is_reader: bool,
-        actions: &mut Vec<action::ControlAction>,
-    ) {
-        let interval =
-            if is_reader { self.times.reader_interval } else { self.times.other_interval };
-        let list_length = u64::try_from(self.listed).unwrap_or(u64::MAX);
-        let list_time = list_length.saturating_mul(self.times.per_vm.get());
-        let list_interval = interval.max(time::Millis::new(list_time));
-        self.next_list_read = self.next_list_read.min(now + list_interval);
-        if now >= self.next_list_read {
-            self.next_list_read = now + list_interval;
-            actions.push(action::ControlAction::Read(action::PlatformRead::List));
-        }
-        self.next_notice_read = self.next_notice_read.min(now + interval);
-        if now >= self.next_notice_read {
-            self.next_notice_read = now + interval;
-            actions.push(action::ControlAction::Read(action::PlatformRead::Notices(
-                self.notice_serial,
-            )));
-            actions.push(action::ControlAction::Read(action::PlatformRead::Drains));
+        let daemons = self.membership.daemons();
+        match self.joining.step(now, daemons.all().count()) {
+            join::JoinStep::Wait => {}
+            join::JoinStep::Ask(seeds) => {
+                let own = daemons.own();
+                let ask = |seed| action::ControlAction::Join(seed, own.clone());
+                actions.extend(seeds.into_iter().map(ask));
+            }
+            join::JoinStep::GoOn => self.follow(now, follow::FollowInput::Joined, actions),
         }
     }
 
@@ -417,17 +270,31 @@
             action::PlatformRead::Revision(_) => {
                 self.follow(now, follow::FollowInput::RevisionRead(None), actions);
             }
-            action::PlatformRead::List => self.is_list_tried = true,
-            action::PlatformRead::Duty => self.hold(now, duty::DutyInput::ReadFailed, actions),
+            action::PlatformRead::List => self.joining.list_tried(),
+            action::PlatformRead::Duty => {
+                self.duties.step_lease(now, duty::DutyInput::ReadFailed, actions);
+            }
             action::PlatformRead::Notices(_)
             | action::PlatformRead::Drains
             | action::PlatformRead::Offers => {}
         }
     }
 
+    fn list_read(&mut self, now: time::MonotonicTime, entries: &[cloud::VmEntry]) {
+        self.joining.list_tried();
+        self.schedule.list_read(entries.len());
+        self.membership.list_read(now, entries);
+    }
+
+    fn drains_read(&mut self, now: time::MonotonicTime, marks: Vec<capacity::DrainMark>) {
+        let vms: Vec<id::VmId> = marks.iter().map(|mark| mark.vm.clone()).collect();
+        self.membership.drains_read(now, &vms);
+        self.duties.set_marks(marks);
+    }
+
     fn notices_read(&mut self, now: time::MonotonicTime, notices: &[cloud::ReclaimNotice]) {
         for notice in notices {
-            self.notice_serial = self.notice_serial.max(notice.serial);
+            self.schedule.notice_read(notice);
             self.membership.leave(now, &notice.vm);
         }
     }
@@ -495,96 +362,43 @@
         steps: Vec<state::MembershipAction>,
         actions: &mut Vec<action::ControlAction>,
     ) {
-        for step in steps {
-            match step {
-                state::MembershipAction::Call(peer) => {
-                    let Some(news) = self.membership.daemons().get(&peer).cloned() else {
-                        continue;
-                    };
-                    let revision = self.follower.in_force();
-                    let message = self.membership.message_for(&peer, revision);
-                    actions.push(action::ControlAction::Gossip(news, message));
-                }
-                state::MembershipAction::ProbeThrough { through, target } => {
-                    let daemons = self.membership.daemons();
-                    let through = daemons.get(&through).cloned();
-                    let target = daemons.get(&target).cloned();
-                    let Some((through, target)) = through.zip(target) else { continue };
-                    actions.push(action::ControlAction::Probe { through, target });
-                }
-                state::MembershipAction::Poll(upstream) => {
-                    actions.push(action::ControlAction::Poll(upstream));
-                }
-                state::MembershipAction::DaemonChanged(news) => {
-                    actions.push(action::ControlAction::DaemonChanged(news));
-                }
-                state::MembershipAction::UpstreamChanged(news) => {
-                    // New work must stop within seconds, whatever the view's interval.
-                    if news.standing.state >= zone::UpstreamState::Leaving {
-                        self.next_view = time::MonotonicTime::default();
-                    }
-                    actions.push(action::ControlAction::UpstreamChanged(news));
-                }
-            }
-        }
+        actions.extend(steps.into_iter().filter_map(|step| self.action_for(step)));
     }
 
-    /// Whether the first view is put off: an entry daemon takes requests from its first view on,
-    /// and would refuse them all while no upstream is known to be live.
-    fn waits_for_upstreams(&self, now: time::MonotonicTime) -> bool {
-        if self.shown_changes.is_some() || now.since(self.started_at) >= FIRST_VIEW_WAIT {
-            return false;
-        }
-        let replicas = self.membership.upstreams().views(now);
-        let is_joining =
-            |replica: &zone::ReplicaView| replica.state == zone::UpstreamState::Joining;
-        replicas.is_empty() || replicas.iter().any(is_joining)
+    /// The action for a step of the membership; none where a daemon of it is not known any more.
+    fn action_for(&mut self, step: state::MembershipAction) -> Option<action::ControlAction> {
+        let daemons = self.membership.daemons();
+        let action = match step {
+            state::MembershipAction::Call(peer) => {
+                let news = daemons.get(&peer).cloned()?;
+                let message = self.membership.message_for(&peer, self.follower.in_force());
+                action::ControlAction::Gossip(news, message)
+            }
+            state::MembershipAction::ProbeThrough { through, target } => {
+                let through = daemons.get(&through).cloned()?;
+                let target = daemons.get(&target).cloned()?;
+                action::ControlAction::Probe { through, target }
+            }
+            state::MembershipAction::Poll(upstream) => action::ControlAction::Poll(upstream),
+            state::MembershipAction::DaemonChanged(news) => {
+                action::ControlAction::DaemonChanged(news)
+            }
+            state::MembershipAction::UpstreamChanged(news) => {
+                // New work must stop within seconds, whatever the view's interval.
+                if news.standing.state >= zone::UpstreamState::Leaving {
+                    self.publisher.hurry();
+                }
+                action::ControlAction::UpstreamChanged(news)
+            }
+        };
+        Some(action)
     }
 
-    /// Makes a view where something changed and the last one is old enough.
     fn publish(&mut self, now: time::MonotonicTime, actions: &mut Vec<action::ControlAction>) {
         let Some(records) = &self.records else { return };
-        let changes = ShownChanges {
-            membership: self.membership.change_count(),
-            revision: records.revision,
-            platform: self.platform,
-        };
-        let is_new_revision =
-            self.shown_changes.is_none_or(|shown| shown.revision != changes.revision);
-        let is_due = is_new_revision || now >= self.next_view;
-        if self.shown_changes == Some(changes) || !is_due || self.waits_for_upstreams(now) {
-            return;
-        }
-        self.shown_changes = Some(changes);
-        self.serial += 1;
-        let own = self.membership.daemons().own();
-        let replicas = self.membership.upstreams().views(now);
-        let stretch = u64::try_from(replicas.len() / self.times.replicas_per_milli);
-        let stretch = time::Millis::new(stretch.unwrap_or(u64::MAX));
-        self.next_view = now + self.times.view_interval.max(stretch);
-        actions.push(action::ControlAction::Publish(Box::new(zone::ZoneView {
-            zone: own.zone.clone(),
-            serial: self.serial,
-            incarnation: self.life,
-            records: records.clone(),
-            replicas,
-            daemons: self.membership.daemons().all().filter_map(daemon_view).collect(),
-            platform: self.platform,
-        })));
-    }
-}
-
-/// The daemon as an entry daemon sees it; none for one that does not answer.
-fn daemon_view(news: &news::DaemonNews) -> Option<zone::DaemonView> {
-    if !daemons::is_answering(news) {
-        return None;
+        let membership = &self.membership;
+        let source = publisher::ViewSource { records, membership, platform: self.platform };
+        let view = self.publisher.publish(now, source);
+        actions.extend(view.map(|view| action::ControlAction::Publish(Box::new(view))));
     }
-    Some(zone::DaemonView {
-        id: news.entry.clone(),
-        vm: news.vm.clone(),
-        zone: news.zone.clone(),
-        http_address: news.http_address,
-        peer_address: news.peer_address,
-        state: news.standing.state,
-    })
 }
