ctl: part record files and the wanted change from the record store

Cause: store.rs held the operator's change, the reading of files and the table's rows, and the loop that repeats a change after a lost race judged the race in line.

Change: `files` reads record files, `wanted` holds `RecordChange` and `ChangeRules`; the loop's test is `is_apart`, and a parameter that is a change is called `change`. Behaviour is unchanged.

Ruled out: a `change` module, since that name is the one of the head's machine that the store drives.

--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -16,12 +16,14 @@
 
 use crate::args;
 use crate::explain;
+use crate::files;
 use crate::force;
 use crate::outcome;
 use crate::plan;
 use crate::show;
 use crate::status;
 use crate::store;
+use crate::wanted;
 
 /// The outside world of the command line.
 #[derive(Clone)]
@@ -88,7 +90,7 @@
     }
 
     async fn validate(&mut self, args: &args::ValidateArgs) -> Result<(), outcome::CtlError> {
-        let entries = store::read_files(&args.files)?;
+        let entries = files::read_all(&args.files)?;
         let count = entries.len();
         let mut bundle = match args.with_current {
             true => self.store.current().await?.map(|current| current.row.bundle()),
@@ -102,24 +104,24 @@
     }
 
     async fn apply(&mut self, args: &args::ApplyArgs) -> Result<(), outcome::CtlError> {
-        let wanted = store::RecordChange::Put(store::read_files(&args.files)?);
-        let rules = store::ChangeRules { base: args.base, rebase: args.rebase };
-        self.change(&wanted, rules, args.no_wait).await
+        let change = wanted::RecordChange::Put(files::read_all(&args.files)?);
+        let rules = wanted::ChangeRules { base: args.base, rebase: args.rebase };
+        self.change(&change, rules, args.no_wait).await
     }
 
     async fn withdraw(&mut self, args: &args::WithdrawArgs) -> Result<(), outcome::CtlError> {
-        let wanted = store::RecordChange::Withdraw(args.keys.clone());
-        let rules = store::ChangeRules { base: args.base, rebase: args.rebase };
-        self.change(&wanted, rules, args.no_wait).await
+        let change = wanted::RecordChange::Withdraw(args.keys.clone());
+        let rules = wanted::ChangeRules { base: args.base, rebase: args.rebase };
+        self.change(&change, rules, args.no_wait).await
     }
 
     async fn change(
         &mut self,
-        wanted: &store::RecordChange,
-        rules: store::ChangeRules,
+        change: &wanted::RecordChange,
+        rules: wanted::ChangeRules,
         no_wait: bool,
     ) -> Result<(), outcome::CtlError> {
-        let revision = self.store.change(wanted, rules, &self.new_author()).await?;
+        let revision = self.store.change(change, rules, &self.new_author()).await?;
         self.note(&format!("revision {revision} is written\n"));
         if no_wait {
             self.print(&format!("written as revision {revision}; not awaited\n"));
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -1,12 +1,15 @@
 //! The command line of operators, `samphiremoorctl`.
 //!
-//! [`args`] is what can be typed and [`command`] runs it. [`store`] reads and changes the records in
-//! the platform's table, [`force`] finds out where a revision is in force, [`status`],
-//! [`explain`] and [`plan`] work out what is asked, and [`show`] makes what is printed. Exit codes are those of [`outcome`].
+//! [`args`] is what can be typed and [`command`] runs it. [`files`] reads record files, [`wanted`] is a
+//! change to make, and [`store`] reads and changes the records in the platform's table. [`force`]
+//! finds out where a revision is in force; [`status`],
+//! [`explain`] and [`plan`] work out what is asked, and [`show`] makes what is printed. Exit codes
+//! are those of [`outcome`].
 
 pub mod args;
 pub mod command;
 pub mod explain;
+pub mod files;
 pub mod force;
 pub mod outcome;
 pub mod plan;
@@ -14,3 +17,4 @@
 pub mod show;
 pub mod status;
 pub mod store;
+pub mod wanted;
--- a/crates/ctl/src/store.rs
+++ b/crates/ctl/src/store.rs
@@ -1,7 +1,5 @@
 //! Reads and changes the records in the platform's table.
 
-use std::fs;
-use std::path;
 use std::sync;
 
 use samphiremoor_base::id;
@@ -9,10 +7,10 @@
 use samphiremoor_head::change;
 use samphiremoor_platform::table;
 use samphiremoor_records::entry;
-use samphiremoor_records::file;
 use samphiremoor_records::revision;
 
 use crate::outcome;
+use crate::wanted;
 
 /// Times that a change is made again after a lost race.
 const MAX_REBASES: usize = 5;
@@ -20,24 +18,6 @@
 /// Changes that one read of the history returns.
 const MAX_HISTORY: u64 = 1_000;
 
-/// What an operator wants to change.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum RecordChange {
-    /// Add or replace records.
-    Put(Vec<entry::RecordEntry>),
-    /// Withdraw records.
-    Withdraw(Vec<entry::RecordKey>),
-}
-
-/// How a change is made.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct ChangeRules {
-    /// Refuse it where one of its records was changed after this revision.
-    pub base: Option<quantity::RevisionNumber>,
-    /// After a lost race, make it again where the winner changed other records only.
-    pub rebase: bool,
-}
-
 /// The newest revision in the table.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct CurrentRevision {
@@ -53,30 +33,6 @@
     table: sync::Arc<dyn table::TableStore>,
 }
 
-impl RecordChange {
-    /// Keys of the records that it changes.
-    pub fn keys(&self) -> Vec<entry::RecordKey> {
-        match self {
-            RecordChange::Put(entries) => entries.iter().map(|entry| entry.key.clone()).collect(),
-            RecordChange::Withdraw(keys) => keys.clone(),
-        }
-    }
-
-    fn apply(&self, bundle: &mut entry::RecordBundle) -> Result<(), outcome::CtlError> {
-        match self {
-            RecordChange::Put(entries) => {
-                entries.iter().for_each(|entry| bundle.put(entry.clone()));
-            }
-            RecordChange::Withdraw(keys) => {
-                for key in keys {
-                    bundle.remove(key)?;
-                }
-            }
-        }
-        Ok(())
-    }
-}
-
 impl RecordStore {
     /// The records in the table.
     pub fn new(table: sync::Arc<dyn table::TableStore>) -> Self {
@@ -142,28 +98,24 @@
     /// whether the change took effect.
     pub async fn change(
         &self,
-        wanted: &RecordChange,
-        rules: ChangeRules,
+        change: &wanted::RecordChange,
+        rules: wanted::ChangeRules,
         author: &change::ChangeAuthor,
     ) -> Result<quantity::RevisionNumber, outcome::CtlError> {
         let mut rebases = 0;
         loop {
-            let winner = match self.change_once(wanted, rules, author).await? {
+            let winner = match self.change_once(change, rules, author).await? {
                 change::ChangeEnd::Written(revision) => return Ok(revision),
                 change::ChangeEnd::LostRace(winner) => winner,
-                change::ChangeEnd::NotDone => {
-                    let cause = sync::Arc::from("the table refused every attempt");
-                    return Err(table::PlatformError::NotDone(cause).into());
-                }
+                change::ChangeEnd::NotDone => return Err(not_done()),
                 change::ChangeEnd::NotKnown(revision) => {
                     let write_id = author.write_id.clone();
                     return Err(outcome::CtlError::NotKnown { revision, write_id });
                 }
             };
             let changed = self.changed_by(&winner).await;
-            let keys = wanted.keys();
-            let is_apart = !changed.is_empty() && !changed.iter().any(|key| keys.contains(key));
-            if !rules.rebase || !is_apart || rebases >= MAX_REBASES {
+            let may_rebase = rules.rebase && rebases < MAX_REBASES;
+            if !may_rebase || !is_apart(&change.keys(), &changed) {
                 return Err(outcome::CtlError::LostRace(winner, changed));
             }
             rebases += 1;
@@ -172,16 +124,16 @@
 
     async fn change_once(
         &self,
-        wanted: &RecordChange,
-        rules: ChangeRules,
+        change: &wanted::RecordChange,
+        rules: wanted::ChangeRules,
         author: &change::ChangeAuthor,
     ) -> Result<change::ChangeEnd, outcome::CtlError> {
         let current = self.current().await?;
         let old = current.as_ref().map(|current| current.row.bundle()).unwrap_or_default();
         let newest = current.as_ref().map(|current| current.row.revision).unwrap_or_default();
-        self.refuse_stale(wanted, rules, &old, newest).await?;
+        self.refuse_stale(change, rules, &old, newest).await?;
         let mut bundle = old.clone();
-        wanted.apply(&mut bundle)?;
+        change.apply(&mut bundle)?;
         let head = current.map(|current| current.head);
         let next = head.as_ref().map(|head| head.row.revision).unwrap_or_default().next();
         bundle.to_set(next)?;
@@ -236,15 +188,15 @@
 
     async fn refuse_stale(
         &self,
-        wanted: &RecordChange,
-        rules: ChangeRules,
+        change: &wanted::RecordChange,
+        rules: wanted::ChangeRules,
         current: &entry::RecordBundle,
         newest: quantity::RevisionNumber,
     ) -> Result<(), outcome::CtlError> {
         let Some(base) = rules.base else { return Ok(()) };
         let seen = self.revision(base).await?.bundle();
         let changed = seen.changed_keys(current);
-        let keys: Vec<_> = wanted.keys().into_iter().filter(|key| changed.contains(key)).collect();
+        let keys: Vec<_> = change.keys().into_iter().filter(|key| changed.contains(key)).collect();
         if keys.is_empty() {
             return Ok(());
         }
@@ -284,24 +236,12 @@
     }
 }
 
-/// Reads record files as one change.
-///
-/// # Errors
-///
-/// Refuses files that can't be read, and records that are declared twice.
-pub fn read_files(files: &[path::PathBuf]) -> Result<Vec<entry::RecordEntry>, outcome::CtlError> {
-    let mut entries: Vec<entry::RecordEntry> = Vec::new();
-    for name in files {
-        let text = fs::read_to_string(name)
-            .map_err(|cause| outcome::CtlError::UnreadableFile(name.clone(), cause))?;
-        let parsed =
-            file::parse(&text).map_err(|cause| outcome::CtlError::BadFile(name.clone(), cause))?;
-        for entry in parsed.entries {
-            if entries.iter().any(|other| other.key == entry.key) {
-                return Err(outcome::CtlError::RepeatedRecord(entry.key));
-            }
-            entries.push(entry);
-        }
-    }
-    Ok(entries)
+fn not_done() -> outcome::CtlError {
+    let cause = sync::Arc::from("the table refused every attempt");
+    table::PlatformError::NotDone(cause).into()
+}
+
+/// Whether the winner of a race is known to have changed other records only.
+fn is_apart(keys: &[entry::RecordKey], changed_by_winner: &[entry::RecordKey]) -> bool {
+    !changed_by_winner.is_empty() && !changed_by_winner.iter().any(|key| keys.contains(key))
 }
