ctl: gather the zones' views in a module of their own

Cause: command.rs ran the commands and also collected the views of the zones, and read the list and made the survey in the same two lines twice.

Change: `views` gathers the views and finds the one of a zone; `survey` is one function, which says why a list that can't be read does not end the command. `validate` no longer matches on a bool. Behaviour is unchanged.

Ruled out: one survey for `plan` too, which needs the list itself and fails without it.

--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -1,18 +1,15 @@
 //! Runs commands.
 
-use std::collections;
 use std::io;
 use std::net;
 use std::sync;
 
-use samphiremoor_base::id;
 use samphiremoor_base::quantity;
 use samphiremoor_base::time;
 use samphiremoor_head::change;
 use samphiremoor_platform::cloud;
 use samphiremoor_platform::table;
 use samphiremoor_records::entry;
-use samphiremoor_view::zone;
 
 use crate::args;
 use crate::explain;
@@ -23,6 +20,7 @@
 use crate::show;
 use crate::status;
 use crate::store;
+use crate::views;
 use crate::wanted;
 
 /// The outside world of the command line.
@@ -92,11 +90,8 @@
     async fn validate(&mut self, args: &args::ValidateArgs) -> Result<(), outcome::CtlError> {
         let entries = files::read_all(&args.files)?;
         let count = entries.len();
-        let mut bundle = match args.with_current {
-            true => self.store.current().await?.map(|current| current.row.bundle()),
-            false => None,
-        }
-        .unwrap_or_default();
+        let current = if args.with_current { self.store.current().await? } else { None };
+        let mut bundle = current.map(|current| current.row.bundle()).unwrap_or_default();
         entries.into_iter().for_each(|entry| bundle.put(entry));
         bundle.to_set(quantity::RevisionNumber::default())?;
         self.print(&format!("{count} records hold together\n"));
@@ -195,44 +190,25 @@
             Ok(current) => Some(current.map(|current| current.row.revision).unwrap_or_default()),
             Err(_) => None,
         };
-        let listed = self.ports.cloud.list_vms().await.unwrap_or_default();
-        let survey = force::survey(&self.ports.asker, &listed, &self.context.seeds).await;
-        let views = self.views(&survey).await?;
+        let survey = self.survey().await;
+        let views = views::gather(&self.ports.asker, &survey).await?;
         let status = status::make(written, &survey, &views);
         let text = show::status(self.context.form, &status);
         self.print(&text);
         Ok(())
     }
 
-    /// A view of each availability zone that has one, by zone.
-    async fn views(
-        &self,
-        survey: &force::ForceSurvey,
-    ) -> Result<Vec<zone::ZoneView>, outcome::CtlError> {
-        if survey.daemons.iter().all(|daemon| daemon.report.is_none()) {
-            return Err(outcome::CtlError::NoDaemon);
-        }
-        let mut views: collections::BTreeMap<id::ZoneId, zone::ZoneView> =
-            collections::BTreeMap::new();
-        for daemon in survey.daemons.iter().filter(|daemon| daemon.report.is_some()) {
-            if views.contains_key(&daemon.news.zone) {
-                continue;
-            }
-            if let Some(view) = force::view_of(&self.ports.asker, &daemon.news).await {
-                views.insert(daemon.news.zone.clone(), view);
-            }
-        }
-        Ok(views.into_values().collect())
+    async fn survey(&self) -> force::ForceSurvey {
+        // Where the list can't be read, the seeds are asked.
+        let listed = self.ports.cloud.list_vms().await.unwrap_or_default();
+        force::survey(&self.ports.asker, &listed, &self.context.seeds).await
     }
 
     async fn explain(&mut self, args: &args::ExplainArgs) -> Result<(), outcome::CtlError> {
         let request = explain::read(&args.file)?;
-        let listed = self.ports.cloud.list_vms().await.unwrap_or_default();
-        let survey = force::survey(&self.ports.asker, &listed, &self.context.seeds).await;
-        let views = self.views(&survey).await?;
-        let is_wanted =
-            |view: &&zone::ZoneView| request.zone.as_ref().is_none_or(|zone| view.zone == *zone);
-        let view = views.iter().find(is_wanted).ok_or_else(|| no_view(&views))?;
+        let survey = self.survey().await;
+        let views = views::gather(&self.ports.asker, &survey).await?;
+        let view = views::find(&views, request.zone.as_ref())?;
         let explanation = explain::explain(&request, view)?;
         let text = show::explanation(self.context.form, &explanation);
         self.print(&text);
@@ -243,7 +219,7 @@
         let listed = self.ports.cloud.list_vms().await?;
         let offers = self.ports.cloud.offers().await?;
         let survey = force::survey(&self.ports.asker, &listed, &self.context.seeds).await;
-        let views = self.views(&survey).await?;
+        let views = views::gather(&self.ports.asker, &survey).await?;
         let newest = views.iter().max_by_key(|view| view.records.revision);
         let newest = newest.ok_or(outcome::CtlError::NoDaemon)?;
         let replicas = status::newest_replicas(&views);
@@ -292,9 +268,3 @@
         let _ = self.progress.write_all(text.as_bytes());
     }
 }
-
-fn no_view(views: &[zone::ZoneView]) -> outcome::CtlError {
-    let zones: Vec<&str> = views.iter().map(|view| view.zone.as_str()).collect();
-    let zones = zones.join(", ");
-    outcome::CtlError::BadRequest(format!("no daemon of its zone answers; name one of: {zones}"))
-}
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! [`args`] is what can be typed and [`command`] runs it. [`files`] reads record files, [`wanted`] is a
 //! change to make, and [`store`] reads and changes the records in the platform's table. [`force`]
-//! finds out where a revision is in force; [`status`],
+//! finds out where a revision is in force and [`views`] gathers the zones' views; [`status`],
 //! [`explain`] and [`plan`] work out what is asked, and [`show`] makes what is printed. Exit codes
 //! are those of [`outcome`].
 
@@ -17,4 +17,5 @@
 pub mod show;
 pub mod status;
 pub mod store;
+pub mod views;
 pub mod wanted;
