Drain an entry VM without cutting its streams

Cause: a drain of an entry VM looked like a reclaim to its entry daemon, which handed its streams over after 1.5 s; a planned stop must cut no request. Change: the view says why its VM is to stop. The control daemon of a leaving VM reads the drain marks and the notices itself, whatever its rank, and says Drain, Reclaim, or Unsettled for at most 2 s. Ruled out: the cause in the gossip between daemons (more bytes for all, and a mark that was missed would still read as a reclaim); reading the marks at the tick only (the view with the new state went out before).

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -22,6 +22,7 @@
 mod join;
 pub mod message;
 pub mod metrics;
+mod own_stop;
 mod platform_read;
 mod platform_schedule;
 mod publisher;
--- a/crates/control/src/platform_schedule.rs
+++ b/crates/control/src/platform_schedule.rs
@@ -46,6 +46,11 @@
         self.notice_serial = self.notice_serial.max(notice.serial);
     }
 
+    /// The notices and the drain marks are read with the next reads.
+    pub(crate) fn hurry_notices(&mut self, now: time::MonotonicTime) {
+        self.next_notice_read = now;
+    }
+
     /// The reads that are due. A daemon that becomes a reader does not wait out its longer interval.
     pub(crate) fn due_reads(
         &mut self,
--- a/crates/control/src/publisher.rs
+++ b/crates/control/src/publisher.rs
@@ -26,6 +26,8 @@
     pub(crate) membership: &'a membership::MembershipState,
     /// Whether the platform answers.
     pub(crate) platform: zone::PlatformState,
+    /// Why the VM is to stop, where it is.
+    pub(crate) own_stop: Option<zone::StopCause>,
 }
 
 /// Numbers the views, and spaces them.
@@ -44,6 +46,7 @@
     membership: u64,
     revision: quantity::RevisionNumber,
     platform: zone::PlatformState,
+    own_stop: Option<zone::StopCause>,
 }
 
 impl ViewPublisher {
@@ -67,6 +70,7 @@
             membership: source.membership.change_count(),
             revision: source.records.revision,
             platform: source.platform,
+            own_stop: source.own_stop,
         };
         let is_new_revision = self.shown.is_none_or(|shown| shown.revision != changes.revision);
         let is_due = is_new_revision || now >= self.next_view;
@@ -102,6 +106,7 @@
             replicas: source.membership.upstreams().views(now),
             daemons: daemons.all().filter_map(daemon_view).collect(),
             platform: source.platform,
+            own_stop: source.own_stop,
         }
     }
 }
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -21,6 +21,7 @@
 use crate::duty;
 use crate::join;
 use crate::message;
+use crate::own_stop;
 use crate::platform_schedule;
 use crate::publisher;
 use crate::zone_duties;
@@ -39,6 +40,7 @@
     joining: join::JoinAttempts,
     platform: zone::PlatformState,
     schedule: platform_schedule::PlatformSchedule,
+    own_stop: own_stop::OwnStop,
     duties: zone_duties::ZoneDuties,
     publisher: publisher::ViewPublisher,
 }
@@ -64,6 +66,7 @@
             joining: join::JoinAttempts::new(seeds, now),
             platform: zone::PlatformState::Unavailable,
             schedule: platform_schedule::PlatformSchedule::new(now),
+            own_stop: own_stop::OwnStop::default(),
             duties,
             publisher: publisher::ViewPublisher::new(incarnation, now),
         }
@@ -157,6 +160,7 @@
     ) -> Vec<action::ControlAction> {
         let mut actions = Vec::new();
         self.take(now, input, &mut actions);
+        self.watch_own_stop(now);
         self.publish(now, &mut actions);
         actions
     }
@@ -217,7 +221,10 @@
         self.try_to_join(now, actions);
         let is_reader = self.membership.is_reader();
         let duty = if is_reader { follow::ReaderDuty::Reader } else { follow::ReaderDuty::Other };
-        let reads = self.schedule.due_reads(now, duty);
+        let reads = match self.own_stop.is_leaving() {
+            true => self.schedule.due_reads(now, follow::ReaderDuty::Reader),
+            false => self.schedule.due_reads(now, duty),
+        };
         actions.extend(reads.into_iter().map(action::ControlAction::Read));
         self.follow(now, follow::FollowInput::Tick(duty), actions);
         let ticked = self.membership.tick(now);
@@ -280,6 +287,15 @@
         }
     }
 
+    /// A daemon whose VM leaves reads itself why.
+    fn watch_own_stop(&mut self, now: time::MonotonicTime) {
+        let is_leaving =
+            self.membership.daemons().own().standing.state == zone::UpstreamState::Leaving;
+        if is_leaving && self.own_stop.note_leaving(now) {
+            self.schedule.hurry_notices(now);
+        }
+    }
+
     fn list_read(&mut self, now: time::MonotonicTime, entries: &[cloud::VmEntry]) {
         self.joining.list_tried();
         self.schedule.list_read(entries.len());
@@ -288,6 +304,8 @@
 
     fn drains_read(&mut self, now: time::MonotonicTime, marks: Vec<capacity::DrainMark>) {
         let vms: Vec<id::VmId> = marks.iter().map(|mark| mark.vm.clone()).collect();
+        let is_marked = vms.contains(&self.membership.daemons().own().vm);
+        self.own_stop.drains_read(is_marked);
         self.membership.drains_read(now, &vms);
         self.duties.set_marks(marks);
     }
@@ -295,6 +313,9 @@
     fn notices_read(&mut self, now: time::MonotonicTime, notices: &[cloud::ReclaimNotice]) {
         for notice in notices {
             self.schedule.notice_read(notice);
+            if notice.vm == self.membership.daemons().own().vm {
+                self.own_stop.notice_read();
+            }
             self.membership.leave(now, &notice.vm);
         }
     }
@@ -397,7 +418,9 @@
     fn publish(&mut self, now: time::MonotonicTime, actions: &mut Vec<action::ControlAction>) {
         let Some(records) = &self.records else { return };
         let membership = &self.membership;
-        let source = publisher::ViewSource { records, membership, platform: self.platform };
+        let own_stop = self.own_stop.cause(now);
+        let platform = self.platform;
+        let source = publisher::ViewSource { records, membership, platform, own_stop };
         let view = self.publisher.publish(now, source);
         actions.extend(view.map(|view| action::ControlAction::Publish(Box::new(view))));
     }
--- a/crates/control/tests/messages.rs
+++ b/crates/control/tests/messages.rs
@@ -44,6 +44,7 @@
         replicas: Vec::new(),
         daemons: Vec::new(),
         platform: zone::PlatformState::Available,
+        own_stop: None,
     }
 }
 
--- a/crates/ctl/tests/explain.rs
+++ b/crates/ctl/tests/explain.rs
@@ -64,6 +64,7 @@
         ],
         daemons: Vec::new(),
         platform: zone::PlatformState::Available,
+        own_stop: None,
     }
 }
 
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -228,13 +228,22 @@
 
     /// Stops the daemon where its VM is about to go.
     fn note_own_state(&self, view: &zone::ZoneView) {
-        let own = view.daemons.iter().find(|daemon| daemon.id == self.settings.daemon);
-        let is_leaving = own.is_some_and(|own| own.state == zone::UpstreamState::Leaving);
-        if is_leaving && !self.reclaimed.is_given() {
-            log_event!(event::LogEvent::ProcessStopping, cause = "reclaim");
-            self.reclaimed.give();
+        let Some(cause) = self.own_stop(view) else { return };
+        if !self.stopping.is_given() {
+            log_event!(event::LogEvent::ProcessStopping, cause = format!("{cause:?}"));
             self.stopping.give();
         }
+        if cause == zone::StopCause::Reclaim && !self.reclaimed.is_given() {
+            log_event!(event::LogEvent::ReclaimNoticed, vm = self.settings.vm);
+            self.reclaimed.give();
+        }
+    }
+
+    /// Why the daemon's VM is to stop. A view without a cause is a file that tells states alone.
+    fn own_stop(&self, view: &zone::ZoneView) -> Option<zone::StopCause> {
+        let own = view.daemons.iter().find(|daemon| daemon.id == self.settings.daemon);
+        let is_leaving = own.is_some_and(|own| own.state == zone::UpstreamState::Leaving);
+        view.own_stop.or(is_leaving.then_some(zone::StopCause::Reclaim))
     }
 
     fn blamed_at(&self, now: time::MonotonicTime) -> Vec<id::ReplicaId> {
--- a/crates/entry/tests/attach.rs
+++ b/crates/entry/tests/attach.rs
@@ -290,6 +290,29 @@
     assert!(answer.is_done);
 }
 
+#[test]
+fn drained_vm_finishes_what_is_in_progress() {
+    let engine = FakeEngine::start(LENGTH);
+    engine.set_fault(EngineFault::Slow(20));
+    let view = fixture::SharedView::new(&[engine.address()], &[]);
+    let daemon = fixture::TestDaemon::start_with(&view, |settings| {
+        settings.stop.reclaim_ms = samphiremoor_base::time::Millis::new(50);
+    });
+    let address = daemon.entry.address();
+    let reading = task::spawn(TestCall::chat(address, "hello", true).stream());
+    fixture::wait_until("the call runs", || !engine.calls().is_empty());
+    view.change(|view| {
+        view.daemons[0].state = zone::UpstreamState::Leaving;
+        view.own_stop = Some(zone::StopCause::Drain);
+    });
+    task::block_on(daemon.entry.core().stopping.given());
+    let verdict = task::block_on(daemon.entry.finish());
+    assert_eq!(verdict, samphiremoor_entry::daemon::StopVerdict::Finished);
+    let answer = task::block_on(reading);
+    assert_eq!(answer.text(), upstream::whole_text("hello", LENGTH));
+    assert!(answer.is_done);
+}
+
 #[test]
 fn notice_for_the_vm_hands_the_streams_over() {
     let engine = FakeEngine::start(1_000);
--- a/crates/limits/tests/common/mod.rs
+++ b/crates/limits/tests/common/mod.rs
@@ -92,5 +92,6 @@
         replicas: (0..replicas).map(replica).collect(),
         daemons: Vec::new(),
         platform: zone::PlatformState::Available,
+        own_stop: None,
     }
 }
--- a/crates/load/src/experiment/world.rs
+++ b/crates/load/src/experiment/world.rs
@@ -220,6 +220,7 @@
                 replicas: Vec::new(),
                 daemons: self.deployment.daemons.clone(),
                 platform: zone::PlatformState::Available,
+                own_stop: None,
             });
             if view.serial != self.serial {
                 view.serial = self.serial;
--- a/crates/process-tests/src/view_file.rs
+++ b/crates/process-tests/src/view_file.rs
@@ -26,6 +26,7 @@
         replicas: upstreams.iter().map(|vm| replica_view(vm)).collect(),
         daemons: entries.iter().map(daemon_view).collect(),
         platform: zone::PlatformState::Available,
+        own_stop: None,
     }
 }
 
--- a/crates/process-tests/tests/reclaims.rs
+++ b/crates/process-tests/tests/reclaims.rs
@@ -8,6 +8,7 @@
 use samphiremoor_process_tests::caller;
 use samphiremoor_process_tests::cluster;
 use samphiremoor_process_tests::control;
+use samphiremoor_process_tests::operator;
 use samphiremoor_process_tests::plan;
 
 const PROMPT: &str = "draft a letter on the winter delivery of a walking pad";
@@ -91,3 +92,14 @@
     cluster.entries[0].control.as_mut().expect("the plan has control daemons").kill();
     reading.join().expect("the answer is whole");
 }
+
+#[test]
+fn drained_entry_vm_cuts_no_stream() {
+    let mut cluster = start();
+    let stream = open_stream(&cluster);
+    let drained = cluster.operator().run(&["drain", &cluster.entries[0].place.name]);
+    assert_eq!(drained.code, operator::DONE, "{drained:?}");
+    let whole = task::block_on(stream.read_to_end());
+    whole.assert_whole(PROMPT, TOKENS);
+    assert!(cluster.entries[0].entry.wait_end(), "the daemon ends with success");
+}
--- a/crates/routing/benches/decision.rs
+++ b/crates/routing/benches/decision.rs
@@ -95,6 +95,7 @@
         replicas: (0..replicas).map(replica).collect(),
         daemons: Vec::new(),
         platform: zone::PlatformState::Available,
+        own_stop: None,
     }
 }
 
--- a/crates/routing/tests/common/mod.rs
+++ b/crates/routing/tests/common/mod.rs
@@ -92,6 +92,7 @@
         replicas,
         daemons: Vec::new(),
         platform: zone::PlatformState::Available,
+        own_stop: None,
     }
 }
 
--- a/crates/view/src/zone.rs
+++ b/crates/view/src/zone.rs
@@ -28,6 +28,20 @@
     pub daemons: Vec<DaemonView>,
     /// Whether the platform answered lately.
     pub platform: PlatformState,
+    /// Why the VM of the control daemon is to stop; none while it is not.
+    pub own_stop: Option<StopCause>,
+}
+
+/// Why a VM is to stop.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub enum StopCause {
+    /// It leaves, and why is not known yet.
+    Unsettled,
+    /// An operator drains it: requests in progress are finished.
+    Drain,
+    /// The cloud takes it back in seconds.
+    Reclaim,
 }
 
 /// State of the platform's services as a daemon sees them.
