Claims: part the shard holder's calls, phases, held sends and refusals

Behaviour and public paths are the same; no test was touched.

Ruled out: a type of its own for the timers. It would hold one map, and every use also needs the ledger.

--- a/crates/claims/src/shard.rs
+++ b/crates/claims/src/shard.rs
@@ -1,9 +1,12 @@
 //! The holder of one shard, from taking its lease to losing or releasing it.
 
+mod calls;
+mod held;
+mod phases;
+mod refusals;
+
 use std::collections;
-use std::mem;
 
-use samphiremoor_base::id;
 use samphiremoor_base::quantity;
 use samphiremoor_base::reason;
 use samphiremoor_base::time;
@@ -38,31 +41,18 @@
     /// Keys that are being claimed or run.
     active: collections::BTreeSet<key::CallKey>,
     /// Sends that came before the shard was open.
-    held: Vec<HeldSend>,
+    held: held::HeldSends,
     timers: collections::BTreeMap<CallTimer, key::CallKey>,
-    refused: collections::BTreeMap<id::RequestId, step::NotRunCause>,
-    refusals: collections::VecDeque<RefusedRequest>,
+    refusals: refusals::RefusalMemory,
     copy_set: row::CopySet,
 }
 
-#[derive(Clone, Debug)]
-struct HeldSend {
-    send: step::CallSend,
-    expires: time::MonotonicTime,
-}
-
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct CallTimer {
     at: time::MonotonicTime,
     call: ledger::CallNumber,
 }
 
-#[derive(Clone, Debug)]
-struct RefusedRequest {
-    at: time::MonotonicTime,
-    request: id::RequestId,
-}
-
 impl ShardHolder {
     /// A holder of a lease that was just taken; `copy_set` keeps copies once it is open.
     pub fn new(
@@ -78,10 +68,9 @@
             writer: writer::JournalWriter::new(shard, lease, policy),
             ledger: ledger::KeyLedger::new(policy.retention),
             active: collections::BTreeSet::new(),
-            held: Vec::new(),
+            held: held::HeldSends::default(),
             timers: collections::BTreeMap::new(),
-            refused: collections::BTreeMap::new(),
-            refusals: collections::VecDeque::new(),
+            refusals: refusals::RefusalMemory::default(),
             copy_set,
         }
     }
@@ -143,8 +132,10 @@
             _ => None,
         };
         let timer = self.timers.keys().next().map(|timer| timer.at);
-        let held = self.held.iter().map(|held| held.expires).min();
-        [opening, timer, held, self.writer.next_wakeup(now)].into_iter().flatten().min()
+        [opening, timer, self.held.next_expiry(), self.writer.next_wakeup(now)]
+            .into_iter()
+            .flatten()
+            .min()
     }
 
     fn apply(
@@ -193,7 +184,7 @@
         match self.phase {
             HoldPhase::Opening(_) | HoldPhase::Adopting => {
                 let expires = send.deadline.min(now + self.policy.claim_timeout);
-                self.held.push(HeldSend { send, expires });
+                self.held.push(send, expires);
             }
             HoldPhase::Open => self.claim(now, send, actions),
             HoldPhase::Releasing | HoldPhase::Closed => {
@@ -239,100 +230,6 @@
         true
     }
 
-    fn claim(
-        &mut self,
-        now: time::MonotonicTime,
-        send: step::CallSend,
-        actions: &mut Vec<step::ClaimAction>,
-    ) {
-        if let Some(cause) = self.refused.get(&send.request) {
-            return push_answer(actions, send.call, step::ClaimAnswer::NotRun(*cause));
-        }
-        let is_full = self.ledger.len() >= self.policy.max_keys
-            || self.writer.backlog() >= self.policy.max_backlog;
-        if is_full {
-            return self.refuse(now, &waiting_call(&send), self.unavailable(), actions);
-        }
-        let entry =
-            journal::JournalEntry::Claimed { key: send.key.clone(), digest: send.digest.clone() };
-        let batch = self.writer.push(entry);
-        let expires = send.deadline.min(now + self.policy.claim_timeout);
-        self.timers.insert(CallTimer { at: expires, call: send.call }, send.key.clone());
-        self.timers.insert(CallTimer { at: send.deadline, call: send.call }, send.key.clone());
-        let waiting = ledger::WaitingCalls::from_iter([waiting_call(&send)]);
-        let state = ledger::CallState::Claiming { batch, expires, waiting };
-        self.active.insert(send.key.clone());
-        self.ledger
-            .insert(send.key, ledger::KeyRecord { digest: send.digest, state, ended_at: None });
-    }
-
-    fn run_ended(
-        &mut self,
-        now: time::MonotonicTime,
-        key: &key::CallKey,
-        end: step::RunEnd,
-        actions: &mut Vec<step::ClaimAction>,
-    ) {
-        self.active.remove(key);
-        match end {
-            step::RunEnd::Completed(result) => self.run_completed(now, key, result, actions),
-            step::RunEnd::NotRun(cause) => self.give_back(now, key, cause, actions),
-            step::RunEnd::MaybeRun(reason) => {
-                for waiting in self.ledger.end(now, key, ledger::CallState::Uncertain) {
-                    push_answer(actions, waiting.call, step::ClaimAnswer::Unknown(reason));
-                }
-            }
-        }
-    }
-
-    fn run_completed(
-        &mut self,
-        now: time::MonotonicTime,
-        key: &key::CallKey,
-        result: journal::EncodedResult,
-        actions: &mut Vec<step::ClaimAction>,
-    ) {
-        let room = self.policy.max_backlog_bytes.saturating_sub(self.writer.backlog_bytes());
-        let limit = self.policy.max_result_bytes.min(room);
-        let kept = Some(result.clone()).filter(|kept| kept.len() <= limit);
-        let waiting = self.ledger.end(now, key, ledger::CallState::Finished(kept.clone()));
-        for (index, waiting) in waiting.into_iter().enumerate() {
-            let answer =
-                step::ClaimAnswer::Completed { result: result.clone(), replayed: index > 0 };
-            push_answer(actions, waiting.call, answer);
-        }
-        self.writer.push(journal::JournalEntry::Finished { key: key.clone(), result: kept });
-    }
-
-    /// Forgets a key whose call was certainly not run, so that it can be run later.
-    fn give_back(
-        &mut self,
-        now: time::MonotonicTime,
-        key: &key::CallKey,
-        cause: step::NotRunCause,
-        actions: &mut Vec<step::ClaimAction>,
-    ) {
-        self.active.remove(key);
-        let Some(record) = self.ledger.remove(key) else { return };
-        let waiting = match record.state {
-            ledger::CallState::Claiming { batch, waiting, .. } => {
-                let is_claim = |entry: &journal::JournalEntry| matches!(entry, journal::JournalEntry::Claimed { key: claimed, .. } if claimed == key);
-                if !self.writer.retract(batch, is_claim) {
-                    self.writer.push(journal::JournalEntry::Released { key: key.clone() });
-                }
-                waiting
-            }
-            ledger::CallState::Running { waiting } => {
-                self.writer.push(journal::JournalEntry::Released { key: key.clone() });
-                waiting
-            }
-            ledger::CallState::Finished(_) | ledger::CallState::Uncertain => return,
-        };
-        for waiting in &waiting {
-            self.refuse(now, waiting, cause, actions);
-        }
-    }
-
     fn refuse(
         &mut self,
         now: time::MonotonicTime,
@@ -341,8 +238,7 @@
         actions: &mut Vec<step::ClaimAction>,
     ) {
         // A copy of the request that arrives late must not be run after this answer.
-        self.refused.insert(waiting.request.clone(), cause);
-        self.refusals.push_back(RefusedRequest { at: now, request: waiting.request.clone() });
+        self.refusals.note(now, &waiting.request, cause);
         push_answer(actions, waiting.call, step::ClaimAnswer::NotRun(cause));
     }
 
@@ -368,103 +264,6 @@
         }
     }
 
-    /// Runs the calls whose claims have become durable.
-    fn secured(&mut self, batches: &[journal::JournalBatch], actions: &mut Vec<step::ClaimAction>) {
-        if self.is_closed() {
-            return;
-        }
-        for batch in batches {
-            for entry in &batch.entries {
-                self.entry_secured(batch.id, entry, actions);
-            }
-        }
-    }
-
-    fn entry_secured(
-        &mut self,
-        id: journal::BatchId,
-        entry: &journal::JournalEntry,
-        actions: &mut Vec<step::ClaimAction>,
-    ) {
-        let journal::JournalEntry::Claimed { key, .. } = entry else { return };
-        let Some(record) = self.ledger.get_mut(key) else { return };
-        let ledger::CallState::Claiming { batch, waiting, .. } = &record.state else { return };
-        if *batch != id {
-            return;
-        }
-        let waiting = waiting.clone();
-        let Some(first) = waiting.first() else { return };
-        actions.push(step::ClaimAction::Run { call: first.call, key: key.clone() });
-        record.state = ledger::CallState::Running { waiting };
-    }
-
-    fn lease_written(&mut self, now: time::MonotonicTime, actions: &mut Vec<step::ClaimAction>) {
-        match self.phase {
-            HoldPhase::Adopting => {
-                self.phase = HoldPhase::Open;
-                actions.push(step::ClaimAction::Opened);
-                for held in mem::take(&mut self.held) {
-                    self.submit(now, held.send, actions);
-                }
-            }
-            HoldPhase::Releasing => self.close(step::CloseReason::Released, actions),
-            HoldPhase::Opening(_) | HoldPhase::Open | HoldPhase::Closed => {}
-        }
-    }
-
-    fn journal_read(
-        &mut self,
-        now: time::MonotonicTime,
-        journal: Option<Vec<journal::JournalBatch>>,
-    ) {
-        let HoldPhase::Opening(opening) = &mut self.phase else { return };
-        for batch in journal.iter().flatten() {
-            self.writer.note_row(now, batch.id);
-            for entry in &batch.entries {
-                self.ledger.replay(now, entry);
-            }
-        }
-        opening.journal_read(now, journal);
-    }
-
-    /// Builds the ledger from everything that is known and writes what only peers kept.
-    fn adopt(&mut self, now: time::MonotonicTime) {
-        let HoldPhase::Opening(opening) = &self.phase else { return };
-        let copies = opening.unwritten_copies();
-        let mut batches = opening.journal().unwrap_or_default().to_vec();
-        batches.extend(copies.iter().cloned());
-        batches.sort_by_key(|batch| batch.id);
-        self.ledger = ledger::KeyLedger::new(self.policy.retention);
-        for entry in batches.iter().flat_map(|batch| &batch.entries) {
-            self.ledger.replay(now, entry);
-        }
-        for copy in copies {
-            self.writer.adopt(copy);
-        }
-        self.writer.change_lease(writer::LeaseChange::Open(self.copy_set.clone()));
-        self.phase = HoldPhase::Adopting;
-    }
-
-    fn prefer_copies(&mut self, copy_set: row::CopySet) {
-        self.copy_set = copy_set;
-        let is_same = self.writer.lease().row.copy_set == self.copy_set;
-        if self.is_open() && !is_same && !self.writer.is_changing_lease() {
-            self.writer.change_lease(writer::LeaseChange::Copies(self.copy_set.clone()));
-        }
-    }
-
-    fn release(&mut self, now: time::MonotonicTime, actions: &mut Vec<step::ClaimAction>) {
-        match self.phase {
-            HoldPhase::Open => self.phase = HoldPhase::Releasing,
-            HoldPhase::Opening(_) | HoldPhase::Adopting => {
-                // What earlier holders left is still in the lease row, for the next holder.
-                self.close(step::CloseReason::Lost, actions);
-            }
-            HoldPhase::Releasing | HoldPhase::Closed => {}
-        }
-        self.expire(now, actions);
-    }
-
     fn close(&mut self, reason: step::CloseReason, actions: &mut Vec<step::ClaimAction>) {
         if self.is_closed() {
             return;
@@ -472,32 +271,17 @@
         let was_open = matches!(self.phase, HoldPhase::Open | HoldPhase::Releasing);
         self.phase = HoldPhase::Closed;
         actions.push(step::ClaimAction::Closed { reason, was_open });
-        for held in mem::take(&mut self.held) {
-            push_answer(actions, held.send.call, step::ClaimAnswer::Moved);
+        for send in self.held.take_all() {
+            push_answer(actions, send.call, step::ClaimAnswer::Moved);
         }
         for key in self.active.clone() {
             self.drop_claim(&key, actions);
         }
     }
 
-    /// Gives up a claim of a shard that was lost; a run goes on and is answered.
-    fn drop_claim(&mut self, key: &key::CallKey, actions: &mut Vec<step::ClaimAction>) {
-        let record = self.ledger.get(key);
-        let Some(ledger::CallState::Claiming { waiting, .. }) = record.map(|record| &record.state)
-        else {
-            return;
-        };
-        for waiting in waiting {
-            push_answer(actions, waiting.call, step::ClaimAnswer::Moved);
-        }
-        self.ledger.remove(key);
-        self.active.remove(key);
-        self.writer.push(journal::JournalEntry::Released { key: key.clone() });
-    }
-
     fn expire(&mut self, now: time::MonotonicTime, actions: &mut Vec<step::ClaimAction>) {
         self.ledger.expire(now);
-        self.expire_refusals(now);
+        self.refusals.expire(now);
         self.expire_held(now, actions);
         while let Some(timer) = self.timers.keys().next().copied().filter(|timer| timer.at <= now) {
             let Some(key) = self.timers.remove(&timer) else { return };
@@ -505,44 +289,9 @@
         }
     }
 
-    fn expire_call(
-        &mut self,
-        now: time::MonotonicTime,
-        call: ledger::CallNumber,
-        key: &key::CallKey,
-        actions: &mut Vec<step::ClaimAction>,
-    ) {
-        let Some(record) = self.ledger.get_mut(key) else { return };
-        match &mut record.state {
-            ledger::CallState::Claiming { expires, .. } if *expires <= now => {
-                let cause = self.unavailable();
-                self.give_back(now, key, cause, actions);
-            }
-            ledger::CallState::Claiming { waiting, .. }
-            | ledger::CallState::Running { waiting } => {
-                let is_due =
-                    |waiting: &ledger::WaitingCall| waiting.call == call && waiting.deadline <= now;
-                // The call may yet run for another send, so this one can't be told that it did not.
-                if let Some(index) = waiting.iter().position(is_due) {
-                    waiting.remove(index);
-                    let reason = reason::RefusalReason::DeadlinePassed;
-                    push_answer(actions, call, step::ClaimAnswer::Unknown(reason));
-                }
-            }
-            ledger::CallState::Finished(_) | ledger::CallState::Uncertain => {}
-        }
-    }
-
     fn expire_held(&mut self, now: time::MonotonicTime, actions: &mut Vec<step::ClaimAction>) {
-        let is_due = |held: &HeldSend| held.expires <= now;
-        if !self.held.iter().any(is_due) {
-            return;
-        }
-        let (due, kept) = mem::take(&mut self.held).into_iter().partition(is_due);
-        self.held = kept;
-        let due: Vec<HeldSend> = due;
-        for held in due {
-            self.refuse_held(now, &held.send, actions);
+        for send in self.held.take_due(now) {
+            self.refuse_held(now, &send, actions);
         }
     }
 
@@ -561,14 +310,6 @@
         self.refuse(now, &waiting_call(send), cause, actions);
     }
 
-    fn expire_refusals(&mut self, now: time::MonotonicTime) {
-        let is_old = |refused: &RefusedRequest| now.since(refused.at) >= policy::REFUSAL_MEMORY;
-        while self.refusals.front().is_some_and(is_old) {
-            let Some(refused) = self.refusals.pop_front() else { return };
-            self.refused.remove(&refused.request);
-        }
-    }
-
     fn drive(&mut self, now: time::MonotonicTime, actions: &mut Vec<step::ClaimAction>) {
         if self.is_closed() {
             return;
