membership: part what is known of one upstream from the table of upstreams

Change: `known_upstream` holds one upstream with its reports; the latest ready answer is a type, and the shown state, the state that an answer speaks for and "busy" are functions. Behaviour is unchanged.

Ruled out: parting `daemons` in the same way, since its rules for one daemon are three short functions.

--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -7,12 +7,13 @@
 //!
 //! The parts of the machine are private: `limits` are its bounds and `action` what it sends and
 //! asks for, both shown by [`state`]; `peers` chooses whom to call, `probes` waits for daemons that
-//! try others, `polls` chooses whom to poll, `reports` which answers are told, and `known` puts all
-//! that is known into one order.
+//! try others, `polls` chooses whom to poll, `reports` which answers are told, `known` puts all
+//! that is known into one order, and `known_upstream` is what [`upstreams`] holds of each.
 
 mod action;
 pub mod daemons;
 mod known;
+mod known_upstream;
 mod limits;
 pub mod news;
 mod peers;
--- a/crates/membership/src/upstreams.rs
+++ b/crates/membership/src/upstreams.rs
@@ -12,6 +12,7 @@
 use samphiremoor_view::zone;
 use smallvec::SmallVec;
 
+use crate::known_upstream;
 use crate::news;
 
 /// An upstream that is gone is remembered for this long; a list that still has it is taken to lag.
@@ -20,24 +21,10 @@
 /// Lists in a row that must lack an upstream before it is gone.
 const ABSENT_LISTS: u32 = 2;
 
-#[derive(Clone, Debug)]
-struct KnownUpstream {
-    news: news::UpstreamNews,
-    since: time::MonotonicTime,
-    absent_lists: Option<u32>,
-    reports: SmallVec<[KnownReport; 2]>,
-}
-
-#[derive(Clone, Debug)]
-struct KnownReport {
-    report: news::ReplicaReport,
-    heard_at: time::MonotonicTime,
-}
-
 /// Every upstream that is known.
 #[derive(Clone, Debug, Default)]
 pub struct UpstreamTable {
-    known: collections::BTreeMap<id::VmId, KnownUpstream>,
+    known: collections::BTreeMap<id::VmId, known_upstream::KnownUpstream>,
 }
 
 impl UpstreamTable {
@@ -67,14 +54,7 @@
 
     /// Whether every daemon that polls the upstream last heard that it has no request.
     pub fn is_idle(&self, vm: &id::VmId) -> bool {
-        let Some(known) = self.known.get(vm) else { return true };
-        let is_busy = |known: &KnownReport| match &known.report.answer {
-            news::ReplicaAnswer::Ready { load, .. } | news::ReplicaAnswer::Draining { load } => {
-                load.running > 0 || load.queued > 0
-            }
-            news::ReplicaAnswer::Silent | news::ReplicaAnswer::NotReady => false,
-        };
-        !known.reports.iter().any(is_busy)
+        self.known.get(vm).is_none_or(known_upstream::KnownUpstream::is_idle)
     }
 
     /// The upstream that follows `vm` in the order of ids.
@@ -109,24 +89,8 @@
     ///
     /// A ready answer makes a joining upstream live, and one that drains makes it leaving.
     pub fn take_report(&mut self, now: time::MonotonicTime, report: news::ReplicaReport) -> bool {
-        let Some(known) = self.known.get_mut(&report.vm) else { return false };
-        let state = match report.answer {
-            news::ReplicaAnswer::Ready { .. } => zone::UpstreamState::Live,
-            news::ReplicaAnswer::Draining { .. } => zone::UpstreamState::Leaving,
-            news::ReplicaAnswer::Silent | news::ReplicaAnswer::NotReady => {
-                zone::UpstreamState::Joining
-            }
-        };
-        let entry = KnownReport { report, heard_at: now };
-        let same =
-            known.reports.iter_mut().find(|known| known.report.poller == entry.report.poller);
-        match same {
-            Some(last) if last.report.number >= entry.report.number => return false,
-            Some(last) => *last = entry,
-            None => known.reports.push(entry),
-        }
-        known.advance(now, state);
-        true
+        let known = self.known.get_mut(&report.vm);
+        known.is_some_and(|known| known.take_report(now, report))
     }
 
     /// Forgets the reports of daemons that do not poll any more.
@@ -209,7 +173,8 @@
     ) {
         let vm = news.vm.clone();
         let reports = SmallVec::new();
-        self.known.insert(vm, KnownUpstream { news, since: now, absent_lists, reports });
+        self.known
+            .insert(vm, known_upstream::KnownUpstream { news, since: now, absent_lists, reports });
     }
 
     /// The upstreams as the entry daemon sees them, by id; those that are gone are left out.
@@ -222,69 +187,6 @@
     }
 }
 
-impl KnownUpstream {
-    /// Moves the state forward; true where it moved.
-    fn advance(&mut self, now: time::MonotonicTime, state: zone::UpstreamState) -> bool {
-        if self.news.standing.state >= state {
-            return false;
-        }
-        self.news.standing.state = state;
-        self.since = now;
-        true
-    }
-
-    /// A VM that is listed long after it was gone has come back in a new life.
-    fn take_returned(&mut self, now: time::MonotonicTime, heard: news::UpstreamNews) -> bool {
-        if now.since(self.since) < GONE_RETENTION {
-            return false;
-        }
-        let incarnation = self.news.standing.incarnation.next();
-        self.news = heard;
-        self.news.standing.incarnation = incarnation;
-        self.since = now;
-        self.absent_lists = Some(0);
-        self.reports.clear();
-        true
-    }
-
-    fn view(&self, now: time::MonotonicTime) -> zone::ReplicaView {
-        let ready = self
-            .reports
-            .iter()
-            .filter_map(|known| match &known.report.answer {
-                news::ReplicaAnswer::Ready { models, load } => Some((known.heard_at, models, load)),
-                _ => None,
-            })
-            .max_by_key(|(heard_at, _, _)| *heard_at);
-        // Who was live and answers no poller is not offered for new work.
-        let is_unready = ready.is_none() && !self.reports.is_empty();
-        let state = match self.news.standing.state {
-            zone::UpstreamState::Live if is_unready => zone::UpstreamState::Joining,
-            state => state,
-        };
-        let load = ready.map_or_else(unknown_load, |(heard_at, _, load)| zone::LoadReport {
-            age: now.since(heard_at),
-            ..load.to_load()
-        });
-        zone::ReplicaView {
-            id: self.news.vm.as_str().parse().expect("every id type accepts the same texts"),
-            vm: self.news.vm.clone(),
-            zone: self.news.zone.clone(),
-            pool: self.news.pool.clone(),
-            address: self.news.address,
-            state,
-            models: ready.map(|(_, models, _)| models.clone()).unwrap_or_default(),
-            price: self.news.price,
-            reclaimable: self.news.reclaimable,
-            load,
-        }
-    }
-}
-
-fn unknown_load() -> zone::LoadReport {
-    zone::LoadReport { age: time::Millis::new(u64::MAX), ..zone::LoadReport::default() }
-}
-
 /// News on the upstream of an entry of the platform's list; none for a VM of the daemons.
 pub fn from_entry(entry: &cloud::VmEntry) -> Option<news::UpstreamNews> {
     let cloud::VmRole::Upstream { pool, address } = &entry.role else { return None };
