control: part the memory of sent orders from the capacity's plan

Cause: capacity.rs planned, remembered orders and judged marked VMs; the memory's list was searched in two of its functions.

Change: `sent_orders` notes, lists and forgets orders with its constant; when a marked VM is given back is one function. Behaviour is unchanged.

Ruled out: renaming `CapacityInput::life`, which the tests name.

Conclusion: capacity.rs holds the plan's steps only.

--- a/crates/control/src/capacity.rs
+++ b/crates/control/src/capacity.rs
@@ -19,7 +19,8 @@
 use samphiremoor_platform::cloud;
 use samphiremoor_records::set;
 use samphiremoor_view::zone;
-use smallvec::SmallVec;
+
+use crate::sent_orders;
 
 /// Author of the marks on VMs that are given back once they are idle.
 pub const CAPACITY_AUTHOR: &str = "capacity";
@@ -27,9 +28,6 @@
 /// Between two plans.
 const PLAN_INTERVAL: time::Millis = time::Millis::new(5_000);
 
-/// An order that shows no effect in the upstream's state after this time is given again.
-const ORDER_MEMORY: time::Millis = time::Millis::new(30_000);
-
 /// A VM that leaves is given back no sooner: by then no daemon sends it new work.
 const DRAIN_TIME: time::Millis = time::Millis::new(10_000);
 
@@ -67,17 +65,11 @@
 pub struct CapacityState {
     planner: planner::FleetPlanner,
     next_plan: time::MonotonicTime,
-    ordered: collections::BTreeMap<id::ReplicaId, SmallVec<[SentOrder; 2]>>,
+    orders: sent_orders::SentOrders,
     leaving_since: collections::BTreeMap<id::VmId, time::MonotonicTime>,
     starts: u64,
 }
 
-#[derive(Clone, Debug)]
-struct SentOrder {
-    action: plan::PlanAction,
-    at: time::MonotonicTime,
-}
-
 impl std::fmt::Debug for CapacityState {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.debug_struct("CapacityState").field("next_plan", &self.next_plan).finish_non_exhaustive()
@@ -105,7 +97,7 @@
         CapacityState {
             planner: planner::FleetPlanner::new(policy, placement::PlacementLimits::default()),
             next_plan: time::MonotonicTime::default(),
-            ordered: collections::BTreeMap::new(),
+            orders: sent_orders::SentOrders::default(),
             leaving_since: collections::BTreeMap::new(),
             starts: 0,
         }
@@ -128,7 +120,7 @@
         now: time::MonotonicTime,
         input: &CapacityInput<'_>,
     ) -> Vec<CapacityStep> {
-        self.forget_orders(now);
+        self.orders.forget_old(now);
         let replicas = self.fleet(now, input.upstreams);
         let made = self.planner.plan(&planner::PlanInput {
             records: input.records,
@@ -158,10 +150,7 @@
             }
             marked.insert(mark.vm.clone());
             let since = *self.leaving_since.entry(mark.vm.clone()).or_insert(now);
-            let is_over = now.since(since) >= DRAIN_LIMIT;
-            let is_gone = known.standing.state == zone::UpstreamState::Gone;
-            let is_idle = now.since(since) >= DRAIN_TIME && upstreams.is_idle(&mark.vm);
-            if is_gone || is_over || is_idle {
+            if is_releasable(now.since(since), known, upstreams) {
                 steps.push(CapacityStep::Release(mark.vm.clone()));
             }
         }
@@ -185,13 +174,6 @@
         }
     }
 
-    fn forget_orders(&mut self, now: time::MonotonicTime) {
-        self.ordered.retain(|_, orders| {
-            orders.retain(|order| now.since(order.at) < ORDER_MEMORY);
-            !orders.is_empty()
-        });
-    }
-
     fn fleet(
         &self,
         now: time::MonotonicTime,
@@ -205,12 +187,8 @@
         view: zone::ReplicaView,
         upstreams: &upstreams::UpstreamTable,
     ) -> fleet::FleetReplica {
-        let orders = self.ordered.get(&view.id).map(SmallVec::as_slice).unwrap_or_default();
-        let loads = orders.iter().filter_map(|order| match &order.action {
-            plan::PlanAction::Load { model, .. } => Some(model),
-            _ => None,
-        });
-        let loading = loads.filter(|model| !view.models.contains(*model)).cloned().collect();
+        let loading = self.orders.loads(&view.id);
+        let loading = loading.filter(|model| !view.models.contains(*model)).cloned().collect();
         let class = upstreams.get(&view.vm).map(|news| news.class.clone());
         fleet::FleetReplica {
             class: class.expect("views are made of the table's upstreams"),
@@ -264,11 +242,21 @@
         };
         let vm: id::VmId = replica.as_str().parse().expect("every id type accepts the same texts");
         let upstream = input.upstreams.get(&vm).filter(|news| news.zone == *input.zone)?.clone();
-        let orders = self.ordered.entry(replica).or_default();
-        if orders.iter().any(|order| order.action == action) {
+        if !self.orders.note(now, replica, &action) {
             return None;
         }
-        orders.push(SentOrder { action: action.clone(), at: now });
         Some(CapacityStep::Order { upstream, action })
     }
 }
+
+/// Whether a marked VM is given back, which has been leaving for this long.
+fn is_releasable(
+    leaving_for: time::Millis,
+    known: &news::UpstreamNews,
+    upstreams: &upstreams::UpstreamTable,
+) -> bool {
+    let is_gone = known.standing.state == zone::UpstreamState::Gone;
+    let is_over = leaving_for >= DRAIN_LIMIT;
+    let is_idle = leaving_for >= DRAIN_TIME && upstreams.is_idle(&known.vm);
+    is_gone || is_over || is_idle
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -2,8 +2,9 @@
 //!
 //! [`state`] is the control state: one thread owns it, and it does no I/O; [`action`] is what goes
 //! in and comes out. In it, `zone_duties` has [`duty`], the lease on the zone's duties, and
-//! [`capacity`], which says what is carried out while it is held; `join` looks for peers at the
-//! start, `platform_schedule` says when the platform is read, and `publisher` makes the views.
+//! [`capacity`], which says what is carried out while it is held and keeps the `sent_orders`; `join`
+//! looks for peers at the start, `platform_schedule` says when the platform is read, and `publisher`
+//! makes the views.
 //!
 //! [`shell`] starts that thread, which is `worker`. `calls` starts the tasks that make its calls: to
 //! the platform through `platform_read`, to peers through [`caller`], to upstreams through
@@ -26,6 +27,7 @@
 mod platform_read;
 mod platform_schedule;
 mod publisher;
+mod sent_orders;
 pub mod settings;
 pub mod shell;
 pub mod state;
