Leases: never give away a shard that is being opened

A daemon that takes a shard which was free for a whole lease time, and then finds itself over its share, released the shard before it was open. Such a shard closes without a word in the table, so its row went on naming a live holder, nobody else could take it, and the daemon took it again. Change: the keeper is told when a shard is open, and gives away open shards only. Ruled out: writing a release for a shard that is not open (the copies of earlier holders would have to be carried over in the row by a daemon that never read them); letting others take a lease from a live holder. Conclusion: a lease that is given up must be given up where others can see it.

--- a/crates/lease/src/keeper.rs
+++ b/crates/lease/src/keeper.rs
@@ -30,6 +30,8 @@
     Candidate(bool),
     /// The rows may have changed: scan soon.
     ScanSoon,
+    /// A shard that was taken is open here.
+    Opened(quantity::ShardNumber),
     /// The holder of a shard has ended here.
     Closed(quantity::ShardNumber),
     /// The daemon stops: every lease is to be given away.
@@ -73,6 +75,8 @@
     fence: quantity::FenceNumber,
     /// Scans that began earlier may not show the lease.
     known_from: u64,
+    /// Whether the shard is open, so that it can be given away by a word in the table.
+    is_open: bool,
     is_releasing: bool,
 }
 
@@ -136,6 +140,7 @@
             LeaseInput::Answered(answer) => self.answered(now, answer, &mut actions),
             LeaseInput::Candidate(is_candidate) => self.is_candidate = is_candidate,
             LeaseInput::ScanSoon => self.last_scan = None,
+            LeaseInput::Opened(shard) => self.opened(shard),
             LeaseInput::Closed(shard) => self.closed(shard),
             LeaseInput::Stop => self.stop(&mut actions),
         }
@@ -239,7 +244,8 @@
     ) {
         let fence = lease.row.fence;
         let known_from = self.scan_count + 1;
-        self.kept.insert(shard, KeptLease { fence, known_from, is_releasing: false });
+        self.kept
+            .insert(shard, KeptLease { fence, known_from, is_open: false, is_releasing: false });
         self.free_since.remove(&shard);
         actions.push(LeaseAction::Taken { shard, lease });
     }
@@ -274,6 +280,12 @@
         }
     }
 
+    fn opened(&mut self, shard: quantity::ShardNumber) {
+        if let Some(kept) = self.kept.get_mut(&shard) {
+            kept.is_open = true;
+        }
+    }
+
     fn closed(&mut self, shard: quantity::ShardNumber) {
         let Some(kept) = self.kept.remove(&shard) else { return };
         self.ended.insert(shard, kept.fence);
@@ -392,8 +404,9 @@
             return;
         }
         let daemon = &self.life.daemon;
-        let shards = self.kept.iter_mut();
-        let last = shards.max_by_key(|(shard, _)| spread::preference(daemon, **shard));
+        // A shard that is given up before it is open stays in this daemon's name in the table.
+        let open = self.kept.iter_mut().filter(|(_, kept)| kept.is_open);
+        let last = open.max_by_key(|(shard, _)| spread::preference(daemon, **shard));
         if let Some((shard, kept)) = last {
             kept.is_releasing = true;
             actions.push(LeaseAction::Release(*shard));
--- a/crates/lease/tests/common/mod.rs
+++ b/crates/lease/tests/common/mod.rs
@@ -22,6 +22,8 @@
     keeper: keeper::LeaseKeeper,
     /// Shards that are held, with their fencing numbers.
     held: collections::BTreeMap<quantity::ShardNumber, quantity::FenceNumber>,
+    /// Held shards that are not open yet.
+    opening: collections::BTreeSet<quantity::ShardNumber>,
     is_running: bool,
 }
 
@@ -36,6 +38,8 @@
     pub(crate) lost_answers: u32,
     pub(crate) cut: collections::BTreeSet<String>,
     pub(crate) paused: collections::BTreeSet<String>,
+    /// Daemons whose shards do not open for now.
+    pub(crate) slow_to_open: collections::BTreeSet<String>,
     pub(crate) writes: u64,
     pub(crate) takeovers: u64,
     pub(crate) violations: Vec<String>,
@@ -53,6 +57,7 @@
             lost_answers: 0,
             cut: collections::BTreeSet::new(),
             paused: collections::BTreeSet::new(),
+            slow_to_open: collections::BTreeSet::new(),
             writes: 0,
             takeovers: 0,
             violations: Vec::new(),
@@ -76,6 +81,7 @@
             life,
             keeper: keeper::LeaseKeeper::new(id, policy),
             held: collections::BTreeMap::new(),
+            opening: collections::BTreeSet::new(),
             is_running: true,
         };
         self.daemons.insert(name.to_owned(), daemon);
@@ -102,6 +108,7 @@
             let names: Vec<String> = self.daemons.keys().cloned().collect();
             for name in names {
                 self.input(&name, keeper::LeaseInput::Tick);
+                self.open_shards(&name);
             }
             self.check_holders();
         }
@@ -175,7 +182,9 @@
                 self.takeovers += 1;
                 if let Some(daemon) = self.daemons.get_mut(name) {
                     daemon.held.insert(shard, lease.row.fence);
+                    daemon.opening.insert(shard);
                 }
+                self.open_shards(name);
             }
             keeper::LeaseAction::Lost(shard) => self.close(name, shard),
             keeper::LeaseAction::Release(shard) => self.release(name, shard),
@@ -186,12 +195,27 @@
     fn close(&mut self, name: &str, shard: quantity::ShardNumber) {
         if let Some(daemon) = self.daemons.get_mut(name) {
             daemon.held.remove(&shard);
+            daemon.opening.remove(&shard);
         }
         self.input(name, keeper::LeaseInput::Closed(shard));
     }
 
+    fn open_shards(&mut self, name: &str) {
+        if self.slow_to_open.contains(name) || self.paused.contains(name) {
+            return;
+        }
+        let Some(daemon) = self.daemons.get_mut(name) else { return };
+        for shard in std::mem::take(&mut daemon.opening) {
+            self.input(name, keeper::LeaseInput::Opened(shard));
+        }
+    }
+
     /// The shard's holder writes the released row, where it still holds the lease.
     fn release(&mut self, name: &str, shard: quantity::ShardNumber) {
+        // A shard that is not open closes without a word in the table.
+        if self.daemons.get(name).is_some_and(|daemon| daemon.opening.contains(&shard)) {
+            return self.close(name, shard);
+        }
         let key = row::shard_key(shard);
         let fence = self.daemons.get(name).and_then(|daemon| daemon.held.get(&shard)).copied();
         let found = self.rows.read(&key);
--- /dev/null
+++ b/crates/lease/tests/opening.rs
@@ -0,0 +1,30 @@
+//! Leases of shards that take long to open.
+
+#[allow(dead_code, reason = "other test files use the rest of the harness")]
+mod common;
+
+use samphiremoor_base::time;
+
+/// A daemon with more than its share gives away open shards, never one that it is opening.
+/// Given up before, the row would go on naming a live holder, and nobody else could take the shard.
+#[test]
+fn shard_that_is_being_opened_is_kept() {
+    let mut cluster = common::LeaseCluster::new(2);
+    cluster.start("a");
+    cluster.start("b");
+    cluster.run(time::Millis::new(20_000));
+    assert_eq!(cluster.counts(), [("a".to_owned(), 1), ("b".to_owned(), 1)]);
+    cluster.kill("b");
+    cluster.slow_to_open.insert("a".to_owned());
+    cluster.run(time::Millis::new(8_000));
+    assert_eq!(cluster.counts(), [("a".to_owned(), 2)]);
+    cluster.start("b");
+    let before = cluster.takeovers;
+    cluster.run(time::Millis::new(60_000));
+    assert_eq!(cluster.takeovers, before + 1, "only the open shard changes hands");
+    assert_eq!(cluster.counts(), [("a".to_owned(), 1), ("b".to_owned(), 1)]);
+    cluster.slow_to_open.clear();
+    cluster.run(time::Millis::new(20_000));
+    assert_eq!(cluster.counts(), [("a".to_owned(), 1), ("b".to_owned(), 1)]);
+    assert!(cluster.violations.is_empty(), "{:?}", cluster.violations);
+}
--- a/crates/shards/src/control.rs
+++ b/crates/shards/src/control.rs
@@ -329,6 +329,7 @@
             step::ClaimAction::Opened => {
                 self.metrics.open_shards.inc();
                 self.prefer_copies();
+                self.lease_input(keeper::LeaseInput::Opened(hold.shard));
             }
             step::ClaimAction::Closed { reason, was_open } => {
                 self.closed(hold, reason, was_open);
