Claims: a request refused for another body's key does not run as a late copy

The new scenario other_body showed it: one call at the upstream after both requests were told not-run. Change: this refusal is remembered like every other. Ruled out: refusing the key for a while (the first caller may rightly send it again).

--- a/crates/claims/src/shard.rs
+++ b/crates/claims/src/shard.rs
@@ -178,7 +178,7 @@
         send: step::CallSend,
         actions: &mut Vec<step::ClaimAction>,
     ) {
-        if self.answer_known(&send, actions) {
+        if self.answer_known(now, &send, actions) {
             return;
         }
         match self.phase {
@@ -196,6 +196,7 @@
     /// Answers or joins where the key is known; false where it is not.
     fn answer_known(
         &mut self,
+        now: time::MonotonicTime,
         send: &step::CallSend,
         actions: &mut Vec<step::ClaimAction>,
     ) -> bool {
@@ -205,7 +206,8 @@
         if record.digest != send.digest {
             let reason = reason::RefusalReason::IdempotencyKeyReused;
             let cause = step::NotRunCause { reason, retry_after: None };
-            push_answer(actions, send.call, step::ClaimAnswer::NotRun(cause));
+            // The key may be given back, and a late copy of this request must not run then.
+            self.refuse(now, &waiting_call(send), cause, actions);
             return true;
         }
         let unknown = step::ClaimAnswer::Unknown(reason::RefusalReason::ClaimWithoutResult);
--- a/crates/claims/tests/scenarios.rs
+++ b/crates/claims/tests/scenarios.rs
@@ -175,6 +175,7 @@
     peer_restarts => check("peer_restart");
     zone_is_cut_off => check("cut_off");
     call_was_not_run => check("not_run");
+    other_body_is_refused => check("other_body");
     planned_release => check("release");
     violation_without_fence => check("without_fence");
     violation_without_journal => check("without_journal");
