Tests: one configuration of the property tests

Change: crates/testkit has it; every number of cases and of shrinking steps stays as it was. Ruled out: putting it into base (every program would depend on proptest).

--- a/crates/base/tests/vocabulary.rs
+++ b/crates/base/tests/vocabulary.rs
@@ -9,7 +9,6 @@
 use samphiremoor_base::outcome;
 use samphiremoor_base::quantity;
 use samphiremoor_base::reason;
-use samphiremoor_base::testing;
 use samphiremoor_base::time;
 
 fn check_id(text: &str, expected: &str) {
@@ -84,11 +83,7 @@
 }
 
 proptest::proptest! {
-    #![proptest_config(proptest::test_runner::Config {
-        rng_seed: proptest::test_runner::RngSeed::Fixed(testing::seed()),
-        failure_persistence: None,
-        ..proptest::test_runner::Config::default()
-    })]
+    #![proptest_config(samphiremoor_testkit::config(256))]
 
     #[test]
     fn ids_survive_json_and_postcard(text in "[a-zA-Z0-9._:/+-]{1,200}") {
--- a/crates/claims/tests/properties.rs
+++ b/crates/claims/tests/properties.rs
@@ -123,13 +123,8 @@
 }
 
 fn run(weakness: common::Weakness, cases: u32) -> Result<(), test_runner::TestError<Vec<Step>>> {
-    let config = test_runner::Config {
-        cases,
-        rng_seed: test_runner::RngSeed::Fixed(samphiremoor_base::testing::seed()),
-        failure_persistence: None,
-        max_shrink_iters: 300,
-        ..test_runner::Config::default()
-    };
+    let config =
+        test_runner::Config { max_shrink_iters: 300, ..samphiremoor_testkit::config(cases) };
     let steps = prop::collection::vec(step(), 20..250);
     test_runner::TestRunner::new(config).run(&steps, |steps| {
         let mut cluster = common::ClaimCluster::new(DAEMONS, weakness);
--- a/crates/control/tests/duty.rs
+++ b/crates/control/tests/duty.rs
@@ -7,7 +7,6 @@
 use proptest::prelude::Strategy;
 use proptest::test_runner;
 use samphiremoor_base::quantity;
-use samphiremoor_base::testing;
 use samphiremoor_base::time;
 use samphiremoor_control::duty;
 use samphiremoor_lease::answer;
@@ -143,12 +142,7 @@
 }
 
 fn config() -> test_runner::Config {
-    test_runner::Config {
-        cases: 512,
-        rng_seed: test_runner::RngSeed::Fixed(testing::seed()),
-        failure_persistence: None,
-        ..test_runner::Config::default()
-    }
+    samphiremoor_testkit::config(512)
 }
 
 proptest::proptest! {
--- a/crates/control/tests/messages.rs
+++ b/crates/control/tests/messages.rs
@@ -4,7 +4,6 @@
 
 use proptest::test_runner;
 use samphiremoor_base::quantity;
-use samphiremoor_base::testing;
 use samphiremoor_base::time;
 use samphiremoor_control::message;
 use samphiremoor_control::view_server;
@@ -14,12 +13,7 @@
 use samphiremoor_view::zone;
 
 fn config() -> test_runner::Config {
-    test_runner::Config {
-        cases: 1_024,
-        rng_seed: test_runner::RngSeed::Fixed(testing::seed()),
-        failure_persistence: None,
-        ..test_runner::Config::default()
-    }
+    samphiremoor_testkit::config(1_024)
 }
 
 proptest::proptest! {
--- a/crates/entry/tests/wire.rs
+++ b/crates/entry/tests/wire.rs
@@ -7,7 +7,6 @@
 use proptest::strategy;
 use proptest::test_runner;
 use samphiremoor_base::quantity;
-use samphiremoor_base::testing;
 use samphiremoor_base::time;
 use samphiremoor_entry::peer;
 use samphiremoor_entry::serve::service;
@@ -72,11 +71,7 @@
 }
 
 fn config() -> test_runner::Config {
-    test_runner::Config {
-        rng_seed: test_runner::RngSeed::Fixed(testing::seed()),
-        failure_persistence: None,
-        ..test_runner::Config::default()
-    }
+    samphiremoor_testkit::config(256)
 }
 
 proptest::proptest! {
--- a/crates/head/tests/properties.rs
+++ b/crates/head/tests/properties.rs
@@ -7,7 +7,6 @@
 use proptest::prelude;
 use proptest::prelude::Strategy;
 use proptest::test_runner;
-use samphiremoor_base::testing;
 use samphiremoor_base::time;
 use samphiremoor_head::change;
 use samphiremoor_head::follow;
@@ -118,12 +117,7 @@
 }
 
 fn config() -> test_runner::Config {
-    test_runner::Config {
-        cases: 512,
-        rng_seed: test_runner::RngSeed::Fixed(testing::seed()),
-        failure_persistence: None,
-        ..test_runner::Config::default()
-    }
+    samphiremoor_testkit::config(512)
 }
 
 proptest::proptest! {
--- a/crates/httpio/tests/hardening.rs
+++ b/crates/httpio/tests/hardening.rs
@@ -211,12 +211,7 @@
 }
 
 proptest::proptest! {
-    #![proptest_config(proptest::test_runner::Config {
-        cases: 48,
-        rng_seed: proptest::test_runner::RngSeed::Fixed(samphiremoor_base::testing::seed()),
-        failure_persistence: None,
-        ..proptest::test_runner::Config::default()
-    })]
+    #![proptest_config(samphiremoor_testkit::config(48))]
 
     /// Whatever a caller sends, the server answers or closes, and serves the next caller.
     #[test]
--- a/crates/lease/tests/properties.rs
+++ b/crates/lease/tests/properties.rs
@@ -65,13 +65,7 @@
 }
 
 fn run(is_conditional: bool) -> Result<(), test_runner::TestError<Vec<Step>>> {
-    let config = test_runner::Config {
-        cases: 300,
-        rng_seed: test_runner::RngSeed::Fixed(samphiremoor_base::testing::seed()),
-        failure_persistence: None,
-        max_shrink_iters: 100,
-        ..test_runner::Config::default()
-    };
+    let config = test_runner::Config { max_shrink_iters: 100, ..samphiremoor_testkit::config(300) };
     let steps = prop::collection::vec(step(), 5..60);
     let mut runner = test_runner::TestRunner::new(config);
     runner.run(&steps, |steps| {
--- a/crates/limits/tests/properties.rs
+++ b/crates/limits/tests/properties.rs
@@ -6,7 +6,6 @@
 use proptest::test_runner;
 use samphiremoor_base::quantity;
 use samphiremoor_base::reason;
-use samphiremoor_base::testing;
 use samphiremoor_base::time;
 use samphiremoor_limits::adaptive;
 use samphiremoor_limits::gate;
@@ -14,12 +13,7 @@
 use samphiremoor_limits::share;
 
 fn config() -> test_runner::Config {
-    test_runner::Config {
-        cases: 128,
-        rng_seed: test_runner::RngSeed::Fixed(testing::seed()),
-        failure_persistence: None,
-        ..test_runner::Config::default()
-    }
+    samphiremoor_testkit::config(128)
 }
 
 #[derive(Clone, Debug)]
--- a/crates/membership/tests/properties.rs
+++ b/crates/membership/tests/properties.rs
@@ -9,7 +9,6 @@
 use proptest::test_runner;
 use samphiremoor_base::cases;
 use samphiremoor_base::id;
-use samphiremoor_base::testing;
 use samphiremoor_base::time;
 use samphiremoor_membership::news;
 use samphiremoor_membership::share;
@@ -98,12 +97,7 @@
 }
 
 fn config(cases: u32) -> test_runner::Config {
-    test_runner::Config {
-        cases,
-        rng_seed: test_runner::RngSeed::Fixed(testing::seed()),
-        failure_persistence: None,
-        ..test_runner::Config::default()
-    }
+    samphiremoor_testkit::config(cases)
 }
 
 proptest::proptest! {
--- a/crates/planner/tests/properties.rs
+++ b/crates/planner/tests/properties.rs
@@ -4,7 +4,6 @@
 
 use proptest::prelude::*;
 use proptest::test_runner;
-use samphiremoor_base::testing;
 use samphiremoor_base::time;
 use samphiremoor_planner::fleet;
 use samphiremoor_planner::placement;
@@ -16,12 +15,7 @@
 use samphiremoor_view::zone;
 
 fn config() -> test_runner::Config {
-    test_runner::Config {
-        cases: 128,
-        rng_seed: test_runner::RngSeed::Fixed(testing::seed()),
-        failure_persistence: None,
-        ..test_runner::Config::default()
-    }
+    samphiremoor_testkit::config(128)
 }
 
 fn any_replica(number: usize) -> impl Strategy<Value = fleet::FleetReplica> {
--- a/crates/platform/tests/rows.rs
+++ b/crates/platform/tests/rows.rs
@@ -5,8 +5,6 @@
 
 use async_std::task;
 use proptest::prelude::*;
-use proptest::test_runner;
-use samphiremoor_base::testing;
 use samphiremoor_platform::faults;
 use samphiremoor_platform::rows;
 use samphiremoor_platform::table;
@@ -30,11 +28,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        rng_seed: test_runner::RngSeed::Fixed(testing::seed()),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(samphiremoor_testkit::config(256))]
 
     #[test]
     fn versions_rise_and_refused_transactions_change_nothing(
--- a/crates/records/tests/records.rs
+++ b/crates/records/tests/records.rs
@@ -6,7 +6,6 @@
 use samphiremoor_base::cases;
 use samphiremoor_base::digest;
 use samphiremoor_base::quantity;
-use samphiremoor_base::testing;
 use samphiremoor_base::time;
 use samphiremoor_records::entry;
 use samphiremoor_records::file;
@@ -129,12 +128,7 @@
 }
 
 fn config() -> test_runner::Config {
-    test_runner::Config {
-        cases: 256,
-        rng_seed: test_runner::RngSeed::Fixed(testing::seed()),
-        failure_persistence: None,
-        ..test_runner::Config::default()
-    }
+    samphiremoor_testkit::config(256)
 }
 
 fn services() -> impl Strategy<Value = set::ServiceRecord> {
--- a/crates/requests/tests/properties.rs
+++ b/crates/requests/tests/properties.rs
@@ -8,7 +8,6 @@
 use proptest::test_runner;
 use samphiremoor_base::outcome;
 use samphiremoor_base::quantity;
-use samphiremoor_base::testing;
 use samphiremoor_base::time;
 use samphiremoor_requests::action::RequestAction;
 use samphiremoor_requests::backoff;
@@ -182,12 +181,7 @@
 }
 
 fn config() -> test_runner::Config {
-    test_runner::Config {
-        cases: 1_024,
-        rng_seed: test_runner::RngSeed::Fixed(testing::seed()),
-        failure_persistence: None,
-        ..test_runner::Config::default()
-    }
+    samphiremoor_testkit::config(1_024)
 }
 
 proptest::proptest! {
--- a/crates/routing/tests/properties.rs
+++ b/crates/routing/tests/properties.rs
@@ -5,7 +5,6 @@
 use proptest::prelude::*;
 use proptest::test_runner;
 use samphiremoor_base::quantity;
-use samphiremoor_base::testing;
 use samphiremoor_base::time;
 use samphiremoor_records::set;
 use samphiremoor_routing::baseline;
@@ -20,12 +19,7 @@
 const HISTORY_BLOCKS: usize = 500;
 
 fn config() -> test_runner::Config {
-    test_runner::Config {
-        cases: 64,
-        rng_seed: test_runner::RngSeed::Fixed(testing::seed()),
-        failure_persistence: None,
-        ..test_runner::Config::default()
-    }
+    samphiremoor_testkit::config(64)
 }
 
 fn pickers() -> Vec<Box<dyn ReplicaPicker>> {
--- a/crates/settings/tests/load.rs
+++ b/crates/settings/tests/load.rs
@@ -83,11 +83,7 @@
 }
 
 proptest::proptest! {
-    #![proptest_config(proptest::test_runner::Config {
-        rng_seed: proptest::test_runner::RngSeed::Fixed(samphiremoor_base::testing::seed()),
-        failure_persistence: None,
-        ..proptest::test_runner::Config::default()
-    })]
+    #![proptest_config(samphiremoor_testkit::config(256))]
 
     #[test]
     fn any_text_is_taken_or_refused(text in ".{0,200}") {
--- a/crates/standin-engine/tests/model.rs
+++ b/crates/standin-engine/tests/model.rs
@@ -3,9 +3,7 @@
 use std::time::Duration;
 
 use proptest::prelude::*;
-use proptest::test_runner;
 use samphiremoor_base::quantity;
-use samphiremoor_base::testing;
 use samphiremoor_base::time;
 use samphiremoor_records::set;
 use samphiremoor_standin_engine::batch;
@@ -112,11 +110,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        rng_seed: test_runner::RngSeed::Fixed(testing::seed()),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(samphiremoor_testkit::config(256))]
 
     #[test]
     fn each_sequence_gets_each_token_once_in_order(
