Demo: print workspaces that may use both a model and a plain service

Change: four workspaces that have both; the README's first request uses one of them. Ruled out: new services for the others (the records are the deployments').

--- a/crates/demo/src/system.rs
+++ b/crates/demo/src/system.rs
@@ -75,10 +75,10 @@
             println!("entry {} {}", zone.spec.zone, zone.addresses.http);
         }
         for (workspace, model, path) in [
-            ("municipal-rental", "rental-draft", "-"),
-            ("courier-crews", "-", "/v1/services/courier-slot/bookings"),
-            ("records-office", "letter-draft", "-"),
+            ("winter-delivery", "rental-draft", "/v1/services/courier-slot/bookings"),
+            ("resident-app", "rental-question", "/v1/services/courier-slot/bookings"),
             ("counters-casablanca", "letter-draft", "/v1/services/redirect-check/orders"),
+            ("partner-agencies", "letter-draft", "/v1/services/redirect-check/orders"),
         ] {
             println!("workspace {workspace} {} {model} {path}", key_of(workspace));
         }
