--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -220,13 +220,10 @@
     fn tick(&mut self, now: time::MonotonicTime, actions: &mut Vec<action::ControlAction>) {
         self.try_to_join(now, actions);
         let is_reader = self.membership.is_reader();
-        let duty = if is_reader { follow::ReaderDuty::Reader } else { follow::ReaderDuty::Other };
-        let reads = match self.own_stop.is_leaving() {
-            true => self.schedule.due_reads(now, follow::ReaderDuty::Reader),
-            false => self.schedule.due_reads(now, duty),
-        };
+        let reads_often = is_reader || self.own_stop.is_leaving();
+        let reads = self.schedule.due_reads(now, duty_of(reads_often));
         actions.extend(reads.into_iter().map(action::ControlAction::Read));
-        self.follow(now, follow::FollowInput::Tick(duty), actions);
+        self.follow(now, follow::FollowInput::Tick(duty_of(is_reader)), actions);
         let ticked = self.membership.tick(now);
         self.act(ticked, actions);
         let tick = duty::DutyInput::Tick { is_candidate: is_reader };
@@ -425,3 +422,7 @@
         actions.extend(view.map(|view| action::ControlAction::Publish(Box::new(view))));
     }
 }
+
+fn duty_of(is_reader: bool) -> follow::ReaderDuty {
+    if is_reader { follow::ReaderDuty::Reader } else { follow::ReaderDuty::Other }
+}
--- a/crates/process-tests/src/child.rs
+++ b/crates/process-tests/src/child.rs
@@ -95,11 +95,6 @@
     }
 }
 
-/// Whether the program has been built.
-pub fn is_built(program: &str) -> bool {
-    program_path(program).is_file()
-}
-
 /// Whether something listens at the address.
 pub fn listens(address: net::SocketAddr) -> bool {
     const CONNECT_LIMIT: Duration = Duration::from_millis(500);
