--- a/crates/base/tests/layers.rs
+++ b/crates/base/tests/layers.rs
@@ -102,3 +102,26 @@
         .collect();
     check(&["standin", "standin-engine", "standin-platform", "standin-service"], &decisions);
 }
+
+/// Source files of a crate, its test files left out.
+fn sources(directory: &path::Path) -> Vec<path::PathBuf> {
+    let Ok(entries) = fs::read_dir(directory) else { return Vec::new() };
+    let paths = entries.filter_map(|entry| Some(entry.ok()?.path()));
+    paths.flat_map(|path| if path.is_dir() { sources(&path) } else { vec![path] }).collect()
+}
+
+// Libraries and programs are built without a test harness, so a test inside them would never run.
+#[test]
+fn tests_live_in_test_files() {
+    let root = path::Path::new(env!("CARGO_MANIFEST_DIR")).join("..");
+    let names = workspace_crates();
+    let files: Vec<_> =
+        names.iter().flat_map(|name| sources(&root.join(name).join("src"))).collect();
+    assert!(files.len() > names.len(), "the sources are where this test looks for them");
+    for file in files {
+        let text = fs::read_to_string(&file).expect("a source file is readable text");
+        // An indented attribute is one that the macro for test cases writes.
+        let is_test = text.lines().any(|line| line == "#[test]" || line.contains("#[cfg(test)]"));
+        assert!(!is_test, "{} holds tests; move them to the crate's tests/", file.display());
+    }
+}
