Print how long each step of a chore took

Change: xtask prints the seconds of each command that it ran. Ruled out: timing by hand, which nobody repeats.

--- a/xtask/src/run.rs
+++ b/xtask/src/run.rs
@@ -4,6 +4,7 @@
 use std::fmt;
 use std::io;
 use std::process;
+use std::time;
 
 /// Why a chore failed.
 #[derive(Debug)]
@@ -32,15 +33,17 @@
 
 impl error::Error for ChoreError {}
 
-/// Runs a command with inherited output and waits for its success.
+/// Runs a command with inherited output, waits for its success, and prints the seconds that it took.
 pub(crate) fn run(program: &str, args: &[&str]) -> Result<(), ChoreError> {
     let text = format!("{program} {}", args.join(" "));
     eprintln!("$ {text}");
+    let start = time::Instant::now();
     let status = process::Command::new(program)
         .args(args)
         .stdin(process::Stdio::null())
         .status()
         .map_err(|cause| ChoreError::NotStarted { command: text.clone(), cause })?;
+    eprintln!("# {:.0} s", start.elapsed().as_secs_f64());
     if status.success() {
         return Ok(());
     }
