Demo: a signal for the chore ends the demonstration

Change: the chore becomes the command (exec), so one process has the whole chain. Ruled out: handing signals on from xtask, which would need a signal library there. Before: 12 processes left. No test: it would need cargo within cargo, which waits for its own lock.

--- a/xtask/src/demo.rs
+++ b/xtask/src/demo.rs
@@ -11,5 +11,5 @@
     if keep {
         args.extend(["--", "--keep"]);
     }
-    run::run("cargo", &args)
+    Err(run::become_command("cargo", &args))
 }
--- a/xtask/src/run.rs
+++ b/xtask/src/run.rs
@@ -3,6 +3,7 @@
 use std::error;
 use std::fmt;
 use std::io;
+use std::os::unix::process::CommandExt as _;
 use std::process;
 use std::time;
 
@@ -50,6 +51,16 @@
     Err(ChoreError::Failed { command: text, status })
 }
 
+/// Becomes the command: signals for this process reach it, and its exit code is this one's.
+///
+/// Returns only where the command could not be started.
+pub(crate) fn become_command(program: &str, args: &[&str]) -> ChoreError {
+    let text = format!("{program} {}", args.join(" "));
+    eprintln!("$ {text}");
+    let cause = process::Command::new(program).args(args).stdin(process::Stdio::null()).exec();
+    ChoreError::NotStarted { command: text, cause }
+}
+
 /// Whether a program can be started with the argument.
 pub(crate) fn is_installed(program: &str, probe: &str) -> bool {
     process::Command::new(program)
