Lease: tell holdings, transactions and decisions apart

Change: `holdings` knows what is held and free, `commit` builds the transactions, `keeper` decides. No rule changed. Ruled out: moving the watch too (it has its own file already); one more trait between them.

--- a/crates/lease/src/keeper.rs
+++ b/crates/lease/src/keeper.rs
@@ -2,11 +2,14 @@
 
 use std::collections;
 
+use samphiremoor_base::id;
 use samphiremoor_base::quantity;
 use samphiremoor_base::time;
 use samphiremoor_platform::table;
 
 use crate::answer;
+use crate::commit;
+use crate::holdings;
 use crate::policy;
 use crate::row;
 use crate::spread;
@@ -60,46 +63,19 @@
     Stopped,
 }
 
-/// What a transaction in flight does.
-#[derive(Clone, Debug)]
-enum CommitKind {
-    Renew,
-    Take(quantity::ShardNumber, Box<row::LeaseRow>),
-    Remove,
-    Clean,
-}
-
-/// A lease that is held here.
-#[derive(Clone, Copy, Debug)]
-struct KeptLease {
-    fence: quantity::FenceNumber,
-    /// Scans that began earlier may not show the lease.
-    known_from: u64,
-    /// Whether the shard is open, so that it can be given away by a word in the table.
-    is_open: bool,
-    is_releasing: bool,
-}
-
 /// Keeper of one daemon's leases.
 #[derive(Clone, Debug)]
 pub struct LeaseKeeper {
-    life: row::DaemonLife,
+    daemon: id::DaemonId,
     policy: policy::LeasePolicy,
     is_candidate: bool,
     is_stopping: bool,
     is_stopped: bool,
-    kept: collections::BTreeMap<quantity::ShardNumber, KeptLease>,
-    /// Greatest fencing number of each shard whose hold has ended here.
-    ended: collections::BTreeMap<quantity::ShardNumber, quantity::FenceNumber>,
-    rows: collections::BTreeMap<quantity::ShardNumber, row::HeldLease>,
-    /// Since when a shard could be taken by anybody.
-    free_since: collections::BTreeMap<quantity::ShardNumber, time::MonotonicTime>,
+    holdings: holdings::LeaseHoldings,
     watch: watch::RenewalWatch,
-    commit: Option<CommitKind>,
-    commit_count: u64,
+    writer: commit::CommitWriter,
+    in_flight: Option<commit::CommitKind>,
     retry_at: Option<time::MonotonicTime>,
-    renewals: u64,
-    last_renewal: Option<time::MonotonicTime>,
     is_scanning: bool,
     scan_count: u64,
     last_scan: Option<time::MonotonicTime>,
@@ -109,21 +85,16 @@
     /// A keeper that holds nothing.
     pub fn new(life: row::DaemonLife, policy: policy::LeasePolicy) -> Self {
         LeaseKeeper {
-            life,
+            daemon: life.daemon.clone(),
             policy,
             is_candidate: true,
             is_stopping: false,
             is_stopped: false,
-            kept: collections::BTreeMap::new(),
-            ended: collections::BTreeMap::new(),
-            rows: collections::BTreeMap::new(),
-            free_since: collections::BTreeMap::new(),
+            holdings: holdings::LeaseHoldings::new(life.clone(), policy.shard_count),
             watch: watch::RenewalWatch::default(),
-            commit: None,
-            commit_count: 0,
+            writer: commit::CommitWriter::new(life),
+            in_flight: None,
             retry_at: None,
-            renewals: 0,
-            last_renewal: None,
             is_scanning: false,
             scan_count: 0,
             last_scan: None,
@@ -140,7 +111,7 @@
             LeaseInput::Answered(answer) => self.answered(now, answer, &mut actions),
             LeaseInput::Candidate(is_candidate) => self.is_candidate = is_candidate,
             LeaseInput::ScanSoon => self.last_scan = None,
-            LeaseInput::Opened(shard) => self.opened(shard),
+            LeaseInput::Opened(shard) => self.holdings.open(shard),
             LeaseInput::Closed(shard) => self.closed(shard),
             LeaseInput::Stop => self.stop(&mut actions),
         }
@@ -150,19 +121,19 @@
 
     /// The lease of a shard, as the last scan showed it.
     pub fn lease_of(&self, shard: quantity::ShardNumber) -> Option<&row::LeaseRow> {
-        self.rows.get(&shard).map(|held| &held.row)
+        self.holdings.row(shard).map(|held| &held.row)
     }
 
     /// Number of leases that are held here.
     pub fn held_count(&self) -> usize {
-        self.kept.len()
+        self.holdings.len()
     }
 
     /// When the keeper wants a tick, if no other input comes.
     pub fn next_wakeup(&self) -> time::MonotonicTime {
         let scan =
             self.last_scan.map_or(time::MonotonicTime::new(0), |last| last + self.scan_interval());
-        let renewal = self.last_renewal.filter(|_| self.is_candidate);
+        let renewal = self.writer.last_renewal().filter(|_| self.is_candidate);
         renewal.map_or(scan, |last| scan.min(last + self.policy.renew_interval()))
     }
 
@@ -177,63 +148,16 @@
         actions: &mut Vec<LeaseAction>,
     ) {
         self.is_scanning = false;
-        self.rows.clear();
-        let mut renewals = Vec::new();
-        for found in rows {
-            if let Some(shard) = row::shard_of_key(&found.key) {
-                let Some(lease) = row::LeaseRow::decode(&found.value) else { continue };
-                self.rows.insert(shard, row::HeldLease { row: lease, version: found.version });
-            } else if let Some(daemon) = row::daemon_of_key(&found.key) {
-                let Some(renewal) = row::RenewalRow::decode(&found.value) else { continue };
-                let life = row::DaemonLife { daemon, incarnation: renewal.incarnation };
-                renewals.push(watch::WatchedRow { life, version: found.version, since: now });
-            }
-        }
+        let (leases, renewals) = decode_rows(now, rows);
         self.watch.observe(now, &self.policy, renewals);
-        self.compare_kept(actions);
-        self.note_free(now);
-    }
-
-    /// Finds leases that were lost, and those that a transaction without an answer brought.
-    fn compare_kept(&mut self, actions: &mut Vec<LeaseAction>) {
-        for shard in self.shards() {
-            let found = self.rows.get(&shard);
-            let is_ours = found.is_some_and(|held| held.row.holder.as_ref() == Some(&self.life));
-            let fence = found.map(|held| held.row.fence);
-            match self.kept.get(&shard) {
-                Some(kept) => {
-                    let is_same = is_ours && fence == Some(kept.fence);
-                    if kept.known_from <= self.scan_count && !is_same {
-                        actions.push(LeaseAction::Lost(shard));
-                    }
-                }
-                None if is_ours && fence > self.ended.get(&shard).copied() => {
-                    let Some(lease) = found.cloned() else { continue };
-                    self.take(shard, lease, actions);
-                }
-                None => {}
-            }
-        }
-    }
-
-    fn note_free(&mut self, now: time::MonotonicTime) {
-        for shard in self.shards() {
-            if self.is_free(now, shard) {
-                self.free_since.entry(shard).or_insert(now);
-            } else {
-                self.free_since.remove(&shard);
+        for change in self.holdings.observe(self.scan_count, leases) {
+            match change {
+                holdings::LeaseChange::Brought(shard, lease) => self.take(shard, *lease, actions),
+                holdings::LeaseChange::Lost(shard) => actions.push(LeaseAction::Lost(shard)),
             }
         }
-    }
-
-    fn is_free(&self, now: time::MonotonicTime, shard: quantity::ShardNumber) -> bool {
-        if self.kept.contains_key(&shard) {
-            return false;
-        }
-        let Some(held) = self.rows.get(&shard) else { return true };
-        let Some(holder) = &held.row.holder else { return true };
-        // A lease of this very life that is not held here was given up while the shard opened.
-        *holder == self.life || self.watch.is_expired(now, &self.policy, holder)
+        let is_expired = |life: &row::DaemonLife| self.watch.is_expired(now, &self.policy, life);
+        self.holdings.note_free(now, is_expired);
     }
 
     fn take(
@@ -242,11 +166,7 @@
         lease: row::HeldLease,
         actions: &mut Vec<LeaseAction>,
     ) {
-        let fence = lease.row.fence;
-        let known_from = self.scan_count + 1;
-        self.kept
-            .insert(shard, KeptLease { fence, known_from, is_open: false, is_releasing: false });
-        self.free_since.remove(&shard);
+        self.holdings.keep(self.scan_count, shard, lease.clone());
         actions.push(LeaseAction::Taken { shard, lease });
     }
 
@@ -256,7 +176,7 @@
         answer: answer::TableAnswer,
         actions: &mut Vec<LeaseAction>,
     ) {
-        let Some(commit) = self.commit.take() else { return };
+        let Some(kind) = self.in_flight.take() else { return };
         let answer::TableAnswer::Committed(version) = answer else {
             // The next scan shows what has taken effect.
             self.last_scan = None;
@@ -266,38 +186,27 @@
             return;
         };
         self.retry_at = None;
-        match commit {
-            CommitKind::Take(shard, row) => {
-                let lease = row::HeldLease { row: *row, version };
-                self.rows.insert(shard, lease.clone());
-                self.take(shard, lease, actions);
+        match kind {
+            commit::CommitKind::Take(shard, row) => {
+                self.take(shard, row::HeldLease { row: *row, version }, actions);
             }
-            CommitKind::Remove => {
+            commit::CommitKind::Remove => {
                 self.is_stopped = true;
                 actions.push(LeaseAction::Stopped);
             }
-            CommitKind::Renew | CommitKind::Clean => {}
-        }
-    }
-
-    fn opened(&mut self, shard: quantity::ShardNumber) {
-        if let Some(kept) = self.kept.get_mut(&shard) {
-            kept.is_open = true;
+            commit::CommitKind::Renew | commit::CommitKind::Clean => {}
         }
     }
 
     fn closed(&mut self, shard: quantity::ShardNumber) {
-        let Some(kept) = self.kept.remove(&shard) else { return };
-        self.ended.insert(shard, kept.fence);
-        self.last_scan = None;
+        if self.holdings.close(shard) {
+            self.last_scan = None;
+        }
     }
 
     fn stop(&mut self, actions: &mut Vec<LeaseAction>) {
         self.is_stopping = true;
-        for (shard, kept) in &mut self.kept {
-            kept.is_releasing = true;
-            actions.push(LeaseAction::Release(*shard));
-        }
+        actions.extend(self.holdings.release_all().into_iter().map(LeaseAction::Release));
     }
 
     fn drive(&mut self, now: time::MonotonicTime, actions: &mut Vec<LeaseAction>) {
@@ -313,34 +222,30 @@
         }
         self.rebalance(now, actions);
         let is_waiting = self.retry_at.is_some_and(|retry| now < retry);
-        if self.commit.is_some() || is_waiting {
+        if self.in_flight.is_some() || is_waiting {
             return;
         }
         if let Some((kind, transaction)) = self.next_commit(now) {
-            self.commit = Some(kind);
+            self.in_flight = Some(kind);
             actions.push(LeaseAction::Commit(transaction));
         }
     }
 
-    fn next_commit(
-        &mut self,
-        now: time::MonotonicTime,
-    ) -> Option<(CommitKind, table::TableTransaction)> {
-        if self.is_stopping && self.kept.is_empty() {
-            let key = row::renewal_key(&self.life.daemon);
-            let writes = vec![table::RowWrite::Delete(key)];
-            return Some((CommitKind::Remove, self.transaction(Vec::new(), writes)));
+    fn next_commit(&mut self, now: time::MonotonicTime) -> Option<commit::PlannedCommit> {
+        if self.is_stopping && self.holdings.is_empty() {
+            return Some(self.writer.remove());
         }
-        let is_renewing = self.is_candidate || !self.kept.is_empty();
+        let is_renewing = self.is_candidate || !self.holdings.is_empty();
         let interval = self.policy.renew_interval();
-        if is_renewing && self.last_renewal.is_none_or(|last| now.since(last) >= interval) {
-            let writes = vec![self.renewal(now)];
-            return Some((CommitKind::Renew, self.transaction(Vec::new(), writes)));
+        let is_due = self.writer.last_renewal().is_none_or(|last| now.since(last) >= interval);
+        if is_renewing && is_due {
+            return Some(self.writer.renew(now));
         }
         if let Some(shard) = self.next_shard(now) {
-            return Some(self.taking(now, shard));
+            self.holdings.claim(shard);
+            return Some(self.writer.take(now, shard, self.holdings.row(shard)));
         }
-        self.cleaning(now)
+        self.next_cleaning(now)
     }
 
     /// The next shard to take, if this daemon should take one.
@@ -349,98 +254,54 @@
         if !is_ready || self.scan_count <= SCANS_BEFORE_TAKING {
             return None;
         }
-        let share = self.fair_share(now);
+        let has_room = self.holdings.len() < self.fair_share(now);
         // Nobody took it in a whole lease time: better unevenly held than not at all.
         let is_left = |since: time::MonotonicTime| now.since(since) >= self.policy.lease_time;
-        let wanted =
-            self.free_since.iter().filter(|(_, since)| self.kept.len() < share || is_left(**since));
-        wanted
-            .map(|(shard, _)| *shard)
-            .min_by_key(|shard| spread::preference(&self.life.daemon, *shard))
-    }
-
-    fn taking(
-        &mut self,
-        now: time::MonotonicTime,
-        shard: quantity::ShardNumber,
-    ) -> (CommitKind, table::TableTransaction) {
-        let key = row::shard_key(shard);
-        let found = self.rows.get(&shard);
-        let taken = found
-            .map_or_else(|| row::LeaseRow::first(&self.life), |held| held.row.taken_by(&self.life));
-        let condition = match found {
-            Some(held) => table::RowCondition::VersionIs(key.clone(), held.version),
-            None => table::RowCondition::Absent(key.clone()),
-        };
-        // The renewal goes along, so that no other daemon sees a holder without one.
-        let writes = vec![table::RowWrite::Put(key, taken.encode()), self.renewal(now)];
-        self.free_since.remove(&shard);
-        let transaction = self.transaction(vec![condition], writes);
-        (CommitKind::Take(shard, Box::new(taken)), transaction)
+        let wanted = self.holdings.free().filter(|(_, since)| has_room || is_left(*since));
+        wanted.map(|(shard, _)| shard).min_by_key(|shard| spread::preference(&self.daemon, *shard))
     }
 
-    fn cleaning(
-        &mut self,
-        now: time::MonotonicTime,
-    ) -> Option<(CommitKind, table::TableTransaction)> {
-        let is_used = |life: &row::DaemonLife| {
-            self.rows.values().any(|held| held.row.holder.as_ref() == Some(life))
-        };
+    fn next_cleaning(&mut self, now: time::MonotonicTime) -> Option<commit::PlannedCommit> {
+        let is_used = |life: &row::DaemonLife| self.holdings.is_holder(life);
         let stale = self.watch.stale_row(now, &self.policy, is_used)?;
-        let key = row::renewal_key(&stale.life.daemon);
-        let condition = table::RowCondition::VersionIs(key.clone(), stale.version);
-        let transaction = self.transaction(vec![condition], vec![table::RowWrite::Delete(key)]);
+        let planned = self.writer.clean(stale);
         // Whatever the answer, the next scan shows the row anew.
         self.watch = watch::RenewalWatch::default();
-        Some((CommitKind::Clean, transaction))
+        Some(planned)
     }
 
     /// Gives one lease away where this daemon holds more than its share.
     fn rebalance(&mut self, now: time::MonotonicTime, actions: &mut Vec<LeaseAction>) {
-        let share = self.fair_share(now);
-        let is_releasing = self.kept.values().any(|kept| kept.is_releasing);
-        let has_surplus = self.kept.len() > share || (!self.is_candidate && !self.kept.is_empty());
-        if is_releasing || !has_surplus || self.scan_count <= SCANS_BEFORE_TAKING {
+        let is_over = self.holdings.len() > self.fair_share(now);
+        let has_surplus = is_over || (!self.is_candidate && !self.holdings.is_empty());
+        if !has_surplus || self.scan_count <= SCANS_BEFORE_TAKING {
             return;
         }
-        let daemon = &self.life.daemon;
-        // A shard that is given up before it is open stays in this daemon's name in the table.
-        let open = self.kept.iter_mut().filter(|(_, kept)| kept.is_open);
-        let last = open.max_by_key(|(shard, _)| spread::preference(daemon, **shard));
-        if let Some((shard, kept)) = last {
-            kept.is_releasing = true;
-            actions.push(LeaseAction::Release(*shard));
-        }
+        actions.extend(self.holdings.release_one().map(LeaseAction::Release));
     }
 
     fn fair_share(&self, now: time::MonotonicTime) -> usize {
         let live = self.watch.live_count(now, &self.policy);
         spread::fair_share(self.policy.shard_count, live)
     }
+}
 
-    fn renewal(&mut self, now: time::MonotonicTime) -> table::RowWrite {
-        self.renewals += 1;
-        self.last_renewal = Some(now);
-        let row = row::RenewalRow { incarnation: self.life.incarnation, renewals: self.renewals };
-        table::RowWrite::Put(row::renewal_key(&self.life.daemon), row.encode())
-    }
-
-    fn transaction(
-        &mut self,
-        conditions: Vec<table::RowCondition>,
-        writes: Vec<table::RowWrite>,
-    ) -> table::TableTransaction {
-        self.commit_count += 1;
-        let row::DaemonLife { incarnation, .. } = &self.life;
-        let write_id = format!("lease-{incarnation}-{}", self.commit_count);
-        table::TableTransaction {
-            write_id: write_id.parse().expect("numbers and dashes make an identifier"),
-            conditions,
-            writes,
+/// The lease rows and the renewal rows of a scan; others are passed over.
+fn decode_rows(
+    now: time::MonotonicTime,
+    rows: Vec<table::TableRow>,
+) -> (collections::BTreeMap<quantity::ShardNumber, row::HeldLease>, Vec<watch::WatchedRow>) {
+    let mut leases = collections::BTreeMap::new();
+    let mut renewals = Vec::new();
+    for found in rows {
+        if let Some(shard) = row::shard_of_key(&found.key) {
+            let Some(lease) = row::LeaseRow::decode(&found.value) else { continue };
+            leases.insert(shard, row::HeldLease { row: lease, version: found.version });
+        } else if let Some(daemon) = row::daemon_of_key(&found.key) {
+            let Some(renewal) = row::RenewalRow::decode(&found.value) else { continue };
+            let life = row::DaemonLife { daemon, incarnation: renewal.incarnation };
+            renewals.push(watch::WatchedRow { life, version: found.version, since: now });
         }
     }
-
-    fn shards(&self) -> impl Iterator<Item = quantity::ShardNumber> + use<> {
-        (0..self.policy.shard_count).map(quantity::ShardNumber::new)
-    }
+    (leases, renewals)
 }
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -6,6 +6,8 @@
 //! time, and carry out the actions.
 
 pub mod answer;
+mod commit;
+mod holdings;
 pub mod keeper;
 pub mod policy;
 pub mod row;
