Platform: a bearer token from a file that the settings name

Cause: the programs could not make themselves known to a platform that asks for a secret, though secrets are to come from files named in settings; the code that reads such files was used by the load tool only. The table `platform` of the settings stood three times. Change: one `PlatformSettings` for entry, control and the command line, with `token_file`; its fault is named with file, line and key by `--check`. The stand-in platform can ask for the token; the demo does. Ruled out: a token in the settings text or on the command line; reading the file anew at each call.

--- a/crates/control/src/main.rs
+++ b/crates/control/src/main.rs
@@ -20,7 +20,6 @@
 use samphiremoor_httpio::server as http_server;
 use samphiremoor_membership::news;
 use samphiremoor_peers::server as peer_server;
-use samphiremoor_platform_client::http as platform;
 use samphiremoor_settings::load;
 use samphiremoor_settings::logging;
 use samphiremoor_view::zone;
@@ -62,7 +61,7 @@
 }
 
 async fn run(settings: &settings::ControlSettings) -> Result<(), Box<dyn error::Error>> {
-    let platform = platform::HttpPlatform::new(settings.platform.address, platform::DEFAULT_LIMITS);
+    let platform = settings.platform.client()?;
     let ports = shell::ControlPorts {
         table: sync::Arc::new(platform.clone()),
         cloud: sync::Arc::new(platform),
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -4,6 +4,7 @@
 
 use samphiremoor_base::id;
 use samphiremoor_base::time;
+use samphiremoor_platform_client::settings as platform_settings;
 use samphiremoor_settings::load;
 use serde::Deserialize;
 
@@ -25,7 +26,7 @@
     /// Addresses of this VM.
     pub addresses: AddressSettings,
     /// The platform.
-    pub platform: PlatformSettings,
+    pub platform: platform_settings::PlatformSettings,
     /// Other control daemons.
     #[serde(default)]
     pub peers: PeerSettings,
@@ -48,15 +49,6 @@
     pub entry_peer: net::SocketAddr,
 }
 
-/// The platform.
-#[derive(Clone, Debug)]
-#[derive(Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct PlatformSettings {
-    /// Its address.
-    pub address: net::SocketAddr,
-}
-
 /// Other control daemons.
 #[derive(Clone, Debug)]
 #[derive(Deserialize)]
@@ -85,6 +77,7 @@
 
 impl load::CheckedSettings for ControlSettings {
     fn check(&self) -> Result<(), load::ValueError> {
+        self.platform.check()?;
         let addresses = [
             ("addresses.control", self.addresses.control),
             ("addresses.view", self.addresses.view),
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -11,7 +11,6 @@
 use samphiremoor_ctl::force;
 use samphiremoor_ctl::outcome;
 use samphiremoor_ctl::settings;
-use samphiremoor_platform_client::http as platform;
 use samphiremoor_settings::load;
 
 fn main() -> process::ExitCode {
@@ -52,7 +51,7 @@
     form: args::OutputForm,
     command: &args::Command,
 ) -> Result<(), outcome::CtlError> {
-    let platform = platform::HttpPlatform::new(settings.platform.address, platform::DEFAULT_LIMITS);
+    let platform = settings.platform.client().map_err(outcome::CtlError::Token)?;
     let ports = command::CtlPorts {
         table: sync::Arc::new(platform.clone()),
         cloud: sync::Arc::new(platform),
--- a/crates/ctl/src/outcome.rs
+++ b/crates/ctl/src/outcome.rs
@@ -9,6 +9,7 @@
 use samphiremoor_records::entry;
 use samphiremoor_records::file;
 use samphiremoor_records::revision;
+use samphiremoor_settings::secret;
 
 /// Exit code of a command that was done.
 pub const DONE: u8 = 0;
@@ -69,6 +70,8 @@
     UnknownVm(samphiremoor_base::id::VmId),
     /// The request file is not what it should be.
     BadRequest(String),
+    /// The platform's token can't be read.
+    Token(secret::SecretError),
 }
 
 impl CtlError {
@@ -126,6 +129,7 @@
                 write!(f, "the platform's list has no VM {vm}; see status for the VMs")
             }
             CtlError::BadRequest(cause) => write!(f, "the request file: {cause}"),
+            CtlError::Token(cause) => cause.fmt(f),
         }
     }
 }
--- a/crates/ctl/src/settings.rs
+++ b/crates/ctl/src/settings.rs
@@ -4,6 +4,7 @@
 use std::sync;
 
 use samphiremoor_base::time;
+use samphiremoor_platform_client::settings as platform_settings;
 use samphiremoor_settings::load;
 use serde::Deserialize;
 
@@ -22,21 +23,12 @@
     #[serde(default = "default_timeout")]
     pub timeout_ms: time::Millis,
     /// The platform.
-    pub platform: PlatformSettings,
+    pub platform: platform_settings::PlatformSettings,
     /// Control addresses that are asked where the platform's list can't be read.
     #[serde(default)]
     pub seeds: Vec<net::SocketAddr>,
 }
 
-/// The platform.
-#[derive(Clone, Debug)]
-#[derive(Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct PlatformSettings {
-    /// Its address.
-    pub address: net::SocketAddr,
-}
-
 fn default_author() -> sync::Arc<str> {
     sync::Arc::from("operator")
 }
@@ -51,6 +43,7 @@
 
 impl load::CheckedSettings for CtlSettings {
     fn check(&self) -> Result<(), load::ValueError> {
+        self.platform.check()?;
         if self.author.is_empty() {
             return Err(load::ValueError {
                 key: "author",
--- a/crates/demo/src/settings.rs
+++ b/crates/demo/src/settings.rs
@@ -1,7 +1,9 @@
 //! Settings texts of the demonstration's programs.
 
+use std::fmt;
 use std::fmt::Write as _;
 use std::net;
+use std::path;
 
 /// One availability zone of the demonstration.
 #[derive(Clone, Copy, Debug)]
@@ -95,13 +97,30 @@
     format!("{zone}-entry-1")
 }
 
+/// The stand-in platform, as the other programs know it.
+#[derive(Clone, Debug)]
+pub(crate) struct PlatformPlace {
+    /// Where it answers.
+    pub(crate) address: net::SocketAddr,
+    /// File with the token that it asks for.
+    pub(crate) token_file: path::PathBuf,
+}
+
+impl fmt::Display for PlatformPlace {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "address = \"{}\"\ntoken_file = {:?}", self.address, self.token_file)
+    }
+}
+
 /// Settings of the stand-in platform.
 pub(crate) fn platform(
-    listen: net::SocketAddr,
+    place: &PlatformPlace,
     entries: &[(ZoneSpec, EntryAddresses)],
     upstreams: &[UpstreamSpec],
 ) -> String {
-    let mut text = format!("listen = \"{listen}\"\nlist_lag = 200\n[zone_listen]\n");
+    let PlatformPlace { address, token_file } = place;
+    let mut text = format!("listen = \"{address}\"\ntoken_file = {token_file:?}\n");
+    text.push_str("list_lag = 200\n[zone_listen]\n");
     text.push_str("[limits]\nwrites_per_second = 400\nreads_per_second = 2000\n");
     text.push_str("weight_bytes_per_second = 2000000000\n");
     for (spec, addresses) in entries {
@@ -165,7 +184,7 @@
 }
 
 /// Settings of an entry daemon.
-pub(crate) fn entry(zone: &str, addresses: &EntryAddresses, platform: net::SocketAddr) -> String {
+pub(crate) fn entry(zone: &str, addresses: &EntryAddresses, platform: &PlatformPlace) -> String {
     let name = entry_name(zone);
     let EntryAddresses { http, peer, view, .. } = addresses;
     format!(
@@ -179,7 +198,7 @@
 control_address = "{view}"
 
 [platform]
-address = "{platform}"
+{platform}
 
 [stop]
 grace_ms = 200
@@ -189,7 +208,7 @@
 }
 
 /// Settings of a control daemon.
-pub(crate) fn control(zone: &str, addresses: &EntryAddresses, platform: net::SocketAddr) -> String {
+pub(crate) fn control(zone: &str, addresses: &EntryAddresses, platform: &PlatformPlace) -> String {
     let name = entry_name(zone);
     let EntryAddresses { http, peer, control, view, control_http } = addresses;
     format!(
@@ -204,13 +223,13 @@
 entry_peer = "{peer}"
 
 [platform]
-address = "{platform}"
+{platform}
 "#
     )
 }
 
 /// Settings of the command line.
-pub(crate) fn ctl(control: net::SocketAddr, platform: net::SocketAddr) -> String {
+pub(crate) fn ctl(control: net::SocketAddr, platform: &PlatformPlace) -> String {
     format!(
         r#"author = "demo"
 wait_ms = 10000
@@ -218,7 +237,7 @@
 seeds = ["{control}"]
 
 [platform]
-address = "{platform}"
+{platform}
 "#
     )
 }
--- a/crates/demo/src/system.rs
+++ b/crates/demo/src/system.rs
@@ -40,23 +40,23 @@
     /// Starts the stand-ins and the daemons; callers are not served before records are applied.
     pub(crate) fn start() -> Self {
         let directory = new_directory();
-        let platform_address = ports::free_address();
+        let place = new_platform_place(&directory);
         let entries: Vec<_> =
             settings::ZONES.iter().map(|spec| (*spec, entry_addresses())).collect();
         let specs = upstream_specs();
-        let text = settings::platform(platform_address, &entries, &specs);
+        let text = settings::platform(&place, &entries, &specs);
         let platform =
             child::DaemonProcess::start("standin-platform", "platform", &text, &directory);
-        wait::until("the platform listens", || child::listens(platform_address));
+        wait::until("the platform listens", || child::listens(place.address));
         let upstreams = specs.iter().map(|spec| start_upstream(spec, &directory)).collect();
         for spec in &specs {
             wait::until("the upstream listens", || child::listens(spec.address));
         }
         let zones = entries
             .into_iter()
-            .map(|(spec, addresses)| start_zone(spec, addresses, platform_address, &directory))
+            .map(|(spec, addresses)| start_zone(spec, addresses, &place, &directory))
             .collect::<Vec<_>>();
-        let ctl = settings::ctl(zones[0].addresses.control, platform_address);
+        let ctl = settings::ctl(zones[0].addresses.control, &place);
         fs::write(directory.join("samphiremoorctl.toml"), ctl).expect("the directory takes files");
         println!("demo: {} zones, logs in {}", zones.len(), directory.display());
         DemoSystem { zones, directory, upstreams, platform }
@@ -105,6 +105,14 @@
     directory
 }
 
+/// The place of a platform with a token of this demonstration alone.
+fn new_platform_place(directory: &path::Path) -> settings::PlatformPlace {
+    let token_file = directory.join("platform.token");
+    let token = uuid::Uuid::now_v7().to_string();
+    fs::write(&token_file, token).expect("the directory takes files");
+    settings::PlatformPlace { address: ports::free_address(), token_file }
+}
+
 fn entry_addresses() -> settings::EntryAddresses {
     settings::EntryAddresses {
         http: ports::free_address(),
@@ -150,7 +158,7 @@
 fn start_zone(
     spec: settings::ZoneSpec,
     addresses: settings::EntryAddresses,
-    platform: net::SocketAddr,
+    platform: &settings::PlatformPlace,
     directory: &path::Path,
 ) -> DemoZone {
     let text = settings::control(spec.zone, &addresses, platform);
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -19,8 +19,9 @@
 use samphiremoor_peers::link;
 use samphiremoor_peers::server as peer_server;
 use samphiremoor_platform::table;
-use samphiremoor_platform_client::http;
+use samphiremoor_platform_client::settings as platform_settings;
 use samphiremoor_routing::scored;
+use samphiremoor_settings::secret;
 use samphiremoor_shards::service;
 
 use crate::cache;
@@ -44,6 +45,8 @@
     Thread(io::Error),
     /// The shards can't be started.
     Shards(service::StartError),
+    /// The platform's token can't be read.
+    Token(secret::SecretError),
 }
 
 impl fmt::Display for StartError {
@@ -54,6 +57,7 @@
             }
             StartError::PeerListen(cause) => cause.fmt(f),
             StartError::Shards(cause) => cause.fmt(f),
+            StartError::Token(cause) => cause.fmt(f),
             StartError::Thread(cause) => {
                 write!(f, "can't start a thread ({cause}); raise the process's limits")
             }
@@ -104,7 +108,7 @@
         let parts = EntryParts {
             source: view_source(&settings.view),
             policies: default_policies(),
-            table: settings.platform.as_ref().map(platform_table),
+            table: settings.platform.as_ref().map(platform_table).transpose()?,
         };
         EntryDaemon::start_with(settings, parts).await
     }
@@ -255,8 +259,10 @@
     }
 }
 
-fn platform_table(platform: &settings::PlatformSettings) -> Arc<dyn table::TableStore> {
-    Arc::new(http::HttpPlatform::new(platform.address, http::DEFAULT_LIMITS))
+fn platform_table(
+    platform: &platform_settings::PlatformSettings,
+) -> Result<Arc<dyn table::TableStore>, StartError> {
+    Ok(Arc::new(platform.client().map_err(StartError::Token)?))
 }
 
 fn start_shards(
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -8,6 +8,7 @@
 use samphiremoor_base::time;
 use samphiremoor_httpio::client;
 use samphiremoor_httpio::server;
+use samphiremoor_platform_client::settings as platform_settings;
 use samphiremoor_requests::backoff;
 use samphiremoor_requests::budget;
 use samphiremoor_requests::policy;
@@ -36,7 +37,7 @@
     /// Where the view comes from.
     pub view: ViewSettings,
     /// The platform, which calls that may not be repeated need; without it they are refused.
-    pub platform: Option<PlatformSettings>,
+    pub platform: Option<platform_settings::PlatformSettings>,
     /// Shards of the idempotency keys.
     #[serde(default)]
     pub shards: shard_settings::ShardSettings,
@@ -86,15 +87,6 @@
     time::Millis::new(1_000)
 }
 
-/// The platform.
-#[derive(Clone, Debug, Eq, PartialEq)]
-#[derive(Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct PlatformSettings {
-    /// Where it answers.
-    pub address: net::SocketAddr,
-}
-
 /// Limits towards callers.
 #[derive(Clone, Debug, Eq, PartialEq)]
 #[derive(Deserialize)]
@@ -273,6 +265,9 @@
 impl load::CheckedSettings for EntrySettings {
     fn check(&self) -> Result<(), load::ValueError> {
         check_view(&self.view)?;
+        if let Some(platform) = &self.platform {
+            platform.check()?;
+        }
         self.shards.check()?;
         for limit in self.counts() {
             limit.check()?;
--- a/crates/platform-client/src/http.rs
+++ b/crates/platform-client/src/http.rs
@@ -15,6 +15,7 @@
 use samphiremoor_httpio::body;
 use samphiremoor_httpio::client;
 use samphiremoor_httpio::problem;
+use samphiremoor_settings::secret;
 use serde::Serialize;
 use serde::de;
 
@@ -39,12 +40,18 @@
 pub struct HttpPlatform {
     address: net::SocketAddr,
     limits: client::CallLimits,
+    token: Option<secret::SecretText>,
 }
 
 impl HttpPlatform {
     /// The platform at `address`.
     pub fn new(address: net::SocketAddr, limits: client::CallLimits) -> Self {
-        HttpPlatform { address, limits }
+        HttpPlatform { address, limits, token: None }
+    }
+
+    /// The same platform, with a bearer token that goes with each call.
+    pub fn with_token(self, token: Option<secret::SecretText>) -> Self {
+        HttpPlatform { token, ..self }
     }
 
     fn url(&self, path: &str) -> Result<Url, table::PlatformError> {
@@ -80,8 +87,11 @@
 
     async fn call<A: de::DeserializeOwned>(
         &self,
-        request: Request,
+        mut request: Request,
     ) -> Result<A, table::PlatformError> {
+        if let Some(token) = &self.token {
+            request.insert_header("Authorization", format!("Bearer {}", token.reveal()));
+        }
         let sent = client::send(self.address, request, self.limits).await;
         let mut response = sent.map_err(|failure| platform_error(&failure))?;
         if response.status() != StatusCode::Ok {
--- a/crates/platform-client/src/lib.rs
+++ b/crates/platform-client/src/lib.rs
@@ -4,3 +4,4 @@
 
 pub mod http;
 pub mod memory;
+pub mod settings;
--- a/crates/standin-platform/src/handler.rs
+++ b/crates/standin-platform/src/handler.rs
@@ -18,6 +18,7 @@
 use samphiremoor_platform::table;
 use samphiremoor_platform::table::TableStore as _;
 use samphiremoor_platform_client::memory;
+use samphiremoor_settings::secret;
 use samphiremoor_standin::answer;
 use samphiremoor_standin::fault;
 use samphiremoor_standin::program;
@@ -36,6 +37,7 @@
     cloud: memory::MemoryCloud,
     clock: time::MonotonicClock,
     calls: program::CallCounter,
+    token: Option<secret::SecretText>,
     shared: sync::Mutex<SharedState>,
 }
 
@@ -71,6 +73,7 @@
             cloud,
             clock: time::MonotonicClock::start(),
             calls,
+            token: settings.token().expect("the check of the settings has read the file"),
             shared: sync::Mutex::new(shared),
         }
     }
@@ -79,6 +82,18 @@
         self.shared.lock().unwrap_or_else(sync::PoisonError::into_inner)
     }
 
+    /// Refuses a call without the token; the control path needs none.
+    fn check_token(&self, request: &Request) -> Result<(), answer::CallRefusal> {
+        let Some(token) = &self.token else { return Ok(()) };
+        let given = request.header("Authorization").map(|values| values.as_str());
+        let is_known = given.and_then(|text| text.strip_prefix("Bearer ")) == Some(token.reveal());
+        if is_known || request.url().path().starts_with("/control/") {
+            return Ok(());
+        }
+        let detail = "the call has no valid token; name its file as platform.token_file";
+        Err(answer::CallRefusal::new(StatusCode::Unauthorized, detail))
+    }
+
     fn is_cut(&self, zone: Option<&id::ZoneId>) -> bool {
         zone.is_some_and(|zone| self.lock().faults.cut_zones.contains(zone))
     }
@@ -137,6 +152,7 @@
     }
 
     async fn route(&self, mut request: Request) -> Result<Response, answer::CallRefusal> {
+        self.state.check_token(&request)?;
         let path = request.url().path().to_owned();
         let segments: Vec<&str> = path.trim_start_matches('/').split('/').collect();
         match (request.method(), segments.as_slice()) {
--- a/crates/standin-platform/src/settings.rs
+++ b/crates/standin-platform/src/settings.rs
@@ -2,12 +2,14 @@
 
 use std::collections;
 use std::net;
+use std::path;
 
 use samphiremoor_base::id;
 use samphiremoor_base::time;
 use samphiremoor_platform::cloud;
 use samphiremoor_platform::fleet;
 use samphiremoor_settings::load;
+use samphiremoor_settings::secret;
 use samphiremoor_standin::program;
 use serde::Deserialize;
 
@@ -20,6 +22,9 @@
     /// An address for each availability zone, which can be cut off.
     #[serde(default)]
     pub zone_listen: collections::BTreeMap<id::ZoneId, net::SocketAddr>,
+    /// File with the bearer token that each call must have; none is asked for where left out.
+    #[serde(default)]
+    pub token_file: Option<path::PathBuf>,
     /// Time by which the VM list is behind.
     #[serde(default)]
     pub list_lag: time::Millis,
@@ -59,12 +64,28 @@
     }
 }
 
+impl PlatformSettings {
+    /// The token that each call must have.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a token file that can't be read or is empty.
+    pub fn token(&self) -> Result<Option<secret::SecretText>, secret::SecretError> {
+        self.token_file.as_deref().map(secret::read).transpose()
+    }
+}
+
 impl load::CheckedSettings for PlatformSettings {
     fn check(&self) -> Result<(), load::ValueError> {
         program::check_loopback("listen", self.listen)?;
         for address in self.zone_listen.values() {
             program::check_loopback("zone_listen", *address)?;
         }
+        self.token().map_err(|cause| load::ValueError {
+            key: "token_file",
+            problem: cause.to_string(),
+            remedy: "leave the key out to ask for no token".to_owned(),
+        })?;
         check_rate("limits.writes_per_second", self.limits.writes_per_second)?;
         check_rate("limits.reads_per_second", self.limits.reads_per_second)?;
         check_rate("limits.weight_bytes_per_second", self.limits.weight_bytes_per_second)
--- a/crates/standin-platform/tests/platform.rs
+++ b/crates/standin-platform/tests/platform.rs
@@ -167,3 +167,39 @@
     assert_eq!(queue.book(500, now), time::Millis::new(500));
     assert_eq!(queue.book(500, now), time::Millis::new(1_000));
 }
+
+/// Writes a token file of this process and gives the settings that name it.
+fn settings_with_token(token: &str) -> settings::PlatformSettings {
+    let name = format!("samphiremoor-token-{}-{}", std::process::id(), token.trim().len());
+    let file = std::env::temp_dir().join(name);
+    std::fs::write(&file, token).expect("the directory takes files");
+    settings::PlatformSettings { token_file: Some(file), ..example() }
+}
+
+#[test]
+fn call_without_the_token_is_refused() {
+    task::block_on(async {
+        let settings = settings_with_token("right\n");
+        let address = start(&settings).await.0;
+        let stranger = platform(address);
+        let failure = stranger.commit(&put("x")).await.expect_err("the write is refused");
+        assert!(matches!(failure, table::PlatformError::NotDone(_)), "{failure}");
+        let known = platform(address).with_token(settings.token().expect("the file is there"));
+        assert_eq!(stored(&known).await, None);
+        known.commit(&put("x")).await.expect("the platform answers");
+        assert_eq!(stored(&known).await.as_deref(), Some("x"));
+        // Faults are ordered by tests, which are no users of the platform.
+        order(address, "/control/faults", "{}").await;
+    });
+}
+
+#[test]
+fn empty_token_file_is_named_with_its_key() {
+    let file = settings_with_token(" ").token_file.expect("the settings name a file");
+    let text = format!("listen = \"127.0.0.1:7700\"\ntoken_file = {file:?}\n");
+    let path = path::Path::new("standin-platform.toml");
+    let failure = load::parse::<settings::PlatformSettings>(path, &text).expect_err("empty");
+    let message = failure.to_string();
+    assert!(message.starts_with("standin-platform.toml:2: token_file: "), "{message}");
+    assert!(message.contains("write the secret to this file"), "{message}");
+}
