--- a/crates/entry/src/finish.rs
+++ b/crates/entry/src/finish.rs
@@ -96,10 +96,12 @@
         RefusalReason::TooLarge => "the body exceeds its limit; send less",
         RefusalReason::SlowCaller => "the request came too slowly; send it without pauses",
         RefusalReason::WrongKey => "no workspace has this key; send `Authorization: Bearer KEY`",
-        RefusalReason::UnknownPath => "the path names no call; see the API page",
+        RefusalReason::UnknownPath => "the path names no call; docs/API.md lists them",
         RefusalReason::UnknownService => "the workspace has no such service; check its name",
         RefusalReason::UnknownModel => "no record declares this version; leave it out",
-        RefusalReason::UnknownRequest => "no such request is kept; send it anew",
+        RefusalReason::UnknownRequest => {
+            "no such request is kept, and it may have been run; send it anew if that is safe"
+        }
         RefusalReason::MissingIdempotencyKey => {
             "this call may not be repeated; send an `Idempotency-Key` of your own"
         }
--- a/crates/entry/src/serve/handler.rs
+++ b/crates/entry/src/serve/handler.rs
@@ -47,12 +47,15 @@
             Some(CallPath::Service(path)) => {
                 service::serve(&self.core, self.shards.as_ref(), id, path, request).await
             }
-            Some(CallPath::Attach(wanted)) => {
-                attach::serve(&self.core, &self.peers, &wanted, &request).await
-            }
+            Some(CallPath::Attach(wanted)) => Ok(self.attach(&wanted, &request).await),
             None => Err(reply::CallRefusal::new(reason::RefusalReason::UnknownPath)),
         }
     }
+
+    async fn attach(&self, wanted: &id::RequestId, request: &Request) -> Response {
+        let attached = attach::serve(&self.core, &self.peers, wanted, request).await;
+        attached.unwrap_or_else(|refusal| reply::refuse_attach(&self.core, wanted, refusal))
+    }
 }
 
 #[async_trait]
--- a/crates/entry/src/serve/reply.rs
+++ b/crates/entry/src/serve/reply.rs
@@ -54,9 +54,29 @@
 
 /// Counts and logs a refusal of a call that was not run, and makes its answer.
 pub fn refuse(core: &core::EntryCore, request: &id::RequestId, refusal: CallRefusal) -> Response {
+    refuse_as(core, request, outcome::CallOutcome::NotRun, refusal)
+}
+
+/// Counts and logs a refusal to attach again, and makes its answer.
+///
+/// The outcome is that of the request that the caller asks for, which may have been run.
+pub fn refuse_attach(
+    core: &core::EntryCore,
+    wanted: &id::RequestId,
+    refusal: CallRefusal,
+) -> Response {
+    refuse_as(core, wanted, outcome::CallOutcome::Unknown, refusal)
+}
+
+fn refuse_as(
+    core: &core::EntryCore,
+    request: &id::RequestId,
+    outcome: outcome::CallOutcome,
+    refusal: CallRefusal,
+) -> Response {
     core.metrics.refused(refusal.reason);
     log_event!(event::LogEvent::RequestRefused, request = request, reason = refusal.reason);
-    let mut problem = finish::problem_of(refusal.reason, outcome::CallOutcome::NotRun);
+    let mut problem = finish::problem_of(refusal.reason, outcome);
     problem.retry_after = refusal.retry_after;
     if let Some(detail) = refusal.detail {
         problem.detail = detail;
--- a/crates/entry/tests/attach.rs
+++ b/crates/entry/tests/attach.rs
@@ -118,6 +118,8 @@
     daemon.wait_for_view();
     let answer = attach(daemon.entry.address(), "entry-gone:1", fixture::KEY).whole_blocking();
     assert_eq!(answer.problem(), "owner-unreachable");
+    assert_eq!(answer.outcome.as_deref(), Some("unknown"), "the request may have been run");
+    assert_eq!(answer.request_id.as_deref(), Some("entry-gone:1"));
     assert!(answer.json()["retry_after_ms"].as_u64().is_some());
 }
 
