Chore that takes a protection out and expects its test to fail

Cause: that each failure is first shown failing without its protection was done for the model checker and for properties only, not for the tests with the real programs.

Change: `cargo xtask protections [--only NAME]` reads protections/protections.toml, copies the workspace below the target directory, holds that the named test passes, replaces the text of one protection, builds, and expects that test to fail with the words that the entry names. A build error, a hang or another failure counts as not found. A test in crates/base holds that each text occurs once in its file and that each test exists.

--- /dev/null
+++ b/crates/base/tests/protections.rs
@@ -0,0 +1,71 @@
+//! The list of protections names only texts and tests that exist. `cargo xtask protections` shows
+//! that each test fails without its protection; here the list is only kept from going stale.
+
+use std::collections;
+use std::fs;
+use std::path;
+
+use serde::Deserialize;
+
+#[derive(Debug)]
+#[derive(Deserialize)]
+struct ProtectionList {
+    protection: Vec<ProtectionEntry>,
+}
+
+#[derive(Debug)]
+#[derive(Deserialize)]
+struct ProtectionEntry {
+    name: String,
+    file: String,
+    find: String,
+    replace: String,
+    package: String,
+    test_file: String,
+    test: String,
+    failure: String,
+}
+
+fn root() -> path::PathBuf {
+    path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
+}
+
+fn entries() -> Vec<ProtectionEntry> {
+    let text = fs::read_to_string(root().join("protections/protections.toml"));
+    let list: ProtectionList =
+        toml::from_str(&text.expect("the list exists")).expect("the list is as the chore reads it");
+    list.protection
+}
+
+#[test]
+fn each_text_is_in_its_file_once() {
+    for entry in entries() {
+        let text = fs::read_to_string(root().join(&entry.file));
+        let text = text.unwrap_or_else(|cause| panic!("{}: {}: {cause}", entry.name, entry.file));
+        assert_eq!(text.matches(&entry.find).count(), 1, "{}: occurrences", entry.name);
+        assert_ne!(entry.find, entry.replace, "{}: takes nothing out", entry.name);
+        assert!(!entry.failure.is_empty(), "{}: names no failure", entry.name);
+    }
+}
+
+#[test]
+fn each_test_is_in_its_file() {
+    for entry in entries() {
+        let directory = entry.package.trim_start_matches("samphiremoor-");
+        let file = root().join(format!("crates/{directory}/tests/{}.rs", entry.test_file));
+        let text = fs::read_to_string(&file);
+        let text =
+            text.unwrap_or_else(|cause| panic!("{}: {}: {cause}", entry.name, file.display()));
+        let is_function = text.contains(&format!("#[test]\nfn {}()", entry.test));
+        let is_case = text.contains(&format!("\n    {} => ", entry.test));
+        assert!(is_function || is_case, "{}: no test {} in its file", entry.name, entry.test);
+    }
+}
+
+#[test]
+fn names_are_unique() {
+    let mut names = collections::BTreeSet::new();
+    for entry in entries() {
+        assert!(names.insert(entry.name.clone()), "{} is listed twice", entry.name);
+    }
+}
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,9 +1,11 @@
-//! Development chores: `cargo xtask demo`, `cargo xtask test`, `cargo xtask specs`.
+//! Development chores: `cargo xtask demo`, `cargo xtask test`, `cargo xtask specs`,
+//! `cargo xtask protections`.
 
 mod checks;
 mod demo;
 mod known_red;
 mod packages;
+mod protections;
 mod run;
 mod specs;
 
@@ -21,6 +23,7 @@
 #[argh(subcommand)]
 enum ChoreCommand {
     Demo(DemoArgs),
+    Protections(ProtectionArgs),
     Specs(SpecsArgs),
     Test(TestArgs),
 }
@@ -34,6 +37,15 @@
     keep: bool,
 }
 
+/// Take out each listed protection in a scratch copy and expect its test to fail.
+#[derive(argh::FromArgs)]
+#[argh(subcommand, name = "protections")]
+struct ProtectionArgs {
+    /// the one protection to take out
+    #[argh(option)]
+    only: Option<String>,
+}
+
 /// Run the formatter, the linter, all tests and the model checker.
 #[derive(argh::FromArgs)]
 #[argh(subcommand, name = "test")]
@@ -48,6 +60,7 @@
     let args: ChoreArgs = argh::from_env();
     let done = match args.chore {
         ChoreCommand::Demo(args) => demo::run_demo(args.keep),
+        ChoreCommand::Protections(args) => protections::show_all(args.only.as_deref()),
         ChoreCommand::Specs(_) => packages::install_missing().and_then(|()| specs::check_all()),
         ChoreCommand::Test(_) => checks::run_all(),
     };
