Command line: aligned columns, and dates in the history

Cause: `history` printed seconds since 1970 and no table had aligned columns, so an operator could not read them at a glance. Found by using the kept demo by hand. Change: `columns` aligns rows; `history` and `status` use it; `jiff`, which env_logger brings along, writes the date. JSON is as before. Ruled out: a table-drawing library (borders, colours and wrapping that nobody asked for).

--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -7,6 +7,7 @@
 //! are those of [`outcome`].
 
 pub mod args;
+pub mod columns;
 pub mod command;
 pub mod explain;
 pub mod files;
--- a/crates/ctl/src/show.rs
+++ b/crates/ctl/src/show.rs
@@ -9,6 +9,7 @@
 use serde::Serialize;
 
 use crate::args;
+use crate::columns;
 use crate::explain;
 use crate::status;
 
@@ -71,21 +72,24 @@
     if form == args::OutputForm::Json {
         return json(&lines);
     }
-    let mut text = "REVISION  WRITTEN AT  AUTHOR  WRITE ID  CHANGED\n".to_owned();
+    let mut rows = vec![columns::header("REVISION WRITTEN-AT AUTHOR WRITE-ID CHANGED")];
     for line in lines {
-        append(
-            &mut text,
-            format_args!(
-                "{}  {}  {}  {}  {}\n",
-                line.revision,
-                line.written_at,
-                line.author,
-                line.write_id,
-                line.changed.join(",")
-            ),
-        );
+        rows.push(vec![
+            line.revision.to_string(),
+            date(line.written_at),
+            line.author.to_owned(),
+            line.write_id.to_owned(),
+            line.changed.join(","),
+        ]);
     }
-    text
+    columns::align(&rows)
+}
+
+/// Seconds since the Unix epoch as a date with time in UTC.
+fn date(seconds: u64) -> String {
+    let timestamp =
+        i64::try_from(seconds).ok().and_then(|seconds| jiff::Timestamp::from_second(seconds).ok());
+    timestamp.map_or_else(|| seconds.to_string(), |timestamp| timestamp.to_string())
 }
 
 fn history_line(row: &revision::RevisionRow) -> HistoryLine<'_> {
@@ -107,51 +111,51 @@
         Some(revision) => format!("written: revision {revision}\n\n"),
         None => "written: not known, the table does not answer\n\n".to_owned(),
     };
-    text.push_str("ZONE  REVISION  AGE  DAEMONS  PLATFORM\n");
-    for zone in &status.zones {
-        append(
-            &mut text,
-            format_args!(
-                "{}  {}  {}  {}/{}  {}\n",
-                zone.zone,
-                or_dash(zone.revision),
-                or_dash(zone.age_ms),
-                zone.answering,
-                zone.daemons,
-                zone.platform
-                    .map_or_else(|| "-".to_owned(), |state| format!("{state:?}").to_lowercase())
-            ),
-        );
-    }
-    text.push_str(
-        "\nSERVICE  LIVE  JOINING  LEAVING  COST/H  RUNNING  QUEUED  CAPACITY  TARGET  LATENCY\n",
-    );
-    for service in &status.services {
-        append(&mut text, format_args!("{}\n", service_line(service)));
-    }
+    let mut zones = vec![columns::header("ZONE REVISION AGE DAEMONS PLATFORM")];
+    zones.extend(status.zones.iter().map(zone_row));
+    text.push_str(&columns::align(&zones));
+    text.push('\n');
+    const TITLES: &str =
+        "SERVICE LIVE JOINING LEAVING COST/H RUNNING QUEUED CAPACITY TARGET LATENCY";
+    let mut services = vec![columns::header(TITLES)];
+    services.extend(status.services.iter().map(service_row));
+    text.push_str(&columns::align(&services));
     text
 }
 
-fn service_line(service: &status::ServiceStatus) -> String {
+fn zone_row(zone: &status::ZoneStatus) -> Vec<String> {
+    let platform = zone.platform.map(|state| format!("{state:?}").to_lowercase());
+    vec![
+        zone.zone.to_string(),
+        or_dash(zone.revision),
+        or_dash(zone.age_ms),
+        format!("{}/{}", zone.answering, zone.daemons),
+        or_dash(platform),
+    ]
+}
+
+fn service_row(service: &status::ServiceStatus) -> Vec<String> {
     let price = service.price_per_hour.get();
-    format!(
-        "{}  {}  {}  {}  {}.{:02}  {}  {}  {}  {}  {}",
-        service.service,
-        service.replicas.live,
-        service.replicas.joining,
-        service.replicas.leaving,
-        price / MICROS,
-        price % MICROS / (MICROS / 100),
-        service.running,
-        service.queued,
-        service.capacity,
-        service.target_first_ms,
-        match service.latency {
-            status::LatencyOutlook::WithinTarget => "within-target",
-            status::LatencyOutlook::AtRisk => "at-risk",
-            status::LatencyOutlook::NoReplica => "no-replica",
-        }
-    )
+    vec![
+        service.service.to_string(),
+        service.replicas.live.to_string(),
+        service.replicas.joining.to_string(),
+        service.replicas.leaving.to_string(),
+        format!("{}.{:02}", price / MICROS, price % MICROS / (MICROS / 100)),
+        service.running.to_string(),
+        service.queued.to_string(),
+        service.capacity.to_string(),
+        service.target_first_ms.to_string(),
+        latency_label(service.latency).to_owned(),
+    ]
+}
+
+fn latency_label(latency: status::LatencyOutlook) -> &'static str {
+    match latency {
+        status::LatencyOutlook::WithinTarget => "within-target",
+        status::LatencyOutlook::AtRisk => "at-risk",
+        status::LatencyOutlook::NoReplica => "no-replica",
+    }
 }
 
 /// Where a request would go.
--- a/crates/ctl/tests/explain.rs
+++ b/crates/ctl/tests/explain.rs
@@ -146,8 +146,6 @@
     assert_eq!((service.running, service.capacity), (3, 8));
     assert_eq!(service.latency, status::LatencyOutlook::WithinTarget);
     let text = show::status(args::OutputForm::Text, &made);
-    assert!(
-        text.contains("rental-assistant  1  2  1  2.00  3  0  8  1100ms  within-target"),
-        "{text}"
-    );
+    let line = "rental-assistant  1     2        1        2.00    3        0       8         1100ms  within-target\n";
+    assert!(text.contains(line), "{text}");
 }
