Control: listen at another address than the one peers use

Cause: a control daemon listened at the address that it tells its peers, so nothing could stand between zones, such as a forwarder or, in tests, a link that is cut. Change: `addresses.control_listen` is where the daemon listens, where `control` is an address that leads there; left out, it is `control` as before. A port that is used twice is refused as before.

--- a/crates/control/examples/distribution.rs
+++ b/crates/control/examples/distribution.rs
@@ -157,6 +157,7 @@
     let mut own = daemons::from_entry(&entry_vm(args, index)).expect("an entry VM");
     own.standing.incarnation = shell::new_incarnation();
     let start = shell::ControlStart {
+        listen: own.control_address,
         own,
         seeds: Vec::new(),
         peer_timeout: time::Millis::new(1_000),
--- a/crates/control/src/main.rs
+++ b/crates/control/src/main.rs
@@ -110,6 +110,7 @@
     };
     shell::ControlStart {
         own,
+        listen: addresses.control_listen.unwrap_or(addresses.control),
         seeds: settings.peers.seeds.clone(),
         peer_timeout: settings.peers.timeout_ms,
         max_links: settings.peers.max_links,
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -39,6 +39,9 @@
 pub struct AddressSettings {
     /// Where this daemon answers other control daemons and the command line.
     pub control: net::SocketAddr,
+    /// Where this daemon listens for them, where `control` is an address that leads there.
+    #[serde(default)]
+    pub control_listen: Option<net::SocketAddr>,
     /// Where this daemon answers the entry daemon of its VM.
     pub view: net::SocketAddr,
     /// Where this daemon serves `/healthz`, `/readyz` and `/metrics`.
@@ -78,13 +81,15 @@
 impl load::CheckedSettings for ControlSettings {
     fn check(&self) -> Result<(), load::ValueError> {
         self.platform.check()?;
-        let addresses = [
+        let mut addresses = vec![
             ("addresses.control", self.addresses.control),
             ("addresses.view", self.addresses.view),
             ("addresses.http", self.addresses.http),
             ("addresses.entry_http", self.addresses.entry_http),
             ("addresses.entry_peer", self.addresses.entry_peer),
         ];
+        let listen = self.addresses.control_listen;
+        addresses.extend(listen.map(|address| ("addresses.control_listen", address)));
         for (index, (key, address)) in addresses.iter().enumerate() {
             if addresses[..index].iter().any(|(_, other)| other == address) {
                 return Err(load::ValueError {
--- a/crates/control/src/shell.rs
+++ b/crates/control/src/shell.rs
@@ -41,6 +41,8 @@
 pub struct ControlStart {
     /// News on itself.
     pub own: news::DaemonNews,
+    /// Where it listens for peers, which call it at the address in its news.
+    pub listen: net::SocketAddr,
     /// Control addresses to ask at the start.
     pub seeds: Vec<net::SocketAddr>,
     /// Time in which a peer must answer.
@@ -77,7 +79,7 @@
         let (inputs, queue) = mpsc::sync_channel(QUEUE_LENGTH);
         let questions =
             sync::Arc::new(QuestionHandler { inputs: inputs.clone(), metrics: metrics.clone() });
-        let server = server::PeerServer::start(start.own.control_address, questions)?;
+        let server = server::PeerServer::start(start.listen, questions)?;
         let caller = caller::PeerCaller::new(start.peer_timeout, start.max_links, metrics.clone());
         let state = state::ControlState::new(start.own, start.seeds, start.seed, clock.now());
         let calls = calls::CallStarter {
--- a/crates/control/tests/examples.rs
+++ b/crates/control/tests/examples.rs
@@ -25,6 +25,7 @@
 
 cases! {
     shared_port_is_refused => check_refused("7302", "7301", "addresses.view: 127.0.0.1:7301 is used twice");
+    listening_at_a_port_in_use_is_refused => check_refused("# control_listen = \"127.0.0.1:7301\"", "control_listen = \"127.0.0.1:7303\"", "addresses.control_listen: 127.0.0.1:7303 is used twice");
     no_timeout_is_refused => check_refused("timeout_ms = 500", "timeout_ms = 0", "peers.timeout_ms");
     unknown_key_is_refused => check_refused("seeds =", "seed =", "unknown field `seed`");
 }
