Process tests: links between zones that are cut, spare engines, the holder of the duties

Cause: nothing in the harness could cut zones off from each other, let a started VM become an engine, or tell who holds a zone's duties. Change: `links` relays every address that other VMs use and holds bytes back between two zones. It finds the zone of a connection by the process that holds its socket, and only once there is a cut. `add_spare_engine` starts an engine at a spare address of the stand-in cloud; `duty_holder` reads the lease row; an operator can await a change for a shorter time.

--- a/crates/process-tests/src/child.rs
+++ b/crates/process-tests/src/child.rs
@@ -45,6 +45,11 @@
         DaemonProcess { name: name.to_owned(), child, log }
     }
 
+    /// The process's number.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Kills the process at once, as a reclaim without notice does.
     pub fn kill(&mut self) {
         // A process that has ended already is as good as killed.
--- a/crates/process-tests/src/cluster.rs
+++ b/crates/process-tests/src/cluster.rs
@@ -10,11 +10,13 @@
 use std::thread;
 
 use async_std::task;
+use samphiremoor_platform::fleet;
 use samphiremoor_standin_service::wire as service_wire;
 use samphiremoor_view::zone;
 
 use crate::child;
 use crate::control;
+use crate::links;
 use crate::operator;
 use crate::plan;
 use crate::ports;
@@ -40,6 +42,10 @@
     pub engines: Vec<UpstreamVm>,
     /// Plain services of all zones, zone by zone.
     pub services: Vec<UpstreamVm>,
+    /// Links between the zones, where the plan has them; operators are in the last zone.
+    pub links: links::ZoneLinks,
+    listed: collections::BTreeMap<String, plan::EntryPlace>,
+    spares: Vec<UpstreamVm>,
     plan: plan::ClusterPlan,
     zone_platforms: collections::BTreeMap<String, net::SocketAddr>,
     view_serial: u64,
@@ -86,9 +92,14 @@
         let engine_places = plan.engine_places();
         let service_places = plan.service_places();
         let upstream_places = [engine_places.as_slice(), service_places.as_slice()].concat();
+        let links = links::ZoneLinks::start(plan.zones.last().expect("a cluster has zones"));
+        let listed_entries: Vec<_> =
+            entry_places.iter().map(|place| listed_entry(&plan, &links, place)).collect();
+        let listed_upstreams: Vec<_> =
+            upstream_places.iter().map(|place| listed_upstream(&plan, &links, place)).collect();
         let platform_address = ports::free_address();
         let text =
-            texts::platform(platform_address, &zone_platforms, &entry_places, &upstream_places);
+            texts::platform(platform_address, &zone_platforms, &listed_entries, &listed_upstreams);
         let platform =
             child::DaemonProcess::start("standin-platform", "platform", &text, &directory);
         let mut cluster = TestCluster {
@@ -97,6 +108,9 @@
             entries: Vec::new(),
             engines: Vec::new(),
             services: Vec::new(),
+            links,
+            listed: listed_entries.into_iter().map(|place| (place.name.clone(), place)).collect(),
+            spares: Vec::new(),
             plan,
             zone_platforms,
             view_serial: 0,
@@ -168,9 +182,40 @@
         task::block_on(listed);
     }
 
+    /// Starts an engine that waits at a spare address until the cloud makes a VM of it.
+    pub fn add_spare_engine(&mut self, zone: &str, name: &str) {
+        let place = plan::UpstreamPlace {
+            name: name.to_owned(),
+            zone: zone.to_owned(),
+            pool: records::ENGINE_POOL,
+            address: ports::free_address(),
+        };
+        let known = "the harness's names are identifiers";
+        let spare = fleet::SpareAddress {
+            zone: zone.parse().expect(known),
+            pool: place.pool.parse().expect(known),
+            address: place.address,
+        };
+        let vm = self.engine_vm(place);
+        wait::until("the spare engine listens", || child::listens(spare.address));
+        self.spares.push(vm);
+        task::block_on(control::add_spare(self.platform_address, &spare));
+    }
+
+    /// Index of the entry VM whose control daemon holds the duties of a zone, and the fencing
+    /// number; none where nobody has held them yet.
+    pub fn duty_holder(&self, zone: &str) -> Option<(usize, u64)> {
+        let key = format!("duty/{zone}");
+        let row = task::block_on(control::table_row(self.platform_address, &key))?;
+        let lease: serde_json::Value = serde_json::from_str(&row.value).ok()?;
+        let holder = lease["holder"]["daemon"].as_str()?;
+        let index = self.entries.iter().position(|vm| vm.place.name == holder)?;
+        Some((index, lease["fence"].as_u64()?))
+    }
+
     /// An operator of this cluster.
     pub fn operator(&self) -> operator::TestOperator {
-        let places: Vec<_> = self.entries.iter().map(|vm| vm.place.clone()).collect();
+        let places: Vec<_> = self.listed.values().cloned().collect();
         let text = texts::operator(self.platform_address, &places);
         operator::TestOperator::new(&text, &self.directory)
     }
@@ -259,13 +304,18 @@
         let control = (!is_file).then(|| self.control_process(&place));
         let entry =
             child::DaemonProcess::start("samphiremoor-entry", &place.name, &text, &self.directory);
+        self.links.place(entry.id(), &place.zone);
         EntryVm { place, entry, control, state: zone::UpstreamState::Live }
     }
 
     fn control_process(&self, place: &plan::EntryPlace) -> child::DaemonProcess {
-        let text = texts::control(place, self.zone_platforms[&place.zone]);
+        let listed = &self.listed[&place.name];
+        let text = texts::control(place, listed, self.zone_platforms[&place.zone]);
         let name = format!("{}-control", place.name);
-        child::DaemonProcess::start("samphiremoor-control", &name, &text, &self.directory)
+        let process =
+            child::DaemonProcess::start("samphiremoor-control", &name, &text, &self.directory);
+        self.links.place(process.id(), &place.zone);
+        process
     }
 
     fn view_path(&self) -> path::PathBuf {
@@ -289,6 +339,35 @@
     });
 }
 
+/// The place with the addresses that other VMs use.
+fn listed_entry(
+    plan: &plan::ClusterPlan,
+    links: &links::ZoneLinks,
+    place: &plan::EntryPlace,
+) -> plan::EntryPlace {
+    if !plan.has_links {
+        return place.clone();
+    }
+    plan::EntryPlace {
+        http: links.relay(&place.zone, place.http),
+        peer: links.relay(&place.zone, place.peer),
+        control: links.relay(&place.zone, place.control),
+        ..place.clone()
+    }
+}
+
+/// The place with the address that other VMs use.
+fn listed_upstream(
+    plan: &plan::ClusterPlan,
+    links: &links::ZoneLinks,
+    place: &plan::UpstreamPlace,
+) -> plan::UpstreamPlace {
+    if !plan.has_links {
+        return place.clone();
+    }
+    plan::UpstreamPlace { address: links.relay(&place.zone, place.address), ..place.clone() }
+}
+
 fn new_directory() -> path::PathBuf {
     let number = CLUSTER_COUNT.fetch_add(1, atomic::Ordering::Relaxed);
     let name = format!("{}-{number}", process::id());
--- a/crates/process-tests/src/control.rs
+++ b/crates/process-tests/src/control.rs
@@ -9,6 +9,7 @@
 use samphiremoor_httpio::client;
 use samphiremoor_platform::cloud;
 use samphiremoor_platform::fleet;
+use samphiremoor_platform::table;
 use samphiremoor_standin::fault;
 use samphiremoor_standin_engine::wire as engine_wire;
 use samphiremoor_standin_platform::control;
@@ -58,6 +59,27 @@
     post(platform, "/control/vms", &entry).await;
 }
 
+/// Replaces the offers of the cloud.
+pub async fn set_offers(platform: net::SocketAddr, offers: &[cloud::VmOffer]) {
+    post(platform, "/control/offers", &offers).await;
+}
+
+/// Adds the address of a process that waits to become a VM.
+pub async fn add_spare(platform: net::SocketAddr, spare: &fleet::SpareAddress) {
+    post(platform, "/control/spares", spare).await;
+}
+
+/// The platform's list of VMs.
+pub async fn list_vms(platform: net::SocketAddr) -> Vec<cloud::VmEntry> {
+    get(platform, "/vms").await.expect("the stand-in platform answers")
+}
+
+/// A row of the table; none where it does not exist.
+pub async fn table_row(platform: net::SocketAddr, key: &str) -> Option<table::TableRow> {
+    let row: Option<_> = get(platform, &format!("/table/row?key={key}")).await;
+    row.expect("the stand-in platform answers")
+}
+
 /// What a service counted; none where it does not answer.
 pub async fn service_counts(address: net::SocketAddr) -> Option<service_wire::ServiceCounts> {
     get(address, "/control/counts").await
--- a/crates/process-tests/src/operator.rs
+++ b/crates/process-tests/src/operator.rs
@@ -4,6 +4,7 @@
 use std::path;
 use std::process;
 use std::sync::atomic;
+use std::time::Duration;
 
 use crate::child;
 use crate::wait;
@@ -14,6 +15,9 @@
 /// Exit code of a refusal.
 pub const REFUSED: i32 = 1;
 
+/// Exit code where a change is not known to be in force everywhere.
+pub const NOT_KNOWN: i32 = 3;
+
 /// An operator with settings for one cluster.
 #[derive(Clone, Debug)]
 pub struct TestOperator {
@@ -50,6 +54,15 @@
         TestOperator { settings, directory: directory.to_owned() }
     }
 
+    /// The same operator, who awaits a change no longer than this.
+    pub fn with_wait(&self, wait: Duration) -> Self {
+        let text = fs::read_to_string(&self.settings).expect("the settings were written");
+        let settings = self.directory.join("ctl-wait.toml");
+        fs::write(&settings, format!("wait_ms = {}\n{text}", wait.as_millis()))
+            .expect("the test's directory takes files");
+        TestOperator { settings, directory: self.directory.clone() }
+    }
+
     /// Writes a record file and returns its path.
     pub fn write_file(&self, name: &str, text: &str) -> String {
         let file = self.directory.join(name);
--- a/crates/process-tests/src/plan.rs
+++ b/crates/process-tests/src/plan.rs
@@ -24,6 +24,8 @@
     pub shards: u16,
     /// Where the entry daemons' view comes from.
     pub view: ViewOrigin,
+    /// Whether the VMs reach one another through links that can be cut.
+    pub has_links: bool,
 }
 
 /// Where the entry daemons' view comes from.
@@ -46,6 +48,7 @@
             service_latency_ms: 20,
             shards: 4,
             view: ViewOrigin::Control,
+            has_links: false,
         }
     }
 }
--- a/crates/process-tests/src/texts.rs
+++ b/crates/process-tests/src/texts.rs
@@ -84,19 +84,27 @@
     )
 }
 
-/// Settings of a control daemon.
-pub(crate) fn control(place: &plan::EntryPlace, platform: net::SocketAddr) -> String {
+/// Settings of a control daemon; `listed` has the addresses that others use.
+pub(crate) fn control(
+    place: &plan::EntryPlace,
+    listed: &plan::EntryPlace,
+    platform: net::SocketAddr,
+) -> String {
+    let listen = match place.control == listed.control {
+        true => String::new(),
+        false => format!("control_listen = \"{}\"\n", place.control),
+    };
     format!(
         "vm = \"{name}\"\nzone = \"{zone}\"\nlog = \"debug\"\n\n[addresses]\ncontrol = \"{control}\"\n\
-         view = \"{view}\"\nhttp = \"{http}\"\nentry_http = \"{entry_http}\"\n\
+         {listen}view = \"{view}\"\nhttp = \"{http}\"\nentry_http = \"{entry_http}\"\n\
          entry_peer = \"{entry_peer}\"\n\n[platform]\naddress = \"{platform}\"\n",
         name = place.name,
         zone = place.zone,
-        control = place.control,
+        control = listed.control,
         view = place.view,
         http = place.control_http,
-        entry_http = place.http,
-        entry_peer = place.peer,
+        entry_http = listed.http,
+        entry_peer = listed.peer,
     )
 }
 
