Control: hand over to the entry daemon what changed in the view, not the whole

Cause: the view went whole with each change. Change: the entry daemon asks for what changed since the view that it has; the server keeps the last four views that it handed over as bases and tells the whole where the base is none of them. Ruled out: keeping the last four views that were made (a hand-over is rarer than a view, so the entry daemon's own would often be pushed out); a limit on hand-overs for loads alone (bytes go by the loads that changed, 7.3 each, not by the number of hand-overs).

--- a/crates/control/src/view_server.rs
+++ b/crates/control/src/view_server.rs
@@ -1,22 +1,31 @@
 //! Answers the entry daemon of the VM from the last view.
+//!
+//! It is told what changed since the view that it has, where that is one of the last ones that were
+//! handed over.
 
+use std::collections;
 use std::sync;
 use std::sync::atomic;
 
 use samphiremoor_base::quantity;
 use samphiremoor_base::time;
 use samphiremoor_peers::server;
+use samphiremoor_view::delta;
 use samphiremoor_view::message;
 use samphiremoor_view::zone;
 
 /// An entry daemon that has not asked for this long does not count as serving.
 const ENTRY_SILENCE: time::Millis = time::Millis::new(2_000);
 
+/// Views that were handed over and are kept to make changes from.
+const MAX_BASES: usize = 4;
+
 /// The last view, and what the entry daemon has of it.
 #[derive(Debug)]
 pub struct ViewBoard {
     clock: time::MonotonicClock,
     shown: arc_swap::ArcSwapOption<zone::ZoneView>,
+    bases: sync::Mutex<collections::VecDeque<sync::Arc<zone::ZoneView>>>,
     asked_at: atomic::AtomicU64,
     served_revision: atomic::AtomicU64,
 }
@@ -27,6 +36,7 @@
         ViewBoard {
             clock,
             shown: arc_swap::ArcSwapOption::empty(),
+            bases: sync::Mutex::default(),
             asked_at: atomic::AtomicU64::new(0),
             served_revision: atomic::AtomicU64::new(0),
         }
@@ -54,7 +64,8 @@
     }
 
     fn answer(&self, question: &message::ViewQuestion) -> message::ViewAnswer {
-        let message::ViewQuestion::View { incarnation, serial } = question;
+        let (message::ViewQuestion::View { incarnation, serial }
+        | message::ViewQuestion::Since { incarnation, serial }) = question;
         let Some(view) = self.shown.load_full() else { return message::ViewAnswer::NotReady };
         self.asked_at.store(self.clock.now().get().max(1), atomic::Ordering::Relaxed);
         if view.incarnation == *incarnation && view.serial == *serial {
@@ -62,7 +73,38 @@
             self.served_revision.store(revision, atomic::Ordering::Relaxed);
             return message::ViewAnswer::Same;
         }
-        message::ViewAnswer::Changed(Box::new(zone::ZoneView::clone(&view)))
+        let base = match question {
+            message::ViewQuestion::View { .. } => None,
+            message::ViewQuestion::Since { .. } => self.base(*incarnation, *serial),
+        };
+        self.keep_base(&view);
+        match base.and_then(|base| delta::ViewDelta::between(&base, &view)) {
+            Some(delta) => message::ViewAnswer::Delta(Box::new(delta)),
+            None => message::ViewAnswer::Changed(Box::new(zone::ZoneView::clone(&view))),
+        }
+    }
+
+    fn base(
+        &self,
+        incarnation: quantity::Incarnation,
+        serial: u64,
+    ) -> Option<sync::Arc<zone::ZoneView>> {
+        let bases = self.bases();
+        let mut bases = bases.iter();
+        bases.find(|base| base.incarnation == incarnation && base.serial == serial).cloned()
+    }
+
+    fn keep_base(&self, view: &sync::Arc<zone::ZoneView>) {
+        let mut bases = self.bases();
+        if bases.iter().any(|base| sync::Arc::ptr_eq(base, view)) {
+            return;
+        }
+        bases.truncate(MAX_BASES - 1);
+        bases.push_front(view.clone());
+    }
+
+    fn bases(&self) -> sync::MutexGuard<'_, collections::VecDeque<sync::Arc<zone::ZoneView>>> {
+        self.bases.lock().unwrap_or_else(sync::PoisonError::into_inner)
     }
 }
 
--- a/crates/control/tests/messages.rs
+++ b/crates/control/tests/messages.rs
@@ -89,3 +89,49 @@
     let bytes = postcard::to_stdvec(&question).expect("a message is plain data");
     assert_eq!(postcard::from_bytes(&bytes), Ok(question));
 }
+
+fn ask_since(
+    server: &view_server::ViewServer,
+    incarnation: u64,
+    serial: u64,
+) -> view_message::ViewAnswer {
+    let incarnation = quantity::Incarnation::new(incarnation);
+    let question = view_message::ViewQuestion::Since { incarnation, serial };
+    async_std::task::block_on(server.answer(question))
+}
+
+#[test]
+fn change_is_told_since_a_view_that_was_handed_over() {
+    let board = std::sync::Arc::new(view_server::ViewBoard::new(time::MonotonicClock::start()));
+    let server = view_server::ViewServer::new(board.clone());
+    let whole = |answer| matches!(answer, view_message::ViewAnswer::Changed(_));
+    board.show(view(1, 7));
+    assert!(whole(ask_since(&server, 0, 0)));
+    // Views that nobody asked for are no bases, and push none out.
+    (2..20).for_each(|serial| board.show(view(serial, 7)));
+    let view_message::ViewAnswer::Delta(delta) = ask_since(&server, 5, 1) else {
+        panic!("the view was handed over");
+    };
+    assert_eq!(delta.records, None);
+    assert_eq!(delta.apply(view(1, 7)), Ok(view(19, 7)));
+    assert_eq!(ask_since(&server, 5, 19), view_message::ViewAnswer::Same);
+    board.show(view(20, 8));
+    assert!(whole(ask_since(&server, 5, 2)));
+    assert!(whole(ask_since(&server, 4, 19)), "a view of an earlier life is no base");
+    let view_message::ViewAnswer::Delta(delta) = ask_since(&server, 5, 19) else {
+        panic!("the view was handed over");
+    };
+    assert_eq!(delta.apply(view(19, 7)), Ok(view(20, 8)));
+}
+
+#[test]
+fn bases_are_bounded() {
+    let board = std::sync::Arc::new(view_server::ViewBoard::new(time::MonotonicClock::start()));
+    let server = view_server::ViewServer::new(board.clone());
+    for serial in 1..=6 {
+        board.show(view(serial, 7));
+        assert!(matches!(ask(&server, 0), view_message::ViewAnswer::Changed(_)));
+    }
+    assert!(matches!(ask_since(&server, 5, 3), view_message::ViewAnswer::Delta(_)));
+    assert!(matches!(ask_since(&server, 5, 2), view_message::ViewAnswer::Changed(_)));
+}
