Control: an entry daemon that is always a view behind serves by its revision

Cause: a revision counted as in force only once the entry daemon named the very view that is shown. With 618 replicas a view follows each 154 ms and the entry daemon asks each 200 ms, so it can be one behind at every question, and apply would wait for it in vain although it serves by the revision. Change: the view that it names speaks for it, where that is one of those that were handed over. Shown failing before: entry_daemon_that_is_always_a_view_behind_serves_by_the_revision (revision 0 instead of 7, then 7 instead of 8); it passes after, with the test of the stated rule unchanged. Ruled out: slower views (they would make loads older, and only shift where it happens).

--- a/crates/control/src/view_server.rs
+++ b/crates/control/src/view_server.rs
@@ -68,14 +68,18 @@
         | message::ViewQuestion::Since { incarnation, serial }) = question;
         let Some(view) = self.shown.load_full() else { return message::ViewAnswer::NotReady };
         self.asked_at.store(self.clock.now().get().max(1), atomic::Ordering::Relaxed);
-        if view.incarnation == *incarnation && view.serial == *serial {
-            let revision = view.records.revision.get();
+        let base = self.base(*incarnation, *serial);
+        // It asks by the view that it serves by, also where a newer one is shown at each question.
+        if let Some(base) = &base {
+            let revision = base.records.revision.get();
             self.served_revision.store(revision, atomic::Ordering::Relaxed);
+        }
+        if view.incarnation == *incarnation && view.serial == *serial {
             return message::ViewAnswer::Same;
         }
         let base = match question {
             message::ViewQuestion::View { .. } => None,
-            message::ViewQuestion::Since { .. } => self.base(*incarnation, *serial),
+            message::ViewQuestion::Since { .. } => base,
         };
         self.keep_base(&view);
         match base.and_then(|base| delta::ViewDelta::between(&base, &view)) {
--- a/crates/control/tests/messages.rs
+++ b/crates/control/tests/messages.rs
@@ -135,3 +135,18 @@
     assert!(matches!(ask_since(&server, 5, 3), view_message::ViewAnswer::Delta(_)));
     assert!(matches!(ask_since(&server, 5, 2), view_message::ViewAnswer::Changed(_)));
 }
+
+#[test]
+fn entry_daemon_that_is_always_a_view_behind_serves_by_the_revision() {
+    let board = std::sync::Arc::new(view_server::ViewBoard::new(time::MonotonicClock::start()));
+    let server = view_server::ViewServer::new(board.clone());
+    let revision = quantity::RevisionNumber::new;
+    board.show(view(1, 7));
+    ask_since(&server, 0, 0);
+    board.show(view(2, 8));
+    ask_since(&server, 5, 1);
+    assert_eq!(board.serving(revision(8)), revision(7));
+    board.show(view(3, 8));
+    ask_since(&server, 5, 2);
+    assert_eq!(board.serving(revision(8)), revision(8));
+}
