--- a/crates/base/tests/protections.rs
+++ b/crates/base/tests/protections.rs
@@ -3,6 +3,7 @@
 
 use std::collections;
 use std::fs;
+use std::iter;
 use std::path;
 
 use serde::Deserialize;
@@ -17,15 +18,24 @@
 #[derive(Deserialize)]
 struct ProtectionEntry {
     name: String,
-    file: String,
-    find: String,
-    replace: String,
+    #[serde(flatten)]
+    edit: SourceEdit,
+    #[serde(default)]
+    also: Vec<SourceEdit>,
     package: String,
     test_file: String,
     test: String,
     failure: String,
 }
 
+#[derive(Debug)]
+#[derive(Deserialize)]
+struct SourceEdit {
+    file: String,
+    find: String,
+    replace: String,
+}
+
 fn root() -> path::PathBuf {
     path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
 }
@@ -40,10 +50,13 @@
 #[test]
 fn each_text_is_in_its_file_once() {
     for entry in entries() {
-        let text = fs::read_to_string(root().join(&entry.file));
-        let text = text.unwrap_or_else(|cause| panic!("{}: {}: {cause}", entry.name, entry.file));
-        assert_eq!(text.matches(&entry.find).count(), 1, "{}: occurrences", entry.name);
-        assert_ne!(entry.find, entry.replace, "{}: takes nothing out", entry.name);
+        for edit in iter::once(&entry.edit).chain(&entry.also) {
+            let text = fs::read_to_string(root().join(&edit.file));
+            let text =
+                text.unwrap_or_else(|cause| panic!("{}: {}: {cause}", entry.name, edit.file));
+            assert_eq!(text.matches(&edit.find).count(), 1, "{}: occurrences", entry.name);
+            assert_ne!(edit.find, edit.replace, "{}: takes nothing out", entry.name);
+        }
         assert!(!entry.failure.is_empty(), "{}: names no failure", entry.name);
     }
 }
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -41,9 +41,9 @@
 #[derive(argh::FromArgs)]
 #[argh(subcommand, name = "protections")]
 struct ProtectionArgs {
-    /// the one protection to take out
+    /// a protection to take out; may be given more than once
     #[argh(option)]
-    only: Option<String>,
+    only: Vec<String>,
 }
 
 /// Run the formatter, the linter, all tests and the model checker.
@@ -60,7 +60,7 @@
     let args: ChoreArgs = argh::from_env();
     let done = match args.chore {
         ChoreCommand::Demo(args) => demo::run_demo(args.keep),
-        ChoreCommand::Protections(args) => protections::show_all(args.only.as_deref()),
+        ChoreCommand::Protections(args) => protections::show_all(&args.only),
         ChoreCommand::Specs(_) => packages::install_missing().and_then(|()| specs::check_all()),
         ChoreCommand::Test(_) => checks::run_all(),
     };
--- a/xtask/src/protections.rs
+++ b/xtask/src/protections.rs
@@ -15,10 +15,10 @@
 /// File with the list of protections.
 const LIST_FILE: &str = "protections/protections.toml";
 
-/// Takes out each protection, or the one that is named, and expects its test to fail.
+/// Takes out each protection, or those that are named, and expects its test to fail.
 ///
 /// Prints one line for each; fails where a test does not fail as its entry says.
-pub(crate) fn show_all(only: Option<&str>) -> Result<(), run::ChoreError> {
+pub(crate) fn show_all(only: &[String]) -> Result<(), run::ChoreError> {
     let list = list::ProtectionList::read(LIST_FILE)?;
     let chosen = list.chosen(only)?;
     let workspace = scratch::ScratchWorkspace::prepare()?;
--- a/xtask/src/protections/list.rs
+++ b/xtask/src/protections/list.rs
@@ -2,6 +2,7 @@
 
 use std::collections;
 use std::fs;
+use std::iter;
 
 use serde::Deserialize;
 
@@ -23,19 +24,18 @@
 /// One protection, how it is taken out, and the test that must fail then.
 #[derive(Debug)]
 #[derive(Deserialize)]
-#[serde(deny_unknown_fields)]
 pub(super) struct ProtectionEntry {
     /// Name of the entry.
     pub(super) name: String,
     /// What the protection is, in one sentence, for readers of the list.
     #[serde(rename = "keeps")]
     _keeps: String,
-    /// File that holds the protection.
-    pub(super) file: String,
-    /// Text of the protection; occurs once in the file.
-    pub(super) find: String,
-    /// Text without the protection.
-    pub(super) replace: String,
+    /// How it is taken out.
+    #[serde(flatten)]
+    edit: SourceEdit,
+    /// Further edits, where the protection is in more than one file.
+    #[serde(default)]
+    also: Vec<SourceEdit>,
     /// Package of the test.
     pub(super) package: String,
     /// File of the test below the package's `tests` directory, without its extension.
@@ -49,6 +49,18 @@
     pub(super) runs: u32,
 }
 
+/// One text that is replaced.
+#[derive(Debug)]
+#[derive(Deserialize)]
+pub(super) struct SourceEdit {
+    /// File that holds the text.
+    pub(super) file: String,
+    /// Text of the protection; occurs once in the file.
+    pub(super) find: String,
+    /// Text without the protection.
+    pub(super) replace: String,
+}
+
 /// What names one test in the whole workspace.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(super) struct TestName<'a> {
@@ -67,25 +79,26 @@
         })
     }
 
-    /// Every entry, or the one that is named.
-    pub(super) fn chosen(
-        &self,
-        only: Option<&str>,
-    ) -> Result<Vec<&ProtectionEntry>, run::ChoreError> {
-        let is_chosen = |entry: &&ProtectionEntry| only.is_none_or(|name| name == entry.name);
-        let chosen: Vec<_> = self.entries.iter().filter(is_chosen).collect();
-        if chosen.is_empty() {
-            let names: Vec<_> = self.entries.iter().map(|entry| entry.name.as_str()).collect();
+    /// Every entry, or those that are named.
+    pub(super) fn chosen(&self, only: &[String]) -> Result<Vec<&ProtectionEntry>, run::ChoreError> {
+        let names: Vec<_> = self.entries.iter().map(|entry| entry.name.as_str()).collect();
+        if let Some(unknown) = only.iter().find(|name| !names.contains(&name.as_str())) {
             let names = names.join(", ");
             return Err(run::ChoreError::Found(format!(
-                "no such protection; name one of: {names}"
+                "no protection has the name {unknown}; name one of: {names}"
             )));
         }
-        Ok(chosen)
+        let is_chosen = |entry: &&ProtectionEntry| only.is_empty() || only.contains(&entry.name);
+        Ok(self.entries.iter().filter(is_chosen).collect())
     }
 }
 
 impl ProtectionEntry {
+    /// Every text that is replaced.
+    pub(super) fn edits(&self) -> impl Iterator<Item = &SourceEdit> {
+        iter::once(&self.edit).chain(&self.also)
+    }
+
     /// The entry's test.
     pub(super) fn test_name(&self) -> TestName<'_> {
         TestName { package: &self.package, file: &self.test_file, test: &self.test }
--- a/xtask/src/protections/trial.rs
+++ b/xtask/src/protections/trial.rs
@@ -68,15 +68,22 @@
 
     /// Runs the test without the protection, which is put back in any case.
     pub(super) fn try_without(&self) -> Result<TrialVerdict, run::ChoreError> {
-        let entry = self.entry;
-        let original = self.workspace.read(&entry.file)?;
-        if original.matches(&entry.find).count() != 1 {
-            return Ok(TrialVerdict::NotInFile);
+        let mut originals = Vec::new();
+        for edit in self.entry.edits() {
+            let original = self.workspace.read(&edit.file)?;
+            if original.matches(&edit.find).count() != 1 {
+                return Ok(TrialVerdict::NotInFile);
+            }
+            originals.push((edit, original));
+        }
+        for (edit, original) in &originals {
+            let changed = original.replacen(&edit.find, &edit.replace, 1);
+            self.workspace.write(&edit.file, &changed)?;
         }
-        let changed = original.replacen(&entry.find, &entry.replace, 1);
-        self.workspace.write(&entry.file, &changed)?;
         let verdict = self.run_without();
-        self.workspace.write(&entry.file, &original)?;
+        for (edit, original) in &originals {
+            self.workspace.write(&edit.file, original)?;
+        }
         verdict
     }
 
