Shards: a daemon that left the list keeps no copies any more

Only live daemons are pinged, and only a ping without an answer took a daemon off the candidates for copies. A daemon whose VM was reclaimed was pinged no more, so it stayed in the copy sets for good. When the holder and the other member were lost later, nobody could be sealed and the shard stayed closed for the retention; in an outage of the table the claims waited for the member that was gone. Change: before each round of pings, candidates that are not pinged are dropped. Ruled out: taking a member that is on no list as gone when a shard is opened; a list that is behind could then hide a living member's claims. Conclusion: copy sets follow a reclaim within a ping interval.

--- a/crates/shards/src/control.rs
+++ b/crates/shards/src/control.rs
@@ -164,7 +164,8 @@
         let input = keeper::LeaseInput::Candidate(self.peers.is_candidate());
         self.lease_input(input);
         if !self.holders.is_empty() {
-            self.effects.ping(self.peers.copy_peers());
+            let pinged = self.peers.next_pinged();
+            self.effects.ping(pinged);
         }
         self.prefer_copies();
         let holds: Vec<_> = self.holders.keys().copied().collect();
--- a/crates/shards/src/copy_peers.rs
+++ b/crates/shards/src/copy_peers.rs
@@ -60,6 +60,13 @@
         spread::choose_copies(&holder, shard, present, &candidates, settings.copies)
     }
 
+    /// Daemons to ping now. One that leaves or has left is not pinged and keeps no copies any more.
+    pub(crate) fn next_pinged(&mut self) -> Vec<peer::PeerEntry> {
+        let pinged = self.copy_peers();
+        self.peers.retain(|daemon, _| pinged.iter().any(|peer| peer.id == *daemon));
+        pinged
+    }
+
     /// Daemons that could keep copies: a few of this zone and a few of the others.
     pub(crate) fn copy_peers(&self) -> Vec<peer::PeerEntry> {
         let mut peers = self.live_peers();
--- a/crates/shards/tests/harness/mod.rs
+++ b/crates/shards/tests/harness/mod.rs
@@ -281,6 +281,14 @@
         self.network.services.lock().expect("no test panics with the lock").remove(daemon);
     }
 
+    /// Ends daemons whose VMs are reclaimed: they are on no list any more.
+    pub(crate) fn reclaim(&self, daemons: &[&str]) {
+        let mut entries = self.network.entries.lock().expect("no test panics with the lock");
+        entries.retain(|entry| !daemons.contains(&entry.id.as_str()));
+        drop(entries);
+        daemons.iter().for_each(|daemon| self.kill(daemon));
+    }
+
     pub(crate) fn service(&self, daemon: &str) -> service::ShardService {
         self.network
             .services
--- a/crates/shards/tests/service.rs
+++ b/crates/shards/tests/service.rs
@@ -6,6 +6,7 @@
 use async_std::task;
 use samphiremoor_base::reason;
 use samphiremoor_base::time;
+use samphiremoor_lease::row;
 use samphiremoor_platform::faults;
 use samphiremoor_shards::call;
 
@@ -214,6 +215,25 @@
     assert_eq!(completed(&answer).as_deref(), Some("k run 1"), "{answer:?}");
 }
 
+#[test]
+fn reclaimed_daemon_keeps_no_copies() {
+    let cluster = harness::ShardCluster::start(4);
+    cluster.wait_covered();
+    wait_for_copy_sets(&cluster);
+    cluster.reclaim(&["c", "d"]);
+    cluster.wait_covered();
+    wait_for_rows(&cluster, "no copy set names a daemon that is gone", |row| {
+        row.copy_set.len() == 1
+            && row.copy_set.iter().all(|life| ["a", "b"].contains(&life.daemon.as_str()))
+    });
+    cluster.kill("a");
+    wait_for_own(&cluster, "b", 4);
+    for number in 0..8 {
+        let answer = cluster.call("b", &format!("k{number}"), "body");
+        assert!(completed(&answer).is_some(), "{answer:?}");
+    }
+}
+
 #[test]
 fn restarted_daemon_takes_part_again() {
     let cluster = harness::ShardCluster::start(2);
@@ -236,10 +256,20 @@
 
 /// Waits until each holder's peers are named in its lease row.
 fn wait_for_copy_sets(cluster: &harness::ShardCluster) {
+    wait_for_rows(cluster, "each lease row names peers", |row| !row.copy_set.is_empty());
+}
+
+/// Waits until the lease rows of all shards are as they should be.
+fn wait_for_rows(
+    cluster: &harness::ShardCluster,
+    what: &str,
+    mut holds: impl FnMut(&row::LeaseRow) -> bool,
+) {
     use samphiremoor_platform::table::TableStore as _;
-    harness::wait_until("each lease row names peers", || {
+    harness::wait_until(what, || {
         let rows = task::block_on(cluster.table.scan("lease/shard/", None, 100))
             .expect("the test set it up");
-        rows.len() == 4 && rows.iter().all(|row| !row.value.contains("\"copy_set\":[]"))
+        let mut rows = rows.iter().map(|found| row::LeaseRow::decode(&found.value));
+        rows.len() == 4 && rows.all(|row| row.is_some_and(|row| holds(&row)))
     });
 }
