Audit: a request that was told not-run is never among the runs

Cause: the audit counted a not-run answer only where every send of the key was told so; a not-run after a send without an answer could not be judged, since the services counted by key alone. Change: the stand-in service also notes the request id of each run, which the entry daemon passes on as Samphiremoor-Request-Id; the audit looks for the id of each answer that says not-run. The check is exact: the promise is made of the request, and every send has an id of its own. Ruled out: judging by the key and the order of answers; an earlier send without an answer may have run, and the later not-run is right then. Conclusion: what is promised of not-run is checked for each send.

--- a/crates/process-tests/src/audit.rs
+++ b/crates/process-tests/src/audit.rs
@@ -18,6 +18,7 @@
 struct ToldAnswer {
     told: caller::ToldOutcome,
     receipt: Option<String>,
+    request: Option<String>,
 }
 
 /// Something that must never happen.
@@ -27,6 +28,8 @@
     RanTwice(String, u64),
     /// Every send of the key was said not to have run, but it ran.
     NotRunThatRan(String),
+    /// The request was said not to have run, but it ran.
+    RequestThatRan(String, String),
     /// The key was said to be complete, but it never ran.
     CompleteThatDidNotRun(String),
     /// Two answers to the key have different receipts.
@@ -40,6 +43,9 @@
         match self {
             KeyViolation::RanTwice(key, runs) => write!(f, "{key}: ran {runs} times"),
             KeyViolation::NotRunThatRan(key) => write!(f, "{key}: told not-run, but it ran"),
+            KeyViolation::RequestThatRan(key, request) => {
+                write!(f, "{key}: request {request} was told not-run, but it ran")
+            }
             KeyViolation::CompleteThatDidNotRun(key) => {
                 write!(f, "{key}: told complete, but it did not run")
             }
@@ -52,7 +58,8 @@
 impl ToldLedger {
     /// Notes an answer to a send of the key.
     pub fn note(&mut self, key: &str, answer: &caller::PlainAnswer) {
-        let told = ToldAnswer { told: answer.told, receipt: answer.receipt() };
+        let request = answer.request_id.clone();
+        let told = ToldAnswer { told: answer.told, receipt: answer.receipt(), request };
         self.keys.entry(key.to_owned()).or_default().push(told);
     }
 
@@ -79,6 +86,7 @@
         for (key, answers) in &self.keys {
             let runs = counts.iter().filter_map(|counted| counted.keys.get(key));
             check_key(key, answers, runs.map(|count| count.runs).sum(), &mut violations);
+            check_requests(key, answers, counts, &mut violations);
         }
         violations
     }
@@ -108,3 +116,20 @@
         violations.push(KeyViolation::DifferentReceipts(key.to_owned()));
     }
 }
+
+/// A request that was told not-run is not among those that a service ran. This holds for each
+/// request, also where another request with the key ran.
+fn check_requests(
+    key: &str,
+    answers: &[ToldAnswer],
+    counts: &[wire::ServiceCounts],
+    violations: &mut Vec<KeyViolation>,
+) {
+    let not_run = caller::ToldOutcome::Told(outcome::CallOutcome::NotRun);
+    let denied = answers.iter().filter(|answer| answer.told == not_run);
+    for request in denied.filter_map(|answer| answer.request.as_ref()) {
+        if counts.iter().any(|counted| counted.requests.contains(request)) {
+            violations.push(KeyViolation::RequestThatRan(key.to_owned(), request.clone()));
+        }
+    }
+}
--- a/crates/process-tests/tests/audit.rs
+++ b/crates/process-tests/tests/audit.rs
@@ -26,12 +26,33 @@
         .iter()
         .map(|runs| {
             let count = wire::KeyCount { runs: *runs, bodies: 1 };
-            wire::ServiceCounts { total: *runs, keys: [(KEY.to_owned(), count)].into() }
+            let keys = [(KEY.to_owned(), count)].into();
+            wire::ServiceCounts { total: *runs, keys, ..Default::default() }
         })
         .collect();
     assert_eq!(ledger.violations(&counts), expect);
 }
 
+/// Two requests with one key, of which the service ran those with the ids.
+fn check_requests(told: [&str; 2], ran: &[&str], expect: &[audit::KeyViolation]) {
+    let mut ledger = audit::ToldLedger::default();
+    for (told, id) in told.iter().zip(["first", "second"]) {
+        let request_id = Some(id.to_owned());
+        ledger.note(KEY, &caller::PlainAnswer { request_id, ..answer(told) });
+    }
+    let count = wire::KeyCount { runs: ran.len() as u64, bodies: 1 };
+    let counts = wire::ServiceCounts {
+        total: ran.len() as u64,
+        requests: ran.iter().map(|id| (*id).to_owned()).collect(),
+        keys: [(KEY.to_owned(), count)].into(),
+    };
+    assert_eq!(ledger.violations(&[counts]), expect);
+}
+
+fn ran(request: &str) -> audit::KeyViolation {
+    audit::KeyViolation::RequestThatRan(key(), request.to_owned())
+}
+
 fn key() -> String {
     KEY.to_owned()
 }
@@ -48,4 +69,10 @@
     silence_is_found => check(&["-", "-"], &[1], &[audit::KeyViolation::NoAnswer(key())]);
     second_receipt_is_found => check(
         &["complete a", "complete b"], &[1], &[audit::KeyViolation::DifferentReceipts(key())]);
+    later_refusal_of_another_request_is_right => check_requests(
+        ["-", "not-run"], &["first"], &[]);
+    refused_request_that_ran_is_found => check_requests(
+        ["-", "not-run"], &["second"], &[ran("second")]);
+    refused_request_is_found_beside_a_complete_one => check_requests(
+        ["not-run", "complete a"], &["first"], &[ran("first")]);
 }
--- a/crates/standin-service/src/handler.rs
+++ b/crates/standin-service/src/handler.rs
@@ -11,6 +11,7 @@
 use http_types::Response;
 use http_types::StatusCode;
 use samphiremoor_base::quantity;
+use samphiremoor_httpio::problem;
 use samphiremoor_httpio::server;
 use samphiremoor_standin::answer;
 use samphiremoor_standin::fault;
@@ -79,8 +80,10 @@
         let half = self.next_latency() / 2;
         task::sleep(half).await;
         self.faults.resumed().await;
-        let key = request.header(KEY_HEADER).map(|value| value.as_str().to_owned());
-        let number = self.lock().note(key.as_deref(), &body);
+        let text = |name| request.header(name).map(|value| value.as_str().to_owned());
+        let names =
+            ledger::CallNames { key: text(KEY_HEADER), request: text(problem::REQUEST_ID_HEADER) };
+        let number = self.lock().note(&names, &body);
         task::sleep(half).await;
         self.faults.resumed().await;
         if self.faults.is_silent(pass) {
@@ -95,7 +98,7 @@
             receipt: format!("{}-{number}", self.settings.id),
             method: request.method().to_string(),
             path,
-            key,
+            key: names.key,
             echo: String::from_utf8_lossy(&body).into_owned(),
         }))
     }
--- a/crates/standin-service/src/ledger.rs
+++ b/crates/standin-service/src/ledger.rs
@@ -10,9 +10,19 @@
 #[derive(Clone, Debug, Default)]
 pub struct RunLedger {
     total: u64,
+    requests: collections::BTreeSet<String>,
     keys: collections::BTreeMap<String, KeyRuns>,
 }
 
+/// What a call names.
+#[derive(Clone, Debug, Default)]
+pub struct CallNames {
+    /// Its idempotency key.
+    pub key: Option<String>,
+    /// Its request id.
+    pub request: Option<String>,
+}
+
 #[derive(Clone, Debug, Default)]
 struct KeyRuns {
     runs: u64,
@@ -21,10 +31,11 @@
 
 impl RunLedger {
     /// Notes a run and returns its number among all runs.
-    pub fn note(&mut self, key: Option<&str>, body: &[u8]) -> u64 {
+    pub fn note(&mut self, call: &CallNames, body: &[u8]) -> u64 {
         self.total += 1;
-        if let Some(key) = key {
-            let noted = self.keys.entry(key.to_owned()).or_default();
+        self.requests.extend(call.request.clone());
+        if let Some(key) = &call.key {
+            let noted = self.keys.entry(key.clone()).or_default();
             noted.runs += 1;
             noted.bodies.insert(digest::HexDigest::of(body));
         }
@@ -38,6 +49,7 @@
             let count = wire::KeyCount { runs: noted.runs, bodies: noted.bodies.len() as u64 };
             (key.clone(), count)
         });
-        wire::ServiceCounts { total: self.total, keys: counted.collect() }
+        let requests = self.requests.clone();
+        wire::ServiceCounts { total: self.total, requests, keys: counted.collect() }
     }
 }
--- a/crates/standin-service/src/wire.rs
+++ b/crates/standin-service/src/wire.rs
@@ -29,6 +29,9 @@
 pub struct ServiceCounts {
     /// Runs, those without a key included.
     pub total: u64,
+    /// Requests that were run, where the call named one.
+    #[serde(default)]
+    pub requests: collections::BTreeSet<String>,
     /// Runs of each key.
     pub keys: collections::BTreeMap<String, KeyCount>,
 }
--- a/crates/standin-service/tests/service.rs
+++ b/crates/standin-service/tests/service.rs
@@ -35,6 +35,7 @@
     let url = client::url(address, path).expect("the path is valid");
     let mut request = Request::new(Method::Post, url);
     request.insert_header("Idempotency-Key", "slot-7");
+    request.insert_header("Samphiremoor-Request-Id", format!("request-{body}"));
     request.set_body(body);
     let limit = time::Millis::new(300);
     client::send(
@@ -71,6 +72,7 @@
         let counts = counts(address).await;
         assert_eq!(counts.keys["slot-7"], wire::KeyCount { runs: 3, bodies: 2 });
         assert_eq!(counts.total, 3);
+        assert_eq!(counts.requests, ["request-one", "request-two"].map(str::to_owned).into());
     });
 }
 
