failure-run: failures overlap, four new kinds, refusals by reason

Refused streams were counted without a reason. Change: a seeded timeline (timeline.rs, pure) gives each failure stages from start to mending; at most two are on at once, of different kinds and with different victims, so that one zone can serve; every kind comes once before any comes twice. New kinds: an entry VM reclaimed, a zone reclaimed, a zone lost twice in a row. Callers of a stream attach again after a hand-over and send anew where the request is known no more. The report prints pairs that were on at once, refusals by reason, and what stood beside a killed holder. A VM that was reclaimed is replaced under a new name: the notice for the old one is told again to every control daemon that starts, and a new daemon under the old name stopped at once. Services are on demand and are paused for the loss of their zone, since they hold the counts of the audit. Audit: a stream whose last answer asks to come again counts as not answered, as a broken connection did; an error that says not-run after a token is a violation. Ruled out: waiting in the timeline for an entry daemon's planned stop; it held up the next failures for 12 s.

--- a/crates/process-tests/src/caller.rs
+++ b/crates/process-tests/src/caller.rs
@@ -54,6 +54,11 @@
         serde_json::from_str(&self.body).unwrap_or(Value::Null)
     }
 
+    /// Why the call was refused or failed, where it was.
+    pub fn reason(&self) -> Option<String> {
+        reason_in(&self.json())
+    }
+
     /// The stand-in service's receipt.
     pub fn receipt(&self) -> Option<String> {
         self.json()["receipt"].as_str().map(str::to_owned)
@@ -88,6 +93,8 @@
     pub last_event: Option<String>,
     /// How it ended.
     pub end: StreamEnd,
+    /// Why it was refused or failed, where it was.
+    pub reason: Option<String>,
 }
 
 /// One token of a stream.
@@ -177,7 +184,10 @@
         let mut request = self.request(entry, Method::Post, "/v1/chat/completions");
         request.insert_header("Content-Type", "application/json");
         request.set_body(body.to_string());
-        client::send(entry, request, LIMITS).await.ok().map(OpenStream::new)
+        match client::send(entry, request, LIMITS).await {
+            Ok(response) => Some(OpenStream::new(response).await),
+            Err(_) => None,
+        }
     }
 
     /// Attaches to a request again, after the event with the id.
@@ -193,7 +203,7 @@
             request.insert_header("Last-Event-ID", last_event);
         }
         match client::send(entry, request, LIMITS).await {
-            Ok(response) => OpenStream::new(response).read_to_end().await,
+            Ok(response) => OpenStream::new(response).await.read_to_end().await,
             Err(_) => cut_answer(),
         }
     }
@@ -250,9 +260,12 @@
 }
 
 impl OpenStream {
-    fn new(response: Response) -> Self {
-        let answer = StreamAnswer { request_id: request_id(&response), ..cut_answer() };
+    async fn new(mut response: Response) -> Self {
+        let mut answer = StreamAnswer { request_id: request_id(&response), ..cut_answer() };
         let status = u16::from(response.status());
+        if status != 200 {
+            answer.reason = response.body_json().await.ok().as_ref().and_then(reason_in);
+        }
         let told = told_outcome(&response);
         OpenStream { answer, status, told, events: async_sse::decode(response) }
     }
@@ -305,6 +318,7 @@
         };
         let chunk: Value = serde_json::from_slice(message.data()).unwrap_or(Value::Null);
         if message.name() == "error" {
+            self.answer.reason = reason_in(&chunk);
             return Some(StreamEnd::Error(told_in(&chunk)));
         }
         self.answer.last_event = message.id().clone();
@@ -321,7 +335,13 @@
 }
 
 fn cut_answer() -> StreamAnswer {
-    StreamAnswer { request_id: None, tokens: Vec::new(), last_event: None, end: StreamEnd::Cut }
+    StreamAnswer {
+        request_id: None,
+        tokens: Vec::new(),
+        last_event: None,
+        end: StreamEnd::Cut,
+        reason: None,
+    }
 }
 
 async fn read_plain(mut response: Response) -> PlainAnswer {
@@ -343,6 +363,12 @@
     value.as_str().parse().map_or(ToldOutcome::Nothing, ToldOutcome::Told)
 }
 
+/// The last part of a problem's type.
+fn reason_in(body: &Value) -> Option<String> {
+    let kind = body["type"].as_str()?;
+    kind.rsplit(':').next().map(str::to_owned)
+}
+
 fn told_in(body: &Value) -> ToldOutcome {
     let outcome = body["outcome"].as_str().and_then(|text| text.parse().ok());
     outcome.map_or(ToldOutcome::Nothing, ToldOutcome::Told)
--- a/crates/process-tests/src/cluster.rs
+++ b/crates/process-tests/src/cluster.rs
@@ -149,17 +149,29 @@
         fs::rename(&new, self.view_path()).expect("the view can be replaced");
     }
 
-    /// Starts the daemons of an entry VM again after their end.
+    /// Starts the daemons of an entry VM again after their end, and waits until they are ready.
     pub fn restart_entry_vm(&mut self, index: usize) {
-        let place = self.entries[index].place.clone();
-        self.entries[index].entry.kill();
-        if let Some(control) = &mut self.entries[index].control {
-            control.kill();
-        }
-        self.entries[index] = self.entry_vm(place);
+        self.revive_entry_vm(index);
         wait_ready(self.entry(index));
     }
 
+    /// Starts the daemons of an entry VM again after their end.
+    pub fn revive_entry_vm(&mut self, index: usize) {
+        self.kill_entry_vm(index);
+        self.entries[index] = self.entry_vm(self.entries[index].place.clone());
+    }
+
+    /// Puts a new entry VM in the place of one that was reclaimed.
+    pub fn replace_entry_vm(&mut self, index: usize) {
+        let place = &mut self.entries[index].place;
+        let mut listed = self.listed.remove(&place.name).expect("every entry VM is listed");
+        place.name = next_name(&place.name);
+        listed.name.clone_from(&place.name);
+        task::block_on(control::list_entry(self.platform_address, &listed));
+        self.listed.insert(listed.name.clone(), listed);
+        self.revive_entry_vm(index);
+    }
+
     /// Starts a control daemon again after its end.
     pub fn restart_control(&mut self, index: usize) {
         let place = self.entries[index].place.clone();
@@ -174,12 +186,20 @@
         wait::until("the engine listens", || child::listens(self.engines[index].place.address));
     }
 
-    /// Starts an engine again and lists its VM anew after a reclaim.
+    /// Puts a new VM in the place of an engine's that was reclaimed.
     pub fn replace_engine_vm(&mut self, index: usize) {
+        let place = &mut self.engines[index].place;
+        place.name = next_name(&place.name);
         self.restart_engine(index);
-        let place = &self.engines[index].place;
-        let listed = control::list_upstream(self.platform_address, place);
-        task::block_on(listed);
+        let listed = listed_upstream(&self.plan, &self.links, &self.engines[index].place);
+        task::block_on(control::list_upstream(self.platform_address, &listed));
+    }
+
+    /// Kills the daemons of an entry VM.
+    pub fn kill_entry_vm(&mut self, index: usize) {
+        let vm = &mut self.entries[index];
+        vm.entry.kill();
+        vm.control.iter_mut().for_each(|control| control.kill());
     }
 
     /// Starts an engine that waits at a spare address until the cloud makes a VM of it.
@@ -368,6 +388,15 @@
     plan::UpstreamPlace { address: links.relay(&place.zone, place.address), ..place.clone() }
 }
 
+/// Name of the VM that takes the place of one that was reclaimed; the cloud never uses a name again,
+/// and the notice for the old one is still told.
+fn next_name(name: &str) -> String {
+    let numbered = name.rsplit_once("-r");
+    let parsed = numbered.and_then(|(base, number)| Some((base, number.parse::<u32>().ok()?)));
+    let (base, number) = parsed.unwrap_or((name, 1));
+    format!("{base}-r{}", number + 1)
+}
+
 fn new_directory() -> path::PathBuf {
     let number = CLUSTER_COUNT.fetch_add(1, atomic::Ordering::Relaxed);
     let name = format!("{}-{number}", process::id());
--- a/crates/process-tests/src/control.rs
+++ b/crates/process-tests/src/control.rs
@@ -43,8 +43,18 @@
 
 /// Adds an upstream's VM to the platform's list, or puts it back.
 pub async fn list_upstream(platform: net::SocketAddr, place: &plan::UpstreamPlace) {
+    post(platform, "/control/vms", &upstream_entry(place)).await;
+}
+
+/// Lists an upstream's VM as one that is not reclaimed.
+pub async fn list_on_demand(platform: net::SocketAddr, place: &plan::UpstreamPlace) {
+    let entry = cloud::VmEntry { reclaimable: false, ..upstream_entry(place) };
+    post(platform, "/control/vms", &entry).await;
+}
+
+fn upstream_entry(place: &plan::UpstreamPlace) -> cloud::VmEntry {
     let name = "the harness's names are identifiers";
-    let entry = cloud::VmEntry {
+    cloud::VmEntry {
         id: place.name.parse().expect(name),
         zone: place.zone.parse().expect(name),
         class: "gpu-small".parse().expect(name),
@@ -55,6 +65,24 @@
             pool: place.pool.parse().expect(name),
             address: place.address,
         },
+    }
+}
+
+/// Puts an entry VM back into the platform's list.
+pub async fn list_entry(platform: net::SocketAddr, place: &plan::EntryPlace) {
+    let name = "the harness's names are identifiers";
+    let entry = cloud::VmEntry {
+        id: place.name.parse().expect(name),
+        zone: place.zone.parse().expect(name),
+        class: "entry-small".parse().expect(name),
+        reclaimable: true,
+        price: quantity::MicroPrice::new(100_000),
+        state: cloud::VmState::Live,
+        role: cloud::VmRole::Entry {
+            http_address: place.http,
+            peer_address: place.peer,
+            control_address: place.control,
+        },
     };
     post(platform, "/control/vms", &entry).await;
 }
--- a/crates/process-tests/src/fleet.rs
+++ b/crates/process-tests/src/fleet.rs
@@ -5,6 +5,7 @@
 use std::sync;
 use std::sync::atomic;
 use std::time::Duration;
+use std::time::Instant;
 
 use async_std::task;
 use rand::Rng as _;
@@ -18,6 +19,9 @@
 /// Sends of one call until the caller gives up.
 const MAX_SENDS: u32 = 12;
 
+/// Times that a caller attaches until it takes the request's daemon for lost and sends anew.
+const MAX_ATTACHES: u32 = 3;
+
 /// Time between two sends of one call.
 const RESEND_PAUSE: Duration = Duration::from_millis(400);
 
@@ -51,12 +55,51 @@
     pub sends: u64,
     /// Calls by kind and by what was told in the end.
     pub outcomes: collections::BTreeMap<String, u64>,
+    /// Refusals and failures of single sends by kind, reason and outcome.
+    pub refusals: collections::BTreeMap<String, u64>,
+    /// The answers to all sends.
+    pub samples: Vec<SendSample>,
     /// What was told of each key.
     pub ledger: audit::ToldLedger,
     /// Streams that broke a promise.
     pub stream_violations: Vec<String>,
 }
 
+/// The answer to one send.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct SendSample {
+    /// Index of the entry daemon.
+    pub entry: usize,
+    /// What was sent.
+    pub kind: SendKind,
+    /// What was told.
+    pub told: caller::ToldOutcome,
+    /// Time to the end of the answer.
+    pub length: Duration,
+}
+
+/// What was sent.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum SendKind {
+    /// A call that may not be repeated.
+    Booking,
+    /// A streamed answer.
+    Chat,
+    /// A caller that attached to a streamed answer again.
+    Attach,
+}
+
+impl SendKind {
+    /// Name in reports.
+    pub fn label(self) -> &'static str {
+        match self {
+            SendKind::Booking => "booking",
+            SendKind::Chat => "chat",
+            SendKind::Attach => "attach",
+        }
+    }
+}
+
 impl CallerFleet {
     /// Starts the callers.
     pub fn start(plan: &FleetPlan) -> Self {
@@ -91,8 +134,21 @@
         *self.outcomes.entry(label).or_default() += 1;
     }
 
+    fn note_send(&mut self, sample: SendSample, reason: Option<&str>) {
+        self.sends += 1;
+        self.samples.push(sample);
+        if let Some(reason) = reason {
+            let label = format!("{} {reason} {}", sample.kind.label(), label(sample.told));
+            *self.refusals.entry(label).or_default() += 1;
+        }
+    }
+
     fn merge(&mut self, other: FleetReport) {
         self.sends += other.sends;
+        self.samples.extend(other.samples);
+        for (label, count) in other.refusals {
+            *self.refusals.entry(label).or_default() += count;
+        }
         for (label, count) in other.outcomes {
             *self.outcomes.entry(label).or_default() += count;
         }
@@ -136,8 +192,12 @@
         let mut last = caller::ToldOutcome::Nothing;
         for _ in 0..MAX_SENDS {
             let entry = self.any_entry();
-            self.report.sends += 1;
-            let answer = caller.call(entry, records::BOOKING, Some(key), key).await;
+            let sent = Instant::now();
+            let answer =
+                caller.call(self.plan.entries[entry], records::BOOKING, Some(key), key).await;
+            let kind = SendKind::Booking;
+            let sample = SendSample { entry, kind, told: answer.told, length: sent.elapsed() };
+            self.report.note_send(sample, answer.reason().as_deref());
             self.report.ledger.note(key, &answer);
             if answer.told != caller::ToldOutcome::Nothing {
                 last = answer.told;
@@ -152,28 +212,78 @@
         self.report.note(format!("booking {}", label(last)));
     }
 
-    /// Reads a stream to its end and attaches again where the connection broke.
+    /// Reads a stream to its end; attaches again or sends anew where an answer says so or breaks off.
     async fn chat(&mut self, prompt: &str) {
-        let caller = caller::TestCaller::new();
-        let tokens = self.plan.chat_tokens;
-        let entry = self.any_entry();
-        self.report.sends += 1;
-        let mut answer = caller.chat(entry, prompt, tokens).await;
+        let mut answer = self.send_chat(prompt).await;
+        let mut attaches = 0;
         for _ in 0..MAX_SENDS {
-            if answer.end != caller::StreamEnd::Cut {
+            let next = next_send(&answer);
+            if next == NextSend::None {
                 break;
             }
             task::sleep(RESEND_PAUSE).await;
-            let entry = self.any_entry();
-            self.report.sends += 1;
-            answer = match answer.request_id.clone() {
-                Some(id) => attach(&caller, entry, &id, answer).await,
-                None => caller.chat(entry, prompt, tokens).await,
+            answer = match (next, answer.request_id.clone()) {
+                (NextSend::Attach, Some(id)) if attaches < MAX_ATTACHES => {
+                    attaches += 1;
+                    self.send_attach(&id, answer).await
+                }
+                _ => {
+                    attaches = 0;
+                    self.send_chat(prompt).await
+                }
             };
         }
         self.check_stream(prompt, &answer);
     }
 
+    async fn send_chat(&mut self, prompt: &str) -> caller::StreamAnswer {
+        let entry = self.any_entry();
+        let sent = Instant::now();
+        let caller = caller::TestCaller::new();
+        let answer = caller.chat(self.plan.entries[entry], prompt, self.plan.chat_tokens).await;
+        self.note_stream(entry, SendKind::Chat, sent, &answer);
+        answer
+    }
+
+    /// Attaches again; the answer holds all tokens so far.
+    async fn send_attach(
+        &mut self,
+        id: &str,
+        before: caller::StreamAnswer,
+    ) -> caller::StreamAnswer {
+        let entry = self.any_entry();
+        let sent = Instant::now();
+        let caller = caller::TestCaller::new();
+        let last_event = before.last_event.as_deref();
+        let rest = caller.attach(self.plan.entries[entry], id, last_event).await;
+        self.note_stream(entry, SendKind::Attach, sent, &rest);
+        let tokens = [before.tokens, rest.tokens].concat();
+        let last_event = rest.last_event.or(before.last_event);
+        caller::StreamAnswer {
+            request_id: Some(id.to_owned()),
+            tokens,
+            last_event,
+            end: rest.end,
+            reason: rest.reason,
+        }
+    }
+
+    fn note_stream(
+        &mut self,
+        entry: usize,
+        kind: SendKind,
+        sent: Instant,
+        answer: &caller::StreamAnswer,
+    ) {
+        let told = match answer.end {
+            caller::StreamEnd::Done => caller::ToldOutcome::Told(outcome::CallOutcome::Complete),
+            caller::StreamEnd::Error(told) | caller::StreamEnd::Refused(_, told) => told,
+            caller::StreamEnd::Cut => caller::ToldOutcome::Nothing,
+        };
+        let sample = SendSample { entry, kind, told, length: sent.elapsed() };
+        self.report.note_send(sample, answer.reason.as_deref());
+    }
+
     fn check_stream(&mut self, prompt: &str, answer: &caller::StreamAnswer) {
         let expected = caller::expected_tokens(prompt, 0, self.plan.chat_tokens);
         let is_prefix = expected.starts_with(&answer.tokens);
@@ -184,9 +294,13 @@
             let found = answer.tokens.len();
             self.report.stream_violations.push(format!("{prompt}: whole with {found} tokens"));
         }
-        if answer.end == caller::StreamEnd::Cut {
+        if next_send(answer) != NextSend::None {
             self.report.stream_violations.push(format!("{prompt}: no answer"));
         }
+        let not_run = caller::ToldOutcome::Told(outcome::CallOutcome::NotRun);
+        if answer.end == caller::StreamEnd::Error(not_run) && !answer.tokens.is_empty() {
+            self.report.stream_violations.push(format!("{prompt}: told not-run after a token"));
+        }
         self.report.note(match &answer.end {
             caller::StreamEnd::Done => "chat complete".to_owned(),
             caller::StreamEnd::Error(told) => format!("chat error {}", label(*told)),
@@ -195,22 +309,33 @@
         });
     }
 
-    fn any_entry(&mut self) -> net::SocketAddr {
-        let index = self.random.random_range(0..self.plan.entries.len());
-        self.plan.entries[index]
+    fn any_entry(&mut self) -> usize {
+        self.random.random_range(0..self.plan.entries.len())
     }
 }
 
-async fn attach(
-    caller: &caller::TestCaller,
-    entry: net::SocketAddr,
-    id: &str,
-    before: caller::StreamAnswer,
-) -> caller::StreamAnswer {
-    let rest = caller.attach(entry, id, before.last_event.as_deref()).await;
-    let tokens = [before.tokens, rest.tokens].concat();
-    let last_event = rest.last_event.or(before.last_event);
-    caller::StreamAnswer { request_id: Some(id.to_owned()), tokens, last_event, end: rest.end }
+/// What a caller does after an answer to a stream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum NextSend {
+    /// Nothing: this is the answer.
+    None,
+    /// It attaches again by the request's id.
+    Attach,
+    /// It sends the call anew.
+    Anew,
+}
+
+fn next_send(answer: &caller::StreamAnswer) -> NextSend {
+    let is_known = answer.request_id.is_some();
+    match (&answer.end, answer.reason.as_deref()) {
+        (caller::StreamEnd::Cut, _) if is_known => NextSend::Attach,
+        (caller::StreamEnd::Cut, _) => NextSend::Anew,
+        // The owner has moved or can't be reached now; the request may go on.
+        (caller::StreamEnd::Error(_), Some("stopping" | "owner-unreachable")) => NextSend::Attach,
+        (caller::StreamEnd::Refused(..), Some("owner-unreachable")) => NextSend::Attach,
+        (caller::StreamEnd::Refused(..), Some("unknown-request")) => NextSend::Anew,
+        _ => NextSend::None,
+    }
 }
 
 fn label(told: caller::ToldOutcome) -> &'static str {
--- a/crates/process-tests/src/lib.rs
+++ b/crates/process-tests/src/lib.rs
@@ -18,5 +18,6 @@
 pub mod ports;
 pub mod records;
 mod texts;
+pub mod timeline;
 mod view_file;
 pub mod wait;
--- a/crates/process-tests/src/main.rs
+++ b/crates/process-tests/src/main.rs
@@ -3,6 +3,7 @@
 //! Prints what was sent, what failed, what callers were told, and every broken promise; its exit
 //! code is 1 where there is one. Build the programs before: `cargo build --workspace --bins`.
 
+use std::fs;
 use std::process;
 use std::thread;
 use std::time::Duration;
@@ -36,6 +37,9 @@
     /// seconds of failures (default 60)
     #[argh(option, default = "60")]
     seconds: u64,
+    /// keep the settings and logs of the run
+    #[argh(switch)]
+    keep: bool,
     /// callers at the same time (default 40)
     #[argh(option, default = "40")]
     callers: u32,
@@ -43,13 +47,14 @@
 
 fn main() -> process::ExitCode {
     let args: RunArgs = argh::from_env();
-    let mut cluster = cluster::TestCluster::start(plan::ClusterPlan {
+    let plan = plan::ClusterPlan {
         entries: 2,
         engines: 2,
         services: 2,
         shards: SHARDS,
         ..plan::ClusterPlan::default()
-    });
+    };
+    let mut cluster = cluster::TestCluster::start(plan.clone());
     let platform = cluster.platform_address;
     let before = task::block_on(control::platform_counts(platform));
     let start = Instant::now();
@@ -62,7 +67,7 @@
         seed: args.seed,
     });
     let length = Duration::from_secs(args.seconds.min(MAX_SECONDS));
-    let failures = mayhem::rage(&mut cluster, u64::from(SHARDS), length, args.seed);
+    let failures = mayhem::rage(&mut cluster, &plan, length, args.seed);
     thread::sleep(SETTLE_TIME);
     let report = callers.finish();
     let seconds = start.elapsed().as_secs_f64();
@@ -73,15 +78,30 @@
     for (kind, count) in &failures.failures {
         println!("  {kind:?} {count}");
     }
+    println!("pairs that were on at once {}:", failures.pairs.values().sum::<u64>());
+    for ((on, came), count) in &failures.pairs {
+        println!("  {came:?} during {on:?} {count}");
+    }
     println!("calls by what was told in the end:");
     for (label, count) in &report.outcomes {
         println!("  {label} {count}");
     }
-    println!("takeovers of a killed holder's shards: {:?}", failures.takeovers);
+    println!("refusals and failures of single sends:");
+    for (label, count) in &report.refusals {
+        println!("  {label} {count}");
+    }
+    println!("takeovers of a killed holder's shards:");
+    for takeover in &failures.takeovers {
+        println!("  {:?} beside {:?}", takeover.length, takeover.beside);
+    }
     let writes = after.writes.saturating_sub(before.writes);
     println!("table writes {writes} ({:.1} a second)", writes as f64 / seconds);
     println!("refused by the table's rate limits {}", after.rate_refusals);
-    end(&cluster, &report)
+    let code = end(&cluster, &report);
+    if args.keep {
+        keep_files(&cluster);
+    }
+    code
 }
 
 /// Prints the violations, and makes the exit code of them.
@@ -98,3 +118,12 @@
     report.stream_violations.iter().for_each(|violation| println!("  {violation}"));
     if count == 0 { process::ExitCode::SUCCESS } else { process::ExitCode::FAILURE }
 }
+
+/// Moves the settings and logs out of the directory that goes with the cluster.
+fn keep_files(cluster: &cluster::TestCluster) {
+    let kept = cluster.directory().with_extension("kept");
+    match fs::rename(cluster.directory(), &kept) {
+        Ok(()) => println!("settings and logs: {}", kept.display()),
+        Err(cause) => println!("settings and logs were not kept: {cause}"),
+    }
+}
