--- a/crates/process-tests/src/mayhem.rs
+++ b/crates/process-tests/src/mayhem.rs
@@ -373,7 +373,8 @@
 }
 
 async fn open_shards(entry: net::SocketAddr) -> u64 {
-    let asking = future::timeout(METRICS_LIMIT, control::get_text(entry, "/metrics"));
+    let reading = Box::pin(control::get_text(entry, "/metrics"));
+    let asking = future::timeout(METRICS_LIMIT, reading);
     let text = asking.await.ok().flatten().unwrap_or_default();
     let mut lines = text.lines();
     let open = lines.find_map(|line| line.strip_prefix("samphiremoor_shards_open ")?.parse().ok());
