Once-only calls: a holder without a view waits instead of saying unknown-service

A daemon that has just started may hold shards before its first view; the call was claimed there, found no service in the view, and gave the claim back. Callers take a 404 for lasting. Change: the runner waits for a view that has the service, up to 4 s (the time in which a revision is in force everywhere) and never beyond the deadline; without any view the reason is not-ready. The wait counts against the call's deadline. Ruled out: starting the shards only after the first view; a daemon that starts in an outage of the control daemon could then not take over at all. Test: holder_whose_view_is_behind_waits_for_the_service. Conclusion: a new holder serves the calls that it claims.

--- a/crates/entry/src/once.rs
+++ b/crates/entry/src/once.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use async_std::future;
+use async_std::task;
 use async_trait::async_trait;
 use http_types::Method;
 use samphiremoor_base::outcome;
@@ -25,6 +26,13 @@
 /// Time beyond the deadline that the shards have to say what became of a call.
 const VERDICT_TIME: time::Millis = time::Millis::new(500);
 
+/// Time that a holder waits for a view that has the call's service; a daemon that has just started
+/// may hold shards before its first view.
+const VIEW_WAIT: time::Millis = time::Millis::new(4_000);
+
+/// Time between two looks at the view.
+const VIEW_POLL: time::Millis = time::Millis::new(50);
+
 /// Runs a call at most once over all daemons.
 pub async fn submit(shards: &service::ShardService, call: call::OnceCall) -> plain::PlainEnd {
     let limit = time::Millis::new(call.remaining.get().saturating_add(VERDICT_TIME.get()));
@@ -75,6 +83,26 @@
         ClaimedRunner { core }
     }
 
+    /// The context, once the view has the service; why not, where it has not in time.
+    async fn awaited_context(
+        &self,
+        call: &call::OnceCall,
+    ) -> Result<shell::RunContext, reason::RefusalReason> {
+        let end = self.core.now() + VIEW_WAIT.min(call.remaining);
+        loop {
+            if let Some(context) = self.context(call) {
+                return Ok(context);
+            }
+            if self.core.now() >= end {
+                return Err(match self.core.view() {
+                    Some(_) => reason::RefusalReason::UnknownService,
+                    None => reason::RefusalReason::NotReady,
+                });
+            }
+            task::sleep(VIEW_POLL.to_duration()).await;
+        }
+    }
+
     fn context(&self, call: &call::OnceCall) -> Option<shell::RunContext> {
         let snapshot = self.core.view()?;
         Some(shell::RunContext {
@@ -90,9 +118,11 @@
 #[async_trait]
 impl call::CallRunner for ClaimedRunner {
     async fn run(&self, call: &call::OnceCall) -> call::RunResult {
+        let start = self.core.now();
         let not_run = |reason| call::RunResult::NotRun { reason, retry_after: None };
-        let Some(context) = self.context(call) else {
-            return not_run(reason::RefusalReason::UnknownService);
+        let context = match self.awaited_context(call).await {
+            Ok(context) => context,
+            Err(reason) => return not_run(reason),
         };
         let Ok(method) = call.method.parse::<Method>() else {
             return not_run(reason::RefusalReason::MalformedHttp);
@@ -103,7 +133,7 @@
             headers: call.headers.clone(),
             body: call.body.clone(),
         };
-        let deadline = self.core.now() + call.remaining;
+        let deadline = start + call.remaining;
         let rule = policy::RepeatRule::Once;
         let ended = plain::run(self.core.clone(), context, plain_call, rule, deadline).await;
         run_result(ended)
--- a/crates/entry/tests/services.rs
+++ b/crates/entry/tests/services.rs
@@ -2,7 +2,9 @@
 
 mod fixture;
 
+use std::mem;
 use std::net;
+use std::sync;
 
 use async_std::task;
 use fixture::caller::TestCall;
@@ -10,6 +12,11 @@
 use fixture::upstream::FakeService;
 use http_types::Method;
 use samphiremoor_base::cases;
+use samphiremoor_base::digest;
+use samphiremoor_base::time;
+use samphiremoor_claims::key;
+use samphiremoor_entry::once;
+use samphiremoor_shards::call;
 
 const SOUND: Option<&str> = Some("HTTP/1.1 201 Made\r\nx-slot: 9\r\ncontent-length: 4\r\n\r\ndone");
 const NOT_RUN: Option<&str> =
@@ -134,3 +141,41 @@
     assert_eq!(second.problem(), "idempotency-key-reused");
     assert_eq!(sound.count(), 1);
 }
+
+/// A call that the holder may run, as another daemon forwards it.
+fn claimed_call() -> call::OnceCall {
+    call::OnceCall {
+        key: key::CallKey {
+            workspace: fixture::parsed("clinic"),
+            service: fixture::parsed(fixture::BOOKING),
+            key: fixture::parsed("key-1"),
+        },
+        digest: digest::HexDigest::of(b"{}"),
+        request: "entry-x:1".parse().expect("a valid identifier"),
+        method: sync::Arc::from("POST"),
+        path: sync::Arc::from("/slots/7"),
+        headers: Vec::new(),
+        body: sync::Arc::from(&b"{}"[..]),
+        remaining: time::Millis::new(60_000),
+    }
+}
+
+#[test]
+fn holder_whose_view_is_behind_waits_for_the_service() {
+    use samphiremoor_shards::call::CallRunner as _;
+    let service = FakeService::start(SOUND);
+    let view = fixture::SharedView::new(&[], &[service.address()]);
+    let services = sync::Mutex::new(Vec::new());
+    let swap = |view: &mut samphiremoor_view::zone::ZoneView| {
+        mem::swap(&mut view.records.services, &mut services.lock().unwrap());
+    };
+    view.change(swap);
+    let daemon = fixture::TestDaemon::start(&view);
+    daemon.wait_for_view();
+    let runner = once::ClaimedRunner::new(daemon.entry.core().clone());
+    let running = task::spawn(async move { runner.run(&claimed_call()).await });
+    view.change(swap);
+    let result = task::block_on(running);
+    assert!(matches!(result, call::RunResult::Completed(_)), "{result:?}");
+    assert_eq!(service.count(), 1);
+}
