Planned stop: new work is taken until the balancer has had time to notice

The daemon refused new work in the same moment in which its probe began to say so, and the balancer can't know earlier. Change: in the first half of stop.grace_ms (of stop.reclaim_ms, where a notice leaves less) new work is still taken, unless the stop is forced. The second half keeps the pause between the last accepted call and the end of the listener. Ruled out: taking work until the very end of the grace; a call whose body still arrives would then meet the closing of the listener. Relaying new work to a peer; the balancer does that within its next probe. Tests: work_is_taken_until_the_balancer_has_noticed_the_stop; that the probe says 503 at once and that work is refused without a grace was tested and stays.

--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -37,8 +37,12 @@
     pub metrics: metrics::EntryMetrics,
     /// The kept requests.
     pub registry: registry::RequestRegistry,
-    /// Given when new work is refused.
+    /// Given when the daemon stops.
     pub stopping: server::StopSignal,
+    /// When the stop began.
+    stopping_since: sync::OnceLock<time::MonotonicTime>,
+    /// Given when no new work is taken, also not from a balancer that has not noticed the stop.
+    pub closed: server::StopSignal,
     /// Given when the VM of this daemon is about to go.
     pub reclaimed: server::StopSignal,
     /// Given when the daemon ends.
@@ -77,6 +81,8 @@
             metrics: metrics::EntryMetrics::new(),
             registry: registry::RequestRegistry::new(limits),
             stopping: server::StopSignal::new(),
+            stopping_since: sync::OnceLock::new(),
+            closed: server::StopSignal::new(),
             reclaimed: server::StopSignal::new(),
             ending: server::StopSignal::new(),
             in_progress: atomic::AtomicUsize::new(0),
@@ -100,7 +106,26 @@
         self.view.load_full()
     }
 
-    /// Whether the daemon takes new work.
+    /// Begins the planned stop.
+    pub fn begin_stop(&self) {
+        self.stopping_since.get_or_init(|| self.now());
+        self.stopping.give();
+    }
+
+    /// Whether new work is taken: always before a stop, and in the first half of its grace, so that
+    /// nobody is refused before the balancer has noticed.
+    pub fn takes_work(&self) -> bool {
+        let Some(since) = self.stopping_since.get() else { return true };
+        let stop = &self.settings.stop;
+        let grace = match self.reclaimed.is_given() {
+            true => stop.grace_ms.min(stop.reclaim_ms),
+            false => stop.grace_ms,
+        };
+        let half = time::Millis::new(grace.get() / 2);
+        !self.closed.is_given() && self.now().since(*since) < half
+    }
+
+    /// Whether the balancer should send new work.
     pub fn is_ready(&self) -> bool {
         !self.stopping.is_given() && self.view.load().is_some()
     }
@@ -231,7 +256,7 @@
         let Some(cause) = self.own_stop(view) else { return };
         if !self.stopping.is_given() {
             log_event!(event::LogEvent::ProcessStopping, cause = format!("{cause:?}"));
-            self.stopping.give();
+            self.begin_stop();
         }
         if cause == zone::StopCause::Reclaim && !self.reclaimed.is_given() {
             log_event!(event::LogEvent::ReclaimNoticed, vm = self.settings.vm);
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -170,7 +170,7 @@
         self.shards.as_ref()
     }
 
-    /// Takes no new work from now on; a second call cuts the wait of [`finish`](Self::finish).
+    /// Begins the planned stop, after which no new work is taken soon; a second call cuts the wait of [`finish`](Self::finish).
     pub fn stop(&self) {
         if self.stop_started.is_completed() {
             self.forced.give();
@@ -178,7 +178,7 @@
         }
         self.stop_started.call_once(|| {
             log_event!(event::LogEvent::ProcessStopping);
-            self.core.stopping.give();
+            self.core.begin_stop();
         });
     }
 
@@ -201,6 +201,7 @@
             task::sleep(STOP_POLL.to_duration()).await;
         }
         log_event!(event::LogEvent::StopForced);
+        self.core.closed.give();
         self.hand_over_rest().await;
         self.end().await;
         StopVerdict::Forced
--- a/crates/entry/src/serve/access.rs
+++ b/crates/entry/src/serve/access.rs
@@ -120,7 +120,7 @@
 ///
 /// Refuses while the daemon stops.
 pub fn check_running(core: &core::EntryCore) -> Result<(), reply::CallRefusal> {
-    if !core.stopping.is_given() {
+    if core.takes_work() {
         return Ok(());
     }
     let refusal = reply::CallRefusal::new(reason::RefusalReason::Stopping);
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -241,7 +241,8 @@
 #[derive(Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct StopSettings {
-    /// Time for which the daemon still listens, so that the balancer notices.
+    /// Time for which the daemon still listens, so that the balancer notices; in its first half the
+    /// daemon still takes new work.
     pub grace_ms: time::Millis,
     /// Time after which the requests in progress are handed over; 0 waits without a limit.
     pub limit_ms: time::Millis,
--- a/crates/entry/tests/callers.rs
+++ b/crates/entry/tests/callers.rs
@@ -140,6 +140,25 @@
     assert_eq!(answer.outcome.as_deref(), Some("unknown"));
 }
 
+#[test]
+fn work_is_taken_until_the_balancer_has_noticed_the_stop() {
+    let engine = FakeEngine::start(3);
+    let view = fixture::SharedView::new(&[engine.address()], &[]);
+    let daemon = fixture::TestDaemon::start_with(&view, |settings| {
+        settings.stop.grace_ms = time::Millis::new(3_600_000);
+    });
+    let address = daemon.entry.address();
+    daemon.entry.stop();
+    let probe = TestCall::new(address, Method::Get, "/readyz", "").whole_blocking();
+    assert_eq!(probe.status, 503, "the balancer is told at once");
+    let answer = async_std::task::block_on(TestCall::chat(address, "late", true).stream());
+    assert!(answer.is_done);
+    // The second signal ends the grace.
+    daemon.entry.stop();
+    async_std::task::block_on(daemon.entry.finish());
+    assert!(!daemon.entry.core().takes_work());
+}
+
 #[test]
 fn calls_over_the_limit_are_refused() {
     let engine = FakeEngine::start(3);
