failure-run: callers behind a balancer, and one failure held for a whole run

How much of the priority duties runs on in an outage was not measured. Ruled out: probing before each send; a balancer knows less than that.

--- a/crates/process-tests/src/fleet.rs
+++ b/crates/process-tests/src/fleet.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use async_std::future;
 use async_std::task;
 use rand::Rng as _;
 use rand::SeedableRng as _;
@@ -14,6 +15,7 @@
 
 use crate::audit;
 use crate::caller;
+use crate::control;
 use crate::records;
 
 /// Sends of one call until the caller gives up.
@@ -42,6 +44,47 @@
     pub seed: u64,
 }
 
+/// Time between two probes of the balancer.
+const PROBE_PAUSE: Duration = Duration::from_millis(250);
+
+/// Time in which an entry daemon must answer the balancer's probe.
+const PROBE_LIMIT: Duration = Duration::from_millis(250);
+
+/// The platform's balancer: knows which entry daemons said lately that they take requests.
+#[derive(Clone, Debug)]
+struct ReadyEntries {
+    ready: sync::Arc<[atomic::AtomicBool]>,
+}
+
+impl ReadyEntries {
+    fn new(count: usize) -> Self {
+        ReadyEntries { ready: (0..count).map(|_| atomic::AtomicBool::new(true)).collect() }
+    }
+
+    /// Entry daemons that get new work; all of them where none is ready.
+    fn indexes(&self) -> Vec<usize> {
+        let all = 0..self.ready.len();
+        let is_ready = |index: &usize| self.ready[*index].load(atomic::Ordering::Relaxed);
+        let ready: Vec<_> = all.clone().filter(is_ready).collect();
+        if ready.is_empty() { all.collect() } else { ready }
+    }
+
+    /// Probes one entry daemon until the callers stop.
+    async fn probe(
+        self,
+        index: usize,
+        entry: net::SocketAddr,
+        stop: sync::Arc<atomic::AtomicBool>,
+    ) {
+        while !stop.load(atomic::Ordering::Relaxed) {
+            let probing = Box::pin(control::status_of(entry, "/readyz"));
+            let status = future::timeout(PROBE_LIMIT, probing).await.ok().flatten();
+            self.ready[index].store(status == Some(200), atomic::Ordering::Relaxed);
+            task::sleep(PROBE_PAUSE).await;
+        }
+    }
+}
+
 /// Running callers.
 pub struct CallerFleet {
     stop: sync::Arc<atomic::AtomicBool>,
@@ -101,12 +144,30 @@
 }
 
 impl CallerFleet {
-    /// Starts the callers.
+    /// Starts callers that send to any entry daemon, whether it is ready or not.
     pub fn start(plan: &FleetPlan) -> Self {
         let stop = sync::Arc::new(atomic::AtomicBool::new(false));
+        CallerFleet::start_with(plan, &ReadyEntries::new(plan.entries.len()), stop)
+    }
+
+    /// Starts callers behind a balancer, which sends to the entry daemons that are ready.
+    pub fn start_balanced(plan: &FleetPlan) -> Self {
+        let stop = sync::Arc::new(atomic::AtomicBool::new(false));
+        let ready = ReadyEntries::new(plan.entries.len());
+        for (index, entry) in plan.entries.iter().enumerate() {
+            task::spawn(ready.clone().probe(index, *entry, stop.clone()));
+        }
+        CallerFleet::start_with(plan, &ready, stop)
+    }
+
+    fn start_with(
+        plan: &FleetPlan,
+        ready: &ReadyEntries,
+        stop: sync::Arc<atomic::AtomicBool>,
+    ) -> Self {
         let callers = (0..plan.callers)
             .map(|number| {
-                let caller = FleetCaller::new(plan.clone(), number);
+                let caller = FleetCaller::new(plan.clone(), ready.clone(), number);
                 task::spawn(caller.run(stop.clone()))
             })
             .collect();
@@ -143,7 +204,8 @@
         }
     }
 
-    fn merge(&mut self, other: FleetReport) {
+    /// Takes in what other callers saw.
+    pub fn merge(&mut self, other: FleetReport) {
         self.sends += other.sends;
         self.samples.extend(other.samples);
         for (label, count) in other.refusals {
@@ -159,16 +221,17 @@
 
 struct FleetCaller {
     plan: FleetPlan,
+    ready: ReadyEntries,
     number: u32,
     random: rand_chacha::ChaCha8Rng,
     report: FleetReport,
 }
 
 impl FleetCaller {
-    fn new(plan: FleetPlan, number: u32) -> Self {
+    fn new(plan: FleetPlan, ready: ReadyEntries, number: u32) -> Self {
         let seed = plan.seed.wrapping_mul(1_000_003).wrapping_add(u64::from(number));
         let random = rand_chacha::ChaCha8Rng::seed_from_u64(seed);
-        FleetCaller { plan, number, random, report: FleetReport::default() }
+        FleetCaller { plan, ready, number, random, report: FleetReport::default() }
     }
 
     async fn run(mut self, stop: sync::Arc<atomic::AtomicBool>) -> FleetReport {
@@ -310,7 +373,8 @@
     }
 
     fn any_entry(&mut self) -> usize {
-        self.random.random_range(0..self.plan.entries.len())
+        let ready = self.ready.indexes();
+        ready[self.random.random_range(0..ready.len())]
     }
 }
 
@@ -338,7 +402,8 @@
     }
 }
 
-fn label(told: caller::ToldOutcome) -> &'static str {
+/// Name of an outcome in reports.
+pub fn label(told: caller::ToldOutcome) -> &'static str {
     match told {
         caller::ToldOutcome::Told(outcome) => outcome.label(),
         caller::ToldOutcome::Nothing => "no answer",
--- a/crates/process-tests/src/lib.rs
+++ b/crates/process-tests/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod cluster;
 pub mod control;
 pub mod fleet;
+pub mod hold;
 pub mod links;
 pub mod mayhem;
 pub mod operator;
--- a/crates/process-tests/src/main.rs
+++ b/crates/process-tests/src/main.rs
@@ -13,6 +13,7 @@
 use samphiremoor_process_tests::cluster;
 use samphiremoor_process_tests::control;
 use samphiremoor_process_tests::fleet;
+use samphiremoor_process_tests::hold;
 use samphiremoor_process_tests::mayhem;
 use samphiremoor_process_tests::plan;
 
@@ -40,6 +41,12 @@
     /// keep the settings and logs of the run
     #[argh(switch)]
     keep: bool,
+    /// send to entry daemons that are not ready as well, as without a balancer
+    #[argh(switch)]
+    direct: bool,
+    /// hold one failure for the whole time instead: none, table-down, zone-cut or zone-isolated
+    #[argh(option)]
+    only: Option<hold::HeldFailure>,
     /// callers at the same time (default 40)
     #[argh(option, default = "40")]
     callers: u32,
@@ -52,20 +59,28 @@
         engines: 2,
         services: 2,
         shards: SHARDS,
+        has_links: args.only.is_some(),
         ..plan::ClusterPlan::default()
     };
     let mut cluster = cluster::TestCluster::start(plan.clone());
+    if let Some(failure) = args.only {
+        return run_held(&cluster, &plan, failure, &args);
+    }
     let platform = cluster.platform_address;
     let before = task::block_on(control::platform_counts(platform));
     let start = Instant::now();
-    let callers = fleet::CallerFleet::start(&fleet::FleetPlan {
+    let load = fleet::FleetPlan {
         entries: (0..cluster.entries.len()).map(|index| cluster.entry(index)).collect(),
         callers: args.callers.min(MAX_CALLERS),
         pause: Duration::from_millis(100),
         chats_per_mille: 300,
         chat_tokens: 40,
         seed: args.seed,
-    });
+    };
+    let callers = match args.direct {
+        true => fleet::CallerFleet::start(&load),
+        false => fleet::CallerFleet::start_balanced(&load),
+    };
     let length = Duration::from_secs(args.seconds.min(MAX_SECONDS));
     let failures = mayhem::rage(&mut cluster, &plan, length, args.seed);
     thread::sleep(SETTLE_TIME);
@@ -104,6 +119,25 @@
     code
 }
 
+/// Holds one failure and prints what the callers of each zone were told.
+fn run_held(
+    cluster: &cluster::TestCluster,
+    plan: &plan::ClusterPlan,
+    failure: hold::HeldFailure,
+    args: &RunArgs,
+) -> process::ExitCode {
+    let length = Duration::from_secs(args.seconds.min(MAX_SECONDS));
+    let callers = args.callers.min(MAX_CALLERS) / plan.zones.len() as u32;
+    let load = hold::HeldLoad { callers, seed: args.seed };
+    println!("seed {}, {failure:?} of {} for {length:?}", args.seed, plan.zones[0]);
+    let mut whole = fleet::FleetReport::default();
+    for zone in hold::run(cluster, plan, failure, length, &load) {
+        print!("{zone}");
+        whole.merge(zone.report);
+    }
+    end(cluster, &whole)
+}
+
 /// Prints the violations, and makes the exit code of them.
 fn end(cluster: &cluster::TestCluster, report: &fleet::FleetReport) -> process::ExitCode {
     let counts = cluster.service_counts();
