--- a/crates/load/src/experiment/policy.rs
+++ b/crates/load/src/experiment/policy.rs
@@ -1,6 +1,7 @@
 //! The policies that are compared.
 
 use std::fmt;
+use std::str;
 
 use samphiremoor_limits::adaptive;
 use samphiremoor_limits::baseline as limits_baseline;
@@ -8,11 +9,14 @@
 use samphiremoor_routing::baseline as routing_baseline;
 use samphiremoor_routing::picker::ReplicaPicker;
 use samphiremoor_routing::scored;
+use serde::Deserialize;
 use serde::Serialize;
+use serde::de::IntoDeserializer as _;
+use serde::de::value;
 
 /// A routing policy with an admission policy.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-#[derive(Serialize)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum PolicyKind {
     /// Any replica; fixed limits.
@@ -77,3 +81,11 @@
         })
     }
 }
+
+impl str::FromStr for PolicyKind {
+    type Err = value::Error;
+
+    fn from_str(text: &str) -> Result<Self, value::Error> {
+        PolicyKind::deserialize(text.into_deserializer())
+    }
+}
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -70,6 +70,9 @@
     /// situation to run, such as twice-capacity; every one where none is given
     #[argh(option)]
     situation: Vec<situation::Situation>,
+    /// policy to run, such as scored, which is what the daemons run; every one where none is given
+    #[argh(option)]
+    policy: Vec<policy::PolicyKind>,
     /// simulated seconds of arrivals in a run
     #[argh(option, default = "60")]
     seconds: u64,
@@ -161,6 +164,9 @@
     let is_wanted =
         |kind: &situation::Situation| args.situation.is_empty() || args.situation.contains(kind);
     let situations = situation::Situation::ALL.into_iter().filter(is_wanted);
+    let is_compared =
+        |kind: &policy::PolicyKind| args.policy.is_empty() || args.policy.contains(kind);
+    let policies = policy::PolicyKind::ALL.into_iter().filter(is_compared);
     let plan = |situation, policy| world::RunPlan {
         policy,
         situation,
@@ -169,7 +175,7 @@
         seed: args.seed,
     };
     situations
-        .flat_map(|situation| policy::PolicyKind::ALL.map(|policy| plan(situation, policy)))
+        .flat_map(|situation| policies.clone().map(move |policy| plan(situation, policy)))
         .collect()
 }
 
