Limits: the most urgent requests may use what the common limit leaves

Cause: the most urgent were held to a limit of their own, which starts at the declared capacity and rises by half a request in half a second, though the common limit had room: drafts and letters at twice the capacity were refused at 10 to 13 in progress of 14 to 18 (a trial that printed both limits at each refusal), and a refused one that comes back after 2 to 6 s has missed its target. Change: a most urgent request is also admitted while all requests in progress fit the common limit.

--- a/crates/limits/src/adaptive.rs
+++ b/crates/limits/src/adaptive.rs
@@ -298,9 +298,11 @@
         let common = self.common.get().max(1.0);
         let most = common.max(self.urgent.get());
         if rank.is_most_urgent() {
-            // The most urgent don't wait for those that came before them and are less urgent.
+            // The most urgent don't wait for those that came before them and are less urgent. What
+            // the common limit leaves is theirs too.
             let urgent = f64::from(self.urgent_in_progress) + 1.0;
-            return urgent <= self.urgent.get().max(1.0) && in_progress <= most * URGENT_FACTOR;
+            let is_within = urgent <= self.urgent.get().max(1.0);
+            return in_progress <= common || is_within && in_progress <= most * URGENT_FACTOR;
         }
         if self.shares.is_below_floor(workspace) {
             return in_progress <= most;
