Limits: no limit of their own for urgent requests of a workspace within its share

Cause: letters and drafts at twice the capacity were still refused at the limit of the most urgent, which starts at the declared capacity (nine requests at a daemon) and has no reason to bind while there is something less urgent to shed. Change: a most urgent request of a workspace within its share is admitted up to one and a half times the greater limit, as long as the common limit is above its floor. Scenario "share": three clinics within their share get in at once, where they were refused until slots became free; the large workspace gets three instead of nine while they ask. Both are nearer to the shares; the total stays at 40.

--- a/crates/limits/src/adaptive.rs
+++ b/crates/limits/src/adaptive.rs
@@ -299,9 +299,11 @@
         let most = common.max(self.urgent.get());
         if rank.is_most_urgent() {
             // The most urgent don't wait for those that came before them and are less urgent. What
-            // the common limit leaves is theirs too.
+            // the common limit leaves is theirs too. Beyond it a workspace within its share is
+            // held to no limit of their own while there is something less urgent to shed.
             let urgent = f64::from(self.urgent_in_progress) + 1.0;
-            let is_within = urgent <= self.urgent.get().max(1.0);
+            let is_within = urgent <= self.urgent.get().max(1.0)
+                || !self.common.is_at_floor() && !self.shares.is_over(workspace);
             return in_progress <= common || is_within && in_progress <= most * URGENT_FACTOR;
         }
         if self.shares.is_below_floor(workspace) {
