Shards tests: a late write, a silent holder, a holder without the table, and a stop that gives leases away

No test let a forwarded call's holder fall silent, or a holder lose the table alone. planned_stop_hands_shards_over also passed where the leases merely lapse.

Change: late_write_of_an_earlier_holder_runs_nothing holds up a daemon's writes until its successors have run the keys; call_whose_holder_falls_silent_is_unknown; holder_without_the_table_runs_no_key_of_its_successors; planned_stop_hands_shards_over also reads the lease rows after the stop: stricter than before. The harness can hold up a daemon's writes and cut it off from the table alone.

Ruled out: the same with paused processes, where the order of the late write and the lost lease hangs on timing.

--- a/crates/shards/tests/harness/mod.rs
+++ b/crates/shards/tests/harness/mod.rs
@@ -102,6 +102,8 @@
 pub(crate) struct MemoryNetwork {
     services: sync::Mutex<collections::BTreeMap<String, service::ShardService>>,
     cut: sync::Mutex<collections::BTreeSet<String>>,
+    cut_tables: sync::Mutex<collections::BTreeSet<String>>,
+    held_writes: sync::Mutex<collections::BTreeSet<String>>,
     entries: sync::Mutex<Vec<peer::PeerEntry>>,
 }
 
@@ -114,9 +116,41 @@
         self.cut.lock().expect("no test panics with the lock").remove(daemon);
     }
 
+    /// Cuts a daemon off from the table only.
+    pub(crate) fn cut_table(&self, daemon: &str) {
+        self.cut_tables.lock().expect("no test panics with the lock").insert(daemon.to_owned());
+    }
+
+    /// Cuts a daemon off while its writes to the table are still under way.
+    pub(crate) fn hold_writes(&self, daemon: &str) {
+        self.held_writes.lock().expect("no test panics with the lock").insert(daemon.to_owned());
+        self.cut(daemon);
+    }
+
+    /// Lets the writes that are under way arrive; the daemon stays cut off.
+    pub(crate) fn release_writes(&self, daemon: &str) {
+        self.held_writes.lock().expect("no test panics with the lock").remove(daemon);
+    }
+
+    /// Waits while the daemon's writes are under way; false where they are not held up.
+    async fn delay_write(&self, daemon: &str) -> bool {
+        let is_held =
+            || self.held_writes.lock().expect("no test panics with the lock").contains(daemon);
+        let was_held = is_held();
+        while is_held() {
+            task::sleep(std_time::Duration::from_millis(5)).await;
+        }
+        was_held
+    }
+
     fn is_cut(&self, daemon: &str) -> bool {
         self.cut.lock().expect("no test panics with the lock").contains(daemon)
     }
+
+    fn has_table(&self, daemon: &str) -> bool {
+        let cut_tables = self.cut_tables.lock().expect("no test panics with the lock");
+        !self.is_cut(daemon) && !cut_tables.contains(daemon)
+    }
 }
 
 /// One daemon's view of the network.
@@ -168,7 +202,7 @@
 
 impl DaemonTable {
     fn check(&self) -> Result<(), samphiremoor_platform::table::PlatformError> {
-        if self.network.is_cut(&self.daemon) {
+        if !self.network.has_table(&self.daemon) {
             let cause = sync::Arc::from("cut off");
             return Err(samphiremoor_platform::table::PlatformError::NotDone(cause));
         }
@@ -209,7 +243,9 @@
         samphiremoor_platform::table::CommitAnswer,
         samphiremoor_platform::table::PlatformError,
     > {
-        self.check()?;
+        if !self.network.delay_write(&self.daemon).await {
+            self.check()?;
+        }
         self.table.commit(transaction).await
     }
 }
--- a/crates/shards/tests/service.rs
+++ b/crates/shards/tests/service.rs
@@ -189,6 +189,82 @@
     assert_eq!(completed(&cluster.call("b", "cut", "body")).as_deref(), Some("cut run 1"));
 }
 
+#[test]
+fn call_whose_holder_falls_silent_is_unknown() {
+    let cluster = harness::ShardCluster::start(2);
+    cluster.wait_covered();
+    cluster.runner.plan(harness::RunPlan::CompleteAfter(time::Millis::new(60_000)));
+    let sends: Vec<_> = (0..8)
+        .map(|number| {
+            let service = cluster.service("a");
+            let mut call = harness::once_call("a", &format!("k{number}"), "body");
+            call.remaining = time::Millis::new(6_000);
+            task::spawn(async move { service.submit(call).await })
+        })
+        .collect();
+    harness::wait_until("all calls run", || cluster.runner.total() == 8);
+    // Without the table nobody can take the shards over and find the claims there.
+    cluster.table.set_faults(faults::StoreFaults { unavailable: true, ..Default::default() });
+    cluster.network.cut("b");
+    for send in sends {
+        let answer = task::block_on(send);
+        assert!(matches!(answer, call::OnceAnswer::Unknown { .. }), "{answer:?}");
+    }
+}
+
+#[test]
+fn holder_without_the_table_runs_no_key_of_its_successors() {
+    let cluster = harness::ShardCluster::start(3);
+    cluster.wait_covered();
+    wait_for_copy_sets(&cluster);
+    let holder = cluster.busiest();
+    cluster.network.cut_table(&holder);
+    harness::wait_until("the others hold every shard", || {
+        let others = cluster.names().into_iter().filter(|name| *name != holder);
+        others.map(|name| cluster.service(&name).coverage().own).sum::<usize>() == 4
+    });
+    let sends: Vec<_> = (0..8)
+        .flat_map(|number| cluster.names().into_iter().map(move |daemon| (daemon, number)))
+        .map(|(daemon, number)| {
+            let service = cluster.service(&daemon);
+            let call = harness::once_call(&daemon, &format!("k{number}"), "body");
+            task::spawn(async move { service.submit(call).await })
+        })
+        .collect();
+    let answers: Vec<_> = sends.into_iter().map(task::block_on).collect();
+    assert_eq!(cluster.runner.most(), 1, "{answers:?}");
+    assert_eq!(cluster.runner.total(), 8, "{answers:?}");
+}
+
+#[test]
+fn late_write_of_an_earlier_holder_runs_nothing() {
+    let cluster = harness::ShardCluster::start(3);
+    cluster.wait_covered();
+    wait_for_copy_sets(&cluster);
+    let holder = cluster.busiest();
+    let keys: Vec<String> = (0..8).map(|number| format!("k{number}")).collect();
+    cluster.network.hold_writes(&holder);
+    let early: Vec<_> = keys
+        .iter()
+        .map(|key| {
+            let service = cluster.service(&holder);
+            let call = harness::once_call(&holder, key, "body");
+            task::spawn(async move { service.submit(call).await })
+        })
+        .collect();
+    let others: Vec<_> = cluster.names().into_iter().filter(|name| *name != holder).collect();
+    harness::wait_until("the others hold every shard", || {
+        others.iter().map(|name| cluster.service(name).coverage().own).sum::<usize>() == 4
+    });
+    for key in &keys {
+        let answer = cluster.call(&others[0], key, "body");
+        assert_eq!(completed(&answer), Some(format!("{key} run 1")), "{answer:?}");
+    }
+    cluster.network.release_writes(&holder);
+    let answers: Vec<_> = early.into_iter().map(task::block_on).collect();
+    assert_eq!(cluster.runner.most(), 1, "{answers:?}");
+}
+
 #[test]
 fn lost_answers_of_the_table_change_nothing() {
     let cluster = harness::ShardCluster::start(2);
@@ -209,6 +285,11 @@
     cluster.wait_covered();
     assert!(completed(&cluster.call("a", "k", "body")).is_some());
     task::block_on(cluster.service("a").stop(time::Millis::new(10_000)));
+    // Given away, and not left until the lease time has passed.
+    let rows = lease_rows(&cluster);
+    let holds = |life: &row::DaemonLife| life.daemon.as_str() == "a";
+    let is_held = rows.iter().any(|row| row.holder.as_ref().is_some_and(holds));
+    assert!(!is_held, "the stopped daemon still holds a lease: {rows:?}");
     cluster.kill("a");
     wait_for_own(&cluster, "b", 4);
     let answer = cluster.call("b", "k", "body");
@@ -265,11 +346,18 @@
     what: &str,
     mut holds: impl FnMut(&row::LeaseRow) -> bool,
 ) {
-    use samphiremoor_platform::table::TableStore as _;
     harness::wait_until(what, || {
-        let rows = task::block_on(cluster.table.scan("lease/shard/", None, 100))
-            .expect("the test set it up");
-        let mut rows = rows.iter().map(|found| row::LeaseRow::decode(&found.value));
-        rows.len() == 4 && rows.all(|row| row.is_some_and(|row| holds(&row)))
+        let rows = lease_rows(cluster);
+        rows.len() == 4 && rows.iter().all(&mut holds)
     });
 }
+
+/// The lease rows of the shards, as they are in the table.
+fn lease_rows(cluster: &harness::ShardCluster) -> Vec<row::LeaseRow> {
+    use samphiremoor_platform::table::TableStore as _;
+    let scan = task::block_on(cluster.table.scan("lease/shard/", None, 100));
+    let decode = |found: &samphiremoor_platform::table::TableRow| {
+        row::LeaseRow::decode(&found.value).expect("a lease row")
+    };
+    scan.expect("the test set it up").iter().map(decode).collect()
+}
