Process tests: links ask the system for one socket instead of reading its whole table

Cause: the links found the zone of a connection in /proc/net/tcp. Change: the socket diagnosis of the system (netlink, through rustix, feature `net`) gives the inode of one connection. A new connection across a cut is closed at once instead of staying silent: a network that is down lets it time out in 0.5 s, which a relay can't imitate, since the system accepts it. Ruled out: hashing the table once for all waiting questions (reading it is what takes the time); one relay for each pair of zones (daemons tell one address of theirs to all).

--- a/crates/process-tests/src/lib.rs
+++ b/crates/process-tests/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod plan;
 pub mod ports;
 pub mod records;
+mod sockets;
 mod texts;
 pub mod timeline;
 mod view_file;
--- a/crates/process-tests/src/links.rs
+++ b/crates/process-tests/src/links.rs
@@ -3,7 +3,8 @@
 //! Each address that VMs of other zones use leads to a relay, which passes bytes on. A relay knows
 //! the zone of the process at the other end of a connection, so that a cut between two zones
 //! touches neither their inner links nor those to a third one. Bytes that are held back by a cut
-//! come late, as TCP sends them again once the network is back.
+//! come late, as TCP sends them again once the network is back. A new connection is closed at once:
+//! a relay can't keep the system from accepting it, as a network that is down does.
 
 use std::collections;
 use std::fs;
@@ -23,6 +24,7 @@
 use futures_lite::future;
 
 use crate::ports;
+use crate::sockets;
 
 /// Time between two looks at a cut that holds bytes back.
 const CUT_POLL: Duration = Duration::from_millis(20);
@@ -157,6 +159,9 @@
 
     /// Passes bytes on in both directions until one end closes.
     async fn pass(self, near: async_net::TcpStream, caller: RelayedCaller) {
+        if self.links.has_cuts() && self.is_closed(&caller).await {
+            return;
+        }
         let Ok(far) = async_net::TcpStream::connect(self.target).await else { return };
         let there = self.pass_one_way(&near, &far, &caller, ByteOrigin::Caller);
         let back = self.pass_one_way(&far, &near, &caller, ByteOrigin::Target);
@@ -184,6 +189,12 @@
         }
     }
 
+    /// Whether a new connection can't come about: TCP needs both directions for it.
+    async fn is_closed(&self, caller: &RelayedCaller) -> bool {
+        self.is_cut(caller, ByteOrigin::Caller).await
+            || self.is_cut(caller, ByteOrigin::Target).await
+    }
+
     async fn is_cut(&self, caller: &RelayedCaller, origin: ByteOrigin) -> bool {
         if caller.zone.get().is_none() {
             let zone = self.links.zone_of(caller.address, self.address).await;
@@ -198,42 +209,34 @@
     }
 }
 
-/// Answers until no link is left. All questions that wait are answered from one read of the
-/// system's table, which is long on a busy machine.
+/// Answers until no link is left. All questions that wait are answered from one look at the
+/// processes.
 fn answer_questions(shared: &SharedLinks, asked: &mpsc::Receiver<ZoneQuestion>) {
     while let Ok(first) = asked.recv() {
         let waiting: Vec<_> = iter::once(first).chain(asked.try_iter()).collect();
-        let table = fs::read_to_string("/proc/net/tcp").unwrap_or_default();
         let state = shared.lock().clone();
+        let zones = zones_by_socket(&state.zones);
         for question in waiting {
-            let socket = socket_name(&table, question.local, question.remote);
-            let owner = socket.and_then(|socket| {
-                state.zones.iter().find(|(process, _)| has_socket(**process, &socket))
-            });
-            let zone = owner.map_or(&state.outside, |(_, zone)| zone);
+            let socket = sockets::inode_of(question.local, question.remote);
+            let zone = socket.and_then(|socket| zones.get(&socket).copied());
             // A connection that has ended meanwhile does not wait for the answer.
-            let _ = question.answer.try_send(zone.clone());
+            let _ = question.answer.try_send(zone.unwrap_or(&state.outside).clone());
         }
     }
 }
 
-/// How the system names the socket of a connection among a process's files.
-fn socket_name(table: &str, local: net::SocketAddr, remote: net::SocketAddr) -> Option<String> {
-    let addresses = format!(" {} {} ", table_address(local)?, table_address(remote)?);
-    let found = table.find(&addresses)?;
-    // After the addresses come state, queues, timer, retransmissions, user, timeout and inode.
-    let inode = table[found + addresses.len()..].split_whitespace().nth(6)?;
-    Some(format!("socket:[{inode}]"))
-}
-
-fn table_address(address: net::SocketAddr) -> Option<String> {
-    let net::SocketAddr::V4(address) = address else { return None };
-    let number = u32::from_ne_bytes(address.ip().octets());
-    Some(format!("{number:08X}:{:04X}", address.port()))
-}
-
-fn has_socket(process: u32, socket: &str) -> bool {
-    let Ok(files) = fs::read_dir(format!("/proc/{process}/fd")) else { return false };
-    let mut targets = files.flatten().filter_map(|file| fs::read_link(file.path()).ok());
-    targets.any(|target| target.as_os_str() == socket)
+/// Zones of the placed processes by the inodes of their sockets.
+fn zones_by_socket(
+    zones: &collections::BTreeMap<u32, String>,
+) -> collections::HashMap<u32, &String> {
+    let mut by_socket = collections::HashMap::new();
+    for (process, zone) in zones {
+        let Ok(files) = fs::read_dir(format!("/proc/{process}/fd")) else { continue };
+        let targets = files.flatten().filter_map(|file| fs::read_link(file.path()).ok());
+        by_socket.extend(targets.filter_map(|target| {
+            let inode = target.to_str()?.strip_prefix("socket:[")?.strip_suffix(']')?;
+            Some((inode.parse().ok()?, zone))
+        }));
+    }
+    by_socket
 }
