--- a/crates/entry/tests/streams.rs
+++ b/crates/entry/tests/streams.rs
@@ -13,6 +13,16 @@
 
 /// Two engines, the first of which has a fault; the answer must be whole all the same.
 fn check(fault: EngineFault, expected_moves: f64) {
+    call_count(fault, expected_moves);
+}
+
+/// The same where the faulty engine must be called once more, and the sound one not at all.
+fn check_dialled_anew(fault: EngineFault) {
+    assert_eq!(call_count(fault, 1.0), (2, 0), "calls of the faulty and the sound engine");
+}
+
+/// Streams over two engines, the first of which has a fault; gives the calls of each.
+fn call_count(fault: EngineFault, expected_moves: f64) -> (usize, usize) {
     let faulty = FakeEngine::start(LENGTH);
     let sound = FakeEngine::start(LENGTH);
     faulty.set_fault(fault);
@@ -30,13 +40,14 @@
     assert!(answer.is_done, "{answer:?}");
     assert_eq!(daemon.metric("samphiremoor_moved_streams_total", ""), expected_moves);
     assert_eq!(daemon.metric("samphiremoor_requests_total", "complete"), 1.0);
+    (faulty.calls().len(), sound.calls().len())
 }
 
 cases! {
     sound_stream_is_whole => check(EngineFault::None, 0.0);
     closed_at_the_start => check(EngineFault::CloseAfter(0), 0.0);
     closed_in_the_middle => check(EngineFault::CloseAfter(5), 1.0);
-    silent_connection_is_dialled_anew => check(EngineFault::SilentOnceAfter(5), 1.0);
+    silent_connection_is_dialled_anew => check_dialled_anew(EngineFault::SilentOnceAfter(5));
     silent_replica_is_left => check(EngineFault::SilentAfter(5), 2.0);
     refused_without_a_run => check(EngineFault::Refuse, 0.0);
     server_error => check(EngineFault::ServerError, 0.0);
@@ -94,3 +105,22 @@
     leaving_replica_exports_its_cache => check_leaving(1, &["/kv/export", "/kv/import"]);
     short_stream_is_computed_again => check_leaving(100_000, &[]);
 }
+
+#[test]
+fn leaving_replica_gets_no_new_call() {
+    let leaving = FakeEngine::start(LENGTH);
+    let staying = FakeEngine::start(LENGTH);
+    let view = fixture::SharedView::new(&[leaving.address(), staying.address()], &[]);
+    // The leaving engine is the less loaded one and so would be chosen first.
+    view.change(|view| {
+        view.replicas[0].state = samphiremoor_view::zone::UpstreamState::Leaving;
+        view.replicas[1].load.running = 9;
+    });
+    let daemon = fixture::TestDaemon::start(&view);
+    daemon.wait_for_view();
+    for _ in 0..4 {
+        let answer = TestCall::chat(daemon.entry.address(), "hello", false).whole_blocking();
+        assert_eq!(answer.chat_text(), upstream::whole_text("hello", LENGTH));
+    }
+    assert!(leaving.calls().is_empty(), "a leaving replica was called");
+}
--- a/xtask/src/protections/trial.rs
+++ b/xtask/src/protections/trial.rs
@@ -57,7 +57,7 @@
     }
 }
 
-impl TrialBench<'_> {
+impl<'a> TrialBench<'a> {
     /// Runs the test with the protection.
     pub(super) fn try_with(&self) -> Result<TrialVerdict, run::ChoreError> {
         if !self.build("with")? {
@@ -69,22 +69,29 @@
     /// Runs the test without the protection, which is put back in any case.
     pub(super) fn try_without(&self) -> Result<TrialVerdict, run::ChoreError> {
         let mut originals = Vec::new();
+        let verdict = match self.take_out(&mut originals)? {
+            true => self.run_without(),
+            false => Ok(TrialVerdict::NotInFile),
+        };
+        for (file, text) in originals.iter().rev() {
+            self.workspace.write(file, text)?;
+        }
+        verdict
+    }
+
+    /// Replaces the entry's texts, one after the other, and notes the files as they were before;
+    /// false where a text is not in its file just once.
+    fn take_out(&self, originals: &mut Vec<(&'a str, String)>) -> Result<bool, run::ChoreError> {
         for edit in self.entry.edits() {
-            let original = self.workspace.read(&edit.file)?;
-            if original.matches(&edit.find).count() != 1 {
-                return Ok(TrialVerdict::NotInFile);
+            let text = self.workspace.read(&edit.file)?;
+            if text.matches(&edit.find).count() != 1 {
+                return Ok(false);
             }
-            originals.push((edit, original));
-        }
-        for (edit, original) in &originals {
-            let changed = original.replacen(&edit.find, &edit.replace, 1);
+            let changed = text.replacen(&edit.find, &edit.replace, 1);
+            originals.push((&edit.file, text));
             self.workspace.write(&edit.file, &changed)?;
         }
-        let verdict = self.run_without();
-        for (edit, original) in &originals {
-            self.workspace.write(&edit.file, original)?;
-        }
-        verdict
+        Ok(true)
     }
 
     fn run_without(&self) -> Result<TrialVerdict, run::ChoreError> {
