--- a/crates/process-tests/src/cluster.rs
+++ b/crates/process-tests/src/cluster.rs
@@ -233,6 +233,18 @@
         Some((index, lease["fence"].as_u64()?))
     }
 
+    /// Daemons of the shard's present copy set, and its holder last.
+    pub fn shard_group(&self, shard: u16) -> Vec<usize> {
+        let key = format!("lease/shard/{shard:04}");
+        let row = task::block_on(control::table_row(self.platform_address, &key));
+        let text = row.expect("the shard has a lease row").value;
+        let lease: serde_json::Value = serde_json::from_str(&text).expect("rows are JSON");
+        let lives = lease["copy_set"].as_array().into_iter().flatten().chain([&lease["holder"]]);
+        let names = lives.filter_map(|life| life["daemon"].as_str());
+        let index = |name| self.entries.iter().position(|vm| vm.place.name == name);
+        names.filter_map(index).collect()
+    }
+
     /// An operator of this cluster.
     pub fn operator(&self) -> operator::TestOperator {
         let places: Vec<_> = self.listed.values().cloned().collect();
@@ -242,9 +254,20 @@
 
     /// Shards that an entry daemon has open; none where it does not answer.
     pub fn open_shards(&self, index: usize) -> Option<u64> {
+        self.entry_metric(index, "samphiremoor_shards_open")
+    }
+
+    /// A metric without labels of an entry daemon; none where it does not answer.
+    pub fn entry_metric(&self, index: usize, name: &str) -> Option<u64> {
         let text = task::block_on(control::get_text(self.entry(index), "/metrics"))?;
         let mut lines = text.lines();
-        lines.find_map(|line| line.strip_prefix("samphiremoor_shards_open ")?.parse().ok())
+        lines.find_map(|line| line.strip_prefix(name)?.strip_prefix(' ')?.parse().ok())
+    }
+
+    /// Runs of a key that the services counted.
+    pub fn runs_of(&self, key: &str) -> u64 {
+        let counts = self.service_counts();
+        counts.iter().filter_map(|counts| counts.keys.get(key)).map(|count| count.runs).sum()
     }
 
     /// Index of an entry daemon among `candidates` that has shards open, once there is one.
--- a/crates/process-tests/src/plan.rs
+++ b/crates/process-tests/src/plan.rs
@@ -24,6 +24,10 @@
     pub shards: u16,
     /// Where the entry daemons' view comes from.
     pub view: ViewOrigin,
+    /// Milliseconds for which ended calls are remembered; the daemons' default where left out.
+    pub retention_ms: Option<u64>,
+    /// Tokens from which on a KV cache is moved along; the daemons' default where left out.
+    pub kv_transfer_min_tokens: Option<u64>,
     /// Whether the VMs reach one another through links that can be cut.
     pub has_links: bool,
 }
@@ -48,6 +52,8 @@
             service_latency_ms: 20,
             shards: 4,
             view: ViewOrigin::Control,
+            retention_ms: None,
+            kv_transfer_min_tokens: None,
             has_links: false,
         }
     }
--- a/crates/process-tests/src/texts.rs
+++ b/crates/process-tests/src/texts.rs
@@ -70,12 +70,14 @@
         Some(file) => format!("file = {:?}", file.display().to_string()),
         None => format!("control_address = \"{}\"", place.view),
     };
+    let transfer = optional("kv_transfer_min_tokens", plan.kv_transfer_min_tokens);
+    let retention = optional("retention", plan.retention_ms);
     format!(
         "daemon = \"{name}\"\nvm = \"{name}\"\nzone = \"{zone}\"\nhttp_address = \"{http}\"\n\
          peer_address = \"{peer}\"\nlog = \"debug\"\n\n[view]\n{view}\ninterval_ms = 100\n\n\
-         [upstreams]\nsilence_ms = 1500\n\n[stop]\ngrace_ms = 500\n\n\
+         [upstreams]\nsilence_ms = 1500\n{transfer}\n[stop]\ngrace_ms = 500\n\n\
          [platform]\naddress = \"{platform}\"\n\n\
-         [shards]\ncount = {shards}\nlease_time = 2000\nidle_scan_interval = 1000\n",
+         [shards]\ncount = {shards}\nlease_time = 2000\nidle_scan_interval = 1000\n{retention}",
         shards = plan.shards,
         name = place.name,
         zone = place.zone,
@@ -84,6 +86,11 @@
     )
 }
 
+/// A line of a settings file; none where there is no value.
+fn optional(key: &str, value: Option<u64>) -> String {
+    value.map(|value| format!("{key} = {value}\n")).unwrap_or_default()
+}
+
 /// Settings of a control daemon; `listed` has the addresses that others use.
 pub(crate) fn control(
     place: &plan::EntryPlace,
