Once-only calls: a daemon cut off from the table asks others for the holder

Holders were looked up in the table alone. Change: after three look-ups without a holder the next daemon, other zones first, is asked whom it knows as the holder; the hold with the greater fencing number is tried. It is a hint: a call names the hold that it is meant for, and only that one takes it. Ruled out: handing the whole call to another daemon to forward; one more hop that can fall silent, and two daemons that judge what may have run. Conclusion: a zone that is cut off from the platform alone goes on booking.

--- a/crates/shards/src/forward.rs
+++ b/crates/shards/src/forward.rs
@@ -10,6 +10,7 @@
 use samphiremoor_base::time;
 use samphiremoor_lease::row;
 use samphiremoor_peers::link;
+use samphiremoor_view::zone;
 
 use crate::call;
 use crate::event;
@@ -24,6 +25,10 @@
 /// Pause before the holder is looked up again.
 const LOOKUP_PAUSE: time::Millis = time::Millis::new(50);
 
+/// Look-ups without a holder after which another daemon is asked for it: this one may be cut off
+/// from the table.
+const OWN_LOOKUPS: usize = 3;
+
 /// Time since the last answer of a daemon after which it is pinged before it gets a call.
 const CONTACT_AGE: std_time::Duration = std_time::Duration::from_millis(500);
 
@@ -81,6 +86,10 @@
     shared: &'a service::ServiceShared,
     call: sync::Arc<call::OnceCall>,
     start: std_time::Instant,
+    /// Look-ups so far.
+    lookups: usize,
+    /// The latest hold that other daemons know.
+    learned: Option<HoldTarget>,
     /// The holder that said that it runs the call.
     runs_at: Option<HoldTarget>,
     /// Holds that may have run the call.
@@ -93,6 +102,8 @@
             shared,
             call: sync::Arc::new(call),
             start: std_time::Instant::now(),
+            lookups: 0,
+            learned: None,
             runs_at: None,
             maybe_run_at: collections::BTreeSet::new(),
         }
@@ -134,6 +145,11 @@
         if let Some(hold) = &self.runs_at {
             return Some(hold.clone());
         }
+        let known = self.known_hold().into_iter().chain(self.learned.clone());
+        known.max_by_key(|hold| hold.id.fence)
+    }
+
+    fn known_hold(&self) -> Option<HoldTarget> {
         let map = self.shared.map.load_full()?;
         let shard = map.layout.shard_of(&self.call.key);
         let target = map.holder(shard)?.clone();
@@ -141,6 +157,28 @@
         Some(HoldTarget { id, life: target.life })
     }
 
+    /// Asks another daemon, each time the next one, who holds the shard. What it says is a hint: the
+    /// call names the fencing number, and only that hold takes it.
+    async fn learn_holder(&mut self) {
+        let Some(map) = self.shared.map.load_full() else { return };
+        let shard = map.layout.shard_of(&self.call.key);
+        let parts = &self.shared.parts;
+        let mut peers = parts.directory.daemons();
+        peers.retain(|peer| peer.id != parts.daemon && peer.state == zone::UpstreamState::Live);
+        // Other zones first: this one may be cut off as a whole.
+        peers.sort_by_key(|peer| peer.zone == parts.zone);
+        if peers.is_empty() {
+            return;
+        }
+        let peer = &peers[(self.lookups - OWN_LOOKUPS) % peers.len()];
+        let answer = parts.transport.ask(peer, message::ShardQuestion::Holder { shard }).await;
+        let Ok(message::ShardAnswer::HeldBy { life, fence }) = answer else { return };
+        let hold = HoldTarget { id: event::HoldId { shard, fence }, life };
+        if self.learned.as_ref().is_none_or(|learned| learned.id.fence < fence) {
+            self.learned = Some(hold);
+        }
+    }
+
     async fn send(&self, hold: &HoldTarget) -> ForwardStep {
         if self.shared.is_self(&hold.life) {
             let call = sync::Arc::new(self.present_call());
@@ -197,8 +235,12 @@
         call
     }
 
-    async fn pause(&self) {
+    async fn pause(&mut self) {
+        self.lookups += 1;
         self.shared.refresh_map().await;
+        if self.lookups >= OWN_LOOKUPS {
+            self.learn_holder().await;
+        }
         task::sleep(LOOKUP_PAUSE.to_duration()).await;
     }
 
--- a/crates/shards/src/message.rs
+++ b/crates/shards/src/message.rs
@@ -3,6 +3,7 @@
 use samphiremoor_base::quantity;
 use samphiremoor_base::time;
 use samphiremoor_claims::journal;
+use samphiremoor_lease::row;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -49,6 +50,11 @@
     },
     /// A lease was given away: it can be taken.
     Released,
+    /// Who holds a shard, as far as the daemon knows.
+    Holder {
+        /// The shard.
+        shard: quantity::ShardNumber,
+    },
 }
 
 /// What a daemon answers about shards.
@@ -76,4 +82,11 @@
     OtherLife,
     /// The daemon stops and can't answer.
     Stopping,
+    /// This daemon holds the shard.
+    HeldBy {
+        /// The holder.
+        life: row::DaemonLife,
+        /// Its fencing number.
+        fence: quantity::FenceNumber,
+    },
 }
--- a/crates/shards/src/service.rs
+++ b/crates/shards/src/service.rs
@@ -213,6 +213,7 @@
                 let hold = event::HoldId { shard, fence };
                 self.ask_control(|responder| event::ControlEvent::Seal { hold, responder }).await
             }
+            message::ShardQuestion::Holder { shard } => self.known_holder(shard),
             message::ShardQuestion::Released => {
                 self.refresh_map().await;
                 message::ShardAnswer::Pong { incarnation: own }
@@ -220,6 +221,16 @@
         }
     }
 
+    fn known_holder(&self, shard: quantity::ShardNumber) -> message::ShardAnswer {
+        let map = self.map.load();
+        match map.as_ref().and_then(|map| map.holder(shard)) {
+            Some(target) => {
+                message::ShardAnswer::HeldBy { life: target.life.clone(), fence: target.fence }
+            }
+            None => message::ShardAnswer::NotHolder,
+        }
+    }
+
     async fn answer_submit(
         &self,
         hold: event::HoldId,
--- a/crates/shards/tests/service.rs
+++ b/crates/shards/tests/service.rs
@@ -265,6 +265,24 @@
     assert_eq!(cluster.runner.most(), 1, "{answers:?}");
 }
 
+#[test]
+fn daemon_cut_off_from_the_table_finds_holders_through_the_others() {
+    let cluster = harness::ShardCluster::start(3);
+    cluster.wait_covered();
+    wait_for_copy_sets(&cluster);
+    cluster.network.cut_table("b");
+    harness::wait_until("the others hold every shard", || {
+        let own = |daemon| cluster.service(daemon).coverage().own;
+        own("a") + own("c") == 4
+    });
+    for number in 0..12 {
+        let key = format!("k{number}");
+        let answer = cluster.call("b", &key, "body");
+        assert_eq!(completed(&answer), Some(format!("{key} run 1")), "{answer:?}");
+    }
+    assert_eq!(cluster.runner.most(), 1);
+}
+
 #[test]
 fn lost_answers_of_the_table_change_nothing() {
     let cluster = harness::ShardCluster::start(2);
