failure-run: a held failure is mended before the callers finish

Change: the failure is mended after the run's length; sends that were still open then are counted as such. Ruled out: counting them as refused; nobody was told so.

--- a/crates/process-tests/src/fleet.rs
+++ b/crates/process-tests/src/fleet.rs
@@ -117,6 +117,8 @@
     pub kind: SendKind,
     /// What was told.
     pub told: caller::ToldOutcome,
+    /// When it was sent.
+    pub sent: Instant,
     /// Time to the end of the answer.
     pub length: Duration,
 }
@@ -259,7 +261,8 @@
             let answer =
                 caller.call(self.plan.entries[entry], records::BOOKING, Some(key), key).await;
             let kind = SendKind::Booking;
-            let sample = SendSample { entry, kind, told: answer.told, length: sent.elapsed() };
+            let sample =
+                SendSample { entry, kind, told: answer.told, sent, length: sent.elapsed() };
             self.report.note_send(sample, answer.reason().as_deref());
             self.report.ledger.note(key, &answer);
             if answer.told != caller::ToldOutcome::Nothing {
@@ -343,7 +346,7 @@
             caller::StreamEnd::Error(told) | caller::StreamEnd::Refused(_, told) => told,
             caller::StreamEnd::Cut => caller::ToldOutcome::Nothing,
         };
-        let sample = SendSample { entry, kind, told, length: sent.elapsed() };
+        let sample = SendSample { entry, kind, told, sent, length: sent.elapsed() };
         self.report.note_send(sample, answer.reason.as_deref());
     }
 
--- a/crates/process-tests/src/hold.rs
+++ b/crates/process-tests/src/hold.rs
@@ -5,6 +5,7 @@
 use std::str;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use async_std::task;
 use samphiremoor_platform::faults;
@@ -61,6 +62,8 @@
     pub zone: String,
     /// What its callers saw.
     pub report: fleet::FleetReport,
+    /// When the failure was mended.
+    pub mended: Instant,
 }
 
 /// Holds a failure while callers in each zone send to that zone's entry daemons.
@@ -77,11 +80,11 @@
         .map(|zone| fleet::CallerFleet::start(&load.fleet_plan(cluster, plan, zone)))
         .collect();
     thread::sleep(length);
+    let mended = Instant::now();
+    end(cluster);
     let reports = fleets.into_iter().map(fleet::CallerFleet::finish);
     let named = plan.zones.iter().cloned().zip(reports);
-    let reports = named.map(|(zone, report)| ZoneReport { zone, report }).collect();
-    end(cluster);
-    reports
+    named.map(|(zone, report)| ZoneReport { zone, report, mended }).collect()
 }
 
 /// Callers of a run with a held failure.
@@ -143,11 +146,14 @@
 impl fmt::Display for ZoneReport {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         for kind in [fleet::SendKind::Booking, fleet::SendKind::Chat] {
-            let samples = self.report.samples.iter().filter(|sample| sample.kind == kind);
+            let samples = self.report.samples.iter();
+            let samples = samples.filter(|sample| sample.kind == kind && sample.sent < self.mended);
             let samples: Vec<_> = samples.collect();
             let mut shares = collections::BTreeMap::<_, Vec<Duration>>::new();
             for sample in &samples {
-                shares.entry(fleet::label(sample.told)).or_default().push(sample.length);
+                let is_late = sample.sent + sample.length > self.mended;
+                let label = if is_late { "open at the end" } else { fleet::label(sample.told) };
+                shares.entry(label).or_default().push(sample.length);
             }
             write!(f, "{} {}: {} sends", self.zone, kind.label(), samples.len())?;
             for (label, lengths) in &mut shares {
