Limits: say that the next try may come when a slot becomes free

Cause: a refused caller was told to wait for half of a request's duration and more, 1.6 to 3.3 s at capacity, where a slot becomes free every 0.2 s. Change: the wait starts at the duration over the limit, not at half of the duration; the pressure of late adds as before. Scenarios "deadline", "priority", "share": only the waits that callers are told are shorter.

--- a/crates/limits/src/adaptive.rs
+++ b/crates/limits/src/adaptive.rs
@@ -343,13 +343,15 @@
         }
     }
 
-    /// Time in which the refused requests of late can be worked off; the least urgent wait longest.
+    /// Time in which a slot becomes free and the refused requests of late can be worked off; the
+    /// least urgent wait longest.
     fn retry_after(&mut self, service: &id::ServiceId) -> time::Millis {
         self.refusals += 1;
         let rank = self.rank(service);
         let spread = (self.refusals % RETRY_SPREAD_STEPS) as f64 / RETRY_SPREAD_STEPS as f64;
         let urgency = 1.0 + rank.0 as f64 / 2.0;
-        let wait_ms = self.duration_ms * (0.5 + self.pressure.ratio()) * urgency;
+        let next_slot = 1.0 / self.common.get().max(1.0);
+        let wait_ms = self.duration_ms * (next_slot + self.pressure.ratio()) * urgency;
         let (least, greatest) = RETRY_AFTER_MS;
         time::Millis::new((wait_ms * (0.75 + spread / 2.0)).clamp(least, greatest) as u64)
     }
