Limits: the common limit rises faster while it refuses and answers are far from the target

Cause: at capacity the common limit rose by 3% in half a second, though it refused and hardly an answer came near its target; a burst at one daemon shed questions and summaries at 11 in progress of a limit of 12, with 18 declared. Change: it rises by a tenth in half a second while it refuses and at most 2 in 100 of the most urgent are late or near it.

--- a/crates/limits/src/adaptive.rs
+++ b/crates/limits/src/adaptive.rs
@@ -21,11 +21,15 @@
 /// Multiple of the limit that the most urgent services may fill together with the others.
 pub const URGENT_FACTOR: f64 = 1.5;
 /// The common limit may fall until nearly only the most urgent requests are admitted.
+/// It rises faster while there is room: what is refused comes back too late.
 const COMMON_BOUNDS: concurrency::LimitBounds =
-    concurrency::LimitBounds { floor_part: 0.0, late_share: 0.05 };
+    concurrency::LimitBounds { floor_part: 0.0, late_share: 0.05, free_rise_share: 0.1 };
 /// The limit of the most urgent requests leaves room below the target of 95 in 100.
-const URGENT_BOUNDS: concurrency::LimitBounds =
-    concurrency::LimitBounds { floor_part: 0.25, late_share: 0.03 };
+const URGENT_BOUNDS: concurrency::LimitBounds = concurrency::LimitBounds {
+    floor_part: 0.25,
+    late_share: 0.03,
+    free_rise_share: concurrency::RISE_SHARE,
+};
 /// Part of a latency target from which on an answer is near it.
 const NEAR_PART: f64 = 0.8;
 /// Duration of a request before any has ended.
--- a/crates/limits/src/concurrency.rs
+++ b/crates/limits/src/concurrency.rs
@@ -20,7 +20,9 @@
 /// Factor of a fast fall.
 const FAST_FALL_FACTOR: f64 = 0.6;
 /// Relative rise of a limit that is used and keeps the target.
-const RISE_SHARE: f64 = 0.03;
+pub const RISE_SHARE: f64 = 0.03;
+/// Share of requests late or near it up to which there is room for more.
+const FREE_NEAR_SHARE: f64 = 0.02;
 /// Use of the limit from which on it may rise.
 const USED_SHARE: f64 = 0.8;
 /// Greatest limit, as a multiple of the declared capacity.
@@ -46,6 +48,8 @@
     pub floor_part: f64,
     /// Share of late requests that is accepted.
     pub late_share: f64,
+    /// Relative rise of a limit that refuses although hardly an answer comes near the target.
+    pub free_rise_share: f64,
 }
 
 /// The limit of one pool at one daemon.
@@ -140,11 +144,16 @@
         } else if is_late {
             self.limit *= FALL_FACTOR;
         } else if self.has_refused || f64::from(self.peak) >= self.limit * USED_SHARE {
-            self.limit += (self.limit * RISE_SHARE).max(LEAST_RISE);
+            self.limit += (self.limit * self.rise_share()).max(LEAST_RISE);
         }
         self.clamp();
     }
 
+    fn rise_share(&self) -> f64 {
+        let is_free = self.has_refused && self.near <= FREE_NEAR_SHARE;
+        if is_free { self.bounds.free_rise_share } else { RISE_SHARE }
+    }
+
     fn clamp(&mut self) {
         self.limit = self.limit.clamp(self.floor(), self.declared * CEILING_FACTOR);
     }
