Peers: a message that may have come is never called unreached

Cause: a link whose connection fell silent sends the message once more over a fresh connection. Where that one could not be dialled, the call ended as `Unreachable`, which means that the other end did not get the message. A once-only call whose holder was cut off just after it got the call was so told `not-run` after 6 s, although the holder ran it. tests/cuts.rs found it in both tests as soon as the audit held requests against what the services ran (`RequestThatRan`). Change: after a first silence every failure of the second try is `Silent`. Ruled out: the ping before a call (it is left out within 500 ms of the last answer, rightly).

--- a/crates/peers/src/link.rs
+++ b/crates/peers/src/link.rs
@@ -76,7 +76,8 @@
         let answer = match self.exchange(&bytes).await {
             Err(LinkError::Silent) => {
                 log_event!(event::LogEvent::PeerSilent, address = self.address);
-                self.exchange(&bytes).await?
+                // The other end may have got the first message, whatever becomes of the second.
+                self.exchange(&bytes).await.map_err(|_| LinkError::Silent)?
             }
             settled => settled?,
         };
--- a/crates/peers/tests/exchange.rs
+++ b/crates/peers/tests/exchange.rs
@@ -2,6 +2,7 @@
 
 use std::net;
 use std::sync;
+use std::sync::mpsc;
 
 use async_std::task;
 use samphiremoor_base::time;
@@ -72,6 +73,33 @@
     assert!(matches!(answer, Err(link::LinkError::Silent | link::LinkError::Unreachable)));
 }
 
+/// Tells that a question has come, and never answers it.
+struct MuteHandler(mpsc::SyncSender<()>);
+
+impl server::PeerHandler for MuteHandler {
+    type Question = u64;
+    type Answer = u64;
+
+    fn answer(&self, _: u64) -> server::AnswerFuture<u64> {
+        // A question that comes twice is told once.
+        let _ = self.0.try_send(());
+        Box::pin(std::future::pending())
+    }
+}
+
+#[test]
+fn daemon_that_got_the_message_is_silent_though_it_can_not_be_dialled_anew() {
+    let address = free_address();
+    let (told, asked) = mpsc::sync_channel(1);
+    let handler = sync::Arc::new(MuteHandler(told));
+    let server = server::PeerServer::start(address, handler).expect("the server starts");
+    let link = link::PeerLink::new(address, time::Millis::new(500));
+    let call = task::spawn(async move { link.call::<u64, u64>(&1).await });
+    asked.recv().expect("the question comes");
+    drop(server);
+    assert_eq!(task::block_on(call), Err(link::LinkError::Silent));
+}
+
 #[test]
 fn undecodable_message_is_not_answered_and_harms_nothing() {
     let address = free_address();
