Control: a daemon that is stopped tells its peers, so that none waits for a suspicion

Cause: peers found a stopped control daemon by calls that fail and by others that try it, a second at least, and it kept its share of polls and reads until then. Change: it calls two daemons of its zone and one of another with news of itself as silent, waits at most 500 ms for their answers and ends; they pass it on as any suspicion. A new life overrides it. Ruled out: gone for good (the entry daemon beside it may serve on, and an operator who asks where a change is in force has to hear of it; the test checks that it is named); a message to every peer (400 daemons). Shown failing before: stopped_peer_is_known_before_it_could_be_suspected fails without the messages (11 of 12 pass).

--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -165,6 +165,14 @@
         actions
     }
 
+    /// The daemon ends: the messages by which its peers learn of it.
+    pub fn end(&mut self, now: time::MonotonicTime) -> Vec<action::ControlAction> {
+        let mut actions = Vec::new();
+        let calls = self.membership.end(now);
+        self.act(calls, &mut actions);
+        actions
+    }
+
     fn take(
         &mut self,
         now: time::MonotonicTime,
--- a/crates/control/src/worker.rs
+++ b/crates/control/src/worker.rs
@@ -6,6 +6,7 @@
 
 use async_std::channel;
 use samphiremoor_base::event;
+use samphiremoor_base::id;
 use samphiremoor_base::log_event;
 use samphiremoor_base::quantity;
 use samphiremoor_base::time;
@@ -22,6 +23,9 @@
 /// Between two ticks of the control state.
 const TICK_INTERVAL: time::Millis = time::Millis::new(50);
 
+/// Longest wait of a daemon that ends for the answers of the peers that it tells of it.
+const END_LIMIT: time::Millis = time::Millis::new(500);
+
 /// An input of the control thread.
 #[derive(Debug)]
 pub(crate) enum ThreadInput {
@@ -64,7 +68,8 @@
             match queue.recv_timeout(wait.to_duration()) {
                 Ok(ThreadInput::Done(input)) => self.step(input),
                 Ok(ThreadInput::Question(question, reply)) => self.answer(question, &reply),
-                Ok(ThreadInput::Stop) | Err(mpsc::RecvTimeoutError::Disconnected) => return,
+                Ok(ThreadInput::Stop) => return self.end(queue),
+                Err(mpsc::RecvTimeoutError::Disconnected) => return,
                 Err(mpsc::RecvTimeoutError::Timeout) => {}
             }
             if self.clock.now() >= next_tick {
@@ -74,6 +79,32 @@
         }
     }
 
+    /// Tells peers that the daemon ends, and waits until they have it.
+    fn end(mut self, queue: &mpsc::Receiver<ThreadInput>) {
+        let limit = self.clock.now() + END_LIMIT;
+        let actions = self.state.end(self.clock.now());
+        let peers = actions.iter().filter_map(|action| match action {
+            action::ControlAction::Gossip(peer, _) => Some(peer.id.clone()),
+            _ => None,
+        });
+        let mut told: collections::BTreeSet<id::DaemonId> = peers.collect();
+        actions.into_iter().for_each(|action| self.act(action));
+        while !told.is_empty() {
+            let wait = time::Millis::new(limit.get())
+                .saturating_sub(time::Millis::new(self.clock.now().get()));
+            match queue.recv_timeout(wait.to_duration()) {
+                Ok(ThreadInput::Done(action::ControlInput::GossipAnswered(message))) => {
+                    told.remove(&message.sender.id);
+                }
+                Ok(ThreadInput::Done(action::ControlInput::CallFailed(peer))) => {
+                    told.remove(&peer);
+                }
+                Ok(_) => {}
+                Err(_) => return,
+            }
+        }
+    }
+
     fn step(&mut self, input: action::ControlInput) {
         self.note_platform(&input);
         let actions = self.state.step(self.clock.now(), input);
--- a/crates/control/tests/state.rs
+++ b/crates/control/tests/state.rs
@@ -6,6 +6,7 @@
 use proptest::prelude::Strategy;
 use proptest::prop_oneof;
 use samphiremoor_control::capacity;
+use samphiremoor_membership::news;
 use samphiremoor_platform::cloud;
 use samphiremoor_view::zone;
 
@@ -88,6 +89,29 @@
     assert_eq!(view.daemons.len(), 5);
 }
 
+/// A call that fails and the tries of others take this long at least before a peer is suspected.
+const SUSPICION_TIME: u64 = 2 * world::CALL_TIMEOUT;
+
+#[test]
+fn stopped_peer_is_known_before_it_could_be_suspected() {
+    let mut world = world::ControlWorld::running(&["a", "b"], 3);
+    world.stop(2);
+    let is_known = |world: &world::ControlWorld| {
+        let is_doubted_at = |at| {
+            let standing = world.standing(at, 2);
+            standing.is_some_and(|standing| standing.doubt == news::DaemonDoubt::Silent)
+        };
+        [0, 1, 3, 4, 5].into_iter().all(is_doubted_at)
+    };
+    world.pass_until(SUSPICION_TIME, is_known).expect("all know it");
+    // Its entry daemon may serve on by the last revision, which an operator has to hear of.
+    let is_named = |at: usize| {
+        let mut known = world.daemons[at].state.known_daemons().into_iter();
+        known.any(|news| news.id.as_str() == "vm-2")
+    };
+    assert!([0, 1, 3, 4, 5].into_iter().all(is_named));
+}
+
 #[test]
 fn peer_that_was_cut_off_is_live_again() {
     let mut world = world::ControlWorld::running(&["a", "b"], 3);
--- a/crates/control/tests/world/mod.rs
+++ b/crates/control/tests/world/mod.rs
@@ -24,7 +24,7 @@
 /// A call takes this long there and back, where no test says otherwise.
 pub(crate) const ROUND_TRIP: u64 = 40;
 /// A call that is not answered fails after this time, as with the settings of the example.
-const CALL_TIMEOUT: u64 = 500;
+pub(crate) const CALL_TIMEOUT: u64 = 500;
 
 /// A daemon, and what it said last.
 pub(crate) struct RunningDaemon {
@@ -134,6 +134,14 @@
         index
     }
 
+    /// Ends a daemon as its stop does.
+    pub(crate) fn stop(&mut self, index: usize) {
+        let now = time::MonotonicTime::new(self.now);
+        let actions = self.daemons[index].state.end(now);
+        self.act_all(index, actions);
+        self.daemons[index].is_dead = true;
+    }
+
     /// Writes the next revision, and returns its number.
     pub(crate) fn write(&mut self) -> u64 {
         let number = self.revisions.len() as u64 + 1;
--- a/crates/membership/src/daemons.rs
+++ b/crates/membership/src/daemons.rs
@@ -132,6 +132,13 @@
         true
     }
 
+    /// The own control daemon ends; its entry daemon may serve on, so that it is silent, not gone.
+    pub fn end_own(&mut self, now: time::MonotonicTime) {
+        let member = self.members.get_mut(&self.own).expect("the own daemon is never removed");
+        member.news.standing.doubt = news::DaemonDoubt::Silent;
+        member.since = now;
+    }
+
     /// Nobody reaches the daemon; true where that is new.
     pub fn suspect(&mut self, now: time::MonotonicTime, id: &id::DaemonId) -> bool {
         let Some(member) = self.members.get_mut(id) else { return false };
--- a/crates/membership/src/peers.rs
+++ b/crates/membership/src/peers.rs
@@ -68,6 +68,18 @@
         self.gone_order.pop()
     }
 
+    /// Daemons that answer and are told that this one ends, as many as a round calls.
+    pub(crate) fn pick_told(&mut self, daemons: &daemons::DaemonTable) -> Vec<id::DaemonId> {
+        let zone = &daemons.own().zone;
+        let is_near = |news: &news::DaemonNews| daemons::is_answering(news) && news.zone == *zone;
+        let is_far = |news: &news::DaemonNews| daemons::is_answering(news) && news.zone != *zone;
+        let mut told = self.shuffled(daemons, is_near);
+        told.truncate(self.limits.zone_fanout);
+        let far = self.shuffled(daemons, is_far);
+        told.extend(far.into_iter().take(self.limits.other_fanout));
+        told
+    }
+
     /// Daemons of the own availability zone that are asked to try `target`.
     pub(crate) fn pick_probers(
         &mut self,
--- a/crates/membership/src/state.rs
+++ b/crates/membership/src/state.rs
@@ -243,6 +243,13 @@
         actions
     }
 
+    /// The control daemon ends: says whom to tell, so that nobody has to find it silent.
+    pub fn end(&mut self, now: time::MonotonicTime) -> Vec<MembershipAction> {
+        let told = self.peers.pick_told(&self.daemons);
+        self.daemons.end_own(now);
+        told.into_iter().map(MembershipAction::Call).collect()
+    }
+
     fn is_round_due(&self, now: time::MonotonicTime) -> bool {
         let is_hurried =
             self.is_urgent && now.since(self.last_round) >= self.limits.urgent_interval;
