Requests: a silent replica is dialled anew only where another one can still follow

Cause: a replica that falls silent is tried once more over a fresh connection. A plain call is silent after 10 s (`answer_timeout_ms`), so the second try used up a deadline of 15 s, and a call that may be repeated was told `unknown` (504) though another service was free. Seen with a paused service, and in trials of zones cut off from each other by links that took connections and stayed silent. Change: the second try is made only where the deadline leaves twice the time that this silence took; else the replica is blamed and the call goes elsewhere at once. Ruled out: shorter answer timeouts (a service that takes 9 s is not silent); no second try for plain calls (one replica alone, whose connection went silent, would be left for the backoff).

--- a/crates/process-tests/tests/calls.rs
+++ b/crates/process-tests/tests/calls.rs
@@ -118,3 +118,24 @@
 fn call_beyond_the_notice_is_unknown_at_another_daemon() {
     check_long_call(not_holder);
 }
+
+/// A paused VM takes connections and never answers on them. A call that may be repeated must reach
+/// the other service before its deadline.
+#[test]
+fn repeatable_call_leaves_a_paused_service() {
+    let cluster = cluster::TestCluster::start(plan::ClusterPlan {
+        engines: 0,
+        ..plan::ClusterPlan::default()
+    });
+    cluster.services[0].process.pause();
+    let calls: Vec<_> = (0..8)
+        .map(|number| {
+            let entry = cluster.entry(number % cluster.entries.len());
+            task::spawn(async move {
+                caller::TestCaller::new().call(entry, records::LOOKUP, None, "treadmill").await
+            })
+        })
+        .collect();
+    let answers: Vec<_> = calls.into_iter().map(task::block_on).collect();
+    assert!(answers.iter().all(|answer| answer.status == 200), "{answers:?}");
+}
--- a/crates/requests/src/machine.rs
+++ b/crates/requests/src/machine.rs
@@ -43,6 +43,8 @@
     fruitless: u32,
     replica: Option<id::ReplicaId>,
     redialled: bool,
+    /// When the present dispatch was sent or last brought a token.
+    heard_at: time::MonotonicTime,
     avoided: action::AvoidedReplicas,
     /// Dispatches that an upstream may have run.
     doubtful: u32,
@@ -66,6 +68,7 @@
             fruitless: 0,
             replica: None,
             redialled: false,
+            heard_at: time::MonotonicTime::default(),
             avoided: action::AvoidedReplicas::new(),
             doubtful: 0,
             lost_at: None,
@@ -194,6 +197,7 @@
             stream::TokenVerdict::Next => {
                 self.fruitless = 0;
                 self.lost_at = None;
+                self.heard_at = now;
                 smallvec![RequestAction::DeliverToken(offset)]
             }
             stream::TokenVerdict::Duplicate => {
@@ -246,7 +250,7 @@
             actions.push(RequestAction::CountMove);
         }
         actions.push(RequestAction::CountRetry(failure.retry_reason()));
-        if failure == input::AttemptFailure::Silent && !self.redialled {
+        if failure == input::AttemptFailure::Silent && self.may_redial(now) {
             // No cancel: it could overtake the new dispatch and end that one at the replica.
             self.redialled = true;
             actions.extend(self.dispatch(now, replica));
@@ -259,6 +263,13 @@
         actions
     }
 
+    /// Whether a silent replica is dialled anew: once, and only where a second silence as long as
+    /// this one would leave the time for another replica.
+    fn may_redial(&self, now: time::MonotonicTime) -> bool {
+        let silence = now.since(self.heard_at);
+        !self.redialled && now + silence + silence <= self.deadline
+    }
+
     /// Moves that cost no retry: a stream in progress and an announced leave are bounded by what
     /// was accepted, so they can't make a storm of retries.
     fn is_moved_freely(&self, failure: input::AttemptFailure) -> bool {
@@ -330,6 +341,7 @@
         self.fruitless += 1;
         self.state = RequestState::Dispatched(self.last_attempt);
         self.replica = Some(replica.clone());
+        self.heard_at = now;
         self.doubtful += 1;
         self.choose_at = None;
         smallvec![RequestAction::Dispatch(action::DispatchOrder {
