--- a/crates/process-tests/tests/control.rs
+++ b/crates/process-tests/tests/control.rs
@@ -3,6 +3,7 @@
 use async_std::task;
 use samphiremoor_process_tests::caller;
 use samphiremoor_process_tests::cluster;
+use samphiremoor_process_tests::control;
 use samphiremoor_process_tests::operator;
 use samphiremoor_process_tests::plan;
 use samphiremoor_process_tests::records;
@@ -47,6 +48,16 @@
     assert_eq!(history.code, operator::DONE, "{history:?}");
 }
 
+/// Waits until an entry daemon notices that its control daemon is gone.
+fn wait_for_old_view(cluster: &cluster::TestCluster, entry: usize) {
+    let age_of = |line: &str| line.strip_prefix("samphiremoor_view_age_ms ")?.parse::<u64>().ok();
+    wait::until("the view grows old", || {
+        let text = task::block_on(control::get_text(cluster.entry(entry), "/metrics"));
+        let age = text.and_then(|text| text.lines().find_map(age_of));
+        age.is_some_and(|age| age > 0)
+    });
+}
+
 #[test]
 fn killed_control_daemons_stop_no_request() {
     let mut cluster = cluster::TestCluster::start(plan::ClusterPlan::default());
@@ -54,6 +65,7 @@
         vm.control.as_mut().expect("the plan has control daemons").kill();
     }
     for entry in 0..cluster.entries.len() {
+        wait_for_old_view(&cluster, entry);
         chat(&cluster, entry).assert_whole(PROMPT, TOKENS);
     }
     let caller = caller::TestCaller::new();
--- a/crates/process-tests/tests/reclaims.rs
+++ b/crates/process-tests/tests/reclaims.rs
@@ -10,6 +10,7 @@
 use samphiremoor_process_tests::control;
 use samphiremoor_process_tests::operator;
 use samphiremoor_process_tests::plan;
+use samphiremoor_process_tests::wait;
 
 const PROMPT: &str = "draft a letter on the winter delivery of a walking pad";
 
@@ -61,6 +62,9 @@
     let other = cluster.entry(1);
     let reading = thread::spawn(move || read_whole(stream, other));
     thread::sleep(Duration::from_secs(NOTICE_SECONDS));
+    wait::until("the stream leaves its engine before that goes", || {
+        cluster.answer_tokens(1 - busy) > 0
+    });
     cluster.engines[busy].process.kill();
     reading.join().expect("the answer is whole");
 }
