--- a/crates/control/examples/distribution.rs
+++ b/crates/control/examples/distribution.rs
@@ -273,6 +273,16 @@
     );
 }
 
+/// What the daemons say that lack the revision.
+fn report_lagging(running: &[shell::ControlDaemon], revision: u64) {
+    for (index, daemon) in running.iter().enumerate() {
+        let shown = revision_of(daemon);
+        if shown < revision {
+            println!("daemon {index} shows revision {shown}\n{}", daemon.metrics().to_text());
+        }
+    }
+}
+
 fn report_changes(
     args: &MeasureArgs,
     table: &memory::MemoryTable,
@@ -283,7 +293,8 @@
     for change in 2..args.changes + 2 {
         write(table, change);
         let Some(times) = await_revision(running, change as u64) else {
-            return println!("change {change} was not in force everywhere after 30 s");
+            println!("change {change} was not in force everywhere after 30 s");
+            return report_lagging(running, change as u64);
         };
         times.into_iter().for_each(|time| histogram.saturating_record(time));
         thread::sleep(std::time::Duration::from_millis(300 + 37 * (change as u64 % 10)));
