Once-only calls: a replica that closes or is silent is blamed

A call that may not be repeated ended without blaming its replica, also a silent one, so the next call was sent there again. Change: silence and a connection closed before the answer blame the replica before the call ends. A blamed one is chosen only where no other is left. Ruled out: blaming for a server error; that may be the call's own. Redialling, as other calls do; the call may have run.

--- a/crates/entry/tests/services.rs
+++ b/crates/entry/tests/services.rs
@@ -179,3 +179,25 @@
     assert!(matches!(result, call::RunResult::Completed(_)), "{result:?}");
     assert_eq!(service.count(), 1);
 }
+
+/// Two calls that may not be repeated: only the first one goes to the replica that fails it.
+fn check_blamed(fault: Option<&'static str>) {
+    let faulty = FakeService::start(fault);
+    let sound = FakeService::start(SOUND);
+    let view = fixture::SharedView::new(&[], &[faulty.address(), sound.address()]);
+    view.change(|view| view.replicas[1].load.running = 40);
+    let daemon = fixture::TestDaemon::start_with(&view, |settings| {
+        settings.upstreams.blame_ms = time::Millis::new(3_600_000);
+    });
+    daemon.wait_for_shards();
+    let book =
+        |key| booking(daemon.entry.address(), fixture::BOOKING, key, "{}").whole_blocking().outcome;
+    assert_eq!(book("key-1").as_deref(), Some("unknown"));
+    assert_eq!(book("key-2").as_deref(), Some("complete"));
+    assert_eq!((faulty.count(), sound.count()), (1, 1));
+}
+
+cases! {
+    replica_that_closes_is_blamed => check_blamed(CUT);
+    replica_that_is_silent_is_blamed => check_blamed(SILENT);
+}
--- a/crates/requests/src/machine.rs
+++ b/crates/requests/src/machine.rs
@@ -232,7 +232,11 @@
         if failure.is_not_run() {
             self.doubtful -= 1;
         } else if self.policy.repeat == policy::RepeatRule::Once {
-            return self.give_up(reason::RefusalReason::UpstreamFailed);
+            let mut actions = self.give_up(reason::RefusalReason::UpstreamFailed);
+            if is_blamed_once(failure) {
+                actions.insert(0, RequestAction::BlameReplica(replica));
+            }
+            return actions;
         }
         if now >= self.deadline {
             return self.give_up(reason::RefusalReason::DeadlinePassed);
@@ -393,6 +397,12 @@
     matches!(failure, input::AttemptFailure::NotConnected | input::AttemptFailure::Silent)
 }
 
+/// Whether a failure of a call that may not be repeated says that the next one would fail alike: no
+/// fresh connection to the replica is tried for it.
+fn is_blamed_once(failure: input::AttemptFailure) -> bool {
+    is_blamed(failure) || failure == input::AttemptFailure::Closed
+}
+
 fn can_try_later(reason: reason::RefusalReason) -> bool {
     matches!(
         reason,
