Names: the command line surveys revisions; capacity takes an incarnation

Cause: `force` read like an order, and `life` stood for an incarnation in one place only. Change: module `survey` with `RevisionSurvey`; `CapacityInput::incarnation`. No behaviour changed. Ruled out: renaming the exit code and the message, which operators may read.

--- a/crates/control/src/capacity.rs
+++ b/crates/control/src/capacity.rs
@@ -82,7 +82,7 @@
     /// The availability zone whose duties are held.
     pub zone: &'a id::ZoneId,
     /// Life of the daemon, which marks its starts.
-    pub life: quantity::Incarnation,
+    pub incarnation: quantity::Incarnation,
     /// Records in force.
     pub records: &'a set::RecordSet,
     /// The upstreams.
@@ -216,7 +216,8 @@
         match action {
             plan::PlanAction::Start { pool, offer } if offer.zone == *input.zone => {
                 self.starts += 1;
-                let write_id = format!("start-{}-{}-{}", input.zone, input.life, self.starts);
+                let write_id =
+                    format!("start-{}-{}-{}", input.zone, input.incarnation, self.starts);
                 let write_id = write_id.parse().expect("a zone's id and numbers make an id");
                 Some(CapacityStep::Start(cloud::VmStart { write_id, offer, pool }))
             }
--- a/crates/control/src/zone_duties.rs
+++ b/crates/control/src/zone_duties.rs
@@ -100,7 +100,7 @@
         let Some(fence) = self.lease.fence(now) else { return };
         let input = capacity::CapacityInput {
             zone: &self.zone,
-            life: self.incarnation,
+            incarnation: self.incarnation,
             records,
             upstreams: membership.upstreams(),
             offers,
--- a/crates/control/tests/capacity.rs
+++ b/crates/control/tests/capacity.rs
@@ -90,7 +90,7 @@
     let own = zone("bayanzurkh");
     let input = capacity::CapacityInput {
         zone: &own,
-        life: quantity::Incarnation::new(1),
+        incarnation: quantity::Incarnation::new(1),
         records: &records,
         upstreams: table,
         offers,
--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -14,12 +14,12 @@
 use crate::args;
 use crate::explain;
 use crate::files;
-use crate::force;
 use crate::outcome;
 use crate::plan;
 use crate::show;
 use crate::status;
 use crate::store;
+use crate::survey;
 use crate::views;
 use crate::wanted;
 
@@ -31,7 +31,7 @@
     /// The platform's cloud.
     pub cloud: sync::Arc<dyn cloud::CloudApi>,
     /// The control daemons.
-    pub asker: sync::Arc<dyn force::DaemonAsker>,
+    pub asker: sync::Arc<dyn survey::DaemonAsker>,
 }
 
 /// What a command is run with.
@@ -132,7 +132,7 @@
         revision: quantity::RevisionNumber,
     ) -> Result<(), outcome::CtlError> {
         let progress = &mut *self.progress;
-        let survey = force::await_revision(
+        let survey = survey::await_revision(
             &self.ports.asker,
             &self.ports.cloud,
             &self.context.seeds,
@@ -198,10 +198,10 @@
         Ok(())
     }
 
-    async fn survey(&self) -> force::ForceSurvey {
+    async fn survey(&self) -> survey::RevisionSurvey {
         // Where the list can't be read, the seeds are asked.
         let listed = self.ports.cloud.list_vms().await.unwrap_or_default();
-        force::survey(&self.ports.asker, &listed, &self.context.seeds).await
+        survey::survey(&self.ports.asker, &listed, &self.context.seeds).await
     }
 
     async fn explain(&mut self, args: &args::ExplainArgs) -> Result<(), outcome::CtlError> {
@@ -218,7 +218,7 @@
     async fn plan(&mut self) -> Result<(), outcome::CtlError> {
         let listed = self.ports.cloud.list_vms().await?;
         let offers = self.ports.cloud.offers().await?;
-        let survey = force::survey(&self.ports.asker, &listed, &self.context.seeds).await;
+        let survey = survey::survey(&self.ports.asker, &listed, &self.context.seeds).await;
         let views = views::gather(&self.ports.asker, &survey).await?;
         let newest = views.iter().max_by_key(|view| view.records.revision);
         let newest = newest.ok_or(outcome::CtlError::NoDaemon)?;
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -8,9 +8,9 @@
 use async_std::task;
 use samphiremoor_ctl::args;
 use samphiremoor_ctl::command;
-use samphiremoor_ctl::force;
 use samphiremoor_ctl::outcome;
 use samphiremoor_ctl::settings;
+use samphiremoor_ctl::survey;
 use samphiremoor_settings::load;
 
 fn main() -> process::ExitCode {
@@ -55,7 +55,7 @@
     let ports = command::CtlPorts {
         table: sync::Arc::new(platform.clone()),
         cloud: sync::Arc::new(platform),
-        asker: sync::Arc::new(force::LinkAsker::new(settings.timeout_ms)),
+        asker: sync::Arc::new(survey::LinkAsker::new(settings.timeout_ms)),
     };
     let context = command::CommandContext {
         author: settings.author.clone(),
--- a/crates/ctl/src/status.rs
+++ b/crates/ctl/src/status.rs
@@ -10,7 +10,7 @@
 use samphiremoor_view::zone;
 use serde::Serialize;
 
-use crate::force;
+use crate::survey;
 
 /// The whole status.
 #[derive(Clone, Debug, PartialEq)]
@@ -92,7 +92,7 @@
 /// Makes the status of what the daemons answered. `views` holds a view of each zone that has one.
 pub fn make(
     written: Option<quantity::RevisionNumber>,
-    survey: &force::ForceSurvey,
+    survey: &survey::RevisionSurvey,
     views: &[zone::ZoneView],
 ) -> SystemStatus {
     let newest = views.iter().max_by_key(|view| view.records.revision);
@@ -100,7 +100,7 @@
     SystemStatus { written, zones: zone_statuses(survey, views), services }
 }
 
-fn zone_statuses(survey: &force::ForceSurvey, views: &[zone::ZoneView]) -> Vec<ZoneStatus> {
+fn zone_statuses(survey: &survey::RevisionSurvey, views: &[zone::ZoneView]) -> Vec<ZoneStatus> {
     let mut zones: collections::BTreeMap<id::ZoneId, ZoneStatus> = collections::BTreeMap::new();
     for daemon in &survey.daemons {
         let zone = &daemon.news.zone;
--- a/crates/ctl/src/force.rs
+++ b/crates/ctl/src/survey.rs
@@ -85,7 +85,7 @@
 
 /// Every daemon that anyone knows of, by id.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct ForceSurvey {
+pub struct RevisionSurvey {
     /// The daemons.
     pub daemons: Vec<AskedDaemon>,
 }
@@ -105,7 +105,7 @@
     }
 }
 
-impl ForceSurvey {
+impl RevisionSurvey {
     /// Daemons that are not known to serve by the revision.
     pub fn missing(&self, revision: quantity::RevisionNumber) -> Vec<String> {
         let missing = self.daemons.iter().filter(|daemon| !daemon.has(revision));
@@ -156,7 +156,7 @@
     asker: &sync::Arc<dyn DaemonAsker>,
     listed: &[cloud::VmEntry],
     seeds: &[net::SocketAddr],
-) -> ForceSurvey {
+) -> RevisionSurvey {
     let mut asked: collections::BTreeMap<id::DaemonId, AskedDaemon> = collections::BTreeMap::new();
     let mut waiting: Vec<news::DaemonNews> =
         listed.iter().filter_map(daemons::from_entry).collect();
@@ -177,7 +177,7 @@
             asked.insert(news.id.clone(), AskedDaemon { news, report });
         }
     }
-    ForceSurvey { daemons: asked.into_values().collect() }
+    RevisionSurvey { daemons: asked.into_values().collect() }
 }
 
 /// Takes some of the daemons that were not asked yet in the latest life in which they are known.
@@ -229,7 +229,7 @@
     revision: quantity::RevisionNumber,
     limit: time::Millis,
     mut progress: impl FnMut(&[ZoneCount]),
-) -> ForceSurvey {
+) -> RevisionSurvey {
     let clock = time::MonotonicClock::start();
     let mut listed = Vec::new();
     let mut last = Vec::new();
--- a/crates/ctl/src/views.rs
+++ b/crates/ctl/src/views.rs
@@ -6,8 +6,8 @@
 use samphiremoor_base::id;
 use samphiremoor_view::zone;
 
-use crate::force;
 use crate::outcome;
+use crate::survey;
 
 /// A view of each availability zone that has one, by zone.
 ///
@@ -15,8 +15,8 @@
 ///
 /// Fails where no daemon answered the survey.
 pub async fn gather(
-    asker: &sync::Arc<dyn force::DaemonAsker>,
-    survey: &force::ForceSurvey,
+    asker: &sync::Arc<dyn survey::DaemonAsker>,
+    survey: &survey::RevisionSurvey,
 ) -> Result<Vec<zone::ZoneView>, outcome::CtlError> {
     if survey.daemons.iter().all(|daemon| daemon.report.is_none()) {
         return Err(outcome::CtlError::NoDaemon);
@@ -26,7 +26,7 @@
         if views.contains_key(&daemon.news.zone) {
             continue;
         }
-        if let Some(view) = force::view_of(asker, &daemon.news).await {
+        if let Some(view) = survey::view_of(asker, &daemon.news).await {
             views.insert(daemon.news.zone.clone(), view);
         }
     }
--- a/crates/ctl/tests/commands.rs
+++ b/crates/ctl/tests/commands.rs
@@ -13,8 +13,8 @@
 use samphiremoor_control::message;
 use samphiremoor_ctl::args;
 use samphiremoor_ctl::command;
-use samphiremoor_ctl::force;
 use samphiremoor_ctl::outcome;
+use samphiremoor_ctl::survey;
 use samphiremoor_membership::daemons;
 use samphiremoor_membership::news;
 use samphiremoor_platform::cloud;
@@ -43,7 +43,7 @@
 }
 
 #[async_trait]
-impl force::DaemonAsker for FakeAsker {
+impl survey::DaemonAsker for FakeAsker {
     async fn ask(
         &self,
         address: net::SocketAddr,
--- a/crates/ctl/tests/explain.rs
+++ b/crates/ctl/tests/explain.rs
@@ -6,10 +6,10 @@
 use samphiremoor_base::quantity;
 use samphiremoor_ctl::args;
 use samphiremoor_ctl::explain;
-use samphiremoor_ctl::force;
 use samphiremoor_ctl::plan;
 use samphiremoor_ctl::show;
 use samphiremoor_ctl::status;
+use samphiremoor_ctl::survey;
 use samphiremoor_platform::cloud;
 use samphiremoor_records::entry;
 use samphiremoor_records::file;
@@ -136,7 +136,7 @@
 
 #[test]
 fn status_counts_replicas_and_price() {
-    let survey = force::ForceSurvey::default();
+    let survey = survey::RevisionSurvey::default();
     let made = status::make(Some(quantity::RevisionNumber::new(7)), &survey, &[view()]);
     let service =
         made.services.iter().find(|service| service.service.as_str() == "rental-assistant");
