Once-only calls: a call that is sent again to another life of its holder may have run

Cause: a link sends a question once more after silence. If the holder ran the first copy and was restarted before the second one came, the new life answered that it does not hold the shard, and the forwarding daemon noted nothing. Where no successor came in time, the caller was told `not-run` of a call that ran. Change: a call names the life of its holder; another life says so, and that counts as silence. Ruled out: counting each refusal of a holder as silence (a shard that moves would cost `unknown`); telling from the link whether it sent twice (the life tells more: the same life knows what it ran).

--- a/crates/shards/src/forward.rs
+++ b/crates/shards/src/forward.rs
@@ -192,7 +192,7 @@
         if !self.is_reachable(peer, &hold.life).await {
             return ForwardStep::NoHolder;
         }
-        self.forward(peer, hold.id).await
+        self.forward(peer, hold).await
     }
 
     /// Makes sure that the holder answers before it gets a call, so that a cut link costs no
@@ -210,11 +210,12 @@
         true
     }
 
-    async fn forward(&self, peer: &peer::PeerEntry, hold: event::HoldId) -> ForwardStep {
-        let call = self.present_call();
+    async fn forward(&self, peer: &peer::PeerEntry, hold: &HoldTarget) -> ForwardStep {
+        let call = Box::new(self.present_call());
         let wait = Ord::min(POLL_WAIT, call.remaining);
-        let event::HoldId { shard, fence } = hold;
-        let question = message::ShardQuestion::Submit { shard, fence, call: Box::new(call), wait };
+        let incarnation = hold.life.incarnation;
+        let event::HoldId { shard, fence } = hold.id;
+        let question = message::ShardQuestion::Submit { incarnation, shard, fence, call, wait };
         let answer = self.shared.parts.transport.ask(peer, question).await;
         match &answer {
             Ok(_) => self.shared.contacts.note(&peer.id),
@@ -223,6 +224,8 @@
         match answer {
             Ok(message::ShardAnswer::Ended(answer)) => ForwardStep::Ended(*answer),
             Ok(message::ShardAnswer::Running) => ForwardStep::Running,
+            // The question may have been sent twice, and the life that is gone may have run the call.
+            Ok(message::ShardAnswer::OtherLife) => ForwardStep::Silent,
             Ok(_) | Err(link::LinkError::Unreachable) => ForwardStep::NoHolder,
             Err(_) => ForwardStep::Silent,
         }
--- a/crates/shards/src/message.rs
+++ b/crates/shards/src/message.rs
@@ -17,6 +17,8 @@
     Ping,
     /// Runs the call, or joins it where it runs already.
     Submit {
+        /// Life of the holder that the call is meant for.
+        incarnation: quantity::Incarnation,
         /// The shard of the call's key.
         shard: quantity::ShardNumber,
         /// Fencing number of the hold that the call is meant for.
@@ -78,7 +80,7 @@
     Refused,
     /// The daemon is sealed; these are the copies that it kept.
     Sealed(Vec<journal::JournalBatch>),
-    /// The daemon lives another life and has lost what the named one kept.
+    /// The daemon lives another life and has lost what the named one kept or ran.
     OtherLife,
     /// The daemon stops and can't answer.
     Stopping,
--- a/crates/shards/src/service.rs
+++ b/crates/shards/src/service.rs
@@ -190,15 +190,16 @@
         let own = self.parts.incarnation;
         match question {
             message::ShardQuestion::Ping => message::ShardAnswer::Pong { incarnation: own },
-            message::ShardQuestion::Submit { shard, fence, call, wait } => {
-                self.answer_submit(event::HoldId { shard, fence }, *call, wait).await
-            }
-            message::ShardQuestion::Keep { incarnation, .. }
+            message::ShardQuestion::Submit { incarnation, .. }
+            | message::ShardQuestion::Keep { incarnation, .. }
             | message::ShardQuestion::Seal { incarnation, .. }
                 if incarnation != own =>
             {
                 message::ShardAnswer::OtherLife
             }
+            message::ShardQuestion::Submit { shard, fence, call, wait, .. } => {
+                self.answer_submit(event::HoldId { shard, fence }, *call, wait).await
+            }
             message::ShardQuestion::Keep { shard, fence, written, batches, .. } => {
                 let hold = event::HoldId { shard, fence };
                 self.ask_control(|responder| event::ControlEvent::Keep {
--- a/crates/shards/tests/harness/mod.rs
+++ b/crates/shards/tests/harness/mod.rs
@@ -104,6 +104,7 @@
     cut: sync::Mutex<collections::BTreeSet<String>>,
     cut_tables: sync::Mutex<collections::BTreeSet<String>>,
     held_writes: sync::Mutex<collections::BTreeSet<String>>,
+    silent_submits: sync::Mutex<collections::BTreeSet<String>>,
     entries: sync::Mutex<Vec<peer::PeerEntry>>,
 }
 
@@ -132,6 +133,24 @@
         self.held_writes.lock().expect("no test panics with the lock").remove(daemon);
     }
 
+    /// Loses the answers to calls that are sent to a daemon until they are sent once more.
+    pub(crate) fn silence_submits(&self, daemon: &str) {
+        self.silent_submits.lock().expect("no test panics with the lock").insert(daemon.to_owned());
+    }
+
+    /// Lets the calls be sent once more, to whatever life the daemon lives now.
+    pub(crate) fn resend_submits(&self, daemon: &str) {
+        self.silent_submits.lock().expect("no test panics with the lock").remove(daemon);
+    }
+
+    fn loses_submits(&self, daemon: &str) -> bool {
+        self.silent_submits.lock().expect("no test panics with the lock").contains(daemon)
+    }
+
+    fn service(&self, daemon: &str) -> Option<service::ShardService> {
+        self.services.lock().expect("no test panics with the lock").get(daemon).cloned()
+    }
+
     /// Waits while the daemon's writes are under way; false where they are not held up.
     async fn delay_write(&self, daemon: &str) -> bool {
         let is_held =
@@ -172,14 +191,19 @@
         peer: &peer::PeerEntry,
         question: message::ShardQuestion,
     ) -> Result<message::ShardAnswer, link::LinkError> {
-        let service = self
-            .network
-            .services
-            .lock()
-            .expect("no test panics with the lock")
-            .get(peer.id.as_str())
-            .cloned();
-        let Some(service) = service else { return Err(link::LinkError::Unreachable) };
+        let daemon = peer.id.as_str();
+        let Some(mut service) = self.network.service(daemon) else {
+            return Err(link::LinkError::Unreachable);
+        };
+        let is_submit = matches!(question, message::ShardQuestion::Submit { .. });
+        if is_submit && self.network.loses_submits(daemon) {
+            let first = question.clone();
+            task::spawn(async move { service.answer(first).await });
+            while self.network.loses_submits(daemon) {
+                task::sleep(std_time::Duration::from_millis(5)).await;
+            }
+            service = self.network.service(daemon).ok_or(link::LinkError::Silent)?;
+        }
         let is_cut = || self.network.is_cut(&self.daemon) || self.network.is_cut(peer.id.as_str());
         if is_cut() {
             task::sleep(std_time::Duration::from_millis(50)).await;
--- a/crates/shards/tests/service.rs
+++ b/crates/shards/tests/service.rs
@@ -222,6 +222,31 @@
     }
 }
 
+#[test]
+fn call_that_is_sent_again_to_another_life_is_unknown() {
+    let cluster = harness::ShardCluster::start(2);
+    cluster.wait_covered();
+    cluster.runner.plan(harness::RunPlan::CompleteAfter(time::Millis::new(60_000)));
+    cluster.network.silence_submits("b");
+    let sends: Vec<_> = (0..8)
+        .map(|number| {
+            let service = cluster.service("a");
+            let mut call = harness::once_call("a", &format!("k{number}"), "body");
+            call.remaining = time::Millis::new(6_000);
+            task::spawn(async move { service.submit(call).await })
+        })
+        .collect();
+    harness::wait_until("all calls run", || cluster.runner.total() == 8);
+    // Without the table nobody can take the shards over and find the claims there.
+    cluster.table.set_faults(faults::StoreFaults { unavailable: true, ..Default::default() });
+    cluster.start_daemon("b");
+    cluster.network.resend_submits("b");
+    for send in sends {
+        let answer = task::block_on(send);
+        assert!(matches!(answer, call::OnceAnswer::Unknown { .. }), "{answer:?}");
+    }
+}
+
 #[test]
 fn holder_without_the_table_runs_no_key_of_its_successors() {
     let cluster = harness::ShardCluster::start(3);
