--- a/crates/planner/src/purchase.rs
+++ b/crates/planner/src/purchase.rs
@@ -37,13 +37,15 @@
         offers: &[cloud::VmOffer],
     ) -> Option<PurchaseChoice>;
 
-    /// Whether the pool could do without the VM.
+    /// Whether the pool could do without the VM; by default where it holds more than is wanted.
     fn can_release(
         &self,
         need: &PoolNeed,
         held: &fleet::HeldCounts,
-        holding: &fleet::VmHolding,
-    ) -> bool;
+        _holding: &fleet::VmHolding,
+    ) -> bool {
+        held.count() > need.wanted
+    }
 }
 
 /// Buys the cheapest mix that keeps the demand served after the loss of an availability zone's
@@ -100,10 +102,6 @@
         let offer = on_demand.min_by_key(|offer| (held.in_zone(&offer.zone), offer.price))?;
         Some(PurchaseChoice { offer: offer.clone(), reason })
     }
-
-    fn can_release(&self, need: &PoolNeed, held: &fleet::HeldCounts, _: &fleet::VmHolding) -> bool {
-        held.count() > need.wanted
-    }
 }
 
 impl PurchasePolicy for CheapestPurchase {
@@ -117,10 +115,6 @@
         let offer = offers.iter().min_by_key(|offer| offer.price)?;
         Some(PurchaseChoice { offer: offer.clone(), reason })
     }
-
-    fn can_release(&self, need: &PoolNeed, held: &fleet::HeldCounts, _: &fleet::VmHolding) -> bool {
-        held.count() > need.wanted
-    }
 }
 
 fn missing_count(need: &PoolNeed, held: &fleet::HeldCounts) -> Option<plan::PlanReason> {
--- a/crates/process-tests/tests/streams.rs
+++ b/crates/process-tests/tests/streams.rs
@@ -20,6 +20,15 @@
     cluster::TestCluster::start(plan::ClusterPlan::default())
 }
 
+/// A stream of which a part has come.
+fn open_stream(cluster: &cluster::TestCluster) -> caller::OpenStream {
+    let caller = caller::TestCaller::new();
+    let opening = caller.open_chat(cluster.entry(0), PROMPT, TOKENS);
+    let mut stream = task::block_on(opening).expect("the entry daemon answers");
+    assert!(task::block_on(stream.read_tokens(BEFORE)));
+    stream
+}
+
 #[test]
 fn chat_is_streamed_whole() {
     let cluster = two_engines();
@@ -30,10 +39,7 @@
 /// Brings about a failure of the engine in the middle of a stream; the answer must be whole.
 fn check_failure(fail: impl FnOnce(&mut cluster::TestCluster, usize)) {
     let mut cluster = two_engines();
-    let caller = caller::TestCaller::new();
-    let opening = caller.open_chat(cluster.entry(0), PROMPT, TOKENS);
-    let mut stream = task::block_on(opening).expect("the entry daemon answers");
-    assert!(task::block_on(stream.read_tokens(BEFORE)));
+    let stream = open_stream(&cluster);
     let busy = cluster.busy_engine();
     fail(&mut cluster, busy);
     task::block_on(stream.read_to_end()).assert_whole(PROMPT, TOKENS);
@@ -54,10 +60,7 @@
 #[test]
 fn silent_connection_is_left_for_a_fresh_one() {
     let cluster = two_engines();
-    let caller = caller::TestCaller::new();
-    let opening = caller.open_chat(cluster.entry(0), PROMPT, TOKENS);
-    let mut stream = task::block_on(opening).expect("the entry daemon answers");
-    assert!(task::block_on(stream.read_tokens(BEFORE)));
+    let stream = open_stream(&cluster);
     let busy = cluster.engines[cluster.busy_engine()].place.address;
     let faults = fault::CallFaults { silence_open: true, ..Default::default() };
     task::block_on(control::set_faults(busy, faults));
@@ -78,10 +81,7 @@
 #[test]
 fn leaving_replica_ends_its_stream() {
     let mut cluster = two_engines();
-    let caller = caller::TestCaller::new();
-    let opening = caller.open_chat(cluster.entry(0), PROMPT, TOKENS);
-    let mut stream = task::block_on(opening).expect("the entry daemon answers");
-    assert!(task::block_on(stream.read_tokens(BEFORE)));
+    let stream = open_stream(&cluster);
     let busy = cluster.busy_engine();
     cluster.engines[busy].process.terminate();
     task::block_on(stream.read_to_end()).assert_whole(PROMPT, TOKENS);
@@ -91,14 +91,11 @@
 #[test]
 fn caller_attaches_again_at_another_daemon() {
     let cluster = two_engines();
-    let caller = caller::TestCaller::new();
-    let opening = caller.open_chat(cluster.entry(0), PROMPT, TOKENS);
-    let mut stream = task::block_on(opening).expect("the entry daemon answers");
-    assert!(task::block_on(stream.read_tokens(BEFORE)));
+    let stream = open_stream(&cluster);
     let left = stream.leave();
     let id = left.request_id.expect("the answer names its request");
     let last = left.last_event.expect("each event has an id");
-    let rest = task::block_on(caller.attach(cluster.entry(1), &id, Some(&last)));
+    let rest = task::block_on(caller::TestCaller::new().attach(cluster.entry(1), &id, Some(&last)));
     assert_eq!(rest.end, caller::StreamEnd::Done);
     rest.assert_tokens(PROMPT, BEFORE as u64, TOKENS);
     let stranger = caller::TestCaller { key: records::OTHER_KEY };
@@ -111,10 +108,7 @@
 #[test]
 fn planned_stop_of_an_entry_daemon_cuts_no_stream() {
     let mut cluster = two_engines();
-    let caller = caller::TestCaller::new();
-    let opening = caller.open_chat(cluster.entry(0), PROMPT, TOKENS);
-    let mut stream = task::block_on(opening).expect("the entry daemon answers");
-    assert!(task::block_on(stream.read_tokens(BEFORE)));
+    let stream = open_stream(&cluster);
     cluster.entries[0].entry.terminate();
     task::block_on(stream.read_to_end()).assert_whole(PROMPT, TOKENS);
     assert!(cluster.entries[0].entry.wait_end(), "a planned stop is a success");
--- a/crates/shards/tests/harness/mod.rs
+++ b/crates/shards/tests/harness/mod.rs
@@ -383,7 +383,17 @@
 
     /// Sends a call through a daemon and awaits its answer.
     pub(crate) fn call(&self, daemon: &str, key: &str, body: &str) -> call::OnceAnswer {
-        task::block_on(self.service(daemon).submit(once_call(daemon, key, body)))
+        task::block_on(self.send(daemon, once_call(daemon, key, body)))
+    }
+
+    /// Sends a call through a daemon, without awaiting its answer.
+    pub(crate) fn send(
+        &self,
+        daemon: &str,
+        call: call::OnceCall,
+    ) -> task::JoinHandle<call::OnceAnswer> {
+        let service = self.service(daemon);
+        task::spawn(async move { service.submit(call).await })
     }
 
     /// The daemon that held the greatest number of shards.
--- a/crates/shards/tests/service.rs
+++ b/crates/shards/tests/service.rs
@@ -41,9 +41,8 @@
     let sends: Vec<_> = (0..12)
         .map(|index| {
             let daemon = harness::name(index % 3);
-            let service = cluster.service(&daemon);
             let call = harness::once_call(&daemon, "shared", "body");
-            task::spawn(async move { service.submit(call).await })
+            cluster.send(&daemon, call)
         })
         .collect();
     for send in sends {
@@ -130,9 +129,8 @@
     cluster.runner.plan(harness::RunPlan::CompleteAfter(time::Millis::new(60_000)));
     let keys: Vec<String> = (0..8).map(|number| format!("k{number}")).collect();
     for key in &keys {
-        let service = cluster.service("b");
         let call = harness::once_call("b", key, "body");
-        task::spawn(async move { service.submit(call).await });
+        cluster.send("b", call);
     }
     harness::wait_until("all calls run", || cluster.runner.total() == 8);
     cluster.kill("b");
@@ -181,10 +179,9 @@
     let sends: Vec<_> = ["cut", "k1", "k2", "k3", "k4", "k5", "k6", "k7"]
         .iter()
         .map(|key| {
-            let service = cluster.service("b");
             let mut call = harness::once_call("b", key, "body");
             call.remaining = time::Millis::new(10_000);
-            task::spawn(async move { service.submit(call).await })
+            cluster.send("b", call)
         })
         .collect();
     for send in sends {
@@ -199,52 +196,48 @@
     assert_eq!(completed(&cluster.call("b", "cut", "body")).as_deref(), Some("cut run 1"));
 }
 
-#[test]
-fn call_whose_holder_falls_silent_is_unknown() {
-    let cluster = harness::ShardCluster::start(2);
-    cluster.wait_covered();
+/// Starts calls through `a` that run for long, on shards of both daemons, then takes the table away, so
+/// that nobody can take the shards over and find the claims there.
+fn run_calls_without_successor(
+    cluster: &harness::ShardCluster,
+) -> Vec<task::JoinHandle<call::OnceAnswer>> {
     cluster.runner.plan(harness::RunPlan::CompleteAfter(time::Millis::new(60_000)));
-    let sends: Vec<_> = (0..8)
-        .map(|number| {
-            let service = cluster.service("a");
-            let mut call = harness::once_call("a", &format!("k{number}"), "body");
-            call.remaining = time::Millis::new(6_000);
-            task::spawn(async move { service.submit(call).await })
-        })
-        .collect();
+    let sends = (0..8).map(|number| {
+        let mut call = harness::once_call("a", &format!("k{number}"), "body");
+        call.remaining = time::Millis::new(6_000);
+        cluster.send("a", call)
+    });
+    let sends = sends.collect();
     harness::wait_until("all calls run", || cluster.runner.total() == 8);
-    // Without the table nobody can take the shards over and find the claims there.
     cluster.table.set_faults(faults::StoreFaults { unavailable: true, ..Default::default() });
-    cluster.network.cut("b");
+    sends
+}
+
+fn check_unknown(sends: Vec<task::JoinHandle<call::OnceAnswer>>) {
     for send in sends {
         let answer = task::block_on(send);
         assert!(matches!(answer, call::OnceAnswer::Unknown { .. }), "{answer:?}");
     }
 }
 
+#[test]
+fn call_whose_holder_falls_silent_is_unknown() {
+    let cluster = harness::ShardCluster::start(2);
+    cluster.wait_covered();
+    let sends = run_calls_without_successor(&cluster);
+    cluster.network.cut("b");
+    check_unknown(sends);
+}
+
 #[test]
 fn call_that_is_sent_again_to_another_life_is_unknown() {
     let cluster = harness::ShardCluster::start(2);
     cluster.wait_covered();
-    cluster.runner.plan(harness::RunPlan::CompleteAfter(time::Millis::new(60_000)));
     cluster.network.silence_submits("b");
-    let sends: Vec<_> = (0..8)
-        .map(|number| {
-            let service = cluster.service("a");
-            let mut call = harness::once_call("a", &format!("k{number}"), "body");
-            call.remaining = time::Millis::new(6_000);
-            task::spawn(async move { service.submit(call).await })
-        })
-        .collect();
-    harness::wait_until("all calls run", || cluster.runner.total() == 8);
-    // Without the table nobody can take the shards over and find the claims there.
-    cluster.table.set_faults(faults::StoreFaults { unavailable: true, ..Default::default() });
+    let sends = run_calls_without_successor(&cluster);
     cluster.start_daemon("b");
     cluster.network.resend_submits("b");
-    for send in sends {
-        let answer = task::block_on(send);
-        assert!(matches!(answer, call::OnceAnswer::Unknown { .. }), "{answer:?}");
-    }
+    check_unknown(sends);
 }
 
 #[test]
@@ -261,9 +254,8 @@
     let sends: Vec<_> = (0..8)
         .flat_map(|number| cluster.names().into_iter().map(move |daemon| (daemon, number)))
         .map(|(daemon, number)| {
-            let service = cluster.service(&daemon);
             let call = harness::once_call(&daemon, &format!("k{number}"), "body");
-            task::spawn(async move { service.submit(call).await })
+            cluster.send(&daemon, call)
         })
         .collect();
     let answers: Vec<_> = sends.into_iter().map(task::block_on).collect();
@@ -282,9 +274,8 @@
     let early: Vec<_> = keys
         .iter()
         .map(|key| {
-            let service = cluster.service(&holder);
             let call = harness::once_call(&holder, key, "body");
-            task::spawn(async move { service.submit(call).await })
+            cluster.send(&holder, call)
         })
         .collect();
     let others: Vec<_> = cluster.names().into_iter().filter(|name| *name != holder).collect();
