Gateway: the path on the users' platform, thin

A daemon of its own for requests that pass through untouched: pure decisions in fleet, the shell in gateway, wire names in platform/.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -40,7 +40,7 @@
 }
 
 // Numbers: 0xx process, 1xx requests, 2xx claims and leases, 3xx records, 4xx membership,
-// 5xx placement and capacity, 9xx stand-ins.
+// 5xx placement and capacity, 6xx duties of one daemon for all, 9xx stand-ins.
 events! {
     1 ProcessStarted "process-started" Info "The process is up and listens.",
     2 ProcessStopping "process-stopping" Info "The process takes no new work and finishes what is in progress.",
@@ -49,6 +49,7 @@
     5 ConnectionRefused "connection-refused" Warn "A connection was refused at its limit.",
     6 PlatformUnavailable "platform-unavailable" Warn "A call to the platform failed; it is tried again with backoff.",
     7 PlatformBack "platform-back" Info "The platform answers again.",
+    9 SettingsReloaded "settings-reloaded" Info "The settings were read again; what changed is given.",
     8 PeerSilent "peer-silent" Warn "A link to another daemon went silent and is dialled anew.",
     101 RequestAccepted "request-accepted" Debug "A request was accepted.",
     102 RequestFinished "request-finished" Info "A request ended; the outcome, status and time are given.",
@@ -57,6 +58,7 @@
     105 StreamMoved "stream-moved" Info "A stream goes on at its offset on another replica.",
     106 RequestHandedOver "request-handed-over" Info "A request was handed to another daemon.",
     107 CallerGone "caller-gone" Info "The caller closed its connection before the answer was whole.",
+    108 ReplicaChosen "replica-chosen" Info "A replica was chosen for a request; the load that decided is given.",
     201 ClaimsWritten "claims-written" Debug "A batch of claims was written.",
     202 ClaimsRefused "claims-refused" Warn "A batch of claims was refused since the lease has another holder.",
     203 ClaimsUnsettled "claims-unsettled" Warn "The answer to a write of claims was lost; the row is read back.",
@@ -74,12 +76,17 @@
     405 DaemonBack "daemon-back" Info "A daemon answers and serves, for the first time or again.",
     406 DaemonJoined "daemon-joined" Info "A daemon is known that was not, or its state changed.",
     407 DaemonGone "daemon-gone" Warn "A daemon is gone.",
+    408 UpstreamSuspected "upstream-suspected" Warn "An upstream can't be reached, is silent or is another one than expected; it gets no work for a while.",
     501 OrderSent "order-sent" Info "An order was sent to an upstream; the fencing number is given.",
     502 OrderRefused "order-refused" Warn "An upstream refused an order.",
     503 VmStarted "vm-started" Info "The cloud accepted the start of a VM.",
     504 VmStartRefused "vm-start-refused" Warn "The cloud refused the start of a VM; the next attempt's time is given.",
     505 VmReleased "vm-released" Info "A VM was given back to the cloud.",
     506 ReclaimNoticed "reclaim-noticed" Warn "The cloud announced the reclaim of a VM.",
+    507 CapacityOrdered "capacity-ordered" Info "Replicas of a zone were ordered; the count, the answer and the fencing number are given.",
+    601 DutyTaken "duty-taken" Info "This daemon does the duties now; the fencing number is given.",
+    602 DutyLost "duty-lost" Warn "This daemon does the duties no longer.",
+    603 UsageReported "usage-reported" Info "The usage of a window was reported; the answer is given.",
     901 FaultInjected "fault-injected" Info "A stand-in was told to fail.",
 }
 
--- a/crates/base/src/time.rs
+++ b/crates/base/src/time.rs
@@ -79,6 +79,14 @@
     }
 }
 
+impl ops::Add<Millis> for Millis {
+    type Output = Millis;
+
+    fn add(self, length: Millis) -> Millis {
+        Millis(self.0.saturating_add(length.0))
+    }
+}
+
 impl ops::Add<Millis> for MonotonicTime {
     type Output = MonotonicTime;
 
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,19 @@
+//! Decisions of the gateway, apart from sockets, clocks and random numbers.
+//!
+//! The `gateway` crate is the shell round this one: it hands in records, replica entries, digests of
+//! peers and the time, and carries out what is decided. [`policy`] holds what operators declare,
+//! [`replica`] and [`placing`] choose upstreams, [`admission`] refuses what can't be served in time,
+//! [`dispatch`] knows what became of each send, [`quota`] shares token limits between daemons,
+//! [`usage`] counts runs in windows of the [`wall`] time, [`duty`] keeps the lease on duties and [`capacity`] plans orders.
+
+pub mod admission;
+pub mod capacity;
+pub mod digest;
+pub mod dispatch;
+pub mod duty;
+pub mod placing;
+pub mod policy;
+pub mod quota;
+pub mod replica;
+pub mod usage;
+pub mod wall;
--- /dev/null
+++ b/crates/fleet/src/placing.rs
@@ -0,0 +1,174 @@
+//! Choice of the replica for one request.
+//!
+//! Answers two load patterns: prompts that share long parts, which are read only once where requests
+//! about one subject go to one replica, and bursts, in which one replica must not get them all. Every
+//! daemon ranks replicas by the same hash of the shared parts, so all agree on a subject's home
+//! without telling each other; a home with much unread prompt before it loses to another replica.
+
+use std::hash::Hasher as _;
+
+use samphiremoor_base::id;
+use samphiremoor_base::time;
+use siphasher::sip;
+use smallvec::SmallVec;
+
+use crate::replica;
+
+/// Tokens of prompt that delay a first token as much as one running request does.
+const RUNNING_TOKENS: f64 = 120.0;
+/// The same for each request over the slots of a replica: it waits for a slot to become free.
+const EXCESS_TOKENS: f64 = 2_500.0;
+/// The same for a replica that fails every request.
+const FAILING_TOKENS: f64 = 60_000.0;
+/// Part of a slot that a call in another availability zone counts as; only breaks ties.
+const FAR_SLOT: f64 = 0.04;
+/// Slots that a replica counts as full by when it fails every request.
+const FAILING_SLOTS: f64 = 8.0;
+/// Parts of the slots by which two replicas for plain calls count as equally loaded.
+const NEAR_SLOT: f64 = 0.02;
+
+/// One part of a prompt.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct PromptPart {
+    /// Hash of the part's name.
+    pub key: u64,
+    /// Its tokens.
+    pub tokens: u32,
+}
+
+/// Parts of a prompt in their order.
+pub type PromptParts = SmallVec<[PromptPart; 4]>;
+
+/// Size and parts of a prompt.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct PromptSize {
+    /// Tokens of the prompt.
+    pub input: u32,
+    /// Most tokens of the answer.
+    pub output: u32,
+    /// Its parts; the last one belongs to the request or its session.
+    pub parts: PromptParts,
+}
+
+impl PromptSize {
+    /// Tokens of the parts that other requests share.
+    pub fn shared(&self) -> u32 {
+        let shared = self.parts.len().saturating_sub(1);
+        self.parts.iter().take(shared).map(|part| part.tokens).sum::<u32>().min(self.input)
+    }
+
+    /// Names the shared parts as a whole; absent where there are none.
+    pub fn subject(&self) -> Option<u64> {
+        let shared = self.parts.len().checked_sub(1).filter(|count| *count > 0)?;
+        let mut hasher = sip::SipHasher13::new();
+        for part in &self.parts[..shared] {
+            hasher.write_u64(part.key);
+        }
+        Some(hasher.finish())
+    }
+}
+
+/// A request that needs a replica.
+#[derive(Clone, Debug)]
+pub struct PlacingQuery<'a> {
+    /// The service.
+    pub service: &'a id::ServiceId,
+    /// Availability zone of this daemon.
+    pub zone: &'a id::ZoneId,
+    /// The prompt; absent for plain calls.
+    pub prompt: Option<&'a PromptSize>,
+    /// Replicas that the request was sent to before.
+    pub avoided: &'a [id::ReplicaId],
+    /// A number from 0 to 1 that breaks ties.
+    pub draw: f64,
+    /// The present instant.
+    pub now: time::MonotonicTime,
+}
+
+/// The chosen replica.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PlacingChoice {
+    /// The replica.
+    pub replica: id::ReplicaId,
+    /// Prompt tokens, or their like, that are worked off before the request's first token.
+    pub ahead: f64,
+    /// Prompt tokens that the replica is expected to read for the request.
+    pub unread: u32,
+    /// Requests in progress at the replica, of all daemons, for each of its slots.
+    pub fill: f64,
+}
+
+/// The best replica for a request; none where no replica is open.
+pub fn choose(table: &replica::ReplicaTable, query: &PlacingQuery<'_>) -> Option<PlacingChoice> {
+    match query.prompt {
+        Some(prompt) => choose_engine(table, query, prompt),
+        None => choose_plain(table, query),
+    }
+}
+
+fn candidates<'a>(
+    table: &'a replica::ReplicaTable,
+    query: &'a PlacingQuery<'_>,
+) -> impl Iterator<Item = &'a replica::KnownReplica> {
+    let open = table.of_service(query.service).filter(|known| known.is_open(query.now));
+    open.filter(|known| !query.avoided.contains(&known.entry.id))
+}
+
+fn choose_engine(
+    table: &replica::ReplicaTable,
+    query: &PlacingQuery<'_>,
+    prompt: &PromptSize,
+) -> Option<PlacingChoice> {
+    let subject = prompt.subject();
+    let home = subject.and_then(|subject| {
+        candidates(table, query).max_by_key(|known| rank(subject, &known.entry.id))
+    });
+    let home = home.map(|known| known.entry.id.clone());
+    let mut best: Option<(f64, PlacingChoice)> = None;
+    for known in candidates(table, query) {
+        let load = table.load(known, query.now);
+        let is_home = home.as_ref() == Some(&known.entry.id);
+        let cached = if is_home { prompt.shared() } else { 0 };
+        let unread = prompt.input.saturating_sub(cached);
+        let excess = (load.running + 1).saturating_sub(known.entry.slots);
+        let ahead = f64::from(load.pending)
+            + f64::from(load.running) * RUNNING_TOKENS
+            + f64::from(excess) * EXCESS_TOKENS;
+        let cost = ahead + f64::from(unread) + known.failure_share(query.now) * FAILING_TOKENS;
+        if best.as_ref().is_none_or(|(least, _)| cost < *least) {
+            let replica = known.entry.id.clone();
+            let fill = f64::from(load.running) / f64::from(known.entry.slots.max(1));
+            let ahead = ahead + f64::from(unread);
+            best = Some((cost, PlacingChoice { replica, ahead, unread, fill }));
+        }
+    }
+    best.map(|(_, choice)| choice)
+}
+
+fn choose_plain(
+    table: &replica::ReplicaTable,
+    query: &PlacingQuery<'_>,
+) -> Option<PlacingChoice> {
+    let cost = |known: &replica::KnownReplica| {
+        let load = table.load(known, query.now);
+        let far = if known.entry.zone == *query.zone { 0.0 } else { FAR_SLOT };
+        let slots = f64::from(known.entry.slots.max(1));
+        f64::from(load.running) / slots + far + known.failure_share(query.now) * FAILING_SLOTS
+    };
+    let costs: SmallVec<[(f64, &replica::KnownReplica); 8]> =
+        candidates(table, query).map(|known| (cost(known), known)).collect();
+    let least = costs.iter().map(|(cost, _)| *cost).min_by(f64::total_cmp)?;
+    let near = || costs.iter().filter(|(cost, _)| *cost <= least + NEAR_SLOT);
+    let position = (query.draw * near().count() as f64) as usize;
+    let (_, known) = near().nth(position).or_else(|| near().next())?;
+    let load = table.load(known, query.now);
+    let fill = f64::from(load.running) / f64::from(known.entry.slots.max(1));
+    Some(PlacingChoice { replica: known.entry.id.clone(), ahead: 0.0, unread: 0, fill })
+}
+
+/// Rank of a replica for a subject; each subject orders replicas in its own way.
+fn rank(subject: u64, replica: &id::ReplicaId) -> u64 {
+    let mut hasher = sip::SipHasher13::new_with_keys(subject, 0);
+    hasher.write(replica.as_str().as_bytes());
+    hasher.finish()
+}
--- /dev/null
+++ b/crates/gateway/src/core.rs
@@ -0,0 +1,354 @@
+//! State that all tasks of the daemon share. It belongs to one thread.
+
+use std::cell;
+use std::collections;
+use std::net::SocketAddr;
+use std::rc;
+use std::sync;
+
+use async_std::net;
+use samphiremoor_base::event;
+use samphiremoor_base::id;
+use samphiremoor_base::log_event;
+use samphiremoor_base::quantity;
+use samphiremoor_base::time;
+use samphiremoor_fleet::admission;
+use samphiremoor_fleet::digest;
+use samphiremoor_fleet::policy;
+use samphiremoor_fleet::quota;
+use samphiremoor_fleet::replica;
+use samphiremoor_fleet::usage;
+use samphiremoor_fleet::wall;
+use samphiremoor_requests::budget;
+use smallvec::SmallVec;
+
+use crate::border;
+use crate::metrics;
+use crate::settings;
+use crate::upstream;
+
+/// Part of the common retry ratio that is used: requests of a window's edge are counted late.
+const RETRY_RATIO_PART: f64 = 0.85;
+/// Part of the common slack that all daemons together use; the rest covers restarts and newcomers.
+const RETRY_SLACK_PART: f64 = 0.6;
+/// Time for which a departure is told to peers: longer than the table takes to tell them.
+const LEFT_TOLD: time::Millis = time::Millis::new(5_000);
+
+/// Clock that counts from the start of the VM, also while it is suspended.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct SteadyClock;
+
+impl SteadyClock {
+    /// The present instant.
+    pub fn now(self) -> time::MonotonicTime {
+        let now = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+        let millis = now.tv_sec * 1_000 + now.tv_nsec / 1_000_000;
+        time::MonotonicTime::new(u64::try_from(millis).unwrap_or(0))
+    }
+
+    /// The own clock of the day, in Unix milliseconds.
+    pub fn wall(self) -> i64 {
+        let now = rustix::time::clock_gettime(rustix::time::ClockId::Realtime);
+        now.tv_sec * 1_000 + now.tv_nsec / 1_000_000
+    }
+}
+
+/// What the tasks share.
+pub struct GatewayCore {
+    /// Settings of the start.
+    pub settings: settings::GatewaySettings,
+    /// Protocols of the deployment.
+    pub adapter: border::DeploymentAdapter,
+    /// The clock.
+    pub clock: SteadyClock,
+    /// Number of this life of the daemon.
+    pub incarnation: quantity::Incarnation,
+    /// Counters and histograms.
+    pub metrics: metrics::GatewayMetrics,
+    /// What changes.
+    pub state: cell::RefCell<CoreState>,
+}
+
+/// What changes.
+pub struct CoreState {
+    /// The policy in force; absent until one was read.
+    pub policy: Option<sync::Arc<policy::ServingPolicy>>,
+    /// Its text, for peers.
+    pub policy_text: sync::Arc<[u8]>,
+    /// Replicas.
+    pub replicas: replica::ReplicaTable,
+    /// Limits of workspaces.
+    pub quota: quota::QuotaKeeper,
+    /// Forecasts of first tokens.
+    pub forecast: admission::FirstTokenForecast,
+    /// Runs by window.
+    pub usage: usage::UsageBook,
+    /// Time of day.
+    pub wall: wall::WallEstimate,
+    /// Idle connections to replicas.
+    pub idle: collections::HashMap<id::ReplicaId, Vec<upstream::IdleConnection>>,
+    /// Idle connections of callers, to be closed when the daemon stops.
+    pub idle_callers: collections::HashMap<u64, net::TcpStream>,
+    /// When the daemon was told to stop.
+    pub stopping: Option<time::MonotonicTime>,
+    /// Requests in progress.
+    pub in_progress: u32,
+    /// Replicas that left of late, with their lives.
+    pub left: Vec<(time::MonotonicTime, id::ReplicaId, quantity::Incarnation)>,
+    /// Prompt tokens sent to each service since the last look.
+    pub prompts: collections::HashMap<id::ServiceId, PromptMeter>,
+    peer_prompts: collections::HashMap<id::DaemonId, (time::MonotonicTime, Vec<digest::ServiceDemand>)>,
+    budgets: collections::HashMap<id::ServiceId, budget::RetryBudget>,
+}
+
+/// Prompt tokens a second that engines were asked to read.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct PromptMeter {
+    sum: f64,
+    at: time::MonotonicTime,
+}
+
+/// Time in which a measured rate of prompts fades to about a third.
+const PROMPT_WINDOW: time::Millis = time::Millis::new(2_000);
+
+/// What a peer tells of its use of services is good for this long.
+const PEER_PROMPTS_BELIEVED: time::Millis = time::Millis::new(3_000);
+
+impl PromptMeter {
+    /// Notes prompt tokens that an engine is asked to read.
+    pub fn note(&mut self, tokens: u32, now: time::MonotonicTime) {
+        self.pass(now);
+        self.sum += f64::from(tokens);
+    }
+
+    /// Tokens a second.
+    pub fn rate(&mut self, now: time::MonotonicTime) -> f64 {
+        self.pass(now);
+        self.sum * 1_000.0 / PROMPT_WINDOW.get() as f64
+    }
+
+    fn pass(&mut self, now: time::MonotonicTime) {
+        let passed = now.since(self.at).get() as f64;
+        self.at = now;
+        self.sum *= (-passed / PROMPT_WINDOW.get() as f64).exp();
+    }
+}
+
+impl GatewayCore {
+    /// The state of a daemon that knows nothing yet.
+    pub fn new(
+        settings: settings::GatewaySettings,
+        adapter: border::DeploymentAdapter,
+    ) -> rc::Rc<Self> {
+        let clock = SteadyClock;
+        let now = clock.now();
+        let wall = wall::WallEstimate::new(clock.wall(), now);
+        // Lives of one daemon differ by their start; a jump of the clock makes them no less different.
+        let incarnation =
+            quantity::Incarnation::new(u64::try_from(clock.wall()).unwrap_or(0) * 1_000 + u64::from(std::process::id() % 1_000));
+        let state = CoreState {
+            policy: None,
+            policy_text: sync::Arc::from(&[][..]),
+            replicas: replica::ReplicaTable::default(),
+            quota: quota::QuotaKeeper::default(),
+            forecast: admission::FirstTokenForecast::default(),
+            usage: usage::UsageBook::new(settings.daemon.clone(), incarnation),
+            wall,
+            idle: collections::HashMap::new(),
+            idle_callers: collections::HashMap::new(),
+            stopping: None,
+            in_progress: 0,
+            left: Vec::new(),
+            prompts: collections::HashMap::new(),
+            peer_prompts: collections::HashMap::new(),
+            budgets: collections::HashMap::new(),
+        };
+        rc::Rc::new(GatewayCore {
+            settings,
+            adapter,
+            clock,
+            incarnation,
+            metrics: metrics::GatewayMetrics::default(),
+            state: cell::RefCell::new(state),
+        })
+    }
+
+    /// The present instant.
+    pub fn now(&self) -> time::MonotonicTime {
+        self.clock.now()
+    }
+
+    /// Whether the daemon was told to stop.
+    pub fn is_stopping(&self) -> bool {
+        self.state.borrow().stopping.is_some()
+    }
+
+    /// Whether the daemon can serve.
+    pub fn is_ready(&self) -> bool {
+        let state = self.state.borrow();
+        state.stopping.is_none() && state.policy.is_some() && state.replicas.iter().next().is_some()
+    }
+
+    /// Takes over a policy unless a newer one is in force. `source` says where it came from.
+    pub fn adopt_policy(&self, update: border::PolicyUpdate, source: &str) {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        let known = state.policy.as_ref().map_or(0, |policy| policy.revision.get());
+        if update.policy.revision.get() <= known {
+            return;
+        }
+        let policy = sync::Arc::new(update.policy);
+        state.quota.configure(policy.workspaces(), now);
+        log_event!(
+            event::LogEvent::RevisionInForce,
+            revision = policy.revision,
+            before = known,
+            source = source,
+        );
+        state.policy = Some(policy);
+        state.policy_text = update.text;
+    }
+
+    /// Logs changes of replicas, and keeps those that left for the peers.
+    pub fn note_changes(&self, changes: &[replica::ReplicaChange], source: &str) {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        for change in changes {
+            match change {
+                replica::ReplicaChange::Joined(replica) => {
+                    let known = state.replicas.get(replica).map(|known| &known.entry);
+                    let address = known.map(|entry| entry.address.to_string()).unwrap_or_default();
+                    log_event!(
+                        event::LogEvent::UpstreamJoined,
+                        replica = replica,
+                        address = address,
+                        source = source,
+                    );
+                }
+                replica::ReplicaChange::Leaving(replica) => {
+                    log_event!(event::LogEvent::UpstreamLeaving, replica = replica, source = source);
+                    let born = state.replicas.get(replica).map(|known| known.entry.born);
+                    state.left.push((now, replica.clone(), born.unwrap_or_default()));
+                    state.idle.remove(replica);
+                }
+                replica::ReplicaChange::Gone(replica) => {
+                    log_event!(event::LogEvent::UpstreamGone, replica = replica, source = source);
+                    state.idle.remove(replica);
+                }
+            }
+        }
+        state.left.retain(|(at, _, _)| now.since(*at) < LEFT_TOLD);
+    }
+}
+
+impl CoreState {
+    /// The retry budget of a service, sized to this daemon's part.
+    pub fn budget(
+        &mut self,
+        service: &id::ServiceId,
+        shared: &settings::SharedSettings,
+    ) -> &mut budget::RetryBudget {
+        let daemons = self.quota.daemon_count() as f64;
+        let burst = f64::from(shared.retry_slack) * RETRY_SLACK_PART / daemons;
+        let ratio = (shared.retry_ratio * RETRY_RATIO_PART * 1_000.0) as u16;
+        let policy = budget::BudgetPolicy {
+            ratio: quantity::PerMille::new(ratio),
+            burst: (burst as u32).max(1),
+        };
+        let budget = self
+            .budgets
+            .entry(service.clone())
+            .or_insert_with(|| budget::RetryBudget::empty(policy));
+        budget.resize(policy);
+        budget
+    }
+
+    /// A run of a workspace began now.
+    pub fn note_run(
+        &mut self,
+        workspace: &id::WorkspaceId,
+        window: time::Millis,
+        now: time::MonotonicTime,
+    ) {
+        let number = window_number(self.wall.now(now), window);
+        self.usage.note_run(number, workspace);
+    }
+}
+
+impl CoreState {
+    /// Takes over the use of services that a peer tells.
+    pub fn note_peer_prompts(
+        &mut self,
+        daemon: &id::DaemonId,
+        lines: &[digest::ServiceDemand],
+        now: time::MonotonicTime,
+    ) {
+        self.peer_prompts.insert(daemon.clone(), (now, lines.to_vec()));
+        self.peer_prompts.retain(|_, (at, _)| now.since(*at) < PEER_PROMPTS_BELIEVED);
+    }
+
+    /// Prompt tokens a second that all daemons ask a service's engines to read.
+    pub fn prompt_rate(&mut self, service: &id::ServiceId, now: time::MonotonicTime) -> f64 {
+        let own = self.prompts.get_mut(service).map_or(0.0, |meter| meter.rate(now));
+        let peers = self.peer_prompts.values().flat_map(|(_, lines)| lines);
+        let told = peers.filter(|line| line.service == *service);
+        own + told.map(|line| f64::from(line.prompt_rate)).sum::<f64>()
+    }
+}
+
+/// Number of the window of time that an instant lies in.
+pub fn window_number(wall_ms: i64, window: time::Millis) -> usage::WindowNumber {
+    u64::try_from(wall_ms).unwrap_or(0) / window.get().max(1)
+}
+
+/// A request's load on a replica; taken off when dropped.
+pub struct LoadGuard {
+    core: rc::Rc<GatewayCore>,
+    replica: id::ReplicaId,
+    born: quantity::Incarnation,
+    address: SocketAddr,
+    pending: u32,
+}
+
+impl LoadGuard {
+    /// Puts a request with unread prompt tokens on a replica.
+    pub fn new(core: &rc::Rc<GatewayCore>, replica: &id::ReplicaId, pending: u32) -> Option<Self> {
+        let mut state = core.state.borrow_mut();
+        let known = state.replicas.get_mut(replica)?;
+        known.own.running += 1;
+        known.own.pending += pending;
+        let (born, address) = (known.entry.born, known.entry.address);
+        let core = core.clone();
+        Some(LoadGuard { core, replica: replica.clone(), born, address, pending })
+    }
+
+    /// Address of the replica.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// The prompt was read.
+    pub fn prompt_read(&mut self) {
+        let pending = std::mem::take(&mut self.pending);
+        self.change(|load| load.pending = load.pending.saturating_sub(pending));
+    }
+
+    fn change(&self, change: impl FnOnce(&mut replica::ReplicaLoad)) {
+        let mut state = self.core.state.borrow_mut();
+        let Some(known) = state.replicas.get_mut(&self.replica) else { return };
+        // A new life of the replica has none of this load.
+        if known.entry.born == self.born && known.entry.address == self.address {
+            change(&mut known.own);
+        }
+    }
+}
+
+impl Drop for LoadGuard {
+    fn drop(&mut self) {
+        self.prompt_read();
+        self.change(|load| load.running = load.running.saturating_sub(1));
+    }
+}
+
+/// Names of replicas that a request was sent to.
+pub type AvoidedReplicas = SmallVec<[id::ReplicaId; 4]>;
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,20 @@
+//! The gateway daemon: takes callers' requests as they are and hands them to replicas.
+//!
+//! A shell round the decisions of the `fleet` crate, on one thread. [`border`] is what an adapter to a
+//! deployment's protocols implements; [`daemon`] starts everything. [`caller`] serves connections,
+//! [`forward`] carries one request through its sends, [`upstream`] and [`stream`] talk to replicas.
+//! [`control`] follows the table, [`exchange`] the peers, [`duties`] does what one daemon does for all.
+
+pub mod border;
+pub mod caller;
+pub mod control;
+pub mod core;
+pub mod daemon;
+pub mod duties;
+pub mod events;
+pub mod exchange;
+pub mod forward;
+pub mod metrics;
+pub mod settings;
+pub mod stream;
+pub mod upstream;
--- /dev/null
+++ b/crates/gateway/src/upstream.rs
@@ -0,0 +1,205 @@
+//! One exchange with a replica, over a kept or a fresh connection.
+
+use std::cell;
+use std::io;
+use std::net::SocketAddr;
+use std::rc;
+
+use async_std::io::WriteExt as _;
+use futures_lite::future;
+use samphiremoor_base::id;
+use samphiremoor_base::quantity;
+use samphiremoor_base::time;
+use samphiremoor_httpio::connection;
+use samphiremoor_httpio::message;
+
+use crate::border;
+use crate::core;
+
+/// Time to connect to a replica; within a region a handshake takes a few milliseconds.
+const CONNECT_TIME: time::Millis = time::Millis::new(400);
+/// An idle connection of a replica that does not say how long it keeps it is used for this long.
+const IDLE_TIME: time::Millis = time::Millis::new(4_000);
+/// A connection is given up this long before its replica closes it.
+const IDLE_MARGIN: time::Millis = time::Millis::new(700);
+/// Requests that run once go only over connections that were used within this time.
+const ONCE_IDLE_TIME: time::Millis = time::Millis::new(2_000);
+/// Largest body of a plain answer.
+const ANSWER_BODY: quantity::ByteCount = quantity::ByteCount::new(16 * 1024 * 1024);
+/// Answers of other requests that are passed over on one connection before it is given up.
+const FOREIGN_ANSWERS: u32 = 3;
+
+/// A connection that waits for its next exchange.
+#[derive(Debug)]
+pub struct IdleConnection {
+    raw: connection::RawConnection,
+    address: SocketAddr,
+    since: time::MonotonicTime,
+    keep: time::Millis,
+}
+
+/// A connection in use.
+#[derive(Debug)]
+pub struct UpstreamConnection {
+    /// The connection.
+    pub raw: connection::RawConnection,
+    /// Whether it carried an exchange before.
+    pub is_reused: bool,
+    address: SocketAddr,
+}
+
+/// Head of a replica's answer.
+#[derive(Debug)]
+pub struct ReplicaAnswer {
+    /// The head.
+    pub head: message::AnswerHead,
+    /// What it says.
+    pub terms: border::AnswerTerms,
+    /// How its body is delimited.
+    pub framing: message::BodyFraming,
+    /// Whether the whole request was written before it came.
+    pub is_written: bool,
+}
+
+/// Why there is no answer. The replica may have run the request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ExchangeError {
+    /// The connection ended or failed.
+    Closed,
+    /// The bytes are no answer to the request.
+    Garbled,
+}
+
+/// An idle connection to a replica, or a fresh one.
+///
+/// # Errors
+///
+/// Fails where no connection can be made; no byte of the request was sent.
+pub async fn acquire(
+    core: &rc::Rc<core::GatewayCore>,
+    replica: &id::ReplicaId,
+    address: SocketAddr,
+    is_repeatable: bool,
+) -> io::Result<UpstreamConnection> {
+    loop {
+        let now = core.now();
+        let found = core.state.borrow_mut().idle.get_mut(replica).and_then(Vec::pop);
+        let Some(idle) = found else { break };
+        let age = now.since(idle.since);
+        let is_fresh = age <= idle.keep && (is_repeatable || age <= ONCE_IDLE_TIME);
+        if idle.address == address && is_fresh && idle.raw.is_quiet().await {
+            return Ok(UpstreamConnection { raw: idle.raw, is_reused: true, address });
+        }
+    }
+    let raw = connection::RawConnection::connect(address, CONNECT_TIME).await?;
+    Ok(UpstreamConnection { raw, is_reused: false, address })
+}
+
+/// Keeps a connection for the next exchange if the answer allows it.
+pub fn release(
+    core: &core::GatewayCore,
+    replica: &id::ReplicaId,
+    open: UpstreamConnection,
+    answer: &ReplicaAnswer,
+) {
+    let is_clean = answer.is_written
+        && answer.head.is_kept
+        && answer.framing != message::BodyFraming::UntilClose
+        && open.raw.pending().is_empty();
+    let mut state = core.state.borrow_mut();
+    let now = core.now();
+    let is_open = state.replicas.get(replica).is_some_and(|known| !known.entry.is_draining);
+    if !is_clean || !is_open {
+        return;
+    }
+    let keep = keep_time(&answer.head.fields);
+    let idle = IdleConnection { raw: open.raw, address: open.address, since: now, keep };
+    state.idle.entry(replica.clone()).or_default().push(idle);
+}
+
+/// Drops idle connections whose time is over.
+pub fn sweep(core: &core::GatewayCore) {
+    let now = core.now();
+    let mut state = core.state.borrow_mut();
+    for list in state.idle.values_mut() {
+        list.retain(|idle| now.since(idle.since) <= idle.keep);
+    }
+    state.idle.retain(|_, list| !list.is_empty());
+}
+
+fn keep_time(fields: &message::HeaderFields) -> time::Millis {
+    let Some(declared) = fields.text("keep-alive") else { return IDLE_TIME };
+    let mut parameters = declared.split(',').map(str::trim);
+    let seconds = parameters.find_map(|parameter| parameter.strip_prefix("timeout="));
+    let Some(seconds) = seconds.and_then(|text| text.parse::<u64>().ok()) else { return IDLE_TIME };
+    time::Millis::new(seconds.saturating_mul(1_000)).saturating_sub(IDLE_MARGIN)
+}
+
+/// Sends a request and reads the head of its answer. Answers of other requests are passed over.
+///
+/// # Errors
+///
+/// Says why there is no answer; the replica may have run the request.
+pub async fn exchange(
+    core: &core::GatewayCore,
+    open: &mut UpstreamConnection,
+    request: &[u8],
+    method: &str,
+    name: Option<&str>,
+) -> Result<ReplicaAnswer, ExchangeError> {
+    let is_written = cell::Cell::new(false);
+    let mut writer = open.raw.stream();
+    let write = async {
+        // A replica may answer and close before it read everything: the answer decides.
+        if writer.write_all(request).await.is_ok() {
+            is_written.set(true);
+        }
+        future::pending().await
+    };
+    let read = read_answer(core, open, method, name);
+    let (head, terms, framing) = future::or(read, write).await?;
+    Ok(ReplicaAnswer { head, terms, framing, is_written: is_written.get() })
+}
+
+async fn read_answer(
+    core: &core::GatewayCore,
+    open: &mut UpstreamConnection,
+    method: &str,
+    name: Option<&str>,
+) -> Result<(message::AnswerHead, border::AnswerTerms, message::BodyFraming), ExchangeError> {
+    for _ in 0..FOREIGN_ANSWERS {
+        let head = open.raw.answer_head().await.map_err(explain)?;
+        let terms = core.adapter.codec.read_answer(&head, name);
+        let framing = message::answer_framing(&head, method).map_err(|_| ExchangeError::Garbled)?;
+        if terms.is_own {
+            return Ok((head, terms, framing));
+        }
+        if framing == message::BodyFraming::UntilClose || !head.is_kept {
+            return Err(ExchangeError::Garbled);
+        }
+        open.raw.body(framing, ANSWER_BODY).await.map_err(explain)?;
+    }
+    Err(ExchangeError::Garbled)
+}
+
+/// Reads the whole body of an answer.
+///
+/// # Errors
+///
+/// Fails where the body is cut short or malformed.
+pub async fn whole_body(
+    open: &mut UpstreamConnection,
+    answer: &ReplicaAnswer,
+) -> Result<Vec<u8>, ExchangeError> {
+    open.raw.body(answer.framing, ANSWER_BODY).await.map_err(explain)
+}
+
+/// The kind of failure that a read ended with.
+pub fn explain(cause: connection::ReadError) -> ExchangeError {
+    match cause {
+        connection::ReadError::Closed | connection::ReadError::Broken(_) => ExchangeError::Closed,
+        connection::ReadError::Message(_) | connection::ReadError::BodyTooLarge => {
+            ExchangeError::Garbled
+        }
+    }
+}
--- /dev/null
+++ b/crates/httpio/src/kept.rs
@@ -0,0 +1,99 @@
+//! A client that keeps one connection to a server and makes one call at a time on it.
+
+use std::fmt::Write as _;
+use std::net::SocketAddr;
+
+use async_std::future;
+use async_std::sync;
+use samphiremoor_base::quantity;
+use samphiremoor_base::time;
+
+use crate::client;
+use crate::connection;
+use crate::message;
+
+/// Largest body of an answer.
+const ANSWER_BODY: quantity::ByteCount = quantity::ByteCount::new(16 * 1024 * 1024);
+
+/// Client of one server.
+#[derive(Debug)]
+pub struct KeptClient {
+    address: SocketAddr,
+    connect_limit: time::Millis,
+    kept: sync::Mutex<Option<connection::RawConnection>>,
+}
+
+/// A call.
+#[derive(Clone, Debug)]
+pub struct KeptCall<'a> {
+    /// The method.
+    pub method: &'a str,
+    /// Path and query.
+    pub target: &'a str,
+    /// Further header fields.
+    pub fields: &'a [(&'a str, &'a str)],
+    /// The body.
+    pub body: &'a [u8],
+    /// Time for the whole call.
+    pub limit: time::Millis,
+}
+
+/// An answer with its whole body.
+#[derive(Clone, Debug)]
+pub struct KeptAnswer {
+    /// The status.
+    pub status: u16,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+impl KeptClient {
+    /// A client that is not connected yet.
+    pub fn new(address: SocketAddr, connect_limit: time::Millis) -> Self {
+        KeptClient { address, connect_limit, kept: sync::Mutex::new(None) }
+    }
+
+    /// Makes a call. A connection that failed or was silent is never used again.
+    ///
+    /// # Errors
+    ///
+    /// Says whether the server may have got the call.
+    pub async fn call(&self, call: &KeptCall<'_>) -> Result<KeptAnswer, client::CallError> {
+        let mut kept = self.kept.lock().await;
+        let mut open = match kept.take() {
+            Some(open) if open.is_quiet().await => open,
+            _ => connection::RawConnection::connect(self.address, self.connect_limit)
+                .await
+                .map_err(client::CallError::NotConnected)?,
+        };
+        let exchange = exchange(&mut open, self.address, call);
+        match future::timeout(call.limit.to_duration(), exchange).await {
+            Ok(Ok((answer, is_kept))) => {
+                *kept = is_kept.then_some(open);
+                Ok(answer)
+            }
+            Ok(Err(cause)) => Err(client::CallError::Broken(format!("{cause:?}"))),
+            Err(_) => Err(client::CallError::Silent),
+        }
+    }
+}
+
+async fn exchange(
+    open: &mut connection::RawConnection,
+    address: SocketAddr,
+    call: &KeptCall<'_>,
+) -> Result<(KeptAnswer, bool), connection::ReadError> {
+    let mut head = format!("{} {} HTTP/1.1\r\nHost: {address}\r\n", call.method, call.target);
+    for (name, value) in call.fields {
+        let _ = write!(head, "{name}: {value}\r\n");
+    }
+    let _ = write!(head, "Content-Length: {}\r\n\r\n", call.body.len());
+    let mut bytes = head.into_bytes();
+    bytes.extend_from_slice(call.body);
+    open.write(&bytes).await?;
+    let head = open.answer_head().await?;
+    let framing = message::answer_framing(&head, call.method)?;
+    let body = open.body(framing, ANSWER_BODY).await?;
+    let is_kept = head.is_kept && framing != message::BodyFraming::UntilClose;
+    Ok((KeptAnswer { status: head.status, body }, is_kept && open.pending().is_empty()))
+}
--- /dev/null
+++ b/crates/httpio/src/message.rs
@@ -0,0 +1,377 @@
+//! Heads and framing of raw HTTP/1.1 messages, as pure functions over bytes.
+//!
+//! For connections on which bodies pass through untouched. What could be read in two ways, and so
+//! smuggle one message inside another, is refused: two lengths, a length beside chunks, folded or bare
+//! lines, and chunk sizes that are no plain hexadecimal number.
+
+use std::error;
+use std::fmt;
+
+use samphiremoor_base::quantity;
+
+/// Most header fields of one message.
+const MAX_FIELDS: usize = 96;
+/// Longest line of a chunk's size with its extensions, and of a trailer.
+const MAX_CHUNK_LINE: usize = 1024;
+
+/// One header field.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct HeaderField {
+    /// Its name, as it was sent.
+    pub name: Box<str>,
+    /// Its value, without the space around it.
+    pub value: Box<[u8]>,
+}
+
+/// Header fields in their order.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct HeaderFields(Vec<HeaderField>);
+
+/// Head of a request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RequestHead {
+    /// The method.
+    pub method: Box<str>,
+    /// Path and query.
+    pub target: Box<str>,
+    /// Header fields.
+    pub fields: HeaderFields,
+}
+
+/// Head of an answer.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct AnswerHead {
+    /// The status.
+    pub status: u16,
+    /// Header fields.
+    pub fields: HeaderFields,
+    /// Whether the connection may carry a further exchange.
+    pub is_kept: bool,
+}
+
+/// How a body is delimited.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum BodyFraming {
+    /// By its length.
+    Length(u64),
+    /// In chunks.
+    Chunked,
+    /// By the end of the connection.
+    UntilClose,
+}
+
+/// Why bytes are no message.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum MessageError {
+    /// The head is larger than the limit.
+    TooLarge,
+    /// The bytes break the protocol.
+    Malformed(&'static str),
+}
+
+impl fmt::Display for MessageError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            MessageError::TooLarge => f.write_str("the head is too large; send fewer or shorter headers"),
+            MessageError::Malformed(cause) => write!(f, "malformed message ({cause}); send plain HTTP/1.1"),
+        }
+    }
+}
+
+impl error::Error for MessageError {}
+
+impl HeaderFields {
+    /// Value of the first field with a name.
+    pub fn get(&self, name: &str) -> Option<&[u8]> {
+        let mut found = self.0.iter().filter(|field| field.name.eq_ignore_ascii_case(name));
+        found.next().map(|field| &*field.value)
+    }
+
+    /// Text of the first field with a name; absent where it is not ASCII.
+    pub fn text(&self, name: &str) -> Option<&str> {
+        std::str::from_utf8(self.get(name)?).ok()
+    }
+
+    /// Values of all fields with a name.
+    pub fn all<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a [u8]> {
+        let found = self.0.iter().filter(move |field| field.name.eq_ignore_ascii_case(name));
+        found.map(|field| &*field.value)
+    }
+
+    /// All fields.
+    pub fn iter(&self) -> impl Iterator<Item = &HeaderField> {
+        self.0.iter()
+    }
+
+    /// Whether a field that lists tokens has this one.
+    pub fn has_token(&self, name: &str, token: &str) -> bool {
+        self.all(name).any(|value| {
+            let mut tokens = value.split(|byte| *byte == b',').map(<[u8]>::trim_ascii);
+            tokens.any(|found| found.eq_ignore_ascii_case(token.as_bytes()))
+        })
+    }
+}
+
+impl FromIterator<HeaderField> for HeaderFields {
+    fn from_iter<I: IntoIterator<Item = HeaderField>>(fields: I) -> Self {
+        HeaderFields(fields.into_iter().collect())
+    }
+}
+
+/// Whether a field concerns one connection only and is never passed on.
+pub fn is_hop_field(name: &str) -> bool {
+    const HOP_FIELDS: &[&str] = &[
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "expect",
+    ];
+    HOP_FIELDS.iter().any(|hop| hop.eq_ignore_ascii_case(name))
+}
+
+/// Writes one header field.
+pub fn write_field(out: &mut Vec<u8>, name: &str, value: &[u8]) {
+    out.extend_from_slice(name.as_bytes());
+    out.extend_from_slice(b": ");
+    out.extend_from_slice(value);
+    out.extend_from_slice(b"\r\n");
+}
+
+/// Reads the head of a request; absent while it is not whole. Gives the bytes that it takes.
+///
+/// # Errors
+///
+/// Refuses heads over the limit and what is not strict HTTP/1.1.
+pub fn parse_request(
+    bytes: &[u8],
+    limit: quantity::ByteCount,
+) -> Result<Option<(RequestHead, usize)>, MessageError> {
+    let mut slots = [httparse::EMPTY_HEADER; MAX_FIELDS];
+    let mut parsed = httparse::Request::new(&mut slots);
+    let length = match parsed.parse(bytes) {
+        Ok(httparse::Status::Complete(length)) => length,
+        Ok(httparse::Status::Partial) => return refuse_large(bytes, limit),
+        Err(httparse::Error::TooManyHeaders) => return Err(MessageError::TooLarge),
+        Err(_) => return Err(MessageError::Malformed("head")),
+    };
+    if length as u64 > limit.get() {
+        return Err(MessageError::TooLarge);
+    }
+    refuse_bare_lines(&bytes[..length])?;
+    if parsed.version != Some(1) {
+        return Err(MessageError::Malformed("version"));
+    }
+    let (Some(method), Some(target)) = (parsed.method, parsed.path) else {
+        return Err(MessageError::Malformed("request line"));
+    };
+    if !target.starts_with('/') {
+        return Err(MessageError::Malformed("target"));
+    }
+    let fields = collect_fields(parsed.headers);
+    if fields.all("host").count() != 1 {
+        return Err(MessageError::Malformed("host"));
+    }
+    Ok(Some((RequestHead { method: method.into(), target: target.into(), fields }, length)))
+}
+
+/// Reads the head of an answer; absent while it is not whole. Gives the bytes that it takes.
+///
+/// # Errors
+///
+/// Refuses heads over the limit and what is not HTTP/1.
+pub fn parse_answer(
+    bytes: &[u8],
+    limit: quantity::ByteCount,
+) -> Result<Option<(AnswerHead, usize)>, MessageError> {
+    let mut slots = [httparse::EMPTY_HEADER; MAX_FIELDS];
+    let mut parsed = httparse::Response::new(&mut slots);
+    let length = match parsed.parse(bytes) {
+        Ok(httparse::Status::Complete(length)) => length,
+        Ok(httparse::Status::Partial) => return refuse_large(bytes, limit),
+        Err(httparse::Error::TooManyHeaders) => return Err(MessageError::TooLarge),
+        Err(_) => return Err(MessageError::Malformed("head")),
+    };
+    let Some(status) = parsed.code else { return Err(MessageError::Malformed("status")) };
+    let is_current = parsed.version == Some(1);
+    let fields = collect_fields(parsed.headers);
+    let is_kept = is_current && !fields.has_token("connection", "close");
+    Ok(Some((AnswerHead { status, fields, is_kept }, length)))
+}
+
+/// How a request's body is delimited.
+///
+/// # Errors
+///
+/// Refuses two lengths, a length beside chunks and other codings.
+pub fn request_framing(fields: &HeaderFields) -> Result<BodyFraming, MessageError> {
+    let framing = declared_framing(fields)?;
+    Ok(framing.unwrap_or(BodyFraming::Length(0)))
+}
+
+/// How an answer's body is delimited.
+///
+/// # Errors
+///
+/// Refuses two lengths, a length beside chunks and other codings.
+pub fn answer_framing(head: &AnswerHead, method: &str) -> Result<BodyFraming, MessageError> {
+    let is_bodiless = method == "HEAD" || matches!(head.status, 100..=199 | 204 | 304);
+    if is_bodiless {
+        return Ok(BodyFraming::Length(0));
+    }
+    let framing = declared_framing(&head.fields)?;
+    Ok(framing.unwrap_or(BodyFraming::UntilClose))
+}
+
+fn declared_framing(fields: &HeaderFields) -> Result<Option<BodyFraming>, MessageError> {
+    let mut lengths = fields.all("content-length");
+    let length = lengths.next();
+    if lengths.next().is_some() {
+        return Err(MessageError::Malformed("two lengths"));
+    }
+    let mut codings = fields.all("transfer-encoding");
+    let coding = codings.next();
+    if codings.next().is_some() {
+        return Err(MessageError::Malformed("two transfer codings"));
+    }
+    match (length, coding) {
+        (Some(_), Some(_)) => Err(MessageError::Malformed("length beside chunks")),
+        (None, Some(coding)) if coding.eq_ignore_ascii_case(b"chunked") => {
+            Ok(Some(BodyFraming::Chunked))
+        }
+        (None, Some(_)) => Err(MessageError::Malformed("transfer coding")),
+        (Some(length), None) => {
+            let is_plain = !length.is_empty() && length.iter().all(u8::is_ascii_digit);
+            let text = std::str::from_utf8(length).ok().filter(|_| is_plain);
+            let length = text.and_then(|text| text.parse().ok());
+            length.map(|length| Some(BodyFraming::Length(length))).ok_or(MessageError::Malformed("length"))
+        }
+        (None, None) => Ok(None),
+    }
+}
+
+fn collect_fields(headers: &[httparse::Header<'_>]) -> HeaderFields {
+    let field = |header: &httparse::Header<'_>| HeaderField {
+        name: header.name.into(),
+        value: header.value.trim_ascii().into(),
+    };
+    headers.iter().map(field).collect()
+}
+
+fn refuse_large<T>(bytes: &[u8], limit: quantity::ByteCount) -> Result<Option<T>, MessageError> {
+    if bytes.len() as u64 > limit.get() {
+        return Err(MessageError::TooLarge);
+    }
+    Ok(None)
+}
+
+fn refuse_bare_lines(head: &[u8]) -> Result<(), MessageError> {
+    let ends = head.iter().enumerate().filter(|(_, byte)| **byte == b'\n');
+    for (index, _) in ends {
+        if index == 0 || head[index - 1] != b'\r' {
+            return Err(MessageError::Malformed("bare line end"));
+        }
+    }
+    Ok(())
+}
+
+/// Takes the framing of chunks off a body, piece by piece.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ChunkDecoder {
+    state: ChunkState,
+}
+
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+enum ChunkState {
+    #[default]
+    Size,
+    Data(u64),
+    DataEnd,
+    Trailer,
+    Done,
+}
+
+impl ChunkDecoder {
+    /// Decodes from `bytes` to `out`; gives the bytes taken. Bytes after the last chunk stay.
+    ///
+    /// # Errors
+    ///
+    /// Refuses malformed sizes and lines.
+    pub fn decode(&mut self, bytes: &[u8], out: &mut Vec<u8>) -> Result<usize, MessageError> {
+        let mut taken = 0;
+        loop {
+            let rest = &bytes[taken..];
+            match self.state {
+                ChunkState::Done => return Ok(taken),
+                ChunkState::Data(left) => {
+                    let count = rest.len().min(usize::try_from(left).unwrap_or(usize::MAX));
+                    out.extend_from_slice(&rest[..count]);
+                    taken += count;
+                    if (count as u64) < left {
+                        self.state = ChunkState::Data(left - count as u64);
+                        return Ok(taken);
+                    }
+                    self.state = ChunkState::DataEnd;
+                }
+                ChunkState::DataEnd => {
+                    if rest.len() < 2 {
+                        return Ok(taken);
+                    }
+                    if &rest[..2] != b"\r\n" {
+                        return Err(MessageError::Malformed("end of chunk"));
+                    }
+                    taken += 2;
+                    self.state = ChunkState::Size;
+                }
+                ChunkState::Size => {
+                    let Some(line) = take_line(rest)? else { return Ok(taken) };
+                    taken += line.len() + 2;
+                    self.state = match chunk_size(line)? {
+                        0 => ChunkState::Trailer,
+                        size => ChunkState::Data(size),
+                    };
+                }
+                ChunkState::Trailer => {
+                    let Some(line) = take_line(rest)? else { return Ok(taken) };
+                    taken += line.len() + 2;
+                    if line.is_empty() {
+                        self.state = ChunkState::Done;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Whether the last chunk and the trailers were taken.
+    pub fn is_done(&self) -> bool {
+        self.state == ChunkState::Done
+    }
+}
+
+/// A line without its end; absent while the end has not come.
+fn take_line(bytes: &[u8]) -> Result<Option<&[u8]>, MessageError> {
+    let Some(end) = bytes.iter().position(|byte| *byte == b'\n') else {
+        if bytes.len() > MAX_CHUNK_LINE {
+            return Err(MessageError::Malformed("long chunk line"));
+        }
+        return Ok(None);
+    };
+    match bytes[..end].strip_suffix(b"\r") {
+        Some(line) if line.len() <= MAX_CHUNK_LINE && !line.contains(&b'\r') => Ok(Some(line)),
+        _ => Err(MessageError::Malformed("chunk line")),
+    }
+}
+
+fn chunk_size(line: &[u8]) -> Result<u64, MessageError> {
+    let digits = line.split(|byte| *byte == b';').next().unwrap_or_default();
+    let is_plain = (1..=8).contains(&digits.len()) && digits.iter().all(u8::is_ascii_hexdigit);
+    let text = std::str::from_utf8(digits).ok().filter(|_| is_plain);
+    let size = text.and_then(|text| u64::from_str_radix(text, 16).ok());
+    size.ok_or(MessageError::Malformed("chunk size"))
+}
--- a/crates/requests/src/budget.rs
+++ b/crates/requests/src/budget.rs
@@ -27,6 +27,17 @@
         RetryBudget { policy, saved_per_mille: u64::from(policy.burst) * RETRY_COST }
     }
 
+    /// A budget with nothing saved, for a process that may have spent it before a restart.
+    pub fn empty(policy: BudgetPolicy) -> Self {
+        RetryBudget { policy, saved_per_mille: 0 }
+    }
+
+    /// Changes the size; what is saved above it is lost.
+    pub fn resize(&mut self, policy: BudgetPolicy) {
+        self.policy = policy;
+        self.saved_per_mille = self.saved_per_mille.min(u64::from(policy.burst) * RETRY_COST);
+    }
+
     /// Earns the share of one accepted request.
     pub fn earn(&mut self) {
         let earned = self.saved_per_mille + u64::from(self.policy.ratio.get());
