Quota and capacity: one mirrored bucket, fewer and mostly reclaimable replicas

Change: every daemon mirrors one bucket; the planner waits for the fleet to register and holds more reclaimable replicas and fewer others. Ruled out: a larger burst for each daemon (sums up over nine).

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -59,6 +59,7 @@
     106 RequestHandedOver "request-handed-over" Info "A request was handed to another daemon.",
     107 CallerGone "caller-gone" Info "The caller closed its connection before the answer was whole.",
     108 ReplicaChosen "replica-chosen" Info "A replica was chosen for a request; the load that decided is given.",
+    109 QuotaUsedUp "quota-used-up" Info "A request is over its workspace's limit; this daemon's part of the limit is given.",
     201 ClaimsWritten "claims-written" Debug "A batch of claims was written.",
     202 ClaimsRefused "claims-refused" Warn "A batch of claims was refused since the lease has another holder.",
     203 ClaimsUnsettled "claims-unsettled" Warn "The answer to a write of claims was lost; the row is read back.",
--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -25,9 +25,16 @@
 /// Returning callers are spread over this part of the time on top, so that they don't come as a wave.
 const RETRY_SPREAD: f64 = 0.5;
 
-/// What engines of a service take for prompts.
+/// The least time to a first token is forgotten by this part with each sample, so that a service that
+/// became slower is seen within some hundred requests.
+const BASE_RISE: f64 = 0.002;
+/// Prompts at least this large tell the time for a thousand tokens; small ones tell the base alone.
+const PACE_TOKENS: f64 = 1_000.0;
+
+/// What engines of a service take for prompts: a base for any first token, and a time by tokens.
 #[derive(Clone, Copy, Debug)]
 struct EnginePace {
+    base_ms: Option<f64>,
     ms_per_ktoken: f64,
 }
 
@@ -57,11 +64,14 @@
 impl FirstTokenForecast {
     /// Notes a first token that came after `first` behind `ahead` prompt tokens.
     pub fn sample(&mut self, service: &id::ServiceId, ahead: f64, first: time::Millis) {
-        if ahead < 1.0 {
+        let pace = self.paces.entry(service.clone()).or_default();
+        let first_ms = first.get() as f64;
+        let base = pace.base_ms.map_or(first_ms, |base| (base * (1.0 + BASE_RISE)).min(first_ms));
+        pace.base_ms = Some(base);
+        if ahead < PACE_TOKENS {
             return;
         }
-        let pace = self.paces.entry(service.clone()).or_default();
-        let measured = first.get() as f64 * 1_000.0 / ahead.max(1_000.0);
+        let measured = (first_ms - base) * 1_000.0 / ahead;
         let sample = measured.clamp(MS_PER_KTOKEN.0, MS_PER_KTOKEN.1);
         pace.ms_per_ktoken += SAMPLE_WEIGHT * (sample - pace.ms_per_ktoken);
     }
@@ -73,7 +83,8 @@
 
     /// Forecast of the time to a first token, in ms.
     pub fn first_ms(&self, service: &id::ServiceId, ahead: f64) -> f64 {
-        ahead * self.ms_per_ktoken(service) / 1_000.0
+        let pace = self.paces.get(service).copied().unwrap_or_default();
+        pace.base_ms.unwrap_or(0.0) + ahead * pace.ms_per_ktoken / 1_000.0
     }
 
     /// Admits a request, or says after which time a later try can help.
@@ -94,7 +105,7 @@
 
 impl Default for EnginePace {
     fn default() -> Self {
-        EnginePace { ms_per_ktoken: FIRST_MS_PER_KTOKEN }
+        EnginePace { base_ms: None, ms_per_ktoken: FIRST_MS_PER_KTOKEN }
     }
 }
 
--- a/crates/fleet/src/capacity.rs
+++ b/crates/fleet/src/capacity.rs
@@ -14,22 +14,27 @@
 
 /// Part of a replica's slots that is in use when it carries its share with its prompts read in time;
 /// from the step times of the engines that we have figures of.
-const SLOT_FILL: f64 = 0.3;
+const SLOT_FILL: f64 = 0.5;
 /// Part of the time that a replica may spend on reading prompts: above it, queues of prompts grow.
-const PROMPT_FILL: f64 = 0.5;
+const PROMPT_FILL: f64 = 0.6;
 /// Reclaimable replicas held for each one that is needed: two zones of four may be taken back before
 /// new ones are to be had.
-const RECLAIMABLE_SPARE: f64 = 1.5;
+const RECLAIMABLE_SPARE: f64 = 1.7;
 /// Other replicas held for each one that is needed.
-const STEADY_PART: f64 = 0.25;
+const STEADY_PART: f64 = 0.1;
 /// What is left must cover this part of the need; below it, other replicas are ordered.
-const COVERED_PART: f64 = 0.9;
+const COVERED_PART: f64 = 0.6;
+/// Part of the replicas that are there at first that counts as needed until load was seen.
+const FIRST_PART: f64 = 0.75;
 /// A need counts for this long after it was measured, so that the next crest finds its replicas.
 const NEED_HELD: time::Millis = time::Millis::new(20_000);
 /// Time after which an order that was refused is tried again.
 const REFUSED_PAUSE: time::Millis = time::Millis::new(3_000);
 /// An order that the fleet does not show is repeated after this time, at least the start of a VM.
 const REPEAT_PAUSE: time::Millis = time::Millis::new(6_000);
+/// A fleet that was not looked at before is watched for this long: replicas that were there register
+/// one after the other after a start of the whole deployment.
+const SETTLE_TIME: time::Millis = time::Millis::new(4_000);
 /// Time for which what is left must be enough before other replicas are given back.
 const SURPLUS_TIME: time::Millis = time::Millis::new(2_500);
 
@@ -85,6 +90,7 @@
     needs: collections::VecDeque<(time::MonotonicTime, f64)>,
     orders: collections::BTreeMap<(id::ZoneId, bool), PlacedOrder>,
     enough_since: Option<time::MonotonicTime>,
+    first_look: Option<time::MonotonicTime>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -115,7 +121,11 @@
         if supply.is_empty() {
             return Vec::new();
         }
-        let need = self.held_need(Self::need(load), f64::from(total_steady), now);
+        let first_look = *self.first_look.get_or_insert(now);
+        if now.since(first_look) < SETTLE_TIME {
+            return Vec::new();
+        }
+        let need = self.held_need(Self::need(load), f64::from(total_steady) * FIRST_PART, now);
         let zones = supply.len() as f64;
         let steady_floor = (need * STEADY_PART / zones).ceil().max(f64::from(rule.min)) as u32;
         let reclaimable_each = match rule.reclaimable_price {
--- a/crates/fleet/src/digest.rs
+++ b/crates/fleet/src/digest.rs
@@ -24,8 +24,12 @@
 pub struct DemandLine {
     /// The workspace.
     pub workspace: id::WorkspaceId,
+    /// Units that were admitted in the daemon's life.
+    pub total: f64,
     /// Units a second that its callers ask for.
     pub demand: f32,
+    /// Units a second that are admitted.
+    pub admitted: f32,
 }
 
 /// Use of one service at one daemon.
--- a/crates/fleet/src/quota.rs
+++ b/crates/fleet/src/quota.rs
@@ -1,46 +1,75 @@
 //! Limits on workspaces that all daemons keep together.
 //!
-//! Answers the load pattern of one workspace that sends many times its limit, unevenly over daemons.
-//! Each daemon has a bucket with its part of the rate and the burst. Parts follow demand, as the
-//! peers' digests tell it; a peer that is silent keeps its part for a while, since it may be cut off
-//! and still be serving.
+//! Answers two load patterns: a workspace within its limit whose large prompts come in lumps and
+//! unevenly over daemons, and one that sends many times its limit. Every daemon mirrors one bucket for
+//! the whole deployment: its own admissions count at once, those of peers as their digests tell them.
+//! What may be admitted between two digests is shared by demand, so that not all daemons spend the
+//! same units. A silent peer is taken to go on as before, since it may be cut off and serving.
 
 use std::collections;
+use std::sync;
 
 use samphiremoor_base::id;
+use samphiremoor_base::quantity;
 use samphiremoor_base::time;
 
 use crate::digest;
 use crate::policy;
 
-/// The demand of a silent peer counts for this long: longer than the cuts that daemons outlive.
+/// A silent peer is taken to go on for this long: longer than the cuts that daemons outlive.
 const PEER_MEMORY: time::Millis = time::Millis::new(15_000);
-/// Time in which measured demand fades to about a third.
-const DEMAND_WINDOW: time::Millis = time::Millis::new(2_000);
+/// A peer that was not heard for this long is silent: three digests were lost.
+const SILENT_TIME: time::Millis = time::Millis::new(1_000);
+/// Time in which measured rates fade to about a third.
+const RATE_WINDOW: time::Millis = time::Millis::new(2_000);
+/// Time after which peers know of an admission: a digest's interval and its way.
+const TOLD_TIME: time::Millis = time::Millis::new(450);
 /// Part of the whole rate that a daemon without demand counts with, so that its first requests pass.
 const IDLE_PART: f64 = 0.02;
-/// Part of the burst in a new bucket: a restarted daemon has spent what it had.
-const FIRST_FILL: f64 = 0.3;
+/// Part of the burst in a new bucket: a restarted daemon does not know what was spent.
+const FIRST_FILL: f64 = 0.5;
+/// While this part of the burst is left, no daemon needs to mind its share: a workspace that sends far
+/// over its limit never has it.
+const AMPLE_PART: f64 = 0.3;
+/// Daemons that may run into debt at the same time. A prompt can be larger than what a daemon may
+/// spend between two digests; all sizes pass alike where there is no debt yet.
+const DEBTORS: f64 = 8.0;
 
 /// Buckets of one daemon.
 #[derive(Clone, Debug, Default)]
 pub struct QuotaKeeper {
     buckets: collections::HashMap<id::WorkspaceId, QuotaBucket>,
-    peers: collections::BTreeMap<id::DaemonId, PeerDemand>,
+    peers: collections::BTreeMap<id::DaemonId, PeerUse>,
 }
 
 #[derive(Clone, Debug)]
-struct PeerDemand {
+struct PeerUse {
+    incarnation: quantity::Incarnation,
     at: time::MonotonicTime,
-    demands: collections::HashMap<id::WorkspaceId, f64>,
+    lines: collections::HashMap<id::WorkspaceId, PeerLine>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct PeerLine {
+    /// Units admitted in the peer's life, as it told.
+    total: f64,
+    demand: f64,
+    admitted: f64,
+    /// Units that were taken off the bucket since, without having been told.
+    assumed: f64,
 }
 
 #[derive(Clone, Debug)]
 struct QuotaBucket {
     rule: policy::QuotaRule,
-    part: f64,
+    /// Units left in the whole deployment, as far as is known here.
     level: f64,
+    /// Part of this daemon in what is left.
+    part: f64,
+    total: f64,
     demand: f64,
+    admitted: f64,
+    recent: collections::VecDeque<(time::MonotonicTime, f64)>,
     at: time::MonotonicTime,
 }
 
@@ -48,7 +77,7 @@
     /// Takes over declared limits. A bucket whose limit was lowered loses what is above it.
     pub fn configure(
         &mut self,
-        workspaces: &[std::sync::Arc<policy::WorkspaceRule>],
+        workspaces: &[sync::Arc<policy::WorkspaceRule>],
         now: time::MonotonicTime,
     ) {
         let mut buckets = collections::HashMap::new();
@@ -57,66 +86,104 @@
             let known = self.buckets.remove(&workspace.id);
             let mut bucket = known.unwrap_or_else(|| QuotaBucket::new(rule, now));
             bucket.rule = rule;
-            bucket.level = bucket.level.min(rule.burst * bucket.part);
+            bucket.level = bucket.level.min(rule.burst);
             buckets.insert(workspace.id.clone(), bucket);
         }
         self.buckets = buckets;
         self.share(now);
     }
 
-    /// Takes over the demand that a peer tells.
+    /// Takes over the use that a peer tells.
     pub fn note_peer(
         &mut self,
         daemon: &id::DaemonId,
+        incarnation: quantity::Incarnation,
         lines: &[digest::DemandLine],
         now: time::MonotonicTime,
     ) {
-        let demands =
-            lines.iter().map(|line| (line.workspace.clone(), f64::from(line.demand))).collect();
-        self.peers.insert(daemon.clone(), PeerDemand { at: now, demands });
+        self.pass(now);
+        let fresh = || PeerUse { incarnation, at: now, lines: collections::HashMap::new() };
+        let is_known = self.peers.contains_key(daemon);
+        let peer = self.peers.entry(daemon.clone()).or_insert_with(fresh);
+        let is_new_life = std::mem::replace(&mut peer.incarnation, incarnation) != incarnation;
+        peer.at = now;
+        for line in lines {
+            let known = peer.lines.entry(line.workspace.clone()).or_default();
+            // What a peer admitted before it was known here was taken off by nobody, and is over.
+            let before = match (is_known, is_new_life) {
+                (false, _) => line.total,
+                (true, true) => 0.0,
+                (true, false) => known.total,
+            };
+            let told = (line.total - before).max(0.0);
+            if let Some(bucket) = self.buckets.get_mut(&line.workspace) {
+                bucket.level = (bucket.level - told + known.assumed).min(bucket.rule.burst);
+            }
+            *known = PeerLine {
+                total: line.total,
+                demand: f64::from(line.demand),
+                admitted: f64::from(line.admitted),
+                assumed: 0.0,
+            };
+        }
         self.share(now);
     }
 
-    /// Takes the units of one request, or says after which time there are enough.
+    /// Takes the units of one request, or says after which time there are some again. `draw` is a
+    /// number from 0 to 1.
     ///
     /// # Errors
     ///
-    /// Refuses where this daemon's part of the limit is used up.
+    /// Refuses where the limit is used up.
     pub fn take(
         &mut self,
         workspace: &id::WorkspaceId,
         tokens: Option<u64>,
+        draw: f64,
         now: time::MonotonicTime,
     ) -> Result<(), time::Millis> {
+        self.pass(now);
         let Some(bucket) = self.buckets.get_mut(workspace) else { return Ok(()) };
-        bucket.pass(now);
         let units = bucket.units(tokens);
         bucket.demand += units;
-        let full = bucket.rule.burst * bucket.part;
-        // A request larger than the whole bucket passes when the bucket is full.
-        if bucket.level >= units.min(full) {
+        if bucket.may_take(units, draw) {
             bucket.level -= units;
+            bucket.total += units;
+            bucket.admitted += units;
+            bucket.recent.push_back((now, units));
             return Ok(());
         }
-        let missing = units.min(full) - bucket.level;
-        let rate = (bucket.rule.rate * bucket.part).max(1.0);
-        Err(time::Millis::new((missing * 1_000.0 / rate) as u64))
+        let wait = -bucket.level * 1_000.0 / bucket.rule.rate.max(1.0);
+        Err(time::Millis::new(wait.max(0.0) as u64).max(TOLD_TIME))
     }
 
     /// Gives back the units of a request that did not run.
     pub fn give_back(&mut self, workspace: &id::WorkspaceId, tokens: Option<u64>) {
         let Some(bucket) = self.buckets.get_mut(workspace) else { return };
         let units = bucket.units(tokens);
-        bucket.level = (bucket.level + units).min(bucket.rule.burst * bucket.part);
+        bucket.level = (bucket.level + units).min(bucket.rule.burst);
+        // Peers see a total that rises more slowly; it never falls by more than what was told.
+        bucket.total -= units;
     }
 
-    /// Demand here, for the peers.
+    /// State of a workspace's bucket, for the log.
+    pub fn describe(&self, workspace: &id::WorkspaceId) -> String {
+        let Some(bucket) = self.buckets.get(workspace) else { return String::new() };
+        let QuotaBucket { rule, part, level, .. } = bucket;
+        let demand = per_second(bucket.demand);
+        format!("rate:{:.0},part:{part:.3},level:{level:.0},demand:{demand:.0}", rule.rate)
+    }
+
+    /// Use here, for the peers.
     pub fn lines(&mut self, now: time::MonotonicTime) -> Vec<digest::DemandLine> {
-        let line = |(workspace, bucket): (&id::WorkspaceId, &mut QuotaBucket)| {
-            bucket.pass(now);
-            digest::DemandLine { workspace: workspace.clone(), demand: bucket.rate() as f32 }
+        self.pass(now);
+        let line = |(workspace, bucket): (&id::WorkspaceId, &QuotaBucket)| digest::DemandLine {
+            workspace: workspace.clone(),
+            total: bucket.total,
+            demand: per_second(bucket.demand) as f32,
+            admitted: per_second(bucket.admitted) as f32,
         };
-        self.buckets.iter_mut().map(line).collect()
+        self.buckets.iter().map(line).collect()
     }
 
     /// Number of daemons that have a part.
@@ -124,17 +191,30 @@
         self.peers.len() + 1
     }
 
-    fn share(&mut self, now: time::MonotonicTime) {
+    /// Fills the buckets up to now, and takes off what silent peers are assumed to admit.
+    fn pass(&mut self, now: time::MonotonicTime) {
+        for (workspace, bucket) in &mut self.buckets {
+            let passed = bucket.pass(now);
+            for peer in self.peers.values_mut() {
+                if now.since(peer.at) < SILENT_TIME {
+                    continue;
+                }
+                let Some(line) = peer.lines.get_mut(workspace) else { continue };
+                let assumed = line.admitted * passed.get() as f64 / 1_000.0;
+                line.assumed += assumed;
+                bucket.level -= assumed;
+            }
+        }
         self.peers.retain(|_, peer| now.since(peer.at) < PEER_MEMORY);
+    }
+
+    fn share(&mut self, now: time::MonotonicTime) {
+        self.pass(now);
         for (workspace, bucket) in &mut self.buckets {
-            bucket.pass(now);
             let idle = bucket.rule.rate * IDLE_PART;
-            let others: f64 = self
-                .peers
-                .values()
-                .map(|peer| peer.demands.get(workspace).copied().unwrap_or(0.0) + idle)
-                .sum();
-            let own = bucket.rate() + idle;
+            let demand = |peer: &PeerUse| peer.lines.get(workspace).map_or(0.0, |line| line.demand);
+            let others: f64 = self.peers.values().map(|peer| demand(peer) + idle).sum();
+            let own = per_second(bucket.demand) + idle;
             bucket.part = if own + others > 0.0 { own / (own + others) } else { 1.0 };
         }
     }
@@ -142,20 +222,41 @@
 
 impl QuotaBucket {
     fn new(rule: policy::QuotaRule, now: time::MonotonicTime) -> Self {
-        QuotaBucket { rule, part: 1.0, level: rule.burst * FIRST_FILL, demand: 0.0, at: now }
+        QuotaBucket {
+            rule,
+            level: rule.burst * FIRST_FILL,
+            part: 1.0,
+            total: 0.0,
+            demand: 0.0,
+            admitted: 0.0,
+            recent: collections::VecDeque::new(),
+            at: now,
+        }
     }
 
-    fn pass(&mut self, now: time::MonotonicTime) {
-        let passed = now.since(self.at).get() as f64;
+    fn pass(&mut self, now: time::MonotonicTime) -> time::Millis {
+        let passed = now.since(self.at);
         self.at = now;
-        let filled = self.level + self.rule.rate * self.part * passed / 1_000.0;
-        self.level = filled.min(self.rule.burst * self.part);
-        self.demand *= (-passed / DEMAND_WINDOW.get() as f64).exp();
+        let filled = self.level + self.rule.rate * passed.get() as f64 / 1_000.0;
+        self.level = filled.min(self.rule.burst);
+        let kept = (-(passed.get() as f64) / RATE_WINDOW.get() as f64).exp();
+        self.demand *= kept;
+        self.admitted *= kept;
+        while self.recent.front().is_some_and(|(at, _)| now.since(*at) >= TOLD_TIME) {
+            self.recent.pop_front();
+        }
+        passed
     }
 
-    /// Units a second that callers ask for.
-    fn rate(&self) -> f64 {
-        self.demand * 1_000.0 / DEMAND_WINDOW.get() as f64
+    fn may_take(&self, units: f64, draw: f64) -> bool {
+        if self.level <= 0.0 {
+            return false;
+        }
+        let recent: f64 = self.recent.iter().map(|(_, units)| *units).sum();
+        let own = self.part * (self.level + recent);
+        let is_ample = self.level - units >= self.rule.burst * AMPLE_PART;
+        let may_owe = recent == 0.0 && draw < self.part * DEBTORS;
+        recent + units <= own || is_ample || may_owe
     }
 
     fn units(&self, tokens: Option<u64>) -> f64 {
@@ -165,3 +266,8 @@
         tokens.unwrap_or(self.rule.plain_tokens) as f64
     }
 }
+
+/// Units a second, from a sum that fades.
+fn per_second(sum: f64) -> f64 {
+    sum * 1_000.0 / RATE_WINDOW.get() as f64
+}
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -29,12 +29,14 @@
 const ACCEPT_PAUSE: time::Millis = time::Millis::new(50);
 /// Time after which a daemon without a policy may be asked again.
 const NO_POLICY_RETRY: time::Millis = time::Millis::new(700);
+/// Least time after which a caller over its limit may come back; the debt of one prompt is paid off
+/// in about this time.
+const QUOTA_RETRY_MIN: time::Millis = time::Millis::new(100);
 /// Bodies of requests in progress may take this part of the memory.
 const BODY_MEMORY_PART: u64 = 4;
 
 thread_local! {
     static BODY_BYTES: cell::Cell<u64> = const { cell::Cell::new(0) };
-    static CONNECTION_NUMBER: cell::Cell<u64> = const { cell::Cell::new(0) };
 }
 
 /// Accepts connections for ever.
@@ -95,15 +97,11 @@
     if !raw.pending().is_empty() {
         return true;
     }
-    let number = CONNECTION_NUMBER.with(|number| {
-        number.set(number.get() + 1);
-        number.get()
-    });
-    core.state.borrow_mut().idle_callers.insert(number, raw.stream());
     let limit = current_limits(core).idle_time;
-    let filled = future::timeout(limit.to_duration(), raw.fill()).await;
-    core.state.borrow_mut().idle_callers.remove(&number);
-    matches!(filled, Ok(Ok(count)) if count > 0)
+    let filling = async { matches!(raw.fill().await, Ok(count) if count > 0) };
+    let ending = async { core.idle_end.recv().await.is_ok() };
+    let waiting = futures_lite::future::or(filling, ending);
+    future::timeout(limit.to_duration(), waiting).await.unwrap_or(false)
 }
 
 fn current_limits(core: &core::GatewayCore) -> policy::CallerLimits {
@@ -252,8 +250,17 @@
         let tokens = terms.prompt.as_ref().map(|prompt| {
             u64::from(prompt.input) + u64::from(prompt.output)
         });
-        if let Err(wait) = state.quota.take(&workspace.id, tokens, now) {
-            let wait = wait.max(time::Millis::new(100));
+        if let Err(wait) = state.quota.take(&workspace.id, tokens, rand::random(), now) {
+            let wait = wait.max(QUOTA_RETRY_MIN);
+            log_event!(
+                event::LogEvent::QuotaUsedUp,
+                request = terms.request.as_deref().unwrap_or("-"),
+                workspace = workspace.id,
+                tokens = tokens.unwrap_or_default(),
+                bucket = state.quota.describe(&workspace.id),
+                daemons = state.quota.daemon_count(),
+                wait = wait,
+            );
             return fail(
                 border::OwnAnswer::OverQuota(wait),
                 reason::RefusalReason::WorkspaceLimit,
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -6,7 +6,7 @@
 use std::rc;
 use std::sync;
 
-use async_std::net;
+use async_std::channel;
 use samphiremoor_base::event;
 use samphiremoor_base::id;
 use samphiremoor_base::log_event;
@@ -65,6 +65,9 @@
     pub incarnation: quantity::Incarnation,
     /// Counters and histograms.
     pub metrics: metrics::GatewayMetrics,
+    /// Closed when idle connections of callers are to be closed; nothing is ever sent on it.
+    pub idle_end: channel::Receiver<()>,
+    idle_end_sender: channel::Sender<()>,
     /// What changes.
     pub state: cell::RefCell<CoreState>,
 }
@@ -87,8 +90,6 @@
     pub wall: wall::WallEstimate,
     /// Idle connections to replicas.
     pub idle: collections::HashMap<id::ReplicaId, Vec<upstream::IdleConnection>>,
-    /// Idle connections of callers, to be closed when the daemon stops.
-    pub idle_callers: collections::HashMap<u64, net::TcpStream>,
     /// When the daemon was told to stop.
     pub stopping: Option<time::MonotonicTime>,
     /// Requests in progress.
@@ -155,7 +156,6 @@
             usage: usage::UsageBook::new(settings.daemon.clone(), incarnation),
             wall,
             idle: collections::HashMap::new(),
-            idle_callers: collections::HashMap::new(),
             stopping: None,
             in_progress: 0,
             left: Vec::new(),
@@ -163,12 +163,15 @@
             peer_prompts: collections::HashMap::new(),
             budgets: collections::HashMap::new(),
         };
+        let (idle_end_sender, idle_end) = channel::bounded(1);
         rc::Rc::new(GatewayCore {
             settings,
             adapter,
             clock,
             incarnation,
             metrics: metrics::GatewayMetrics::default(),
+            idle_end,
+            idle_end_sender,
             state: cell::RefCell::new(state),
         })
     }
@@ -183,6 +186,14 @@
         self.state.borrow().stopping.is_some()
     }
 
+    /// Ends the waits of idle connections of callers, which then close.
+    ///
+    /// A connection on which a request has arrived serves it first: shutting the socket down instead
+    /// would cut off the answer to a request that lies unread in it.
+    pub fn close_idle_callers(&self) {
+        self.idle_end_sender.close();
+    }
+
     /// Whether the daemon can serve.
     pub fn is_ready(&self) -> bool {
         let state = self.state.borrow();
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -241,7 +241,7 @@
         let passed = core.now().since(begun);
         if passed >= LEAVE_TIME && !is_closed {
             is_closed = true;
-            close_idle_callers(core);
+            core.close_idle_callers();
         }
         let in_progress = core.state.borrow().in_progress;
         if passed >= LEAVE_TIME + STOP_INTERVAL && in_progress == 0 {
@@ -254,11 +254,3 @@
     }
     log_event!(event::LogEvent::ProcessStopped, after = core.now().since(begun));
 }
-
-fn close_idle_callers(core: &core::GatewayCore) {
-    for stream in core.state.borrow_mut().idle_callers.drain().map(|(_, stream)| stream) {
-        if let Err(cause) = stream.shutdown(std::net::Shutdown::Both) {
-            log::debug!("an idle connection was closed already ({cause})");
-        }
-    }
-}
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -365,7 +365,7 @@
         }
         let mut state = core.state.borrow_mut();
         state.replicas.note_peer(&found.daemon, &found.loads, now);
-        state.quota.note_peer(&found.daemon, &found.demands, now);
+        state.quota.note_peer(&found.daemon, found.incarnation, &found.demands, now);
         state.usage.note_peer(&found.daemon, found.incarnation, &found.usage);
         state.wall.note_peer(&found.daemon, found.wall_ms as i64, now);
         state.note_peer_prompts(&found.daemon, &found.prompts, now);
