--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -29,6 +29,8 @@
 const ACCEPT_PAUSE: time::Millis = time::Millis::new(50);
 /// Time after which a daemon without a policy may be asked again.
 const NO_POLICY_RETRY: time::Millis = time::Millis::new(700);
+/// Time after which a caller may come back that another daemon can serve at once.
+const ELSEWHERE_RETRY: time::Millis = time::Millis::new(50);
 /// Least time after which a caller over its limit may come back; the debt of one prompt is paid off
 /// in about this time.
 const QUOTA_RETRY_MIN: time::Millis = time::Millis::new(100);
@@ -231,6 +233,10 @@
         (None, border::OwnAnswer::Malformed, reason::RefusalReason::BadHeader)
     })?;
     let fail = |answer, reason| Err((terms.request.clone(), answer, reason));
+    if core.is_leaving() {
+        let answer = border::OwnAnswer::NotRun(ELSEWHERE_RETRY);
+        return fail(answer, reason::RefusalReason::Stopping);
+    }
     let mut state = core.state.borrow_mut();
     let Some(policy) = state.policy.clone() else {
         let answer = border::OwnAnswer::NotRun(NO_POLICY_RETRY);
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -34,6 +34,10 @@
 /// Time for which a departure is told to peers: longer than the table takes to tell them.
 const LEFT_TOLD: time::Millis = time::Millis::new(5_000);
 
+/// Time after the signal to stop in which requests are still taken: the balancer asks once a second
+/// and needs two bad answers. What comes later could not end before the process is killed.
+pub const LEAVE_TIME: time::Millis = time::Millis::new(3_000);
+
 /// Clock that counts from the start of the VM, also while it is suspended.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct SteadyClock;
@@ -200,6 +204,12 @@
         state.stopping.is_none() && state.policy.is_some() && state.replicas.iter().next().is_some()
     }
 
+    /// Whether the daemon was told to stop so long ago that it takes no more requests.
+    pub fn is_leaving(&self) -> bool {
+        let stopping = self.state.borrow().stopping;
+        stopping.is_some_and(|at| self.now().since(at) >= LEAVE_TIME)
+    }
+
     /// Takes over a policy unless a newer one is in force. `source` says where it came from.
     pub fn adopt_policy(&self, update: border::PolicyUpdate, source: &str) {
         let now = self.now();
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -30,9 +30,6 @@
 use crate::settings;
 use crate::upstream;
 
-/// Time after the signal to stop in which new connections still come: the balancer asks once a second
-/// and needs two bad answers.
-const LEAVE_TIME: time::Millis = time::Millis::new(3_000);
 /// Time before the kill at which what is left is given up.
 const KILL_MARGIN: time::Millis = time::Millis::new(300);
 /// Interval between looks at what is still in progress while the daemon stops.
@@ -239,12 +236,12 @@
     loop {
         task::sleep(STOP_INTERVAL.to_duration()).await;
         let passed = core.now().since(begun);
-        if passed >= LEAVE_TIME && !is_closed {
+        if passed >= core::LEAVE_TIME && !is_closed {
             is_closed = true;
             core.close_idle_callers();
         }
         let in_progress = core.state.borrow().in_progress;
-        if passed >= LEAVE_TIME + STOP_INTERVAL && in_progress == 0 {
+        if passed >= core::LEAVE_TIME + STOP_INTERVAL && in_progress == 0 {
             break;
         }
         if passed >= last {
