--- a/crates/fleet/src/quota.rs
+++ b/crates/fleet/src/quota.rs
@@ -28,6 +28,8 @@
 const IDLE_PART: f64 = 0.02;
 /// Part of the burst in a new bucket: a restarted daemon does not know what was spent.
 const FIRST_FILL: f64 = 0.5;
+/// Weight of a request in the average size: some twenty count.
+const MEAN_WEIGHT: f64 = 0.05;
 /// While this part of the burst is left, no daemon needs to mind its share: a workspace that sends far
 /// over its limit never has it.
 const AMPLE_PART: f64 = 0.3;
@@ -69,6 +71,8 @@
     total: f64,
     demand: f64,
     admitted: f64,
+    /// Units of a request, on average.
+    mean: f64,
     recent: collections::VecDeque<(time::MonotonicTime, f64)>,
     at: time::MonotonicTime,
 }
@@ -142,11 +146,12 @@
         draw: f64,
         now: time::MonotonicTime,
     ) -> Result<(), time::Millis> {
-        self.pass(now);
         let Some(bucket) = self.buckets.get_mut(workspace) else { return Ok(()) };
+        pass_one(workspace, bucket, &mut self.peers, now);
         let units = bucket.units(tokens);
         bucket.demand += units;
-        if bucket.may_take(units, draw) {
+        bucket.mean += MEAN_WEIGHT * (units - bucket.mean);
+        if bucket.may_take(draw) {
             bucket.level -= units;
             bucket.total += units;
             bucket.admitted += units;
@@ -194,16 +199,7 @@
     /// Fills the buckets up to now, and takes off what silent peers are assumed to admit.
     fn pass(&mut self, now: time::MonotonicTime) {
         for (workspace, bucket) in &mut self.buckets {
-            let passed = bucket.pass(now);
-            for peer in self.peers.values_mut() {
-                if now.since(peer.at) < SILENT_TIME {
-                    continue;
-                }
-                let Some(line) = peer.lines.get_mut(workspace) else { continue };
-                let assumed = line.admitted * passed.get() as f64 / 1_000.0;
-                line.assumed += assumed;
-                bucket.level -= assumed;
-            }
+            pass_one(workspace, bucket, &mut self.peers, now);
         }
         self.peers.retain(|_, peer| now.since(peer.at) < PEER_MEMORY);
     }
@@ -220,6 +216,27 @@
     }
 }
 
+fn pass_one(
+    workspace: &id::WorkspaceId,
+    bucket: &mut QuotaBucket,
+    peers: &mut collections::BTreeMap<id::DaemonId, PeerUse>,
+    now: time::MonotonicTime,
+) {
+    let passed = bucket.pass(now);
+    if passed.get() == 0 {
+        return;
+    }
+    for peer in peers.values_mut() {
+        if now.since(peer.at) < SILENT_TIME {
+            continue;
+        }
+        let Some(line) = peer.lines.get_mut(workspace) else { continue };
+        let assumed = line.admitted * passed.get() as f64 / 1_000.0;
+        line.assumed += assumed;
+        bucket.level -= assumed;
+    }
+}
+
 impl QuotaBucket {
     fn new(rule: policy::QuotaRule, now: time::MonotonicTime) -> Self {
         QuotaBucket {
@@ -229,6 +246,7 @@
             total: 0.0,
             demand: 0.0,
             admitted: 0.0,
+            mean: 0.0,
             recent: collections::VecDeque::new(),
             at: now,
         }
@@ -248,15 +266,17 @@
         passed
     }
 
-    fn may_take(&self, units: f64, draw: f64) -> bool {
+    /// Whether a request passes; its own size does not count, so that all sizes pass alike.
+    fn may_take(&self, draw: f64) -> bool {
         if self.level <= 0.0 {
             return false;
         }
+        if self.level >= self.rule.burst * AMPLE_PART {
+            return true;
+        }
         let recent: f64 = self.recent.iter().map(|(_, units)| *units).sum();
-        let own = self.part * (self.level + recent);
-        let is_ample = self.level - units >= self.rule.burst * AMPLE_PART;
-        let may_owe = recent == 0.0 && draw < self.part * DEBTORS;
-        recent + units <= own || is_ample || may_owe
+        let left = self.part * (self.level + recent) - recent;
+        left >= self.mean || (left > 0.0 && draw < self.part * DEBTORS)
     }
 
     fn units(&self, tokens: Option<u64>) -> f64 {
