--- a/crates/fleet/src/capacity.rs
+++ b/crates/fleet/src/capacity.rs
@@ -18,14 +18,16 @@
 /// Part of the time that a replica may spend on reading prompts: above it, queues of prompts grow.
 const PROMPT_FILL: f64 = 0.6;
 /// Reclaimable replicas held for each one that is needed: two zones of four may be taken back before
-/// new ones are to be had.
-const RECLAIMABLE_SPARE: f64 = 1.7;
-/// Other replicas held for each one that is needed.
-const STEADY_PART: f64 = 0.1;
-/// What is left must cover this part of the need; below it, other replicas are ordered.
-const COVERED_PART: f64 = 0.6;
-/// Part of the replicas that are there at first that counts as needed until load was seen.
-const FIRST_PART: f64 = 0.75;
+/// new ones are to be had, and a burst comes faster than a VM starts.
+const RECLAIMABLE_SPARE: f64 = 2.0;
+/// Other replicas that stay in each zone, so that no zone is left without any.
+const STEADY_FLOOR: u32 = 1;
+/// Other replicas are ordered while less than this part of the need is covered.
+const SHORT_PART: f64 = 0.6;
+/// They are given back once the rest covers this part of the need.
+const ENOUGH_PART: f64 = 0.9;
+/// Time in which a measured need fades to about a third; shorter, a queue of a second counts in full.
+const NEED_WINDOW: time::Millis = time::Millis::new(2_000);
 /// A need counts for this long after it was measured, so that the next crest finds its replicas.
 const NEED_HELD: time::Millis = time::Millis::new(20_000);
 /// Time after which an order that was refused is tried again.
@@ -35,7 +37,11 @@
 /// A fleet that was not looked at before is watched for this long: replicas that were there register
 /// one after the other after a start of the whole deployment.
 const SETTLE_TIME: time::Millis = time::Millis::new(4_000);
-/// Time for which what is left must be enough before other replicas are given back.
+/// Part of the replicas that are there at first that counts as needed until load was seen.
+const FIRST_PART: f64 = 0.75;
+/// Time for which load must have been seen before replicas that were there at first are given back.
+const FIRST_LOAD_TIME: time::Millis = time::Millis::new(5_000);
+/// Time for which the rest must be enough before other replicas are given back.
 const SURPLUS_TIME: time::Millis = time::Millis::new(2_500);
 
 /// Replicas of a service in one zone that take requests.
@@ -87,10 +93,15 @@
 /// Planner of one service.
 #[derive(Clone, Debug, Default)]
 pub struct CapacityPlanner {
+    need: f64,
     needs: collections::VecDeque<(time::MonotonicTime, f64)>,
+    planned_at: Option<time::MonotonicTime>,
     orders: collections::BTreeMap<(id::ZoneId, bool), PlacedOrder>,
     enough_since: Option<time::MonotonicTime>,
     first_look: Option<time::MonotonicTime>,
+    first_load: Option<time::MonotonicTime>,
+    /// Other replicas over the floor of each zone; unknown before the first plan.
+    extra: Option<u32>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -116,8 +127,6 @@
         load: &ServiceLoad,
         now: time::MonotonicTime,
     ) -> Vec<CapacityOrder> {
-        let total_steady: u32 = supply.values().map(|zone| zone.steady).sum();
-        let total_reclaimable: u32 = supply.values().map(|zone| zone.reclaimable).sum();
         if supply.is_empty() {
             return Vec::new();
         }
@@ -125,41 +134,34 @@
         if now.since(first_look) < SETTLE_TIME {
             return Vec::new();
         }
-        let need = self.held_need(Self::need(load), f64::from(total_steady) * FIRST_PART, now);
-        let zones = supply.len() as f64;
-        let steady_floor = (need * STEADY_PART / zones).ceil().max(f64::from(rule.min)) as u32;
+        let steady: u32 = supply.values().map(|zone| zone.steady).sum();
+        let reclaimable: u32 = supply.values().map(|zone| zone.reclaimable).sum();
+        let zones = supply.len() as u32;
+        let floor = STEADY_FLOOR.max(if rule.reclaimable_price.is_none() { rule.min } else { 0 });
+        let held = self.held_need(load, f64::from(steady + reclaimable), now);
+        let extra = self.extra_steady(steady, reclaimable, floor * zones, now);
         let reclaimable_each = match rule.reclaimable_price {
-            Some(_) => (need * RECLAIMABLE_SPARE / zones).ceil() as u32,
+            Some(_) => (held * RECLAIMABLE_SPARE / f64::from(zones)).ceil() as u32,
             None => 0,
         };
-        let have = f64::from(total_steady + total_reclaimable);
-        let floors = steady_floor * supply.len() as u32;
-        let without_surplus = f64::from(total_reclaimable + floors.min(total_steady));
-        let is_enough = without_surplus >= need * COVERED_PART;
-        self.enough_since = match self.enough_since {
-            Some(since) if is_enough => Some(since),
-            _ => is_enough.then_some(now),
+        let mut extra = match rule.reclaimable_price {
+            Some(_) => extra,
+            None => (held.ceil() as u32).saturating_sub(floor * zones),
         };
-        let may_lower =
-            self.enough_since.is_some_and(|since| now.since(since) >= SURPLUS_TIME);
-        let missing = (need * COVERED_PART - have).ceil().max(0.0) as u32;
-        let mut extra = missing;
+        let mut left = zones;
         let mut orders = Vec::new();
         for (zone, present) in by_price(supply, rule) {
-            let mut steady = match may_lower {
-                true => steady_floor,
-                false => present.steady.max(steady_floor),
-            };
-            let reclaimable = reclaimable_each.min(rule.max.saturating_sub(steady_floor));
-            let room = rule.max.saturating_sub(steady.max(present.steady) + present.reclaimable);
-            let added = extra.min(room).min(missing.div_ceil(supply.len() as u32));
-            steady += added;
+            // The cheapest zones take their part first, and what the others have no room for.
+            let part = extra.div_ceil(left);
+            left -= 1;
+            let room = rule.max.saturating_sub(floor + present.reclaimable);
+            let added = part.min(room);
             extra -= added;
-            let reclaimable = reclaimable.min(rule.max.saturating_sub(steady));
+            let steady = floor + added;
             self.order(service, zone, false, steady, present.steady, now, &mut orders);
             if rule.reclaimable_price.is_some() {
-                let have = present.reclaimable;
-                self.order(service, zone, true, reclaimable, have, now, &mut orders);
+                let wanted = reclaimable_each.min(rule.max.saturating_sub(steady));
+                self.order(service, zone, true, wanted, present.reclaimable, now, &mut orders);
             }
         }
         orders
@@ -173,14 +175,46 @@
         }
     }
 
+    /// Other replicas over the floors: ordered while too little is left, given back after a while with
+    /// enough.
+    fn extra_steady(
+        &mut self,
+        steady: u32,
+        reclaimable: u32,
+        floors: u32,
+        now: time::MonotonicTime,
+    ) -> u32 {
+        let extra = self.extra.unwrap_or(steady.saturating_sub(floors));
+        let have = f64::from(steady + reclaimable);
+        let missing = (self.need * SHORT_PART - have).ceil().max(0.0) as u32;
+        let is_enough = f64::from(reclaimable + floors.min(steady)) >= self.need * ENOUGH_PART;
+        self.enough_since = is_enough.then(|| self.enough_since.unwrap_or(now));
+        let is_loaded =
+            self.first_load.is_some_and(|since| now.since(since) >= FIRST_LOAD_TIME);
+        let is_surplus =
+            self.enough_since.is_some_and(|since| now.since(since) >= SURPLUS_TIME);
+        let extra = match (missing, is_loaded && is_surplus) {
+            (0, true) => 0,
+            (0, false) => extra,
+            (missing, _) => extra.max((steady + missing).saturating_sub(floors)),
+        };
+        self.extra = Some(extra);
+        extra
+    }
+
     /// The need that counts now: the greatest one of late, before any load the fleet as it is.
-    fn held_need(&mut self, need: f64, present: f64, now: time::MonotonicTime) -> f64 {
-        if self.needs.is_empty() {
-            self.needs.push_back((now, present));
+    fn held_need(&mut self, load: &ServiceLoad, present: f64, now: time::MonotonicTime) -> f64 {
+        let passed = self.planned_at.map_or(0, |at| now.since(at).get()) as f64;
+        self.planned_at = Some(now);
+        let kept = (-passed / NEED_WINDOW.get() as f64).exp();
+        self.need = Self::need(load) + (self.need - Self::need(load)) * kept;
+        if load.running > 0.0 {
+            self.first_load.get_or_insert(now);
         }
-        if self.needs.back().is_none_or(|(at, _)| now.since(*at).get() >= 500) {
-            self.needs.push_back((now, need));
+        if self.needs.is_empty() {
+            self.needs.push_back((now, present * FIRST_PART));
         }
+        self.needs.push_back((now, self.need));
         while self.needs.front().is_some_and(|(at, _)| now.since(*at) > NEED_HELD) {
             self.needs.pop_front();
         }
