--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -15,8 +15,10 @@
 const FIRST_MS_PER_KTOKEN: f64 = 18.0;
 /// Bounds of what is believed of an engine.
 const MS_PER_KTOKEN: (f64, f64) = (2.0, 200.0);
-/// Weight of one measured first token in the average: some thirty count.
-const SAMPLE_WEIGHT: f64 = 0.03;
+/// Part of the weight that a sample keeps with each further one: some hundred count.
+const SAMPLE_KEPT: f64 = 0.99;
+/// Samples that are worth a guess before any: the first ones must not throw the forecast about.
+const PRIOR_SAMPLES: f64 = 5.0;
 /// Parts of the target latency that the forecast may reach, by urgency; forecasts are about right at
 /// the median, so the most urgent requests are given room for error.
 const PATIENCE: [f64; 4] = [2.0, 1.2, 0.8, 0.6];
@@ -25,17 +27,52 @@
 /// Returning callers are spread over this part of the time on top, so that they don't come as a wave.
 const RETRY_SPREAD: f64 = 0.5;
 
-/// The least time to a first token is forgotten by this part with each sample, so that a service that
-/// became slower is seen within some hundred requests.
-const BASE_RISE: f64 = 0.002;
-/// Prompts at least this large tell the time for a thousand tokens; small ones tell the base alone.
-const PACE_TOKENS: f64 = 1_000.0;
-
-/// What engines of a service take for prompts: a base for any first token, and a time by tokens.
-#[derive(Clone, Copy, Debug)]
+/// What engines of a service take for prompts: a line through the first tokens of late, with a base
+/// for any first token and a slope by prompt tokens.
+#[derive(Clone, Copy, Debug, Default)]
 struct EnginePace {
-    base_ms: Option<f64>,
-    ms_per_ktoken: f64,
+    samples: f64,
+    ktokens: f64,
+    first_ms: f64,
+    ktokens_squared: f64,
+    product: f64,
+}
+
+impl EnginePace {
+    fn sample(&mut self, ktokens: f64, first_ms: f64) {
+        for sum in [
+            &mut self.samples,
+            &mut self.ktokens,
+            &mut self.first_ms,
+            &mut self.ktokens_squared,
+            &mut self.product,
+        ] {
+            *sum *= SAMPLE_KEPT;
+        }
+        self.samples += 1.0;
+        self.ktokens += ktokens;
+        self.first_ms += first_ms;
+        self.ktokens_squared += ktokens * ktokens;
+        self.product += ktokens * first_ms;
+    }
+
+    /// Base in ms and slope in ms for a thousand tokens.
+    fn line(&self) -> (f64, f64) {
+        if self.samples < 1.0 {
+            return (0.0, FIRST_MS_PER_KTOKEN);
+        }
+        let (mean_x, mean_y) = (self.ktokens / self.samples, self.first_ms / self.samples);
+        let spread = self.ktokens_squared - self.ktokens * mean_x;
+        let common = self.product - self.ktokens * mean_y;
+        // The guess counts as samples with the same spread as those that came.
+        let prior = PRIOR_SAMPLES / self.samples * spread;
+        let slope = match spread > 0.0 {
+            true => (common + prior * FIRST_MS_PER_KTOKEN) / (spread + prior),
+            false => FIRST_MS_PER_KTOKEN,
+        };
+        let slope = slope.clamp(MS_PER_KTOKEN.0, MS_PER_KTOKEN.1);
+        ((mean_y - slope * mean_x).max(0.0), slope)
+    }
 }
 
 /// Forecasts of first tokens, by service.
@@ -65,26 +102,18 @@
     /// Notes a first token that came after `first` behind `ahead` prompt tokens.
     pub fn sample(&mut self, service: &id::ServiceId, ahead: f64, first: time::Millis) {
         let pace = self.paces.entry(service.clone()).or_default();
-        let first_ms = first.get() as f64;
-        let base = pace.base_ms.map_or(first_ms, |base| (base * (1.0 + BASE_RISE)).min(first_ms));
-        pace.base_ms = Some(base);
-        if ahead < PACE_TOKENS {
-            return;
-        }
-        let measured = (first_ms - base) * 1_000.0 / ahead;
-        let sample = measured.clamp(MS_PER_KTOKEN.0, MS_PER_KTOKEN.1);
-        pace.ms_per_ktoken += SAMPLE_WEIGHT * (sample - pace.ms_per_ktoken);
+        pace.sample(ahead / 1_000.0, first.get() as f64);
     }
 
     /// Time of an engine for a thousand prompt tokens, in ms.
     pub fn ms_per_ktoken(&self, service: &id::ServiceId) -> f64 {
-        self.paces.get(service).copied().unwrap_or_default().ms_per_ktoken
+        self.paces.get(service).copied().unwrap_or_default().line().1
     }
 
     /// Forecast of the time to a first token, in ms.
     pub fn first_ms(&self, service: &id::ServiceId, ahead: f64) -> f64 {
-        let pace = self.paces.get(service).copied().unwrap_or_default();
-        pace.base_ms.unwrap_or(0.0) + ahead * pace.ms_per_ktoken / 1_000.0
+        let (base_ms, slope) = self.paces.get(service).copied().unwrap_or_default().line();
+        base_ms + ahead * slope / 1_000.0
     }
 
     /// Admits a request, or says after which time a later try can help.
@@ -103,12 +132,6 @@
     }
 }
 
-impl Default for EnginePace {
-    fn default() -> Self {
-        EnginePace { base_ms: None, ms_per_ktoken: FIRST_MS_PER_KTOKEN }
-    }
-}
-
 /// A time to come back, spread over callers.
 pub fn spread(wait_ms: f64, draw: f64) -> time::Millis {
     let spread = wait_ms * (1.0 + RETRY_SPREAD * draw);
--- a/crates/fleet/src/capacity.rs
+++ b/crates/fleet/src/capacity.rs
@@ -189,10 +189,8 @@
         let missing = (self.need * SHORT_PART - have).ceil().max(0.0) as u32;
         let is_enough = f64::from(reclaimable + floors.min(steady)) >= self.need * ENOUGH_PART;
         self.enough_since = is_enough.then(|| self.enough_since.unwrap_or(now));
-        let is_loaded =
-            self.first_load.is_some_and(|since| now.since(since) >= FIRST_LOAD_TIME);
-        let is_surplus =
-            self.enough_since.is_some_and(|since| now.since(since) >= SURPLUS_TIME);
+        let is_loaded = self.first_load.is_some_and(|since| now.since(since) >= FIRST_LOAD_TIME);
+        let is_surplus = self.enough_since.is_some_and(|since| now.since(since) >= SURPLUS_TIME);
         let extra = match (missing, is_loaded && is_surplus) {
             (0, true) => 0,
             (0, false) => extra,
@@ -238,7 +236,7 @@
             Some(placed) => {
                 let age = now.since(placed.at);
                 let is_open = match placed.answer {
-                    OrderAnswer::Taken => age >= REPEAT_PAUSE && present < count,
+                    OrderAnswer::Taken => age >= REPEAT_PAUSE && present != count,
                     OrderAnswer::Refused => age >= REFUSED_PAUSE,
                     OrderAnswer::Unknown => age >= REFUSED_PAUSE,
                 };
--- a/crates/fleet/src/duty.rs
+++ b/crates/fleet/src/duty.rs
@@ -120,11 +120,7 @@
 
     /// What is to be done now, if anything. `patience` is this daemon's extra wait before it takes
     /// the lease, so that not all try at once.
-    pub fn step(
-        &mut self,
-        now: time::MonotonicTime,
-        patience: time::Millis,
-    ) -> Option<DutyAction> {
+    pub fn step(&mut self, now: time::MonotonicTime, patience: time::Millis) -> Option<DutyAction> {
         if self.asked_at.is_some_and(|at| now.since(at) < ANSWER_TIME) {
             return None;
         }
@@ -168,9 +164,8 @@
         } else if self.held.is_none() {
             // A write whose answer was lost took effect at an unknown instant before this read: a
             // further write must be acknowledged before anything is done under the lease.
-            let renewed_at = time::MonotonicTime::new(
-                asked.get().saturating_sub(self.lease_time.get()),
-            );
+            let renewed_at =
+                time::MonotonicTime::new(asked.get().saturating_sub(self.lease_time.get()));
             self.held = Some(HeldDuty { fence: row.fence, renewed_at });
         }
     }
--- a/crates/fleet/src/placing.rs
+++ b/crates/fleet/src/placing.rs
@@ -145,10 +145,7 @@
     best.map(|(_, choice)| choice)
 }
 
-fn choose_plain(
-    table: &replica::ReplicaTable,
-    query: &PlacingQuery<'_>,
-) -> Option<PlacingChoice> {
+fn choose_plain(table: &replica::ReplicaTable, query: &PlacingQuery<'_>) -> Option<PlacingChoice> {
     let cost = |known: &replica::KnownReplica| {
         let load = table.load(known, query.now);
         let far = if known.entry.zone == *query.zone { 0.0 } else { FAR_SLOT };
--- a/crates/fleet/src/wall.rs
+++ b/crates/fleet/src/wall.rs
@@ -37,12 +37,7 @@
     }
 
     /// A peer tells its estimate.
-    pub fn note_peer(
-        &mut self,
-        daemon: &id::DaemonId,
-        wall_ms: i64,
-        now: time::MonotonicTime,
-    ) {
+    pub fn note_peer(&mut self, daemon: &id::DaemonId, wall_ms: i64, now: time::MonotonicTime) {
         let difference = wall_ms - self.own(now);
         self.peers.insert(daemon.clone(), (now, difference));
         self.peers.retain(|_, (at, _)| now.since(*at) < PEER_BELIEVED);
--- /dev/null
+++ b/crates/fleet/tests/placing.rs
@@ -0,0 +1,182 @@
+//! Choice of replicas: locality of prompts against load, failures, departures.
+
+use std::collections;
+
+use samphiremoor_base::id;
+use samphiremoor_base::quantity;
+use samphiremoor_base::time;
+use samphiremoor_fleet::digest;
+use samphiremoor_fleet::placing;
+use samphiremoor_fleet::replica;
+
+const NOW: time::MonotonicTime = time::MonotonicTime::new(100_000);
+
+fn service() -> id::ServiceId {
+    "drafts".parse().expect("the name is an identifier")
+}
+
+fn zone(index: usize) -> id::ZoneId {
+    format!("zone-{}", index % 4).parse().expect("the name is an identifier")
+}
+
+fn replica_id(index: usize) -> id::ReplicaId {
+    format!("replica-{index}").parse().expect("the name is an identifier")
+}
+
+fn entry(index: usize, born: u64) -> replica::ReplicaEntry {
+    replica::ReplicaEntry {
+        id: replica_id(index),
+        service: service(),
+        address: format!("10.0.0.{index}:80").parse().expect("it is an address"),
+        zone: zone(index),
+        slots: 64,
+        is_draining: false,
+        born: quantity::Incarnation::new(born),
+        is_reclaimable: false,
+        leaves_in: None,
+    }
+}
+
+fn table(count: usize) -> replica::ReplicaTable {
+    let mut table = replica::ReplicaTable::default();
+    for index in 0..count {
+        table.put(entry(index, 1));
+    }
+    table
+}
+
+fn prompt(subject: u64, shared: u32, own: u32) -> placing::PromptSize {
+    let parts = [
+        placing::PromptPart { key: 1, tokens: 500 },
+        placing::PromptPart { key: subject, tokens: shared },
+        placing::PromptPart { key: subject * 1_000 + u64::from(own), tokens: own },
+    ];
+    placing::PromptSize {
+        input: 500 + shared + own,
+        output: 400,
+        parts: parts.into_iter().collect(),
+    }
+}
+
+fn choose(
+    table: &replica::ReplicaTable,
+    prompt: Option<&placing::PromptSize>,
+    avoided: &[id::ReplicaId],
+) -> Option<placing::PlacingChoice> {
+    let (service, zone) = (service(), zone(0));
+    let query = placing::PlacingQuery {
+        service: &service,
+        zone: &zone,
+        prompt,
+        avoided,
+        draw: 0.5,
+        now: NOW,
+    };
+    placing::choose(table, &query)
+}
+
+fn add_pending(table: &mut replica::ReplicaTable, id: &id::ReplicaId, tokens: u32) {
+    let known = table.get_mut(id).expect("it is known");
+    known.own.pending += tokens;
+    known.own.running += 1;
+}
+
+// Load pattern: many sessions about few subjects, taken by several daemons.
+#[test]
+fn daemons_agree_on_the_home_of_a_subject() {
+    let one = table(12);
+    let mut other = table(12);
+    // The other daemon has some load of its own and heard of some.
+    add_pending(&mut other, &replica_id(3), 300);
+    for subject in 1..200 {
+        let prompt = prompt(subject, 4_800, 900);
+        let left = choose(&one, Some(&prompt), &[]).expect("replicas are open");
+        let right = choose(&other, Some(&prompt), &[]).expect("replicas are open");
+        assert_eq!(left.replica, right.replica);
+        assert_eq!(left.unread, 900, "the home has the shared parts");
+    }
+}
+
+#[test]
+fn subjects_are_spread_over_replicas() {
+    let table = table(12);
+    let mut counts: collections::BTreeMap<id::ReplicaId, u32> = collections::BTreeMap::new();
+    for subject in 1..1_201 {
+        let prompt = prompt(subject, 4_800, 900);
+        let choice = choose(&table, Some(&prompt), &[]).expect("replicas are open");
+        *counts.entry(choice.replica).or_default() += 1;
+    }
+    assert_eq!(counts.len(), 12);
+    assert!(counts.values().all(|count| (50..200).contains(count)), "{counts:?}");
+}
+
+// Load pattern: one subject gets a third of the traffic. Its home must not get all of it.
+#[test]
+fn a_hot_subject_overflows_to_other_replicas() {
+    let mut table = table(12);
+    let mut used = collections::BTreeSet::new();
+    for own in 0..40 {
+        let prompt = prompt(7, 4_800, 1_000 + own);
+        let choice = choose(&table, Some(&prompt), &[]).expect("replicas are open");
+        add_pending(&mut table, &choice.replica, choice.unread);
+        used.insert(choice.replica);
+    }
+    assert_eq!(used.len(), 12, "a burst of one subject is worked off by all replicas");
+}
+
+// Load pattern: a burst of unrelated prompts within one digest interval.
+#[test]
+fn a_burst_is_spread_by_what_is_unread() {
+    let mut table = table(6);
+    for subject in 0..60 {
+        let size = if subject % 6 == 0 { 20_000 } else { 1_000 };
+        let prompt = prompt(subject + 1, 0, size);
+        let choice = choose(&table, Some(&prompt), &[]).expect("replicas are open");
+        add_pending(&mut table, &choice.replica, choice.unread);
+    }
+    let pending: Vec<u32> = table.iter().map(|known| known.own.pending).collect();
+    let (least, most) = (pending.iter().min(), pending.iter().max());
+    assert!(most.zip(least).is_some_and(|(most, least)| most - least <= 21_000), "{pending:?}");
+}
+
+#[test]
+fn the_peers_load_counts() {
+    let mut table = table(2);
+    let load = replica::ReplicaLoad { running: 40, pending: 30_000 };
+    let line = digest::LoadLine { replica: replica_id(0), load };
+    table.note_peer(&"other".parse().expect("it is an identifier"), &[line], NOW);
+    let prompt = prompt(1, 0, 1_000);
+    let choice = choose(&table, Some(&prompt), &[]).expect("replicas are open");
+    assert_eq!(choice.replica, replica_id(1));
+}
+
+#[test]
+fn a_replica_that_was_tried_is_avoided() {
+    let table = table(2);
+    let choice = choose(&table, None, &[replica_id(0)]).expect("one is left");
+    assert_eq!(choice.replica, replica_id(1));
+    assert_eq!(choose(&table, None, &[replica_id(0), replica_id(1)]), None);
+}
+
+#[test]
+fn a_failing_replica_gets_little_and_is_tried_again() {
+    let mut table = table(4);
+    for _ in 0..30 {
+        table.get_mut(&replica_id(0)).expect("it is known").note_answer(true, NOW);
+    }
+    let choice = choose(&table, None, &[]).expect("replicas are open");
+    assert_ne!(choice.replica, replica_id(0));
+    let later = time::MonotonicTime::new(NOW.get() + 30_000);
+    let share = table.get(&replica_id(0)).expect("it is known").failure_share(later);
+    assert!(share < 0.01, "{share}");
+}
+
+#[test]
+fn plain_calls_stay_in_their_zone_while_it_has_room() {
+    let mut table = table(4);
+    let choice = choose(&table, None, &[]).expect("replicas are open");
+    assert_eq!(choice.replica, replica_id(0));
+    table.get_mut(&replica_id(0)).expect("it is known").own.running = 12;
+    let choice = choose(&table, None, &[]).expect("replicas are open");
+    assert_ne!(choice.replica, replica_id(0));
+}
--- a/crates/fleet/tests/policy.rs
+++ b/crates/fleet/tests/policy.rs
@@ -9,9 +9,9 @@
 use samphiremoor_fleet::policy;
 
 fn route(name: &str, prefix: &str, targets: &[(&str, u32)]) -> policy::RouteRule {
-    let targets = targets.iter().map(|(service, weight)| {
-        (service.parse().expect("the name is an identifier"), *weight)
-    });
+    let targets = targets
+        .iter()
+        .map(|(service, weight)| (service.parse().expect("the name is an identifier"), *weight));
     policy::RouteRule {
         name: name.into(),
         host: "desk.example".into(),
--- a/crates/fleet/tests/quota.rs
+++ b/crates/fleet/tests/quota.rs
@@ -49,7 +49,8 @@
 
 fn keeper() -> quota::QuotaKeeper {
     let mut keeper = quota::QuotaKeeper::default();
-    let quota = policy::QuotaRule { rate: RATE, burst: RATE, counts_tokens: true, plain_tokens: 200 };
+    let quota =
+        policy::QuotaRule { rate: RATE, burst: RATE, counts_tokens: true, plain_tokens: 200 };
     let rule = policy::WorkspaceRule { id: workspace(), priority: None, quota: Some(quota) };
     keeper.configure(&[sync::Arc::new(rule)], time::MonotonicTime::new(0));
     keeper
@@ -81,7 +82,8 @@
             let size = 300.0 * (draws.random::<f64>() * 5.2).exp();
             owed -= size;
             // Half of the callers come to a quarter of the daemons.
-            let spread = if draws.random() { situation.daemons.div_ceil(4) } else { situation.daemons };
+            let spread =
+                if draws.random() { situation.daemons.div_ceil(4) } else { situation.daemons };
             let daemon = draws.random_range(0..spread);
             let draw = draws.random();
             asked += size;
@@ -102,7 +104,8 @@
         let is_cut = |daemon: usize| daemon < situation.cut && (10_000..18_000).contains(&now_ms);
         for from in 0..situation.daemons {
             // Daemons tell each other at instants of their own.
-            if (now_ms + from as u64 * 37 / STEP_MS * STEP_MS) % DIGEST_MS != 0 {
+            let own_instant = from as u64 * 37 / STEP_MS * STEP_MS;
+            if !(now_ms + own_instant).is_multiple_of(DIGEST_MS) {
                 continue;
             }
             let lines = keepers[from].0.lines(now);
@@ -124,7 +127,12 @@
 
 fn check_bound(situation: Situation) {
     let outcome = play(&situation);
-    assert!(outcome.fullest <= bound(), "{} units in a window, {} allowed", outcome.fullest, bound());
+    assert!(
+        outcome.fullest <= bound(),
+        "{} units in a window, {} allowed",
+        outcome.fullest,
+        bound()
+    );
 }
 
 /// Compares with one daemon, whose bucket is the limit itself: spreading it may cost one in a hundred.
--- a/crates/gateway/src/border.rs
+++ b/crates/gateway/src/border.rs
@@ -161,10 +161,8 @@
     ) -> Result<(Vec<replica::ReplicaEntry>, TableCursor), table::PlatformError>;
 
     /// Replica entries that changed.
-    async fn entry_changes(
-        &self,
-        after: TableCursor,
-    ) -> Result<EntryChanges, table::PlatformError>;
+    async fn entry_changes(&self, after: TableCursor)
+    -> Result<EntryChanges, table::PlatformError>;
 }
 
 /// Calls to the cloud that one daemon makes for all.
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -62,25 +62,20 @@
 }
 
 /// Serves the next request; false where the connection is over.
-async fn serve_next(
-    core: &rc::Rc<core::GatewayCore>,
-    raw: &mut connection::RawConnection,
-) -> bool {
+async fn serve_next(core: &rc::Rc<core::GatewayCore>, raw: &mut connection::RawConnection) -> bool {
     if !await_request(core, raw).await {
         return false;
     }
     let arrived = core.now();
     let limits = current_limits(core);
-    let head = match future::timeout(
-        limits.header_time.to_duration(),
-        raw.request_head(limits.header),
-    )
-    .await
-    {
-        Ok(Ok(head)) => head,
-        Ok(Err(cause)) => return refuse_unread(core, raw, own_answer(&cause)).await,
-        Err(_) => return refuse_unread(core, raw, Some(border::OwnAnswer::TooSlow)).await,
-    };
+    let head =
+        match future::timeout(limits.header_time.to_duration(), raw.request_head(limits.header))
+            .await
+        {
+            Ok(Ok(head)) => head,
+            Ok(Err(cause)) => return refuse_unread(core, raw, own_answer(&cause)).await,
+            Err(_) => return refuse_unread(core, raw, Some(border::OwnAnswer::TooSlow)).await,
+        };
     let body = match read_body(core, raw, &head, &limits).await {
         Ok(body) => body,
         Err(answer) => return refuse_unread(core, raw, answer).await,
@@ -253,9 +248,8 @@
     };
     let now = core.now();
     if let Some(workspace) = workspace {
-        let tokens = terms.prompt.as_ref().map(|prompt| {
-            u64::from(prompt.input) + u64::from(prompt.output)
-        });
+        let tokens =
+            terms.prompt.as_ref().map(|prompt| u64::from(prompt.input) + u64::from(prompt.output));
         if let Err(wait) = state.quota.take(&workspace.id, tokens, rand::random(), now) {
             let wait = wait.max(QUOTA_RETRY_MIN);
             log_event!(
@@ -267,10 +261,7 @@
                 daemons = state.quota.daemon_count(),
                 wait = wait,
             );
-            return fail(
-                border::OwnAnswer::OverQuota(wait),
-                reason::RefusalReason::WorkspaceLimit,
-            );
+            return fail(border::OwnAnswer::OverQuota(wait), reason::RefusalReason::WorkspaceLimit);
         }
     }
     let patience = terms.patience.unwrap_or(DEFAULT_PATIENCE).min(route.timeout);
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -36,11 +36,7 @@
 
     fn note_answer(&mut self) {
         if std::mem::take(&mut self.is_lost) {
-            log_event!(
-                event::LogEvent::PlatformBack,
-                call = self.name,
-                failures = self.failures,
-            );
+            log_event!(event::LogEvent::PlatformBack, call = self.name, failures = self.failures,);
         }
         self.failures = 0;
     }
@@ -99,7 +95,8 @@
                 newest = next.map_or(newest, |next| next.max(newest));
                 cursor = next;
                 let is_empty = core.state.borrow().replicas.iter().next().is_none();
-                let pause = if is_empty || cursor.is_none() { FIRST_INTERVAL } else { ENTRY_INTERVAL };
+                let pause =
+                    if is_empty || cursor.is_none() { FIRST_INTERVAL } else { ENTRY_INTERVAL };
                 task::sleep(pause.to_duration()).await;
             }
             Err(cause) => {
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -102,7 +102,8 @@
     pub left: Vec<(time::MonotonicTime, id::ReplicaId, quantity::Incarnation)>,
     /// Prompt tokens sent to each service since the last look.
     pub prompts: collections::HashMap<id::ServiceId, PromptMeter>,
-    peer_prompts: collections::HashMap<id::DaemonId, (time::MonotonicTime, Vec<digest::ServiceDemand>)>,
+    peer_prompts:
+        collections::HashMap<id::DaemonId, (time::MonotonicTime, Vec<digest::ServiceDemand>)>,
     budgets: collections::HashMap<id::ServiceId, budget::RetryBudget>,
 }
 
@@ -149,8 +150,10 @@
         let now = clock.now();
         let wall = wall::WallEstimate::new(clock.wall(), now);
         // Lives of one daemon differ by their start; a jump of the clock makes them no less different.
-        let incarnation =
-            quantity::Incarnation::new(u64::try_from(clock.wall()).unwrap_or(0) * 1_000 + u64::from(std::process::id() % 1_000));
+        let incarnation = quantity::Incarnation::new(
+            u64::try_from(clock.wall()).unwrap_or(0) * 1_000
+                + u64::from(std::process::id() % 1_000),
+        );
         let state = CoreState {
             policy: None,
             policy_text: sync::Arc::from(&[][..]),
@@ -247,7 +250,11 @@
                     );
                 }
                 replica::ReplicaChange::Leaving(replica) => {
-                    log_event!(event::LogEvent::UpstreamLeaving, replica = replica, source = source);
+                    log_event!(
+                        event::LogEvent::UpstreamLeaving,
+                        replica = replica,
+                        source = source
+                    );
                     let born = state.replicas.get(replica).map(|known| known.entry.born);
                     state.left.push((now, replica.clone(), born.unwrap_or_default()));
                     state.idle.remove(replica);
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -134,8 +134,7 @@
 }
 
 fn watch_signals(sender: channel::Sender<i32>) -> io::Result<()> {
-    let mut signals =
-        iterator::Signals::new([consts::SIGTERM, consts::SIGINT, consts::SIGHUP])?;
+    let mut signals = iterator::Signals::new([consts::SIGTERM, consts::SIGINT, consts::SIGHUP])?;
     let watch = move || {
         for signal in signals.forever() {
             if sender.try_send(signal).is_err() {
@@ -227,10 +226,7 @@
 async fn stop(core: &rc::Rc<core::GatewayCore>) {
     let begun = core.now();
     core.state.borrow_mut().stopping = Some(begun);
-    log_event!(
-        event::LogEvent::ProcessStopping,
-        in_progress = core.state.borrow().in_progress,
-    );
+    log_event!(event::LogEvent::ProcessStopping, in_progress = core.state.borrow().in_progress,);
     let last = core.settings.times.stop_ms.saturating_sub(KILL_MARGIN);
     let mut is_closed = false;
     loop {
--- a/crates/gateway/src/duties.rs
+++ b/crates/gateway/src/duties.rs
@@ -41,8 +41,7 @@
 /// Does the duties for ever.
 pub async fn run(core: rc::Rc<core::GatewayCore>, signs: exchange::DutySigns) {
     let lease_time = core.settings.times.lease_ms;
-    let keeper =
-        duty::DutyKeeper::new(core.settings.daemon.clone(), core.incarnation, lease_time);
+    let keeper = duty::DutyKeeper::new(core.settings.daemon.clone(), core.incarnation, lease_time);
     let patience = time::Millis::new(rand::random_range(0..PATIENCE_MS));
     let mut doer = DutyDoer {
         core,
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -32,7 +32,8 @@
 /// A peer that did not ask for this long is asked.
 const SILENT_TIME: time::Millis = time::Millis::new(1_500);
 /// A peer that was not heard for this long is asked seldom, and after the second time forgotten.
-const LOST_TIMES: (time::Millis, time::Millis) = (time::Millis::new(5_000), time::Millis::new(60_000));
+const LOST_TIMES: (time::Millis, time::Millis) =
+    (time::Millis::new(5_000), time::Millis::new(60_000));
 /// Interval between questions to a peer that was lost.
 const LOST_INTERVAL: time::Millis = time::Millis::new(2_000);
 /// Interval between reads of the rows of daemons; newcomers make themselves known before.
@@ -257,8 +258,7 @@
 impl PeerExchange {
     fn add_row(&self, row: &table::TableRow) {
         let name = row.key.as_str().strip_prefix(ROW_PREFIX).unwrap_or_default();
-        let (Ok(daemon), Ok(found)) =
-            (name.parse(), serde_json::from_str::<DaemonRow>(&row.value))
+        let (Ok(daemon), Ok(found)) = (name.parse(), serde_json::from_str::<DaemonRow>(&row.value))
         else {
             log::warn!("row {} is no daemon's row; delete it", row.key);
             return;
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -268,11 +268,7 @@
     }
 
     /// How the request ends, unless it may be sent once more.
-    fn check_retry(
-        &self,
-        service: &id::ServiceId,
-        reason: reason::RetryReason,
-    ) -> Option<CallEnd> {
+    fn check_retry(&self, service: &id::ServiceId, reason: reason::RetryReason) -> Option<CallEnd> {
         let now = self.core.now();
         if now >= self.call.deadline {
             return Some(self.give_up(reason::RefusalReason::DeadlinePassed));
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -83,7 +83,8 @@
     /// All figures as text.
     pub fn render(&self) -> Vec<u8> {
         let mut text = Vec::new();
-        if let Err(cause) = prometheus::TextEncoder::new().encode(&self.registry.gather(), &mut text)
+        if let Err(cause) =
+            prometheus::TextEncoder::new().encode(&self.registry.gather(), &mut text)
         {
             log::warn!("metrics can't be written ({cause}); scrape again");
         }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -89,11 +89,7 @@
 impl load::CheckedSettings for GatewaySettings {
     fn check(&self) -> Result<(), load::ValueError> {
         let fault = |key, problem: &str, remedy: &str| {
-            Err(load::ValueError {
-                key,
-                problem: problem.to_owned(),
-                remedy: remedy.to_owned(),
-            })
+            Err(load::ValueError { key, problem: problem.to_owned(), remedy: remedy.to_owned() })
         };
         if self.times.lease_ms.get() < 500 {
             return fault("times.lease_ms", "the lease is too short to renew", "set 500 or more");
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -62,7 +62,9 @@
     }
     match length {
         Some(_) if matches!(head.status, 204 | 304) => {}
-        Some(length) => message::write_field(&mut out, "Content-Length", length.to_string().as_bytes()),
+        Some(length) => {
+            message::write_field(&mut out, "Content-Length", length.to_string().as_bytes())
+        }
         None => message::write_field(&mut out, "Transfer-Encoding", b"chunked"),
     }
     if closes {
--- a/crates/httpio/src/message.rs
+++ b/crates/httpio/src/message.rs
@@ -72,8 +72,12 @@
 impl fmt::Display for MessageError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            MessageError::TooLarge => f.write_str("the head is too large; send fewer or shorter headers"),
-            MessageError::Malformed(cause) => write!(f, "malformed message ({cause}); send plain HTTP/1.1"),
+            MessageError::TooLarge => {
+                f.write_str("the head is too large; send fewer or shorter headers")
+            }
+            MessageError::Malformed(cause) => {
+                write!(f, "malformed message ({cause}); send plain HTTP/1.1")
+            }
         }
     }
 }
@@ -250,7 +254,9 @@
             let is_plain = !length.is_empty() && length.iter().all(u8::is_ascii_digit);
             let text = std::str::from_utf8(length).ok().filter(|_| is_plain);
             let length = text.and_then(|text| text.parse().ok());
-            length.map(|length| Some(BodyFraming::Length(length))).ok_or(MessageError::Malformed("length"))
+            length
+                .map(|length| Some(BodyFraming::Length(length)))
+                .ok_or(MessageError::Malformed("length"))
         }
         (None, None) => Ok(None),
     }
--- /dev/null
+++ b/crates/httpio/tests/message.rs
@@ -0,0 +1,132 @@
+//! Strict framing of raw messages.
+
+use samphiremoor_base::cases;
+use samphiremoor_base::quantity;
+use samphiremoor_httpio::message;
+
+const LIMIT: quantity::ByteCount = quantity::ByteCount::new(1_024);
+
+/// Whether the head is refused, not whole, or read.
+#[derive(Debug, PartialEq)]
+enum Verdict {
+    Refused,
+    Partial,
+    Read(message::BodyFraming),
+}
+
+fn read(head: &str) -> Verdict {
+    match message::parse_request(head.as_bytes(), LIMIT) {
+        Ok(None) => Verdict::Partial,
+        Ok(Some((head, _))) => match message::request_framing(&head.fields) {
+            Ok(framing) => Verdict::Read(framing),
+            Err(_) => Verdict::Refused,
+        },
+        Err(_) => Verdict::Refused,
+    }
+}
+
+fn check(fields: &str, expected: Verdict) {
+    assert_eq!(read(&format!("POST /a HTTP/1.1\r\nHost: a\r\n{fields}\r\n")), expected);
+}
+
+fn check_head(head: &str, expected: Verdict) {
+    assert_eq!(read(head), expected);
+}
+
+const NO_BODY: Verdict = Verdict::Read(message::BodyFraming::Length(0));
+
+cases! {
+    no_body => check("", NO_BODY);
+    length => check("Content-Length: 12\r\n", Verdict::Read(message::BodyFraming::Length(12)));
+    chunks => check("Transfer-Encoding: chunked\r\n", Verdict::Read(message::BodyFraming::Chunked));
+    two_lengths => check("Content-Length: 1\r\nContent-Length: 2\r\n", Verdict::Refused);
+    two_equal_lengths => check("Content-Length: 1\r\nContent-Length: 1\r\n", Verdict::Refused);
+    listed_lengths => check("Content-Length: 1, 1\r\n", Verdict::Refused);
+    signed_length => check("Content-Length: +1\r\n", Verdict::Refused);
+    empty_length => check("Content-Length: \r\n", Verdict::Refused);
+    length_beside_chunks =>
+        check("Content-Length: 1\r\nTransfer-Encoding: chunked\r\n", Verdict::Refused);
+    other_coding => check("Transfer-Encoding: gzip, chunked\r\n", Verdict::Refused);
+    two_codings =>
+        check("Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n", Verdict::Refused);
+    folded_line => check("X-A: 1\r\n 2\r\n", Verdict::Refused);
+    bare_line_end => check("X-A: 1\nX-B: 2\r\n", Verdict::Refused);
+    space_before_colon => check("Content-Length : 1\r\n", Verdict::Refused);
+    second_host => check("Host: b\r\n", Verdict::Refused);
+    no_host => check_head("GET / HTTP/1.1\r\n\r\n", Verdict::Refused);
+    old_version => check_head("GET / HTTP/1.0\r\nHost: a\r\n\r\n", Verdict::Refused);
+    absolute_target => check_head("GET http://a/ HTTP/1.1\r\nHost: a\r\n\r\n", Verdict::Refused);
+    half_a_head => check_head("GET / HTTP/1.1\r\nHost:", Verdict::Partial);
+    too_large => check(&format!("X-A: {}\r\n", "x".repeat(2_000)), Verdict::Refused);
+}
+
+fn decode(bytes: &[u8], step: usize) -> Result<(Vec<u8>, usize, bool), message::MessageError> {
+    let mut decoder = message::ChunkDecoder::default();
+    let mut out = Vec::new();
+    let mut start = 0;
+    let mut end = 0;
+    while end < bytes.len() {
+        end = (end + step).min(bytes.len());
+        start += decoder.decode(&bytes[start..end], &mut out)?;
+    }
+    Ok((out, start, decoder.is_done()))
+}
+
+fn check_chunks(bytes: &str, expected: Option<(&str, bool)>) {
+    for step in [1, 3, 1_000] {
+        let found = decode(bytes.as_bytes(), step).ok();
+        let found = found.map(|(out, _, is_done)| (String::from_utf8(out).unwrap(), is_done));
+        assert_eq!(found, expected.map(|(text, is_done)| (text.to_owned(), is_done)));
+    }
+}
+
+cases! {
+    one_chunk => check_chunks("3\r\nabc\r\n0\r\n\r\n", Some(("abc", true)));
+    two_chunks => check_chunks("1\r\na\r\n2\r\nbc\r\n0\r\n\r\n", Some(("abc", true)));
+    extension => check_chunks("1;x=y\r\na\r\n0\r\n\r\n", Some(("a", true)));
+    trailer => check_chunks("1\r\na\r\n0\r\nX-T: 1\r\n\r\n", Some(("a", true)));
+    cut_short => check_chunks("3\r\nab", Some(("ab", false)));
+    no_last_chunk => check_chunks("1\r\na\r\n", Some(("a", false)));
+    bad_size => check_chunks("0x1\r\na\r\n", None);
+    signed_size => check_chunks("+1\r\na\r\n", None);
+    long_size => check_chunks("000000001\r\na\r\n", None);
+    bare_line => check_chunks("1\na\r\n", None);
+    wrong_end => check_chunks("1\r\nab\r\n", None);
+}
+
+#[test]
+fn bytes_after_the_last_chunk_are_left() {
+    let bytes = b"1\r\na\r\n0\r\n\r\nGET / HTTP/1.1\r\n";
+    let (out, taken, is_done) = decode(bytes, bytes.len()).expect("the chunks are well-formed");
+    assert_eq!(
+        (out.as_slice(), &bytes[taken..], is_done),
+        (&b"a"[..], &b"GET / HTTP/1.1\r\n"[..], true)
+    );
+}
+
+proptest::proptest! {
+    #![proptest_config(samphiremoor_testkit::config(256))]
+
+    #[test]
+    fn any_bytes_are_read_or_refused(bytes in proptest::collection::vec(0_u8.., 0..200)) {
+        let _ = message::parse_request(&bytes, LIMIT);
+        let _ = message::parse_answer(&bytes, LIMIT);
+        let _ = decode(&bytes, 7);
+    }
+
+    #[test]
+    fn chunks_of_any_split_decode_to_the_body(
+        parts in proptest::collection::vec("[a-z]{1,20}", 0..10),
+        step in 1_usize..40,
+    ) {
+        let mut bytes = String::new();
+        for part in &parts {
+            bytes.push_str(&format!("{:x}\r\n{part}\r\n", part.len()));
+        }
+        bytes.push_str("0\r\n\r\n");
+        let (out, taken, is_done) = decode(bytes.as_bytes(), step).expect("it is well-formed");
+        proptest::prop_assert_eq!(out, parts.concat().into_bytes());
+        proptest::prop_assert_eq!(taken, bytes.len());
+        proptest::prop_assert!(is_done);
+    }
+}
