--- a/crates/fleet/src/capacity.rs
+++ b/crates/fleet/src/capacity.rs
@@ -19,9 +19,10 @@
 const PROMPT_FILL: f64 = 0.6;
 /// Reclaimable replicas held for each one that is needed: two zones of four may be taken back before
 /// new ones are to be had, and a burst comes faster than a VM starts.
-const RECLAIMABLE_SPARE: f64 = 2.0;
-/// Other replicas that stay in each zone, so that no zone is left without any.
-const STEADY_FLOOR: u32 = 1;
+const RECLAIMABLE_SPARE: f64 = 1.7;
+/// One other replica stays for so many zones, in the cheapest ones, so that a reclaim of several zones
+/// leaves some.
+const ZONES_FOR_ONE_STEADY: u32 = 2;
 /// Other replicas are ordered while less than this part of the need is covered.
 const SHORT_PART: f64 = 0.6;
 /// They are given back once the rest covers this part of the need.
@@ -137,27 +138,28 @@
         let steady: u32 = supply.values().map(|zone| zone.steady).sum();
         let reclaimable: u32 = supply.values().map(|zone| zone.reclaimable).sum();
         let zones = supply.len() as u32;
-        let floor = STEADY_FLOOR.max(if rule.reclaimable_price.is_none() { rule.min } else { 0 });
+        let floors = match rule.reclaimable_price {
+            Some(_) => zones.div_ceil(ZONES_FOR_ONE_STEADY),
+            None => rule.min * zones,
+        };
         let held = self.held_need(load, f64::from(steady + reclaimable), now);
-        let extra = self.extra_steady(steady, reclaimable, floor * zones, now);
+        let extra = self.extra_steady(steady, reclaimable, floors, now);
         let reclaimable_each = match rule.reclaimable_price {
             Some(_) => (held * RECLAIMABLE_SPARE / f64::from(zones)).ceil() as u32,
             None => 0,
         };
-        let mut extra = match rule.reclaimable_price {
-            Some(_) => extra,
-            None => (held.ceil() as u32).saturating_sub(floor * zones),
+        let mut wanted_steady = match rule.reclaimable_price {
+            Some(_) => floors + extra,
+            None => floors.max(held.ceil() as u32),
         };
         let mut left = zones;
         let mut orders = Vec::new();
         for (zone, present) in by_price(supply, rule) {
             // The cheapest zones take their part first, and what the others have no room for.
-            let part = extra.div_ceil(left);
+            let part = wanted_steady.div_ceil(left);
             left -= 1;
-            let room = rule.max.saturating_sub(floor + present.reclaimable);
-            let added = part.min(room);
-            extra -= added;
-            let steady = floor + added;
+            let steady = part.min(rule.max.saturating_sub(present.reclaimable));
+            wanted_steady -= steady;
             self.order(service, zone, false, steady, present.steady, now, &mut orders);
             if rule.reclaimable_price.is_some() {
                 let wanted = reclaimable_each.min(rule.max.saturating_sub(steady));
