Peers: digests as datagrams, within zones where the deployment is large

Change: one datagram to each member of the group; above 16 daemons the group is the zone, whose first daemon exchanges sums with those of other zones. Ruled out: a longer interval with the same mesh (load would be seconds old).

--- a/crates/fleet/src/quota.rs
+++ b/crates/fleet/src/quota.rs
@@ -133,6 +133,11 @@
         self.share(now);
     }
 
+    /// Forgets a peer, whose totals start anew with what it tells next.
+    pub fn forget_peer(&mut self, daemon: &id::DaemonId) {
+        self.peers.remove(daemon);
+    }
+
     /// Takes the units of one request, or says after which time there are some again. `draw` is a
     /// number from 0 to 1.
     ///
@@ -191,11 +196,6 @@
         self.buckets.iter().map(line).collect()
     }
 
-    /// Number of daemons that have a part.
-    pub fn daemon_count(&self) -> usize {
-        self.peers.len() + 1
-    }
-
     /// Fills the buckets up to now, and takes off what silent peers are assumed to admit.
     fn pass(&mut self, now: time::MonotonicTime) {
         for (workspace, bucket) in &mut self.buckets {
--- a/crates/fleet/src/replica.rs
+++ b/crates/fleet/src/replica.rs
@@ -270,11 +270,6 @@
         self.replicas.values()
     }
 
-    /// Number of daemons, this one included, whose load is known.
-    pub fn daemon_count(&self) -> usize {
-        self.peers.len() + 1
-    }
-
     fn index(&mut self) {
         self.by_service.clear();
         for (id, known) in &self.replicas {
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -258,7 +258,7 @@
                 workspace = workspace.id,
                 tokens = tokens.unwrap_or_default(),
                 bucket = state.quota.describe(&workspace.id),
-                daemons = state.quota.daemon_count(),
+                daemons = state.daemons,
                 wait = wait,
             );
             return fail(border::OwnAnswer::OverQuota(wait), reason::RefusalReason::WorkspaceLimit);
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -96,6 +96,8 @@
     pub idle: collections::HashMap<id::ReplicaId, Vec<upstream::IdleConnection>>,
     /// When the daemon was told to stop.
     pub stopping: Option<time::MonotonicTime>,
+    /// Daemons that live, this one included.
+    pub daemons: u32,
     /// Requests in progress.
     pub in_progress: u32,
     /// Replicas that left of late, with their lives.
@@ -164,6 +166,7 @@
             wall,
             idle: collections::HashMap::new(),
             stopping: None,
+            daemons: 1,
             in_progress: 0,
             left: Vec::new(),
             prompts: collections::HashMap::new(),
@@ -276,7 +279,7 @@
         service: &id::ServiceId,
         shared: &settings::SharedSettings,
     ) -> &mut budget::RetryBudget {
-        let daemons = self.quota.daemon_count() as f64;
+        let daemons = f64::from(self.daemons.max(1));
         let burst = f64::from(shared.retry_slack) * RETRY_SLACK_PART / daemons;
         let ratio = (shared.retry_ratio * RETRY_RATIO_PART * 1_000.0) as u16;
         let policy = budget::BudgetPolicy {
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -48,8 +48,6 @@
 pub enum StartError {
     /// An address can't be listened on.
     Listen(SocketAddr, io::Error),
-    /// The address for peers can't be listened on.
-    Peers(samphiremoor_peers::server::ListenError),
     /// Signals can't be watched.
     Signals(io::Error),
 }
@@ -60,7 +58,6 @@
             StartError::Listen(address, cause) => {
                 write!(f, "can't listen on {address} ({cause}); set a free address")
             }
-            StartError::Peers(cause) => cause.fmt(f),
             StartError::Signals(cause) => {
                 write!(f, "can't watch signals ({cause}); raise the process's limits")
             }
@@ -103,13 +100,22 @@
     })
 }
 
-async fn start(core: &rc::Rc<core::GatewayCore>) -> Result<(), StartError> {
+/// Starts the daemon's tasks on the present thread.
+///
+/// # Errors
+///
+/// Fails where an address can't be listened on.
+pub async fn start(core: &rc::Rc<core::GatewayCore>) -> Result<(), StartError> {
     let listen = &core.settings.listen;
     let callers = bind(listen.callers).await?;
     let ready = bind(listen.ready).await?;
     let metrics = bind(listen.metrics).await?;
     let signs = exchange::DutySigns::default();
-    exchange::start(core, &signs).map_err(StartError::Peers)?;
+    let peers = net::UdpSocket::bind(listen.peers).await;
+    let peers = peers.map_err(|cause| StartError::Listen(listen.peers, cause))?;
+    let policies = bind(listen.peers).await?;
+    exchange::start(core, peers, &signs);
+    task::spawn_local(answer_questions(core.clone(), policies, policy_text));
     task::spawn_local(control::follow_policy(core.clone()));
     task::spawn_local(control::follow_entries(core.clone()));
     task::spawn_local(caller::accept(core.clone(), callers));
@@ -150,6 +156,11 @@
     (core.is_ready(), Vec::new())
 }
 
+fn policy_text(core: &core::GatewayCore) -> (bool, Vec<u8>) {
+    let text = core.state.borrow().policy_text.to_vec();
+    (!text.is_empty(), text)
+}
+
 fn figures(core: &core::GatewayCore) -> (bool, Vec<u8>) {
     (true, core.metrics.render())
 }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -1,15 +1,16 @@
 //! Digests between the daemons.
 //!
-//! Of two daemons the one with the lower name asks and both learn; a daemon that was not asked for a
-//! while asks by itself. Daemons find each other through rows of their own in the table.
+//! Each daemon sends its digest to the others of its group in one datagram, several times a second; one
+//! that is lost is made up for by the next. In a small deployment the group is everybody. In a large
+//! one it is the zone; the first daemon of each zone sends the sum of its zone to those of the other
+//! zones and hands on what it gets. Daemons find each other through rows of their own in the table.
 
 use std::cell;
 use std::collections;
 use std::net::SocketAddr;
 use std::rc;
-use std::sync;
 
-use async_std::channel;
+use async_std::net;
 use async_std::task;
 use samphiremoor_base::event;
 use samphiremoor_base::id;
@@ -17,155 +18,120 @@
 use samphiremoor_base::quantity;
 use samphiremoor_base::time;
 use samphiremoor_fleet::digest;
-use samphiremoor_peers::link;
-use samphiremoor_peers::server;
+use samphiremoor_httpio::kept;
 use samphiremoor_platform::table;
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::core;
 
-/// Interval between two exchanges with a peer: load that is older misleads placement.
-const EXCHANGE_INTERVAL: time::Millis = time::Millis::new(300);
-/// Time for one exchange; peers are some milliseconds away.
-const EXCHANGE_TIME: time::Millis = time::Millis::new(500);
-/// A peer that did not ask for this long is asked.
-const SILENT_TIME: time::Millis = time::Millis::new(1_500);
-/// A peer that was not heard for this long is asked seldom, and after the second time forgotten.
+/// Interval between two digests: load that is older misleads placement.
+const DIGEST_INTERVAL: time::Millis = time::Millis::new(300);
+/// The same where a group is a zone; the processor time of a small VM bounds it.
+const ZONE_INTERVAL: time::Millis = time::Millis::new(500);
+/// Most daemons that all tell each other: above it, the messages of a daemon would grow with the
+/// deployment.
+const GROUP_LIMIT: usize = 16;
+/// A daemon that was not heard for this long speaks for its zone no longer.
+const SPEAKER_TIME: time::Millis = time::Millis::new(1_500);
+/// Daemons of another zone that are told while its speaker is not known.
+const SPEAKER_GUESSES: usize = 3;
+/// A daemon that was not heard for this long is told seldom, and after the second time forgotten.
 const LOST_TIMES: (time::Millis, time::Millis) =
     (time::Millis::new(5_000), time::Millis::new(60_000));
-/// Interval between questions to a peer that was lost.
+/// Interval between digests to a daemon that was lost.
 const LOST_INTERVAL: time::Millis = time::Millis::new(2_000);
 /// Interval between reads of the rows of daemons; newcomers make themselves known before.
-const ROWS_INTERVAL: time::Millis = time::Millis::new(20_000);
-/// Interval between tries to write the own row.
+const ROWS_INTERVAL: time::Millis = time::Millis::new(30_000);
+/// Interval between tries to write or read rows while the table is away.
 const ROW_PAUSE: time::Millis = time::Millis::new(1_000);
-/// Digests that wait to be taken over.
-const INBOX_SIZE: usize = 512;
+/// Time for a peer to send the text of its policy.
+const POLICY_TIME: time::Millis = time::Millis::new(800);
+/// Largest datagram.
+const DATAGRAM_BYTES: usize = 60 * 1024;
 /// Prefix of the rows of daemons.
 const ROW_PREFIX: &str = "daemon/";
 /// Most rows that are read at once.
 const ROW_LIMIT: usize = 500;
 
-/// A question between daemons.
-#[derive(Clone, Debug)]
-#[derive(Deserialize, Serialize)]
-pub enum PeerQuestion {
-    /// The asker's digest, for the other one's.
-    Digest(Box<digest::PeerDigest>),
-    /// The text of the policy in force.
-    Policy,
+/// What duties and peers tell each other.
+#[derive(Clone, Default)]
+pub struct DutySigns {
+    /// Fencing number that this daemon holds.
+    pub own: rc::Rc<cell::Cell<Option<quantity::FenceNumber>>>,
+    /// When a peer last said that it holds the lease.
+    pub peer_at: rc::Rc<cell::Cell<Option<time::MonotonicTime>>>,
 }
 
-/// The answer.
-#[derive(Clone, Debug)]
+/// Row of a daemon.
+#[derive(Debug)]
 #[derive(Deserialize, Serialize)]
-pub enum PeerAnswer {
-    /// The digest, once there is one.
-    Digest(Option<Box<digest::PeerDigest>>),
-    /// The text of the policy, empty where there is none.
-    Policy(Vec<u8>),
-}
-
-/// What the answering side knows; it runs on threads of its own.
-struct PeerBoard {
-    own: sync::Mutex<Option<Box<digest::PeerDigest>>>,
-    policy: sync::Mutex<sync::Arc<[u8]>>,
-    inbox: channel::Sender<Box<digest::PeerDigest>>,
-}
-
-impl server::PeerHandler for PeerBoard {
-    type Question = PeerQuestion;
-    type Answer = PeerAnswer;
-
-    fn answer(&self, question: PeerQuestion) -> server::AnswerFuture<PeerAnswer> {
-        let answer = match question {
-            PeerQuestion::Digest(found) => {
-                // A full inbox drops the digest; the next one follows in a moment.
-                let _ = self.inbox.try_send(found);
-                PeerAnswer::Digest(lock(&self.own).clone())
-            }
-            PeerQuestion::Policy => PeerAnswer::Policy(lock(&self.policy).to_vec()),
-        };
-        Box::pin(std::future::ready(answer))
-    }
-}
-
-fn lock<T>(shared: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
-    shared.lock().unwrap_or_else(sync::PoisonError::into_inner)
+struct DaemonRow {
+    address: SocketAddr,
+    zone: id::ZoneId,
 }
 
 struct KnownPeer {
-    link: sync::Arc<link::PeerLink>,
-    incarnation: quantity::Incarnation,
+    address: SocketAddr,
+    zone: id::ZoneId,
     heard: Option<time::MonotonicTime>,
-    asked: Option<time::MonotonicTime>,
+    told: Option<time::MonotonicTime>,
     added: time::MonotonicTime,
-    is_asking: bool,
+    /// Its last digest, where it is of the own group.
+    digest: Option<digest::PeerDigest>,
+}
+
+/// Who speaks for another zone.
+struct ZoneSpeaker {
+    daemon: id::DaemonId,
+    address: SocketAddr,
+    incarnation: quantity::Incarnation,
+    heard: time::MonotonicTime,
+    members: u32,
 }
 
 /// The peers and the exchange with them.
-pub struct PeerExchange {
+struct PeerExchange {
     core: rc::Rc<core::GatewayCore>,
-    board: sync::Arc<PeerBoard>,
-    peers: cell::RefCell<collections::BTreeMap<id::DaemonId, KnownPeer>>,
-    duty: rc::Rc<cell::Cell<Option<quantity::FenceNumber>>>,
-    duty_seen: rc::Rc<cell::Cell<Option<time::MonotonicTime>>>,
+    socket: net::UdpSocket,
+    signs: DutySigns,
+    state: cell::RefCell<ExchangeState>,
     is_fetching: cell::Cell<bool>,
-    _server: server::PeerServer,
 }
 
-/// Row of a daemon.
-#[derive(Debug)]
-#[derive(Deserialize, Serialize)]
-struct DaemonRow {
-    address: SocketAddr,
+#[derive(Default)]
+struct ExchangeState {
+    peers: collections::BTreeMap<id::DaemonId, KnownPeer>,
+    speakers: collections::BTreeMap<id::ZoneId, ZoneSpeaker>,
+    sum: digest::ZoneSum,
 }
 
-/// What duties and peers tell each other.
-#[derive(Clone, Default)]
-pub struct DutySigns {
-    /// Fencing number that this daemon holds.
-    pub own: rc::Rc<cell::Cell<Option<quantity::FenceNumber>>>,
-    /// When a peer last said that it holds the lease.
-    pub peer_at: rc::Rc<cell::Cell<Option<time::MonotonicTime>>>,
-}
-
-/// Starts the exchange.
-///
-/// # Errors
-///
-/// Fails where the address for peers can't be listened on.
-pub fn start(
-    core: &rc::Rc<core::GatewayCore>,
-    signs: &DutySigns,
-) -> Result<(), server::ListenError> {
-    let (inbox, digests) = channel::bounded(INBOX_SIZE);
-    let board = sync::Arc::new(PeerBoard {
-        own: sync::Mutex::new(None),
-        policy: sync::Mutex::new(sync::Arc::from(&[][..])),
-        inbox,
-    });
-    let server = server::PeerServer::start(core.settings.listen.peers, board.clone())?;
+/// Starts the exchange on a bound socket.
+pub fn start(core: &rc::Rc<core::GatewayCore>, socket: net::UdpSocket, signs: &DutySigns) {
     let exchange = rc::Rc::new(PeerExchange {
         core: core.clone(),
-        board,
-        peers: cell::RefCell::new(collections::BTreeMap::new()),
-        duty: signs.own.clone(),
-        duty_seen: signs.peer_at.clone(),
+        socket,
+        signs: signs.clone(),
+        state: cell::RefCell::default(),
         is_fetching: cell::Cell::new(false),
-        _server: server,
     });
     task::spawn_local(write_row(core.clone()));
     task::spawn_local(read_rows(exchange.clone()));
-    task::spawn_local(take_digests(exchange.clone(), digests));
+    task::spawn_local(receive(exchange.clone()));
     task::spawn_local(run_rounds(exchange));
-    Ok(())
+}
+
+/// Names a transaction in logs.
+pub fn write_id(core: &core::GatewayCore) -> id::WriteId {
+    let text = format!("{}-{}", core.settings.daemon, core.now().get());
+    // The daemon's name is an identifier, and so is this.
+    text.parse().unwrap_or_else(|_| "write".parse().expect("the text is an identifier"))
 }
 
 async fn write_row(core: rc::Rc<core::GatewayCore>) {
     let key = table::RowKey::new(&format!("{ROW_PREFIX}{}", core.settings.daemon));
-    let row = DaemonRow { address: core.settings.listen.peers };
+    let zone = core.settings.availability_zone.clone();
+    let row = DaemonRow { address: core.settings.listen.peers, zone };
     let value = serde_json::to_string(&row).unwrap_or_default();
     loop {
         let transaction = table::TableTransaction {
@@ -183,13 +149,6 @@
     }
 }
 
-/// Names a transaction in logs.
-pub fn write_id(core: &core::GatewayCore) -> id::WriteId {
-    let text = format!("{}-{}", core.settings.daemon, core.now().get());
-    // The daemon's name is an identifier, and so is this.
-    text.parse().unwrap_or_else(|_| "write".parse().expect("the text is an identifier"))
-}
-
 async fn read_rows(exchange: rc::Rc<PeerExchange>) {
     loop {
         let core = &exchange.core;
@@ -209,46 +168,62 @@
     }
 }
 
-async fn take_digests(
-    exchange: rc::Rc<PeerExchange>,
-    digests: channel::Receiver<Box<digest::PeerDigest>>,
-) {
-    while let Ok(found) = digests.recv().await {
-        exchange.take(&found);
+async fn receive(exchange: rc::Rc<PeerExchange>) {
+    let mut buffer = vec![0; DATAGRAM_BYTES];
+    loop {
+        let (length, from) = match exchange.socket.recv_from(&mut buffer).await {
+            Ok(found) => found,
+            Err(cause) => {
+                // A peer that is not up answers datagrams with errors.
+                log::trace!("a datagram was refused ({cause})");
+                continue;
+            }
+        };
+        let bytes = &buffer[..length];
+        let found: digest::PeerDigest = match postcard::from_bytes(bytes) {
+            Ok(found) => found,
+            Err(cause) => {
+                log::warn!("{from} sent no digest ({cause}); run one version on all daemons");
+                continue;
+            }
+        };
+        exchange.take(found, from, bytes).await;
     }
 }
 
 async fn run_rounds(exchange: rc::Rc<PeerExchange>) {
     loop {
-        let own = Box::new(exchange.own_digest());
-        *lock(&exchange.board.own) = Some(own.clone());
-        *lock(&exchange.board.policy) = exchange.core.state.borrow().policy_text.clone();
-        for (daemon, link) in exchange.due() {
-            task::spawn_local(ask(exchange.clone(), daemon, link, own.clone()));
+        let own = exchange.own_digest();
+        let is_zonal = exchange.is_zonal();
+        let group = exchange.group(is_zonal);
+        exchange.send(&own, &group).await;
+        if is_zonal && let Some((sum, speakers)) = exchange.zone_sum(&own) {
+            exchange.send(&sum, &speakers).await;
         }
-        task::sleep(EXCHANGE_INTERVAL.to_duration()).await;
+        exchange.count_daemons(is_zonal);
+        let interval = if is_zonal { ZONE_INTERVAL } else { DIGEST_INTERVAL };
+        task::sleep(interval.to_duration()).await;
     }
 }
 
-async fn ask(
-    exchange: rc::Rc<PeerExchange>,
-    daemon: id::DaemonId,
-    link: sync::Arc<link::PeerLink>,
-    own: Box<digest::PeerDigest>,
-) {
-    let answer = link.call(&PeerQuestion::Digest(own)).await;
-    if let Some(peer) = exchange.peers.borrow_mut().get_mut(&daemon) {
-        peer.is_asking = false;
-    }
-    if let Ok(PeerAnswer::Digest(Some(found))) = answer {
-        exchange.take(&found);
-    }
-}
-
-async fn fetch_policy(exchange: rc::Rc<PeerExchange>, link: sync::Arc<link::PeerLink>) {
-    let answer = link.call(&PeerQuestion::Policy).await;
+async fn fetch_policy(exchange: rc::Rc<PeerExchange>, address: SocketAddr) {
+    let client = kept::KeptClient::new(address, POLICY_TIME);
+    let call = kept::KeptCall {
+        method: "GET",
+        target: "/policy",
+        fields: &[],
+        body: &[],
+        limit: POLICY_TIME,
+    };
+    let answer = client.call(&call).await;
     exchange.is_fetching.set(false);
-    let Ok(PeerAnswer::Policy(text)) = answer else { return };
+    let text = match answer {
+        Ok(answer) => answer.body,
+        Err(cause) => {
+            log::debug!("{address} does not tell its policy ({cause}); the next digest asks anew");
+            return;
+        }
+    };
     match exchange.core.adapter.records.parse_policy(&text) {
         Some(update) => exchange.core.adopt_policy(update, "peer"),
         None => log_event!(event::LogEvent::RecordRefused, source = "peer", bytes = text.len()),
@@ -263,57 +238,130 @@
             log::warn!("row {} is no daemon's row; delete it", row.key);
             return;
         };
-        self.add(&daemon, found.address);
+        self.add(&daemon, found.address, &found.zone);
     }
 
-    fn add(&self, daemon: &id::DaemonId, address: SocketAddr) {
+    fn add(&self, daemon: &id::DaemonId, address: SocketAddr, zone: &id::ZoneId) {
         if *daemon == self.core.settings.daemon {
             return;
         }
-        let mut peers = self.peers.borrow_mut();
-        if peers.get(daemon).is_some_and(|peer| peer.link.address() == address) {
+        let mut state = self.state.borrow_mut();
+        if state.peers.get(daemon).is_some_and(|peer| peer.address == address) {
             return;
         }
         let peer = KnownPeer {
-            link: sync::Arc::new(link::PeerLink::new(address, EXCHANGE_TIME)),
-            incarnation: quantity::Incarnation::default(),
+            address,
+            zone: zone.clone(),
             heard: None,
-            asked: None,
+            told: None,
             added: self.core.now(),
-            is_asking: false,
+            digest: None,
         };
-        peers.insert(daemon.clone(), peer);
+        state.peers.insert(daemon.clone(), peer);
         log_event!(event::LogEvent::DaemonJoined, daemon = daemon, address = address);
     }
 
-    /// Peers to ask now.
-    fn due(&self) -> Vec<(id::DaemonId, sync::Arc<link::PeerLink>)> {
+    fn is_zonal(&self) -> bool {
+        self.state.borrow().peers.len() + 1 > GROUP_LIMIT
+    }
+
+    fn is_own_zone(&self, zone: &id::ZoneId) -> bool {
+        *zone == self.core.settings.availability_zone
+    }
+
+    /// Members of the own group to tell now. Those that were not heard for long are forgotten.
+    fn group(&self, is_zonal: bool) -> Vec<SocketAddr> {
         let now = self.core.now();
-        let own = &self.core.settings.daemon;
-        let mut peers = self.peers.borrow_mut();
-        peers.retain(|daemon, peer| {
-            let is_kept = now.since(peer.heard.unwrap_or(peer.added)) < LOST_TIMES.1;
+        let mut state = self.state.borrow_mut();
+        state.peers.retain(|daemon, peer| {
+            let is_in_group = !is_zonal || self.is_own_zone(&peer.zone);
+            let silent = now.since(peer.heard.unwrap_or(peer.added));
+            let is_kept = !is_in_group || silent < LOST_TIMES.1;
             if !is_kept {
                 log_event!(event::LogEvent::DaemonGone, daemon = daemon);
             }
             is_kept
         });
         let mut due = Vec::new();
-        for (daemon, peer) in peers.iter_mut() {
-            let silent = now.since(peer.heard.unwrap_or(peer.added));
-            let is_lost = silent >= LOST_TIMES.0;
-            let is_turn = own < daemon || peer.heard.is_none() || silent >= SILENT_TIME;
-            let is_soon = is_lost && peer.asked.is_some_and(|at| now.since(at) < LOST_INTERVAL);
-            if peer.is_asking || !is_turn || is_soon {
+        for peer in state.peers.values_mut() {
+            if is_zonal && !self.is_own_zone(&peer.zone) {
                 continue;
             }
-            peer.is_asking = true;
-            peer.asked = Some(now);
-            due.push((daemon.clone(), peer.link.clone()));
+            let is_lost = now.since(peer.heard.unwrap_or(peer.added)) >= LOST_TIMES.0;
+            let is_soon = is_lost && peer.told.is_some_and(|at| now.since(at) < LOST_INTERVAL);
+            if !is_soon {
+                peer.told = Some(now);
+                due.push(peer.address);
+            }
         }
         due
     }
 
+    /// Whether this daemon speaks for its zone: the first one that lives does.
+    fn is_speaker(&self, state: &ExchangeState, now: time::MonotonicTime) -> bool {
+        let own = &self.core.settings.daemon;
+        let mut before = state.peers.range(..own.clone());
+        !before.any(|(_, peer)| self.is_own_zone(&peer.zone) && is_fresh(peer, now))
+    }
+
+    /// The sum of the zone and the daemons of other zones that it is told to, where this daemon speaks
+    /// for its zone.
+    fn zone_sum(&self, own: &digest::PeerDigest) -> Option<(digest::PeerDigest, Vec<SocketAddr>)> {
+        let now = self.core.now();
+        let mut state = self.state.borrow_mut();
+        if !self.is_speaker(&state, now) {
+            return None;
+        }
+        let ExchangeState { peers, speakers, sum } = &mut *state;
+        let fresh = peers.values().filter(|peer| is_fresh(peer, now));
+        let sum = sum.sum(own, fresh.filter_map(|peer| peer.digest.as_ref()));
+        let mut told = Vec::new();
+        let mut guesses: collections::BTreeMap<&id::ZoneId, usize> = collections::BTreeMap::new();
+        for peer in peers.values().filter(|peer| !self.is_own_zone(&peer.zone)) {
+            let speaker = speakers.get(&peer.zone);
+            match speaker.filter(|known| now.since(known.heard) < SPEAKER_TIME) {
+                Some(known) if known.address == peer.address => told.push(peer.address),
+                Some(_) => {}
+                None => {
+                    let count = guesses.entry(&peer.zone).or_default();
+                    *count += 1;
+                    if *count <= SPEAKER_GUESSES {
+                        told.push(peer.address);
+                    }
+                }
+            }
+        }
+        Some((sum, told))
+    }
+
+    async fn send(&self, digest: &digest::PeerDigest, to: &[SocketAddr]) {
+        let bytes = match postcard::to_stdvec(digest) {
+            Ok(bytes) => bytes,
+            Err(cause) => {
+                log::warn!("a digest can't be written ({cause}); it is left out");
+                return;
+            }
+        };
+        self.send_bytes(&bytes, to).await;
+    }
+
+    async fn send_bytes(&self, bytes: &[u8], to: &[SocketAddr]) {
+        for address in to {
+            if let Err(cause) = self.socket.send_to(bytes, address).await {
+                log::trace!("{address} takes no datagram ({cause}); the next digest follows");
+            }
+        }
+    }
+
+    fn count_daemons(&self, is_zonal: bool) {
+        let now = self.core.now();
+        let state = self.state.borrow();
+        let fresh = state.peers.values().filter(|peer| is_fresh(peer, now)).count();
+        let summed = state.speakers.values().filter(|_| is_zonal).map(|known| known.members);
+        let count = 1 + fresh as u32 + summed.sum::<u32>();
+        self.core.state.borrow_mut().daemons = count;
+    }
+
     fn own_digest(&self) -> digest::PeerDigest {
         let core = &self.core;
         let now = core.now();
@@ -332,12 +380,14 @@
             .collect();
         digest::PeerDigest {
             daemon: core.settings.daemon.clone(),
+            zone: core.settings.availability_zone.clone(),
+            members: 0,
             incarnation: core.incarnation,
             address: core.settings.listen.peers,
             is_stopping: state.stopping.is_some(),
             revision: state.policy.as_ref().map(|policy| policy.revision).unwrap_or_default(),
             wall_ms: u64::try_from(state.wall.own(now)).unwrap_or(0),
-            duty: self.duty.get(),
+            duty: self.signs.own.get(),
             loads,
             demands: state.quota.lines(now),
             prompts,
@@ -346,29 +396,98 @@
         }
     }
 
-    /// Takes over a peer's digest.
-    fn take(self: &rc::Rc<Self>, found: &digest::PeerDigest) {
-        let core = &self.core;
-        let now = core.now();
-        self.add(&found.daemon, found.address);
-        let mut link = None;
-        if let Some(peer) = self.peers.borrow_mut().get_mut(&found.daemon) {
-            if found.incarnation < peer.incarnation {
+    /// Takes over a digest that came, and hands a zone's sum on to the own zone.
+    async fn take(self: &rc::Rc<Self>, found: digest::PeerDigest, from: SocketAddr, bytes: &[u8]) {
+        let is_zonal = self.is_zonal();
+        if found.members == 0 {
+            self.add(&found.daemon, found.address, &found.zone);
+            if !is_zonal || self.is_own_zone(&found.zone) {
+                self.take_member(found);
+            }
+            return;
+        }
+        if !is_zonal || self.is_own_zone(&found.zone) {
+            return;
+        }
+        let (Some(is_new), is_first_hand) = (self.note_speaker(&found), from == found.address)
+        else {
+            return;
+        };
+        let key = format!("zone:{}", found.zone).parse();
+        let Ok(key) = key else { return };
+        if is_new {
+            // What the zone admitted before this speaker began to sum is in no total of its.
+            self.core.state.borrow_mut().quota.forget_peer(&key);
+        }
+        let is_speaker = self.is_speaker(&self.state.borrow(), self.core.now());
+        let members: Vec<SocketAddr> = match is_first_hand && is_speaker {
+            true => {
+                let state = self.state.borrow();
+                let members = state.peers.values().filter(|peer| self.is_own_zone(&peer.zone));
+                members.map(|peer| peer.address).collect()
+            }
+            false => Vec::new(),
+        };
+        self.apply(&key, quantity::Incarnation::default(), &found);
+        self.send_bytes(bytes, &members).await;
+    }
+
+    fn take_member(self: &rc::Rc<Self>, found: digest::PeerDigest) {
+        let now = self.core.now();
+        if let Some(peer) = self.state.borrow_mut().peers.get_mut(&found.daemon) {
+            let known = peer.digest.as_ref().map(|known| known.incarnation);
+            if known.is_some_and(|known| found.incarnation < known) {
                 return;
             }
-            peer.incarnation = found.incarnation;
             peer.heard = Some(now);
-            link = Some(peer.link.clone());
+            peer.digest = Some(found.clone());
+        }
+        self.apply(&found.daemon.clone(), found.incarnation, &found);
+    }
+
+    /// Notes who speaks for a zone: whether it is another one than before, or nothing where a daemon
+    /// that comes before it does.
+    fn note_speaker(&self, found: &digest::PeerDigest) -> Option<bool> {
+        let now = self.core.now();
+        let mut state = self.state.borrow_mut();
+        let known = state.speakers.get(&found.zone);
+        if known.is_some_and(|known| {
+            known.daemon < found.daemon && now.since(known.heard) < SPEAKER_TIME
+        }) {
+            return None;
         }
+        let is_new = known.is_none_or(|known| {
+            known.daemon != found.daemon || known.incarnation != found.incarnation
+        });
+        let speaker = ZoneSpeaker {
+            daemon: found.daemon.clone(),
+            address: found.address,
+            incarnation: found.incarnation,
+            heard: now,
+            members: found.members,
+        };
+        state.speakers.insert(found.zone.clone(), speaker);
+        Some(is_new)
+    }
+
+    /// Takes over what a digest says, under the name of a daemon or of a zone.
+    fn apply(
+        self: &rc::Rc<Self>,
+        key: &id::DaemonId,
+        life: quantity::Incarnation,
+        found: &digest::PeerDigest,
+    ) {
+        let core = &self.core;
+        let now = core.now();
         if found.duty.is_some() {
-            self.duty_seen.set(Some(now));
+            self.signs.peer_at.set(Some(now));
         }
         let mut state = core.state.borrow_mut();
-        state.replicas.note_peer(&found.daemon, &found.loads, now);
-        state.quota.note_peer(&found.daemon, found.incarnation, &found.demands, now);
-        state.usage.note_peer(&found.daemon, found.incarnation, &found.usage);
-        state.wall.note_peer(&found.daemon, found.wall_ms as i64, now);
-        state.note_peer_prompts(&found.daemon, &found.prompts, now);
+        state.replicas.note_peer(key, &found.loads, now);
+        state.quota.note_peer(key, life, &found.demands, now);
+        state.usage.note_peer(key, life, &found.usage);
+        state.wall.note_peer(key, i64::try_from(found.wall_ms).unwrap_or(0), now);
+        state.note_peer_prompts(key, &found.prompts, now);
         let known = state.policy.as_ref().map_or(0, |policy| policy.revision.get());
         let mut left = Vec::new();
         for (replica, born) in &found.left {
@@ -376,10 +495,12 @@
         }
         drop(state);
         core.note_changes(&left, "peer");
-        if let Some(link) = link.filter(|_| found.revision.get() > known)
-            && !self.is_fetching.replace(true)
-        {
-            task::spawn_local(fetch_policy(self.clone(), link));
+        if found.revision.get() > known && !self.is_fetching.replace(true) {
+            task::spawn_local(fetch_policy(self.clone(), found.address));
         }
     }
 }
+
+fn is_fresh(peer: &KnownPeer, now: time::MonotonicTime) -> bool {
+    peer.heard.is_some_and(|heard| now.since(heard) < SPEAKER_TIME)
+}
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -261,7 +261,7 @@
             ahead_tokens = choice.ahead as u64,
             unread_tokens = choice.unread,
             fill = format_args!("{:.2}", choice.fill),
-            daemons_known = state.replicas.daemon_count(),
+            daemons_known = state.daemons,
             sends = self.progress.ledger.get().sent(),
         );
         Ok(choice)
