Records: the first daemon of a group reads the table for the others

Change: daemons follow the first one of their group whose reads succeed, and read themselves when it is silent or turned away. Ruled out: longer waits (a departure must be known within two seconds).

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -78,6 +78,7 @@
     406 DaemonJoined "daemon-joined" Info "A daemon is known that was not, or its state changed.",
     407 DaemonGone "daemon-gone" Warn "A daemon is gone.",
     408 UpstreamSuspected "upstream-suspected" Warn "An upstream can't be reached, is silent or is another one than expected; it gets no work for a while.",
+    409 ReaderChosen "reader-chosen" Info "Another daemon reads the table for this one, or this one reads itself (none).",
     501 OrderSent "order-sent" Info "An order was sent to an upstream; the fencing number is given.",
     502 OrderRefused "order-refused" Warn "An upstream refused an order.",
     503 VmStarted "vm-started" Info "The cloud accepted the start of a VM.",
--- a/crates/fleet/src/digest.rs
+++ b/crates/fleet/src/digest.rs
@@ -5,6 +5,7 @@
 
 use samphiremoor_base::id;
 use samphiremoor_base::quantity;
+use samphiremoor_base::time;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -65,6 +66,8 @@
     pub revision: quantity::RevisionNumber,
     /// Its estimate of the time of day, in Unix milliseconds.
     pub wall_ms: u64,
+    /// Age of what it last read in the table itself; absent where it reads nothing there.
+    pub table_age: Option<time::Millis>,
     /// Fencing number of the duties' lease, where it is held here.
     pub duty: Option<quantity::FenceNumber>,
     /// Load on replicas.
--- a/crates/fleet/src/replica.rs
+++ b/crates/fleet/src/replica.rs
@@ -28,6 +28,7 @@
 
 /// What a replica says of itself in the table.
 #[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct ReplicaEntry {
     /// The replica.
     pub id: id::ReplicaId,
@@ -122,10 +123,10 @@
                 known.vanished_at = None;
                 let was_draining = known.entry.is_draining;
                 known.entry = entry;
+                // A replica that leaves does not stay after all; what says so is older.
+                known.entry.is_draining |= was_draining;
                 if is_draining && !was_draining {
                     changes.push(ReplicaChange::Leaving(id));
-                } else if was_draining && !is_draining {
-                    changes.push(ReplicaChange::Joined(id));
                 }
             }
             _ => {
--- a/crates/fleet/tests/replica.rs
+++ b/crates/fleet/tests/replica.rs
@@ -41,6 +41,16 @@
     assert!(!is_open(&table, 0));
 }
 
+#[test]
+fn an_older_word_does_not_bring_a_leaving_replica_back() {
+    let mut table = replica::ReplicaTable::default();
+    table.put(entry(1, true));
+    table.put(entry(1, false));
+    assert!(!is_open(&table, 0));
+    table.put(entry(2, false));
+    assert!(is_open(&table, 0), "its next life may be used");
+}
+
 #[test]
 fn a_new_life_starts_with_nothing_known() {
     let mut table = replica::ReplicaTable::default();
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -10,6 +10,7 @@
 
 use crate::border;
 use crate::core;
+use crate::exchange;
 
 /// Longest wait of one call for a newer policy. A connection that went silent is noticed by then, so
 /// that a change is in force within the two seconds that operators are promised.
@@ -17,6 +18,8 @@
 /// Interval between looks at the replica entries; a departure must be known well within the two
 /// seconds for which a leaving replica still serves.
 const ENTRY_INTERVAL: time::Millis = time::Millis::new(700);
+/// Interval between looks whether this daemon reads the policy itself.
+const FOLLOW_INTERVAL: time::Millis = time::Millis::new(300);
 /// The same while no replica is known.
 const FIRST_INTERVAL: time::Millis = time::Millis::new(150);
 /// Pause after a call that failed; grows to the second value while calls fail.
@@ -58,6 +61,12 @@
     let mut watch = DependencyWatch::new("policy");
     let mut cursor: Option<border::TableCursor> = None;
     loop {
+        if core.state.borrow().reader.is_some() {
+            // The digests tell of a newer revision. What comes meanwhile is not waited for here.
+            cursor = None;
+            task::sleep(FOLLOW_INTERVAL.to_duration()).await;
+            continue;
+        }
         let asked = match cursor {
             Some(after) => records.next_policy(after, POLICY_WAIT).await,
             None => records.policy().await,
@@ -85,11 +94,17 @@
     let mut cursor: Option<border::TableCursor> = None;
     let mut newest = border::TableCursor::default();
     loop {
+        if follow_reader(&core).await {
+            cursor = None;
+            task::sleep(ENTRY_INTERVAL.to_duration()).await;
+            continue;
+        }
         let asked = read_entries(&core, cursor, newest).await;
         let now = core.now();
         match asked {
             Ok(next) => {
                 watch.note_answer();
+                core.state.borrow_mut().table_read = Some(now);
                 let changes = core.state.borrow_mut().replicas.note_answer(now);
                 core.note_changes(&changes, "return");
                 newest = next.map_or(newest, |next| next.max(newest));
@@ -107,6 +122,24 @@
     }
 }
 
+/// Takes over the entries of the peer that reads for this daemon; false where none does or it fails.
+async fn follow_reader(core: &core::GatewayCore) -> bool {
+    let Some(reader) = core.state.borrow().reader else { return false };
+    let entries = match exchange::read_entries(reader).await {
+        Ok(entries) => entries,
+        Err(cause) => {
+            log::debug!("{reader} does not tell its entries ({cause}); the table is read");
+            return false;
+        }
+    };
+    let now = core.now();
+    let changes = core.state.borrow_mut().replicas.replace(entries, now);
+    core.note_changes(&changes, "reader");
+    let changes = core.state.borrow_mut().replicas.note_answer(now);
+    core.note_changes(&changes, "return");
+    true
+}
+
 /// Reads entries; no cursor comes back where everything must be read next.
 async fn read_entries(
     core: &core::GatewayCore,
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -96,6 +96,10 @@
     pub idle: collections::HashMap<id::ReplicaId, Vec<upstream::IdleConnection>>,
     /// When the daemon was told to stop.
     pub stopping: Option<time::MonotonicTime>,
+    /// The peer that reads the table for this daemon; none where it reads itself.
+    pub reader: Option<SocketAddr>,
+    /// When the table last answered a read of the entries.
+    pub table_read: Option<time::MonotonicTime>,
     /// Daemons that live, this one included.
     pub daemons: u32,
     /// Requests in progress.
@@ -166,6 +170,8 @@
             wall,
             idle: collections::HashMap::new(),
             stopping: None,
+            reader: None,
+            table_read: None,
             daemons: 1,
             in_progress: 0,
             left: Vec::new(),
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -115,7 +115,7 @@
     let peers = peers.map_err(|cause| StartError::Listen(listen.peers, cause))?;
     let policies = bind(listen.peers).await?;
     exchange::start(core, peers, &signs);
-    task::spawn_local(answer_questions(core.clone(), policies, policy_text));
+    task::spawn_local(answer_questions(core.clone(), policies, records));
     task::spawn_local(control::follow_policy(core.clone()));
     task::spawn_local(control::follow_entries(core.clone()));
     task::spawn_local(caller::accept(core.clone(), callers));
@@ -152,23 +152,30 @@
 }
 
 /// Answers whether the daemon is ready: `true` is 200, `false` 503.
-fn readiness(core: &core::GatewayCore) -> (bool, Vec<u8>) {
+fn readiness(core: &core::GatewayCore, _target: &str) -> (bool, Vec<u8>) {
     (core.is_ready(), Vec::new())
 }
 
-fn policy_text(core: &core::GatewayCore) -> (bool, Vec<u8>) {
-    let text = core.state.borrow().policy_text.to_vec();
-    (!text.is_empty(), text)
+/// Answers peers that have records read for them.
+fn records(core: &core::GatewayCore, target: &str) -> (bool, Vec<u8>) {
+    match target {
+        exchange::POLICY_PATH => {
+            let text = core.state.borrow().policy_text.to_vec();
+            (!text.is_empty(), text)
+        }
+        exchange::ENTRIES_PATH => exchange::encode_entries(core),
+        _ => (false, Vec::new()),
+    }
 }
 
-fn figures(core: &core::GatewayCore) -> (bool, Vec<u8>) {
+fn figures(core: &core::GatewayCore, _target: &str) -> (bool, Vec<u8>) {
     (true, core.metrics.render())
 }
 
 async fn answer_questions(
     core: rc::Rc<core::GatewayCore>,
     listener: net::TcpListener,
-    answer: fn(&core::GatewayCore) -> (bool, Vec<u8>),
+    answer: fn(&core::GatewayCore, &str) -> (bool, Vec<u8>),
 ) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
@@ -179,10 +186,10 @@
         task::spawn_local(async move {
             let Ok(mut raw) = connection::RawConnection::new(stream) else { return };
             let question = raw.request_head(QUESTION_HEAD);
-            let Ok(Ok(_)) = future::timeout(QUESTION_TIME.to_duration(), question).await else {
+            let Ok(Ok(head)) = future::timeout(QUESTION_TIME.to_duration(), question).await else {
                 return;
             };
-            let (is_good, body) = answer(&core);
+            let (is_good, body) = answer(&core, &head.target);
             let status = if is_good { "200 OK" } else { "503 Service Unavailable" };
             let head = format!(
                 "HTTP/1.1 {status}\r\nContent-Type: text/plain\r\nContent-Length: {}\r\nConnection: close\r\n\r\n",
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -3,7 +3,8 @@
 //! Each daemon sends its digest to the others of its group in one datagram, several times a second; one
 //! that is lost is made up for by the next. In a small deployment the group is everybody. In a large
 //! one it is the zone; the first daemon of each zone sends the sum of its zone to those of the other
-//! zones and hands on what it gets. Daemons find each other through rows of their own in the table.
+//! zones and hands on what it gets. The first daemon of a group whose reads succeed reads the table for
+//! the others. Daemons find each other through rows of their own in the table.
 
 use std::cell;
 use std::collections;
@@ -18,6 +19,7 @@
 use samphiremoor_base::quantity;
 use samphiremoor_base::time;
 use samphiremoor_fleet::digest;
+use samphiremoor_fleet::replica;
 use samphiremoor_httpio::kept;
 use samphiremoor_platform::table;
 use serde::Deserialize;
@@ -45,8 +47,12 @@
 const ROWS_INTERVAL: time::Millis = time::Millis::new(30_000);
 /// Interval between tries to write or read rows while the table is away.
 const ROW_PAUSE: time::Millis = time::Millis::new(1_000);
-/// Time for a peer to send the text of its policy.
-const POLICY_TIME: time::Millis = time::Millis::new(800);
+/// A peer reads the table for others while what it read is at most this old: two reads may fail.
+const READ_FRESH: time::Millis = time::Millis::new(1_600);
+/// A peer that was not heard for this long reads for nobody.
+const READER_TIME: time::Millis = time::Millis::new(1_200);
+/// Time for a peer to tell its policy or its entries.
+const RECORDS_TIME: time::Millis = time::Millis::new(800);
 /// Largest datagram.
 const DATAGRAM_BYTES: usize = 60 * 1024;
 /// Prefix of the rows of daemons.
@@ -54,6 +60,11 @@
 /// Most rows that are read at once.
 const ROW_LIMIT: usize = 500;
 
+/// Path under which a daemon tells the text of its policy.
+pub const POLICY_PATH: &str = "/policy";
+/// Path under which a daemon tells the replica entries that it knows.
+pub const ENTRIES_PATH: &str = "/entries";
+
 /// What duties and peers tell each other.
 #[derive(Clone, Default)]
 pub struct DutySigns {
@@ -201,24 +212,58 @@
             exchange.send(&sum, &speakers).await;
         }
         exchange.count_daemons(is_zonal);
+        exchange.choose_reader(is_zonal);
         let interval = if is_zonal { ZONE_INTERVAL } else { DIGEST_INTERVAL };
         task::sleep(interval.to_duration()).await;
     }
 }
 
-async fn fetch_policy(exchange: rc::Rc<PeerExchange>, address: SocketAddr) {
-    let client = kept::KeptClient::new(address, POLICY_TIME);
-    let call = kept::KeptCall {
-        method: "GET",
-        target: "/policy",
-        fields: &[],
-        body: &[],
-        limit: POLICY_TIME,
+async fn ask(address: SocketAddr, path: &str) -> Result<Vec<u8>, table::PlatformError> {
+    let client = kept::KeptClient::new(address, RECORDS_TIME);
+    let call =
+        kept::KeptCall { method: "GET", target: path, fields: &[], body: &[], limit: RECORDS_TIME };
+    match client.call(&call).await {
+        Ok(answer) if answer.status == 200 => Ok(answer.body),
+        Ok(answer) => {
+            Err(table::PlatformError::NotDone(format!("a peer has none ({})", answer.status).into()))
+        }
+        Err(cause) => Err(table::PlatformError::NotDone(cause.to_string().into())),
+    }
+}
+
+/// The replica entries that this daemon knows, for a peer.
+pub fn encode_entries(core: &core::GatewayCore) -> (bool, Vec<u8>) {
+    let state = core.state.borrow();
+    let entries: Vec<_> = state.replicas.iter().map(|known| &known.entry).collect();
+    match postcard::to_stdvec(&entries) {
+        Ok(bytes) => (!entries.is_empty(), bytes),
+        Err(cause) => {
+            log::warn!("the entries can't be written ({cause}); peers read the table");
+            (false, Vec::new())
+        }
+    }
+}
+
+/// Reads the replica entries that a peer knows.
+///
+/// # Errors
+///
+/// Fails where the peer does not answer or knows none.
+pub async fn read_entries(
+    address: SocketAddr,
+) -> Result<Vec<replica::ReplicaEntry>, table::PlatformError> {
+    let bytes = ask(address, ENTRIES_PATH).await?;
+    let unreadable = |cause: postcard::Error| {
+        table::PlatformError::NotDone(format!("unreadable entries: {cause}").into())
     };
-    let answer = client.call(&call).await;
+    postcard::from_bytes(&bytes).map_err(unreadable)
+}
+
+async fn fetch_policy(exchange: rc::Rc<PeerExchange>, address: SocketAddr) {
+    let answer = ask(address, POLICY_PATH).await;
     exchange.is_fetching.set(false);
     let text = match answer {
-        Ok(answer) => answer.body,
+        Ok(text) => text,
         Err(cause) => {
             log::debug!("{address} does not tell its policy ({cause}); the next digest asks anew");
             return;
@@ -362,6 +407,28 @@
         self.core.state.borrow_mut().daemons = count;
     }
 
+    /// The first daemon before this one whose reads of the table succeed reads for this one too. Where
+    /// the table turns it away, the next one takes over, and each reads itself if need be.
+    fn choose_reader(&self, is_zonal: bool) {
+        let now = self.core.now();
+        let state = self.state.borrow();
+        let before = state.peers.range(..self.core.settings.daemon.clone());
+        let reader = before.map(|(_, peer)| peer).find(|peer| {
+            let is_in_group = !is_zonal || self.is_own_zone(&peer.zone);
+            let is_heard = peer.heard.is_some_and(|heard| now.since(heard) < READER_TIME);
+            let reads = peer.digest.as_ref().is_some_and(|digest| {
+                !digest.is_stopping && digest.table_age.is_some_and(|age| age < READ_FRESH)
+            });
+            is_in_group && is_heard && reads
+        });
+        let reader = reader.map(|peer| peer.address);
+        let before = std::mem::replace(&mut self.core.state.borrow_mut().reader, reader);
+        if before != reader {
+            let name = reader.map_or_else(|| "none".to_owned(), |address| address.to_string());
+            log_event!(event::LogEvent::ReaderChosen, reader = name);
+        }
+    }
+
     fn own_digest(&self) -> digest::PeerDigest {
         let core = &self.core;
         let now = core.now();
@@ -387,6 +454,7 @@
             is_stopping: state.stopping.is_some(),
             revision: state.policy.as_ref().map(|policy| policy.revision).unwrap_or_default(),
             wall_ms: u64::try_from(state.wall.own(now)).unwrap_or(0),
+            table_age: state.table_read.filter(|_| state.reader.is_none()).map(|at| now.since(at)),
             duty: self.signs.own.get(),
             loads,
             demands: state.quota.lines(now),
