--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -60,6 +60,7 @@
     107 CallerGone "caller-gone" Info "The caller closed its connection before the answer was whole.",
     108 ReplicaChosen "replica-chosen" Info "A replica was chosen for a request; the load that decided is given.",
     109 QuotaUsedUp "quota-used-up" Info "A request is over its workspace's limit; this daemon's part of the limit is given.",
+    110 SendFailed "send-failed" Info "A send to a replica came to no answer that can be passed on; the reason and what is known of the replica are given.",
     201 ClaimsWritten "claims-written" Debug "A batch of claims was written.",
     202 ClaimsRefused "claims-refused" Warn "A batch of claims was refused since the lease has another holder.",
     203 ClaimsUnsettled "claims-unsettled" Warn "The answer to a write of claims was lost; the row is read back.",
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -241,7 +241,7 @@
 }
 
 /// Takes no new callers, lets requests end, and gives up what is left before the process is killed.
-async fn stop(core: &rc::Rc<core::GatewayCore>) {
+pub async fn stop(core: &rc::Rc<core::GatewayCore>) {
     let begun = core.now();
     core.state.borrow_mut().stopping = Some(begun);
     log_event!(event::LogEvent::ProcessStopping, in_progress = core.state.borrow().in_progress,);
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -224,9 +224,9 @@
         kept::KeptCall { method: "GET", target: path, fields: &[], body: &[], limit: RECORDS_TIME };
     match client.call(&call).await {
         Ok(answer) if answer.status == 200 => Ok(answer.body),
-        Ok(answer) => {
-            Err(table::PlatformError::NotDone(format!("a peer has none ({})", answer.status).into()))
-        }
+        Ok(answer) => Err(table::PlatformError::NotDone(
+            format!("a peer has none ({})", answer.status).into(),
+        )),
         Err(cause) => Err(table::PlatformError::NotDone(cause.to_string().into())),
     }
 }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -180,6 +180,7 @@
                     reason::RetryReason::UpstreamError
                 }
             };
+            self.note_send_failure(&choice.replica, retry);
             self.avoided.push(choice.replica);
             if let Some(end) = self.check_retry(&service, retry) {
                 return self.settle(failure, end, sink).await;
@@ -529,6 +530,25 @@
         }
     }
 
+    fn note_send_failure(&self, replica: &id::ReplicaId, reason: reason::RetryReason) {
+        let now = self.core.now();
+        let state = self.core.state.borrow();
+        let known = state.replicas.get(replica);
+        let heard = known.and_then(|known| known.heard_at).map(|at| now.since(at));
+        log_event!(
+            event::LogEvent::SendFailed,
+            request = self.name(),
+            replica = replica,
+            reason = reason,
+            delivered = self.splitter.delivered(),
+            replica_known = known.is_some(),
+            replica_leaving = known.is_some_and(|known| known.entry.is_draining),
+            failing = format_args!("{:.2}", known.map_or(0.0, |known| known.failure_share(now))),
+            heard_ago = heard.map_or_else(|| "never".to_owned(), |age| age.to_string()),
+            after = now.since(self.call.arrived),
+        );
+    }
+
     fn blame(&self, replica: &id::ReplicaId) {
         let now = self.core.now();
         let mut state = self.core.state.borrow_mut();
