--- a/crates/fleet/src/policy.rs
+++ b/crates/fleet/src/policy.rs
@@ -99,6 +99,8 @@
     pub max_connections: u32,
     /// Requests that one model replica works on at the same time; absent for plain services.
     pub engine_slots: Option<u32>,
+    /// Whether a run's memory can be moved to another replica.
+    pub moves_memory: bool,
     /// Bounds of the orders for replicas; absent where the number of replicas is not ours to set.
     pub scaling: Option<ScalingRule>,
 }
--- a/crates/fleet/src/replica.rs
+++ b/crates/fleet/src/replica.rs
@@ -23,6 +23,8 @@
 /// Time in which a share of failures fades to half: a replica that fails part of its requests is
 /// tried again every few seconds.
 const FAILURE_HALF_LIFE: time::Millis = time::Millis::new(3_000);
+/// Streams stay this long on a replica that leaves by plan: it serves for two seconds or more.
+const LINGER: time::Millis = time::Millis::new(900);
 /// A digest older than this says nothing of a peer's load any more.
 const DIGEST_BELIEVED: time::Millis = time::Millis::new(2_500);
 
@@ -73,6 +75,8 @@
     failures_at: time::MonotonicTime,
     /// Instant of the last bytes that came from it.
     pub heard_at: Option<time::MonotonicTime>,
+    /// When it was first known to leave.
+    leaving_at: Option<time::MonotonicTime>,
     down_until: Option<time::MonotonicTime>,
     down_for: time::Millis,
     vanished_at: Option<time::MonotonicTime>,
@@ -288,6 +292,7 @@
             failures: 0.0,
             failures_at: time::MonotonicTime::default(),
             heard_at: None,
+            leaving_at: None,
             down_until: None,
             down_for: DOWN_MIN,
             vanished_at: None,
@@ -299,6 +304,16 @@
         !self.entry.is_draining && self.down_until.is_none_or(|until| now >= until)
     }
 
+    /// Whether streams in progress there had better go on elsewhere: at once where its VM is reclaimed,
+    /// else after the time in which most streams end by themselves.
+    pub fn is_to_be_left(&mut self, now: time::MonotonicTime) -> bool {
+        if !self.entry.is_draining {
+            return false;
+        }
+        let leaving_at = *self.leaving_at.get_or_insert(now);
+        self.entry.leaves_in.is_some() || now.since(leaving_at) >= LINGER
+    }
+
     /// The replica answered a request; `is_failure` where it failed it.
     pub fn note_answer(&mut self, is_failure: bool, now: time::MonotonicTime) {
         self.heard_at = Some(now);
--- a/crates/gateway/src/border.rs
+++ b/crates/gateway/src/border.rs
@@ -44,6 +44,8 @@
     pub priority: quantity::PriorityLevel,
     /// The last event that the caller has.
     pub last_event: Option<u64>,
+    /// Where the memory of the run lies that goes on.
+    pub memory: Option<&'a str>,
     /// Length of the body.
     pub body: usize,
 }
@@ -104,6 +106,23 @@
     /// What a replica's answer says.
     fn read_answer(&self, head: &message::AnswerHead, request: Option<&str>) -> AnswerTerms;
 
+    /// Writes a call that ends a run at the replica at `source` and moves its memory to the one at `to`.
+    fn write_move(
+        &self,
+        request: &str,
+        source: std::net::SocketAddr,
+        to: std::net::SocketAddr,
+        out: &mut Vec<u8>,
+    );
+
+    /// Where the memory lies after a move from `source`; absent where it was not moved.
+    fn read_move(
+        &self,
+        status: u16,
+        body: &[u8],
+        source: std::net::SocketAddr,
+    ) -> Option<sync::Arc<str>>;
+
     /// Writes a whole answer of the gateway's own.
     fn write_own(&self, answer: OwnAnswer, request: Option<&str>, closes: bool, out: &mut Vec<u8>);
 }
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -222,6 +222,13 @@
         stopping.is_some_and(|at| self.now().since(at) >= LEAVE_TIME)
     }
 
+    /// Whether streams in progress on a replica had better go on elsewhere.
+    pub fn is_to_be_left(&self, replica: &id::ReplicaId) -> bool {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        state.replicas.get_mut(replica).is_some_and(|known| known.is_to_be_left(now))
+    }
+
     /// Takes over a policy unless a newer one is in force. `source` says where it came from.
     pub fn adopt_policy(&self, update: border::PolicyUpdate, source: &str) {
         let now = self.now();
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -106,6 +106,14 @@
     Failed(reason::RetryReason),
     /// The replica's own failure, which is passed on if no other one is asked.
     Error(Box<PlainAnswer>),
+    /// The replica leaves; the same run goes on at another one.
+    Moved(Box<MovedRun>),
+}
+
+/// A run whose memory was moved.
+struct MovedRun {
+    choice: placing::PlacingChoice,
+    memory: sync::Arc<str>,
 }
 
 struct PlainAnswer {
@@ -127,6 +135,7 @@
         splitter: events::EventSplitter::new(call.terms.last_event),
         avoided: core::AvoidedReplicas::new(),
         connect_tries: 0,
+        is_moved: false,
     };
     carrier.run(sink).await
 }
@@ -138,6 +147,8 @@
     splitter: events::EventSplitter,
     avoided: core::AvoidedReplicas,
     connect_tries: u32,
+    /// Whether the present send goes on with the memory of the one before.
+    is_moved: bool,
 }
 
 impl CallCarrier<'_> {
@@ -147,15 +158,34 @@
         };
         self.earn(&service);
         let mut failure: Option<Box<PlainAnswer>> = None;
+        let mut moved: Option<Box<MovedRun>> = None;
         loop {
-            let choice = match self.place(&service) {
-                Ok(choice) => choice,
-                Err(end) => return self.settle(failure, end, sink).await,
+            let (choice, memory) = match moved.take() {
+                Some(run) => (run.choice, Some(run.memory)),
+                None => match self.place(&service) {
+                    Ok(choice) => (choice, None),
+                    Err(end) => return self.settle(failure, end, sink).await,
+                },
             };
+            self.is_moved = memory.is_some();
             self.progress.update(dispatch::DispatchLedger::begin);
             self.progress.replica.replace(Some(choice.replica.clone()));
-            let retry = match self.send(&service, &choice, sink).await {
+            let retry = match self.send(&service, &choice, memory.as_deref(), sink).await {
                 SendEnd::Done(end) => return end,
+                SendEnd::Moved(run) => {
+                    // The run before is the same one: nothing was decided about it.
+                    self.progress.update(dispatch::DispatchLedger::undo);
+                    log_event!(
+                        event::LogEvent::StreamMoved,
+                        request = self.name(),
+                        from = choice.replica,
+                        to = run.choice.replica,
+                        delivered = self.splitter.delivered(),
+                    );
+                    self.avoided.push(choice.replica);
+                    moved = Some(run);
+                    continue;
+                }
                 SendEnd::NotSent => {
                     self.progress.update(dispatch::DispatchLedger::undo);
                     self.connect_tries += 1;
@@ -336,6 +366,7 @@
         &mut self,
         service: &id::ServiceId,
         choice: &placing::PlacingChoice,
+        memory: Option<&str>,
         sink: &mut stream::AnswerSink,
     ) -> SendEnd {
         let is_stream = self.call.route.kind.is_stream();
@@ -355,7 +386,7 @@
         };
         let begun = self.core.now();
         let limit = self.first_limit(service, choice, begun);
-        let bytes = self.request_bytes(choice, address, begun);
+        let bytes = self.request_bytes(choice, address, memory, begun);
         if unread > 0 {
             let mut state = self.core.state.borrow_mut();
             state.prompts.entry(service.clone()).or_default().note(unread, begun);
@@ -392,7 +423,8 @@
         }
         let is_success = (200..300).contains(&answer.head.status);
         if is_stream && is_success {
-            self.pass_on(service, choice, (open, answer), &mut guard, begun, sink).await
+            let run = stream::StreamRun::new(open, answer);
+            self.pass_on(service, choice, run, &mut guard, begun, sink).await
         } else {
             self.read_plain(choice, open, answer, begun, sink).await
         }
@@ -432,7 +464,7 @@
         &mut self,
         service: &id::ServiceId,
         choice: &placing::PlacingChoice,
-        (mut open, answer): (upstream::UpstreamConnection, upstream::ReplicaAnswer),
+        mut run: stream::StreamRun,
         guard: &mut core::LoadGuard,
         begun: time::MonotonicTime,
         sink: &mut stream::AnswerSink,
@@ -441,32 +473,108 @@
         let core = self.core;
         let workspace = self.call.workspace.as_ref().map(|rule| &rule.id);
         let window = core.settings.times.usage_window_ms;
+        let is_first_run = self.splitter.delivered() == 0;
+        // A run that goes on with its memory is the one that began elsewhere.
+        let is_moved = self.is_moved;
         let on_first = || {
             let now = core.now();
             guard.prompt_read();
             core.metrics.first(now.since(begun));
             let mut state = core.state.borrow_mut();
-            state.forecast.sample(service, choice.ahead, now.since(begun));
-            if let Some(workspace) = workspace {
+            if is_first_run {
+                state.forecast.sample(service, choice.ahead, now.since(begun));
+            }
+            if let Some(workspace) = workspace.filter(|_| !is_moved) {
                 state.note_run(workspace, window, now);
             }
         };
-        let end = stream::pass_on(&mut open, &answer, &mut self.splitter, sink, on_first).await;
+        let can_move = self.can_move(service);
+        let is_to_be_left = || can_move && self.core.is_to_be_left(&choice.replica);
+        let end = run.pass_on(&mut self.splitter, sink, on_first, is_to_be_left).await;
+        if end != stream::RunEnd::Leaving {
+            return self.end_run(choice, run, end);
+        }
+        let Some(moving) = self.start_move(service, choice) else {
+            let end = run.pass_on(&mut self.splitter, sink, || {}, || false).await;
+            return self.end_run(choice, run, end);
+        };
+        // The run makes events until the replica stops it.
+        let passing = run.pass_on(&mut self.splitter, sink, || {}, || false);
+        let (moved, end) = futures_lite::future::zip(moving, passing).await;
+        match (moved, end) {
+            (Some(moved), stream::RunEnd::Broken) => SendEnd::Moved(Box::new(moved)),
+            (_, end) => self.end_run(choice, run, end),
+        }
+    }
+
+    /// Whether the memory of this request's run can be moved.
+    fn can_move(&self, service: &id::ServiceId) -> bool {
+        let state = self.core.state.borrow();
+        let rule = state.policy.as_ref().and_then(|policy| policy.services.get(service));
+        rule.is_some_and(|rule| rule.moves_memory) && self.call.terms.request.is_some()
+    }
+
+    /// Starts the move of a run to the best other replica; nothing where there is none or the budget
+    /// of further sends is spent.
+    fn start_move(
+        &self,
+        service: &id::ServiceId,
+        choice: &placing::PlacingChoice,
+    ) -> Option<impl std::future::Future<Output = Option<MovedRun>> + use<>> {
+        let core = self.core.clone();
+        let request = self.call.terms.request.clone()?;
+        let source = choice.replica.clone();
+        let mut avoided = self.avoided.clone();
+        avoided.push(source.clone());
+        let mut state = core.state.borrow_mut();
+        let query = placing::PlacingQuery {
+            service,
+            zone: &core.settings.availability_zone,
+            prompt: self.call.terms.prompt.as_ref(),
+            avoided: &avoided,
+            draw: rand::random(),
+            now: core.now(),
+        };
+        let mut target = placing::choose(&state.replicas, &query)?;
+        // The memory comes along: nothing is read again.
+        target.unread = 0;
+        let source_address = state.replicas.get(&source)?.entry.address;
+        let target_address = state.replicas.get(&target.replica)?.entry.address;
+        if !state.budget(service, &core.settings.shared).try_take() {
+            return None;
+        }
+        drop(state);
+        core.metrics.retried(reason::RetryReason::ReplicaLeaving);
+        Some(async move {
+            let moving =
+                upstream::move_memory(&core, &source, source_address, target_address, &request);
+            let memory = moving.await?;
+            Some(MovedRun { choice: target, memory })
+        })
+    }
+
+    fn end_run(
+        &self,
+        choice: &placing::PlacingChoice,
+        run: stream::StreamRun,
+        end: stream::RunEnd,
+    ) -> SendEnd {
         match end {
             stream::RunEnd::Complete => {
                 self.note_failure(&choice.replica, false);
-                upstream::release(self.core, &choice.replica, open, &answer);
-                SendEnd::Done(CallEnd::Answered(answer.head.status))
-            }
-            stream::RunEnd::Broken => {
-                self.note_failure(&choice.replica, true);
-                SendEnd::Failed(reason::RetryReason::ConnectionClosed)
+                let status = run.answer.head.status;
+                upstream::release(self.core, &choice.replica, run.open, &run.answer);
+                SendEnd::Done(CallEnd::Answered(status))
             }
             stream::RunEnd::Silent => {
                 self.blame(&choice.replica);
                 SendEnd::Failed(reason::RetryReason::ConnectionSilent)
             }
             stream::RunEnd::CallerGone => SendEnd::Done(CallEnd::CallerGone),
+            stream::RunEnd::Broken | stream::RunEnd::Leaving => {
+                self.note_failure(&choice.replica, true);
+                SendEnd::Failed(reason::RetryReason::ConnectionClosed)
+            }
         }
     }
 
@@ -474,6 +582,7 @@
         &self,
         choice: &placing::PlacingChoice,
         address: std::net::SocketAddr,
+        memory: Option<&str>,
         now: time::MonotonicTime,
     ) -> Vec<u8> {
         let terms = border::DispatchTerms {
@@ -483,6 +592,7 @@
             workspace: self.call.workspace.as_ref().map(|rule| &rule.id),
             priority: self.priority(),
             last_event: self.splitter.last(),
+            memory,
             body: self.call.body.len(),
         };
         let mut bytes = Vec::with_capacity(1024 + self.call.body.len());
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -35,6 +35,8 @@
     Broken,
     /// The replica was silent.
     Silent,
+    /// The replica leaves; the run is still in progress there.
+    Leaving,
     /// The caller does not take the answer.
     CallerGone,
 }
@@ -90,38 +92,58 @@
     }
 }
 
-/// Passes one run on. `on_first` is called at the first event of the run.
-pub async fn pass_on(
-    open: &mut upstream::UpstreamConnection,
-    answer: &upstream::ReplicaAnswer,
-    splitter: &mut events::EventSplitter,
-    sink: &mut AnswerSink,
-    mut on_first: impl FnMut(),
-) -> RunEnd {
-    let mut reader = connection::BodyReader::new(answer.framing);
-    let mut has_first = false;
-    loop {
-        let read = reader.read(&mut open.raw, splitter.buffer());
-        let is_end = match future::timeout(SILENCE.to_duration(), read).await {
-            Ok(Ok(is_end)) => is_end,
-            Ok(Err(_)) => return RunEnd::Broken,
-            Err(_) => return RunEnd::Silent,
-        };
-        let mut whole = Vec::new();
-        let is_whole = splitter.take(&mut whole);
-        if !whole.is_empty() && !has_first {
-            has_first = true;
-            on_first();
-        }
-        let is_last = is_end && is_whole && !splitter.is_torn();
-        if !deliver(answer, sink, &whole, is_last).await {
-            return RunEnd::CallerGone;
-        }
-        if is_last {
-            return RunEnd::Complete;
-        }
-        if is_end || !is_whole {
-            return RunEnd::Broken;
+/// One run of a stream at a replica.
+pub struct StreamRun {
+    /// The connection.
+    pub open: upstream::UpstreamConnection,
+    /// The head of the replica's answer.
+    pub answer: upstream::ReplicaAnswer,
+    reader: connection::BodyReader,
+}
+
+impl StreamRun {
+    /// A run of which the head came.
+    pub fn new(open: upstream::UpstreamConnection, answer: upstream::ReplicaAnswer) -> Self {
+        let reader = connection::BodyReader::new(answer.framing);
+        StreamRun { open, answer, reader }
+    }
+
+    /// Passes events on until the run ends or is to be left. `on_first` is called at its first event,
+    /// `is_to_be_left` after each further one.
+    pub async fn pass_on(
+        &mut self,
+        splitter: &mut events::EventSplitter,
+        sink: &mut AnswerSink,
+        mut on_first: impl FnMut(),
+        is_to_be_left: impl Fn() -> bool,
+    ) -> RunEnd {
+        let mut has_first = false;
+        loop {
+            let read = self.reader.read(&mut self.open.raw, splitter.buffer());
+            let is_end = match future::timeout(SILENCE.to_duration(), read).await {
+                Ok(Ok(is_end)) => is_end,
+                Ok(Err(_)) => return RunEnd::Broken,
+                Err(_) => return RunEnd::Silent,
+            };
+            let mut whole = Vec::new();
+            let is_whole = splitter.take(&mut whole);
+            if !whole.is_empty() && !has_first {
+                has_first = true;
+                on_first();
+            }
+            let is_last = is_end && is_whole && !splitter.is_torn();
+            if !deliver(&self.answer, sink, &whole, is_last).await {
+                return RunEnd::CallerGone;
+            }
+            if is_last {
+                return RunEnd::Complete;
+            }
+            if is_end || !is_whole {
+                return RunEnd::Broken;
+            }
+            if has_first && is_to_be_left() {
+                return RunEnd::Leaving;
+            }
         }
     }
 }
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -4,9 +4,10 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc;
+use std::sync;
 
+use async_std::future;
 use async_std::io::WriteExt as _;
-use futures_lite::future;
 use samphiremoor_base::id;
 use samphiremoor_base::quantity;
 use samphiremoor_base::time;
@@ -24,6 +25,9 @@
 const IDLE_MARGIN: time::Millis = time::Millis::new(700);
 /// Requests that run once go only over connections that were used within this time.
 const ONCE_IDLE_TIME: time::Millis = time::Millis::new(2_000);
+/// Time for a move of memory: some hundred megabytes over a link that other moves share, within the
+/// shortest notice of a reclaim.
+const MOVE_TIME: time::Millis = time::Millis::new(1_500);
 /// Largest body of a plain answer.
 const ANSWER_BODY: quantity::ByteCount = quantity::ByteCount::new(16 * 1024 * 1024);
 /// Answers of other requests that are passed over on one connection before it is given up.
@@ -154,10 +158,10 @@
         if writer.write_all(request).await.is_ok() {
             is_written.set(true);
         }
-        future::pending().await
+        std::future::pending().await
     };
     let read = read_answer(core, open, method, name);
-    let (head, terms, framing) = future::or(read, write).await?;
+    let (head, terms, framing) = futures_lite::future::or(read, write).await?;
     Ok(ReplicaAnswer { head, terms, framing, is_written: is_written.get() })
 }
 
@@ -194,6 +198,28 @@
     open.raw.body(answer.framing, ANSWER_BODY).await.map_err(explain)
 }
 
+/// Has the replica at `source` stop a run and move its memory to the one at `to`; gives the place of
+/// the memory, or nothing where it was not moved.
+pub async fn move_memory(
+    core: &rc::Rc<core::GatewayCore>,
+    replica: &id::ReplicaId,
+    source: SocketAddr,
+    to: SocketAddr,
+    request: &str,
+) -> Option<sync::Arc<str>> {
+    let moving = async {
+        let mut open = acquire(core, replica, source, true).await.ok()?;
+        let mut bytes = Vec::new();
+        core.adapter.codec.write_move(request, source, to, &mut bytes);
+        open.raw.write(&bytes).await.ok()?;
+        let head = open.raw.answer_head().await.ok()?;
+        let framing = message::answer_framing(&head, "POST").ok()?;
+        let body = open.raw.body(framing, ANSWER_BODY).await.ok()?;
+        core.adapter.codec.read_move(head.status, &body, source)
+    };
+    future::timeout(MOVE_TIME.to_duration(), moving).await.unwrap_or(None)
+}
+
 /// The kind of failure that a read ended with.
 pub fn explain(cause: connection::ReadError) -> ExchangeError {
     match cause {
--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -27,7 +27,7 @@
     little_memory => check("memory_mb = 260", "memory_mb = 1", "shared.memory_mb");
     one_address_twice => check("127.0.0.1:7600", "127.0.0.1:8221", "listen.peers");
     unknown_key => check("log = ", "lug = ", "lug");
-    bad_address => check("127.0.0.1:8224", "nowhere", "ready");
+    bad_address => check("127.0.0.1:8224", "nowhere", "gateway.toml:10: invalid socket address");
 }
 
 #[test]
