--- a/crates/fleet/src/digest.rs
+++ b/crates/fleet/src/digest.rs
@@ -68,8 +68,8 @@
     pub wall_ms: u64,
     /// Age of what it last read in the table itself; absent where it reads nothing there.
     pub table_age: Option<time::Millis>,
-    /// Fencing number of the duties' lease, where it is held here.
-    pub duty: Option<quantity::FenceNumber>,
+    /// Version of the row of the duties' lease, where it is held here.
+    pub duty: Option<quantity::RowVersion>,
     /// Load on replicas.
     pub loads: Vec<LoadLine>,
     /// Use of workspaces.
--- a/crates/fleet/src/duty.rs
+++ b/crates/fleet/src/duty.rs
@@ -70,6 +70,8 @@
     asked_at: Option<time::MonotonicTime>,
     next_look: time::MonotonicTime,
     peer_at: Option<time::MonotonicTime>,
+    /// The version that a holder told, and when it was first heard.
+    peer_seen: Option<(quantity::RowVersion, time::MonotonicTime)>,
     is_stopping: bool,
 }
 
@@ -97,6 +99,7 @@
             asked_at: None,
             next_look: time::MonotonicTime::default(),
             peer_at: None,
+            peer_seen: None,
             is_stopping: false,
         }
     }
@@ -107,9 +110,18 @@
         (now.since(held.renewed_at) < self.act_time()).then_some(held.fence)
     }
 
-    /// A peer says that it holds the lease.
-    pub fn note_peer(&mut self, now: time::MonotonicTime) {
+    /// A peer says that it holds the lease by a row of this version.
+    pub fn note_peer(&mut self, version: quantity::RowVersion, now: time::MonotonicTime) {
         self.peer_at = Some(now);
+        if self.peer_seen.is_none_or(|(known, _)| known != version) {
+            self.peer_seen = Some((version, now));
+        }
+    }
+
+    /// Version of the row by which this daemon holds the lease, for the peers.
+    pub fn held_version(&self) -> Option<quantity::RowVersion> {
+        self.held.as_ref()?;
+        self.row.as_ref().map(|(_, version)| *version)
     }
 
     /// The daemon stops: the lease is given away.
@@ -154,7 +166,9 @@
         let version = found.as_ref().map(|(_, version)| *version);
         let known = self.row.as_ref().map(|(_, version)| *version);
         if !self.is_read || version != known {
-            self.seen_at = now;
+            // The holder told of this version before: it was written by then.
+            let told = self.peer_seen.filter(|(told, _)| Some(*told) == version);
+            self.seen_at = told.map_or(now, |(_, at)| at.min(now));
         }
         self.is_read = true;
         self.row = found;
--- a/crates/fleet/tests/digest.rs
+++ b/crates/fleet/tests/digest.rs
@@ -24,7 +24,7 @@
         revision: quantity::RevisionNumber::new(3),
         wall_ms: 1,
         table_age: None,
-        duty: (daemon == "two").then(|| quantity::FenceNumber::new(5)),
+        duty: (daemon == "two").then(|| quantity::RowVersion::new(5)),
         loads: vec![digest::LoadLine {
             replica: replica.clone(),
             load: replica::ReplicaLoad { running, pending: 100 },
@@ -54,7 +54,7 @@
     assert_eq!(sum.loads[0].load, replica::ReplicaLoad { running: 7, pending: 200 });
     assert_eq!((sum.demands[0].demand, sum.demands[0].admitted), (20.0, 10.0));
     assert_eq!(sum.usage[0].counts.values().copied().collect::<Vec<_>>(), [4]);
-    assert_eq!(sum.duty, Some(quantity::FenceNumber::new(5)));
+    assert_eq!(sum.duty, Some(quantity::RowVersion::new(5)));
     assert_eq!(sum.left.len(), 1, "one departure is told once");
 }
 
--- a/crates/fleet/tests/duty.rs
+++ b/crates/fleet/tests/duty.rs
@@ -61,8 +61,11 @@
     let mut row = Row::default();
     let mut daemons: Vec<_> = (0..4).map(|index| daemon(index, 1)).collect();
     let mut acts = Vec::new();
+    let mut told: Option<quantity::RowVersion> = None;
     for now_ms in (0..90_000).step_by(50) {
         let now = time::MonotonicTime::new(now_ms);
+        // What the holder told in the step before; a dead one tells nothing.
+        let heard = told.take();
         if faults && draws.random_bool(0.004) {
             let index = draws.random_range(0..4);
             match draws.random_range(0..4) {
@@ -80,6 +83,9 @@
             if daemon.frozen > now_ms {
                 continue;
             }
+            if let Some(version) = heard.filter(|_| !faults || draws.random_bool(0.5)) {
+                daemon.keeper.note_peer(version, now);
+            }
             if let Some(action) = daemon.keeper.step(now, daemon.patience) {
                 let is_lost = faults && draws.random_bool(0.1);
                 match action {
@@ -101,6 +107,7 @@
             }
             if let Some(fence) = daemon.keeper.fence(now) {
                 acts.push((now_ms, index, fence));
+                told = daemon.keeper.held_version();
             }
         }
     }
@@ -181,3 +188,25 @@
         "no lease time is lost"
     );
 }
+
+// A holder that the table turns away: daemons that heard its last version need not watch it anew.
+#[test]
+fn a_version_that_was_heard_counts_from_then() {
+    let version = quantity::RowVersion::new(7);
+    let holder =
+        ("other".parse().expect("the name is an identifier"), quantity::Incarnation::new(1));
+    let fence = quantity::FenceNumber::new(3);
+    let row = duty::DutyRow { holder: Some(holder), fence, renewals: 9 };
+    let mut keeper = daemon(1, 1).keeper;
+    keeper.note_peer(version, time::MonotonicTime::new(10_000));
+    let step = |keeper: &mut duty::DutyKeeper, at: u64| {
+        keeper.step(time::MonotonicTime::new(at), time::Millis::default())
+    };
+    assert_eq!(step(&mut keeper, 12_000), Some(duty::DutyAction::Read));
+    let now = time::MonotonicTime::new(12_010);
+    keeper.note_row(Some((row, version)), now, now);
+    assert_eq!(step(&mut keeper, 13_500), Some(duty::DutyAction::Read), "the lease may still hold");
+    keeper.note_failure();
+    let taken = step(&mut keeper, 14_300);
+    assert!(matches!(taken, Some(duty::DutyAction::Write { .. })), "{taken:?}");
+}
--- a/crates/gateway/src/duties.rs
+++ b/crates/gateway/src/duties.rs
@@ -49,6 +49,7 @@
         keeper,
         patience,
         held: None,
+        last_fence: None,
         planners: collections::BTreeMap::new(),
         planned_at: None,
         reported: None,
@@ -66,6 +67,7 @@
     keeper: duty::DutyKeeper,
     patience: time::Millis,
     held: Option<quantity::FenceNumber>,
+    last_fence: Option<quantity::FenceNumber>,
     planners: collections::BTreeMap<id::ServiceId, capacity::CapacityPlanner>,
     planned_at: Option<time::MonotonicTime>,
     /// The last window that was reported.
@@ -77,8 +79,8 @@
     async fn step(&mut self) {
         let core = self.core.clone();
         core.state.borrow_mut().wall.note_own(core.clock.wall(), core.now());
-        if let Some(at) = self.signs.peer_at.get() {
-            self.keeper.note_peer(at);
+        if let Some((version, at)) = self.signs.peer.get() {
+            self.keeper.note_peer(version, at);
         }
         if core.is_stopping() {
             self.keeper.stop();
@@ -98,13 +100,15 @@
     }
 
     fn note_held(&mut self, fence: Option<quantity::FenceNumber>) {
-        self.signs.own.set(fence);
+        self.signs.own.set(fence.and_then(|_| self.keeper.held_version()));
         match (self.held, fence) {
             (None, Some(fence)) => {
                 log_event!(event::LogEvent::DutyTaken, fence = fence);
-                // What the holder before did is in the table, not here.
-                self.planners.clear();
-                self.reported = None;
+                if self.last_fence.replace(fence) != Some(fence) {
+                    // What the holder before did is in the table, not here.
+                    self.planners.clear();
+                    self.reported = None;
+                }
             }
             (Some(fence), None) => log_event!(event::LogEvent::DutyLost, fence = fence),
             _ => {}
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -68,10 +68,10 @@
 /// What duties and peers tell each other.
 #[derive(Clone, Default)]
 pub struct DutySigns {
-    /// Fencing number that this daemon holds.
-    pub own: rc::Rc<cell::Cell<Option<quantity::FenceNumber>>>,
-    /// When a peer last said that it holds the lease.
-    pub peer_at: rc::Rc<cell::Cell<Option<time::MonotonicTime>>>,
+    /// Version of the row by which this daemon holds the lease.
+    pub own: rc::Rc<cell::Cell<Option<quantity::RowVersion>>>,
+    /// The version that a peer last said it holds the lease by, and when.
+    pub peer: rc::Rc<cell::Cell<Option<(quantity::RowVersion, time::MonotonicTime)>>>,
 }
 
 /// Row of a daemon.
@@ -547,8 +547,8 @@
     ) {
         let core = &self.core;
         let now = core.now();
-        if found.duty.is_some() {
-            self.signs.peer_at.set(Some(now));
+        if let Some(version) = found.duty {
+            self.signs.peer.set(Some((version, now)));
         }
         let mut state = core.state.borrow_mut();
         state.replicas.note_peer(key, &found.loads, now);
