--- a/crates/fleet/src/digest.rs
+++ b/crates/fleet/src/digest.rs
@@ -68,6 +68,8 @@
     pub wall_ms: u64,
     /// Age of what it last read in the table itself; absent where it reads nothing there.
     pub table_age: Option<time::Millis>,
+    /// Number of its replica entries; another one where they changed.
+    pub entries: u64,
     /// Version of the row of the duties' lease, where it is held here.
     pub duty: Option<quantity::RowVersion>,
     /// Load on replicas.
--- a/crates/fleet/src/replica.rs
+++ b/crates/fleet/src/replica.rs
@@ -88,6 +88,8 @@
     replicas: collections::BTreeMap<id::ReplicaId, KnownReplica>,
     by_service: collections::HashMap<id::ServiceId, Vec<id::ReplicaId>>,
     peers: collections::HashMap<id::DaemonId, PeerLoads>,
+    /// Rises with each change of what peers that follow need to know.
+    number: u64,
     /// Last instant at which the table did not answer.
     outage_at: Option<time::MonotonicTime>,
     is_out: bool,
@@ -130,8 +132,10 @@
                 // A replica that leaves does not stay after all; what says so is older.
                 known.entry.is_draining |= was_draining;
                 if is_draining && !was_draining {
+                    self.number += 1;
                     changes.push(ReplicaChange::Leaving(id));
                 }
+                return changes;
             }
             _ => {
                 self.replicas.insert(id.clone(), KnownReplica::new(entry));
@@ -224,6 +228,16 @@
         Some(ReplicaChange::Leaving(id.clone()))
     }
 
+    /// Number of the present entries: another one where they changed.
+    pub fn number(&self) -> u64 {
+        self.number
+    }
+
+    /// Whether the entries are as the table has them: none is kept through an outage.
+    pub fn is_as_read(&self, now: time::MonotonicTime) -> bool {
+        !self.is_after_outage(now)
+    }
+
     fn is_after_outage(&self, now: time::MonotonicTime) -> bool {
         self.is_out || self.outage_at.is_some_and(|at| now.since(at) < RETURN_GRACE)
     }
@@ -275,7 +289,9 @@
         self.replicas.values()
     }
 
+    /// Notes that replicas came or went.
     fn index(&mut self) {
+        self.number += 1;
         self.by_service.clear();
         for (id, known) in &self.replicas {
             self.by_service.entry(known.entry.service.clone()).or_default().push(id.clone());
--- a/crates/fleet/tests/digest.rs
+++ b/crates/fleet/tests/digest.rs
@@ -24,6 +24,7 @@
         revision: quantity::RevisionNumber::new(3),
         wall_ms: 1,
         table_age: None,
+        entries: 1,
         duty: (daemon == "two").then(|| quantity::RowVersion::new(5)),
         loads: vec![digest::LoadLine {
             replica: replica.clone(),
--- a/crates/fleet/tests/replica.rs
+++ b/crates/fleet/tests/replica.rs
@@ -132,3 +132,35 @@
     table.get_mut(&name()).expect("it is known").note_answer(false, at(now));
     assert!(is_open(&table, now));
 }
+
+// A daemon that comes back from a cut keeps entries for a while that are long gone: nobody may follow it.
+#[test]
+fn entries_kept_through_an_outage_are_not_told() {
+    let mut table = replica::ReplicaTable::default();
+    table.put(entry(1, false));
+    assert!(table.is_as_read(at(500)));
+    table.note_outage(at(1_000));
+    assert!(!table.is_as_read(at(1_100)));
+    table.note_answer(at(4_000));
+    assert!(!table.is_as_read(at(5_900)));
+    assert!(table.is_as_read(at(6_100)));
+}
+
+#[test]
+fn the_number_of_the_entries_tells_each_change() {
+    let mut table = replica::ReplicaTable::default();
+    let mut numbers = vec![table.number()];
+    table.put(entry(1, false));
+    numbers.push(table.number());
+    table.put(entry(1, true));
+    numbers.push(table.number());
+    table.put(entry(2, false));
+    numbers.push(table.number());
+    table.remove(&name(), at(1_000));
+    numbers.push(table.number());
+    assert!(numbers.windows(2).all(|pair| pair[0] < pair[1]), "{numbers:?}");
+    table.put(entry(2, false));
+    let before = table.number();
+    table.put(entry(2, false));
+    assert_eq!(table.number(), before, "a sign of life is no change");
+}
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -18,8 +18,8 @@
 /// Interval between looks at the replica entries; a departure must be known well within the two
 /// seconds for which a leaving replica still serves.
 const ENTRY_INTERVAL: time::Millis = time::Millis::new(700);
-/// Interval between looks whether this daemon reads the policy itself.
-const FOLLOW_INTERVAL: time::Millis = time::Millis::new(300);
+/// Interval between looks at what the peer tells that reads for this daemon.
+const FOLLOW_INTERVAL: time::Millis = time::Millis::new(150);
 /// The same while no replica is known.
 const FIRST_INTERVAL: time::Millis = time::Millis::new(150);
 /// Pause after a call that failed; grows to the second value while calls fail.
@@ -93,12 +93,14 @@
     let mut watch = DependencyWatch::new("entries");
     let mut cursor: Option<border::TableCursor> = None;
     let mut newest = border::TableCursor::default();
+    let mut followed = None;
     loop {
-        if follow_reader(&core).await {
+        if follow_reader(&core, &mut followed).await {
             cursor = None;
-            task::sleep(ENTRY_INTERVAL.to_duration()).await;
+            task::sleep(FOLLOW_INTERVAL.to_duration()).await;
             continue;
         }
+        followed = None;
         let asked = read_entries(&core, cursor, newest).await;
         let now = core.now();
         match asked {
@@ -122,21 +124,30 @@
     }
 }
 
-/// Takes over the entries of the peer that reads for this daemon; false where none does or it fails.
-async fn follow_reader(core: &core::GatewayCore) -> bool {
+/// Takes over the entries of the peer that reads for this daemon where they changed since those that
+/// were `followed`; false where none reads for it, or it fails.
+async fn follow_reader(
+    core: &core::GatewayCore,
+    followed: &mut Option<(std::net::SocketAddr, u64)>,
+) -> bool {
     let Some(reader) = core.state.borrow().reader else { return false };
-    let entries = match exchange::read_entries(reader).await {
+    let now = core.now();
+    let changes = core.state.borrow_mut().replicas.note_answer(now);
+    core.note_changes(&changes, "return");
+    if *followed == Some(reader) {
+        return true;
+    }
+    let entries = match exchange::read_entries(reader.0).await {
         Ok(entries) => entries,
         Err(cause) => {
-            log::debug!("{reader} does not tell its entries ({cause}); the table is read");
+            log::debug!("{} does not tell its entries ({cause}); the table is read", reader.0);
             return false;
         }
     };
+    *followed = Some(reader);
     let now = core.now();
     let changes = core.state.borrow_mut().replicas.replace(entries, now);
     core.note_changes(&changes, "reader");
-    let changes = core.state.borrow_mut().replicas.note_answer(now);
-    core.note_changes(&changes, "return");
     true
 }
 
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -96,8 +96,9 @@
     pub idle: collections::HashMap<id::ReplicaId, Vec<upstream::IdleConnection>>,
     /// When the daemon was told to stop.
     pub stopping: Option<time::MonotonicTime>,
-    /// The peer that reads the table for this daemon; none where it reads itself.
-    pub reader: Option<SocketAddr>,
+    /// The peer that reads the table for this daemon, and the number of its entries; none where this
+    /// daemon reads itself.
+    pub reader: Option<(SocketAddr, u64)>,
     /// When the table last answered a read of the entries.
     pub table_read: Option<time::MonotonicTime>,
     /// Daemons that live, this one included.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -47,8 +47,9 @@
 const ROWS_INTERVAL: time::Millis = time::Millis::new(30_000);
 /// Interval between tries to write or read rows while the table is away.
 const ROW_PAUSE: time::Millis = time::Millis::new(1_000);
-/// A peer reads the table for others while what it read is at most this old: two reads may fail.
-const READ_FRESH: time::Millis = time::Millis::new(1_600);
+/// A peer reads the table for others while what it read is at most this old: one read may be late. What
+/// others know is older by a digest's interval, and must be known within two seconds.
+const READ_FRESH: time::Millis = time::Millis::new(1_100);
 /// A peer that was not heard for this long reads for nobody.
 const READER_TIME: time::Millis = time::Millis::new(1_200);
 /// Time for a peer to tell its policy or its entries.
@@ -421,10 +422,13 @@
             });
             is_in_group && is_heard && reads
         });
-        let reader = reader.map(|peer| peer.address);
+        let number = |peer: &KnownPeer| peer.digest.as_ref().map_or(0, |digest| digest.entries);
+        let reader = reader.map(|peer| (peer.address, number(peer)));
         let before = std::mem::replace(&mut self.core.state.borrow_mut().reader, reader);
-        if before != reader {
-            let name = reader.map_or_else(|| "none".to_owned(), |address| address.to_string());
+        let address = |reader: Option<(SocketAddr, u64)>| reader.map(|(address, _)| address);
+        if address(before) != address(reader) {
+            let name =
+                address(reader).map_or_else(|| "none".to_owned(), |address| address.to_string());
             log_event!(event::LogEvent::ReaderChosen, reader = name);
         }
     }
@@ -454,7 +458,8 @@
             is_stopping: state.stopping.is_some(),
             revision: state.policy.as_ref().map(|policy| policy.revision).unwrap_or_default(),
             wall_ms: u64::try_from(state.wall.own(now)).unwrap_or(0),
-            table_age: state.table_read.filter(|_| state.reader.is_none()).map(|at| now.since(at)),
+            table_age: self.table_age(&state, now),
+            entries: state.replicas.number(),
             duty: self.signs.own.get(),
             loads,
             demands: state.quota.lines(now),
@@ -464,6 +469,13 @@
         }
     }
 
+    /// Age of what this daemon read, where others may follow it: it reads itself, and its entries hold
+    /// none that is only kept through an outage.
+    fn table_age(&self, state: &core::CoreState, now: time::MonotonicTime) -> Option<time::Millis> {
+        let is_offered = state.reader.is_none() && state.replicas.is_as_read(now);
+        state.table_read.filter(|_| is_offered).map(|at| now.since(at))
+    }
+
     /// Takes over a digest that came, and hands a zone's sum on to the own zone.
     async fn take(self: &rc::Rc<Self>, found: digest::PeerDigest, from: SocketAddr, bytes: &[u8]) {
         let is_zonal = self.is_zonal();
