--- a/crates/entry/src/wire/request.rs
+++ b/crates/entry/src/wire/request.rs
@@ -75,6 +75,8 @@
     ManyChoices,
     /// `stream` is neither true nor false.
     BadStream,
+    /// A limit on the answer's tokens is no whole number above 0.
+    BadLimit(&'static str),
 }
 
 impl fmt::Display for BodyFault {
@@ -90,6 +92,9 @@
                 write!(f, "`{field}` is missing or of another type; send it as the API has it")
             }
             BodyFault::ManyChoices => f.write_str("`n` is not 1; send one request for each choice"),
+            BodyFault::BadLimit(field) => {
+                write!(f, "`{field}` is not from 1 to {MAX_ANSWER_TOKENS}; send a whole number")
+            }
             BodyFault::BadStream => f.write_str("`stream` is not a boolean; set true or false"),
         }
     }
@@ -129,6 +134,7 @@
         if fields.get("n").is_some_and(|count| count.as_u64() != Some(1)) {
             return Err(BodyFault::ManyChoices);
         }
+        check_token_limits(&fields)?;
         let stream = match fields.get("stream") {
             None | Some(Value::Null) => false,
             Some(Value::Bool(stream)) => *stream,
@@ -167,6 +173,23 @@
     }
 }
 
+/// Engines count tokens in 32 bits; none answers with nearly as many.
+const MAX_ANSWER_TOKENS: u64 = i32::MAX as u64;
+
+/// Refuses limits on the answer that an engine would refuse, each in a form of its own.
+fn check_token_limits(fields: &Map<String, Value>) -> Result<(), BodyFault> {
+    for field in ["max_tokens", "max_completion_tokens"] {
+        let limit = fields.get(field).filter(|value| !value.is_null());
+        let is_good = |value: &Value| {
+            value.as_u64().is_some_and(|count| (1..=MAX_ANSWER_TOKENS).contains(&count))
+        };
+        if limit.is_some_and(|value| !is_good(value)) {
+            return Err(BodyFault::BadLimit(field));
+        }
+    }
+    Ok(())
+}
+
 /// Where an answer goes on.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct ResumePoint {
--- a/crates/entry/tests/callers.rs
+++ b/crates/entry/tests/callers.rs
@@ -79,6 +79,13 @@
         post(r#"{"model":"assistant","messages":[{}],"n":2}"#), 400, "malformed-body");
     text_stream => check(
         post(r#"{"model":"assistant","messages":[{}],"stream":"yes"}"#), 400, "malformed-body");
+    negative_limit => check(
+        post(r#"{"model":"assistant","messages":[{}],"max_tokens":-1}"#), 400, "malformed-body");
+    huge_limit => check(
+        post(r#"{"model":"assistant","messages":[{}],"max_tokens":1e30}"#), 400, "malformed-body");
+    zero_limit => check(
+        post(r#"{"model":"assistant","messages":[{}],"max_completion_tokens":0}"#),
+        400, "malformed-body");
     unknown_service => check(
         post(r#"{"model":"poet","messages":[{}]}"#), 404, "unknown-service");
     unknown_version => check(
