--- a/crates/process-tests/src/child.rs
+++ b/crates/process-tests/src/child.rs
@@ -32,11 +32,12 @@
         let log = directory.join(format!("{name}.log"));
         let output =
             fs::File::options().create(true).append(true).open(&log).expect("the log can be made");
+        let lines = output.try_clone().expect("the log can be shared");
         let child = process::Command::new(program_path(program))
             .arg("--settings")
             .arg(&file)
             .stdin(process::Stdio::null())
-            .stdout(process::Stdio::null())
+            .stdout(lines)
             .stderr(output)
             .spawn()
             .unwrap_or_else(|cause| {
