--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -10,7 +10,7 @@
 
 use crate::border;
 use crate::core;
-use crate::exchange;
+use crate::peer_records;
 
 /// Longest wait of one call for a newer policy. A connection that went silent is noticed by then, so
 /// that a change is in force within the two seconds that operators are promised.
@@ -137,7 +137,7 @@
     if *followed == Some(reader) {
         return true;
     }
-    let entries = match exchange::read_entries(reader.0).await {
+    let entries = match peer_records::read_entries(reader.0).await {
         Ok(entries) => entries,
         Err(cause) => {
             log::debug!("{} does not tell its entries ({cause}); the table is read", reader.0);
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -27,6 +27,7 @@
 use crate::core;
 use crate::duties;
 use crate::exchange;
+use crate::peer_records;
 use crate::settings;
 use crate::upstream;
 
@@ -115,7 +116,7 @@
     let peers = peers.map_err(|cause| StartError::Listen(listen.peers, cause))?;
     let policies = bind(listen.peers).await?;
     exchange::start(core, peers, &signs);
-    task::spawn_local(answer_questions(core.clone(), policies, records));
+    task::spawn_local(answer_questions(core.clone(), policies, peer_records::answer));
     task::spawn_local(control::follow_policy(core.clone()));
     task::spawn_local(control::follow_entries(core.clone()));
     task::spawn_local(caller::accept(core.clone(), callers));
@@ -156,18 +157,6 @@
     (core.is_ready(), Vec::new())
 }
 
-/// Answers peers that have records read for them.
-fn records(core: &core::GatewayCore, target: &str) -> (bool, Vec<u8>) {
-    match target {
-        exchange::POLICY_PATH => {
-            let text = core.state.borrow().policy_text.to_vec();
-            (!text.is_empty(), text)
-        }
-        exchange::ENTRIES_PATH => exchange::encode_entries(core),
-        _ => (false, Vec::new()),
-    }
-}
-
 fn figures(core: &core::GatewayCore, _target: &str) -> (bool, Vec<u8>) {
     (true, core.metrics.render())
 }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -19,13 +19,12 @@
 use samphiremoor_base::quantity;
 use samphiremoor_base::time;
 use samphiremoor_fleet::digest;
-use samphiremoor_fleet::replica;
-use samphiremoor_httpio::kept;
 use samphiremoor_platform::table;
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::core;
+use crate::peer_records;
 
 /// Interval between two digests: load that is older misleads placement.
 const DIGEST_INTERVAL: time::Millis = time::Millis::new(300);
@@ -52,8 +51,6 @@
 const READ_FRESH: time::Millis = time::Millis::new(1_100);
 /// A peer that was not heard for this long reads for nobody.
 const READER_TIME: time::Millis = time::Millis::new(1_200);
-/// Time for a peer to tell its policy or its entries.
-const RECORDS_TIME: time::Millis = time::Millis::new(800);
 /// Largest datagram.
 const DATAGRAM_BYTES: usize = 60 * 1024;
 /// Prefix of the rows of daemons.
@@ -61,11 +58,6 @@
 /// Most rows that are read at once.
 const ROW_LIMIT: usize = 500;
 
-/// Path under which a daemon tells the text of its policy.
-pub const POLICY_PATH: &str = "/policy";
-/// Path under which a daemon tells the replica entries that it knows.
-pub const ENTRIES_PATH: &str = "/entries";
-
 /// What duties and peers tell each other.
 #[derive(Clone, Default)]
 pub struct DutySigns {
@@ -219,49 +211,8 @@
     }
 }
 
-async fn ask(address: SocketAddr, path: &str) -> Result<Vec<u8>, table::PlatformError> {
-    let client = kept::KeptClient::new(address, RECORDS_TIME);
-    let call =
-        kept::KeptCall { method: "GET", target: path, fields: &[], body: &[], limit: RECORDS_TIME };
-    match client.call(&call).await {
-        Ok(answer) if answer.status == 200 => Ok(answer.body),
-        Ok(answer) => Err(table::PlatformError::NotDone(
-            format!("a peer has none ({})", answer.status).into(),
-        )),
-        Err(cause) => Err(table::PlatformError::NotDone(cause.to_string().into())),
-    }
-}
-
-/// The replica entries that this daemon knows, for a peer.
-pub fn encode_entries(core: &core::GatewayCore) -> (bool, Vec<u8>) {
-    let state = core.state.borrow();
-    let entries: Vec<_> = state.replicas.iter().map(|known| &known.entry).collect();
-    match postcard::to_stdvec(&entries) {
-        Ok(bytes) => (!entries.is_empty(), bytes),
-        Err(cause) => {
-            log::warn!("the entries can't be written ({cause}); peers read the table");
-            (false, Vec::new())
-        }
-    }
-}
-
-/// Reads the replica entries that a peer knows.
-///
-/// # Errors
-///
-/// Fails where the peer does not answer or knows none.
-pub async fn read_entries(
-    address: SocketAddr,
-) -> Result<Vec<replica::ReplicaEntry>, table::PlatformError> {
-    let bytes = ask(address, ENTRIES_PATH).await?;
-    let unreadable = |cause: postcard::Error| {
-        table::PlatformError::NotDone(format!("unreadable entries: {cause}").into())
-    };
-    postcard::from_bytes(&bytes).map_err(unreadable)
-}
-
 async fn fetch_policy(exchange: rc::Rc<PeerExchange>, address: SocketAddr) {
-    let answer = ask(address, POLICY_PATH).await;
+    let answer = peer_records::read_policy(address).await;
     exchange.is_fetching.set(false);
     let text = match answer {
         Ok(text) => text,
