--- a/crates/fleet/src/quota.rs
+++ b/crates/fleet/src/quota.rs
@@ -22,8 +22,14 @@
 const SILENT_TIME: time::Millis = time::Millis::new(1_000);
 /// Time in which measured rates fade to about a third.
 const RATE_WINDOW: time::Millis = time::Millis::new(2_000);
-/// Time after which peers know of an admission: a digest's interval and its way.
+/// Time after which peers know of an admission, before the exchange has said so: a digest's interval and
+/// its way.
 const TOLD_TIME: time::Millis = time::Millis::new(450);
+/// For this long after its start a daemon has not heard of all others: it spends what one of the known
+/// number may.
+const WARM_TIME: time::Millis = time::Millis::new(2_500);
+/// Daemons that a new one counts with before it has read who there are.
+const UNKNOWN_DAEMONS: usize = 16;
 /// Part of the whole rate that a daemon without demand counts with, so that its first requests pass.
 const IDLE_PART: f64 = 0.02;
 /// Part of the burst in a new bucket: a restarted daemon does not know what was spent.
@@ -38,10 +44,36 @@
 const DEBTORS: f64 = 8.0;
 
 /// Buckets of one daemon.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct QuotaKeeper {
     buckets: collections::HashMap<id::WorkspaceId, QuotaBucket>,
     peers: collections::BTreeMap<id::DaemonId, PeerUse>,
+    /// When the first limits were configured.
+    started: Option<time::MonotonicTime>,
+    daemons: usize,
+    told_time: time::Millis,
+}
+
+impl Default for QuotaKeeper {
+    fn default() -> Self {
+        QuotaKeeper {
+            buckets: collections::HashMap::new(),
+            peers: collections::BTreeMap::new(),
+            started: None,
+            daemons: UNKNOWN_DAEMONS,
+            told_time: TOLD_TIME,
+        }
+    }
+}
+
+/// How freely a daemon may spend.
+#[derive(Clone, Copy, Debug)]
+struct SpendingRule {
+    /// Whether it has not heard of all others yet.
+    is_warm: bool,
+    /// Greatest part of what is left that is its own.
+    most_part: f64,
+    told_time: time::Millis,
 }
 
 #[derive(Clone, Debug)]
@@ -68,6 +100,8 @@
     level: f64,
     /// Part of this daemon in what is left.
     part: f64,
+    /// Units a second that all daemons' callers ask for.
+    all_demand: f64,
     total: f64,
     demand: f64,
     admitted: f64,
@@ -84,6 +118,7 @@
         workspaces: &[sync::Arc<policy::WorkspaceRule>],
         now: time::MonotonicTime,
     ) {
+        self.started.get_or_insert(now);
         let mut buckets = collections::HashMap::new();
         for workspace in workspaces {
             let Some(rule) = workspace.quota else { continue };
@@ -97,6 +132,12 @@
         self.share(now);
     }
 
+    /// Takes over how many daemons there are, and after which time they know of an admission here.
+    pub fn note_exchange(&mut self, daemons: usize, told_time: time::Millis) {
+        self.daemons = daemons.max(1);
+        self.told_time = told_time;
+    }
+
     /// Takes over the use that a peer tells.
     pub fn note_peer(
         &mut self,
@@ -151,12 +192,14 @@
         draw: f64,
         now: time::MonotonicTime,
     ) -> Result<(), time::Millis> {
+        let spending = self.spending(now);
         let Some(bucket) = self.buckets.get_mut(workspace) else { return Ok(()) };
         pass_one(workspace, bucket, &mut self.peers, now);
+        bucket.forget_told(self.told_time, now);
         let units = bucket.units(tokens);
         bucket.demand += units;
         bucket.mean += MEAN_WEIGHT * (units - bucket.mean);
-        if bucket.may_take(draw) {
+        if bucket.may_take(draw, &spending) {
             bucket.level -= units;
             bucket.total += units;
             bucket.admitted += units;
@@ -164,7 +207,7 @@
             return Ok(());
         }
         let wait = -bucket.level * 1_000.0 / bucket.rule.rate.max(1.0);
-        Err(time::Millis::new(wait.max(0.0) as u64).max(TOLD_TIME))
+        Err(time::Millis::new(wait.max(0.0) as u64).max(self.told_time))
     }
 
     /// Gives back the units of a request that did not run.
@@ -196,6 +239,13 @@
         self.buckets.iter().map(line).collect()
     }
 
+    /// How freely this daemon may spend now.
+    fn spending(&self, now: time::MonotonicTime) -> SpendingRule {
+        let is_warm = self.started.is_none_or(|started| now.since(started) < WARM_TIME);
+        let most_part = if is_warm { 1.0 / self.daemons as f64 } else { 1.0 };
+        SpendingRule { is_warm, most_part, told_time: self.told_time }
+    }
+
     /// Fills the buckets up to now, and takes off what silent peers are assumed to admit.
     fn pass(&mut self, now: time::MonotonicTime) {
         for (workspace, bucket) in &mut self.buckets {
@@ -212,6 +262,7 @@
             let others: f64 = self.peers.values().map(|peer| demand(peer) + idle).sum();
             let own = per_second(bucket.demand) + idle;
             bucket.part = if own + others > 0.0 { own / (own + others) } else { 1.0 };
+            bucket.all_demand = own + others;
         }
     }
 }
@@ -243,6 +294,7 @@
             rule,
             level: rule.burst * FIRST_FILL,
             part: 1.0,
+            all_demand: 0.0,
             total: 0.0,
             demand: 0.0,
             admitted: 0.0,
@@ -260,23 +312,31 @@
         let kept = (-(passed.get() as f64) / RATE_WINDOW.get() as f64).exp();
         self.demand *= kept;
         self.admitted *= kept;
-        while self.recent.front().is_some_and(|(at, _)| now.since(*at) >= TOLD_TIME) {
+        passed
+    }
+
+    /// Forgets admissions that the peers know of by now.
+    fn forget_told(&mut self, told_time: time::Millis, now: time::MonotonicTime) {
+        while self.recent.front().is_some_and(|(at, _)| now.since(*at) >= told_time) {
             self.recent.pop_front();
         }
-        passed
     }
 
     /// Whether a request passes; its own size does not count, so that all sizes pass alike.
-    fn may_take(&self, draw: f64) -> bool {
+    fn may_take(&self, draw: f64, spending: &SpendingRule) -> bool {
         if self.level <= 0.0 {
             return false;
         }
-        if self.level >= self.rule.burst * AMPLE_PART {
+        // What the others admit before they are heard of again may be all that is asked of them.
+        let untold = self.all_demand * spending.told_time.get() as f64 / 1_000.0;
+        let is_ample = self.level - untold >= self.rule.burst * AMPLE_PART;
+        if is_ample && !spending.is_warm {
             return true;
         }
+        let part = self.part.min(spending.most_part);
         let recent: f64 = self.recent.iter().map(|(_, units)| *units).sum();
-        let left = self.part * (self.level + recent) - recent;
-        left >= self.mean || (left > 0.0 && draw < self.part * DEBTORS)
+        let left = part * (self.level + recent) - recent;
+        left >= self.mean || (left > 0.0 && draw < part * DEBTORS)
     }
 
     fn units(&self, tokens: Option<u64>) -> f64 {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -30,6 +30,10 @@
 const DIGEST_INTERVAL: time::Millis = time::Millis::new(300);
 /// The same where a group is a zone; the processor time of a small VM bounds it.
 const ZONE_INTERVAL: time::Millis = time::Millis::new(500);
+/// Time after which all daemons know of what happened here: an interval and a datagram's way.
+const GROUP_TOLD_TIME: time::Millis = time::Millis::new(450);
+/// The same where sums of zones are handed on: three intervals.
+const ZONE_TOLD_TIME: time::Millis = time::Millis::new(1_400);
 /// Most daemons that all tell each other: above it, the messages of a daemon would grow with the
 /// deployment.
 const GROUP_LIMIT: usize = 16;
@@ -356,7 +360,11 @@
         let fresh = state.peers.values().filter(|peer| is_fresh(peer, now)).count();
         let summed = state.speakers.values().filter(|_| is_zonal).map(|known| known.members);
         let count = 1 + fresh as u32 + summed.sum::<u32>();
-        self.core.state.borrow_mut().daemons = count;
+        let known = state.peers.len() + 1;
+        let told_time = if is_zonal { ZONE_TOLD_TIME } else { GROUP_TOLD_TIME };
+        let mut core = self.core.state.borrow_mut();
+        core.daemons = count;
+        core.quota.note_exchange(known, told_time);
     }
 
     /// The first daemon before this one whose reads of the table succeed reads for this one too. Where
