--- a/crates/fleet/src/capacity.rs
+++ b/crates/fleet/src/capacity.rs
@@ -29,8 +29,9 @@
 const ENOUGH_PART: f64 = 0.9;
 /// Time in which a measured need fades to about a third; shorter, a queue of a second counts in full.
 const NEED_WINDOW: time::Millis = time::Millis::new(2_000);
-/// A need counts for this long after it was measured, so that the next crest finds its replicas.
-const NEED_HELD: time::Millis = time::Millis::new(20_000);
+/// A need counts for this long after it was measured, so that the next crest of a wave finds its replicas;
+/// waves of traffic have periods of up to a minute.
+const NEED_HELD: time::Millis = time::Millis::new(60_000);
 /// Time after which an order that was refused is tried again.
 const REFUSED_PAUSE: time::Millis = time::Millis::new(3_000);
 /// An order that the fleet does not show is repeated after this time, at least the start of a VM.
@@ -152,6 +153,10 @@
             Some(_) => floors + extra,
             None => floors.max(held.ceil() as u32),
         };
+        // What is given back while none are sold can't be had again when it is needed.
+        let is_dry = self.orders.iter().any(|((_, is_reclaimable), placed)| {
+            *is_reclaimable && placed.answer == OrderAnswer::Refused
+        });
         let mut left = zones;
         let mut orders = Vec::new();
         for (zone, present) in by_price(supply, rule) {
@@ -162,7 +167,8 @@
             wanted_steady -= steady;
             self.order(service, zone, false, steady, present.steady, now, &mut orders);
             if rule.reclaimable_price.is_some() {
-                let wanted = reclaimable_each.min(rule.max.saturating_sub(steady));
+                let kept = if is_dry { present.reclaimable } else { 0 };
+                let wanted = reclaimable_each.max(kept).min(rule.max.saturating_sub(steady));
                 self.order(service, zone, true, wanted, present.reclaimable, now, &mut orders);
             }
         }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -254,7 +254,7 @@
     /// Chooses a replica, or says how the request ends without one.
     fn place(&self, service: &id::ServiceId) -> Result<placing::PlacingChoice, CallEnd> {
         let now = self.core.now();
-        let state = self.core.state.borrow();
+        let mut state = self.core.state.borrow_mut();
         let is_engine = state.policy.as_ref().is_some_and(|policy| {
             policy.services.get(service).is_some_and(|rule| rule.engine_slots.is_some())
         });
@@ -286,6 +286,8 @@
                 draw: rand::random(),
             };
             if let Err(wait) = state.forecast.admit(&admission) {
+                // Capacity is planned for what is asked, not for what is let in.
+                state.prompts.entry(service.clone()).or_default().note(choice.unread, now);
                 return Err(self.refuse(reason::RefusalReason::Shed, wait.get() as f64));
             }
         }
