Streams: a moved run stays one that ran

Cause, found by reading: after a move the ledger forgot the run, so a stream that may not run again, on a route with several attempts, was begun anew when the next replica refused it.

--- a/crates/fleet/src/dispatch.rs
+++ b/crates/fleet/src/dispatch.rs
@@ -47,6 +47,12 @@
         self.doubtful -= 1;
     }
 
+    /// Notes that the run of the last send goes on at another replica with its memory: the next send is
+    /// no further attempt, and the run stays one that may have run.
+    pub fn move_on(&mut self) {
+        self.sent -= 1;
+    }
+
     /// Whether a further send is allowed: the attempts are not used up, and another run does no
     /// harm or is excluded.
     pub fn may_send(&self) -> bool {
--- a/crates/fleet/tests/dispatch.rs
+++ b/crates/fleet/tests/dispatch.rs
@@ -49,6 +49,18 @@
     assert!(ledger.may_send() && ledger.is_not_run());
 }
 
+// A moved run that the next replica refuses has run: it may not begin anew where that is forbidden.
+#[test]
+fn a_moved_run_stays_one_that_ran() {
+    let mut ledger = dispatch::DispatchLedger::new(FIXED, 3);
+    ledger.begin();
+    ledger.move_on();
+    ledger.begin();
+    assert_eq!(ledger.sent(), 1, "the move is no further attempt");
+    ledger.end(NotRun);
+    assert!(!ledger.may_send() && !ledger.is_not_run());
+}
+
 proptest::proptest! {
     #![proptest_config(samphiremoor_testkit::config(256))]
 
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -173,8 +173,7 @@
             let retry = match self.send(&service, &choice, memory.as_deref(), sink).await {
                 SendEnd::Done(end) => return end,
                 SendEnd::Moved(run) => {
-                    // The run before is the same one: nothing was decided about it.
-                    self.progress.update(dispatch::DispatchLedger::undo);
+                    self.progress.update(dispatch::DispatchLedger::move_on);
                     log_event!(
                         event::LogEvent::StreamMoved,
                         request = self.name(),
