--- a/crates/fleet/src/capacity.rs
+++ b/crates/fleet/src/capacity.rs
@@ -53,8 +53,6 @@
     pub steady: u32,
     /// Replicas that it may reclaim.
     pub reclaimable: u32,
-    /// Reclaimable replicas that are about to leave.
-    pub leaving: u32,
 }
 
 /// Load of a service over all daemons.
--- a/crates/fleet/src/policy.rs
+++ b/crates/fleet/src/policy.rs
@@ -95,8 +95,6 @@
 /// A declared service.
 #[derive(Clone, Debug, Default)]
 pub struct ServiceRule {
-    /// Connections that one replica takes from all daemons together.
-    pub max_connections: u32,
     /// Requests that one model replica works on at the same time; absent for plain services.
     pub engine_slots: Option<u32>,
     /// Whether a run's memory can be moved to another replica.
@@ -112,8 +110,6 @@
     pub min: u32,
     /// Most replicas in each availability zone, of both kinds together.
     pub max: u32,
-    /// Time from an order to the start of service.
-    pub boot: time::Millis,
     /// Price of a reclaimable replica as a part of that of another one; absent where none are sold.
     pub reclaimable_price: Option<f64>,
     /// Price of a replica by availability zone.
--- a/crates/fleet/src/replica.rs
+++ b/crates/fleet/src/replica.rs
@@ -69,8 +69,6 @@
     pub entry: ReplicaEntry,
     /// Load of this daemon.
     pub own: ReplicaLoad,
-    /// Connections that this daemon has open to it, idle ones included.
-    pub connections: u32,
     failures: f64,
     failures_at: time::MonotonicTime,
     /// Instant of the last bytes that came from it.
@@ -304,7 +302,6 @@
         KnownReplica {
             entry,
             own: ReplicaLoad::default(),
-            connections: 0,
             failures: 0.0,
             failures_at: time::MonotonicTime::default(),
             heard_at: None,
--- a/crates/fleet/tests/capacity.rs
+++ b/crates/fleet/tests/capacity.rs
@@ -20,7 +20,6 @@
     policy::ScalingRule {
         min: 1,
         max: 10,
-        boot: time::Millis::new(BOOT_MS),
         reclaimable_price: Some(0.18),
         zone_prices: prices.map(|(name, price)| (zone(name), price)).collect(),
     }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -47,7 +47,7 @@
         };
         let begun = self.core.now();
         let limit = self.first_limit(service, choice, begun);
-        let bytes = self.request_bytes(choice, address, memory, begun);
+        let bytes = self.request_bytes(choice, memory, begun);
         if unread > 0 {
             let mut state = self.core.state.borrow_mut();
             state.prompts.entry(service.clone()).or_default().note(unread, begun);
@@ -242,13 +242,11 @@
     fn request_bytes(
         &self,
         choice: &placing::PlacingChoice,
-        address: std::net::SocketAddr,
         memory: Option<&str>,
         now: time::MonotonicTime,
     ) -> Vec<u8> {
         let terms = border::DispatchTerms {
             replica: &choice.replica,
-            address,
             left: self.call.deadline.since(now),
             workspace: self.call.workspace.as_ref().map(|rule| &rule.id),
             priority: self.priority(),
--- a/crates/gateway/src/border.rs
+++ b/crates/gateway/src/border.rs
@@ -34,8 +34,6 @@
 pub struct DispatchTerms<'a> {
     /// The replica that must answer, and no other one.
     pub replica: &'a id::ReplicaId,
-    /// Its address.
-    pub address: std::net::SocketAddr,
     /// Time that is left to the replica.
     pub left: time::Millis,
     /// The caller's workspace.
--- a/crates/gateway/src/duties.rs
+++ b/crates/gateway/src/duties.rs
@@ -285,10 +285,9 @@
     for known in state.replicas.of_service(service) {
         let zone = supply.entry(known.entry.zone.clone()).or_default();
         match (known.entry.is_reclaimable, known.entry.is_draining) {
-            (true, true) => zone.leaving += 1,
             (true, false) => zone.reclaimable += 1,
             (false, false) => zone.steady += 1,
-            (false, true) => {}
+            (_, true) => {}
         }
     }
     supply
