--- a/crates/fleet/tests/quota.rs
+++ b/crates/fleet/tests/quota.rs
@@ -119,14 +119,14 @@
         }
         fullest = fullest.max(in_window);
         let is_cut = |daemon: usize| daemon < situation.cut && (10_000..18_000).contains(&now_ms);
-        for from in 0..situation.daemons {
+        for (from, (keeper, life)) in keepers.iter_mut().enumerate() {
             // Daemons tell each other at instants of their own.
             let own_instant = from as u64 * 37 / STEP_MS * STEP_MS;
             if !(now_ms + own_instant).is_multiple_of(DIGEST_MS) {
                 continue;
             }
-            let lines = keepers[from].0.lines(now);
-            let life = quantity::Incarnation::new(keepers[from].1);
+            let lines = keeper.lines(now);
+            let life = quantity::Incarnation::new(*life);
             let is_sender_cut = is_cut(from);
             let heard =
                 (0..situation.daemons).filter(|to| *to != from && is_cut(*to) == is_sender_cut);
