--- a/crates/base/tests/proofs.rs
+++ b/crates/base/tests/proofs.rs
@@ -29,7 +29,8 @@
 
 #[test]
 fn named_tests_exist() {
-    let code = texts(&root().join("crates"), "rs");
+    let mut code = texts(&root().join("crates"), "rs");
+    code.push_str(&texts(&root().join("platform"), "rs"));
     let is_test_name = |word: &&String| {
         word.contains('_') && word.chars().all(|found| found.is_ascii_lowercase() || found == '_')
     };
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -15,15 +15,15 @@
 /// Longest wait of one call for a newer policy. A connection that went silent is noticed by then, so
 /// that a change is in force within the two seconds that operators are promised.
 const POLICY_WAIT: time::Millis = time::Millis::new(1_500);
-/// Interval between looks at the replica entries; a departure must be known well within the two
-/// seconds for which a leaving replica still serves.
-const ENTRY_INTERVAL: time::Millis = time::Millis::new(700);
+/// Interval between looks at the replica entries. A departure must be known to all within two seconds: a
+/// read that hangs, the digests' interval and a follower's own read come on top.
+const ENTRY_INTERVAL: time::Millis = time::Millis::new(450);
 /// Interval between looks at what the peer tells that reads for this daemon.
 const FOLLOW_INTERVAL: time::Millis = time::Millis::new(150);
 /// The same while no replica is known.
 const FIRST_INTERVAL: time::Millis = time::Millis::new(150);
 /// Pause after a call that failed; grows to the second value while calls fail.
-const RETRY_PAUSES: (u64, u64) = (100, 500);
+const RETRY_PAUSES: (u64, u64) = (25, 400);
 
 /// Tells a dependency that was lost or regained, once each.
 struct DependencyWatch {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -28,6 +28,8 @@
 
 /// Interval between two digests: load that is older misleads placement.
 const DIGEST_INTERVAL: time::Millis = time::Millis::new(300);
+/// Interval between looks whether there is a change that peers should know at once.
+const CHANGE_INTERVAL: time::Millis = time::Millis::new(100);
 /// The same where a group is a zone; the processor time of a small VM bounds it.
 const ZONE_INTERVAL: time::Millis = time::Millis::new(500);
 /// Time after which all daemons know of what happened here: an interval and a datagram's way.
@@ -52,7 +54,7 @@
 const ROW_PAUSE: time::Millis = time::Millis::new(1_000);
 /// A peer reads the table for others while what it read is at most this old: one read may be late. What
 /// others know is older by a digest's interval, and must be known within two seconds.
-const READ_FRESH: time::Millis = time::Millis::new(1_100);
+const READ_FRESH: time::Millis = time::Millis::new(900);
 /// A peer that was not heard for this long reads for nobody.
 const READER_TIME: time::Millis = time::Millis::new(1_200);
 /// Largest datagram.
@@ -210,8 +212,7 @@
         }
         exchange.count_daemons(is_zonal);
         exchange.choose_reader(is_zonal);
-        let interval = if is_zonal { ZONE_INTERVAL } else { DIGEST_INTERVAL };
-        task::sleep(interval.to_duration()).await;
+        exchange.await_round(if is_zonal { ZONE_INTERVAL } else { DIGEST_INTERVAL }).await;
     }
 }
 
@@ -367,6 +368,16 @@
         core.quota.note_exchange(known, told_time);
     }
 
+    /// Waits for the next round, which comes early where replicas came or left.
+    async fn await_round(&self, interval: time::Millis) {
+        let begun = self.core.now();
+        let number = || self.core.state.borrow().replicas.number();
+        let before = number();
+        while self.core.now().since(begun) < interval && number() == before {
+            task::sleep(CHANGE_INTERVAL.to_duration()).await;
+        }
+    }
+
     /// The first daemon before this one whose reads of the table succeed reads for this one too. Where
     /// the table turns it away, the next one takes over, and each reads itself if need be.
     fn choose_reader(&self, is_zonal: bool) {
