Read-through: one sum of counted tokens, one block of the shared state, a retry time named for its uses

The sum of a prompt's counted tokens stood twice in the callers' file, the shared state's methods in two blocks, and the time to come back named for a missing policy served two other cases. Behaviour stays.

--- a/crates/fleet/src/placing.rs
+++ b/crates/fleet/src/placing.rs
@@ -51,6 +51,11 @@
 }
 
 impl PromptSize {
+    /// Tokens that a limit counts: those of the prompt and the most that the answer may have.
+    pub fn counted(&self) -> u64 {
+        u64::from(self.input) + u64::from(self.output)
+    }
+
     /// Tokens of the parts that other requests share.
     pub fn shared(&self) -> u32 {
         let shared = self.parts.len().saturating_sub(1);
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -12,6 +12,7 @@
 use samphiremoor_base::quantity;
 use samphiremoor_base::reason;
 use samphiremoor_base::time;
+use samphiremoor_fleet::placing;
 use samphiremoor_fleet::policy;
 use samphiremoor_httpio::connection;
 use samphiremoor_httpio::message;
@@ -27,8 +28,8 @@
 const DEFAULT_PATIENCE: time::Millis = time::Millis::new(60_000);
 /// Pause after an accept that failed, so that a full table of descriptors is not polled.
 const ACCEPT_PAUSE: time::Millis = time::Millis::new(50);
-/// Time after which a daemon without a policy may be asked again.
-const NO_POLICY_RETRY: time::Millis = time::Millis::new(700);
+/// Time after which a daemon may be asked again that has no policy or no memory, or was out of time.
+const LATER_RETRY: time::Millis = time::Millis::new(700);
 /// Time after which a caller may come back that another daemon can serve at once.
 const ELSEWHERE_RETRY: time::Millis = time::Millis::new(50);
 /// Least time after which a caller over its limit may come back; the debt of one prompt is paid off
@@ -116,7 +117,7 @@
         .map_err(|cause| own_answer(&connection::ReadError::Message(cause)))?;
     let room = core.settings.shared.memory_mb * 1024 * 1024 / BODY_MEMORY_PART;
     if BODY_BYTES.get() > room {
-        return Err(Some(border::OwnAnswer::NotRun(NO_POLICY_RETRY)));
+        return Err(Some(border::OwnAnswer::NotRun(LATER_RETRY)));
     }
     let is_waiting = head.fields.has_token("expect", "100-continue");
     if is_waiting && raw.write(b"HTTP/1.1 100 Continue\r\n\r\n").await.is_err() {
@@ -209,7 +210,7 @@
     let reason = reason::RefusalReason::DeadlinePassed;
     match (is_begun, progress.ledger.get().is_not_run()) {
         (true, _) => forward::CallEnd::BrokenOff,
-        (false, true) => forward::CallEnd::Own(border::OwnAnswer::NotRun(NO_POLICY_RETRY), reason),
+        (false, true) => forward::CallEnd::Own(border::OwnAnswer::NotRun(LATER_RETRY), reason),
         (false, false) => forward::CallEnd::Own(border::OwnAnswer::TimedOut, reason),
     }
 }
@@ -234,7 +235,7 @@
     }
     let mut state = core.state.borrow_mut();
     let Some(policy) = state.policy.clone() else {
-        let answer = border::OwnAnswer::NotRun(NO_POLICY_RETRY);
+        let answer = border::OwnAnswer::NotRun(LATER_RETRY);
         return fail(answer, reason::RefusalReason::NotReady);
     };
     let host = head.fields.text("host").unwrap_or_default();
@@ -248,8 +249,7 @@
     };
     let now = core.now();
     if let Some(workspace) = workspace {
-        let tokens =
-            terms.prompt.as_ref().map(|prompt| u64::from(prompt.input) + u64::from(prompt.output));
+        let tokens = terms.prompt.as_ref().map(placing::PromptSize::counted);
         if let Err(wait) = state.quota.take(&workspace.id, tokens, rand::random(), now) {
             let wait = wait.max(QUOTA_RETRY_MIN);
             log_event!(
@@ -287,8 +287,7 @@
     if progress.ledger.get().is_not_run()
         && let Some(workspace) = &call.workspace
     {
-        let prompt = call.terms.prompt.as_ref();
-        let tokens = prompt.map(|prompt| u64::from(prompt.input) + u64::from(prompt.output));
+        let tokens = call.terms.prompt.as_ref().map(placing::PromptSize::counted);
         core.state.borrow_mut().quota.give_back(&workspace.id, tokens);
     }
     let request = call.terms.request.as_deref().unwrap_or("-");
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -318,9 +318,7 @@
         let number = window_number(self.wall.now(now), window);
         self.usage.note_run(number, workspace);
     }
-}
 
-impl CoreState {
     /// Takes over the use of services that a peer tells.
     pub fn note_peer_prompts(
         &mut self,
