--- a/crates/httpio/src/connection.rs
+++ b/crates/httpio/src/connection.rs
@@ -245,7 +245,7 @@
         BodyReader { framing, left, decoder: message::ChunkDecoder::default() }
     }
 
-    /// Reads what is there, or waits for more, and appends it; true at the body's end.
+    /// Takes what was read already, else waits for more, and appends it; true at the body's end.
     ///
     /// # Errors
     ///
@@ -255,9 +255,14 @@
         connection: &mut RawConnection,
         out: &mut Vec<u8>,
     ) -> Result<bool, ReadError> {
+        let is_first = !connection.pending().is_empty();
         if self.take(connection, out)? {
             return Ok(true);
         }
+        // What came together with the head is passed on before more is waited for.
+        if is_first && connection.pending().is_empty() {
+            return Ok(false);
+        }
         if connection.fill().await? == 0 {
             return match self.framing {
                 message::BodyFraming::UntilClose => Ok(true),
--- a/xtask/src/checks.rs
+++ b/xtask/src/checks.rs
@@ -4,6 +4,7 @@
 use crate::packages;
 use crate::run;
 use crate::specs;
+use crate::tests;
 
 /// Runs the formatter, the linter, the tests and the model checker.
 pub(crate) fn run_all() -> Result<(), run::ChoreError> {
@@ -16,17 +17,6 @@
     )?;
     // Process tests start the programs from the target directory.
     run::run("cargo", &["build", "--locked", "--workspace", "--bins"])?;
-    run_tests(&passed_over)?;
+    tests::run_all(&passed_over)?;
     specs::check_all()
 }
-
-fn run_tests(passed_over: &[String]) -> Result<(), run::ChoreError> {
-    let mut args = vec!["test", "--locked", "--workspace", "--no-fail-fast"];
-    if !passed_over.is_empty() {
-        args.extend(["--", "--exact"]);
-    }
-    for name in passed_over {
-        args.extend(["--skip", name]);
-    }
-    run::run("cargo", &args)
-}
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -8,6 +8,7 @@
 mod protections;
 mod run;
 mod specs;
+mod tests;
 
 use std::process;
 
