Gateway: the log tells what was written to a caller

Change: E0102 gains the state of the response (none, cut, complete, malformed) and its length, E0111 (debug) is written for each write with whether it begins and ends the response, and samphiremoor_gateway_responses_total counts the states. The line is written after the gateway's own response, so that it covers it; the refund stays before it.

--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -174,16 +174,20 @@
     arrived_at: time::MonotonicTime,
     closes_connection: bool,
 ) -> bool {
-    let mut sink = stream::ResponseSink::new(raw.stream(), closes_connection);
     let request = match prepare_request(core, head, body, arrived_at) {
         Ok(request) => request,
         Err((request_id, response, reason)) => {
+            let mut sink =
+                stream::ResponseSink::new(raw.stream(), request_id.clone(), closes_connection);
             let request_id = request_id.as_deref();
+            let is_written = write_local(core, &mut sink, response, request_id).await.is_ok();
             let outcome = forward::RequestOutcome::Own(response, reason);
-            log_outcome(core, request_id.unwrap_or("-"), None, None, &outcome, arrived_at);
-            return write_local(core, &mut sink, response, request_id).await.is_ok();
+            log_outcome(core, None, None, &outcome, &sink, arrived_at);
+            return is_written;
         }
     };
+    let request_id = request.metadata.request_id.clone();
+    let mut sink = stream::ResponseSink::new(raw.stream(), request_id, closes_connection);
     core.state.borrow_mut().in_progress += 1;
     let progress = forward::RequestProgress::new(&request.route);
     let outcome = {
@@ -198,16 +202,18 @@
         futures_lite::future::or(forwarded_in_time, disconnected).await
     };
     core.state.borrow_mut().in_progress -= 1;
-    let outcome = outcome.unwrap_or_else(|| timeout_outcome(&progress, sink.is_started.get()));
-    finish_request(core, &request, &progress, &outcome);
+    let outcome = outcome.unwrap_or_else(|| timeout_outcome(&progress, sink.is_started()));
+    refund_unrun(core, &request, &progress);
     let request_id = request.metadata.request_id.as_deref();
-    match outcome {
+    let is_reusable = match outcome {
         forward::RequestOutcome::Answered(_) => true,
-        forward::RequestOutcome::Own(response, _) if !sink.is_started.get() => {
+        forward::RequestOutcome::Own(response, _) if !sink.is_started() => {
             write_local(core, &mut sink, response, request_id).await.is_ok()
         }
         _ => false,
-    }
+    };
+    log_outcome(core, Some(&request), Some(&progress), &outcome, &sink, arrived_at);
+    is_reusable
 }
 
 /// Returns the outcome of a request whose deadline has passed.
@@ -293,29 +299,25 @@
     })
 }
 
-/// Returns the rate-limit units of a request that was not run, and logs its outcome.
-fn finish_request(
+/// Returns the rate-limit units of a request that was not run.
+fn refund_unrun(
     core: &core::GatewayCore,
     request: &forward::IncomingRequest,
     progress: &forward::RequestProgress,
-    outcome: &forward::RequestOutcome,
 ) {
-    if progress.tracker.get().is_known_not_run()
-        && let Some(workspace) = &request.workspace
-    {
+    let Some(workspace) = &request.workspace else { return };
+    if progress.tracker.get().is_known_not_run() {
         let tokens = request.metadata.prompt.as_ref().map(selection::PromptSize::quota_tokens);
         core.state.borrow_mut().quota.refund(&workspace.id, tokens);
     }
-    let request_id = request.metadata.request_id.as_deref().unwrap_or("-");
-    log_outcome(core, request_id, Some(request), Some(progress), outcome, request.arrived_at);
 }
 
 fn log_outcome(
     core: &core::GatewayCore,
-    request_id: &str,
     incoming: Option<&forward::IncomingRequest>,
     progress: Option<&forward::RequestProgress>,
     outcome: &forward::RequestOutcome,
+    sink: &stream::ResponseSink,
     arrived_at: time::MonotonicTime,
 ) {
     let elapsed = core.now().since(arrived_at);
@@ -325,14 +327,16 @@
         forward::RequestOutcome::BrokenOff => ("broken-off", None),
         forward::RequestOutcome::CallerGone => ("caller-gone", None),
     };
+    let written = sink.written;
     core.metrics.count_outcome(label);
+    core.metrics.count_response(written.label());
     core.metrics.observe_total(elapsed);
     if let Some(reason) = reason {
         core.metrics.count_refusal(reason);
     }
     log_event!(
         event::LogEvent::RequestFinished,
-        request = request_id,
+        request = sink.request_id(),
         route = incoming.map_or("-", |request| &*request.route.name),
         workspace = incoming
             .and_then(|request| request.workspace.as_ref())
@@ -344,6 +348,8 @@
             .unwrap_or_default(),
         sends = progress.map_or(0, |progress| progress.tracker.get().attempts()),
         end = format_args!("{outcome:?}"),
+        response = written,
+        bytes = written.bytes,
         after = elapsed,
     );
 }
@@ -357,7 +363,7 @@
 ) -> io::Result<()> {
     let mut out = Vec::new();
     core.adapter.codec.encode_local(response, request_id, sink.closes_connection, &mut out);
-    match sink.write(&out).await {
+    match sink.write(stream::ResponsePart::WHOLE, &out).await {
         true => Ok(()),
         false => Err(io::ErrorKind::BrokenPipe.into()),
     }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -252,7 +252,7 @@
         if &*self.request.head.method != "HEAD" {
             out.extend_from_slice(&response.body);
         }
-        match sink.write(&out).await {
+        match sink.write(stream::ResponsePart::WHOLE, &out).await {
             true => RequestOutcome::Answered(response.head.status),
             false => RequestOutcome::CallerGone,
         }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -14,6 +14,7 @@
 pub struct GatewayMetrics {
     registry: prometheus::Registry,
     outcomes: prometheus::IntCounterVec,
+    responses: prometheus::IntCounterVec,
     refusals: prometheus::IntCounterVec,
     retries: prometheus::IntCounterVec,
     first_byte_seconds: prometheus::Histogram,
@@ -36,6 +37,11 @@
         };
         let outcomes =
             counter_vec("samphiremoor_gateway_answers_total", "Requests by their end.", "end");
+        let responses = counter_vec(
+            "samphiremoor_gateway_responses_total",
+            "Responses by how far they were written.",
+            "response",
+        );
         let refusals =
             counter_vec("samphiremoor_gateway_refusals_total", "Refusals by reason.", "reason");
         let retries =
@@ -44,7 +50,15 @@
             histogram("samphiremoor_gateway_first_seconds", "Time to the first byte of an answer.");
         let total_seconds =
             histogram("samphiremoor_gateway_whole_seconds", "Time to the whole answer.");
-        GatewayMetrics { registry, outcomes, refusals, retries, first_byte_seconds, total_seconds }
+        GatewayMetrics {
+            registry,
+            outcomes,
+            responses,
+            refusals,
+            retries,
+            first_byte_seconds,
+            total_seconds,
+        }
     }
 }
 
@@ -62,6 +76,11 @@
         self.outcomes.with_label_values(&[end]).inc();
     }
 
+    /// Counts a response by how far it was written.
+    pub fn count_response(&self, written: &str) {
+        self.responses.with_label_values(&[written]).inc();
+    }
+
     /// Counts a refused request.
     pub fn count_refusal(&self, reason: reason::RefusalReason) {
         self.refusals.with_label_values(&[reason.label()]).inc();
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -1,11 +1,14 @@
 //! Forwards the events of a replica's stream to a caller, complete and in order.
 
-use std::cell;
+use std::fmt;
 use std::fmt::Write as _;
+use std::sync;
 
 use async_std::future;
 use async_std::io::WriteExt as _;
 use async_std::net;
+use samphiremoor_base::event;
+use samphiremoor_base::log_event;
 use samphiremoor_base::time;
 use samphiremoor_httpio::connection;
 use samphiremoor_httpio::message;
@@ -20,12 +23,60 @@
 /// Writes a response to a caller's connection.
 pub struct ResponseSink {
     stream: net::TcpStream,
-    /// Whether any byte of the response was written.
-    pub is_started: cell::Cell<bool>,
+    /// ID of the request, for the log.
+    request_id: Option<sync::Arc<str>>,
+    /// What was written so far.
+    pub written: WrittenResponse,
     /// Whether the connection closes after the response.
     pub closes_connection: bool,
 }
 
+/// What one write carries of a response.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ResponsePart {
+    /// Whether the bytes begin with the response's head.
+    pub begins: bool,
+    /// Whether the bytes end with the end of the response.
+    pub ends: bool,
+}
+
+impl ResponsePart {
+    /// A response that is written at once.
+    pub const WHOLE: ResponsePart = ResponsePart { begins: true, ends: true };
+}
+
+/// What was written to a caller's connection in response to one request.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct WrittenResponse {
+    /// Bytes handed to the connection, including those of a write that was abandoned.
+    pub bytes: u64,
+    heads: u32,
+    ends: u32,
+}
+
+impl WrittenResponse {
+    /// Whether any byte was written.
+    pub fn is_started(&self) -> bool {
+        self.bytes > 0
+    }
+
+    /// Returns how far the response came, as a label for logs and metrics.
+    pub fn label(&self) -> &'static str {
+        match (self.heads, self.ends) {
+            (0, 0) => "none",
+            (1, 0) => "cut",
+            (1, 1) => "complete",
+            _ => "malformed",
+        }
+    }
+}
+
+impl fmt::Display for WrittenResponse {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.label())
+    }
+}
+
 /// How a replica's stream ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum StreamEnd {
@@ -43,14 +94,39 @@
 
 impl ResponseSink {
     /// Creates a sink that writes to a caller's connection.
-    pub fn new(stream: net::TcpStream, closes_connection: bool) -> Self {
-        ResponseSink { stream, is_started: cell::Cell::new(false), closes_connection }
+    pub fn new(
+        stream: net::TcpStream,
+        request_id: Option<sync::Arc<str>>,
+        closes_connection: bool,
+    ) -> Self {
+        ResponseSink { stream, request_id, written: WrittenResponse::default(), closes_connection }
+    }
+
+    /// Returns the ID of the request, or a placeholder for the log if it has none.
+    pub fn request_id(&self) -> &str {
+        self.request_id.as_deref().unwrap_or("-")
+    }
+
+    /// Whether any byte of the response was written.
+    pub fn is_started(&self) -> bool {
+        self.written.is_started()
     }
 
-    /// Writes bytes. Returns `false` if the connection fails.
-    pub async fn write(&mut self, bytes: &[u8]) -> bool {
-        self.is_started.set(true);
-        self.stream.write_all(bytes).await.is_ok()
+    /// Writes a part of the response. Returns `false` if the connection fails.
+    pub async fn write(&mut self, part: ResponsePart, bytes: &[u8]) -> bool {
+        self.written.bytes += bytes.len() as u64;
+        self.written.heads += u32::from(part.begins);
+        let is_written = self.stream.write_all(bytes).await.is_ok();
+        self.written.ends += u32::from(part.ends && is_written);
+        log_event!(
+            event::LogEvent::ResponseWritten,
+            request = self.request_id(),
+            begins = part.begins,
+            ends = part.ends,
+            bytes = bytes.len(),
+            accepted = is_written,
+        );
+        is_written
     }
 }
 
@@ -167,9 +243,10 @@
     if events.is_empty() && !is_last {
         return true;
     }
-    let mut out = match sink.is_started.get() {
-        true => Vec::with_capacity(events.len() + 32),
-        false => encode_head(&response.head, None, sink.closes_connection),
+    let part = ResponsePart { begins: !sink.is_started(), ends: is_last };
+    let mut out = match part.begins {
+        true => encode_head(&response.head, None, sink.closes_connection),
+        false => Vec::with_capacity(events.len() + 32),
     };
     if !events.is_empty() {
         out.extend_from_slice(format!("{:x}\r\n", events.len()).as_bytes());
@@ -179,5 +256,5 @@
     if is_last {
         out.extend_from_slice(b"0\r\n\r\n");
     }
-    sink.write(&out).await
+    sink.write(part, &out).await
 }
