Gateway: a response that has begun gets no second one

Cause: three places decided how a request ends when no replica's response can be delivered, each by its own idea of whether the response has begun (events delivered, a flag of the sink, or not at all). Change: the sink of a response owns its state (not begun, begun, complete) and refuses a second response; one pure function, DispatchTracker::end_unanswered, decides the end for attempts, refusals and the deadline. A response of a replica that can't continue a begun stream counts as a failed attempt, so that a further replica may continue it.

--- a/crates/fleet/src/dispatch.rs
+++ b/crates/fleet/src/dispatch.rs
@@ -13,6 +13,19 @@
     Ran,
 }
 
+/// How a request ends for which no response of a replica can be delivered.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum UnansweredEnd {
+    /// The response has begun and is cut off, since nothing but the rest of it can follow.
+    CutOff,
+    /// The caller is told that the request did not run.
+    NotRun,
+    /// The caller is told that the request failed and may have run.
+    Failed,
+    /// The caller is told that the deadline passed and the request may have run.
+    TimedOut,
+}
+
 /// Attempts of one request, and whether one of them may have run.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct DispatchTracker {
@@ -68,6 +81,20 @@
         self.possible_runs == 0
     }
 
+    /// Returns how the request ends if no response of a replica can be delivered.
+    pub fn end_unanswered(
+        &self,
+        has_response_begun: bool,
+        is_deadline_passed: bool,
+    ) -> UnansweredEnd {
+        match (has_response_begun, self.is_known_not_run(), is_deadline_passed) {
+            (true, _, _) => UnansweredEnd::CutOff,
+            (false, true, _) => UnansweredEnd::NotRun,
+            (false, false, true) => UnansweredEnd::TimedOut,
+            (false, false, false) => UnansweredEnd::Failed,
+        }
+    }
+
     /// Returns the number of attempts so far.
     pub fn attempts(&self) -> u32 {
         self.attempts
--- a/crates/fleet/tests/dispatch.rs
+++ b/crates/fleet/tests/dispatch.rs
@@ -4,6 +4,7 @@
 use samphiremoor_base::cases;
 use samphiremoor_fleet::dispatch;
 use samphiremoor_fleet::dispatch::DispatchOutcome::{MayHaveRun, NotRun, Ran};
+use samphiremoor_fleet::dispatch::UnansweredEnd as End;
 use samphiremoor_fleet::policy;
 
 const ONCE: policy::RouteKind = policy::RouteKind::Once;
@@ -42,6 +43,32 @@
     zero_max_attempts_counts_as_one => check(RESUMABLE, 0, &[], true, true);
 }
 
+/// Makes one attempt per outcome, then checks how the request ends without a replica's response
+/// before the deadline and after it.
+fn check_end(
+    outcomes: &[dispatch::DispatchOutcome],
+    has_response_begun: bool,
+    ends: [dispatch::UnansweredEnd; 2],
+) {
+    let mut tracker = dispatch::DispatchTracker::new(RESUMABLE, 3);
+    for outcome in outcomes {
+        tracker.begin_attempt();
+        tracker.end_attempt(*outcome);
+    }
+    let is_past = [false, true];
+    assert_eq!(is_past.map(|is_past| tracker.end_unanswered(has_response_begun, is_past)), ends);
+}
+
+cases! {
+    unsent_request_is_refused => check_end(&[], false, [End::NotRun; 2]);
+    request_that_did_not_run_is_refused => check_end(&[NotRun], false, [End::NotRun; 2]);
+    uncertain_run_is_a_failure => check_end(&[MayHaveRun], false, [End::Failed, End::TimedOut]);
+    failed_run_is_a_failure => check_end(&[Ran, NotRun], false, [End::Failed, End::TimedOut]);
+    begun_response_is_cut_off => check_end(&[MayHaveRun], true, [End::CutOff; 2]);
+    begun_response_gets_no_refusal => check_end(&[MayHaveRun, NotRun], true, [End::CutOff; 2]);
+    begun_response_gets_no_error => check_end(&[Ran, MayHaveRun], true, [End::CutOff; 2]);
+}
+
 #[test]
 fn cancelled_attempt_does_not_count() {
     let mut tracker = dispatch::DispatchTracker::new(ONCE, 1);
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -11,6 +11,7 @@
 use crate::adapter;
 use crate::core;
 use crate::forward;
+use crate::response;
 use crate::stream;
 use crate::upstream;
 
@@ -29,7 +30,7 @@
         service: &id::ServiceId,
         selected: &selection::SelectedReplica,
         kv_location: Option<&str>,
-        sink: &mut stream::ResponseSink,
+        sink: &mut response::ResponseSink,
     ) -> forward::AttemptOutcome {
         let is_stream = self.request.route.kind.is_stream();
         let uncached_tokens =
@@ -102,7 +103,7 @@
         mut connection: upstream::UpstreamConnection,
         response: upstream::ReplicaResponse,
         started_at: time::MonotonicTime,
-        sink: &mut stream::ResponseSink,
+        sink: &mut response::ResponseSink,
     ) -> forward::AttemptOutcome {
         self.count_run();
         let time_left = self.request.deadline.since(self.core.now());
@@ -121,6 +122,10 @@
         self.record_result(&selected.replica, is_error);
         upstream::release(self.core, &selected.replica, connection, &response);
         self.core.metrics.observe_first_byte(self.core.now().since(started_at));
+        if sink.has_begun() {
+            // Only events can follow in a stream that another replica began.
+            return forward::AttemptOutcome::Failed(reason::RetryReason::UpstreamError);
+        }
         let buffered = forward::BufferedResponse { head: response.head, body };
         if is_error && self.request.route.kind.is_repeatable() {
             return forward::AttemptOutcome::ServerError(Box::new(buffered));
@@ -135,7 +140,7 @@
         mut stream: stream::ReplicaStream,
         guard: &mut core::LoadGuard,
         started_at: time::MonotonicTime,
-        sink: &mut stream::ResponseSink,
+        sink: &mut response::ResponseSink,
     ) -> forward::AttemptOutcome {
         self.splitter.discard_partial();
         let core = self.core;
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -1,7 +1,6 @@
 //! Callers' connections: reads requests, has them forwarded, and writes the responses that the
 //! gateway generates itself.
 
-use std::io;
 use std::rc;
 
 use async_std::future;
@@ -20,7 +19,7 @@
 use crate::adapter;
 use crate::core;
 use crate::forward;
-use crate::stream;
+use crate::response;
 
 /// Timeout for reading a request's body. Callers send a body without pauses.
 const BODY_TIMEOUT: time::Millis = time::Millis::new(10_000);
@@ -178,7 +177,7 @@
         Ok(request) => request,
         Err((request_id, response, reason)) => {
             let mut sink =
-                stream::ResponseSink::new(raw.stream(), request_id.clone(), closes_connection);
+                response::ResponseSink::new(raw.stream(), request_id.clone(), closes_connection);
             let request_id = request_id.as_deref();
             let is_written = write_local(core, &mut sink, response, request_id).await.is_ok();
             let outcome = forward::RequestOutcome::Own(response, reason);
@@ -187,7 +186,7 @@
         }
     };
     let request_id = request.metadata.request_id.clone();
-    let mut sink = stream::ResponseSink::new(raw.stream(), request_id, closes_connection);
+    let mut sink = response::ResponseSink::new(raw.stream(), request_id, closes_connection);
     core.state.borrow_mut().in_progress += 1;
     let progress = forward::RequestProgress::new(&request.route);
     let outcome = {
@@ -202,12 +201,15 @@
         futures_lite::future::or(forwarded_in_time, disconnected).await
     };
     core.state.borrow_mut().in_progress -= 1;
-    let outcome = outcome.unwrap_or_else(|| timeout_outcome(&progress, sink.is_started()));
+    let outcome = outcome.unwrap_or_else(|| {
+        let reason = reason::RefusalReason::DeadlinePassed;
+        forward::unanswered_outcome(&progress, &sink, reason, UNAVAILABLE_RETRY_AFTER)
+    });
     refund_unrun(core, &request, &progress);
     let request_id = request.metadata.request_id.as_deref();
     let is_reusable = match outcome {
         forward::RequestOutcome::Answered(_) => true,
-        forward::RequestOutcome::Own(response, _) if !sink.is_started() => {
+        forward::RequestOutcome::Own(response, _) => {
             write_local(core, &mut sink, response, request_id).await.is_ok()
         }
         _ => false,
@@ -216,22 +218,6 @@
     is_reusable
 }
 
-/// Returns the outcome of a request whose deadline has passed.
-fn timeout_outcome(
-    progress: &forward::RequestProgress,
-    is_started: bool,
-) -> forward::RequestOutcome {
-    let reason = reason::RefusalReason::DeadlinePassed;
-    match (is_started, progress.tracker.get().is_known_not_run()) {
-        (true, _) => forward::RequestOutcome::BrokenOff,
-        (false, true) => forward::RequestOutcome::Own(
-            adapter::LocalResponse::NotRun(UNAVAILABLE_RETRY_AFTER),
-            reason,
-        ),
-        (false, false) => forward::RequestOutcome::Own(adapter::LocalResponse::TimedOut, reason),
-    }
-}
-
 /// Request ID if one was decoded, response to the caller, and reason of the refusal.
 type Refusal = (Option<std::sync::Arc<str>>, adapter::LocalResponse, reason::RefusalReason);
 
@@ -317,7 +303,7 @@
     incoming: Option<&forward::IncomingRequest>,
     progress: Option<&forward::RequestProgress>,
     outcome: &forward::RequestOutcome,
-    sink: &stream::ResponseSink,
+    sink: &response::ResponseSink,
     arrived_at: time::MonotonicTime,
 ) {
     let elapsed = core.now().since(arrived_at);
@@ -327,9 +313,8 @@
         forward::RequestOutcome::BrokenOff => ("broken-off", None),
         forward::RequestOutcome::CallerGone => ("caller-gone", None),
     };
-    let written = sink.written;
     core.metrics.count_outcome(label);
-    core.metrics.count_response(written.label());
+    core.metrics.count_response(sink.state());
     core.metrics.observe_total(elapsed);
     if let Some(reason) = reason {
         core.metrics.count_refusal(reason);
@@ -348,8 +333,8 @@
             .unwrap_or_default(),
         sends = progress.map_or(0, |progress| progress.tracker.get().attempts()),
         end = format_args!("{outcome:?}"),
-        response = written,
-        bytes = written.bytes,
+        response = sink.state(),
+        bytes = sink.bytes(),
         after = elapsed,
     );
 }
@@ -357,16 +342,13 @@
 /// Writes a response that the gateway generates itself.
 async fn write_local(
     core: &core::GatewayCore,
-    sink: &mut stream::ResponseSink,
+    sink: &mut response::ResponseSink,
     response: adapter::LocalResponse,
     request_id: Option<&str>,
-) -> io::Result<()> {
+) -> Result<(), response::WriteError> {
     let mut out = Vec::new();
-    core.adapter.codec.encode_local(response, request_id, sink.closes_connection, &mut out);
-    match sink.write(stream::ResponsePart::WHOLE, &out).await {
-        true => Ok(()),
-        false => Err(io::ErrorKind::BrokenPipe.into()),
-    }
+    core.adapter.codec.encode_local(response, request_id, sink.closes_connection(), &mut out);
+    sink.write_whole(&out).await
 }
 
 /// Counts the body of a request in progress toward the memory limit until dropped.
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -20,7 +20,7 @@
 use crate::adapter;
 use crate::core;
 use crate::events;
-use crate::stream;
+use crate::response;
 
 /// Number of attempts that failed to connect or reached a different replica after which a request
 /// is given up. No replica ran the request in them.
@@ -122,12 +122,39 @@
     pub(crate) body: Vec<u8>,
 }
 
+impl From<response::WriteError> for RequestOutcome {
+    fn from(cause: response::WriteError) -> Self {
+        match cause {
+            response::WriteError::AlreadyBegun => RequestOutcome::BrokenOff,
+            response::WriteError::CallerGone => RequestOutcome::CallerGone,
+        }
+    }
+}
+
+/// Returns the outcome of a request for which no response of a replica can be delivered. `wait` is
+/// the `Retry-After` of a request that did not run.
+pub(crate) fn unanswered_outcome(
+    progress: &RequestProgress,
+    sink: &response::ResponseSink,
+    reason: reason::RefusalReason,
+    wait: time::Millis,
+) -> RequestOutcome {
+    let is_deadline_passed = reason == reason::RefusalReason::DeadlinePassed;
+    let local = match progress.tracker.get().end_unanswered(sink.has_begun(), is_deadline_passed) {
+        dispatch::UnansweredEnd::CutOff => return RequestOutcome::BrokenOff,
+        dispatch::UnansweredEnd::NotRun => adapter::LocalResponse::NotRun(wait),
+        dispatch::UnansweredEnd::Failed => adapter::LocalResponse::Failed,
+        dispatch::UnansweredEnd::TimedOut => adapter::LocalResponse::TimedOut,
+    };
+    RequestOutcome::Own(local, reason)
+}
+
 /// Forwards a request and returns how it ended.
 pub async fn forward(
     core: &rc::Rc<core::GatewayCore>,
     request: &IncomingRequest,
     progress: &RequestProgress,
-    sink: &mut stream::ResponseSink,
+    sink: &mut response::ResponseSink,
 ) -> RequestOutcome {
     let mut forwarder = RequestForwarder {
         core,
@@ -157,9 +184,10 @@
 }
 
 impl RequestForwarder<'_> {
-    async fn run(&mut self, sink: &mut stream::ResponseSink) -> RequestOutcome {
+    async fn run(&mut self, sink: &mut response::ResponseSink) -> RequestOutcome {
         let Some(service) = self.request.route.pick_service(rand::random()).cloned() else {
-            return self.refuse(reason::RefusalReason::UnknownService, NOT_READY_RETRY_AFTER_MS);
+            let reason = reason::RefusalReason::UnknownService;
+            return self.end_unanswered(sink, reason, NOT_READY_RETRY_AFTER_MS);
         };
         self.deposit_retry(&service);
         let mut server_error: Option<Box<BufferedResponse>> = None;
@@ -167,7 +195,7 @@
         loop {
             let (selected, kv_location) = match migrated.take() {
                 Some(stream) => (stream.selected, Some(stream.kv_location)),
-                None => match self.select_replica(&service) {
+                None => match self.select_replica(&service, sink) {
                     Ok(selected) => (selected, None),
                     Err(outcome) => return self.finish(server_error, outcome, sink).await,
                 },
@@ -222,22 +250,23 @@
                 };
             self.log_failed_attempt(&selected.replica, retry_reason);
             self.excluded.push(selected.replica);
-            if let Some(outcome) = self.check_retry(&service, retry_reason) {
+            if let Some(outcome) = self.check_retry(&service, retry_reason, sink) {
                 return self.finish(server_error, outcome, sink).await;
             }
         }
     }
 
-    /// Delivers the last server error of a replica, if there is one; otherwise returns `outcome`.
+    /// Delivers the last server error of a replica if there is one and no response has begun;
+    /// otherwise returns `outcome`.
     async fn finish(
         &self,
         server_error: Option<Box<BufferedResponse>>,
         outcome: RequestOutcome,
-        sink: &mut stream::ResponseSink,
+        sink: &mut response::ResponseSink,
     ) -> RequestOutcome {
         match server_error {
-            Some(response) => self.deliver(*response, sink).await,
-            None => outcome,
+            Some(response) if !sink.has_begun() => self.deliver(*response, sink).await,
+            _ => outcome,
         }
     }
 
@@ -245,16 +274,12 @@
     pub(crate) async fn deliver(
         &self,
         response: BufferedResponse,
-        sink: &mut stream::ResponseSink,
+        sink: &mut response::ResponseSink,
     ) -> RequestOutcome {
-        let mut out =
-            stream::encode_head(&response.head, Some(response.body.len()), sink.closes_connection);
-        if &*self.request.head.method != "HEAD" {
-            out.extend_from_slice(&response.body);
-        }
-        match sink.write(stream::ResponsePart::WHOLE, &out).await {
-            true => RequestOutcome::Answered(response.head.status),
-            false => RequestOutcome::CallerGone,
+        let has_body = &*self.request.head.method != "HEAD";
+        match sink.write_buffered(&response.head, &response.body, has_body).await {
+            Ok(()) => RequestOutcome::Answered(response.head.status),
+            Err(cause) => cause.into(),
         }
     }
 
@@ -267,6 +292,7 @@
     fn select_replica(
         &self,
         service: &id::ServiceId,
+        sink: &response::ResponseSink,
     ) -> Result<selection::SelectedReplica, RequestOutcome> {
         let now = self.core.now();
         let mut state = self.core.state.borrow_mut();
@@ -290,7 +316,8 @@
             choice = selection::choose(&state.replicas, &query);
         }
         let Some(selected) = choice else {
-            return Err(self.refuse(reason::RefusalReason::NoReplica, NOT_READY_RETRY_AFTER_MS));
+            let reason = reason::RefusalReason::NoReplica;
+            return Err(self.end_unanswered(sink, reason, NOT_READY_RETRY_AFTER_MS));
         };
         if prompt.is_some() && self.progress.tracker.get().attempts() == 0 {
             let admission = admission::AdmissionQuery {
@@ -304,7 +331,8 @@
             if let Err(wait) = state.ttft_estimator.admit(&admission) {
                 // Capacity is planned for the demand, not for the admitted part of it.
                 state.add_prompt_tokens(service, selected.uncached_tokens, now);
-                return Err(self.refuse(reason::RefusalReason::Shed, wait.get() as f64));
+                let reason = reason::RefusalReason::Shed;
+                return Err(self.end_unanswered(sink, reason, wait.get() as f64));
             }
         }
         log_event!(
@@ -326,20 +354,22 @@
         &self,
         service: &id::ServiceId,
         reason: reason::RetryReason,
+        sink: &response::ResponseSink,
     ) -> Option<RequestOutcome> {
         let now = self.core.now();
+        let give_up = |reason| Some(self.end_unanswered(sink, reason, NOT_RUN_RETRY_AFTER_MS));
         if now >= self.request.deadline {
-            return Some(self.give_up(reason::RefusalReason::DeadlinePassed));
+            return give_up(reason::RefusalReason::DeadlinePassed);
         }
         let is_free_retry = reason == reason::RetryReason::ConnectFailed;
         let is_exhausted = self.connect_failures >= MAX_CONNECT_FAILURES;
         if is_exhausted || !self.progress.tracker.get().may_send() {
-            return Some(self.give_up(reason::RefusalReason::UpstreamFailed));
+            return give_up(reason::RefusalReason::UpstreamFailed);
         }
         let mut state = self.core.state.borrow_mut();
         if !is_free_retry && !state.budget(service, &self.core.settings.shared).try_withdraw() {
             drop(state);
-            return Some(self.give_up(reason::RefusalReason::RetryBudgetSpent));
+            return give_up(reason::RefusalReason::RetryBudgetSpent);
         }
         self.core.metrics.count_retry(reason);
         log_event!(
@@ -352,33 +382,15 @@
         None
     }
 
-    /// Returns the outcome of a request that is given up after its attempts.
-    fn give_up(&self, reason: reason::RefusalReason) -> RequestOutcome {
-        if self.splitter.delivered() > 0 {
-            return RequestOutcome::BrokenOff;
-        }
-        if self.progress.tracker.get().is_known_not_run() {
-            return self.refuse(reason, NOT_RUN_RETRY_AFTER_MS);
-        }
-        match reason {
-            reason::RefusalReason::DeadlinePassed => {
-                RequestOutcome::Own(adapter::LocalResponse::TimedOut, reason)
-            }
-            _ => RequestOutcome::Own(adapter::LocalResponse::Failed, reason),
-        }
-    }
-
-    /// Returns the outcome of a request that gets no response from a replica: a refusal if no
-    /// replica ran it, otherwise a failure or the end of a stream that was cut off.
-    fn refuse(&self, reason: reason::RefusalReason, retry_after_ms: f64) -> RequestOutcome {
-        if !self.progress.tracker.get().is_known_not_run() || self.splitter.delivered() > 0 {
-            return match self.splitter.delivered() {
-                0 => RequestOutcome::Own(adapter::LocalResponse::Failed, reason),
-                _ => RequestOutcome::BrokenOff,
-            };
-        }
+    /// Returns the outcome of a request for which no response of a replica can be delivered.
+    fn end_unanswered(
+        &self,
+        sink: &response::ResponseSink,
+        reason: reason::RefusalReason,
+        retry_after_ms: f64,
+    ) -> RequestOutcome {
         let wait = admission::retry_after(retry_after_ms, rand::random());
-        RequestOutcome::Own(adapter::LocalResponse::NotRun(wait), reason)
+        unanswered_outcome(self.progress, sink, reason, wait)
     }
 
     pub(crate) fn priority(&self) -> quantity::PriorityLevel {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -5,6 +5,8 @@
 use samphiremoor_base::reason;
 use samphiremoor_base::time;
 
+use crate::response;
+
 /// Bucket bounds of the latency histograms, in seconds; they are densest around the latency targets
 /// of deployments.
 const LATENCY_BOUNDS: &[f64] =
@@ -77,8 +79,8 @@
     }
 
     /// Counts a response by how far it was written.
-    pub fn count_response(&self, written: &str) {
-        self.responses.with_label_values(&[written]).inc();
+    pub fn count_response(&self, state: response::ResponseState) {
+        self.responses.with_label_values(&[state.label()]).inc();
     }
 
     /// Counts a refused request.
