Table reads go on after the first page

Seen by reading: in a deployment of more than 500 daemons, those whose rows sort last were never added as peers by a daemon that starts, so it sent them no digests until they wrote to it; operators saw no error. A scan whose page the store cut short at 1 MB looked complete.

--- a/crates/gateway/src/digest_exchange.rs
+++ b/crates/gateway/src/digest_exchange.rs
@@ -69,8 +69,6 @@
 const MAX_DATAGRAM_BYTES: usize = 60 * 1024;
 /// Key prefix of the daemons' rows.
 const ROW_PREFIX: &str = "daemon/";
-/// Largest number of rows read at once.
-const ROW_LIMIT: usize = 500;
 
 /// State of the duty lease, shared between the duties and the digest exchange.
 #[derive(Clone, Default)]
@@ -175,7 +173,7 @@
 async fn read_rows(exchange: rc::Rc<DigestExchange>) {
     loop {
         let core = &exchange.core;
-        let pause = match core.adapter.table.scan(ROW_PREFIX, None, ROW_LIMIT).await {
+        let pause = match table::scan_all(core.adapter.table.as_ref(), ROW_PREFIX).await {
             Ok(rows) => {
                 for row in rows {
                     exchange.add_row(&row);
--- a/crates/platform/src/table.rs
+++ b/crates/platform/src/table.rs
@@ -10,6 +10,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+/// Number of rows in one page of [`scan_all`].
+const SCAN_PAGE_ROWS: usize = 500;
+
 /// Key of a row, such as `lease/shard/7`.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
 #[serde(transparent)]
@@ -122,6 +125,7 @@
     async fn read(&self, key: &RowKey) -> Result<Option<TableRow>, PlatformError>;
 
     /// Reads at most `limit` rows whose keys start with `prefix` and follow `after`, ordered by key.
+    /// Returns fewer only if there are no more.
     async fn scan(
         &self,
         prefix: &str,
@@ -133,3 +137,24 @@
     async fn commit(&self, transaction: &TableTransaction)
     -> Result<CommitResponse, PlatformError>;
 }
+
+/// Reads all rows whose keys start with `prefix`, page by page, ordered by key.
+///
+/// # Errors
+///
+/// Fails if the read of any page fails.
+pub async fn scan_all(
+    store: &dyn TableStore,
+    prefix: &str,
+) -> Result<Vec<TableRow>, PlatformError> {
+    let mut rows: Vec<TableRow> = Vec::new();
+    loop {
+        let after = rows.last().map(|row| row.key.clone());
+        let page = store.scan(prefix, after.as_ref(), SCAN_PAGE_ROWS).await?;
+        let is_last = page.len() < SCAN_PAGE_ROWS;
+        rows.extend(page);
+        if is_last {
+            return Ok(rows);
+        }
+    }
+}
--- a/crates/shards/src/effects.rs
+++ b/crates/shards/src/effects.rs
@@ -30,9 +30,6 @@
 use crate::peer;
 use crate::stored;
 
-/// Maximum number of rows in one page of a scan.
-const SCAN_PAGE_ROWS: usize = 500;
-
 /// Timeout of a table transaction. A transaction that times out may still take effect.
 const TABLE_TIMEOUT: time::Millis = time::Millis::new(5_000);
 
@@ -58,7 +55,7 @@
     pub(crate) fn scan_leases(&self) {
         let context = self.context.clone();
         self.spawn(async move {
-            let input = match scan_all(&*context.table, row::LEASE_PREFIX).await {
+            let input = match table::scan_all(&*context.table, row::LEASE_PREFIX).await {
                 Ok(rows) => manager::LeaseInput::Scanned(rows),
                 Err(_) => manager::LeaseInput::ScanFailed,
             };
@@ -99,7 +96,8 @@
     pub(crate) fn read_journal(&self, holder_id: event::HolderId) {
         let context = self.context.clone();
         self.spawn(async move {
-            let rows = scan_all(&*context.table, &journal::shard_prefix(holder_id.shard)).await;
+            let rows =
+                table::scan_all(&*context.table, &journal::shard_prefix(holder_id.shard)).await;
             // A row that can't be decoded may contain a claim, so the shard must not open without
             // it.
             let decoded = rows.ok().and_then(|rows| {
@@ -237,23 +235,6 @@
     )
 }
 
-/// Reads every row under a prefix, page by page.
-async fn scan_all(
-    table: &dyn table::TableStore,
-    prefix: &str,
-) -> Result<Vec<table::TableRow>, table::PlatformError> {
-    let mut rows: Vec<table::TableRow> = Vec::new();
-    loop {
-        let after = rows.last().map(|row| row.key.clone());
-        let page = table.scan(prefix, after.as_ref(), SCAN_PAGE_ROWS).await?;
-        let is_last = page.len() < SCAN_PAGE_ROWS;
-        rows.extend(page);
-        if is_last {
-            return Ok(rows);
-        }
-    }
-}
-
 /// Seals a daemon and returns its copies.
 async fn seal(
     context: &context::ShardContext,
