Capacity: a zone's declared minimum holds where reclaimable replicas are sold

Operators who declare a minimum of three replicas per zone saw two zones at one replica and two at two under a light load, where reclaimable replicas are offered. Cause: plan() took the minimum only for services without reclaimable replicas; with them, the floor was one on-demand replica per two zones and the rest followed the need alone (PROTOCOL.md: "min and max ... apply per zone", "the limits apply to both kinds together"). Change: reclaimable replicas are ordered up to the minimum less the zone's part of the on-demand floor. While the cloud offers none, on-demand ones make up for the missing; they are released only once reclaimable ones have arrived, so that the zone doesn't fall below the minimum in between. The maximum goes before the minimum, as it did. Measured: declared_minimum_of_each_zone_is_held failed before at 65 s (zones at 1 and 2) and passes, as do the other tests of fleet.

--- a/crates/fleet/src/capacity.rs
+++ b/crates/fleet/src/capacity.rs
@@ -202,14 +202,21 @@
             // it.
             let equal_part = unassigned.div_ceil(unplanned_zones);
             unplanned_zones -= 1;
-            let on_demand =
-                equal_part.min(rule.max_per_zone.saturating_sub(zone_supply.reclaimable));
-            unassigned -= on_demand;
+            // On-demand replicas make up the zone's minimum while the cloud offers no reclaimable
+            // ones, and are not released before reclaimable ones do.
+            let missing_count = rule.min_per_zone.saturating_sub(zone_supply.reclaimable);
+            let min_on_demand =
+                if is_sold_out { missing_count } else { missing_count.min(zone_supply.on_demand) };
+            let on_demand = equal_part
+                .max(min_on_demand)
+                .min(rule.max_per_zone.saturating_sub(zone_supply.reclaimable));
+            unassigned = unassigned.saturating_sub(on_demand);
             self.order(service, zone, false, on_demand, zone_supply.on_demand, now, &mut orders);
             if rule.reclaimable_price_ratio.is_some() {
                 let min_reclaimable = if is_sold_out { zone_supply.reclaimable } else { 0 };
                 let reclaimable = reclaimable_per_zone
                     .max(min_reclaimable)
+                    .max(rule.min_per_zone.saturating_sub(equal_part))
                     .min(rule.max_per_zone.saturating_sub(on_demand));
                 self.order(
                     service,
--- a/crates/fleet/tests/capacity.rs
+++ b/crates/fleet/tests/capacity.rs
@@ -29,6 +29,7 @@
 
 /// Simulated cloud that starts ordered replicas after `BOOT_MS` and reclaims reclaimable ones.
 struct Cloud {
+    rule: policy::ScalingRule,
     planner: capacity::CapacityPlanner,
     supply: collections::BTreeMap<id::ZoneId, capacity::ZoneSupply>,
     /// Replicas that are starting: time at which they are ready in ms, zone, whether they are
@@ -48,6 +49,7 @@
     fn new(on_demand: u32) -> Self {
         let present = capacity::ZoneSupply { on_demand, ..capacity::ZoneSupply::default() };
         Cloud {
+            rule: rule(),
             planner: capacity::CapacityPlanner::default(),
             supply: ZONES.iter().map(|name| (zone(name), present)).collect(),
             booting: Vec::new(),
@@ -64,7 +66,7 @@
         let end_ms = self.now_ms + duration_ms;
         while self.now_ms < end_ms {
             let now = time::MonotonicTime::new(self.now_ms);
-            let orders = self.planner.plan(&service, &rule(), &self.supply, &load, now);
+            let orders = self.planner.plan(&service, &self.rule, &self.supply, &load, now);
             for order in orders {
                 assert!(order.desired <= 10, "an order exceeds the maximum of its zone");
                 self.order_count += 1;
@@ -117,6 +119,12 @@
     fn reclaimable(&self) -> u32 {
         self.supply.values().map(|zone| zone.reclaimable).sum()
     }
+
+    /// Returns the number of replicas in the zone that has the fewest.
+    fn smallest_zone(&self) -> u32 {
+        let counts = self.supply.values().map(|zone| zone.on_demand + zone.reclaimable);
+        counts.min().unwrap_or(0)
+    }
 }
 
 /// Returns the number of replicas of one kind.
@@ -309,3 +317,25 @@
     cloud.run(60_000, load(10.0));
     assert_eq!(cloud.order_count, orders_before);
 }
+
+// Load pattern: a load far below the declared minimum. Reclaimable replicas make up the minimum, and
+// on-demand ones while a zone's are reclaimed and no others are offered.
+#[test]
+fn declared_minimum_of_each_zone_is_held() {
+    let mut cloud = Cloud::new(3);
+    cloud.rule.min_per_zone = 3;
+    for _ in 0..100 {
+        cloud.run(1_000, load(1.0));
+        assert!(cloud.smallest_zone() >= 3, "{:?} at {} ms", cloud.supply, cloud.now_ms);
+    }
+    assert_eq!(cloud.on_demand(), 2, "the rest of the minimum is reclaimable");
+    cloud.reclaim("east");
+    cloud.run(12_000, load(1.0));
+    assert!(cloud.smallest_zone() >= 3, "{:?} after a reclaim", cloud.supply);
+    cloud.is_sold_out = false;
+    for _ in 0..40 {
+        cloud.run(1_000, load(1.0));
+        assert!(cloud.smallest_zone() >= 3, "{:?} at {} ms", cloud.supply, cloud.now_ms);
+    }
+    assert_eq!(cloud.on_demand(), 2, "reclaimable replicas take the place of the on-demand ones");
+}
