Gateway: refusals of unread requests are counted by their reason

Operators saw `malformed-http` in samphiremoor_gateway_refusals_total for every request that was refused before it was read to its end: too large, too slow, or no memory for its body. A flood of large bodies looked like broken clients, and a daemon short of memory like one too. Callers got the right status all along. Cause: caller::refuse_unread counted MalformedHttp whatever the response, and logged the response instead of a reason.

--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -146,6 +146,19 @@
     }
 }
 
+/// Returns the reason of the refusal of a request that was not read to its end.
+fn unread_reason(response: adapter::LocalResponse) -> reason::RefusalReason {
+    match response {
+        adapter::LocalResponse::HeadTooLarge | adapter::LocalResponse::BodyTooLarge => {
+            reason::RefusalReason::TooLarge
+        }
+        adapter::LocalResponse::TooSlow => reason::RefusalReason::SlowCaller,
+        // The bodies of other requests use up the memory.
+        adapter::LocalResponse::NotRun(_) => reason::RefusalReason::TooManyRequests,
+        _ => reason::RefusalReason::MalformedHttp,
+    }
+}
+
 /// Refuses a request that was not read to its end. Returns `false`, since the connection must be
 /// closed.
 async fn refuse_unread(
@@ -154,8 +167,9 @@
     response: Option<adapter::LocalResponse>,
 ) -> bool {
     let Some(response) = response else { return false };
-    log_event!(event::LogEvent::RequestRefused, reason = format_args!("{response:?}"));
-    core.metrics.count_refusal(reason::RefusalReason::MalformedHttp);
+    let reason = unread_reason(response);
+    log_event!(event::LogEvent::RequestRefused, reason = reason);
+    core.metrics.count_refusal(reason);
     let mut out = Vec::new();
     core.adapter.codec.encode_local(response, None, true, &mut out);
     if let Err(cause) = raw.write(&out).await {
