Gateway: a response without a body gets no end of a body

Cause: the sink framed each stream as chunked without regard to whether the response may have a body. Change: the sink knows the request's method; a response without a body is its head, without framing fields.

--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -187,11 +187,14 @@
     arrived_at: time::MonotonicTime,
     closes_connection: bool,
 ) -> bool {
+    let method = head.method.clone();
+    let new_sink = |request_id| {
+        response::ResponseSink::new(raw.stream(), &method, request_id, closes_connection)
+    };
     let request = match prepare_request(core, head, body, arrived_at) {
         Ok(request) => request,
         Err((request_id, response, reason)) => {
-            let mut sink =
-                response::ResponseSink::new(raw.stream(), request_id.clone(), closes_connection);
+            let mut sink = new_sink(request_id.clone());
             let request_id = request_id.as_deref();
             let is_written = write_local(core, &mut sink, response, request_id).await.is_ok();
             let outcome = forward::RequestOutcome::Own(response, reason);
@@ -199,8 +202,7 @@
             return is_written;
         }
     };
-    let request_id = request.metadata.request_id.clone();
-    let mut sink = response::ResponseSink::new(raw.stream(), request_id, closes_connection);
+    let mut sink = new_sink(request.metadata.request_id.clone());
     core.state.borrow_mut().in_progress += 1;
     let progress = forward::RequestProgress::new(&request.route);
     let outcome = {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -276,8 +276,7 @@
         response: BufferedResponse,
         sink: &mut response::ResponseSink,
     ) -> RequestOutcome {
-        let has_body = &*self.request.head.method != "HEAD";
-        match sink.write_buffered(&response.head, &response.body, has_body).await {
+        match sink.write_buffered(&response.head, &response.body).await {
             Ok(()) => RequestOutcome::Answered(response.head.status),
             Err(cause) => cause.into(),
         }
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -17,6 +17,8 @@
     /// ID of the request, for the log.
     request_id: Option<sync::Arc<str>>,
     state: ResponseState,
+    /// Whether the request's method allows a body in the response.
+    allows_body: bool,
     /// Bytes handed to the connection, including those of a write that was abandoned.
     bytes: u64,
     closes_connection: bool,
@@ -60,15 +62,17 @@
 }
 
 impl ResponseSink {
-    /// Creates a sink that writes to a caller's connection, which closes after the response if
-    /// `closes_connection` is set.
+    /// Creates a sink that writes the response to a request with `method` to a caller's connection,
+    /// which closes after the response if `closes_connection` is set.
     pub fn new(
         stream: net::TcpStream,
+        method: &str,
         request_id: Option<sync::Arc<str>>,
         closes_connection: bool,
     ) -> Self {
+        let allows_body = method != "HEAD";
         let state = ResponseState::Unstarted;
-        ResponseSink { stream, request_id, state, bytes: 0, closes_connection }
+        ResponseSink { stream, request_id, state, allows_body, bytes: 0, closes_connection }
     }
 
     /// Returns the ID of the request, or a placeholder for the log if it has none.
@@ -108,8 +112,7 @@
         self.write(encoded, true).await
     }
 
-    /// Writes a replica's response whose body was read whole. Leaves the body out if `has_body` is
-    /// not set, as in response to a `HEAD` request.
+    /// Writes a replica's response whose body was read whole.
     ///
     /// # Errors
     ///
@@ -118,9 +121,10 @@
         &mut self,
         head: &message::ResponseHead,
         body: &[u8],
-        has_body: bool,
     ) -> Result<(), WriteError> {
-        let mut out = encode_head(head, Some(body.len()), self.closes_connection);
+        let has_body = self.has_body(head);
+        let framing = has_body.then_some(message::BodyFraming::Length(body.len() as u64));
+        let mut out = encode_head(head, framing, self.closes_connection);
         if has_body {
             out.extend_from_slice(body);
         }
@@ -143,8 +147,13 @@
         if events.is_empty() && !is_last {
             return Ok(());
         }
+        if !self.has_begun() && !self.has_body(head) {
+            return self.write_buffered(head, &[]).await;
+        }
         let mut out = match self.state {
-            ResponseState::Unstarted => encode_head(head, None, self.closes_connection),
+            ResponseState::Unstarted => {
+                encode_head(head, Some(message::BodyFraming::Chunked), self.closes_connection)
+            }
             ResponseState::Begun => Vec::with_capacity(events.len() + 32),
             ResponseState::Complete => return Err(WriteError::AlreadyBegun),
         };
@@ -159,6 +168,11 @@
         self.write(&out, is_last).await
     }
 
+    /// Whether a response with this head has a body.
+    fn has_body(&self, head: &message::ResponseHead) -> bool {
+        self.allows_body && !matches!(head.status, 204 | 304)
+    }
+
     async fn write(&mut self, bytes: &[u8], is_last: bool) -> Result<(), WriteError> {
         let begins = !self.has_begun();
         self.state = ResponseState::Begun;
@@ -182,11 +196,11 @@
     }
 }
 
-/// Encodes the head of a replica's response for the caller, with chunked framing if `length` is
-/// `None`.
+/// Encodes the head of a replica's response for the caller; `framing` is `None` if the response has
+/// no body.
 fn encode_head(
     head: &message::ResponseHead,
-    length: Option<usize>,
+    framing: Option<message::BodyFraming>,
     closes_connection: bool,
 ) -> Vec<u8> {
     let mut text = String::with_capacity(512);
@@ -195,12 +209,14 @@
     for field in head.fields.iter().filter(|field| !message::is_hop_by_hop(&field.name)) {
         message::write_field(&mut out, &field.name, &field.value);
     }
-    match length {
-        Some(_) if matches!(head.status, 204 | 304) => {}
-        Some(length) => {
+    match framing {
+        Some(message::BodyFraming::Length(length)) => {
             message::write_field(&mut out, "Content-Length", length.to_string().as_bytes())
         }
-        None => message::write_field(&mut out, "Transfer-Encoding", b"chunked"),
+        Some(message::BodyFraming::Chunked) => {
+            message::write_field(&mut out, "Transfer-Encoding", b"chunked")
+        }
+        Some(message::BodyFraming::UntilClose) | None => {}
     }
     if closes_connection {
         message::write_field(&mut out, "Connection", b"close");
--- a/crates/gateway/tests/response.rs
+++ b/crates/gateway/tests/response.rs
@@ -47,7 +47,7 @@
         WriteStep::Own => {
             sink.write_whole(b"HTTP/1.1 502 X\r\nX-Status: 502\r\nContent-Length: 0\r\n\r\n").await
         }
-        WriteStep::Buffered(body) => sink.write_buffered(&head(500), body.as_bytes(), true).await,
+        WriteStep::Buffered(body) => sink.write_buffered(&head(500), body.as_bytes()).await,
         WriteStep::Events(events, is_last) => {
             sink.write_events(&head(200), events.as_bytes(), *is_last).await
         }
@@ -59,7 +59,7 @@
 fn transcribe(steps: &[WriteStep]) -> (Vec<u8>, response::ResponseState, Vec<bool>) {
     let (accepted, mut caller) = connect();
     let (state, results) = task::block_on(async {
-        let mut sink = response::ResponseSink::new(accepted.into(), None, false);
+        let mut sink = response::ResponseSink::new(accepted.into(), "POST", None, false);
         let mut results = Vec::new();
         for step in steps {
             results.push(attempt(&mut sink, step).await.is_ok());
