Gateway: only a stream of events continues a begun stream

Callers would see a stream end as complete after the events before a cut, or text that is no event in it, where the next replica responds 2xx with another body (ORDER, MIXED). Cause: an attempt asked for the status of the response only. Change: once the response has begun, a head that is not 2xx with text/event-stream fails the attempt before its body is read, so that a slow error does not hold the stream either. Result: the three cases of response_bytes failed before and pass; begun_responses (50) and forwarding (19) pass.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -7,6 +7,7 @@
 use samphiremoor_base::reason;
 use samphiremoor_base::time;
 use samphiremoor_fleet::selection;
+use samphiremoor_httpio::message;
 
 use crate::adapter;
 use crate::core;
@@ -88,6 +89,12 @@
             return forward::AttemptOutcome::NotRun;
         }
         let is_success = (200..300).contains(&response.head.status);
+        if sink.has_begun() && !(is_success && message::is_event_stream(&response.head)) {
+            // Only events can follow in a stream that another replica began.
+            self.record_result(&selected.replica, response.head.status >= 500);
+            self.count_run();
+            return forward::AttemptOutcome::Failed(reason::RetryReason::UpstreamError);
+        }
         if is_stream && is_success {
             let replica_stream = stream::ReplicaStream::new(connection, response);
             self.forward_stream(service, selected, replica_stream, &mut guard, started_at, sink)
@@ -122,10 +129,6 @@
         self.record_result(&selected.replica, is_error);
         upstream::release(self.core, &selected.replica, connection, &response);
         self.core.metrics.observe_first_byte(self.core.now().since(started_at));
-        if sink.has_begun() {
-            // Only events can follow in a stream that another replica began.
-            return forward::AttemptOutcome::Failed(reason::RetryReason::UpstreamError);
-        }
         let buffered = forward::BufferedResponse { head: response.head, body };
         if is_error && self.request.route.kind.is_repeatable() {
             return forward::AttemptOutcome::ServerError(Box::new(buffered));
--- a/crates/httpio/src/message.rs
+++ b/crates/httpio/src/message.rs
@@ -141,6 +141,13 @@
     HOP_FIELDS.iter().any(|hop| hop.eq_ignore_ascii_case(name))
 }
 
+/// Whether the body of a response is declared to be a stream of server-sent events.
+pub fn is_event_stream(head: &ResponseHead) -> bool {
+    let media_type = head.fields.text("content-type").unwrap_or_default();
+    let essence = media_type.split(';').next().unwrap_or_default();
+    essence.trim().eq_ignore_ascii_case("text/event-stream")
+}
+
 /// Appends one header field.
 pub fn write_field(out: &mut Vec<u8>, name: &str, value: &[u8]) {
     out.extend_from_slice(name.as_bytes());
