Gateway: admission does not refuse the rest of a begun stream

Callers would see a stream cut off because the replicas are loaded, after its KV cache was migrated to a replica that then can't be reached. Cause: `attempts() == 0` stood for "nothing has begun", but a migration and a failed connect both take one off the count. Change: admission, and the choice of a replica that failed before, ask the response's state as well.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -294,6 +294,8 @@
         sink: &response::ResponseSink,
     ) -> Result<selection::SelectedReplica, RequestOutcome> {
         let now = self.core.now();
+        // A migration does not count as an attempt, so a stream may have begun before the first one.
+        let is_new = self.progress.tracker.get().attempts() == 0 && !sink.has_begun();
         let mut state = self.core.state.borrow_mut();
         let is_engine = state.policy.as_ref().is_some_and(|policy| {
             policy.services.get(service).is_some_and(|rule| rule.engine_slots.is_some())
@@ -309,7 +311,7 @@
             now,
         };
         let mut choice = selection::choose(&state.replicas, &query);
-        if choice.is_none() && self.progress.tracker.get().attempts() == 0 {
+        if choice.is_none() && is_new {
             // A replica whose connection failed before is better than none.
             query.excluded = &[];
             choice = selection::choose(&state.replicas, &query);
@@ -318,7 +320,7 @@
             let reason = reason::RefusalReason::NoReplica;
             return Err(self.end_unanswered(sink, reason, NOT_READY_RETRY_AFTER_MS));
         };
-        if prompt.is_some() && self.progress.tracker.get().attempts() == 0 {
+        if prompt.is_some() && is_new {
             let admission = admission::AdmissionQuery {
                 service,
                 priority: self.priority(),
