HTTP server: no interim response after the response has begun

Cause: async-h1 writes the interim response from a task of its own, beside the one that writes the response. Change: the request's stream, through which the decoder writes, discards what comes once the response begins or the next request is read; check and write are under one lock.

--- a/crates/httpio/src/request_stream.rs
+++ b/crates/httpio/src/request_stream.rs
@@ -21,15 +21,21 @@
 const BUFFER_BYTES: usize = 8 * 1024;
 
 /// A connection that is read one request at a time. Clones share the connection and its buffer.
+///
+/// The decoder writes interim responses to the stream, from a task of its own. They are discarded
+/// once the response to their request begins.
 #[derive(Clone, Debug)]
 pub struct RequestStream {
     shared: sync::Arc<sync::Mutex<SharedState>>,
-    writer: timeout_stream::TimeoutStream,
+    /// Number of the request whose interim responses are written to this clone.
+    request: u64,
 }
 
 #[derive(Debug)]
 struct SharedState {
-    reader: timeout_stream::TimeoutStream,
+    stream: timeout_stream::TimeoutStream,
+    /// Number of the request that still allows interim responses, if there is one.
+    interim_request: Option<u64>,
     buffer: Box<[u8]>,
     start: usize,
     end: usize,
@@ -42,7 +48,8 @@
     /// Wraps a connection.
     pub fn new(stream: timeout_stream::TimeoutStream) -> Self {
         let state = SharedState {
-            reader: stream.clone(),
+            stream,
+            interim_request: None,
             buffer: vec![0; BUFFER_BYTES].into_boxed_slice(),
             start: 0,
             end: 0,
@@ -50,26 +57,33 @@
             body_remaining: 0,
             bytes_read: 0,
         };
-        RequestStream { shared: sync::Arc::new(sync::Mutex::new(state)), writer: stream }
+        RequestStream { shared: sync::Arc::new(sync::Mutex::new(state)), request: 0 }
     }
 
     /// Starts the next request, of at most `max_bytes` bytes.
     ///
     /// Reads beyond `max_bytes` fail with [`io::ErrorKind::FileTooLarge`], and reads that wait longer
     /// than `read_timeout` fail with [`io::ErrorKind::TimedOut`].
-    pub fn start_request(&self, max_bytes: quantity::ByteCount, read_timeout: time::Millis) {
+    pub fn start_request(&mut self, max_bytes: quantity::ByteCount, read_timeout: time::Millis) {
+        self.request += 1;
         let mut state = self.state();
+        state.interim_request = Some(self.request);
         state.max_bytes = max_bytes;
         state.body_remaining = 0;
         state.bytes_read = 0;
-        state.reader.set_read_timeout(read_timeout);
+        state.stream.set_read_timeout(read_timeout);
     }
 
     /// Starts the body of the request; `length` is its size, or `None` for a chunked body.
     pub fn start_body(&self, length: Option<usize>, read_timeout: time::Millis) {
         let mut state = self.state();
         state.body_remaining = length.map_or(0, |length| length as u64);
-        state.reader.set_read_timeout(read_timeout);
+        state.stream.set_read_timeout(read_timeout);
+    }
+
+    /// Starts the response, after which no interim response may be written.
+    pub fn start_response(&self) {
+        self.state().interim_request = None;
     }
 
     /// Whether any byte of the current request was read.
@@ -87,7 +101,7 @@
         if self.start < self.end {
             return task::Poll::Ready(Ok(()));
         }
-        let reader = pin::Pin::new(&mut self.reader);
+        let reader = pin::Pin::new(&mut self.stream);
         let count = futures_lite::ready!(reader.poll_read(cx, &mut self.buffer))?;
         self.start = 0;
         self.end = count;
@@ -123,24 +137,29 @@
 
 impl AsyncWrite for RequestStream {
     fn poll_write(
-        mut self: pin::Pin<&mut Self>,
+        self: pin::Pin<&mut Self>,
         cx: &mut task::Context<'_>,
         bytes: &[u8],
     ) -> task::Poll<io::Result<usize>> {
-        pin::Pin::new(&mut self.writer).poll_write(cx, bytes)
+        // The lock is held during the write, so that the response can't begin in between.
+        let mut state = self.state();
+        if state.interim_request != Some(self.request) {
+            return task::Poll::Ready(Ok(bytes.len()));
+        }
+        pin::Pin::new(&mut state.stream).poll_write(cx, bytes)
     }
 
     fn poll_flush(
-        mut self: pin::Pin<&mut Self>,
+        self: pin::Pin<&mut Self>,
         cx: &mut task::Context<'_>,
     ) -> task::Poll<io::Result<()>> {
-        pin::Pin::new(&mut self.writer).poll_flush(cx)
+        pin::Pin::new(&mut self.state().stream).poll_flush(cx)
     }
 
     fn poll_close(
-        mut self: pin::Pin<&mut Self>,
+        self: pin::Pin<&mut Self>,
         cx: &mut task::Context<'_>,
     ) -> task::Poll<io::Result<()>> {
-        pin::Pin::new(&mut self.writer).poll_close(cx)
+        pin::Pin::new(&mut self.state().stream).poll_close(cx)
     }
 }
