Entry: an error event has all fields of a problem

Callers saw: the `error` event that ends a stream without `title` and `status`, which the callers' page promises. Change: the event's data is the body of the problem and the request's id.

--- a/crates/entry/src/wire/response.rs
+++ b/crates/entry/src/wire/response.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 
 use samphiremoor_base::id;
-use samphiremoor_base::outcome;
 use samphiremoor_httpio::problem;
 use serde::Serialize;
 
@@ -152,31 +151,17 @@
 #[derive(Clone, Debug)]
 #[derive(Serialize)]
 pub struct StreamError {
-    /// Problem type URN.
-    #[serde(rename = "type")]
-    pub kind: String,
-    /// What failed and what the caller can do.
-    pub detail: String,
-    /// Outcome of the request, as far as the daemon knows it.
-    pub outcome: outcome::CallOutcome,
+    /// The problem, with the fields of a problem response.
+    #[serde(flatten)]
+    pub problem: problem::ProblemBody,
     /// Request id, for reattaching.
     pub request_id: id::RequestId,
-    /// Time in milliseconds after which a retry may succeed.
-    #[serde(skip_serializing_if = "Option::is_none")]
-    pub retry_after_ms: Option<u64>,
 }
 
 impl StreamError {
     /// Creates the error event of a problem.
     pub fn new(problem: &problem::CallProblem, request_id: id::RequestId) -> Self {
-        let body = problem::ProblemBody::from(problem);
-        StreamError {
-            kind: body.kind,
-            detail: body.detail,
-            outcome: problem.outcome,
-            request_id,
-            retry_after_ms: body.retry_after_ms,
-        }
+        StreamError { problem: problem::ProblemBody::from(problem), request_id }
     }
 
     /// Returns the event's data as JSON.
