Entry: a truncated relayed response closes the caller's connection

Callers saw: where the owner's connection closed inside a response with a length, the relaying daemon ended the response early and kept the connection, so that the head of the next response took the place of the missing bytes. First, on: owner_cut_before_length failed, "a head inside the body: … halfHTTP/1.1 200 OK". Cause: the reader of a body of known length reports a closed connection as its end. Change: a relayed body that ends before its length fails the write, which closes the caller's connection. Measured: owner_cut_before_length passes (the body is visibly cut), and the tests of entry and httpio.

--- a/crates/entry/src/serve/relay.rs
+++ b/crates/entry/src/serve/relay.rs
@@ -13,6 +13,7 @@
 use samphiremoor_base::outcome;
 use samphiremoor_base::reason;
 use samphiremoor_base::time;
+use samphiremoor_httpio::body;
 use samphiremoor_httpio::client;
 use samphiremoor_httpio::problem;
 
@@ -51,7 +52,7 @@
     if is_stream {
         response.set_body(relayed_stream(relayed, id.clone()));
     } else {
-        response.set_body(relayed.take_body());
+        response.set_body(body::fail_if_truncated(relayed.take_body()));
     }
     // `set_body` sets a content type; the content type of the other daemon's response replaces it.
     response.remove_header("content-type");
--- a/crates/entry/tests/begun_responses.rs
+++ b/crates/entry/tests/begun_responses.rs
@@ -315,6 +315,7 @@
 cases! {
     whole_relayed_response => check_relayed_full(
         "content-length: 4\r\n\r\ndone", false, "200 complete, done");
+    owner_cut_before_length => check_relayed_full(CUT_LENGTH, false, "200 complete, cut");
     owner_cut_between_chunks => check_relayed_full(CUT_CHUNKS, false, "200 complete, cut");
     owner_silent_before_length => check_relayed_full(CUT_LENGTH, true, "200 complete, cut");
     owner_silent_between_chunks => check_relayed_full(CUT_CHUNKS, true, "200 complete, cut");
--- a/crates/httpio/src/body.rs
+++ b/crates/httpio/src/body.rs
@@ -1,9 +1,14 @@
-//! Reads message bodies up to a size limit.
+//! Reads message bodies up to a size limit, and detects truncated ones.
 
 use std::error;
 use std::fmt;
+use std::io;
+use std::pin;
+use std::task;
 
+use futures_lite::AsyncRead;
 use futures_lite::AsyncReadExt as _;
+use futures_lite::io::BufReader;
 use http_types::Body;
 use samphiremoor_base::quantity;
 
@@ -43,8 +48,8 @@
     let mut bytes = Vec::new();
     let mut limited = body.take(limit.get().saturating_add(1));
     limited.read_to_end(&mut bytes).await.map_err(|cause| match cause.kind() {
-        std::io::ErrorKind::TimedOut => BodyError::TimedOut,
-        std::io::ErrorKind::FileTooLarge => BodyError::TooLarge(limit),
+        io::ErrorKind::TimedOut => BodyError::TimedOut,
+        io::ErrorKind::FileTooLarge => BodyError::TooLarge(limit),
         _ => BodyError::Truncated,
     })?;
     if bytes.len() as u64 > limit.get() {
@@ -55,3 +60,27 @@
     }
     Ok(bytes)
 }
+
+/// Returns the body with reads that fail if it ends before its declared length.
+///
+/// A server that passes the body on would otherwise send its next response in place of the missing
+/// bytes.
+pub fn fail_if_truncated(body: Body) -> Body {
+    let Some(length) = body.len() else { return body };
+    // The reader after the body is reached only if bytes are missing.
+    let reader = futures_lite::AsyncReadExt::chain(body, TruncatedReader);
+    Body::from_reader(BufReader::new(reader), Some(length))
+}
+
+/// A reader that fails.
+struct TruncatedReader;
+
+impl AsyncRead for TruncatedReader {
+    fn poll_read(
+        self: pin::Pin<&mut Self>,
+        _: &mut task::Context<'_>,
+        _: &mut [u8],
+    ) -> task::Poll<io::Result<usize>> {
+        task::Poll::Ready(Err(io::ErrorKind::UnexpectedEof.into()))
+    }
+}
