Entry: a rejection after the first token moves the stream on

Callers saw: a stream with five tokens that ended with an error event whose outcome was `complete`, or, without a stream, the replica's 400 as a complete answer, where another replica could go on. First, on: second_replica_rejects and no_replica_after_rejections ("only the end mark stands for `complete`") and second_replica_rejects_full_response ("400 complete") failed. Cause: a 4xx counted as the caller's error at any time, also after a replica had accepted the call and sent tokens. Change: after the first token a rejection is a failure of the replica, and the request goes on elsewhere. Measured: the three cases pass, and the tests of entry and httpio.

--- a/crates/entry/src/run/model.rs
+++ b/crates/entry/src/run/model.rs
@@ -181,6 +181,12 @@
                 *response_end = Some(kept::KeptEnd::Streamed { finish_reason, usage });
                 RequestInput::ResponseComplete(attempt_number)
             }
+            // An earlier replica accepted the call, so the rejection is not the caller's error.
+            attempt::AttemptEvent::Rejected(_) if self.driver.kept.token_count().get() > 0 => {
+                self.driver.close_attempt(None);
+                let failure = input::AttemptFailure::InvalidResponse;
+                RequestInput::AttemptFailed { attempt: attempt_number, failure }
+            }
             attempt::AttemptEvent::Rejected(rejected) => {
                 *response_end = Some(kept::KeptEnd::Plain(rejected));
                 RequestInput::ResponseComplete(attempt_number)
--- a/crates/entry/tests/begun_responses.rs
+++ b/crates/entry/tests/begun_responses.rs
@@ -113,6 +113,8 @@
 const TORN_DATA: &str = "11\r\nid: 5\ndata: {\"cho\r\n0\r\n\r\n";
 const ERROR_EVENT: &str = "19\r\nevent: error\ndata: {\"e\"}\n\n\r\n0\r\n\r\n";
 const EARLY_DONE: &str = "e\r\ndata: [DONE]\n\n\r\n0\r\n\r\n";
+const REJECTION: &str = "HTTP/1.1 400 Bad\r\ncontent-type: application/json\r\n\
+    content-length: 13\r\n\r\n{\"error\":\"y\"}";
 const JSON_RESPONSE: &str = "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n\
     content-length: 13\r\n\r\n{\"error\":\"z\"}";
 
@@ -140,6 +142,8 @@
         TIMEOUT_MS, &[CUT, EngineFault::ServerError, HEALTHY], "12 tokens, done");
     second_replica_refuses => check_stream(
         TIMEOUT_MS, &[CUT, EngineFault::Refuse, HEALTHY], "12 tokens, done");
+    second_replica_rejects => check_stream(
+        TIMEOUT_MS, &[CUT, EngineFault::Response(REJECTION), HEALTHY], "12 tokens, done");
     second_replica_sends_no_stream => check_stream(
         TIMEOUT_MS, &[CUT, EngineFault::Response(JSON_RESPONSE), HEALTHY], "12 tokens, done");
     every_replica_cut => check_stream(
@@ -148,6 +152,8 @@
         TIMEOUT_MS, &[CUT, EngineFault::ServerError], "5 tokens, no-replica unknown");
     no_replica_after_refusals => check_stream(
         TIMEOUT_MS, &[CUT, EngineFault::Refuse], "5 tokens, no-replica unknown");
+    no_replica_after_rejections => check_stream(
+        TIMEOUT_MS, &[CUT, EngineFault::Response(REJECTION)], "5 tokens, no-replica unknown");
     deadline_in_silence => check_stream(
         SHORT_TIMEOUT_MS, &[EngineFault::SilentAfter(5)], "5 tokens, deadline-passed unknown");
     deadline_between_replicas => check_stream(
@@ -159,6 +165,10 @@
         TIMEOUT_MS, &[HEALTHY], &format!("200 complete, {}", full_text()));
     replica_cut_in_full_response => check_full(
         TIMEOUT_MS, &[CUT, HEALTHY], &format!("200 complete, {}", full_text()));
+    second_replica_rejects_full_response => check_full(
+        TIMEOUT_MS,
+        &[CUT, EngineFault::Response(REJECTION), HEALTHY],
+        &format!("200 complete, {}", full_text()));
     no_replica_for_full_response => check_full(
         TIMEOUT_MS, &[CUT, EngineFault::ServerError], "503 unknown, no-replica");
     deadline_of_full_response => check_full(
