Entry: a connection that fails inside a line ends only the attempt

Callers saw, in builds with debug assertions: heartbeats without end and past the deadline, or, with a relayed stream, the last chunk without an end mark or an error event, which looks complete. Release builds were not run for this. Cause: async-sse's line reader keeps its count after a failed read and asserts that it is 0, which ends the task. Change: its input ends where a read fails; it then drops the incomplete event, and the failure is kept beside it.

--- a/crates/entry/src/run/attempt.rs
+++ b/crates/entry/src/run/attempt.rs
@@ -10,6 +10,7 @@
 
 use futures_lite::FutureExt as _;
 use futures_lite::StreamExt as _;
+use http_types::Body;
 use http_types::Method;
 use http_types::Request;
 use http_types::Response;
@@ -85,10 +86,37 @@
 
 enum AttemptPhase {
     Opening(OpeningFuture),
-    Reading(Box<async_sse::Decoder<Response>>),
+    Reading(Box<EventReader>),
     Closed,
 }
 
+/// Reader of the events of a response.
+struct EventReader {
+    decoder: async_sse::Decoder<Body>,
+    failure: body::BodyFailure,
+}
+
+impl EventReader {
+    fn new(mut response: Response) -> Self {
+        let (body, failure) = body::split_failure(response.take_body());
+        EventReader { decoder: async_sse::decode(body), failure }
+    }
+
+    /// Returns the next event, or `None` at the end of the body. Fails if the connection failed or
+    /// the events are malformed.
+    async fn next(&mut self) -> Option<Result<async_sse::Event, input::AttemptFailure>> {
+        let next = self.decoder.next().await;
+        match (next, self.failure.kind()) {
+            (Some(Ok(event)), _) => Some(Ok(event)),
+            (_, Some(io::ErrorKind::TimedOut)) => {
+                Some(Err(input::AttemptFailure::ConnectionSilent))
+            }
+            (None, None) => None,
+            _ => Some(Err(input::AttemptFailure::ConnectionClosed)),
+        }
+    }
+}
+
 enum OpenedResponse {
     Stream(Box<Response>),
     Rejected(call::CallResult),
@@ -136,8 +164,8 @@
                     let opened = opening.await;
                     self.handle_opened(opened);
                 }
-                AttemptPhase::Reading(decoder) => {
-                    let read = async { Some(decoder.next().await) };
+                AttemptPhase::Reading(reader) => {
+                    let read = async { Some(reader.next().await) };
                     let timeout = async {
                         self.token_timer.wait().await;
                         None
@@ -159,7 +187,7 @@
     fn handle_opened(&mut self, opened: OpenedResponse) {
         match opened {
             OpenedResponse::Stream(response) => {
-                self.phase = AttemptPhase::Reading(Box::new(async_sse::decode(*response)));
+                self.phase = AttemptPhase::Reading(Box::new(EventReader::new(*response)));
                 self.token_timer.start();
                 self.ready_events.push_back(AttemptEvent::Head);
             }
@@ -168,11 +196,11 @@
         }
     }
 
-    fn handle_read(&mut self, read: Option<http_types::Result<async_sse::Event>>) {
+    fn handle_read(&mut self, read: Option<Result<async_sse::Event, input::AttemptFailure>>) {
         match read {
             Some(Ok(async_sse::Event::Message(message))) => self.handle_message(message),
             Some(Ok(async_sse::Event::Retry(_))) => {}
-            Some(Err(cause)) => self.close_with(AttemptEvent::Failed(read_failure(&cause))),
+            Some(Err(failure)) => self.close_with(AttemptEvent::Failed(failure)),
             None => self.handle_end(input::AttemptFailure::ConnectionClosed),
         }
     }
@@ -372,10 +400,3 @@
     })?;
     Ok(call::CallResult { status, headers, body: Arc::from(bytes) })
 }
-
-fn read_failure(cause: &http_types::Error) -> input::AttemptFailure {
-    match cause.downcast_ref::<io::Error>().map(io::Error::kind) {
-        Some(io::ErrorKind::TimedOut) => input::AttemptFailure::ConnectionSilent,
-        _ => input::AttemptFailure::ConnectionClosed,
-    }
-}
--- a/crates/entry/src/serve/relay.rs
+++ b/crates/entry/src/serve/relay.rs
@@ -102,11 +102,12 @@
 }
 
 async fn relay_events(
-    relayed: Response,
+    mut relayed: Response,
     sender: &async_sse::Sender,
     id: &id::RequestId,
 ) -> io::Result<()> {
-    let mut events = Box::new(async_sse::decode(relayed));
+    let (body, _) = body::split_failure(relayed.take_body());
+    let mut events = Box::new(async_sse::decode(body));
     while let Some(Ok(event)) = events.next().await {
         let async_sse::Event::Message(message) = event else { continue };
         let data = String::from_utf8_lossy(message.data());
--- a/crates/entry/tests/begun_responses.rs
+++ b/crates/entry/tests/begun_responses.rs
@@ -109,6 +109,7 @@
 const HEAD_IN_CHUNK: &str =
     "30\r\nHTTP/1.1 500 No\r\ncontent-length: 2\r\n\r\n{}\n\ndata:\n\r\n0\r\n\r\n";
 const LAST_CHUNK: &str = "0\r\n\r\n";
+const TORN_CHUNK: &str = "40\r\nid: 5\ndata: {\"choices\":[{\"del";
 const TORN_EVENT: &str = "7\r\nid: 5\nd\r\n0\r\n\r\n";
 const TORN_DATA: &str = "11\r\nid: 5\ndata: {\"cho\r\n0\r\n\r\n";
 const ERROR_EVENT: &str = "19\r\nevent: error\ndata: {\"e\"}\n\n\r\n0\r\n\r\n";
@@ -132,6 +133,8 @@
         TIMEOUT_MS, &[EngineFault::BytesAfter(5, LAST_CHUNK), HEALTHY], "12 tokens, done");
     replica_ends_without_finish_reason => check_stream(
         TIMEOUT_MS, &[EngineFault::BytesAfter(5, EARLY_DONE), HEALTHY], "12 tokens, done");
+    replica_tears_chunk => check_stream(
+        TIMEOUT_MS, &[EngineFault::BytesAfter(5, TORN_CHUNK), HEALTHY], "12 tokens, done");
     replica_tears_event => check_stream(
         TIMEOUT_MS, &[EngineFault::BytesAfter(5, TORN_EVENT), HEALTHY], "12 tokens, done");
     replica_tears_data => check_stream(
@@ -301,6 +304,7 @@
     owner_sends_second_head => check_relayed(SECOND_HEAD, false, UNREACHABLE);
     owner_sends_head_in_chunk => check_relayed(HEAD_IN_CHUNK, false, UNREACHABLE);
     owner_ends_without_end_mark => check_relayed(LAST_CHUNK, false, UNREACHABLE);
+    owner_tears_chunk => check_relayed(TORN_CHUNK, false, UNREACHABLE);
     owner_tears_event => check_relayed(TORN_EVENT, false, UNREACHABLE);
     owner_tears_data => check_relayed(TORN_DATA, false, UNREACHABLE);
 }
--- a/crates/httpio/src/body.rs
+++ b/crates/httpio/src/body.rs
@@ -4,6 +4,7 @@
 use std::fmt;
 use std::io;
 use std::pin;
+use std::sync;
 use std::task;
 
 use futures_lite::AsyncRead;
@@ -84,3 +85,47 @@
         task::Poll::Ready(Err(io::ErrorKind::UnexpectedEof.into()))
     }
 }
+
+/// Failure of a body that was split off by [`split_failure`].
+#[derive(Clone, Debug, Default)]
+pub struct BodyFailure(sync::Arc<sync::OnceLock<io::ErrorKind>>);
+
+impl BodyFailure {
+    /// Returns the kind of the failed read, or `None` if no read has failed.
+    pub fn kind(&self) -> Option<io::ErrorKind> {
+        self.0.get().copied()
+    }
+}
+
+/// Returns a body that ends where a read of the given one fails, and a handle to that failure.
+///
+/// The decoder of event streams drops an incomplete event at the end of a body, but must not be
+/// given a failed read inside a line: it asserts that there is none.
+pub fn split_failure(body: Body) -> (Body, BodyFailure) {
+    let failure = BodyFailure::default();
+    let reader = FailureReader { body, failure: failure.clone() };
+    (Body::from_reader(BufReader::new(reader), None), failure)
+}
+
+/// A reader that records a failed read and reports the end instead.
+struct FailureReader {
+    body: Body,
+    failure: BodyFailure,
+}
+
+impl AsyncRead for FailureReader {
+    fn poll_read(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+        out: &mut [u8],
+    ) -> task::Poll<io::Result<usize>> {
+        if self.failure.kind().is_some() {
+            return task::Poll::Ready(Ok(0));
+        }
+        let read = futures_lite::ready!(pin::Pin::new(&mut self.body).poll_read(cx, out));
+        task::Poll::Ready(read.or_else(|cause| {
+            self.failure.0.get_or_init(|| cause.kind());
+            Ok(0)
+        }))
+    }
+}
