Entry: a relayed error event has no id

Callers saw: an `error` event that the owner sent without an id with the id of the last token, where docs/design/streams.md says that it has none; `Last-Event-ID` stayed the same by it. First, on: owner_ends_with_error failed, "no event of the callers' page: … Some("error"), id: Some(1)". Cause: the decoder of event streams gives an event without an id the last one. Change: the relay sends error events without an id. Measured: the case passes, and the tests of entry and httpio.

--- a/crates/entry/src/serve/relay.rs
+++ b/crates/entry/src/serve/relay.rs
@@ -113,7 +113,9 @@
         let data = String::from_utf8_lossy(message.data());
         let is_error = message.name() == "error";
         let name = is_error.then_some("error");
-        sender.send(name, &data, message.id().as_deref()).await?;
+        // The decoder gives an event without an id the id of the event before it.
+        let id = message.id().as_deref().filter(|_| !is_error);
+        sender.send(name, &data, id).await?;
         if is_error || data == chunk::DONE_DATA {
             return Ok(());
         }
--- a/crates/entry/tests/begun_responses.rs
+++ b/crates/entry/tests/begun_responses.rs
@@ -298,6 +298,20 @@
 
 const UNREACHABLE: &str = "2 tokens, owner-unreachable unknown";
 
+/// Error event of an owner.
+fn owner_error() -> String {
+    let data = serde_json::json!({
+        "type": "urn:samphiremoor:problem:stopping",
+        "title": "stopping",
+        "status": 503,
+        "detail": "another daemon goes on with the request; attach again by its id",
+        "outcome": "unknown",
+        "request_id": RELAYED_REQUEST,
+    });
+    let event = format!("event:error\ndata:{data}\n\n");
+    format!("{:x}\r\n{event}\r\n0\r\n\r\n", event.len())
+}
+
 cases! {
     owner_cut => check_relayed("", false, UNREACHABLE);
     owner_silent => check_relayed("", true, UNREACHABLE);
@@ -307,6 +321,7 @@
     owner_tears_chunk => check_relayed(TORN_CHUNK, false, UNREACHABLE);
     owner_tears_event => check_relayed(TORN_EVENT, false, UNREACHABLE);
     owner_tears_data => check_relayed(TORN_DATA, false, UNREACHABLE);
+    owner_ends_with_error => check_relayed(&owner_error(), false, "2 tokens, stopping unknown");
 }
 
 /// Expects that a caller sees a relayed full response as it ended at its owner.
