Entry: attaching to a rejected stream call gives the rejection

Callers saw: an event stream with one error event, "read its answer by the request id", each time that they attached by that id; the replica's answer could not be had. First, on: rejected_stream_call_is_attached_to failed, left "200 no outcome, event:error …", right "400 complete". Cause: attaching asked only whether the call wants a stream, not whether its response is one. Change: a call that ended as rejected is answered in full, as it was to the first caller. Measured: the case passes, and the tests of entry and httpio.

--- a/crates/entry/src/serve/attach.rs
+++ b/crates/entry/src/serve/attach.rs
@@ -77,7 +77,7 @@
     let kept::RequestKind::Model(body) = &kept.kind else {
         return service::full_response(core, kept).await;
     };
-    if !body.stream {
+    if !body.stream || is_rejected(&kept) {
         let call = body.call;
         return model::full_response(core, kept, call).await;
     }
@@ -86,6 +86,11 @@
     events::event_response(core, kept, options)
 }
 
+/// Returns whether the upstream rejected the call, so that its response is no stream.
+fn is_rejected(kept: &kept::KeptRequest) -> bool {
+    matches!(kept.end(), Some(kept::KeptEnd::Plain(_)))
+}
+
 /// Relays the call to the daemon that keeps the request: first the one named in the request id,
 /// then its successors.
 async fn relay_to_owner(
--- a/crates/entry/tests/begun_responses.rs
+++ b/crates/entry/tests/begun_responses.rs
@@ -350,6 +350,16 @@
     owner_silent_between_chunks => check_relayed_full(CUT_CHUNKS, true, "200 complete, cut");
 }
 
+#[test]
+fn rejected_stream_call_is_attached_to() {
+    let trial = EngineTrial::start(&[EngineFault::Response(REJECTION)], |_| {});
+    let rejected = trial.send(&chat_call(true, TIMEOUT_MS)).finish();
+    assert_eq!(rejected.describe_full(), "400 complete, {\"error\":\"y\"}");
+    let request = rejected.field("samphiremoor-request-id").expect("the head has the request id");
+    let attached = trial.send(&attach_call(request)).finish();
+    assert_eq!(attached.describe_full(), "400 complete, {\"error\":\"y\"}");
+}
+
 /// Expects this response to a call of a plain service that sends these bytes to each dispatch.
 fn check_service(service_response: &'static str, expected: &str) {
     let service = FakeService::start(Some(service_response));
