Entry: responses with status 204 or 304 have no body

Callers saw: the body that a service sent with a 204 after the head, where the next response begins; and for a 304 with the length that it would have, `no-replica` after retries. First, on the change before: service_sends_body_without_content failed ("a response begins with its version"), and service_has_length_without_content (left "503 unknown, no-replica", right "304 complete"). Cause: the body was read by its length alone, which such a response may name without having a body. Change: a response with one of these statuses is taken without a body. Measured: both cases pass, and the tests of entry and httpio.

--- a/crates/entry/src/run/attempt.rs
+++ b/crates/entry/src/run/attempt.rs
@@ -393,6 +393,10 @@
 ) -> Result<call::CallResult, input::AttemptFailure> {
     let status = u16::from(response.status());
     let headers = headers::forwarded(response.iter());
+    // These statuses have no body, whatever length the head names.
+    if matches!(response.status(), StatusCode::NoContent | StatusCode::NotModified) {
+        return Ok(call::CallResult { status, headers, body: Arc::default() });
+    }
     let bytes = body::read(response.take_body(), limit).await.map_err(|cause| match cause {
         body::BodyError::TimedOut => input::AttemptFailure::ConnectionSilent,
         body::BodyError::Truncated => input::AttemptFailure::ConnectionClosed,
--- a/crates/entry/tests/begun_responses.rs
+++ b/crates/entry/tests/begun_responses.rs
@@ -378,4 +378,8 @@
     service_cut_between_chunks => check_service(
         "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n",
         "503 unknown, no-replica");
+    service_sends_body_without_content => check_service(
+        "HTTP/1.1 204 No Content\r\ncontent-length: 4\r\n\r\nbody", "204 complete, ");
+    service_has_length_without_content => check_service(
+        "HTTP/1.1 304 Not Modified\r\ncontent-length: 4\r\n\r\n", "304 complete, ");
 }
