Entry: a relayed stream carries heartbeats in pauses

Callers saw: no heartbeat in a stream that one daemon relays for another, however long its pauses; a caller that counts on them takes the stream for broken. docs/design/streams.md says that it carries them. First, on the change before: relayed_stream_has_heartbeats_in_pause failed, "the relayed stream has no heartbeat". Cause: the decoder of event streams drops events without data, and with them the owner's heartbeats. Change: the relaying daemon sends a heartbeat of its own in each interval without an event. Measured: the test passes, and the tests of entry and httpio.

--- a/crates/entry/src/serve/events.rs
+++ b/crates/entry/src/serve/events.rs
@@ -59,7 +59,7 @@
 }
 
 /// Name of the heartbeat events, which are sent while there are no tokens.
-const HEARTBEAT_NAME: &str = "heartbeat";
+pub const HEARTBEAT_NAME: &str = "heartbeat";
 
 struct EventWriter {
     sender: async_sse::Sender,
--- a/crates/entry/src/serve/relay.rs
+++ b/crates/entry/src/serve/relay.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::net;
 
+use async_std::future;
 use async_std::task;
 use futures_lite::StreamExt as _;
 use http_types::Body;
@@ -20,6 +21,7 @@
 use crate::core;
 use crate::finish;
 use crate::headers;
+use crate::serve::events;
 use crate::wire::chunk;
 use crate::wire::response;
 
@@ -50,7 +52,8 @@
         }
     }
     if is_stream {
-        response.set_body(relayed_stream(relayed, id.clone()));
+        let heartbeat_interval = core.settings.callers.heartbeat_ms;
+        response.set_body(relayed_stream(relayed, id.clone(), heartbeat_interval));
     } else {
         response.set_body(body::fail_if_truncated(relayed.take_body()));
     }
@@ -92,11 +95,11 @@
 
 /// Returns a stream of the other daemon's events. If they end early, an error event ends the
 /// stream.
-fn relayed_stream(relayed: Response, id: id::RequestId) -> Body {
+fn relayed_stream(relayed: Response, id: id::RequestId, heartbeat_interval: time::Millis) -> Body {
     let (sender, encoder) = async_sse::encode();
     task::spawn(async move {
         // The write fails when the caller disconnects, which ends the relay.
-        let _ = relay_events(relayed, &sender, &id).await;
+        let _ = relay_events(relayed, &sender, &id, heartbeat_interval).await;
     });
     Body::from_reader(encoder, None)
 }
@@ -105,10 +108,18 @@
     mut relayed: Response,
     sender: &async_sse::Sender,
     id: &id::RequestId,
+    heartbeat_interval: time::Millis,
 ) -> io::Result<()> {
     let (body, _) = body::split_failure(relayed.take_body());
-    let mut events = Box::new(async_sse::decode(body));
-    while let Some(Ok(event)) = events.next().await {
+    let mut decoder = Box::new(async_sse::decode(body));
+    loop {
+        // The decoder drops the owner's heartbeats, since they have no data.
+        let Ok(next) = future::timeout(heartbeat_interval.to_duration(), decoder.next()).await
+        else {
+            sender.send(events::HEARTBEAT_NAME, "", None).await?;
+            continue;
+        };
+        let Some(Ok(event)) = next else { break };
         let async_sse::Event::Message(message) = event else { continue };
         let data = String::from_utf8_lossy(message.data());
         let is_error = message.name() == "error";
--- a/crates/entry/tests/begun_responses.rs
+++ b/crates/entry/tests/begun_responses.rs
@@ -324,6 +324,24 @@
     owner_ends_with_error => check_relayed(&owner_error(), false, "2 tokens, stopping unknown");
 }
 
+#[test]
+fn relayed_stream_has_heartbeats_in_pause() {
+    let set_heartbeat = |settings: &mut settings::EntrySettings| {
+        settings.callers.heartbeat_ms = time::Millis::new(50);
+        settings.upstreams.silence_ms = time::Millis::new(TIMEOUT_MS);
+    };
+    let trial = EngineTrial::start(&[EngineFault::PauseMs(150)], set_heartbeat);
+    let other = fixture::TestDaemon::start_with(&trial.view, set_heartbeat);
+    let mut caller = trial.send(&chat_call(true, TIMEOUT_MS));
+    caller.read_events(1);
+    let kept = trial.daemon.entry.core().registry.in_progress();
+    let call = attach_call(kept[0].info.id.as_str());
+    let relayed = raw::RawCaller::send(other.entry.address(), &call).finish();
+    assert_eq!(relayed.describe_stream(0, token), "12 tokens, done");
+    assert!(relayed.heartbeat_count() > 0, "the relayed stream has no heartbeat");
+    assert!(caller.finish().heartbeat_count() > 0, "the owner's stream has no heartbeat");
+}
+
 /// Expects that a caller sees a relayed full response as it ended at its owner.
 fn check_relayed_full(end: &str, is_silent: bool, expected: &str) {
     let head = format!(
