Entry: cache events over 256 KiB are polled in parts

Operators would see: an engine whose events exceed 256 KiB once is routed to without its cache events from then on, since each poll asks for the same events again and drops them. Cause: the response was read whole or not at all, and the last serial moved only with a whole one. Change: the whole events in the first 256 KiB are taken, and the next poll asks for those after them.

--- a/crates/entry/src/cache.rs
+++ b/crates/entry/src/cache.rs
@@ -9,12 +9,11 @@
 use std::sync::Arc;
 
 use async_std::task;
+use futures_lite::AsyncReadExt as _;
 use http_types::Method;
 use http_types::Request;
 use samphiremoor_base::id;
-use samphiremoor_base::quantity;
 use samphiremoor_base::time;
-use samphiremoor_httpio::body;
 use samphiremoor_httpio::client;
 use samphiremoor_routing::picker;
 use samphiremoor_routing::prefix;
@@ -79,6 +78,19 @@
     runs
 }
 
+/// Parses the whole events at the start of a JSON array, which may be truncated.
+pub fn parse_events(bytes: &[u8]) -> Vec<PublishedEvent> {
+    let mut events = Vec::new();
+    let mut rest = bytes.trim_ascii_start().strip_prefix(b"[");
+    while let Some(items) = rest {
+        let mut parser = serde_json::Deserializer::from_slice(items).into_iter();
+        let Some(Ok(event)) = parser.next() else { break };
+        events.push(event);
+        rest = items[parser.byte_offset()..].trim_ascii_start().strip_prefix(b",");
+    }
+    events
+}
+
 /// Polls the cache events of the zone's engines, one engine at a time, until the daemon shuts down.
 pub async fn poll_engines(core: Arc<core::EntryCore>) {
     let interval =
@@ -92,8 +104,8 @@
 
 const MILLIS_PER_SECOND: u64 = 1_000;
 
-/// Size limit of a poll's response. A larger response is discarded, so its events are lost.
-const MAX_EVENTS_BYTES: quantity::ByteCount = quantity::ByteCount::new(256 * 1024);
+/// Size of the part of a response that is read. The next poll requests the events after it.
+const MAX_EVENTS_BYTES: u64 = 256 * 1024;
 
 /// Assumed age of the events in a response. Engines publish events with a delay and without a
 /// timestamp. With an age of 0 an event would override a more recent use of its block.
@@ -153,8 +165,9 @@
         let limits = self.core.settings.call_limits();
         let request = Request::new(Method::Get, url);
         let mut response = client::send(address, request, limits).await.ok()?;
-        let bytes = body::read(response.take_body(), MAX_EVENTS_BYTES).await.ok()?;
-        serde_json::from_slice(&bytes).ok()
+        let mut bytes = Vec::new();
+        response.take_body().take(MAX_EVENTS_BYTES).read_to_end(&mut bytes).await.ok()?;
+        Some(parse_events(&bytes))
     }
 }
 
--- a/crates/entry/tests/cache.rs
+++ b/crates/entry/tests/cache.rs
@@ -24,6 +24,19 @@
     repeated_event => check(r#"[{"serial":1,"stored":1},{"serial":1,"stored":1}]"#, "1+1 1+1");
 }
 
+/// Expects this number of events from a response.
+fn check_parsed(bytes: &str, expected_count: usize) {
+    assert_eq!(cache::parse_events(bytes.as_bytes()).len(), expected_count);
+}
+
+cases! {
+    empty_array => check_parsed("[]", 0);
+    whole_array => check_parsed(r#" [{"serial":4,"stored":9}, {"serial":5,"evicted":9}] "#, 2);
+    array_truncated_in_event => check_parsed(r#"[{"serial":4,"stored":9},{"serial":5,"ev"#, 1);
+    array_truncated_after_comma => check_parsed(r#"[{"serial":4,"stored":9},"#, 1);
+    no_array => check_parsed(r#"{"serial":4,"stored":9}"#, 0);
+}
+
 #[test]
 fn only_engines_of_local_zone_are_polled() {
     let local = FakeEngine::start(1);
@@ -38,3 +51,18 @@
     assert!(local.paths().iter().all(|path| path == "/cache/events"));
     assert_eq!(poll_count(&remote), 0);
 }
+
+#[test]
+fn events_over_size_limit_are_polled_in_parts() {
+    const EVENT_COUNT: usize = 20_000;
+    let events: Vec<String> =
+        (1..=EVENT_COUNT).map(|serial| format!(r#"{{"serial":{serial},"stored":9}}"#)).collect();
+    let engine = FakeEngine::start(1);
+    engine.set_other_body(format!("[{}]", events.join(",")));
+    let view = fixture::SharedView::new(&[engine.address()], &[]);
+    let _daemon = fixture::TestDaemon::start_with(&view, |settings| {
+        settings.upstreams.cache_polls = 200;
+    });
+    fixture::wait_until("the engine is polled twice", || engine.queries().len() >= 2);
+    assert_ne!(engine.queries()[1], "after=0", "the first part of the events is lost");
+}
