--- a/crates/httpio/src/body.rs
+++ b/crates/httpio/src/body.rs
@@ -1,9 +1,15 @@
-//! Reads message bodies up to a size limit.
+//! Reads message bodies up to a size limit, and detects truncated ones.
 
 use std::error;
 use std::fmt;
+use std::io;
+use std::pin;
+use std::sync;
+use std::task;
 
+use futures_lite::AsyncRead;
 use futures_lite::AsyncReadExt as _;
+use futures_lite::io::BufReader;
 use http_types::Body;
 use samphiremoor_base::quantity;
 
@@ -43,8 +49,8 @@
     let mut bytes = Vec::new();
     let mut limited = body.take(limit.get().saturating_add(1));
     limited.read_to_end(&mut bytes).await.map_err(|cause| match cause.kind() {
-        std::io::ErrorKind::TimedOut => BodyError::TimedOut,
-        std::io::ErrorKind::FileTooLarge => BodyError::TooLarge(limit),
+        io::ErrorKind::TimedOut => BodyError::TimedOut,
+        io::ErrorKind::FileTooLarge => BodyError::TooLarge(limit),
         _ => BodyError::Truncated,
     })?;
     if bytes.len() as u64 > limit.get() {
@@ -55,3 +61,71 @@
     }
     Ok(bytes)
 }
+
+/// Returns the body with reads that fail if it ends before its declared length.
+///
+/// A server that passes the body on would otherwise send its next response in place of the missing
+/// bytes.
+pub fn fail_if_truncated(body: Body) -> Body {
+    let Some(length) = body.len() else { return body };
+    // The reader after the body is reached only if bytes are missing.
+    let reader = futures_lite::AsyncReadExt::chain(body, TruncatedReader);
+    Body::from_reader(BufReader::new(reader), Some(length))
+}
+
+/// A reader that fails.
+struct TruncatedReader;
+
+impl AsyncRead for TruncatedReader {
+    fn poll_read(
+        self: pin::Pin<&mut Self>,
+        _: &mut task::Context<'_>,
+        _: &mut [u8],
+    ) -> task::Poll<io::Result<usize>> {
+        task::Poll::Ready(Err(io::ErrorKind::UnexpectedEof.into()))
+    }
+}
+
+/// Failure of a body that was split off by [`split_failure`].
+#[derive(Clone, Debug, Default)]
+pub struct BodyFailure(sync::Arc<sync::OnceLock<io::ErrorKind>>);
+
+impl BodyFailure {
+    /// Returns the kind of the failed read, or `None` if no read has failed.
+    pub fn kind(&self) -> Option<io::ErrorKind> {
+        self.0.get().copied()
+    }
+}
+
+/// Returns a body that ends where a read of the given one fails, and a handle to that failure.
+///
+/// The decoder of event streams drops an incomplete event at the end of a body, but must not be
+/// given a failed read inside a line: it asserts that there is none.
+pub fn split_failure(body: Body) -> (Body, BodyFailure) {
+    let failure = BodyFailure::default();
+    let reader = FailureReader { body, failure: failure.clone() };
+    (Body::from_reader(BufReader::new(reader), None), failure)
+}
+
+/// A reader that records a failed read and reports the end instead.
+struct FailureReader {
+    body: Body,
+    failure: BodyFailure,
+}
+
+impl AsyncRead for FailureReader {
+    fn poll_read(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+        out: &mut [u8],
+    ) -> task::Poll<io::Result<usize>> {
+        if self.failure.kind().is_some() {
+            return task::Poll::Ready(Ok(0));
+        }
+        let read = futures_lite::ready!(pin::Pin::new(&mut self.body).poll_read(cx, out));
+        task::Poll::Ready(read.or_else(|cause| {
+            self.failure.0.get_or_init(|| cause.kind());
+            Ok(0)
+        }))
+    }
+}
