HTTP server: a body shorter than declared closes the connection

Callers would read the head of the next response as the rest of a body that ended early, where any handler's body does, not only a relayed one. Cause: the end of the body's reader was taken for the end of the response, whatever length its head declares. Change: the server makes such a body fail the write, which closes the connection; the relay's own wrapper goes.

--- a/crates/entry/src/serve/relay.rs
+++ b/crates/entry/src/serve/relay.rs
@@ -55,7 +55,7 @@
         let heartbeat_interval = core.settings.callers.heartbeat_ms;
         response.set_body(relayed_stream(relayed, id.clone(), heartbeat_interval));
     } else {
-        response.set_body(body::fail_if_truncated(relayed.take_body()));
+        response.set_body(relayed.take_body());
     }
     // `set_body` sets a content type; the content type of the other daemon's response replaces it.
     response.remove_header("content-type");
--- a/crates/httpio/src/body.rs
+++ b/crates/httpio/src/body.rs
@@ -7,8 +7,9 @@
 use std::sync;
 use std::task;
 
+use futures_lite::AsyncBufRead;
 use futures_lite::AsyncRead;
-use futures_lite::AsyncReadExt as _;
+use futures_lite::AsyncReadExt;
 use futures_lite::io::BufReader;
 use http_types::Body;
 use samphiremoor_base::quantity;
@@ -63,29 +64,40 @@
 }
 
 /// Returns the body with reads that fail if it ends before its declared length.
-///
-/// A server that passes the body on would otherwise send its next response in place of the missing
-/// bytes.
-pub fn fail_if_truncated(body: Body) -> Body {
+pub(crate) fn fail_if_truncated(body: Body) -> Body {
     let Some(length) = body.len() else { return body };
     // The reader after the body is reached only if bytes are missing.
-    let reader = futures_lite::AsyncReadExt::chain(body, TruncatedReader);
-    Body::from_reader(BufReader::new(reader), Some(length))
+    Body::from_reader(AsyncReadExt::chain(body, TruncatedReader), Some(length))
 }
 
 /// A reader that fails.
 struct TruncatedReader;
 
+fn truncated<T>() -> task::Poll<io::Result<T>> {
+    task::Poll::Ready(Err(io::ErrorKind::UnexpectedEof.into()))
+}
+
 impl AsyncRead for TruncatedReader {
     fn poll_read(
         self: pin::Pin<&mut Self>,
         _: &mut task::Context<'_>,
         _: &mut [u8],
     ) -> task::Poll<io::Result<usize>> {
-        task::Poll::Ready(Err(io::ErrorKind::UnexpectedEof.into()))
+        truncated()
     }
 }
 
+impl AsyncBufRead for TruncatedReader {
+    fn poll_fill_buf(
+        self: pin::Pin<&mut Self>,
+        _: &mut task::Context<'_>,
+    ) -> task::Poll<io::Result<&[u8]>> {
+        truncated()
+    }
+
+    fn consume(self: pin::Pin<&mut Self>, _: usize) {}
+}
+
 /// Failure of a body that was split off by [`split_failure`].
 #[derive(Clone, Debug, Default)]
 pub struct BodyFailure(sync::Arc<sync::OnceLock<io::ErrorKind>>);
--- a/crates/httpio/src/server.rs
+++ b/crates/httpio/src/server.rs
@@ -19,6 +19,7 @@
 use samphiremoor_base::reason;
 use samphiremoor_base::time;
 
+use crate::body;
 use crate::problem;
 use crate::request_stream;
 use crate::timeout_stream;
@@ -248,11 +249,20 @@
     !matches!(future::timeout(drain_timeout, drained).await, Ok(Ok(count)) if count < DRAIN_LIMIT_BYTES)
 }
 
+/// Writes a response. Fails if its body ends before its declared length: the next response would
+/// take the place of the missing bytes.
 async fn write_response(
     mut stream: timeout_stream::TimeoutStream,
-    response: Response,
+    mut response: Response,
     method: http_types::Method,
 ) -> io::Result<()> {
+    let has_type = response.header("content-type").is_some();
+    let body = body::fail_if_truncated(response.take_body());
+    response.set_body(body);
+    if !has_type {
+        // `set_body` sets a content type if there is none.
+        response.remove_header("content-type");
+    }
     let mut encoder = async_h1::server::Encoder::new(response, method);
     io::copy(&mut encoder, &mut stream).await.map(|_| ())
 }
