Tests: a free port is locked over all test processes

Developers saw tests fail at random with "the addresses are free: Listen(…, AddrInUse)", or two runs of process-tests that answered each other (port 17866). Cause: testkit::free_address and the adapter's stand-ins released an ephemeral port that any outgoing connection can take; process-tests::ports chose by process number, so that processes at once were given the same ports. Change: one free_address, in testkit, for all of them.

--- a/crates/demo/src/system.rs
+++ b/crates/demo/src/system.rs
@@ -6,7 +6,6 @@
 use std::process;
 
 use samphiremoor_process_tests::child;
-use samphiremoor_process_tests::ports;
 use samphiremoor_process_tests::wait;
 
 use crate::settings;
@@ -108,14 +107,14 @@
     let token_file = directory.join("platform.token");
     let token = uuid::Uuid::now_v7().to_string();
     fs::write(&token_file, token).expect("the directory is writable");
-    settings::PlatformEndpoint { address: ports::free_address(), token_file }
+    settings::PlatformEndpoint { address: samphiremoor_testkit::free_address(), token_file }
 }
 
 fn entry_addresses() -> settings::EntryAddresses {
     settings::EntryAddresses {
-        http: ports::free_address(),
-        peer: ports::free_address(),
-        control: ports::free_address(),
+        http: samphiremoor_testkit::free_address(),
+        peer: samphiremoor_testkit::free_address(),
+        control: samphiremoor_testkit::free_address(),
     }
 }
 
@@ -128,7 +127,7 @@
                 zone: spec.zone,
                 pool: engine.pool,
                 class: "gpu-small",
-                address: ports::free_address(),
+                address: samphiremoor_testkit::free_address(),
             });
         }
         specs.push(settings::UpstreamSpec {
@@ -136,7 +135,7 @@
             zone: spec.zone,
             pool: spec.service_pool,
             class: "cpu-small",
-            address: ports::free_address(),
+            address: samphiremoor_testkit::free_address(),
         });
     }
     specs
--- a/crates/entry/tests/attach.rs
+++ b/crates/entry/tests/attach.rs
@@ -123,7 +123,7 @@
     let view = fixture::SharedView::new(&[engine.address()], &[]);
     let daemon = fixture::TestDaemon::start(&view);
     view.change(|view| {
-        let unused_address = net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        let unused_address = samphiremoor_testkit::free_address();
         let mut unreachable_owner = view.daemons[0].clone();
         unreachable_owner.id = fixture::parsed("entry-gone");
         unreachable_owner.http_address = unused_address;
--- a/crates/entry/tests/services.rs
+++ b/crates/entry/tests/services.rs
@@ -101,7 +101,7 @@
 #[test]
 fn refused_connection_counts_as_not_run() {
     let healthy = FakeService::start(HEALTHY);
-    let closed_address = net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let closed_address = samphiremoor_testkit::free_address();
     let view = fixture::SharedView::new(&[], &[closed_address, healthy.address()]);
     view.change(|view| view.replicas[1].load.running = 40);
     let daemon = fixture::TestDaemon::start(&view);
--- a/crates/process-tests/src/cluster.rs
+++ b/crates/process-tests/src/cluster.rs
@@ -19,7 +19,6 @@
 use crate::links;
 use crate::operator;
 use crate::plan;
-use crate::ports;
 use crate::records;
 use crate::settings;
 use crate::view_file;
@@ -64,8 +63,11 @@
     pub fn start(plan: plan::ClusterPlan) -> Self {
         let cluster_lock = CLUSTER_LOCK.lock().unwrap_or_else(sync::PoisonError::into_inner);
         let directory = new_directory();
-        let zone_platforms: collections::BTreeMap<_, _> =
-            plan.zones.iter().map(|zone| (zone.clone(), ports::free_address())).collect();
+        let zone_platforms: collections::BTreeMap<_, _> = plan
+            .zones
+            .iter()
+            .map(|zone| (zone.clone(), samphiremoor_testkit::free_address()))
+            .collect();
         let entry_specs = plan.entry_specs();
         let engine_specs = plan.engine_specs();
         let service_specs = plan.service_specs();
@@ -75,7 +77,7 @@
             entry_specs.iter().map(|spec| listed_entry(&plan, &links, spec)).collect();
         let listed_upstreams: Vec<_> =
             upstream_specs.iter().map(|spec| listed_upstream(&plan, &links, spec)).collect();
-        let platform_address = ports::free_address();
+        let platform_address = samphiremoor_testkit::free_address();
         let text = settings::platform(
             platform_address,
             &zone_platforms,
@@ -177,7 +179,7 @@
             name: name.to_owned(),
             zone: zone.to_owned(),
             pool: records::ENGINE_POOL,
-            address: ports::free_address(),
+            address: samphiremoor_testkit::free_address(),
         };
         let valid_id = "the harness's names are identifiers";
         let spare = fleet::SpareAddress {
--- a/crates/process-tests/src/lib.rs
+++ b/crates/process-tests/src/lib.rs
@@ -15,7 +15,6 @@
 pub mod links;
 pub mod operator;
 pub mod plan;
-pub mod ports;
 pub mod records;
 mod settings;
 mod sockets;
--- a/crates/process-tests/src/links.rs
+++ b/crates/process-tests/src/links.rs
@@ -24,7 +24,6 @@
 use async_std::task;
 use futures_lite::future;
 
-use crate::ports;
 use crate::sockets;
 
 /// Interval at which a relay checks whether a blocked link is open again.
@@ -80,7 +79,7 @@
     ///
     /// Panics if no loopback port is free.
     pub fn relay(&self, zone: &str, target: net::SocketAddr) -> net::SocketAddr {
-        let address = ports::free_address();
+        let address = samphiremoor_testkit::free_address();
         let bound = task::block_on(async_net::TcpListener::bind(address));
         let listener = bound.expect("the port was free a moment ago");
         let relay = ZoneRelay { links: self.clone(), address, zone: zone.to_owned(), target };
--- a/crates/process-tests/src/plan.rs
+++ b/crates/process-tests/src/plan.rs
@@ -2,7 +2,6 @@
 
 use std::net;
 
-use crate::ports;
 use crate::records;
 
 /// Composition of a cluster. The counts apply to each availability zone.
@@ -94,9 +93,9 @@
             .map(|vm| EntrySpec {
                 name: vm.name,
                 zone: vm.zone,
-                http: ports::free_address(),
-                peer: ports::free_address(),
-                control: ports::free_address(),
+                http: samphiremoor_testkit::free_address(),
+                peer: samphiremoor_testkit::free_address(),
+                control: samphiremoor_testkit::free_address(),
             })
             .collect()
     }
@@ -122,7 +121,7 @@
                 name: vm.name,
                 zone: vm.zone,
                 pool,
-                address: ports::free_address(),
+                address: samphiremoor_testkit::free_address(),
             })
             .collect()
     }
