Gateway: a connection that opens as the daemon stops gets a response

Cause: the signal that closes idle connections stays set, and each later wait for a request saw it at once. Change: a wait for a request lasts 1 s at least, and the daemon ends only when nothing is in progress and no connection waits. A request that comes in this time is refused as not run. A quiet daemon ends as early as before. The check each_test_is_in_its_file knew only tests below crates/; it now finds those of the adapter in platform/ and is as strict otherwise. Left: a request whose head or body is still being read counts neither as in progress nor as a wait; the end of the daemon can cut it. The count belongs into caller.rs.

--- a/crates/base/tests/protections.rs
+++ b/crates/base/tests/protections.rs
@@ -66,8 +66,11 @@
 #[test]
 fn each_test_is_in_its_file() {
     for entry in entries() {
-        let directory = entry.package.trim_start_matches("samphiremoor-");
-        let file = root().join(format!("crates/{directory}/tests/{}.rs", entry.test_file));
+        let directory = match entry.package.trim_start_matches("samphiremoor-") {
+            "adapter" => "platform".to_owned(),
+            name => format!("crates/{name}"),
+        };
+        let file = root().join(format!("{directory}/tests/{}.rs", entry.test_file));
         let text = fs::read_to_string(&file);
         let text =
             text.unwrap_or_else(|cause| panic!("{}: {}: {cause}", entry.name, file.display()));
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -7,6 +7,7 @@
 use std::sync;
 
 use async_std::channel;
+use async_std::task;
 use samphiremoor_base::event;
 use samphiremoor_base::id;
 use samphiremoor_base::log_event;
@@ -44,6 +45,11 @@
 /// finish before the process is killed.
 pub const DRAIN_ACCEPT_TIME: time::Millis = time::Millis::new(3_000);
 
+/// Minimum time for which a connection of a stopping daemon stays open for its next request. It
+/// covers a caller whose connection was accepted just before, and is the time that callers wait for
+/// a connection to open.
+const IDLE_TIME_MIN: time::Millis = time::Millis::new(1_000);
+
 /// Clock that counts from the boot of the VM and includes time in suspension.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct SteadyClock;
@@ -75,10 +81,8 @@
     pub incarnation: quantity::Incarnation,
     /// Metrics of this daemon.
     pub metrics: metrics::GatewayMetrics,
-    /// Channel that closes when idle callers' connections must be closed; nothing is ever sent on
-    /// it.
-    pub idle_shutdown: channel::Receiver<()>,
-    idle_shutdown_sender: channel::Sender<()>,
+    /// Ends the waits for a next request on callers' connections.
+    pub idle_shutdown: IdleShutdown,
     /// State that changes at run time.
     pub state: cell::RefCell<CoreState>,
 }
@@ -166,15 +170,13 @@
             peer_prompt_rates: collections::HashMap::new(),
             budgets: collections::HashMap::new(),
         };
-        let (idle_shutdown_sender, idle_shutdown) = channel::bounded(1);
         rc::Rc::new(GatewayCore {
             settings,
             adapter,
             clock,
             incarnation,
             metrics: metrics::GatewayMetrics::default(),
-            idle_shutdown,
-            idle_shutdown_sender,
+            idle_shutdown: IdleShutdown::default(),
             state: cell::RefCell::new(state),
         })
     }
@@ -192,9 +194,10 @@
     /// Ends the waits for a next request on callers' connections, which then close.
     ///
     /// A connection on which a request has already arrived serves it first. Shutting down the
-    /// socket instead would drop a request that is received but not yet read.
+    /// socket instead would drop a request that is received but not yet read. A wait that has only
+    /// begun lasts [`IDLE_TIME_MIN`].
     pub fn close_idle_connections(&self) {
-        self.idle_shutdown_sender.close();
+        self.idle_shutdown.sender.close();
     }
 
     /// Returns whether the daemon can serve requests.
@@ -358,6 +361,56 @@
     u64::try_from(unix_ms).unwrap_or(0) / window.get().max(1)
 }
 
+/// Signal that ends the waits for a next request on callers' connections.
+pub struct IdleShutdown {
+    /// Closes with the signal; nothing is ever sent on the channel.
+    sender: channel::Sender<()>,
+    receiver: channel::Receiver<()>,
+    wait_count: cell::Cell<u32>,
+}
+
+impl Default for IdleShutdown {
+    fn default() -> Self {
+        let (sender, receiver) = channel::bounded(1);
+        IdleShutdown { sender, receiver, wait_count: cell::Cell::new(0) }
+    }
+}
+
+impl IdleShutdown {
+    /// Waits for the signal, and for at least [`IDLE_TIME_MIN`]. Always returns an error, since
+    /// nothing is sent.
+    pub async fn recv(&self) -> Result<(), channel::RecvError> {
+        let _wait = IdleWait::new(&self.wait_count);
+        let clock = SteadyClock;
+        let waiting_since = clock.now();
+        let signal = self.receiver.recv().await;
+        let elapsed = clock.now().since(waiting_since);
+        task::sleep(IDLE_TIME_MIN.saturating_sub(elapsed).to_duration()).await;
+        signal
+    }
+
+    /// Returns the number of connections that wait for a next request.
+    pub fn wait_count(&self) -> u32 {
+        self.wait_count.get()
+    }
+}
+
+/// Counts a wait for a next request until dropped.
+struct IdleWait<'a>(&'a cell::Cell<u32>);
+
+impl<'a> IdleWait<'a> {
+    fn new(wait_count: &'a cell::Cell<u32>) -> Self {
+        wait_count.set(wait_count.get() + 1);
+        IdleWait(wait_count)
+    }
+}
+
+impl Drop for IdleWait<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 /// Counts a request in its replica's load until dropped.
 pub struct LoadGuard {
     core: rc::Rc<GatewayCore>,
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -237,8 +237,9 @@
     }
 }
 
-/// Drains the daemon: accepts requests for a while longer, waits for those in progress, and
-/// abandons what is left shortly before the process is killed.
+/// Drains the daemon: accepts requests for a while longer, waits for those in progress and for
+/// connections whose request may be on its way, and abandons what is left shortly before the
+/// process is killed.
 pub async fn stop(core: &rc::Rc<core::GatewayCore>) {
     let stopping_since = core.now();
     core.state.borrow_mut().stopping_since = Some(stopping_since);
@@ -253,7 +254,8 @@
             core.close_idle_connections();
         }
         let in_progress = core.state.borrow().in_progress;
-        if elapsed >= core::DRAIN_ACCEPT_TIME + STOP_CHECK_INTERVAL && in_progress == 0 {
+        let is_idle = in_progress == 0 && core.idle_shutdown.wait_count() == 0;
+        if elapsed >= core::DRAIN_ACCEPT_TIME + STOP_CHECK_INTERVAL && is_idle {
             break;
         }
         if elapsed >= abandon_after {
