Planner: the last live replica of a wanted model keeps it

Callers of a service would be refused with no-replica for the length of a load (or of a boot): with room for one model per replica, a plan ordered the load of a model on one replica and, in the same plan, its unload on the only one that served it. Cause: plan_placement replaced a surplus model as soon as other replicas were to hold it by their targets, which count replicas that have yet to load it. Change: a wanted model is replaced only while another live replica has it loaded; an unload of this plan counts at once. A plan can't stall on that: the replicas that come first in the targets' order load the model with room, or replace a model that others serve. Not covered: an unload that was ordered but isn't in the view at the next plan.

--- a/crates/planner/src/placement.rs
+++ b/crates/planner/src/placement.rs
@@ -32,7 +32,7 @@
 ///
 /// A model is loaded before the one that it replaces is unloaded, as long as both fit. If they do
 /// not fit, only a few replicas are changed at a time, and a replica keeps a wanted model that it
-/// has loaded unless enough other replicas are to hold it.
+/// has loaded unless enough other replicas are to hold it, and at least one of them serves it.
 ///
 /// `loading` is the number of pending loads of all replicas; the loads of the returned actions are
 /// added to it.
@@ -51,6 +51,7 @@
     let mut replacing_replicas =
         active_replicas.iter().filter(|replica| !replica.loading.is_empty()).count();
     let max_replacements = (active_replicas.len() / REPLICAS_PER_REPLACEMENT).max(1);
+    let mut serving_counts = serving_counts(&wanted, &active_replicas);
     for replica in &active_replicas {
         actions.extend(role_action(replica));
         let Some(replica_target) = targets.get(&replica.id) else { continue };
@@ -74,10 +75,21 @@
             continue;
         }
         let can_replace = replacing_replicas < max_replacements && *loading < limits.max_loading;
-        if let Some(replaced_model) = surplus_models.first()
+        let is_replaceable = |model: &&&set::LoadedModel| {
+            let other_replicas = serving_counts.get(**model).map(|serving_count| {
+                serving_count - usize::from(replica.state == zone::UpstreamState::Live)
+            });
+            other_replicas.is_none_or(|other_replicas| other_replicas > 0)
+        };
+        if let Some(replaced_model) = surplus_models.iter().find(is_replaceable)
             && can_replace
         {
             replacing_replicas += 1;
+            if replica.state == zone::UpstreamState::Live
+                && let Some(serving_count) = serving_counts.get_mut(*replaced_model)
+            {
+                *serving_count -= 1;
+            }
             let action = plan::PlanAction::Unload {
                 replica: replica.id.clone(),
                 model: (*replaced_model).clone(),
@@ -102,6 +114,20 @@
     models.collect()
 }
 
+/// Returns for each wanted model the number of live replicas that have it loaded.
+fn serving_counts<'a>(
+    wanted: &'a collections::BTreeSet<set::LoadedModel>,
+    active_replicas: &[&fleet::FleetReplica],
+) -> collections::BTreeMap<&'a set::LoadedModel, usize> {
+    let serving_count = |model: &set::LoadedModel| {
+        let serves = |replica: &&&fleet::FleetReplica| {
+            replica.state == zone::UpstreamState::Live && replica.models.contains(model)
+        };
+        active_replicas.iter().filter(serves).count()
+    };
+    wanted.iter().map(|model| (model, serving_count(model))).collect()
+}
+
 type ModelTargets = collections::BTreeMap<id::ReplicaId, Vec<set::LoadedModel>>;
 
 /// Returns the target models of each replica: all wanted models if they fit, else those that the
