Routing: a replica that changes its pool is tracked in the new one

After operators moved replicas to another pool, callers of its services kept being sent to a replica that failed every request: it was never ejected. Cause: ReplicaIndex took the pool of a replica when it first saw it. Samples then went to the old pool's latency and list of unhealthy replicas, whose replica count is 0 after the move, and a pool of at most one replica ejects none. Change: each view sets the replica's pool. Its latency and prefix estimates stay, since it is the same process. Measured: scenarios/routing/pool_change, Some(Healthy) after three failures before, ejected for 5 s and reinstated by a probe now; the other tests of routing pass.

--- a/crates/routing/src/index.rs
+++ b/crates/routing/src/index.rs
@@ -199,6 +199,7 @@
         if let Some(state) = self.state_mut(slot) {
             state.last_sync = sync_count;
             state.services.clear();
+            state.pool = replica.pool.clone();
             state.is_local = replica.zone == view.zone;
             state.price = replica.price.get() as f64;
             state.concurrency = concurrency;
--- a/crates/routing/tests/scenarios.rs
+++ b/crates/routing/tests/scenarios.rs
@@ -100,6 +100,9 @@
         if let Some(zone) = &change.zone {
             replica.zone = zone.parse()?;
         }
+        if let Some(pool) = &change.pool {
+            replica.pool = pool.parse()?;
+        }
         if let Some(price) = change.price {
             replica.price = quantity::MicroPrice::new(price);
         }
@@ -117,6 +120,11 @@
             replica.models[0].version = version.parse()?;
         }
         replica.load = change.load;
+        let pool = replica.pool.clone();
+        if self.view.records.pool(&pool).is_none() {
+            let record = set::PoolRecord { id: pool, ..self.view.records.pools[0].clone() };
+            self.view.records.pools.push(record);
+        }
         self.view.serial += 1;
         Ok(())
     }
@@ -165,6 +173,7 @@
 #[derive(Default)]
 struct ReplicaChange {
     zone: Option<String>,
+    pool: Option<String>,
     price: Option<u64>,
     reclaimable: Option<bool>,
     state: Option<String>,
@@ -182,12 +191,15 @@
         recomputed: u16,
     },
     /// Adds or changes a replica and replaces its load report: `running` and `queued` requests, the
-    /// `tokens` of the queued ones, and the `age` of the report in milliseconds.
+    /// `tokens` of the queued ones, and the `age` of the report in milliseconds. A pool without a
+    /// record gets one with the services of the first pool.
     Replica {
         name: String,
         #[arg(key)]
         zone: Option<String>,
         #[arg(key)]
+        pool: Option<String>,
+        #[arg(key)]
         price: Option<u64>,
         #[arg(key)]
         reclaimable: Option<bool>,
@@ -307,6 +319,7 @@
             RoutingCommand::Replica {
                 name,
                 zone,
+                pool,
                 price,
                 reclaimable,
                 state,
@@ -318,6 +331,7 @@
             } => {
                 let change = ReplicaChange {
                     zone: zone.clone(),
+                    pool: pool.clone(),
                     price: *price,
                     reclaimable: *reclaimable,
                     state: state.clone(),
@@ -391,6 +405,7 @@
     weights_balance_price_against_cached_prefix => check("weights");
     cache_events_update_the_prefix_index => check("cache_events");
     slow_replica_is_ejected_probed_and_reinstated => check("slow_replica");
+    replica_that_changes_its_pool_is_ejected_and_probed => check("pool_change");
     leaving_replicas_and_other_versions_are_not_eligible => check("eligibility");
     load_reports_are_corrected_by_sent_requests => check("queue");
 }
