Routing: a replica that fails after each probe is ejected for longer

Callers met a replica that fails or stalls every few seconds once every five seconds for as long as it flapped: three failed or several slow requests, 5 s of ejection, one good probe, and again. Cause: HealthTracker raised the level with an ejection and lowered it with the reinstatement, so a replica that passes its probe always started from 5 s. Only failed probes made an ejection longer. Change: the level stays at a reinstatement; each minute without an ejection undoes one doubling.

--- a/crates/routing/src/health.rs
+++ b/crates/routing/src/health.rs
@@ -10,10 +10,13 @@
 const MIN_SAMPLES: u32 = 4;
 /// Number of consecutive failures after which a replica is ejected.
 const MAX_CONSECUTIVE_FAILURES: u32 = 3;
-/// Duration of the first ejection; each further one lasts twice as long.
+/// Duration of the first ejection; each further one lasts twice as long, unless the replica was
+/// healthy for [`RECOVERY_TIME`] in between.
 const FIRST_EJECTION: time::Millis = time::Millis::new(5_000);
 /// Maximum duration of an ejection.
 const MAX_EJECTION: time::Millis = time::Millis::new(60_000);
+/// Time without an ejection that undoes one doubling.
+const RECOVERY_TIME: time::Millis = time::Millis::new(60_000);
 /// Time after which a probe that has not ended counts as lost and another one may be sent.
 const PROBE_TIMEOUT: time::Millis = time::Millis::new(30_000);
 
@@ -42,6 +45,8 @@
     consecutive_failures: u32,
     /// Number of doublings of the duration of the next ejection.
     ejection_level: u32,
+    /// When the replica was last reinstated.
+    reinstated_at: time::MonotonicTime,
 }
 
 /// Result of one request, as passed to [`HealthTracker::on_sample`].
@@ -96,7 +101,7 @@
                 self.consecutive_failures = 0;
                 match self.state {
                     HealthState::Probing { .. } if relative_latency < MAX_PROBE_FACTOR => {
-                        self.reinstate()
+                        self.reinstate(now)
                     }
                     HealthState::Probing { .. } => self.eject(now),
                     HealthState::Healthy => {
@@ -121,6 +126,11 @@
     }
 
     fn eject(&mut self, now: time::MonotonicTime) {
+        if self.is_healthy() {
+            let recoveries = now.since(self.reinstated_at).get() / RECOVERY_TIME.get();
+            let recoveries = u32::try_from(recoveries).unwrap_or(u32::MAX);
+            self.ejection_level = self.ejection_level.saturating_sub(recoveries);
+        }
         let doubled_ms = FIRST_EJECTION.get().saturating_mul(1 << self.ejection_level.min(10));
         let duration = time::Millis::new(doubled_ms.min(MAX_EJECTION.get()));
         self.state = HealthState::Ejected { until: now + duration };
@@ -128,10 +138,10 @@
         self.consecutive_failures = 0;
     }
 
-    fn reinstate(&mut self) {
+    /// The level of the next ejection stays, since a probe does not show that a replica that fails
+    /// again and again has recovered.
+    fn reinstate(&mut self, now: time::MonotonicTime) {
         self.state = HealthState::Healthy;
-        // Undoes only one doubling, so that a replica with several ejections is still ejected for
-        // longer when it becomes unhealthy again.
-        self.ejection_level = self.ejection_level.saturating_sub(1);
+        self.reinstated_at = now;
     }
 }
--- a/crates/routing/tests/scenarios.rs
+++ b/crates/routing/tests/scenarios.rs
@@ -405,6 +405,7 @@
     weights_balance_price_against_cached_prefix => check("weights");
     cache_events_update_the_prefix_index => check("cache_events");
     slow_replica_is_ejected_probed_and_reinstated => check("slow_replica");
+    replica_that_fails_after_each_probe_is_ejected_for_longer => check("flapping_replica");
     replica_that_changes_its_pool_is_ejected_and_probed => check("pool_change");
     leaving_replicas_and_other_versions_are_not_eligible => check("eligibility");
     load_reports_are_corrected_by_sent_requests => check("queue");
