Control: a missing revision row is no outage of the platform

Operators saw the platform as unavailable and back twice a second (log, view and `status` of samphiremoorctl) while the head names a revision whose row is missing, though the platform answers every call; nothing named the missing row. Callers are served by the previous revision all along. Cause: read_revision returned "failed" for a row that does not exist, and a failed read is what sets the platform's state. Change: the row counts as read, without content, and E0302 names the revision and the cause, as for a row that can't be parsed. The follower does the same as before: it keeps its revision and reads the head again.

--- a/crates/control/src/action.rs
+++ b/crates/control/src/action.rs
@@ -24,7 +24,7 @@
     Tick,
     /// The head row was read; `None` if no revision was written yet.
     HeadRead(Option<revision::HeadRow>),
-    /// The row of a revision was read; `None` if it cannot be parsed.
+    /// The row of a revision was read; `None` if it does not exist or cannot be parsed.
     RevisionRead(Option<relay::RevisionContent>),
     /// The VM list was read.
     ListRead(Vec<cloud::VmEntry>),
--- a/crates/control/src/platform_read.rs
+++ b/crates/control/src/platform_read.rs
@@ -15,8 +15,8 @@
 
 /// Performs a read and returns the input for the control state, or `None` if the read failed.
 ///
-/// A head row that cannot be parsed and a revision row that does not exist count as failed reads. A
-/// revision that cannot be parsed counts as read and is returned as `None`. Drain marks that cannot be parsed are skipped.
+/// A head row that cannot be parsed counts as a failed read. A revision that does not exist or cannot
+/// be parsed counts as read and is returned as `None`. Drain marks that cannot be parsed are skipped.
 pub(crate) async fn read(
     table: &dyn table::TableStore,
     cloud: &dyn cloud::CloudApi,
@@ -56,7 +56,11 @@
     number: quantity::RevisionNumber,
 ) -> Option<action::ControlInput> {
     let key = table::RowKey::new(&revision::revision_key(number));
-    let row = table.read(&key).await.ok()??;
+    let Some(row) = table.read(&key).await.ok()? else {
+        let cause = "the row does not exist";
+        log_event!(event::LogEvent::RecordRefused, revision = number, cause = cause);
+        return Some(action::ControlInput::RevisionRead(None));
+    };
     let parsed = revision::RevisionRow::parse(&row.value);
     if let Err(cause) = &parsed {
         log_event!(event::LogEvent::RecordRefused, revision = number, cause = cause);
