Control: the drain mark on a forgotten VM is deleted

A VM was released, but the delete of its drain mark failed until the daemons forgot the VM; the mark then stayed for good. Operators see drain marks on VMs that don't exist, and with 1,000 of them, the limit of one read, new marks that sort later are no longer seen. Cause: due_releases skipped marks whose VM isn't among the known upstreams. Change: a mark of the planner on a VM that is unknown, for ten minutes since this lease holder first saw the mark, is deleted (PlanStep::DeleteMark), again at each plan until it is gone. A daemon that started in an outage of the cloud knows no VMs, hence the long time. Marks of operators stay theirs.

--- a/crates/control/src/capacity.rs
+++ b/crates/control/src/capacity.rs
@@ -36,6 +36,10 @@
 /// A VM with a drain mark is released after this time, even if it still reports requests.
 const MAX_DRAIN_TIME: time::Millis = time::Millis::new(600_000);
 
+/// The drain mark on an unknown VM is deleted after this time. A daemon that starts may know no VMs
+/// for as long as the cloud is unavailable.
+const UNKNOWN_VM_TIMEOUT: time::Millis = time::Millis::new(600_000);
+
 /// Drain mark on a VM.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct DrainMark {
@@ -54,6 +58,8 @@
     MarkDraining(id::VmId),
     /// Release a VM and delete its drain mark.
     Release(id::VmId),
+    /// Delete the drain mark on a VM that no longer exists.
+    DeleteMark(id::VmId),
     /// Send an order to an upstream.
     Order {
         /// The upstream.
@@ -135,8 +141,8 @@
     }
 
     /// Returns release steps for the VMs of the zone with a mark by [`CAPACITY_AUTHOR`] that are
-    /// idle, gone or have had the mark for too long. The time counts from the first call with the
-    /// mark.
+    /// idle, gone or have had the mark for too long, and deletes of marks whose VM has long been
+    /// unknown. The time counts from the first call with the mark.
     pub fn due_releases(
         &mut self,
         now: time::MonotonicTime,
@@ -148,14 +154,20 @@
         let mut steps = Vec::new();
         let mut marked_vms = collections::BTreeSet::new();
         for mark in capacity_marks {
-            let Some(upstream) = upstreams.get(&mark.vm) else { continue };
-            if upstream.zone != *zone {
+            let upstream = upstreams.get(&mark.vm);
+            if upstream.is_some_and(|upstream| upstream.zone != *zone) {
                 continue;
             }
             marked_vms.insert(mark.vm.clone());
-            let seen_at = *self.mark_seen_at.entry(mark.vm.clone()).or_insert(now);
-            if is_releasable(now.since(seen_at), upstream, upstreams) {
-                steps.push(PlanStep::Release(mark.vm.clone()));
+            let marked_for = now.since(*self.mark_seen_at.entry(mark.vm.clone()).or_insert(now));
+            match upstream {
+                Some(upstream) if is_releasable(marked_for, upstream, upstreams) => {
+                    steps.push(PlanStep::Release(mark.vm.clone()));
+                }
+                None if marked_for >= UNKNOWN_VM_TIMEOUT => {
+                    steps.push(PlanStep::DeleteMark(mark.vm.clone()));
+                }
+                _ => {}
             }
         }
         self.mark_seen_at.retain(|vm, _| marked_vms.contains(vm));
--- a/crates/control/src/executor.rs
+++ b/crates/control/src/executor.rs
@@ -44,6 +44,10 @@
             release_vm(&ports, &vm).await;
             None
         }
+        capacity::PlanStep::DeleteMark(vm) => {
+            write_drain_mark(&ports, &vm, table::RowWrite::Delete(drain_mark_key(&vm))).await;
+            None
+        }
         capacity::PlanStep::Order { upstream, action } => {
             send_order(&ports, &upstream, action, token).await;
             None
--- a/crates/control/tests/capacity.rs
+++ b/crates/control/tests/capacity.rs
@@ -160,6 +160,32 @@
     assert_eq!(ordered_loads(&plan(&mut planner, &table, 60, &[])), ["e-1"]);
 }
 
+// The delete of a mark failed until the released VM was forgotten.
+#[test]
+fn mark_on_a_forgotten_vm_is_deleted() {
+    let mut table = upstreams::UpstreamTable::default();
+    table.apply_vm_list(at_seconds(0), &[upstream("e-1", "songino")]);
+    let drain_mark = |vm: &str, author| capacity::DrainMark {
+        vm: vm.parse().expect("a valid VM id"),
+        author: sync::Arc::from(author),
+    };
+    let marks = [
+        drain_mark("e-1", capacity::CAPACITY_AUTHOR),
+        drain_mark("e-8", "ana"),
+        drain_mark("e-9", capacity::CAPACITY_AUTHOR),
+    ];
+    let local = zone("bayanzurkh");
+    let mut planner = capacity::CapacityPlanner::default();
+    // A daemon that starts does not know every VM yet.
+    assert!(planner.due_releases(at_seconds(10), &local, &marks, &table).is_empty());
+    assert!(planner.due_releases(at_seconds(60), &local, &marks, &table).is_empty());
+    let vm = "e-9".parse().expect("a valid VM id");
+    let delete_steps = vec![capacity::PlanStep::DeleteMark(vm)];
+    assert_eq!(planner.due_releases(at_seconds(700), &local, &marks, &table), delete_steps);
+    // The step is repeated while the mark is there.
+    assert_eq!(planner.due_releases(at_seconds(710), &local, &marks, &table), delete_steps);
+}
+
 #[test]
 fn marked_vm_is_released_once_idle() {
     let mut table = upstreams::UpstreamTable::default();
