Claims: a second refusal is remembered for its own time

A caller could be told `not-run` and its request run afterwards: refused at 0 s and, as a duplicate, at 40 s, a further delayed duplicate at 65 s was claimed and sent to the upstream, 25 s after the second answer. Cause: RefusalCache keeps one cause per request and a queue of refusals; the first refusal's expiry, a minute after it, removed the cause although a later refusal of the same request was still in the queue. Change: the cache keeps the time of the last refusal with its cause, and only that refusal's expiry removes it. Measured: scenarios/claims/repeated_refusal, 1 call at the upstream before and 0 now; the other tests of claims pass.

--- a/crates/claims/src/shard/refusals.rs
+++ b/crates/claims/src/shard/refusals.rs
@@ -14,11 +14,18 @@
 /// The refused requests.
 #[derive(Clone, Debug, Default)]
 pub(super) struct RefusalCache {
-    causes: collections::BTreeMap<id::RequestId, transition::NotRunCause>,
-    /// Requests in the order of their refusal.
+    refusals: collections::BTreeMap<id::RequestId, LastRefusal>,
+    /// Requests in the order of their refusal; a request that was refused again occurs again.
     requests: collections::VecDeque<RefusedRequest>,
 }
 
+/// The last refusal of a request.
+#[derive(Clone, Copy, Debug)]
+struct LastRefusal {
+    refused_at: time::MonotonicTime,
+    cause: transition::NotRunCause,
+}
+
 #[derive(Clone, Debug)]
 struct RefusedRequest {
     refused_at: time::MonotonicTime,
@@ -33,13 +40,13 @@
         request: &id::RequestId,
         cause: transition::NotRunCause,
     ) {
-        self.causes.insert(request.clone(), cause);
+        self.refusals.insert(request.clone(), LastRefusal { refused_at: now, cause });
         self.requests.push_back(RefusedRequest { refused_at: now, request: request.clone() });
     }
 
     /// Returns why a request was refused, if it was refused recently.
     pub(super) fn cause(&self, request: &id::RequestId) -> Option<transition::NotRunCause> {
-        self.causes.get(request).copied()
+        self.refusals.get(request).map(|refusal| refusal.cause)
     }
 
     /// Removes the refusals that are older than any delayed duplicate can be.
@@ -48,7 +55,10 @@
             |refused: &RefusedRequest| now.since(refused.refused_at) >= policy::REFUSAL_RETENTION;
         while self.requests.front().is_some_and(is_expired) {
             let Some(refused) = self.requests.pop_front() else { return };
-            self.causes.remove(&refused.request);
+            let last_refusal = self.refusals.get(&refused.request);
+            if last_refusal.is_some_and(|last| last.refused_at == refused.refused_at) {
+                self.refusals.remove(&refused.request);
+            }
         }
     }
 }
--- a/crates/claims/tests/scenarios.rs
+++ b/crates/claims/tests/scenarios.rs
@@ -179,6 +179,7 @@
     disconnected_holder_refuses_as_not_run => check("disconnected_holder");
     refused_call_can_be_submitted_again => check("not_run");
     other_body_is_refused => check("other_body");
+    second_refusal_outlives_the_first => check("repeated_refusal");
     released_lease_hands_over_results => check("release");
     violation_without_fencing => check("without_fencing");
     violation_without_journal_replay => check("without_journal_replay");
