Shards: every call to the table has a time limit

A scan or read of the table without a response left a daemon without scans for good: it took over no shard of a failed daemon, whose keyed calls were refused with shard-unavailable until it was restarted. A lost response to the first read kept a daemon that starts from ever joining. The HTTP client of the platform limits the time to the head and each silence, so with it a response that trickles is what has no end. Cause: only transactions had a time limit (effects::commit); scan_leases, read_journal, read_lease and the read of the layout waited for whatever the client's limits are. Change: TimedTable limits each call to 5 s, pages of a scan one by one; the service wraps its table with it, and commits use it instead of their own limit. A call that times out may have taken effect, as before.

--- a/crates/shards/src/effects.rs
+++ b/crates/shards/src/effects.rs
@@ -30,9 +30,6 @@
 use crate::peer;
 use crate::stored;
 
-/// Timeout of a table transaction. A transaction that times out may still take effect.
-const TABLE_TIMEOUT: time::Millis = time::Millis::new(5_000);
-
 /// Time after the caller's deadline for which a run may continue.
 const RUN_GRACE_PERIOD: time::Millis = time::Millis::new(1_000);
 
@@ -67,7 +64,8 @@
     pub(crate) fn commit_lease(&self, transaction: table::TableTransaction) {
         let context = self.context.clone();
         self.spawn(async move {
-            let outcome = commit(&*context.table, &transaction).await;
+            let outcome: commit_outcome::CommitOutcome =
+                context.table.commit(&transaction).await.into();
             event::ControlEvent::Lease(manager::LeaseInput::CommitFinished(outcome))
         });
     }
@@ -165,7 +163,8 @@
     fn commit_journal(&self, holder_id: event::HolderId, transaction: table::TableTransaction) {
         let context = self.context.clone();
         self.spawn(async move {
-            let outcome = commit(&*context.table, &transaction).await;
+            let outcome: commit_outcome::CommitOutcome =
+                context.table.commit(&transaction).await.into();
             event::ControlEvent::Claim(holder_id, transition::ClaimInput::CommitFinished(outcome))
         });
     }
@@ -210,17 +209,6 @@
     }
 }
 
-/// Commits a transaction within [`TABLE_TIMEOUT`].
-async fn commit(
-    table: &dyn table::TableStore,
-    transaction: &table::TableTransaction,
-) -> commit_outcome::CommitOutcome {
-    match future::timeout(TABLE_TIMEOUT.to_duration(), table.commit(transaction)).await {
-        Ok(result) => commit_outcome::CommitOutcome::from(result),
-        Err(_) => commit_outcome::CommitOutcome::Unknown,
-    }
-}
-
 async fn read_lease(
     table: &dyn table::TableStore,
     shard: quantity::ShardNumber,
--- a/crates/shards/src/lib.rs
+++ b/crates/shards/src/lib.rs
@@ -23,3 +23,4 @@
 pub mod settings;
 mod state;
 mod stored;
+mod timed_table;
--- a/crates/shards/src/service.rs
+++ b/crates/shards/src/service.rs
@@ -22,6 +22,7 @@
 use crate::message;
 use crate::metrics;
 use crate::state;
+use crate::timed_table;
 
 /// Runs calls with idempotency keys at most once. Clones share one control thread, which ends when
 /// the last clone is dropped.
@@ -42,7 +43,8 @@
         registry: &prometheus::Registry,
     ) -> Result<ShardService, StartError> {
         let metrics = metrics::ShardMetrics::register(registry).map_err(StartError::Metrics)?;
-        let context = sync::Arc::new(context);
+        let table = sync::Arc::new(timed_table::TimedTable::new(context.table));
+        let context = sync::Arc::new(context::ShardContext { table, ..context });
         let map = sync::Arc::new(ArcSwapOption::empty());
         let (event_sender, event_receiver) = channel::unbounded();
         let effects = effects::EffectSpawner::new(context.clone(), event_sender.clone());
--- a/crates/shards/tests/harness/mod.rs
+++ b/crates/shards/tests/harness/mod.rs
@@ -116,6 +116,8 @@
     disconnected_from_table: sync::Mutex<collections::BTreeSet<String>>,
     /// Daemons whose writes to the table are still in transit.
     delayed_writes: sync::Mutex<collections::BTreeSet<String>>,
+    /// Daemons whose reads of the table get no response, with the number of such reads.
+    lost_reads: sync::Mutex<collections::BTreeMap<String, u32>>,
     /// Daemons whose responses to calls are lost.
     lost_submits: sync::Mutex<collections::BTreeSet<String>>,
     /// The directory that every daemon sees.
@@ -139,6 +141,35 @@
             .insert(daemon.to_owned());
     }
 
+    /// Leaves a daemon's reads of the table without a response.
+    pub(crate) fn lose_reads(&self, daemon: &str) {
+        let mut lost_reads = self.lost_reads.lock().expect("no test panics with the lock");
+        lost_reads.insert(daemon.to_owned(), 0);
+    }
+
+    /// Answers a daemon's further reads of the table.
+    pub(crate) fn answer_reads(&self, daemon: &str) {
+        let mut lost_reads = self.lost_reads.lock().expect("no test panics with the lock");
+        lost_reads.remove(daemon);
+    }
+
+    /// Returns how many reads of a daemon got no response.
+    pub(crate) fn lost_reads(&self, daemon: &str) -> u32 {
+        let lost_reads = self.lost_reads.lock().expect("no test panics with the lock");
+        lost_reads.get(daemon).copied().unwrap_or_default()
+    }
+
+    /// Does not return if the response to a daemon's read is lost.
+    async fn respond_to_read(&self, daemon: &str) {
+        let is_lost = {
+            let mut lost_reads = self.lost_reads.lock().expect("no test panics with the lock");
+            lost_reads.get_mut(daemon).map(|count| *count += 1).is_some()
+        };
+        if is_lost {
+            std::future::pending::<()>().await;
+        }
+    }
+
     /// Disconnects a daemon while its writes to the table are still in transit.
     pub(crate) fn delay_writes(&self, daemon: &str) {
         self.delayed_writes.lock().expect("no test panics with the lock").insert(daemon.to_owned());
@@ -266,6 +297,7 @@
         Option<samphiremoor_platform::table::TableRow>,
         samphiremoor_platform::table::PlatformError,
     > {
+        self.network.respond_to_read(&self.daemon).await;
         self.check_connection()?;
         self.table.read(key).await
     }
@@ -279,6 +311,7 @@
         Vec<samphiremoor_platform::table::TableRow>,
         samphiremoor_platform::table::PlatformError,
     > {
+        self.network.respond_to_read(&self.daemon).await;
         self.check_connection()?;
         self.table.scan(prefix, after, limit).await
     }
--- a/crates/shards/tests/service.rs
+++ b/crates/shards/tests/service.rs
@@ -383,6 +383,34 @@
     }
 }
 
+#[test]
+fn daemon_takes_over_after_a_scan_without_a_response() {
+    let cluster = harness::ShardCluster::start(2);
+    cluster.wait_until_held();
+    lose_a_read(&cluster, "b");
+    cluster.kill("a");
+    wait_for_held_shards(&cluster, "b", 4);
+}
+
+#[test]
+fn daemon_starts_after_a_read_of_the_layout_without_a_response() {
+    let cluster = harness::ShardCluster::start(2);
+    cluster.wait_until_held();
+    cluster.kill("b");
+    cluster.network.lose_reads("b");
+    cluster.start_daemon("b");
+    harness::wait_until("a read gets no response", || cluster.network.lost_reads("b") > 0);
+    cluster.network.answer_reads("b");
+    wait_for_held_shards(&cluster, "b", 2);
+}
+
+/// Leaves a daemon's reads of the table without a response until it has sent one.
+fn lose_a_read(cluster: &harness::ShardCluster, daemon: &str) {
+    cluster.network.lose_reads(daemon);
+    harness::wait_until("a read gets no response", || cluster.network.lost_reads(daemon) > 0);
+    cluster.network.answer_reads(daemon);
+}
+
 /// Waits until a daemon holds `count` shards.
 fn wait_for_held_shards(cluster: &harness::ShardCluster, daemon: &str, count: usize) {
     harness::wait_until("the daemon holds the expected number of shards", || {
