ctl: a write without a response isn't reported as without effect

An operator whose `drain` got no response read "nothing was changed: the platform may have run the call ...; read the state back", with exit code 3 for unknown beside it; the mark may be there and the VM draining. Cause: CtlError::Platform prefixed every error of the platform with "nothing was changed". Change: only PlatformError::NotDone gets the prefix; Unknown says what it says. Measured: drain_without_a_response_is_not_reported_as_without_effect failed before and passes; the other tests of ctl pass.

--- a/crates/ctl/src/outcome.rs
+++ b/crates/ctl/src/outcome.rs
@@ -99,7 +99,10 @@
             CtlError::InvalidSet(cause) => cause.fmt(f),
             CtlError::RecordNotFound(cause) => cause.fmt(f),
             CtlError::InvalidRow(cause) => cause.fmt(f),
-            CtlError::Platform(cause) => write!(f, "nothing was changed: {cause}"),
+            CtlError::Platform(cause @ table::PlatformError::NotDone(_)) => {
+                write!(f, "nothing was changed: {cause}")
+            }
+            CtlError::Platform(cause @ table::PlatformError::Unknown(_)) => cause.fmt(f),
             CtlError::Conflict(winner, changed) => write_conflict(f, winner, changed),
             CtlError::ChangedSince { base, newest, keys } => write!(
                 f,
--- a/crates/ctl/tests/commands.rs
+++ b/crates/ctl/tests/commands.rs
@@ -341,6 +341,17 @@
     assert!(task::block_on(harness.table.read(&key)).expect("the table responds").is_none());
 }
 
+#[test]
+fn drain_without_a_response_is_not_reported_as_without_effect() {
+    let mut harness = CtlHarness::new();
+    harness.add_daemon("vm-1", 100, &[1], &[]);
+    harness.table.set_faults(write_faults(|store| store.lost_answers = 1));
+    let unknown = harness.run(&["drain", "vm-1"]).expect_err("the response is lost");
+    assert_eq!(unknown.code(), outcome::UNKNOWN);
+    assert!(!unknown.to_string().contains("nothing was changed"), "{unknown}");
+    assert!(unknown.to_string().contains("may have run"), "{unknown}");
+}
+
 #[test]
 fn concurrent_operators_get_their_own_outcomes() {
     let table: sync::Arc<memory::MemoryTable> = sync::Arc::default();
