HTTP server: no interim response after a response has begun

Callers saw: `HTTP/1.1 100 Continue` inside or after the response, where they sent `Expect: 100-continue` and the body at once. First, on the change before: interim_response_precedes_response failed, "bytes after the end: HTTP/1.1 100 Continue". Cause: async-h1 writes the interim response from a task of its own, which can run later than the handler. Change: writes of a request's decoder are dropped once the response has begun. Measured: the test passes; callers that wait for the interim response still get it; tests of entry and httpio pass.

--- a/crates/entry/tests/begun_responses.rs
+++ b/crates/entry/tests/begun_responses.rs
@@ -401,3 +401,26 @@
     service_has_length_without_content => check_service(
         "HTTP/1.1 304 Not Modified\r\ncontent-length: 4\r\n\r\n", "304 complete, ");
 }
+
+/// Head field of a call that waits for an interim response before it sends its body.
+const EXPECT: &str = "expect: 100-continue\r\n";
+
+#[test]
+fn interim_response_precedes_response() {
+    const CALL_COUNT: usize = 100;
+    let trial = EngineTrial::start(&[HEALTHY], |_| {});
+    let call = call_bytes("POST /v1/chat/completions HTTP/1.1", EXPECT, "{}");
+    let callers: Vec<raw::RawCaller> = (0..CALL_COUNT).map(|_| trial.send(&call)).collect();
+    for caller in callers {
+        assert_eq!(caller.finish().describe_full(), "400 not-run, malformed-body");
+    }
+}
+
+#[test]
+fn caller_that_waits_for_interim_response_gets_it() {
+    let trial = EngineTrial::start(&[HEALTHY], |_| {});
+    let call = call_bytes("POST /v1/chat/completions HTTP/1.1", EXPECT, "{}");
+    let (head, body) = call.split_at(call.len() - 2);
+    let caller = raw::RawCaller::send_in_parts(trial.daemon.entry.address(), head, body);
+    assert_eq!(caller.finish().describe_full(), "400 not-run, malformed-body");
+}
--- a/crates/httpio/src/request_stream.rs
+++ b/crates/httpio/src/request_stream.rs
@@ -21,10 +21,15 @@
 const BUFFER_BYTES: usize = 8 * 1024;
 
 /// A connection that is read one request at a time. Clones share the connection and its buffer.
+///
+/// The decoder of a request writes the interim response `100 Continue` from a task of its own. Such
+/// a write is dropped once the response to the request has begun.
 #[derive(Clone, Debug)]
 pub struct RequestStream {
     shared: sync::Arc<sync::Mutex<SharedState>>,
     writer: timeout_stream::TimeoutStream,
+    /// Number of the request that this value was cloned for.
+    request: u64,
 }
 
 #[derive(Debug)]
@@ -36,6 +41,8 @@
     max_bytes: quantity::ByteCount,
     body_remaining: u64,
     bytes_read: u64,
+    /// Number of the request whose response has not begun yet.
+    open_request: Option<u64>,
 }
 
 impl RequestStream {
@@ -49,16 +56,20 @@
             max_bytes: quantity::ByteCount::new(0),
             body_remaining: 0,
             bytes_read: 0,
+            open_request: None,
         };
-        RequestStream { shared: sync::Arc::new(sync::Mutex::new(state)), writer: stream }
+        let shared = sync::Arc::new(sync::Mutex::new(state));
+        RequestStream { shared, writer: stream, request: 0 }
     }
 
     /// Starts the next request, of at most `max_bytes` bytes.
     ///
     /// Reads beyond `max_bytes` fail with [`io::ErrorKind::FileTooLarge`], and reads that wait longer
     /// than `read_timeout` fail with [`io::ErrorKind::TimedOut`].
-    pub fn start_request(&self, max_bytes: quantity::ByteCount, read_timeout: time::Millis) {
+    pub fn start_request(&mut self, max_bytes: quantity::ByteCount, read_timeout: time::Millis) {
+        self.request += 1;
         let mut state = self.state();
+        state.open_request = Some(self.request);
         state.max_bytes = max_bytes;
         state.body_remaining = 0;
         state.bytes_read = 0;
@@ -72,6 +83,11 @@
         state.reader.set_read_timeout(read_timeout);
     }
 
+    /// Starts the response to the request.
+    pub fn start_response(&self) {
+        self.state().open_request = None;
+    }
+
     /// Whether any byte of the current request was read.
     pub fn has_started(&self) -> bool {
         self.state().bytes_read > 0
@@ -127,7 +143,13 @@
         cx: &mut task::Context<'_>,
         bytes: &[u8],
     ) -> task::Poll<io::Result<usize>> {
-        pin::Pin::new(&mut self.writer).poll_write(cx, bytes)
+        let this = &mut *self;
+        // The lock is held during the write, so that the response can't begin in the meantime.
+        let state = this.shared.lock().unwrap_or_else(sync::PoisonError::into_inner);
+        if state.open_request != Some(this.request) {
+            return task::Poll::Ready(Ok(bytes.len()));
+        }
+        pin::Pin::new(&mut this.writer).poll_write(cx, bytes)
     }
 
     fn poll_flush(
--- a/crates/httpio/src/server.rs
+++ b/crates/httpio/src/server.rs
@@ -172,9 +172,9 @@
 ) {
     // Nagle's algorithm would delay small writes until earlier ones are acknowledged.
     let _ = stream.inner().set_nodelay(true);
-    let requests = request_stream::RequestStream::new(stream.clone());
+    let mut requests = request_stream::RequestStream::new(stream.clone());
     while !stop.is_triggered() {
-        let decoded = match next_request(&requests, limits, &stop).await {
+        let decoded = match next_request(&mut requests, limits, &stop).await {
             Ok(Some(decoded)) => decoded,
             Ok(None) => return,
             Err(reason) => {
@@ -192,6 +192,7 @@
         if response.ext().get::<CloseConnection>().is_some() {
             return;
         }
+        requests.start_response();
         if write_response(stream.clone(), response, method).await.is_err() || closes {
             return;
         }
@@ -210,7 +211,7 @@
 
 /// Decodes the next request; `None` if the caller closed the connection or the server must close it.
 async fn next_request(
-    requests: &request_stream::RequestStream,
+    requests: &mut request_stream::RequestStream,
     limits: ServerLimits,
     stop: &StopSignal,
 ) -> Result<Option<DecodedRequest>, reason::RefusalReason> {
