HTTP server: a chunked request body is read to its end

Callers saw: no response to a call whose request body is chunked, until one side gave up. First, on the change before: chunked_body_is_read, chunked_body_with_trailer_is_read and request_after_chunked_body failed, "the server neither responds nor closes the connection". Cause: async-h1's decoder gets the line end after the last chunk byte by byte, and waits without a waker after the first byte; the byte-wise reads keep the next request out of its buffer. Change: a read of a chunked body wakes its task again. Measured: the three cases pass, and the tests of entry and httpio.

--- a/crates/httpio/src/request_stream.rs
+++ b/crates/httpio/src/request_stream.rs
@@ -40,6 +40,7 @@
     end: usize,
     max_bytes: quantity::ByteCount,
     body_remaining: u64,
+    is_body_chunked: bool,
     bytes_read: u64,
     /// Number of the request whose response has not begun yet.
     open_request: Option<u64>,
@@ -55,6 +56,7 @@
             end: 0,
             max_bytes: quantity::ByteCount::new(0),
             body_remaining: 0,
+            is_body_chunked: false,
             bytes_read: 0,
             open_request: None,
         };
@@ -72,6 +74,7 @@
         state.open_request = Some(self.request);
         state.max_bytes = max_bytes;
         state.body_remaining = 0;
+        state.is_body_chunked = false;
         state.bytes_read = 0;
         state.reader.set_read_timeout(read_timeout);
     }
@@ -80,6 +83,7 @@
     pub fn start_body(&self, length: Option<usize>, read_timeout: time::Millis) {
         let mut state = self.state();
         state.body_remaining = length.map_or(0, |length| length as u64);
+        state.is_body_chunked = length.is_none();
         state.reader.set_read_timeout(read_timeout);
     }
 
@@ -133,6 +137,11 @@
             return task::Poll::Ready(Err(io::ErrorKind::FileTooLarge.into()));
         }
         futures_lite::ready!(state.poll_fill(cx))?;
+        if state.is_body_chunked {
+            // The decoder of chunked bodies returns `Pending` inside the trailer section without
+            // another read, so that nothing else would wake the task.
+            cx.waker().wake_by_ref();
+        }
         task::Poll::Ready(Ok(state.take(out)))
     }
 }
--- a/crates/httpio/tests/hardening.rs
+++ b/crates/httpio/tests/hardening.rs
@@ -138,6 +138,21 @@
         &["\r\n\r\n2", "\r\n\r\n1"],
         None,
     );
+    chunked_body_is_read => check(
+        "POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\nconnection: close\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+        &["HTTP/1.1 200", "\r\n\r\n3"],
+        None,
+    );
+    chunked_body_with_trailer_is_read => check(
+        "POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\nconnection: close\r\n\r\n3\r\nabc\r\n0\r\nx: y\r\n\r\n",
+        &["HTTP/1.1 200", "\r\n\r\n3"],
+        None,
+    );
+    request_after_chunked_body => check(
+        "POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\nPOST / HTTP/1.1\r\nhost: a\r\ncontent-length: 1\r\nconnection: close\r\n\r\nc",
+        &["\r\n\r\n2", "\r\n\r\n1"],
+        None,
+    );
     text_that_is_not_http => check(
         "hello there\r\n\r\n",
         &["HTTP/1.1 400", "application/problem+json", "malformed-http", "\"outcome\":\"not-run\""],
