--- a/crates/entry/tests/begun_responses.rs
+++ b/crates/entry/tests/begun_responses.rs
@@ -398,6 +398,31 @@
         "503 unknown, no-replica");
     service_sends_body_without_content => check_service(
         "HTTP/1.1 204 No Content\r\ncontent-length: 4\r\n\r\nbody", "204 complete, ");
+    service_body_ends_with_connection => check_service(
+        "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nbody", "200 complete, body");
     service_has_length_without_content => check_service(
         "HTTP/1.1 304 Not Modified\r\ncontent-length: 4\r\n\r\n", "304 complete, ");
 }
+
+/// Head field of a call that waits for an interim response before it sends its body.
+const EXPECT: &str = "expect: 100-continue\r\n";
+
+#[test]
+fn interim_response_precedes_response() {
+    const CALL_COUNT: usize = 100;
+    let trial = EngineTrial::start(&[HEALTHY], |_| {});
+    let call = call_bytes("POST /v1/chat/completions HTTP/1.1", EXPECT, "{}");
+    let callers: Vec<raw::RawCaller> = (0..CALL_COUNT).map(|_| trial.send(&call)).collect();
+    for caller in callers {
+        assert_eq!(caller.finish().describe_full(), "400 not-run, malformed-body");
+    }
+}
+
+#[test]
+fn caller_that_waits_for_interim_response_gets_it() {
+    let trial = EngineTrial::start(&[HEALTHY], |_| {});
+    let call = call_bytes("POST /v1/chat/completions HTTP/1.1", EXPECT, "{}");
+    let (head, body) = call.split_at(call.len() - 2);
+    let caller = raw::RawCaller::send_in_parts(trial.daemon.entry.address(), head, body);
+    assert_eq!(caller.finish().describe_full(), "400 not-run, malformed-body");
+}
--- a/crates/httpio/src/request_stream.rs
+++ b/crates/httpio/src/request_stream.rs
@@ -22,42 +22,46 @@
 
 /// A connection that is read one request at a time. Clones share the connection and its buffer.
 ///
-/// The decoder writes interim responses to the stream, from a task of its own. They are discarded
-/// once the response to their request begins.
+/// The decoder of a request writes the interim response `100 Continue` from a task of its own. Such
+/// a write is dropped once the response to the request has begun.
 #[derive(Clone, Debug)]
 pub struct RequestStream {
     shared: sync::Arc<sync::Mutex<SharedState>>,
-    /// Number of the request whose interim responses are written to this clone.
+    writer: timeout_stream::TimeoutStream,
+    /// Number of the request that this value was cloned for.
     request: u64,
 }
 
 #[derive(Debug)]
 struct SharedState {
-    stream: timeout_stream::TimeoutStream,
-    /// Number of the request that still allows interim responses, if there is one.
-    interim_request: Option<u64>,
+    reader: timeout_stream::TimeoutStream,
     buffer: Box<[u8]>,
     start: usize,
     end: usize,
     max_bytes: quantity::ByteCount,
     body_remaining: u64,
+    is_body_chunked: bool,
     bytes_read: u64,
+    /// Number of the request whose response has not begun yet.
+    open_request: Option<u64>,
 }
 
 impl RequestStream {
     /// Wraps a connection.
     pub fn new(stream: timeout_stream::TimeoutStream) -> Self {
         let state = SharedState {
-            stream,
-            interim_request: None,
+            reader: stream.clone(),
             buffer: vec![0; BUFFER_BYTES].into_boxed_slice(),
             start: 0,
             end: 0,
             max_bytes: quantity::ByteCount::new(0),
             body_remaining: 0,
+            is_body_chunked: false,
             bytes_read: 0,
+            open_request: None,
         };
-        RequestStream { shared: sync::Arc::new(sync::Mutex::new(state)), request: 0 }
+        let shared = sync::Arc::new(sync::Mutex::new(state));
+        RequestStream { shared, writer: stream, request: 0 }
     }
 
     /// Starts the next request, of at most `max_bytes` bytes.
@@ -67,23 +71,25 @@
     pub fn start_request(&mut self, max_bytes: quantity::ByteCount, read_timeout: time::Millis) {
         self.request += 1;
         let mut state = self.state();
-        state.interim_request = Some(self.request);
+        state.open_request = Some(self.request);
         state.max_bytes = max_bytes;
         state.body_remaining = 0;
+        state.is_body_chunked = false;
         state.bytes_read = 0;
-        state.stream.set_read_timeout(read_timeout);
+        state.reader.set_read_timeout(read_timeout);
     }
 
     /// Starts the body of the request; `length` is its size, or `None` for a chunked body.
     pub fn start_body(&self, length: Option<usize>, read_timeout: time::Millis) {
         let mut state = self.state();
         state.body_remaining = length.map_or(0, |length| length as u64);
-        state.stream.set_read_timeout(read_timeout);
+        state.is_body_chunked = length.is_none();
+        state.reader.set_read_timeout(read_timeout);
     }
 
-    /// Starts the response, after which no interim response may be written.
+    /// Starts the response to the request.
     pub fn start_response(&self) {
-        self.state().interim_request = None;
+        self.state().open_request = None;
     }
 
     /// Whether any byte of the current request was read.
@@ -101,7 +107,7 @@
         if self.start < self.end {
             return task::Poll::Ready(Ok(()));
         }
-        let reader = pin::Pin::new(&mut self.stream);
+        let reader = pin::Pin::new(&mut self.reader);
         let count = futures_lite::ready!(reader.poll_read(cx, &mut self.buffer))?;
         self.start = 0;
         self.end = count;
@@ -131,35 +137,41 @@
             return task::Poll::Ready(Err(io::ErrorKind::FileTooLarge.into()));
         }
         futures_lite::ready!(state.poll_fill(cx))?;
+        if state.is_body_chunked {
+            // The decoder of chunked bodies returns `Pending` inside the trailer section without
+            // another read, so that nothing else would wake the task.
+            cx.waker().wake_by_ref();
+        }
         task::Poll::Ready(Ok(state.take(out)))
     }
 }
 
 impl AsyncWrite for RequestStream {
     fn poll_write(
-        self: pin::Pin<&mut Self>,
+        mut self: pin::Pin<&mut Self>,
         cx: &mut task::Context<'_>,
         bytes: &[u8],
     ) -> task::Poll<io::Result<usize>> {
-        // The lock is held during the write, so that the response can't begin in between.
-        let mut state = self.state();
-        if state.interim_request != Some(self.request) {
+        let this = &mut *self;
+        // The lock is held during the write, so that the response can't begin in the meantime.
+        let state = this.shared.lock().unwrap_or_else(sync::PoisonError::into_inner);
+        if state.open_request != Some(this.request) {
             return task::Poll::Ready(Ok(bytes.len()));
         }
-        pin::Pin::new(&mut state.stream).poll_write(cx, bytes)
+        pin::Pin::new(&mut this.writer).poll_write(cx, bytes)
     }
 
     fn poll_flush(
-        self: pin::Pin<&mut Self>,
+        mut self: pin::Pin<&mut Self>,
         cx: &mut task::Context<'_>,
     ) -> task::Poll<io::Result<()>> {
-        pin::Pin::new(&mut self.state().stream).poll_flush(cx)
+        pin::Pin::new(&mut self.writer).poll_flush(cx)
     }
 
     fn poll_close(
-        self: pin::Pin<&mut Self>,
+        mut self: pin::Pin<&mut Self>,
         cx: &mut task::Context<'_>,
     ) -> task::Poll<io::Result<()>> {
-        pin::Pin::new(&mut self.state().stream).poll_close(cx)
+        pin::Pin::new(&mut self.writer).poll_close(cx)
     }
 }
