Control: the first view waits until each pool has a reported upstream

The first view waited only until some upstream was known and the local zone's were reported, so it came with the services and without the engines; and its limit of 2 s counted from the start, so that records that came later than that found no wait at all. Change: the first view also waits until each pool that must have replicas has a live upstream with a poll report, for 2 s at most, counted from the first records. With a pool that has none, a daemon is ready up to 2 s after its records. The simulation now answers polls.

--- a/crates/control/src/publisher.rs
+++ b/crates/control/src/publisher.rs
@@ -15,7 +15,8 @@
 /// [`MIN_VIEW_INTERVAL`].
 const REPLICAS_PER_INTERVAL_MS: usize = 4;
 
-/// Maximum time that the first view waits for the first poll reports on the upstreams.
+/// Maximum time that the first view waits for the upstreams and the first poll reports on them,
+/// counted from the first records.
 const MAX_FIRST_VIEW_DELAY: time::Millis = time::Millis::new(2_000);
 
 /// Inputs of a view.
@@ -35,7 +36,8 @@
 #[derive(Debug)]
 pub(crate) struct ViewPublisher {
     incarnation: quantity::Incarnation,
-    started_at: time::MonotonicTime,
+    /// End of the first view's wait for upstreams; `None` until there are records.
+    first_view_due: Option<time::MonotonicTime>,
     /// Serial number of the last view.
     last_serial: u64,
     last_inputs: Option<ViewInputs>,
@@ -57,7 +59,7 @@
     pub(crate) fn new(incarnation: quantity::Incarnation, now: time::MonotonicTime) -> Self {
         ViewPublisher {
             incarnation,
-            started_at: now,
+            first_view_due: None,
             last_serial: 0,
             last_inputs: None,
             next_view_at: now,
@@ -95,20 +97,26 @@
         Some(view)
     }
 
-    /// Returns whether the first view waits for poll reports. An entry daemon accepts requests from
-    /// its first view on, and would refuse all of them while no upstream is known to be live or its
-    /// loaded models are unknown.
-    fn waits_for_upstreams(&self, now: time::MonotonicTime, source: ViewSource<'_>) -> bool {
-        if self.last_inputs.is_some() || now.since(self.started_at) >= MAX_FIRST_VIEW_DELAY {
+    /// Returns whether the first view waits for upstreams or poll reports. An entry daemon accepts
+    /// requests from its first view on, and would refuse those of a pool while none of its upstreams
+    /// is known to be live or their loaded models are unknown.
+    fn waits_for_upstreams(&mut self, now: time::MonotonicTime, source: ViewSource<'_>) -> bool {
+        let first_view_due = *self.first_view_due.get_or_insert(now + MAX_FIRST_VIEW_DELAY);
+        if self.last_inputs.is_some() || now >= first_view_due {
             return false;
         }
-        let replicas = source.membership.upstreams().views(now);
+        let upstreams = source.membership.upstreams();
+        let replicas = upstreams.views(now);
         let is_joining =
             |replica: &zone::ReplicaView| replica.state == zone::UpstreamState::Joining;
+        let lacks_replicas = |pool: &set::PoolRecord| {
+            pool.min_replicas > 0 && !upstreams.has_reported_upstream(&pool.id)
+        };
         let local_zone = &source.membership.daemons().local().zone;
         replicas.is_empty()
             || replicas.iter().any(is_joining)
-            || source.membership.upstreams().has_unreported_upstream(local_zone)
+            || source.records.pools.iter().any(lacks_replicas)
+            || upstreams.has_unreported_upstream(local_zone)
     }
 
     fn build_view(&self, now: time::MonotonicTime, source: ViewSource<'_>) -> zone::ZoneView {
--- a/crates/control/tests/simulation/mod.rs
+++ b/crates/control/tests/simulation/mod.rs
@@ -270,7 +270,13 @@
                 assert!(previous.is_none_or(|previous| previous.0 < view.serial));
                 assert!(previous.is_none_or(|previous| previous.1 <= view.records.revision));
             }
-            // These tests have no upstreams, and the duty lease has its own tests.
+            action::ControlAction::Poll(upstream) => {
+                let load = gossip::QuantizedLoad::default();
+                let result = gossip::PollResult::Ready { models: Default::default(), load };
+                let input = action::ControlInput::PollCompleted { vm: upstream.vm, result };
+                self.schedule_input(index, self.round_trip_ms, input);
+            }
+            // The duty lease has its own tests.
             _ => {}
         }
     }
--- a/crates/control/tests/state.rs
+++ b/crates/control/tests/state.rs
@@ -6,8 +6,13 @@
 use proptest::collection;
 use proptest::prelude::Strategy;
 use proptest::prop_oneof;
+use samphiremoor_base::quantity;
+use samphiremoor_base::time;
 use samphiremoor_control::capacity;
+use samphiremoor_membership::daemons;
 use samphiremoor_membership::gossip;
+use samphiremoor_membership::state;
+use samphiremoor_membership::upstreams;
 use samphiremoor_platform::cloud;
 use samphiremoor_view::zone;
 
@@ -34,6 +39,77 @@
     assert_eq!(view.daemons.len(), 1);
 }
 
+/// Returns an upstream of a pool of the example records.
+fn upstream_vm(index: usize, pool: &str) -> cloud::VmEntry {
+    let mut entry = simulation::entry_vm(index, "a");
+    let cloud::VmRole::Entry { http_address: address, .. } = entry.role else {
+        panic!("the VM is an entry VM");
+    };
+    entry.role =
+        cloud::VmRole::Upstream { pool: pool.parse().expect("a valid record id"), address };
+    entry
+}
+
+// A daemon that hears of the pools one after another refused requests for the pools that were still
+// missing.
+#[test]
+fn first_view_waits_for_an_upstream_of_each_pool() {
+    let mut simulation = simulation::ControlSimulation::new();
+    simulation.entries.push(upstream_vm(100, "courier-pool"));
+    let daemon = simulation.start("a");
+    simulation.advance(1_000);
+    assert_eq!(simulation.revision_at(daemon), 1);
+    assert!(simulation.daemons[daemon].view.is_none(), "no upstream of the models is known");
+    simulation.entries.push(upstream_vm(101, "assistant-pool"));
+    simulation
+        .advance_until(IN_FORCE_LIMIT_MS, |simulation| simulation.daemons[daemon].view.is_some())
+        .expect("the daemon has a view");
+    let view = simulation.daemons[daemon].view.as_ref().expect("the daemon has a view");
+    assert_eq!(view.replicas.len(), 2);
+}
+
+#[test]
+fn first_view_waits_for_a_report_on_an_upstream_of_each_pool() {
+    let mut simulation = simulation::ControlSimulation::new();
+    simulation.entries.push(upstream_vm(100, "courier-pool"));
+    let daemon = simulation.start("a");
+    simulation.advance(1_000);
+    assert_eq!(simulation.revision_at(daemon), 1);
+    let mut entry = upstream_vm(101, "assistant-pool");
+    entry.zone = "b".parse().expect("a valid zone id");
+    let mut info = upstreams::from_vm_entry(&entry).expect("the VM is an upstream");
+    info.status.state = zone::UpstreamState::Live;
+    let peer = daemons::from_vm_entry(&simulation::entry_vm(102, "b"));
+    let message = state::GossipMessage {
+        sender: peer.expect("the VM is an entry VM"),
+        revision: quantity::RevisionNumber::default(),
+        receiver: None,
+        updates: vec![gossip::GossipUpdate::Upstream(info)],
+    };
+    let now = time::MonotonicTime::new(simulation.now_ms);
+    simulation.daemons[daemon].state.handle_gossip(now, message, &mut Vec::new());
+    simulation.advance(50);
+    let known = simulation.daemons[daemon].state.membership().upstreams().views(now);
+    assert_eq!(known.len(), 2);
+    assert!(simulation.daemons[daemon].view.is_none(), "the models of the engine are unknown");
+}
+
+#[test]
+fn first_view_waits_for_upstreams_also_if_the_records_come_late() {
+    let mut simulation = simulation::ControlSimulation::new();
+    let daemon = simulation.start("a");
+    simulation.daemons[daemon].is_isolated = true;
+    simulation.advance(5_000);
+    simulation.daemons[daemon].is_isolated = false;
+    simulation
+        .advance_until(IN_FORCE_LIMIT_MS, |simulation| simulation.revision_at(daemon) == 1)
+        .expect("in force");
+    assert!(simulation.daemons[daemon].view.is_none(), "no upstream is known");
+    simulation
+        .advance_until(IN_FORCE_LIMIT_MS, |simulation| simulation.daemons[daemon].view.is_some())
+        .expect("the wait for upstreams ends");
+}
+
 #[test]
 fn joining_daemon_is_discovered_by_all() {
     let mut simulation = simulation::ControlSimulation::running(&["a", "b"], 2);
--- a/crates/membership/src/upstreams.rs
+++ b/crates/membership/src/upstreams.rs
@@ -70,6 +70,15 @@
         })
     }
 
+    /// Returns whether a live upstream of a pool has a poll report.
+    pub fn has_reported_upstream(&self, pool: &id::RecordId) -> bool {
+        self.upstreams.values().any(|upstream| {
+            upstream.info.pool == *pool
+                && upstream.info.status.state == zone::UpstreamState::Live
+                && !upstream.reports.is_empty()
+        })
+    }
+
     /// Returns the VM id that follows `vm` in the order of ids, or the first id if `vm` is `None`.
     pub fn next_after(&self, vm: Option<&id::VmId>) -> Option<&id::VmId> {
         match vm {
