--- a/crates/httpio/tests/response_bytes.rs
+++ b/crates/httpio/tests/response_bytes.rs
@@ -89,28 +89,21 @@
     }
 }
 
-// The next response would be read as the rest of the body.
-#[test]
-fn next_response_is_written_into_a_short_body() {
+/// Checks that the response to `path`, whose body ends early, is the last one on its connection.
+fn check_short(path: &str) {
     let (address, stop) = start();
-    let requests = "GET /short HTTP/1.1\r\nHost: a\r\n\r\nGET /next HTTP/1.1\r\nHost: a\r\n\r\n";
-    let (received, has_ended) = receive(address, requests);
+    let requests =
+        format!("GET {path} HTTP/1.1\r\nHost: a\r\n\r\nGET /next HTTP/1.1\r\nHost: a\r\n\r\n");
+    let (received, has_ended) = receive(address, &requests);
     stop.trigger();
     let shown: String = received.chars().take(400).collect();
     assert_eq!(received.matches("HTTP/1.1 ").count(), 1, "{shown:?}");
     assert!(has_ended);
 }
 
-// The other end of the relay closes its connection in the middle of the body.
-#[test]
-fn next_response_is_written_into_a_relayed_body_that_is_cut_off() {
-    let (address, stop) = start();
-    let requests = "GET /relayed HTTP/1.1\r\nHost: a\r\n\r\nGET /next HTTP/1.1\r\nHost: a\r\n\r\n";
-    let (received, has_ended) = receive(address, requests);
-    stop.trigger();
-    let shown: String = received.chars().take(400).collect();
-    assert_eq!(received.matches("HTTP/1.1 ").count(), 1, "{shown:?}");
-    assert!(has_ended);
+samphiremoor_base::cases! {
+    next_response_is_written_into_a_short_body => check_short("/short");
+    next_response_is_written_into_a_relayed_body_that_is_cut_off => check_short("/relayed");
 }
 
 // An interim response must precede the response.
