--- a/crates/testkit/tests/ports.rs
+++ b/crates/testkit/tests/ports.rs
@@ -6,6 +6,8 @@
 use std::io::BufRead as _;
 use std::net;
 use std::process;
+use std::sync::atomic;
+use std::thread;
 
 /// Number of addresses that a process takes. The test processes of the workspace take fewer.
 const ADDRESS_COUNT: usize = 300;
@@ -61,6 +63,28 @@
     }
 }
 
+// A process that another thread starts inherits all sockets until it executes its program.
+#[test]
+fn address_is_free_while_other_threads_start_processes() {
+    let is_done = atomic::AtomicBool::new(false);
+    thread::scope(|scope| {
+        for _ in 0..2 * PROCESS_COUNT {
+            scope.spawn(|| {
+                while !is_done.load(atomic::Ordering::Relaxed) {
+                    let mut command = process::Command::new(env!("CARGO_BIN_EXE_free-addresses"));
+                    command.arg("0").stdin(process::Stdio::null());
+                    assert!(command.status().expect("the program starts").success());
+                }
+            });
+        }
+        let addresses = (0..2 * ADDRESS_COUNT).map(|_| samphiremoor_testkit::free_address());
+        let failed: Vec<_> =
+            addresses.filter(|address| net::TcpListener::bind(address).is_err()).collect();
+        is_done.store(true, atomic::Ordering::Relaxed);
+        assert!(failed.is_empty(), "in use: {failed:?}");
+    });
+}
+
 // A daemon binds both kinds of socket to its address for peers.
 #[test]
 fn free_address_accepts_a_listener_and_a_datagram_socket() {
