--- a/crates/base/tests/protections.rs
+++ b/crates/base/tests/protections.rs
@@ -75,7 +75,7 @@
         let text =
             text.unwrap_or_else(|cause| panic!("{}: {}: {cause}", entry.name, file.display()));
         let is_function = text.contains(&format!("#[test]\nfn {}()", entry.test));
-        let is_case = text.contains(&format!("\n    {} => ", entry.test));
+        let is_case = text.contains(&format!("\n    {} =>", entry.test));
         assert!(is_function || is_case, "{}: no test {} in the file", entry.name, entry.test);
     }
 }
