Replicas: a retained missing entry is not offered to other daemons

Cause: a daemon that the table had turned away keeps missing entries for a grace period and drops them at the table's first response after it. From the end of the period on its digests said that it may be followed; all others followed it and knew the replica again until that response. Change: entries match the table only if no missing one is retained.

--- a/crates/fleet/src/replica.rs
+++ b/crates/fleet/src/replica.rs
@@ -241,9 +241,10 @@
     }
 
     /// Whether the entries match the table. During an outage and the grace period after it, missing
-    /// entries may be retained.
+    /// entries may be retained; they are dropped at the first response after that.
     pub fn matches_table(&self, now: time::MonotonicTime) -> bool {
-        !self.is_in_outage_grace(now)
+        let has_missing = self.replicas.values().any(|replica| replica.missing_since.is_some());
+        !self.is_in_outage_grace(now) && !has_missing
     }
 
     fn is_in_outage_grace(&self, now: time::MonotonicTime) -> bool {
--- a/crates/fleet/tests/replica.rs
+++ b/crates/fleet/tests/replica.rs
@@ -153,6 +153,20 @@
     assert!(table.matches_table(monotonic_ms(6_100)));
 }
 
+// An entry that was found missing during the grace period is dropped at the first response after it.
+// Other daemons must not adopt it in between.
+#[test]
+fn entries_do_not_match_the_table_until_missing_ones_are_dropped() {
+    let mut table = replica::ReplicaTable::default();
+    table.upsert(entry(1, false));
+    table.on_table_unavailable(monotonic_ms(1_000));
+    table.on_table_response(monotonic_ms(4_000));
+    table.remove(&replica_id(), monotonic_ms(4_200));
+    assert!(!table.matches_table(monotonic_ms(6_100)));
+    assert_eq!(table.on_table_response(monotonic_ms(6_200)).len(), 1);
+    assert!(table.matches_table(monotonic_ms(6_200)));
+}
+
 #[test]
 fn version_increases_with_each_change() {
     let mut table = replica::ReplicaTable::default();
