Gateway: log what a request waited for, and for how long

E0110 and E0102 say how far the replica's response had come (phase) and for how long the replica had been silent. Before, the line of a request that broke off told a timeout of the gateway from a close by the replica only by its reason, and at the deadline not at all; the hypotheses of docs/incidents/silent-replica.md can't be told apart without it. No logic changes.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -51,6 +51,7 @@
             }
         };
         let started_at = self.core.now();
+        self.progress.on_data(forward::ResponsePhase::Head, started_at);
         let timeout = self.first_byte_timeout(service, selected, started_at);
         let bytes = self.encode_request(selected, kv_location, started_at);
         if uncached_tokens > 0 {
@@ -113,6 +114,7 @@
         sink: &mut response::ResponseSink,
     ) -> forward::AttemptOutcome {
         self.count_run();
+        self.progress.on_data(forward::ResponsePhase::Body, self.core.now());
         let time_left = self.request.deadline.since(self.core.now());
         let body_read = upstream::read_body(&mut connection, &response);
         let body = match future::timeout(time_left.to_duration(), body_read).await {
@@ -164,19 +166,24 @@
                 state.count_run(workspace, window, now);
             }
         };
+        self.progress.on_data(forward::ResponsePhase::Events, core.now());
+        let progress = self.progress;
+        let on_data = || progress.on_data(forward::ResponsePhase::Events, core.now());
         let can_migrate = self.can_migrate(service);
         let should_migrate = || can_migrate && self.core.should_migrate(&selected.replica);
-        let end =
-            stream.forward_events(&mut self.splitter, sink, on_first_event, should_migrate).await;
+        let end = stream
+            .forward_events(&mut self.splitter, sink, on_data, on_first_event, should_migrate)
+            .await;
         if end != stream::StreamEnd::Leaving {
             return self.finish_stream(selected, stream, end);
         }
         let Some(migration) = self.prepare_migration(service, selected) else {
-            let end = stream.forward_events(&mut self.splitter, sink, || {}, || false).await;
+            let end =
+                stream.forward_events(&mut self.splitter, sink, on_data, || {}, || false).await;
             return self.finish_stream(selected, stream, end);
         };
         // The source replica keeps sending events until it stops the stream for the migration.
-        let forwarding = stream.forward_events(&mut self.splitter, sink, || {}, || false);
+        let forwarding = stream.forward_events(&mut self.splitter, sink, on_data, || {}, || false);
         let (migrated, end) = futures_lite::future::zip(migration, forwarding).await;
         match (migrated, end) {
             (Some(migrated), stream::StreamEnd::Broken) => {
@@ -360,6 +367,8 @@
                 known_replica.map_or(0.0, |known_replica| known_replica.failure_rate(now))
             ),
             heard_ago = contact_age.map_or_else(|| "never".to_owned(), |age| age.to_string()),
+            phase = self.progress.phase.get(),
+            silent = now.since(self.progress.last_data_at.get()),
             after = now.since(self.request.arrived_at),
         );
     }
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -204,7 +204,7 @@
     };
     let mut sink = new_sink(request.metadata.request_id.clone());
     core.state.borrow_mut().in_progress += 1;
-    let progress = forward::RequestProgress::new(&request.route);
+    let progress = forward::RequestProgress::new(&request.route, arrived_at);
     let outcome = {
         let forwarding = forward::forward(core, &request, &progress, &mut sink);
         let time_left = request.deadline.since(core.now());
@@ -322,7 +322,8 @@
     sink: &response::ResponseSink,
     arrived_at: time::MonotonicTime,
 ) {
-    let elapsed = core.now().since(arrived_at);
+    let now = core.now();
+    let elapsed = now.since(arrived_at);
     let (label, reason) = match outcome {
         forward::RequestOutcome::Answered(_) => ("answered", None),
         forward::RequestOutcome::Own(_, reason) => ("refused", Some(*reason)),
@@ -351,6 +352,9 @@
         end = format_args!("{outcome:?}"),
         response = sink.state(),
         bytes = sink.bytes(),
+        phase = progress.map_or(forward::ResponsePhase::Head, |progress| progress.phase.get()),
+        silent = progress
+            .map_or(time::Millis::default(), |progress| now.since(progress.last_data_at.get())),
         after = elapsed,
     );
 }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -2,6 +2,7 @@
 //! request ends. [`attempt`](crate::attempt) makes the attempts.
 
 use std::cell;
+use std::fmt;
 use std::rc;
 use std::sync;
 
@@ -65,19 +66,55 @@
     CallerGone,
 }
 
+/// Part of a replica's response that a request waits for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ResponsePhase {
+    /// The connection, or the head of the response.
+    Head,
+    /// The body of a response that is read whole.
+    Body,
+    /// The events of a stream.
+    Events,
+}
+
+impl fmt::Display for ResponsePhase {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            ResponsePhase::Head => "head",
+            ResponsePhase::Body => "body",
+            ResponsePhase::Events => "events",
+        })
+    }
+}
+
 /// Progress of a request, which stays available when the request times out.
 pub struct RequestProgress {
     /// Outcomes of the attempts.
     pub tracker: cell::Cell<dispatch::DispatchTracker>,
     /// Replica of the last attempt.
     pub replica: cell::RefCell<Option<id::ReplicaId>>,
+    /// Part of the response that the request waits for.
+    pub phase: cell::Cell<ResponsePhase>,
+    /// When a replica last sent data, or when the request was last sent to one.
+    pub last_data_at: cell::Cell<time::MonotonicTime>,
 }
 
 impl RequestProgress {
-    /// Creates the progress of a request that was not sent yet.
-    pub fn new(route: &policy::RouteRule) -> Self {
+    /// Creates the progress of a request that arrived at `arrived_at` and was not sent yet.
+    pub fn new(route: &policy::RouteRule, arrived_at: time::MonotonicTime) -> Self {
         let tracker = dispatch::DispatchTracker::new(route.kind, route.max_attempts);
-        RequestProgress { tracker: cell::Cell::new(tracker), replica: cell::RefCell::new(None) }
+        RequestProgress {
+            tracker: cell::Cell::new(tracker),
+            replica: cell::RefCell::new(None),
+            phase: cell::Cell::new(ResponsePhase::Head),
+            last_data_at: cell::Cell::new(arrived_at),
+        }
+    }
+
+    /// Records that data arrived, or that the request was sent, and what is awaited next.
+    pub(crate) fn on_data(&self, phase: ResponsePhase, now: time::MonotonicTime) {
+        self.phase.set(phase);
+        self.last_data_at.set(now);
     }
 
     fn update(&self, change: impl FnOnce(&mut dispatch::DispatchTracker)) {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -46,12 +46,13 @@
         ReplicaStream { connection, response, reader }
     }
 
-    /// Forwards events until the stream ends or should migrate. `on_first_event` is called at the
-    /// first event, `should_migrate` after each read from then on.
+    /// Forwards events until the stream ends or should migrate. `on_data` is called at each
+    /// read, `on_first_event` at the first event, `should_migrate` after each read from then on.
     pub async fn forward_events(
         &mut self,
         splitter: &mut events::EventSplitter,
         sink: &mut response::ResponseSink,
+        on_data: impl Fn(),
         mut on_first_event: impl FnMut(),
         should_migrate: impl Fn() -> bool,
     ) -> StreamEnd {
@@ -63,6 +64,7 @@
                 Ok(Err(_)) => return StreamEnd::Broken,
                 Err(_) => return StreamEnd::Silent,
             };
+            on_data();
             let mut events = Vec::new();
             let is_in_order = splitter.take_events(&mut events);
             if !events.is_empty() && !has_first_event {
