Replicas: one silence starts one backoff, however many requests notice it

What callers saw: by reading, after a short silence of a sound replica, refusals for lack of a replica (or, for a stream that was to resume, a cut) although the replica had gone on seconds before. Cause: each request in progress reports the same silence, and each report doubled the backoff: six at once took a replica that was silent for a second out for four seconds or more instead of 250 ms. Change: a report during a backoff counts for the failure rate only. Requests are not sent to a replica during its backoff, so such a report is of a request that was there before.

--- a/crates/fleet/src/replica.rs
+++ b/crates/fleet/src/replica.rs
@@ -356,9 +356,12 @@
     }
 
     /// Observes that the replica is unreachable or silent. Starts a backoff, which doubles each
-    /// time.
+    /// time. During a backoff, further observations are of the same fault and don't extend it.
     pub fn on_unreachable(&mut self, now: time::MonotonicTime) {
         self.update_failures(true, now);
+        if self.backoff_until.is_some_and(|until| now < until) {
+            return;
+        }
         self.backoff_until = Some(now + self.next_backoff);
         let doubled_backoff = time::Millis::new(self.next_backoff.get() * 2);
         self.next_backoff = doubled_backoff.min(MAX_BACKOFF);
--- a/crates/fleet/tests/replica.rs
+++ b/crates/fleet/tests/replica.rs
@@ -139,6 +139,25 @@
     assert!(is_available(&table, now_ms));
 }
 
+// All requests in progress at a replica notice the same silence.
+#[test]
+fn one_silence_doubles_the_backoff_for_each_request() {
+    let mut table = replica::ReplicaTable::default();
+    table.upsert(entry(1, false));
+    for request in 0..6 {
+        table
+            .get_mut(&replica_id())
+            .expect("the replica is known")
+            .on_unreachable(monotonic_ms(1_000 + request));
+    }
+    assert!(!is_available(&table, 1_249));
+    assert!(is_available(&table, 1_250), "the first backoff is over");
+    let replica = table.get_mut(&replica_id()).expect("the replica is known");
+    replica.on_unreachable(monotonic_ms(1_300));
+    assert!(!is_available(&table, 1_799), "the next silence doubles the backoff");
+    assert!(is_available(&table, 1_800));
+}
+
 // A daemon that was partitioned from the table retains entries of removed replicas for a while.
 // Other daemons must not adopt its entries meanwhile.
 #[test]
