Gateway: an idle connection closes at the limit of the policy in force

What callers saw: after a revision raised the idle limit, a connection that was idle at that moment still closed at the earlier, shorter limit, under a caller that may reuse it for four fifths of the new one; the request that crossed the close was lost. Cause: the limit was read once, at the start of the wait. Change: when the wait ends, the limit is read again and the rest of it is waited for. The read is kept across, so no byte is lost. Ruled out: a lower limit only makes the daemon close later than it could.

--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -1,6 +1,7 @@
 //! Callers' connections: reads requests, has them forwarded, and writes the responses that the
 //! gateway generates itself.
 
+use std::pin;
 use std::rc;
 
 use async_std::future;
@@ -86,7 +87,8 @@
     is_reusable && !closes_connection && !core.is_stopping()
 }
 
-/// Waits for the first byte of a request. Returns `false` if none arrives.
+/// Waits for the first byte of a request. Returns `false` if none arrives. A policy that comes into
+/// force meanwhile may extend the wait.
 async fn await_request(
     core: &rc::Rc<core::GatewayCore>,
     raw: &mut connection::RawConnection,
@@ -94,11 +96,21 @@
     if !raw.buffered().is_empty() {
         return true;
     }
-    let idle_limit = current_limits(core).idle_timeout;
+    let idle_since = core.now();
     let received = async { matches!(raw.fill().await, Ok(count) if count > 0) };
     let shutdown = async { core.idle_shutdown.recv().await.is_ok() };
-    let has_request = futures_lite::future::or(received, shutdown);
-    future::timeout(idle_limit.to_duration(), has_request).await.unwrap_or(false)
+    let mut has_request = pin::pin!(futures_lite::future::or(received, shutdown));
+    loop {
+        let idle_until = idle_since + current_limits(core).idle_timeout;
+        let idle_left = idle_until.since(core.now());
+        if idle_left.get() == 0 {
+            return false;
+        }
+        let waiting = future::timeout(idle_left.to_duration(), has_request.as_mut());
+        if let Ok(has_request) = waiting.await {
+            return has_request;
+        }
+    }
 }
 
 fn current_limits(core: &core::GatewayCore) -> policy::CallerLimits {
