Entry: a silence no longer ends a keyed call before its deadline

What callers saw: a keyed call whose service was silent for longer than answer_timeout_ms before its response, or silence_ms in it, ended as `unknown`, although the service answered within the time limit of the call. Cause: both limits are there to try another replica. A call that runs at most once may not be sent to another one, so they only took the answer away. The defaults (10 s and 3 s) hide it from short silences. Change: such an attempt waits until the deadline. When it is overdue, the state machine suspends its replica, so that other calls still avoid a silent one as early as before; no attempt ends by that. Ruled out: longer defaults, which keep the fault for longer silences and keep silent replicas in use.

--- a/crates/entry/src/run/plain.rs
+++ b/crates/entry/src/run/plain.rs
@@ -59,6 +59,7 @@
     let mut driver = PlainDriver {
         call,
         request: context.request.clone(),
+        repeat,
         limits: core.settings.call_limits(),
         response_timeout: core.settings.upstreams.answer_timeout_ms,
         max_response_bytes: core.settings.upstreams.max_answer_bytes,
@@ -86,6 +87,9 @@
                 let input = RequestInput::AttemptFailed { attempt: attempt_number, failure };
                 executor.feed(input, &mut driver);
             }
+            PlainEvent::AttemptOverdue(attempt_number) => {
+                executor.feed(RequestInput::AttemptOverdue(attempt_number), &mut driver);
+            }
         }
     }
 }
@@ -95,6 +99,7 @@
 enum PlainEvent {
     TimerFired,
     AttemptEnded(input::AttemptNumber, PlainResult),
+    AttemptOverdue(input::AttemptNumber),
 }
 
 async fn next_event(
@@ -102,11 +107,9 @@
     executor: &executor::RequestExecutor,
     driver: &mut PlainDriver,
 ) -> PlainEvent {
-    let attempt_ended = async {
+    let attempt_event = async {
         match &mut driver.current_attempt {
-            Some(current) => {
-                PlainEvent::AttemptEnded(current.number, (&mut current.response).await)
-            }
+            Some(current) => current.next_event().await,
             None => future::pending().await,
         }
     };
@@ -119,15 +122,37 @@
             None => future::pending().await,
         }
     };
-    attempt_ended.or(timer_fired).await
+    attempt_event.or(timer_fired).await
 }
 
 struct CurrentAttempt {
     number: input::AttemptNumber,
     response: pin::Pin<Box<dyn future::Future<Output = PlainResult> + Send>>,
+    /// Timer for a response that is overdue; `None` if the attempt then ends, or has fired.
+    overdue_timer: Option<async_io::Timer>,
+}
+
+impl CurrentAttempt {
+    /// Waits for the next event. Cancel-safe: dropping the future loses no event.
+    async fn next_event(&mut self) -> PlainEvent {
+        let number = self.number;
+        let response = &mut self.response;
+        let ended = async { PlainEvent::AttemptEnded(number, response.await) };
+        let overdue_timer = &mut self.overdue_timer;
+        let overdue = async {
+            match overdue_timer {
+                Some(timer) => timer.await,
+                None => future::pending().await,
+            };
+            *overdue_timer = None;
+            PlainEvent::AttemptOverdue(number)
+        };
+        ended.or(overdue).await
+    }
 }
 
 struct PlainDriver {
+    repeat: policy::RepeatPolicy,
     call: PlainCall,
     request: id::RequestId,
     limits: client::CallLimits,
@@ -138,9 +163,17 @@
 
 impl executor::CallDriver for PlainDriver {
     fn dispatch(&mut self, command: &action::DispatchCommand, address: net::SocketAddr) {
-        let limits = client::CallLimits {
-            head: command.remaining.min(self.response_timeout),
-            ..self.limits
+        let (limits, overdue_timer) = match self.repeat {
+            policy::RepeatPolicy::Repeatable => {
+                let head = command.remaining.min(self.response_timeout);
+                (client::CallLimits { head, ..self.limits }, None)
+            }
+            // Only the deadline ends the attempt, since no other replica may run the call.
+            policy::RepeatPolicy::AtMostOnce => {
+                let (head, silence) = (command.remaining, command.remaining);
+                let timer = async_io::Timer::after(self.response_timeout.to_duration());
+                (client::CallLimits { head, silence, ..self.limits }, Some(timer))
+            }
         };
         let dispatch = PlainDispatch {
             address,
@@ -150,8 +183,11 @@
             limits,
             max_response_bytes: self.max_response_bytes,
         };
-        self.current_attempt =
-            Some(CurrentAttempt { number: command.attempt, response: Box::pin(dispatch.run()) });
+        self.current_attempt = Some(CurrentAttempt {
+            number: command.attempt,
+            response: Box::pin(dispatch.run()),
+            overdue_timer,
+        });
     }
 
     fn deliver(&mut self, _: quantity::TokenCount) {}
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -121,9 +121,10 @@
     pub head_timeout_ms: time::Millis,
     /// Time limit from the response head of a model to its first token.
     pub first_token_ms: time::Millis,
-    /// Time limit for the response head of a plain service.
+    /// Time limit for the response head of a plain service. A keyed call is not ended by it; its
+    /// replica is suspended for other calls.
     pub answer_timeout_ms: time::Millis,
-    /// Idle time after which an upstream connection is closed.
+    /// Idle time after which an upstream connection is closed, except that of a keyed call.
     pub silence_ms: time::Millis,
     /// Size limit of a response that is not a stream, and of an exported KV cache.
     pub max_answer_bytes: quantity::ByteCount,
--- a/crates/entry/tests/services.rs
+++ b/crates/entry/tests/services.rs
@@ -16,6 +16,7 @@
 use samphiremoor_base::time;
 use samphiremoor_claims::key;
 use samphiremoor_entry::keyed;
+use samphiremoor_httpio::problem;
 use samphiremoor_shards::call;
 
 /// Response of a service that has run the call.
@@ -210,3 +211,23 @@
     replica_that_closes_connection_is_suspended => check_suspended(TRUNCATED);
     silent_replica_is_suspended => check_suspended(SILENT);
 }
+
+// A silent replica may respond until the deadline of a call, but other calls avoid it long before.
+#[test]
+fn overdue_replica_is_suspended() {
+    let silent = FakeService::start(SILENT);
+    let healthy = FakeService::start(HEALTHY);
+    let view = fixture::SharedView::new(&[], &[silent.address(), healthy.address()]);
+    view.change(|view| view.replicas[1].load.running = 40);
+    let daemon = fixture::TestDaemon::start_with(&view, |settings| {
+        settings.upstreams.blame_ms = time::Millis::new(3_600_000);
+    });
+    daemon.wait_for_shards();
+    let booking_outcome = |key| {
+        let call = keyed_request(daemon.entry.address(), fixture::BOOKING, key, "{}");
+        call.header(problem::TIMEOUT_HEADER, "1500").full_blocking().outcome
+    };
+    assert_eq!(booking_outcome("key-1").as_deref(), Some("unknown"));
+    assert_eq!(booking_outcome("key-2").as_deref(), Some("complete"));
+    assert_eq!((silent.call_count(), healthy.call_count()), (1, 1));
+}
--- a/crates/requests/src/input.rs
+++ b/crates/requests/src/input.rs
@@ -119,6 +119,9 @@
         /// How the attempt failed.
         failure: AttemptFailure,
     },
+    /// An attempt has no complete response after the usual time. It still waits for one, because its
+    /// call may not be sent elsewhere.
+    AttemptOverdue(AttemptNumber),
     /// A timer that the machine requested has expired.
     TimerFired,
     /// No caller waits for the response any more.
--- a/crates/requests/src/machine.rs
+++ b/crates/requests/src/machine.rs
@@ -120,6 +120,7 @@
             RequestInput::AttemptFailed { attempt, failure } => {
                 self.on_failure(now, attempt, failure, context)
             }
+            RequestInput::AttemptOverdue(attempt) => self.on_overdue(attempt),
             RequestInput::TimerFired => self.on_timer(now),
             RequestInput::Abandoned => self.end_early(action::EndCause::Abandoned),
             RequestInput::HandedOver => self.end_early(action::EndCause::HandedOver),
@@ -276,6 +277,16 @@
         actions
     }
 
+    /// Suspends the replica of an attempt that is overdue, so that other requests avoid it.
+    fn on_overdue(&self, attempt: input::AttemptNumber) -> action::ActionList {
+        match &self.last_replica {
+            Some(replica) if self.current_attempt() == Some(attempt) => {
+                smallvec![RequestAction::SuspendReplica(replica.clone())]
+            }
+            _ => action::ActionList::new(),
+        }
+    }
+
     /// Returns whether to reconnect to a silent replica: once per chosen replica, and only if at
     /// least twice the length of this silence remains until the deadline, so that another replica
     /// can still be tried if the new connection stays silent too.
--- a/crates/requests/tests/properties.rs
+++ b/crates/requests/tests/properties.rs
@@ -28,6 +28,7 @@
     Token(u32, u64),
     Completed(u32),
     Failed(u32, input::AttemptFailure),
+    Overdue(u32),
     /// Advances the clock by milliseconds and fires the timer.
     Advance(u64),
     Abandoned,
@@ -55,6 +56,7 @@
         2 => (0..3_u32).prop_map(RequestEvent::Completed),
         6 => failed
             .prop_map(|(attempts_back, failure)| RequestEvent::Failed(attempts_back, failure)),
+        1 => (0..3_u32).prop_map(RequestEvent::Overdue),
         4 => (0..3_000_u64).prop_map(RequestEvent::Advance),
         1 => strategy::Just(RequestEvent::Abandoned),
     ];
@@ -131,6 +133,9 @@
                 }
                 RequestInput::AttemptFailed { attempt, failure: *failure }
             }
+            RequestEvent::Overdue(attempts_back) => {
+                RequestInput::AttemptOverdue(self.attempt_before_last(*attempts_back))
+            }
             RequestEvent::Advance(duration_ms) => {
                 self.request.advance(*duration_ms);
                 RequestInput::TimerFired
--- a/crates/requests/tests/scenarios.rs
+++ b/crates/requests/tests/scenarios.rs
@@ -57,6 +57,8 @@
     Ended(u32),
     /// Fails an attempt.
     Fail(u32, String),
+    /// Reports that an attempt is overdue.
+    Overdue(u32),
     /// Advances the clock by milliseconds and fires the timer.
     Pass(u64),
     /// Abandons the request: no caller waits any more.
@@ -190,6 +192,9 @@
                 attempt: attempt_number(*attempt),
                 failure: parse_failure(name),
             }),
+            RequestCommand::Overdue(attempt) => {
+                self.step(RequestInput::AttemptOverdue(attempt_number(*attempt)))
+            }
             RequestCommand::Pass(duration_ms) => {
                 self.request
                     .as_mut()
@@ -216,5 +221,6 @@
     retries_and_attempts_are_limited => check("budget");
     deadline_ends_request => check("deadline");
     reclaimed_replicas_are_replaced => check("reclaim");
+    overdue_attempt_goes_on => check("overdue");
     handed_over_or_abandoned_request_ends => check("hand_over");
 }
