Entry: a planned stop waits until the responses are written

What callers saw: a caller that reads a large response slowly lost its rest when the daemon stopped as planned; the same window, of some microseconds, is open for every response that completes as the last one. Relayed streams were not waited for at all. Cause: a request counts as in progress until its run has ended. The stop waits for that and exits, and the exit closes the connections on which finished responses are still being written. Change: each call is counted until its response is written to its end or its connection failed, and the stop waits for that count too, within the limits that it has.

--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -50,6 +50,8 @@
     pub shutdown: server::StopSignal,
     /// Number of requests in progress.
     pub in_progress: atomic::AtomicUsize,
+    /// Number of calls whose response is not written to its end.
+    pub open_responses: atomic::AtomicUsize,
     /// The latest view; empty before the first one.
     view: ArcSwapOption<snapshot::ViewSnapshot>,
     picker: sync::Mutex<Box<dyn picker::ReplicaPicker>>,
@@ -88,6 +90,7 @@
             reclaimed: server::StopSignal::new(),
             shutdown: server::StopSignal::new(),
             in_progress: atomic::AtomicUsize::new(0),
+            open_responses: atomic::AtomicUsize::new(0),
             view: ArcSwapOption::empty(),
             picker: sync::Mutex::new(policies.picker),
             gate: sync::Mutex::new(policies.gate),
@@ -379,6 +382,25 @@
     }
 }
 
+/// Counts a call as one whose response is not written, until dropped.
+pub struct OpenResponse {
+    core: Arc<EntryCore>,
+}
+
+impl OpenResponse {
+    /// Counts a call.
+    pub fn new(core: &Arc<EntryCore>) -> Self {
+        core.open_responses.fetch_add(1, atomic::Ordering::Relaxed);
+        OpenResponse { core: core.clone() }
+    }
+}
+
+impl Drop for OpenResponse {
+    fn drop(&mut self) {
+        self.core.open_responses.fetch_sub(1, atomic::Ordering::Relaxed);
+    }
+}
+
 /// Retry context that shares the daemon's retry budget.
 pub struct SharedRetryContext<'a> {
     budget: &'a sync::Mutex<budget::RetryBudget>,
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -265,8 +265,11 @@
         task::sleep(FLUSH_DELAY.to_duration()).await;
     }
 
+    /// Returns whether no request is in progress and all responses are written.
     fn is_idle(&self) -> bool {
-        self.core.in_progress.load(atomic::Ordering::Relaxed) == 0
+        let core = &self.core;
+        let open_count = |count: &atomic::AtomicUsize| count.load(atomic::Ordering::Relaxed);
+        open_count(&core.in_progress) == 0 && open_count(&core.open_responses) == 0
     }
 
     async fn shut_down(&self) {
--- a/crates/entry/src/serve/handler.rs
+++ b/crates/entry/src/serve/handler.rs
@@ -65,11 +65,14 @@
         if let Some(response) = probe_response(&self.core, &request) {
             return response;
         }
+        let open_response = core::OpenResponse::new(&self.core);
         let id = self.core.new_request_id();
-        match self.serve_call(id.clone(), request).await {
-            Ok(response) => response,
-            Err(refusal) => response::refuse(&self.core, &id, refusal),
-        }
+        let served = self.serve_call(id.clone(), request).await;
+        let mut response =
+            served.unwrap_or_else(|refusal| response::refuse(&self.core, &id, refusal));
+        // The server drops the response with its extensions once it is written.
+        response.ext_mut().insert(open_response);
+        response
     }
 
     fn refused(&self, reason: reason::RefusalReason) {
--- a/crates/entry/tests/ended_answers.rs
+++ b/crates/entry/tests/ended_answers.rs
@@ -6,12 +6,18 @@
 use std::io::Read as _;
 use std::io::Write as _;
 use std::net;
+use std::sync::atomic;
 use std::thread;
 use std::time;
 
+use async_std::future;
+use async_std::task;
 use fixture::caller::TestCall;
+use fixture::upstream::FakeService;
 use http_types::Method;
 use samphiremoor_base::cases;
+use samphiremoor_base::quantity;
+use samphiremoor_entry::daemon;
 
 /// Silence of a service, which is longer than all limits for upstreams in the test's settings.
 const SILENCE: time::Duration = time::Duration::from_millis(1_200);
@@ -57,3 +63,39 @@
     silence_in_the_response_ends_a_keyed_call =>
         check_slow_booking(&["HTTP/1.1 201 Made\r\ncontent-length: 4\r\n\r\ndo", "ne"]);
 }
+
+/// Size of a response that exceeds the buffers of all sockets on its way.
+const LARGE_BYTES: usize = 32 * 1024 * 1024;
+/// Limit of the responses that a daemon accepts and keeps.
+const LARGE_LIMIT: quantity::ByteCount = quantity::ByteCount::new(4 * LARGE_BYTES as u64);
+
+// The process exits after a planned stop, which closes the connections.
+#[test]
+fn planned_stop_cuts_a_response_that_a_caller_reads_slowly() {
+    let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {LARGE_BYTES}\r\n\r\n");
+    let service = FakeService::start(Some((head + &"x".repeat(LARGE_BYTES)).leak()));
+    let view = fixture::SharedView::new(&[], &[service.address()]);
+    let daemon = fixture::TestDaemon::start_with(&view, |settings| {
+        settings.upstreams.max_answer_bytes = LARGE_LIMIT;
+        settings.kept.max_bytes = LARGE_LIMIT;
+    });
+    let mut caller = net::TcpStream::connect(daemon.entry.address()).expect("the daemon listens");
+    let path = format!("/v1/services/{}/list", fixture::LOOKUP);
+    let key = fixture::KEY;
+    let call = format!("GET {path} HTTP/1.1\r\nhost: a\r\nauthorization: Bearer {key}\r\n\r\n");
+    caller.write_all(call.as_bytes()).expect("the daemon reads");
+    fixture::wait_until("the service has responded", || {
+        let in_progress = &daemon.entry.core().in_progress;
+        service.call_count() == 1 && in_progress.load(atomic::Ordering::Relaxed) == 0
+    });
+    daemon.entry.stop();
+    let early_end = future::timeout(SILENCE, daemon.entry.finish());
+    assert!(task::block_on(early_end).is_err(), "the response is still being written");
+    let reading = thread::spawn(move || {
+        let mut received = Vec::new();
+        caller.read_to_end(&mut received).map(|_| received.len())
+    });
+    assert_eq!(task::block_on(daemon.entry.finish()), daemon::StopOutcome::Finished);
+    let received = reading.join().expect("the caller reads").expect("the response is whole");
+    assert!(received > LARGE_BYTES, "{received} bytes");
+}
