Gateway: an unidentified refusal on a reused connection proves nothing

A caller whose request ran was answered 503, the promise that it has not run, and could send it again: a refusal without a request ID that arrives late on a reused connection counted for the next request. Cause: PlatformHeaders took each refusal without an ID for the response to the request that waits, on any connection. What is known: PROTOCOL says that replicas echo the ID and that the ID identifies an extra response, so a refusal without one belongs to this request for certain only on a connection that carried no other request. Change: the adapter decodes the request that a response names (dispatch::ResponseOrigin), and the pure ResponseOrigin::disposition decides: on a reused connection, an unidentified refusal ends the attempt as one that may have run. The connection is closed; repeatable requests go to another replica, the others get 502. A refusal by another replica (421) still counts without an ID: a connection that brought one is never used again, so it can't be late. Ruled out: waiting for a second, identified response. Not using a connection again after an unidentified refusal: it costs a new connection for each refusal, and leaves a late refusal after an identified response. What it costs: if replicas refuse without the ID, requests that may not be repeated get 502 instead of 503 on reused connections. Eight cases of fleet dispatch.

--- a/crates/fleet/src/dispatch.rs
+++ b/crates/fleet/src/dispatch.rs
@@ -26,6 +26,49 @@
     TimedOut,
 }
 
+/// Request to which a response belongs, as far as the response tells.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ResponseOrigin {
+    /// The response identifies the request that was sent.
+    SameRequest,
+    /// The response does not belong to the request that was sent.
+    OtherRequest,
+    /// The response is a refusal that identifies no request.
+    UnidentifiedRefusal,
+    /// The response identifies no request and says that a different replica has the address.
+    UnidentifiedMismatch,
+}
+
+/// What is done with a response that arrives while the response to a request is awaited.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ResponseDisposition {
+    /// It is the response to the request.
+    Accept,
+    /// It is dropped, and the next response is read.
+    Skip,
+    /// Nothing on this connection tells any more whether the request ran.
+    Abandon,
+}
+
+impl ResponseOrigin {
+    /// Returns what is done with the response. `is_first` says whether it is the first response on
+    /// its connection.
+    ///
+    /// A late second refusal of an earlier request looks like a refusal of this one, which would
+    /// then be reported as not run while it runs. Only a connection without an earlier request
+    /// rules that out. A connection to a different replica is never used again.
+    pub fn disposition(self, is_first: bool) -> ResponseDisposition {
+        match self {
+            ResponseOrigin::SameRequest | ResponseOrigin::UnidentifiedMismatch => {
+                ResponseDisposition::Accept
+            }
+            ResponseOrigin::OtherRequest => ResponseDisposition::Skip,
+            ResponseOrigin::UnidentifiedRefusal if is_first => ResponseDisposition::Accept,
+            ResponseOrigin::UnidentifiedRefusal => ResponseDisposition::Abandon,
+        }
+    }
+}
+
 /// Attempts of one request, and whether one of them may have run.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct DispatchTracker {
--- a/crates/fleet/tests/dispatch.rs
+++ b/crates/fleet/tests/dispatch.rs
@@ -4,6 +4,10 @@
 use samphiremoor_base::cases;
 use samphiremoor_fleet::dispatch;
 use samphiremoor_fleet::dispatch::DispatchOutcome::{MayHaveRun, NotRun, Ran};
+use samphiremoor_fleet::dispatch::ResponseDisposition::{Abandon, Accept, Skip};
+use samphiremoor_fleet::dispatch::ResponseOrigin::{
+    OtherRequest, SameRequest, UnidentifiedMismatch, UnidentifiedRefusal,
+};
 use samphiremoor_fleet::dispatch::UnansweredEnd as End;
 use samphiremoor_fleet::policy;
 
@@ -69,6 +73,28 @@
     begun_response_gets_no_error => check_end(&[Ran, MayHaveRun], true, [End::CutOff; 2]);
 }
 
+/// Checks what is done with a response, depending on whether it is the first on its connection.
+fn check_response(
+    origin: dispatch::ResponseOrigin,
+    is_first: bool,
+    disposition: dispatch::ResponseDisposition,
+) {
+    assert_eq!(origin.disposition(is_first), disposition);
+}
+
+cases! {
+    identified_first_response => check_response(SameRequest, true, Accept);
+    identified_later_response => check_response(SameRequest, false, Accept);
+    first_response_to_another_request => check_response(OtherRequest, true, Skip);
+    later_response_to_another_request => check_response(OtherRequest, false, Skip);
+    unidentified_refusal_on_new_connection => check_response(UnidentifiedRefusal, true, Accept);
+    unidentified_refusal_on_reused_connection =>
+        check_response(UnidentifiedRefusal, false, Abandon);
+    unidentified_mismatch_on_new_connection => check_response(UnidentifiedMismatch, true, Accept);
+    unidentified_mismatch_on_reused_connection =>
+        check_response(UnidentifiedMismatch, false, Accept);
+}
+
 #[test]
 fn cancelled_attempt_does_not_count() {
     let mut tracker = dispatch::DispatchTracker::new(ONCE, 1);
--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -8,6 +8,7 @@
 use samphiremoor_base::quantity;
 use samphiremoor_base::time;
 use samphiremoor_fleet::capacity;
+use samphiremoor_fleet::dispatch;
 use samphiremoor_fleet::policy;
 use samphiremoor_fleet::replica;
 use samphiremoor_fleet::selection;
@@ -52,8 +53,8 @@
 /// What a replica's response says besides its status.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ResponseMetadata {
-    /// Whether the response belongs to the request.
-    pub matches_request: bool,
+    /// Request to which the response belongs.
+    pub origin: dispatch::ResponseOrigin,
     /// Whether the replica reports that it did not run the request.
     pub is_not_run: bool,
     /// Whether a different replica now has the address.
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -10,6 +10,7 @@
 use async_std::io::WriteExt as _;
 use samphiremoor_base::id;
 use samphiremoor_base::time;
+use samphiremoor_fleet::dispatch;
 use samphiremoor_httpio::connection;
 use samphiremoor_httpio::message;
 
@@ -56,7 +57,7 @@
 pub enum ExchangeError {
     /// The connection closed or failed.
     Closed,
-    /// The received bytes are not a response to the request.
+    /// The received bytes are not a response to the request, or not for certain.
     Malformed,
 }
 
@@ -151,13 +152,16 @@
     request_id: Option<&str>,
 ) -> Result<(message::ResponseHead, adapter::ResponseMetadata, message::BodyFraming), ExchangeError>
 {
+    let mut is_first = !connection.is_reused;
     for _ in 0..MAX_SKIPPED_RESPONSES {
         let head = connection.raw.response_head().await.map_err(exchange_error)?;
         let metadata = core.adapter.codec.decode_response(&head, request_id);
         let framing =
             message::response_framing(&head, method).map_err(|_| ExchangeError::Malformed)?;
-        if metadata.matches_request {
-            return Ok((head, metadata, framing));
+        match metadata.origin.disposition(is_first) {
+            dispatch::ResponseDisposition::Accept => return Ok((head, metadata, framing)),
+            dispatch::ResponseDisposition::Skip => is_first = false,
+            dispatch::ResponseDisposition::Abandon => return Err(ExchangeError::Malformed),
         }
         if framing == message::BodyFraming::UntilClose || !head.is_keep_alive {
             return Err(ExchangeError::Malformed);
