--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -62,6 +62,8 @@
     109 QuotaUsedUp "quota-used-up" Info "A request exceeds the limit of its workspace; the line has the share of the limit that this daemon enforces.",
     110 SendFailed "send-failed" Info "A dispatch to a replica produced no response that can be relayed; the line has the reason and the known state of the replica.",
     111 ResponseWritten "response-written" Debug "Bytes of a response were written to the caller's connection; the line says whether they begin and whether they end the response.",
+    112 ReplicaSilent "replica-silent" Info "A replica has sent no data for a request for too long; the request stays there and may be sent to another replica as well.",
+    113 ReplicaResumed "replica-resumed" Info "A silent replica sends data again for a request; the line has the length of the silence.",
     201 ClaimsWritten "claims-written" Debug "A batch of claims was written.",
     202 ClaimsRefused "claims-refused" Warn "A batch of claims was refused because another daemon holds the lease.",
     203 ClaimsUnsettled "claims-unsettled" Warn "The response to a write of claims was lost; the row is read back.",
--- a/crates/fleet/src/replica.rs
+++ b/crates/fleet/src/replica.rs
@@ -20,6 +20,9 @@
 const MIN_BACKOFF: time::Millis = time::Millis::new(250);
 /// Maximum backoff of an unreachable replica.
 const MAX_BACKOFF: time::Millis = time::Millis::new(4_000);
+/// Time for which a silent replica receives no requests while others are available. A replica that
+/// pauses goes on after about a second.
+const SILENCE_BACKOFF: time::Millis = time::Millis::new(1_000);
 /// Weight of a response in the failure rate (EWMA) of a replica, which covers about the last ten
 /// responses.
 const FAILURE_WEIGHT: f64 = 0.1;
@@ -78,6 +81,8 @@
     backoff_until: Option<time::MonotonicTime>,
     /// Backoff that the next failed contact starts.
     next_backoff: time::Millis,
+    /// When the replica may be preferred again after it was silent.
+    silence_backoff_until: Option<time::MonotonicTime>,
     /// When the entry was found missing from the table during or shortly after an outage.
     missing_since: Option<time::MonotonicTime>,
 }
@@ -325,12 +330,18 @@
             draining_since: None,
             backoff_until: None,
             next_backoff: MIN_BACKOFF,
+            silence_backoff_until: None,
             missing_since: None,
         }
     }
 
-    /// Whether new requests may be sent to the replica.
+    /// Whether new requests may be sent to the replica, and it was not silent recently.
     pub fn is_available(&self, now: time::MonotonicTime) -> bool {
+        self.is_reachable(now) && self.silence_backoff_until.is_none_or(|until| now >= until)
+    }
+
+    /// Whether new requests may be sent to the replica, which may be silent.
+    pub fn is_reachable(&self, now: time::MonotonicTime) -> bool {
         !self.entry.is_draining && self.backoff_until.is_none_or(|until| now >= until)
     }
 
@@ -347,7 +358,7 @@
     /// Observes that the replica responded or closed a connection; `is_failure` if the request
     /// failed.
     pub fn on_response(&mut self, is_failure: bool, now: time::MonotonicTime) {
-        self.last_contact = Some(now);
+        self.on_data(now);
         self.update_failures(is_failure, now);
         if !is_failure {
             self.backoff_until = None;
@@ -355,8 +366,20 @@
         }
     }
 
-    /// Observes that the replica is unreachable or silent. Starts a backoff, which doubles each
-    /// time.
+    /// Observes that the replica sent data, which ends its silence.
+    pub fn on_data(&mut self, now: time::MonotonicTime) {
+        self.last_contact = Some(now);
+        self.silence_backoff_until = None;
+    }
+
+    /// Observes that the replica has sent no data for a request for too long. It may still respond
+    /// to that request.
+    pub fn on_silent(&mut self, now: time::MonotonicTime) {
+        self.update_failures(true, now);
+        self.silence_backoff_until = Some(now + SILENCE_BACKOFF);
+    }
+
+    /// Observes that the replica is unreachable. Starts a backoff, which doubles each time.
     pub fn on_unreachable(&mut self, now: time::MonotonicTime) {
         self.update_failures(true, now);
         self.backoff_until = Some(now + self.next_backoff);
--- a/crates/fleet/src/selection.rs
+++ b/crates/fleet/src/selection.rs
@@ -102,6 +102,8 @@
     pub prompt: Option<&'a PromptSize>,
     /// Replicas that the request was already sent to.
     pub excluded: &'a [id::ReplicaId],
+    /// Whether a silent replica is chosen if no other one is available.
+    pub includes_silent: bool,
     /// Number of daemons that select replicas.
     pub daemon_count: u32,
     /// Uniform random number from 0 to 1 that seeds the draw of replicas and breaks ties.
@@ -134,14 +136,22 @@
     }
 }
 
-/// Returns the available replicas of the service that the request was not sent to yet.
+/// Returns the available replicas of the service that the request was not sent to yet, or the silent
+/// ones if there are none.
 fn candidates<'a>(
     table: &'a replica::ReplicaTable,
-    query: &'a SelectionQuery<'_>,
-) -> impl Iterator<Item = &'a replica::KnownReplica> {
-    let available =
-        table.of_service(query.service).filter(|replica| replica.is_available(query.now));
-    available.filter(|replica| !query.excluded.contains(&replica.entry.id))
+    query: &SelectionQuery<'_>,
+) -> SmallVec<[&'a replica::KnownReplica; 32]> {
+    let unused = || {
+        let replicas = table.of_service(query.service);
+        replicas.filter(|replica| !query.excluded.contains(&replica.entry.id))
+    };
+    let available: SmallVec<[_; 32]> =
+        unused().filter(|replica| replica.is_available(query.now)).collect();
+    if !available.is_empty() || !query.includes_silent {
+        return available;
+    }
+    unused().filter(|replica| replica.is_reachable(query.now)).collect()
 }
 
 /// Chooses the replica with the least cost in prompt tokens among the preferred replica of the
@@ -151,7 +161,7 @@
     query: &SelectionQuery<'_>,
     prompt: &PromptSize,
 ) -> Option<SelectedReplica> {
-    let candidates: SmallVec<[&replica::KnownReplica; 32]> = candidates(table, query).collect();
+    let candidates = candidates(table, query);
     let prefix_hash = prompt.prefix_hash();
     let preferred = prefix_hash.and_then(|prefix_hash| {
         candidates
@@ -219,8 +229,10 @@
             + zone_cost
             + candidate.failure_rate(query.now) * FAILING_UTILIZATION
     };
-    let costs: SmallVec<[(f64, &replica::KnownReplica); 8]> =
-        candidates(table, query).map(|candidate| (cost(candidate), candidate)).collect();
+    let costs: SmallVec<[(f64, &replica::KnownReplica); 8]> = candidates(table, query)
+        .into_iter()
+        .map(|candidate| (cost(candidate), candidate))
+        .collect();
     let min_cost = costs.iter().map(|(cost, _)| *cost).min_by(f64::total_cmp)?;
     let tied = || costs.iter().filter(|(cost, _)| *cost <= min_cost + TIE_MARGIN);
     let position = (query.draw * tied().count() as f64) as usize;
--- a/crates/fleet/tests/dispatch.rs
+++ b/crates/fleet/tests/dispatch.rs
@@ -90,6 +90,18 @@
     assert!(!tracker.may_send() && !tracker.is_known_not_run());
 }
 
+// While a replica is silent, another one gets the request as well and refuses it.
+#[test]
+fn refused_takeover_leaves_the_first_attempt_uncertain() {
+    let mut tracker = dispatch::DispatchTracker::new(RESUMABLE, 3);
+    tracker.begin_attempt();
+    tracker.begin_attempt();
+    tracker.end_attempt(NotRun);
+    assert!(tracker.may_send() && !tracker.is_known_not_run());
+    tracker.end_attempt(NotRun);
+    assert!(tracker.is_known_not_run(), "both replicas refused");
+}
+
 proptest::proptest! {
     #![proptest_config(samphiremoor_testkit::config(256))]
 
--- a/crates/fleet/tests/replica.rs
+++ b/crates/fleet/tests/replica.rs
@@ -185,3 +185,27 @@
     table.upsert(entry(2, false));
     assert_eq!(table.version(), version_before, "a repeated entry is no change");
 }
+
+#[test]
+fn silent_replica_is_avoided_until_it_sends_data() {
+    let mut table = replica::ReplicaTable::default();
+    table.upsert(entry(1, false));
+    let replica = table.get_mut(&replica_id()).expect("the replica is known");
+    replica.on_silent(monotonic_ms(0));
+    assert!(!replica.is_available(monotonic_ms(10)));
+    assert!(replica.is_reachable(monotonic_ms(10)), "it may still respond");
+    replica.on_data(monotonic_ms(20));
+    assert!(replica.is_available(monotonic_ms(20)));
+}
+
+#[test]
+fn silence_does_not_shorten_the_backoff_of_an_unreachable_replica() {
+    let mut table = replica::ReplicaTable::default();
+    table.upsert(entry(1, false));
+    let replica = table.get_mut(&replica_id()).expect("the replica is known");
+    replica.on_unreachable(monotonic_ms(0));
+    replica.on_silent(monotonic_ms(10));
+    assert!(!replica.is_reachable(monotonic_ms(20)));
+    replica.on_data(monotonic_ms(30));
+    assert!(!replica.is_reachable(monotonic_ms(40)));
+}
--- a/crates/fleet/tests/selection.rs
+++ b/crates/fleet/tests/selection.rs
@@ -53,6 +53,7 @@
         zone: &zone,
         prompt,
         excluded,
+        includes_silent: true,
         daemon_count: 1,
         draw: DRAW.with(|draw| draw.replace((draw.get() * 7.31 + 0.117).fract())),
         now: NOW,
@@ -176,3 +177,22 @@
     let selected = choose(&table, None, &[]).expect("a replica is available");
     assert_ne!(selected.replica, entries::replica_id(0));
 }
+
+// All replicas pause at the same time, for instance on one overloaded host.
+#[test]
+fn silent_replicas_are_chosen_only_if_there_is_no_other() {
+    let mut table = table(3);
+    let prompt = prompt(1, 0, 900);
+    for prompt in [Some(&prompt), None] {
+        for index in 0..2 {
+            let replica = table.get_mut(&entries::replica_id(index));
+            replica.expect("the replica is known").on_silent(NOW);
+        }
+        for _ in 0..20 {
+            let selected = choose(&table, prompt, &[]).expect("a replica is available");
+            assert_eq!(selected.replica, entries::replica_id(2));
+        }
+        let selected = choose(&table, prompt, &[entries::replica_id(2)]);
+        assert!(selected.is_some(), "a silent replica is better than none");
+    }
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,78 +1,114 @@
-//! One attempt: dispatches a request to a replica and handles the response.
+//! One attempt: dispatches a request to a replica and reads its response up to the part that is
+//! relayed.
+
+use std::sync;
 
-use async_std::future;
-use samphiremoor_base::event;
-use samphiremoor_base::id;
-use samphiremoor_base::log_event;
 use samphiremoor_base::reason;
 use samphiremoor_base::time;
 use samphiremoor_fleet::selection;
 use samphiremoor_httpio::message;
 
 use crate::adapter;
+use crate::context;
 use crate::core;
-use crate::forward;
-use crate::response;
-use crate::stream;
 use crate::upstream;
 
-/// Multiple of the route's latency target after which an attempt of a repeatable request times out,
-/// so that another replica can still respond in time.
+/// Multiple of the route's latency target after which a plain request is sent to another replica as
+/// well, so that it can still respond in time.
 const PLAIN_TIMEOUT_FACTOR: u64 = 4;
 /// Multiple of the estimated time to first token or the route's latency target, whichever is
-/// longer, after which an attempt of a stream times out if its response has not begun.
+/// longer, after which a stream whose response has not begun is sent to another replica as well.
 const STREAM_TIMEOUT_FACTOR: u64 = 2;
+/// Minimum time without a response after which a replica counts as silent, and time before the
+/// deadline from which a request is not sent to another replica.
+pub(crate) const MIN_TIMEOUT: time::Millis = time::Millis::new(50);
 
-impl forward::RequestForwarder<'_> {
-    /// Sends the request to the chosen replica and delivers the response unless another attempt is
-    /// needed.
-    pub(crate) async fn send(
-        &mut self,
-        service: &id::ServiceId,
-        selected: &selection::SelectedReplica,
-        kv_location: Option<&str>,
-        sink: &mut response::ResponseSink,
-    ) -> forward::AttemptOutcome {
-        let is_stream = self.request.route.kind.is_stream();
+/// How an attempt starts, or fails before it starts.
+pub(crate) enum AttemptStart {
+    /// The response has begun and can be relayed.
+    Response(Box<StartedAttempt>),
+    /// No byte was sent to the replica.
+    NotSent,
+    /// A different replica now has the address.
+    WrongReplica,
+    /// The replica did not run the request.
+    NotRun,
+    /// The attempt failed, and the replica may have run the request.
+    Failed(reason::RetryReason),
+    /// The replica responded with a server error, which is delivered unless another attempt
+    /// succeeds.
+    ServerError(Box<BufferedResponse>),
+}
+
+/// A replica's response that was read whole.
+pub(crate) struct BufferedResponse {
+    /// Status and headers.
+    pub(crate) head: message::ResponseHead,
+    /// Whole body.
+    pub(crate) body: Vec<u8>,
+}
+
+/// An attempt whose response has begun.
+pub(crate) struct StartedAttempt {
+    pub(crate) selected: selection::SelectedReplica,
+    pub(crate) connection: upstream::UpstreamConnection,
+    /// Head of the response.
+    pub(crate) response: upstream::ReplicaResponse,
+    pub(crate) guard: core::LoadGuard,
+    /// When the request was sent.
+    pub(crate) started_at: time::MonotonicTime,
+    /// Whether the attempt resumes from a migrated KV cache.
+    pub(crate) is_migrated: bool,
+}
+
+/// State of the response when an attempt is sent.
+pub(crate) struct ResumePoint {
+    /// ID of the last event that was delivered.
+    pub(crate) last_event_id: Option<u64>,
+    /// Whether a stream is in progress, which only events can continue.
+    pub(crate) has_begun: bool,
+    /// Location of the KV cache from which the attempt resumes.
+    pub(crate) kv_location: Option<sync::Arc<str>>,
+}
+
+impl context::RequestContext<'_> {
+    /// Sends the request to the chosen replica and reads its response up to the part that is
+    /// relayed.
+    pub(crate) async fn start_attempt(
+        self,
+        selected: selection::SelectedReplica,
+        resume: ResumePoint,
+    ) -> AttemptStart {
         let uncached_tokens =
             if self.request.metadata.prompt.is_some() { selected.uncached_tokens } else { 0 };
-        let Some(mut guard) = core::LoadGuard::new(self.core, &selected.replica, uncached_tokens)
+        let Some(guard) = core::LoadGuard::new(self.core, &selected.replica, uncached_tokens)
         else {
-            return forward::AttemptOutcome::NotSent;
+            return AttemptStart::NotSent;
         };
         let is_repeatable = self.request.route.kind.is_repeatable();
         let address = guard.address();
         let result = upstream::acquire(self.core, &selected.replica, address, is_repeatable).await;
-        let mut connection = match result {
-            Ok(connection) => connection,
-            Err(_) => {
-                self.mark_unreachable(&selected.replica);
-                return forward::AttemptOutcome::NotSent;
-            }
+        let Ok(mut connection) = result else {
+            self.mark_unreachable(&selected.replica);
+            return AttemptStart::NotSent;
         };
         let started_at = self.core.now();
-        self.progress.on_data(forward::ResponsePhase::Head, started_at);
-        let timeout = self.first_byte_timeout(service, selected, started_at);
-        let bytes = self.encode_request(selected, kv_location, started_at);
+        self.progress.on_data(context::ResponsePhase::Head, started_at);
+        let bytes = self.encode_request(&selected, &resume, started_at);
         if uncached_tokens > 0 {
             let mut state = self.core.state.borrow_mut();
-            state.add_prompt_tokens(service, uncached_tokens, started_at);
+            state.add_prompt_tokens(self.service, uncached_tokens, started_at);
         }
-        let method = self.request.head.method.clone();
+        let method = &self.request.head.method;
         let request_id = self.request.metadata.request_id.as_deref();
-        let exchange = upstream::exchange(self.core, &mut connection, &bytes, &method, request_id);
-        let response = match future::timeout(timeout.to_duration(), exchange).await {
-            Ok(Ok(response)) => response,
-            Ok(Err(cause)) => {
+        let exchange = upstream::exchange(self.core, &mut connection, &bytes, method, request_id);
+        let response = match exchange.await {
+            Ok(response) => response,
+            Err(cause) => {
                 let is_stale = connection.is_reused && cause == upstream::ExchangeError::Closed;
                 self.record_result(&selected.replica, !is_stale);
                 self.count_run();
-                return forward::AttemptOutcome::Failed(reason::RetryReason::ConnectionClosed);
-            }
-            Err(_) => {
-                self.mark_unreachable(&selected.replica);
-                self.count_run();
-                return forward::AttemptOutcome::Failed(reason::RetryReason::ConnectionSilent);
+                return AttemptStart::Failed(reason::RetryReason::ConnectionClosed);
             }
         };
         if response.metadata.is_other_replica || response.metadata.is_not_run {
@@ -84,205 +120,54 @@
             }
             if is_other {
                 self.mark_unreachable(&selected.replica);
-                return forward::AttemptOutcome::WrongReplica;
+                return AttemptStart::WrongReplica;
             }
             self.record_result(&selected.replica, true);
-            return forward::AttemptOutcome::NotRun;
+            return AttemptStart::NotRun;
         }
-        let is_success = (200..300).contains(&response.head.status);
-        if sink.has_begun() && !(is_success && message::is_event_stream(&response.head)) {
+        let status = response.head.status;
+        let is_success = (200..300).contains(&status);
+        if resume.has_begun && !(is_success && message::is_event_stream(&response.head)) {
             // Only events can follow in a stream that another replica began.
-            self.record_result(&selected.replica, response.head.status >= 500);
+            self.record_result(&selected.replica, status >= 500);
             self.count_run();
-            return forward::AttemptOutcome::Failed(reason::RetryReason::UpstreamError);
+            return AttemptStart::Failed(reason::RetryReason::UpstreamError);
         }
-        if is_stream && is_success {
-            let replica_stream = stream::ReplicaStream::new(connection, response);
-            self.forward_stream(service, selected, replica_stream, &mut guard, started_at, sink)
-                .await
-        } else {
-            self.deliver_plain(selected, connection, response, started_at, sink).await
+        let is_migrated = resume.kv_location.is_some();
+        let started =
+            StartedAttempt { selected, connection, response, guard, started_at, is_migrated };
+        if status < 500 || !is_repeatable {
+            return AttemptStart::Response(Box::new(started));
+        }
+        match self.read_plain(started).await {
+            Ok(buffered) => AttemptStart::ServerError(Box::new(buffered)),
+            Err(reason) => AttemptStart::Failed(reason),
         }
     }
 
-    async fn deliver_plain(
-        &self,
-        selected: &selection::SelectedReplica,
-        mut connection: upstream::UpstreamConnection,
-        response: upstream::ReplicaResponse,
-        started_at: time::MonotonicTime,
-        sink: &mut response::ResponseSink,
-    ) -> forward::AttemptOutcome {
+    /// Reads the body of a response that is no stream.
+    pub(crate) async fn read_plain(
+        self,
+        started: StartedAttempt,
+    ) -> Result<BufferedResponse, reason::RetryReason> {
+        let StartedAttempt { selected, mut connection, response, guard, started_at, .. } = started;
         self.count_run();
-        self.progress.on_data(forward::ResponsePhase::Body, self.core.now());
-        let time_left = self.request.deadline.since(self.core.now());
-        let body_read = upstream::read_body(&mut connection, &response);
-        let body = match future::timeout(time_left.to_duration(), body_read).await {
-            Ok(Ok(body)) => body,
-            Ok(Err(_)) => {
-                self.record_result(&selected.replica, true);
-                return forward::AttemptOutcome::Failed(reason::RetryReason::ConnectionClosed);
-            }
-            Err(_) => {
-                return forward::AttemptOutcome::Failed(reason::RetryReason::ConnectionSilent);
-            }
+        self.progress.on_data(context::ResponsePhase::Body, self.core.now());
+        let Ok(body) = upstream::read_body(&mut connection, &response).await else {
+            self.record_result(&selected.replica, true);
+            return Err(reason::RetryReason::ConnectionClosed);
         };
-        let is_error = response.head.status >= 500;
-        self.record_result(&selected.replica, is_error);
+        drop(guard);
+        self.record_result(&selected.replica, response.head.status >= 500);
         upstream::release(self.core, &selected.replica, connection, &response);
         self.core.metrics.observe_first_byte(self.core.now().since(started_at));
-        let buffered = forward::BufferedResponse { head: response.head, body };
-        if is_error && self.request.route.kind.is_repeatable() {
-            return forward::AttemptOutcome::ServerError(Box::new(buffered));
-        }
-        forward::AttemptOutcome::Ended(self.deliver(buffered, sink).await)
-    }
-
-    async fn forward_stream(
-        &mut self,
-        service: &id::ServiceId,
-        selected: &selection::SelectedReplica,
-        mut stream: stream::ReplicaStream,
-        guard: &mut core::LoadGuard,
-        started_at: time::MonotonicTime,
-        sink: &mut response::ResponseSink,
-    ) -> forward::AttemptOutcome {
-        self.splitter.discard_partial();
-        let core = self.core;
-        let workspace = self.request.workspace.as_ref().map(|rule| &rule.id);
-        let window = core.settings.times.usage_window_ms;
-        let is_first_stream = self.splitter.delivered() == 0;
-        // A stream that resumes from a migrated KV cache was counted as a run at the first replica.
-        let is_migrated = self.is_migrated;
-        let on_first_event = || {
-            let now = core.now();
-            guard.finish_prefill();
-            core.metrics.observe_first_byte(now.since(started_at));
-            let mut state = core.state.borrow_mut();
-            if is_first_stream {
-                state.ttft_estimator.observe(service, selected.tokens_ahead, now.since(started_at));
-            }
-            if let Some(workspace) = workspace.filter(|_| !is_migrated) {
-                state.count_run(workspace, window, now);
-            }
-        };
-        self.progress.on_data(forward::ResponsePhase::Events, core.now());
-        let progress = self.progress;
-        let on_data = || progress.on_data(forward::ResponsePhase::Events, core.now());
-        let can_migrate = self.can_migrate(service);
-        let should_migrate = || can_migrate && self.core.should_migrate(&selected.replica);
-        let end = stream
-            .forward_events(&mut self.splitter, sink, on_data, on_first_event, should_migrate)
-            .await;
-        if end != stream::StreamEnd::Leaving {
-            return self.finish_stream(selected, stream, end);
-        }
-        let Some(migration) = self.prepare_migration(service, selected) else {
-            let end =
-                stream.forward_events(&mut self.splitter, sink, on_data, || {}, || false).await;
-            return self.finish_stream(selected, stream, end);
-        };
-        // The source replica keeps sending events until it stops the stream for the migration.
-        let forwarding = stream.forward_events(&mut self.splitter, sink, on_data, || {}, || false);
-        let (migrated, end) = futures_lite::future::zip(migration, forwarding).await;
-        match (migrated, end) {
-            (Some(migrated), stream::StreamEnd::Broken) => {
-                forward::AttemptOutcome::Migrated(Box::new(migrated))
-            }
-            (_, end) => self.finish_stream(selected, stream, end),
-        }
-    }
-
-    /// Returns whether the KV cache of this request can be migrated.
-    fn can_migrate(&self, service: &id::ServiceId) -> bool {
-        let state = self.core.state.borrow();
-        let rule = state.policy.as_ref().and_then(|policy| policy.services.get(service));
-        rule.is_some_and(|rule| rule.migrates_kv_cache)
-            && self.request.metadata.request_id.is_some()
-    }
-
-    /// Chooses the best other replica as the target of a stream's migration, withdraws a retry from
-    /// the budget, and returns the future that performs the migration. Returns `None` if the
-    /// request has no ID, there is no such replica, or the retry budget is used up.
-    fn prepare_migration(
-        &self,
-        service: &id::ServiceId,
-        selected: &selection::SelectedReplica,
-    ) -> Option<impl std::future::Future<Output = Option<forward::MigratedStream>> + use<>> {
-        let core = self.core.clone();
-        let request_id = self.request.metadata.request_id.clone()?;
-        let source = selected.replica.clone();
-        let mut excluded = self.excluded.clone();
-        excluded.push(source.clone());
-        let mut state = core.state.borrow_mut();
-        let query = selection::SelectionQuery {
-            service,
-            zone: &core.settings.availability_zone,
-            prompt: self.request.metadata.prompt.as_ref(),
-            excluded: &excluded,
-            daemon_count: state.live_daemons,
-            draw: rand::random(),
-            now: core.now(),
-        };
-        let mut target = selection::choose(&state.replicas, &query)?;
-        // The KV cache is migrated, so the target has no prompt tokens to prefill.
-        target.uncached_tokens = 0;
-        let source_address = state.replicas.get(&source)?.entry.address;
-        let target_address = state.replicas.get(&target.replica)?.entry.address;
-        if !state.budget(service, &core.settings.shared).try_withdraw() {
-            return None;
-        }
-        drop(state);
-        core.metrics.count_retry(reason::RetryReason::ReplicaLeaving);
-        Some(async move {
-            let migration = upstream::migrate_kv_cache(
-                &core,
-                &source,
-                source_address,
-                target_address,
-                &request_id,
-            );
-            let kv_location = migration.await?;
-            Some(forward::MigratedStream { selected: target, kv_location })
-        })
-    }
-
-    fn finish_stream(
-        &self,
-        selected: &selection::SelectedReplica,
-        stream: stream::ReplicaStream,
-        end: stream::StreamEnd,
-    ) -> forward::AttemptOutcome {
-        match end {
-            stream::StreamEnd::Complete => {
-                self.record_result(&selected.replica, false);
-                let status = stream.response.head.status;
-                upstream::release(
-                    self.core,
-                    &selected.replica,
-                    stream.connection,
-                    &stream.response,
-                );
-                forward::AttemptOutcome::Ended(forward::RequestOutcome::Answered(status))
-            }
-            stream::StreamEnd::Silent => {
-                self.mark_unreachable(&selected.replica);
-                forward::AttemptOutcome::Failed(reason::RetryReason::ConnectionSilent)
-            }
-            stream::StreamEnd::CallerGone => {
-                forward::AttemptOutcome::Ended(forward::RequestOutcome::CallerGone)
-            }
-            stream::StreamEnd::Broken | stream::StreamEnd::Leaving => {
-                self.record_result(&selected.replica, true);
-                forward::AttemptOutcome::Failed(reason::RetryReason::ConnectionClosed)
-            }
-        }
+        Ok(BufferedResponse { head: response.head, body })
     }
 
     fn encode_request(
         &self,
         selected: &selection::SelectedReplica,
-        kv_location: Option<&str>,
+        resume: &ResumePoint,
         now: time::MonotonicTime,
     ) -> Vec<u8> {
         let metadata = adapter::DispatchMetadata {
@@ -290,8 +175,8 @@
             time_left: self.request.deadline.since(now),
             workspace: self.request.workspace.as_ref().map(|rule| &rule.id),
             priority: self.priority(),
-            last_event_id: self.splitter.last_id(),
-            kv_location,
+            last_event_id: resume.last_event_id,
+            kv_location: resume.kv_location.as_deref(),
             body_length: self.request.body.len(),
         };
         let mut bytes = Vec::with_capacity(1024 + self.request.body.len());
@@ -300,91 +185,26 @@
         bytes
     }
 
-    /// Returns how long to wait for the first byte of the response.
-    fn first_byte_timeout(
+    /// Returns how long a replica may take until its response begins before it counts as silent.
+    /// `may_send` says whether the request may then be sent to another one.
+    pub(crate) fn first_byte_timeout(
         &self,
-        service: &id::ServiceId,
         selected: &selection::SelectedReplica,
-        now: time::MonotonicTime,
+        may_send: bool,
     ) -> time::Millis {
-        let time_left = self.request.deadline.since(now);
-        let may_repeat = self.request.route.kind.is_repeatable()
-            && self.progress.tracker.get().attempts() < self.request.route.max_attempts;
-        if !may_repeat {
-            return time_left;
-        }
+        let time_left = self.request.deadline.since(self.core.now());
+        let latest = time_left.saturating_sub(MIN_TIMEOUT);
         let latency_target = self.request.route.latency_target.get();
-        let timeout_ms = if self.request.route.kind.is_stream() {
-            let ttft_estimate = self
-                .core
-                .state
-                .borrow()
-                .ttft_estimator
-                .estimate_ttft_ms(service, selected.tokens_ahead);
+        let timeout_ms = if !may_send {
+            latest.get()
+        } else if self.request.route.kind.is_stream() {
+            let state = self.core.state.borrow();
+            let ttft_estimate =
+                state.ttft_estimator.estimate_ttft_ms(self.service, selected.tokens_ahead);
             latency_target.max(ttft_estimate as u64).saturating_mul(STREAM_TIMEOUT_FACTOR)
         } else {
             latency_target.saturating_mul(PLAIN_TIMEOUT_FACTOR)
         };
-        time_left.min(time::Millis::new(timeout_ms))
-    }
-
-    /// Counts a run for a request that is not a stream, or whose response was lost.
-    fn count_run(&self) {
-        let Some(workspace) = &self.request.workspace else { return };
-        let window = self.core.settings.times.usage_window_ms;
-        let now = self.core.now();
-        self.core.state.borrow_mut().count_run(&workspace.id, window, now);
-    }
-
-    /// Updates the failure rate of a replica that responded or whose connection closed.
-    fn record_result(&self, replica: &id::ReplicaId, is_failure: bool) {
-        let now = self.core.now();
-        let mut state = self.core.state.borrow_mut();
-        if let Some(known_replica) = state.replicas.get_mut(replica) {
-            known_replica.on_response(is_failure, now);
-        }
-    }
-
-    /// Logs a failed attempt together with the state of its replica.
-    pub(crate) fn log_failed_attempt(&self, replica: &id::ReplicaId, reason: reason::RetryReason) {
-        let now = self.core.now();
-        let state = self.core.state.borrow();
-        let known_replica = state.replicas.get(replica);
-        let contact_age = known_replica
-            .and_then(|known_replica| known_replica.last_contact)
-            .map(|contact_at| now.since(contact_at));
-        log_event!(
-            event::LogEvent::SendFailed,
-            request = self.request_id(),
-            replica = replica,
-            reason = reason,
-            delivered = self.splitter.delivered(),
-            replica_known = known_replica.is_some(),
-            replica_leaving =
-                known_replica.is_some_and(|known_replica| known_replica.entry.is_draining),
-            failing = format_args!(
-                "{:.2}",
-                known_replica.map_or(0.0, |known_replica| known_replica.failure_rate(now))
-            ),
-            heard_ago = contact_age.map_or_else(|| "never".to_owned(), |age| age.to_string()),
-            phase = self.progress.phase.get(),
-            silent = now.since(self.progress.last_data_at.get()),
-            after = now.since(self.request.arrived_at),
-        );
-    }
-
-    /// Closes the replica's idle connections and marks it as unreachable.
-    fn mark_unreachable(&self, replica: &id::ReplicaId) {
-        let now = self.core.now();
-        let mut state = self.core.state.borrow_mut();
-        state.idle_pool.remove(replica);
-        if let Some(known_replica) = state.replicas.get_mut(replica) {
-            known_replica.on_unreachable(now);
-        }
-        log_event!(
-            event::LogEvent::UpstreamSuspected,
-            replica = replica,
-            request = self.request_id()
-        );
+        time::Millis::new(timeout_ms).min(latest).max(MIN_TIMEOUT)
     }
 }
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -17,6 +17,7 @@
 use samphiremoor_httpio::message;
 
 use crate::adapter;
+use crate::context;
 use crate::core;
 use crate::forward;
 use crate::response;
@@ -204,7 +205,7 @@
     };
     let mut sink = new_sink(request.metadata.request_id.clone());
     core.state.borrow_mut().in_progress += 1;
-    let progress = forward::RequestProgress::new(&request.route, arrived_at);
+    let progress = context::RequestProgress::new(&request.route, arrived_at);
     let outcome = {
         let forwarding = forward::forward(core, &request, &progress, &mut sink);
         let time_left = request.deadline.since(core.now());
@@ -244,7 +245,7 @@
     head: message::RequestHead,
     body: Vec<u8>,
     arrived_at: time::MonotonicTime,
-) -> Result<forward::IncomingRequest, Refusal> {
+) -> Result<context::IncomingRequest, Refusal> {
     let metadata = core.adapter.codec.decode_request(&head).map_err(|cause| {
         log_event!(event::LogEvent::RequestRefused, cause = cause);
         (None, adapter::LocalResponse::Malformed, reason::RefusalReason::BadHeader)
@@ -289,7 +290,7 @@
         }
     }
     let timeout = metadata.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
-    Ok(forward::IncomingRequest {
+    Ok(context::IncomingRequest {
         route: route.clone(),
         workspace: workspace.cloned(),
         deadline: arrived_at + timeout,
@@ -304,8 +305,8 @@
 /// Returns the rate-limit units of a request that was not run.
 fn refund_unrun(
     core: &core::GatewayCore,
-    request: &forward::IncomingRequest,
-    progress: &forward::RequestProgress,
+    request: &context::IncomingRequest,
+    progress: &context::RequestProgress,
 ) {
     let Some(workspace) = &request.workspace else { return };
     if progress.tracker.get().is_known_not_run() {
@@ -316,8 +317,8 @@
 
 fn log_outcome(
     core: &core::GatewayCore,
-    incoming: Option<&forward::IncomingRequest>,
-    progress: Option<&forward::RequestProgress>,
+    incoming: Option<&context::IncomingRequest>,
+    progress: Option<&context::RequestProgress>,
     outcome: &forward::RequestOutcome,
     sink: &response::ResponseSink,
     arrived_at: time::MonotonicTime,
@@ -352,7 +353,7 @@
         end = format_args!("{outcome:?}"),
         response = sink.state(),
         bytes = sink.bytes(),
-        phase = progress.map_or(forward::ResponsePhase::Head, |progress| progress.phase.get()),
+        phase = progress.map_or(context::ResponsePhase::Head, |progress| progress.phase.get()),
         silent = progress
             .map_or(time::Millis::default(), |progress| now.since(progress.last_data_at.get())),
         after = elapsed,
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -1,26 +1,25 @@
 //! Forwards one request in one or more attempts: chooses the replica of each and decides how the
-//! request ends. [`attempt`](crate::attempt) makes the attempts.
+//! request ends. [`attempt`] makes the attempts.
 
-use std::cell;
-use std::fmt;
+use std::convert;
 use std::rc;
 use std::sync;
 
 use samphiremoor_base::event;
 use samphiremoor_base::id;
 use samphiremoor_base::log_event;
-use samphiremoor_base::quantity;
 use samphiremoor_base::reason;
 use samphiremoor_base::time;
 use samphiremoor_fleet::admission;
 use samphiremoor_fleet::dispatch;
-use samphiremoor_fleet::policy;
 use samphiremoor_fleet::selection;
-use samphiremoor_httpio::message;
 
 use crate::adapter;
+use crate::attempt;
+use crate::context;
 use crate::core;
 use crate::events;
+use crate::pending;
 use crate::response;
 
 /// Number of attempts that failed to connect or reached a different replica after which a request
@@ -33,26 +32,6 @@
 /// milliseconds.
 const NOT_READY_RETRY_AFTER_MS: f64 = 700.0;
 
-/// A request that was read and matched to a route.
-pub struct IncomingRequest {
-    /// Request line and headers.
-    pub head: message::RequestHead,
-    /// Whole body.
-    pub body: Vec<u8>,
-    /// Values decoded from the headers.
-    pub metadata: adapter::RequestMetadata,
-    /// Route of the request.
-    pub route: sync::Arc<policy::RouteRule>,
-    /// The caller's workspace, if the route needs one.
-    pub workspace: Option<sync::Arc<policy::WorkspaceRule>>,
-    /// When the first byte of the request arrived.
-    pub arrived_at: time::MonotonicTime,
-    /// When the request times out.
-    pub deadline: time::MonotonicTime,
-    /// Revision of the policy by which the request is served.
-    pub revision: quantity::RevisionNumber,
-}
-
 /// How a request ended.
 #[derive(Clone, Debug, PartialEq)]
 pub enum RequestOutcome {
@@ -66,79 +45,14 @@
     CallerGone,
 }
 
-/// Part of a replica's response that a request waits for.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum ResponsePhase {
-    /// The connection, or the head of the response.
-    Head,
-    /// The body of a response that is read whole.
-    Body,
-    /// The events of a stream.
-    Events,
-}
-
-impl fmt::Display for ResponsePhase {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            ResponsePhase::Head => "head",
-            ResponsePhase::Body => "body",
-            ResponsePhase::Events => "events",
-        })
-    }
-}
-
-/// Progress of a request, which stays available when the request times out.
-pub struct RequestProgress {
-    /// Outcomes of the attempts.
-    pub tracker: cell::Cell<dispatch::DispatchTracker>,
-    /// Replica of the last attempt.
-    pub replica: cell::RefCell<Option<id::ReplicaId>>,
-    /// Part of the response that the request waits for.
-    pub phase: cell::Cell<ResponsePhase>,
-    /// When a replica last sent data, or when the request was last sent to one.
-    pub last_data_at: cell::Cell<time::MonotonicTime>,
-}
-
-impl RequestProgress {
-    /// Creates the progress of a request that arrived at `arrived_at` and was not sent yet.
-    pub fn new(route: &policy::RouteRule, arrived_at: time::MonotonicTime) -> Self {
-        let tracker = dispatch::DispatchTracker::new(route.kind, route.max_attempts);
-        RequestProgress {
-            tracker: cell::Cell::new(tracker),
-            replica: cell::RefCell::new(None),
-            phase: cell::Cell::new(ResponsePhase::Head),
-            last_data_at: cell::Cell::new(arrived_at),
-        }
-    }
-
-    /// Records that data arrived, or that the request was sent, and what is awaited next.
-    pub(crate) fn on_data(&self, phase: ResponsePhase, now: time::MonotonicTime) {
-        self.phase.set(phase);
-        self.last_data_at.set(now);
-    }
-
-    fn update(&self, change: impl FnOnce(&mut dispatch::DispatchTracker)) {
-        let mut tracker = self.tracker.get();
-        change(&mut tracker);
-        self.tracker.set(tracker);
-    }
-}
-
-/// Outcome of one attempt.
-pub(crate) enum AttemptOutcome {
+/// How the relay of one replica's response ended.
+pub(crate) enum RelayOutcome {
     /// The request has ended.
     Ended(RequestOutcome),
-    /// No byte was sent to the replica.
-    NotSent,
-    /// A different replica now has the address.
-    WrongReplica,
-    /// The replica did not run the request.
-    NotRun,
-    /// The attempt failed, and the replica may have run the request.
+    /// The response failed, and the replica may have run the request.
     Failed(reason::RetryReason),
-    /// The replica responded with a server error, which is delivered unless another attempt
-    /// succeeds.
-    ServerError(Box<BufferedResponse>),
+    /// The replica was silent, and another one responded meanwhile.
+    TakenOver(Box<attempt::StartedAttempt>),
     /// The replica is leaving, and the stream continues at another one.
     Migrated(Box<MigratedStream>),
 }
@@ -151,14 +65,6 @@
     pub(crate) kv_location: sync::Arc<str>,
 }
 
-/// A replica's response that was read whole.
-pub(crate) struct BufferedResponse {
-    /// Status and headers.
-    pub(crate) head: message::ResponseHead,
-    /// Whole body.
-    pub(crate) body: Vec<u8>,
-}
-
 impl From<response::WriteError> for RequestOutcome {
     fn from(cause: response::WriteError) -> Self {
         match cause {
@@ -171,7 +77,7 @@
 /// Returns the outcome of a request for which no response of a replica can be delivered. `wait` is
 /// the `Retry-After` of a request that did not run.
 pub(crate) fn unanswered_outcome(
-    progress: &RequestProgress,
+    progress: &context::RequestProgress,
     sink: &response::ResponseSink,
     reason: reason::RefusalReason,
     wait: time::Millis,
@@ -189,106 +95,228 @@
 /// Forwards a request and returns how it ended.
 pub async fn forward(
     core: &rc::Rc<core::GatewayCore>,
-    request: &IncomingRequest,
-    progress: &RequestProgress,
+    request: &context::IncomingRequest,
+    progress: &context::RequestProgress,
     sink: &mut response::ResponseSink,
 ) -> RequestOutcome {
+    let Some(service) = request.route.pick_service(rand::random()) else {
+        let wait = admission::retry_after(NOT_READY_RETRY_AFTER_MS, rand::random());
+        return unanswered_outcome(progress, sink, reason::RefusalReason::UnknownService, wait);
+    };
+    core.state.borrow_mut().budget(service, &core.settings.shared).deposit();
     let mut forwarder = RequestForwarder {
-        core,
-        request,
-        progress,
+        context: context::RequestContext { core, request, progress, service },
         splitter: events::EventSplitter::new(request.metadata.last_event_id),
         excluded: core::ExcludedReplicas::new(),
+        pending: pending::PendingAttempts::new(),
+        failure: None,
+        server_error: None,
         connect_failures: 0,
-        is_migrated: false,
     };
     forwarder.run(sink).await
 }
 
 /// State of one request across its attempts.
 pub(crate) struct RequestForwarder<'a> {
-    pub(crate) core: &'a rc::Rc<core::GatewayCore>,
-    pub(crate) request: &'a IncomingRequest,
-    pub(crate) progress: &'a RequestProgress,
+    pub(crate) context: context::RequestContext<'a>,
     /// Splitter of the stream's events from all replicas.
     pub(crate) splitter: events::EventSplitter,
     /// Replicas that the request was already sent to.
     pub(crate) excluded: core::ExcludedReplicas,
+    /// Attempts whose response has not begun.
+    pub(crate) pending: pending::PendingAttempts<'a>,
+    /// Failure of the last attempt, unless another one was sent since.
+    failure: Option<reason::RetryReason>,
+    /// The last server error of a replica.
+    server_error: Option<Box<attempt::BufferedResponse>>,
     /// Number of attempts that failed to connect or reached a different replica.
     connect_failures: u32,
-    /// Whether the current attempt resumes from a migrated KV cache.
-    pub(crate) is_migrated: bool,
 }
 
 impl RequestForwarder<'_> {
     async fn run(&mut self, sink: &mut response::ResponseSink) -> RequestOutcome {
-        let Some(service) = self.request.route.pick_service(rand::random()).cloned() else {
-            let reason = reason::RefusalReason::UnknownService;
-            return self.end_unanswered(sink, reason, NOT_READY_RETRY_AFTER_MS);
-        };
-        self.deposit_retry(&service);
-        let mut server_error: Option<Box<BufferedResponse>> = None;
-        let mut migrated: Option<Box<MigratedStream>> = None;
+        let mut taken_over: Option<Box<attempt::StartedAttempt>> = None;
         loop {
-            let (selected, kv_location) = match migrated.take() {
-                Some(stream) => (stream.selected, Some(stream.kv_location)),
-                None => match self.select_replica(&service, sink) {
-                    Ok(selected) => (selected, None),
-                    Err(outcome) => return self.finish(server_error, outcome, sink).await,
+            let started = match taken_over.take() {
+                Some(started) => started,
+                None => match self.await_response(sink).await {
+                    Ok(started) => started,
+                    Err(outcome) => return self.finish(outcome, sink).await,
                 },
             };
-            self.is_migrated = kv_location.is_some();
-            self.progress.update(dispatch::DispatchTracker::begin_attempt);
-            self.progress.replica.replace(Some(selected.replica.clone()));
-            let retry_reason =
-                match self.send(&service, &selected, kv_location.as_deref(), sink).await {
-                    AttemptOutcome::Ended(outcome) => return outcome,
-                    AttemptOutcome::Migrated(stream) => {
-                        self.progress.update(dispatch::DispatchTracker::migrate);
-                        log_event!(
-                            event::LogEvent::StreamMoved,
-                            request = self.request_id(),
-                            from = selected.replica,
-                            to = stream.selected.replica,
-                            delivered = self.splitter.delivered(),
-                        );
-                        self.excluded.push(selected.replica);
-                        migrated = Some(stream);
-                        continue;
-                    }
-                    AttemptOutcome::NotSent => {
-                        self.progress.update(dispatch::DispatchTracker::cancel_attempt);
-                        self.connect_failures += 1;
-                        reason::RetryReason::ConnectFailed
-                    }
-                    AttemptOutcome::WrongReplica => {
-                        self.progress.update(dispatch::DispatchTracker::cancel_attempt);
-                        self.connect_failures += 1;
-                        reason::RetryReason::ReplicaLeaving
-                    }
-                    AttemptOutcome::NotRun => {
-                        self.progress.update(|tracker| {
-                            tracker.end_attempt(dispatch::DispatchOutcome::NotRun)
-                        });
-                        reason::RetryReason::RefusedByUpstream
-                    }
-                    AttemptOutcome::Failed(reason) => {
-                        self.progress.update(|tracker| {
-                            tracker.end_attempt(dispatch::DispatchOutcome::MayHaveRun)
-                        });
-                        reason
+            self.cancel_pending();
+            let replica = started.selected.replica.clone();
+            self.context.progress.replica.replace(Some(replica.clone()));
+            match self.relay(*started, sink).await {
+                RelayOutcome::Ended(outcome) => return outcome,
+                RelayOutcome::TakenOver(other) => taken_over = Some(other),
+                RelayOutcome::Failed(reason) => self.end_failed(&replica, reason),
+                RelayOutcome::Migrated(stream) => {
+                    let MigratedStream { selected, kv_location } = *stream;
+                    self.context.progress.update(dispatch::DispatchTracker::migrate);
+                    log_event!(
+                        event::LogEvent::StreamMoved,
+                        request = self.context.request_id(),
+                        from = replica,
+                        to = selected.replica,
+                        delivered = self.splitter.delivered(),
+                    );
+                    self.cancel_pending();
+                    self.begin_attempt(selected, Some(kv_location), sink.has_begun());
+                }
+            }
+        }
+    }
+
+    /// Waits until the response of an attempt begins. Sends the request once more after a failure,
+    /// and while the replicas that have it are silent. Returns how the request ends otherwise.
+    async fn await_response(
+        &mut self,
+        sink: &response::ResponseSink,
+    ) -> Result<Box<attempt::StartedAttempt>, RequestOutcome> {
+        let mut check_at = self.next_silence_check();
+        loop {
+            if self.pending.is_empty() {
+                if let Some(reason) = self.failure.take()
+                    && let Some(outcome) = self.check_retry(reason, sink)
+                {
+                    return Err(outcome);
+                }
+                let selected = self.select_replica(sink)?;
+                self.begin_attempt(selected, None, sink.has_begun());
+                check_at = self.next_silence_check();
+            }
+            let timeout = check_at.since(self.context.core.now());
+            let progress = std::future::pending::<convert::Infallible>();
+            match pending::next_event(progress, &mut self.pending, timeout).await {
+                pending::RequestEvent::Progress(never) => match never {},
+                pending::RequestEvent::Attempt(attempt, start) => {
+                    if let Some(started) = self.end_attempt(&attempt, start) {
+                        return Ok(started);
                     }
-                    AttemptOutcome::ServerError(response) => {
-                        self.progress
-                            .update(|tracker| tracker.end_attempt(dispatch::DispatchOutcome::Ran));
-                        server_error = Some(response);
-                        reason::RetryReason::UpstreamError
+                }
+                pending::RequestEvent::Silence => {
+                    for attempt in self.pending.iter_mut().filter(|attempt| !attempt.is_silent) {
+                        attempt.is_silent = true;
+                        self.context.mark_silent(&attempt.selected.replica, attempt.sent_at);
                     }
-                };
-            self.log_failed_attempt(&selected.replica, retry_reason);
-            self.excluded.push(selected.replica);
-            if let Some(outcome) = self.check_retry(&service, retry_reason, sink) {
-                return self.finish(server_error, outcome, sink).await;
+                    self.take_over(sink.has_begun());
+                    check_at = self.next_silence_check();
+                }
+            }
+        }
+    }
+
+    /// Returns when the newest attempt counts as silent.
+    fn next_silence_check(&self) -> time::MonotonicTime {
+        let newest = self.pending.last();
+        let timeout = newest.map_or_else(time::Millis::default, |attempt| attempt.timeout);
+        self.context.core.now() + timeout
+    }
+
+    /// Sends the request to a replica, whose response is awaited with the other pending ones.
+    fn begin_attempt(
+        &mut self,
+        selected: selection::SelectedReplica,
+        kv_location: Option<sync::Arc<str>>,
+        has_begun: bool,
+    ) {
+        self.context.progress.update(dispatch::DispatchTracker::begin_attempt);
+        self.context.progress.replica.replace(Some(selected.replica.clone()));
+        self.excluded.push(selected.replica.clone());
+        self.failure = None;
+        let last_event_id = self.splitter.last_id();
+        let resume = attempt::ResumePoint { last_event_id, has_begun, kv_location };
+        let may_send = self.context.progress.tracker.get().may_send();
+        self.pending.push(pending::PendingAttempt {
+            sent_at: self.context.core.now(),
+            timeout: self.context.first_byte_timeout(&selected, may_send),
+            is_silent: false,
+            start: Box::pin(self.context.start_attempt(selected.clone(), resume)),
+            selected,
+        });
+    }
+
+    /// Sends the request to another replica while those that have it are silent, if that is allowed.
+    /// `has_begun` says whether a stream is in progress, which only events can continue.
+    pub(crate) fn take_over(&mut self, has_begun: bool) {
+        let context::RequestContext { core, request, progress, .. } = self.context;
+        let time_left = request.deadline.since(core.now());
+        if time_left <= attempt::MIN_TIMEOUT || !progress.tracker.get().may_send() {
+            return;
+        }
+        let Some(selected) = self.query_replica(&self.excluded, false) else { return };
+        if !self.withdraw_retry(reason::RetryReason::ConnectionSilent) {
+            return;
+        }
+        self.begin_attempt(selected, None, has_begun);
+    }
+
+    /// Ends a pending attempt. Returns its response, or updates the progress after a failure.
+    pub(crate) fn end_attempt(
+        &mut self,
+        attempt: &pending::PendingAttempt<'_>,
+        start: attempt::AttemptStart,
+    ) -> Option<Box<attempt::StartedAttempt>> {
+        let replica = &attempt.selected.replica;
+        let has_response =
+            !matches!(start, attempt::AttemptStart::NotSent | attempt::AttemptStart::Failed(_));
+        if attempt.is_silent && has_response {
+            self.context.mark_resumed(replica, attempt.sent_at);
+        }
+        let progress = self.context.progress;
+        let reason = match start {
+            attempt::AttemptStart::Response(started) => return Some(started),
+            attempt::AttemptStart::NotSent => {
+                progress.update(dispatch::DispatchTracker::cancel_attempt);
+                self.connect_failures += 1;
+                reason::RetryReason::ConnectFailed
+            }
+            attempt::AttemptStart::WrongReplica => {
+                progress.update(dispatch::DispatchTracker::cancel_attempt);
+                self.connect_failures += 1;
+                reason::RetryReason::ReplicaLeaving
+            }
+            attempt::AttemptStart::NotRun => {
+                progress.update(|tracker| tracker.end_attempt(dispatch::DispatchOutcome::NotRun));
+                reason::RetryReason::RefusedByUpstream
+            }
+            attempt::AttemptStart::Failed(reason) => {
+                progress
+                    .update(|tracker| tracker.end_attempt(dispatch::DispatchOutcome::MayHaveRun));
+                reason
+            }
+            attempt::AttemptStart::ServerError(response) => {
+                progress.update(|tracker| tracker.end_attempt(dispatch::DispatchOutcome::Ran));
+                self.server_error = Some(response);
+                reason::RetryReason::UpstreamError
+            }
+        };
+        self.context.log_failed_attempt(replica, reason, self.splitter.delivered());
+        self.failure = Some(reason);
+        None
+    }
+
+    /// Ends an attempt whose response had begun and failed.
+    fn end_failed(&mut self, replica: &id::ReplicaId, reason: reason::RetryReason) {
+        self.context
+            .progress
+            .update(|tracker| tracker.end_attempt(dispatch::DispatchOutcome::MayHaveRun));
+        self.context.log_failed_attempt(replica, reason, self.splitter.delivered());
+        self.failure = Some(reason);
+    }
+
+    /// Cancels the pending attempts and closes their connections, since another one responds.
+    pub(crate) fn cancel_pending(&mut self) {
+        for attempt in self.pending.drain(..) {
+            self.context
+                .progress
+                .update(|tracker| tracker.end_attempt(dispatch::DispatchOutcome::MayHaveRun));
+            self.context.count_run();
+            if attempt.is_silent {
+                let reason = reason::RetryReason::ConnectionSilent;
+                let delivered = self.splitter.delivered();
+                self.context.log_failed_attempt(&attempt.selected.replica, reason, delivered);
             }
         }
     }
@@ -296,12 +324,11 @@
     /// Delivers the last server error of a replica if there is one and no response has begun;
     /// otherwise returns `outcome`.
     async fn finish(
-        &self,
-        server_error: Option<Box<BufferedResponse>>,
+        &mut self,
         outcome: RequestOutcome,
         sink: &mut response::ResponseSink,
     ) -> RequestOutcome {
-        match server_error {
+        match self.server_error.take() {
             Some(response) if !sink.has_begun() => self.deliver(*response, sink).await,
             _ => outcome,
         }
@@ -310,7 +337,7 @@
     /// Writes a whole response to the caller.
     pub(crate) async fn deliver(
         &self,
-        response: BufferedResponse,
+        response: attempt::BufferedResponse,
         sink: &mut response::ResponseSink,
     ) -> RequestOutcome {
         match sink.write_buffered(&response.head, &response.body).await {
@@ -319,50 +346,31 @@
         }
     }
 
-    fn deposit_retry(&self, service: &id::ServiceId) {
-        let mut state = self.core.state.borrow_mut();
-        state.budget(service, &self.core.settings.shared).deposit();
-    }
-
     /// Chooses a replica, or returns how the request ends without one.
     fn select_replica(
         &self,
-        service: &id::ServiceId,
         sink: &response::ResponseSink,
     ) -> Result<selection::SelectedReplica, RequestOutcome> {
-        let now = self.core.now();
+        let context::RequestContext { core, request, progress, service } = self.context;
+        let now = core.now();
         // A migration does not count as an attempt, so a stream may have begun before the first one.
-        let is_new = self.progress.tracker.get().attempts() == 0 && !sink.has_begun();
-        let mut state = self.core.state.borrow_mut();
-        let is_engine = state.policy.as_ref().is_some_and(|policy| {
-            policy.services.get(service).is_some_and(|rule| rule.engine_slots.is_some())
-        });
-        let prompt = self.request.metadata.prompt.as_ref().filter(|_| is_engine);
-        let mut query = selection::SelectionQuery {
-            service,
-            zone: &self.core.settings.availability_zone,
-            prompt,
-            excluded: &self.excluded,
-            daemon_count: state.live_daemons,
-            draw: rand::random(),
-            now,
-        };
-        let mut choice = selection::choose(&state.replicas, &query);
+        let is_new = progress.tracker.get().attempts() == 0 && !sink.has_begun();
+        let mut choice = self.query_replica(&self.excluded, true);
         if choice.is_none() && is_new {
             // A replica whose connection failed before is better than none.
-            query.excluded = &[];
-            choice = selection::choose(&state.replicas, &query);
+            choice = self.query_replica(&[], true);
         }
         let Some(selected) = choice else {
             let reason = reason::RefusalReason::NoReplica;
             return Err(self.end_unanswered(sink, reason, NOT_READY_RETRY_AFTER_MS));
         };
-        if prompt.is_some() && is_new {
+        let mut state = core.state.borrow_mut();
+        if self.is_engine_request(&state) && is_new {
             let admission = admission::AdmissionQuery {
                 service,
-                priority: self.priority(),
-                ttft_target: self.request.route.latency_target,
-                deadline_left: self.request.deadline.since(now),
+                priority: self.context.priority(),
+                ttft_target: request.route.latency_target,
+                deadline_left: request.deadline.since(now),
                 tokens_ahead: selected.tokens_ahead,
                 draw: rand::random(),
             };
@@ -375,49 +383,87 @@
         }
         log_event!(
             event::LogEvent::ReplicaChosen,
-            request = self.request_id(),
+            request = self.context.request_id(),
             replica = selected.replica,
             ahead_tokens = selected.tokens_ahead as u64,
             unread_tokens = selected.uncached_tokens,
             fill = format_args!("{:.2}", selected.utilization),
             daemons_known = state.live_daemons,
-            sends = self.progress.tracker.get().attempts(),
+            sends = progress.tracker.get().attempts(),
         );
         Ok(selected)
     }
 
+    /// Chooses the best replica that is not excluded.
+    fn query_replica(
+        &self,
+        excluded: &[id::ReplicaId],
+        includes_silent: bool,
+    ) -> Option<selection::SelectedReplica> {
+        let context::RequestContext { core, request, service, .. } = self.context;
+        let state = core.state.borrow();
+        let prompt = request.metadata.prompt.as_ref().filter(|_| self.is_engine_request(&state));
+        let query = selection::SelectionQuery {
+            service,
+            zone: &core.settings.availability_zone,
+            prompt,
+            excluded,
+            includes_silent,
+            daemon_count: state.live_daemons,
+            draw: rand::random(),
+            now: core.now(),
+        };
+        selection::choose(&state.replicas, &query)
+    }
+
+    /// Whether the request has a prompt for an engine.
+    fn is_engine_request(&self, state: &core::CoreState) -> bool {
+        let rule =
+            state.policy.as_ref().and_then(|policy| policy.services.get(self.context.service));
+        let is_engine = rule.is_some_and(|rule| rule.engine_slots.is_some());
+        is_engine && self.context.request.metadata.prompt.is_some()
+    }
+
     /// Returns how the request ends, or `None` if it may be sent once more. The retry is then
     /// withdrawn from the retry budget, unless the connection failed.
     fn check_retry(
         &self,
-        service: &id::ServiceId,
         reason: reason::RetryReason,
         sink: &response::ResponseSink,
     ) -> Option<RequestOutcome> {
-        let now = self.core.now();
+        let context::RequestContext { core, request, progress, .. } = self.context;
         let give_up = |reason| Some(self.end_unanswered(sink, reason, NOT_RUN_RETRY_AFTER_MS));
-        if now >= self.request.deadline {
+        if core.now() >= request.deadline {
             return give_up(reason::RefusalReason::DeadlinePassed);
         }
-        let is_free_retry = reason == reason::RetryReason::ConnectFailed;
         let is_exhausted = self.connect_failures >= MAX_CONNECT_FAILURES;
-        if is_exhausted || !self.progress.tracker.get().may_send() {
+        if is_exhausted || !progress.tracker.get().may_send() {
             return give_up(reason::RefusalReason::UpstreamFailed);
         }
-        let mut state = self.core.state.borrow_mut();
-        if !is_free_retry && !state.budget(service, &self.core.settings.shared).try_withdraw() {
-            drop(state);
+        if !self.withdraw_retry(reason) {
             return give_up(reason::RefusalReason::RetryBudgetSpent);
         }
-        self.core.metrics.count_retry(reason);
+        None
+    }
+
+    /// Withdraws a retry from the retry budget, unless the connection failed. Returns `false` if the
+    /// budget is used up.
+    fn withdraw_retry(&self, reason: reason::RetryReason) -> bool {
+        let context::RequestContext { core, service, .. } = self.context;
+        let is_free_retry = reason == reason::RetryReason::ConnectFailed;
+        let mut state = core.state.borrow_mut();
+        if !is_free_retry && !state.budget(service, &core.settings.shared).try_withdraw() {
+            return false;
+        }
+        core.metrics.count_retry(reason);
         log_event!(
             event::LogEvent::RequestRetried,
-            request = self.request_id(),
+            request = self.context.request_id(),
             reason = reason,
             replica = self.excluded.last().map_or("", id::ReplicaId::as_str),
             delivered = self.splitter.delivered(),
         );
-        None
+        true
     }
 
     /// Returns the outcome of a request for which no response of a replica can be delivered.
@@ -428,15 +474,6 @@
         retry_after_ms: f64,
     ) -> RequestOutcome {
         let wait = admission::retry_after(retry_after_ms, rand::random());
-        unanswered_outcome(self.progress, sink, reason, wait)
-    }
-
-    pub(crate) fn priority(&self) -> quantity::PriorityLevel {
-        let workspace_priority = self.request.workspace.as_ref().and_then(|rule| rule.priority);
-        workspace_priority.unwrap_or(self.request.route.priority)
-    }
-
-    pub(crate) fn request_id(&self) -> &str {
-        self.request.metadata.request_id.as_deref().unwrap_or("-")
+        unanswered_outcome(self.context.progress, sink, reason, wait)
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,7 +3,7 @@
 //! This crate does the I/O on one thread; the decisions are made in the `fleet` crate. [`adapter`]
 //! holds the traits that a deployment's adapter implements, and [`daemon`] starts all tasks.
 //! [`caller`] serves callers' connections, [`forward`] takes one request through its attempts,
-//! [`attempt`] makes one of them, and [`upstream`] and [`stream`] talk to replicas over the
+//! [`attempt`] makes one of them, [`pending`] waits for several, and [`upstream`] and [`stream`] talk to replicas over the
 //! connections that [`idle`] pools; [`response`] writes to callers. [`table_sync`] follows the policy and the replica entries in
 //! the platform's table, [`digest_exchange`] and [`peer_records`] exchange state with the other
 //! daemons, and [`duties`] performs the tasks that one daemon does for all.
@@ -11,6 +11,7 @@
 pub mod adapter;
 pub mod attempt;
 pub mod caller;
+pub mod context;
 pub mod core;
 pub mod daemon;
 pub mod digest_exchange;
@@ -20,6 +21,8 @@
 pub mod idle;
 pub mod metrics;
 pub mod peer_records;
+pub mod pending;
+pub mod relay;
 pub mod response;
 pub mod settings;
 pub mod stream;
--- /dev/null
+++ b/crates/gateway/src/relay.rs
@@ -0,0 +1,179 @@
+//! Relays the response of one replica to the caller, and migrates streams of replicas that leave.
+
+use std::pin;
+
+use samphiremoor_base::reason;
+use samphiremoor_fleet::selection;
+
+use crate::attempt;
+use crate::forward;
+use crate::response;
+use crate::stream;
+use crate::upstream;
+
+impl forward::RequestForwarder<'_> {
+    /// Relays a response to the caller.
+    pub(crate) async fn relay(
+        &mut self,
+        started: attempt::StartedAttempt,
+        sink: &mut response::ResponseSink,
+    ) -> forward::RelayOutcome {
+        let is_success = (200..300).contains(&started.response.head.status);
+        if self.context.request.route.kind.is_stream() && is_success {
+            return self.relay_stream(started, sink).await;
+        }
+        match self.context.read_plain(started).await {
+            Ok(buffered) => forward::RelayOutcome::Ended(self.deliver(buffered, sink).await),
+            Err(reason) => forward::RelayOutcome::Failed(reason),
+        }
+    }
+
+    async fn relay_stream(
+        &mut self,
+        started: attempt::StartedAttempt,
+        sink: &mut response::ResponseSink,
+    ) -> forward::RelayOutcome {
+        let attempt::StartedAttempt {
+            selected,
+            connection,
+            response,
+            mut guard,
+            started_at,
+            is_migrated,
+        } = started;
+        let context = self.context;
+        let mut stream = stream::ReplicaStream::new(selected.clone(), connection, response);
+        self.splitter.discard_partial();
+        let workspace = context.request.workspace.as_ref().map(|rule| &rule.id);
+        let window = context.core.settings.times.usage_window_ms;
+        let is_first_stream = self.splitter.delivered() == 0;
+        let on_first_event = || {
+            let now = context.core.now();
+            guard.finish_prefill();
+            context.core.metrics.observe_first_byte(now.since(started_at));
+            let mut state = context.core.state.borrow_mut();
+            if is_first_stream {
+                let ttft = now.since(started_at);
+                state.ttft_estimator.observe(context.service, selected.tokens_ahead, ttft);
+            }
+            // A stream that resumes from a migrated KV cache was counted as a run at the first
+            // replica.
+            if let Some(workspace) = workspace.filter(|_| !is_migrated) {
+                state.count_run(workspace, window, now);
+            }
+        };
+        let can_migrate = self.can_migrate();
+        let should_migrate = || can_migrate && context.core.should_migrate(&selected.replica);
+        let end = self.forward_events(&mut stream, sink, on_first_event, should_migrate).await;
+        if !matches!(end, stream::StreamEnd::Leaving) {
+            return self.finish_stream(stream, end);
+        }
+        let Some(migration) = self.prepare_migration(&selected) else {
+            let end = self.forward_events(&mut stream, sink, || {}, || false).await;
+            return self.finish_stream(stream, end);
+        };
+        // The source replica keeps sending events until it stops the stream for the migration.
+        let mut migration = pin::pin!(migration);
+        let mut migrated = None;
+        let end = {
+            let migrating = async {
+                migrated = Some(migration.as_mut().await);
+                std::future::pending().await
+            };
+            let forwarding = self.forward_events(&mut stream, sink, || {}, || false);
+            futures_lite::future::or(forwarding, migrating).await
+        };
+        if !matches!(end, stream::StreamEnd::Broken) {
+            return self.finish_stream(stream, end);
+        }
+        let migrated = match migrated {
+            Some(migrated) => migrated,
+            None if !context.progress.tracker.get().may_send() => migration.await,
+            None => {
+                let duration = upstream::MIGRATION_TIMEOUT.to_duration();
+                async_std::future::timeout(duration, migration).await.unwrap_or(None)
+            }
+        };
+        match migrated {
+            Some(migrated) => forward::RelayOutcome::Migrated(Box::new(migrated)),
+            None => self.finish_stream(stream, end),
+        }
+    }
+
+    /// Returns whether the KV cache of this request can be migrated.
+    fn can_migrate(&self) -> bool {
+        let state = self.context.core.state.borrow();
+        let rule =
+            state.policy.as_ref().and_then(|policy| policy.services.get(self.context.service));
+        rule.is_some_and(|rule| rule.migrates_kv_cache)
+            && self.context.request.metadata.request_id.is_some()
+    }
+
+    /// Chooses the best other replica as the target of a stream's migration, withdraws a retry from
+    /// the budget, and returns the future that performs the migration. Returns `None` if the
+    /// request has no ID, there is no such replica, or the retry budget is used up.
+    fn prepare_migration(
+        &self,
+        selected: &selection::SelectedReplica,
+    ) -> Option<impl std::future::Future<Output = Option<forward::MigratedStream>> + use<>> {
+        let core = self.context.core.clone();
+        let request_id = self.context.request.metadata.request_id.clone()?;
+        let source = selected.replica.clone();
+        let mut state = core.state.borrow_mut();
+        let query = selection::SelectionQuery {
+            service: self.context.service,
+            zone: &core.settings.availability_zone,
+            prompt: self.context.request.metadata.prompt.as_ref(),
+            excluded: &self.excluded,
+            includes_silent: false,
+            daemon_count: state.live_daemons,
+            draw: rand::random(),
+            now: core.now(),
+        };
+        let mut target = selection::choose(&state.replicas, &query)?;
+        // The KV cache is migrated, so the target has no prompt tokens to prefill.
+        target.uncached_tokens = 0;
+        let source_address = state.replicas.get(&source)?.entry.address;
+        let target_address = state.replicas.get(&target.replica)?.entry.address;
+        if !state.budget(self.context.service, &core.settings.shared).try_withdraw() {
+            return None;
+        }
+        drop(state);
+        core.metrics.count_retry(reason::RetryReason::ReplicaLeaving);
+        Some(async move {
+            let migration = upstream::migrate_kv_cache(
+                &core,
+                &source,
+                source_address,
+                target_address,
+                &request_id,
+            );
+            let kv_location = migration.await?;
+            Some(forward::MigratedStream { selected: target, kv_location })
+        })
+    }
+
+    fn finish_stream(
+        &self,
+        stream: stream::ReplicaStream,
+        end: stream::StreamEnd,
+    ) -> forward::RelayOutcome {
+        let replica = &stream.selected.replica;
+        match end {
+            stream::StreamEnd::Complete => {
+                self.context.record_result(replica, false);
+                let status = stream.response.head.status;
+                upstream::release(self.context.core, replica, stream.connection, &stream.response);
+                forward::RelayOutcome::Ended(forward::RequestOutcome::Answered(status))
+            }
+            stream::StreamEnd::TakenOver(other) => forward::RelayOutcome::TakenOver(other),
+            stream::StreamEnd::CallerGone => {
+                forward::RelayOutcome::Ended(forward::RequestOutcome::CallerGone)
+            }
+            stream::StreamEnd::Broken | stream::StreamEnd::Leaving => {
+                self.context.record_result(replica, true);
+                forward::RelayOutcome::Failed(reason::RetryReason::ConnectionClosed)
+            }
+        }
+    }
+}
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -1,26 +1,30 @@
 //! Forwards the events of a replica's stream to a caller, complete and in order.
 
-use async_std::future;
+use samphiremoor_base::reason;
 use samphiremoor_base::time;
+use samphiremoor_fleet::selection;
 use samphiremoor_httpio::connection;
 
-use crate::events;
+use crate::attempt;
+use crate::context;
+use crate::forward;
+use crate::pending;
 use crate::response;
 use crate::upstream;
 
-/// Time without data after which a replica's stream counts as silent. Callers give up after two
-/// seconds or more; engines pause for a few hundred milliseconds at most during prefill.
+/// Time without data after which a replica's stream counts as silent, and another replica may take
+/// over. Callers give up after two seconds or more; engines pause for a few hundred milliseconds at
+/// most during prefill.
 const SILENCE_TIMEOUT: time::Millis = time::Millis::new(1_500);
 
 /// How a replica's stream ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum StreamEnd {
+pub(crate) enum StreamEnd {
     /// The whole stream was delivered.
     Complete,
     /// The connection failed, or the bytes are not a valid stream.
     Broken,
-    /// The replica sent no data for too long.
-    Silent,
+    /// The replica was silent, and another one responded meanwhile.
+    TakenOver(Box<attempt::StartedAttempt>),
     /// The replica is leaving; the stream is still in progress there.
     Leaving,
     /// The caller closed the connection.
@@ -28,51 +32,52 @@
 }
 
 /// A stream of one replica.
-pub struct ReplicaStream {
+pub(crate) struct ReplicaStream {
+    /// The replica.
+    pub(crate) selected: selection::SelectedReplica,
     /// Connection to the replica.
-    pub connection: upstream::UpstreamConnection,
+    pub(crate) connection: upstream::UpstreamConnection,
     /// Head of the replica's response.
-    pub response: upstream::ReplicaResponse,
+    pub(crate) response: upstream::ReplicaResponse,
     reader: connection::BodyReader,
 }
 
 impl ReplicaStream {
     /// Creates the stream of a response whose head was read.
-    pub fn new(
+    pub(crate) fn new(
+        selected: selection::SelectedReplica,
         connection: upstream::UpstreamConnection,
         response: upstream::ReplicaResponse,
     ) -> Self {
         let reader = connection::BodyReader::new(response.framing);
-        ReplicaStream { connection, response, reader }
+        ReplicaStream { selected, connection, response, reader }
     }
+}
 
-    /// Forwards events until the stream ends or should migrate. `on_data` is called at each
-    /// read, `on_first_event` at the first event, `should_migrate` after each read from then on.
-    pub async fn forward_events(
+impl forward::RequestForwarder<'_> {
+    /// Forwards events until the stream ends, should migrate or was taken over. `on_first_event` is
+    /// called at the first event, `should_migrate` after each read from then on.
+    pub(crate) async fn forward_events(
         &mut self,
-        splitter: &mut events::EventSplitter,
+        stream: &mut ReplicaStream,
         sink: &mut response::ResponseSink,
-        on_data: impl Fn(),
         mut on_first_event: impl FnMut(),
         should_migrate: impl Fn() -> bool,
     ) -> StreamEnd {
         let mut has_first_event = false;
         loop {
-            let read = self.reader.read(&mut self.connection.raw, splitter.buffer());
-            let is_body_end = match future::timeout(SILENCE_TIMEOUT.to_duration(), read).await {
-                Ok(Ok(is_body_end)) => is_body_end,
-                Ok(Err(_)) => return StreamEnd::Broken,
-                Err(_) => return StreamEnd::Silent,
+            let is_body_end = match self.read_events(stream).await {
+                Ok(is_body_end) => is_body_end,
+                Err(end) => return end,
             };
-            on_data();
             let mut events = Vec::new();
-            let is_in_order = splitter.take_events(&mut events);
+            let is_in_order = self.splitter.take_events(&mut events);
             if !events.is_empty() && !has_first_event {
                 has_first_event = true;
                 on_first_event();
             }
-            let is_complete = is_body_end && is_in_order && !splitter.is_incomplete();
-            let head = &self.response.head;
+            let is_complete = is_body_end && is_in_order && !self.splitter.is_incomplete();
+            let head = &stream.response.head;
             if sink.write_events(head, &events, is_complete).await.is_err() {
                 return StreamEnd::CallerGone;
             }
@@ -87,4 +92,52 @@
             }
         }
     }
+
+    /// Reads more of a stream into the splitter and returns whether the stream has ended. While the
+    /// replica is silent, other replicas may take over; their attempts are cancelled once it sends
+    /// data.
+    async fn read_events(&mut self, stream: &mut ReplicaStream) -> Result<bool, StreamEnd> {
+        let context = self.context;
+        let replica = &stream.selected.replica;
+        let silent_since = context.core.now();
+        context.progress.on_data(context::ResponsePhase::Events, silent_since);
+        let mut is_silent = false;
+        let mut timeout = SILENCE_TIMEOUT;
+        loop {
+            let read = stream.reader.read(&mut stream.connection.raw, self.splitter.buffer());
+            match pending::next_event(read, &mut self.pending, timeout).await {
+                pending::RequestEvent::Progress(read) => {
+                    // The other attempts go on if the stream is broken.
+                    let is_body_end = read.map_err(|_| StreamEnd::Broken)?;
+                    if is_silent {
+                        context.mark_resumed(replica, silent_since);
+                        context.progress.replica.replace(Some(replica.clone()));
+                        self.cancel_pending();
+                    }
+                    return Ok(is_body_end);
+                }
+                pending::RequestEvent::Attempt(other, start) => {
+                    if let Some(started) = self.end_attempt(&other, start) {
+                        context.progress.on_data(context::ResponsePhase::Events, silent_since);
+                        context.log_failed_attempt(
+                            replica,
+                            reason::RetryReason::ConnectionSilent,
+                            self.splitter.delivered(),
+                        );
+                        return Err(StreamEnd::TakenOver(started));
+                    }
+                }
+                pending::RequestEvent::Silence => {
+                    if !is_silent {
+                        is_silent = true;
+                        context.mark_silent(replica, silent_since);
+                    }
+                    self.take_over(true);
+                    let newest = self.pending.last();
+                    timeout = newest
+                        .map_or(SILENCE_TIMEOUT, |attempt| attempt.timeout.max(SILENCE_TIMEOUT));
+                }
+            }
+        }
+    }
 }
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -6,7 +6,6 @@
 use std::rc;
 use std::sync;
 
-use async_std::future;
 use async_std::io::WriteExt as _;
 use samphiremoor_base::id;
 use samphiremoor_base::time;
@@ -22,9 +21,9 @@
 const DEFAULT_MAX_IDLE: time::Millis = time::Millis::new(4_000);
 /// Margin before a replica's keep-alive timeout at which a connection is not reused.
 const IDLE_MARGIN: time::Millis = time::Millis::new(700);
-/// Timeout for the migration of a KV cache: it carries some hundred megabytes over a link shared
-/// with other migrations, and must fit within the shortest reclaim notice.
-const MIGRATION_TIMEOUT: time::Millis = time::Millis::new(1_500);
+/// Time after the end of a stream at its source for which its migration is awaited if the stream can
+/// resume without the KV cache.
+pub(crate) const MIGRATION_TIMEOUT: time::Millis = time::Millis::new(1_500);
 /// Number of responses to other requests that are skipped on one connection before it is closed.
 const MAX_SKIPPED_RESPONSES: u32 = 3;
 
@@ -196,17 +195,14 @@
     target: SocketAddr,
     request_id: &str,
 ) -> Option<sync::Arc<str>> {
-    let migration = async {
-        let mut connection = acquire(core, replica, source, true).await.ok()?;
-        let mut bytes = Vec::new();
-        core.adapter.codec.encode_migration(request_id, source, target, &mut bytes);
-        connection.raw.write(&bytes).await.ok()?;
-        let head = connection.raw.response_head().await.ok()?;
-        let framing = message::response_framing(&head, "POST").ok()?;
-        let body = connection.raw.body(framing, connection::MAX_RESPONSE_BODY).await.ok()?;
-        core.adapter.codec.decode_migration(head.status, &body, source)
-    };
-    future::timeout(MIGRATION_TIMEOUT.to_duration(), migration).await.unwrap_or(None)
+    let mut connection = acquire(core, replica, source, true).await.ok()?;
+    let mut bytes = Vec::new();
+    core.adapter.codec.encode_migration(request_id, source, target, &mut bytes);
+    connection.raw.write(&bytes).await.ok()?;
+    let head = connection.raw.response_head().await.ok()?;
+    let framing = message::response_framing(&head, "POST").ok()?;
+    let body = connection.raw.body(framing, connection::MAX_RESPONSE_BODY).await.ok()?;
+    core.adapter.codec.decode_migration(head.status, &body, source)
 }
 
 /// Converts the error of a failed read.
