Gateway: a takeover tries the next replica if the first can't be reached

What callers saw: a request whose replica was silent was sent to a replica that accepts no connections, and no third one was tried before the deadline, although no attempt was used up.

Cause: the time of the next check for silence came from the takeover, which was the last attempt that the route allowed, and so lay at the deadline. It stayed there after the takeover was cancelled.

The interval is now computed at each check from the attempts that remain, and is short after an attempt that reached no replica. The retry that such an attempt withdrew from the budget is used for the next one.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -19,9 +19,6 @@
 /// Multiple of the estimated time to first token or the route's latency target, whichever is
 /// longer, after which a stream whose response has not begun is sent to another replica as well.
 const STREAM_TIMEOUT_FACTOR: u64 = 2;
-/// Minimum time without a response after which a replica counts as silent, and time before the
-/// deadline from which a request is not sent to another replica.
-pub(crate) const MIN_TIMEOUT: time::Millis = time::Millis::new(50);
 
 /// How an attempt starts, or fails before it starts.
 pub(crate) enum AttemptStart {
@@ -185,26 +182,17 @@
         bytes
     }
 
-    /// Returns how long a replica may take until its response begins before it counts as silent.
-    /// `may_send` says whether the request may then be sent to another one.
-    pub(crate) fn first_byte_timeout(
-        &self,
-        selected: &selection::SelectedReplica,
-        may_send: bool,
-    ) -> time::Millis {
-        let time_left = self.request.deadline.since(self.core.now());
-        let latest = time_left.saturating_sub(MIN_TIMEOUT);
+    /// Returns how long a replica may take until its response begins before the request is sent to
+    /// another one.
+    pub(crate) fn first_byte_timeout(&self, selected: &selection::SelectedReplica) -> time::Millis {
         let latency_target = self.request.route.latency_target.get();
-        let timeout_ms = if !may_send {
-            latest.get()
-        } else if self.request.route.kind.is_stream() {
-            let state = self.core.state.borrow();
-            let ttft_estimate =
-                state.ttft_estimator.estimate_ttft_ms(self.service, selected.tokens_ahead);
-            latency_target.max(ttft_estimate as u64).saturating_mul(STREAM_TIMEOUT_FACTOR)
-        } else {
-            latency_target.saturating_mul(PLAIN_TIMEOUT_FACTOR)
-        };
-        time::Millis::new(timeout_ms).min(latest).max(MIN_TIMEOUT)
+        if !self.request.route.kind.is_stream() {
+            return time::Millis::new(latency_target.saturating_mul(PLAIN_TIMEOUT_FACTOR));
+        }
+        let state = self.core.state.borrow();
+        let ttft_estimate =
+            state.ttft_estimator.estimate_ttft_ms(self.service, selected.tokens_ahead);
+        let expected = latency_target.max(ttft_estimate as u64);
+        time::Millis::new(expected.saturating_mul(STREAM_TIMEOUT_FACTOR))
     }
 }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -25,6 +25,9 @@
 /// Number of attempts that failed to connect or reached a different replica after which a request
 /// is given up. No replica ran the request in them.
 const MAX_CONNECT_FAILURES: u32 = 4;
+/// Minimum interval between checks for silence, and time before the deadline from which a request is
+/// not sent to another replica.
+const MIN_SILENCE_INTERVAL: time::Millis = time::Millis::new(50);
 /// `Retry-After` of a request that no replica ran, in milliseconds. A replica that refused for lack
 /// of capacity has some again after a few responses.
 const NOT_RUN_RETRY_AFTER_MS: f64 = 250.0;
@@ -174,7 +177,7 @@
         &mut self,
         sink: &response::ResponseSink,
     ) -> Result<Box<attempt::StartedAttempt>, RequestOutcome> {
-        let mut check_at = self.next_silence_check();
+        let mut check_at = self.context.core.now() + self.silence_interval(time::Millis::default());
         loop {
             if self.pending.is_empty() {
                 if let Some(reason) = self.failure.take()
@@ -184,7 +187,7 @@
                 }
                 let selected = self.select_replica(sink)?;
                 self.begin_attempt(selected, None, sink.has_begun());
-                check_at = self.next_silence_check();
+                check_at = self.context.core.now() + self.silence_interval(time::Millis::default());
             }
             let timeout = check_at.since(self.context.core.now());
             let progress = std::future::pending::<convert::Infallible>();
@@ -201,17 +204,36 @@
                         self.context.mark_silent(&attempt.selected.replica, attempt.sent_at);
                     }
                     self.take_over(sink.has_begun());
-                    check_at = self.next_silence_check();
                 }
             }
+            check_at = self.context.core.now() + self.silence_interval(time::Millis::default());
         }
     }
 
-    /// Returns when the newest attempt counts as silent.
-    fn next_silence_check(&self) -> time::MonotonicTime {
-        let newest = self.pending.last();
-        let timeout = newest.map_or_else(time::Millis::default, |attempt| attempt.timeout);
-        self.context.core.now() + timeout
+    /// Returns the time after which a further silence of the pending attempts is noticed, which is
+    /// at least `min_interval` unless the deadline is near.
+    pub(crate) fn silence_interval(&self, min_interval: time::Millis) -> time::Millis {
+        let context::RequestContext { core, request, progress, .. } = self.context;
+        let time_left = request.deadline.since(core.now()).saturating_sub(MIN_SILENCE_INTERVAL);
+        let interval = if !progress.tracker.get().may_send() {
+            time_left
+        } else if self.is_unsent() {
+            MIN_SILENCE_INTERVAL
+        } else {
+            self.pending.last().map_or(min_interval, |attempt| attempt.timeout.max(min_interval))
+        };
+        interval.min(time_left).max(MIN_SILENCE_INTERVAL)
+    }
+
+    /// Whether the last attempt reached no replica that may have run the request.
+    fn is_unsent(&self) -> bool {
+        let unsent = [reason::RetryReason::ConnectFailed, reason::RetryReason::ReplicaLeaving];
+        self.failure.is_some_and(|failure| unsent.contains(&failure))
+    }
+
+    fn is_deadline_near(&self) -> bool {
+        let time_left = self.context.request.deadline.since(self.context.core.now());
+        time_left <= MIN_SILENCE_INTERVAL
     }
 
     /// Sends the request to a replica, whose response is awaited with the other pending ones.
@@ -227,10 +249,9 @@
         self.failure = None;
         let last_event_id = self.splitter.last_id();
         let resume = attempt::ResumePoint { last_event_id, has_begun, kv_location };
-        let may_send = self.context.progress.tracker.get().may_send();
         self.pending.push(pending::PendingAttempt {
             sent_at: self.context.core.now(),
-            timeout: self.context.first_byte_timeout(&selected, may_send),
+            timeout: self.context.first_byte_timeout(&selected),
             is_silent: false,
             start: Box::pin(self.context.start_attempt(selected.clone(), resume)),
             selected,
@@ -240,13 +261,19 @@
     /// Sends the request to another replica while those that have it are silent, if that is allowed.
     /// `has_begun` says whether a stream is in progress, which only events can continue.
     pub(crate) fn take_over(&mut self, has_begun: bool) {
-        let context::RequestContext { core, request, progress, .. } = self.context;
-        let time_left = request.deadline.since(core.now());
-        if time_left <= attempt::MIN_TIMEOUT || !progress.tracker.get().may_send() {
+        // The retry that an attempt withdrew without reaching a replica is still available.
+        let reason = match self.is_unsent() {
+            true => reason::RetryReason::ConnectFailed,
+            false => reason::RetryReason::ConnectionSilent,
+        };
+        self.failure = None;
+        let may_send = self.context.progress.tracker.get().may_send();
+        let is_exhausted = self.connect_failures >= MAX_CONNECT_FAILURES;
+        if !may_send || is_exhausted || self.is_deadline_near() {
             return;
         }
         let Some(selected) = self.query_replica(&self.excluded, false) else { return };
-        if !self.withdraw_retry(reason::RetryReason::ConnectionSilent) {
+        if !self.withdraw_retry(reason) {
             return;
         }
         self.begin_attempt(selected, None, has_begun);
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -126,6 +126,7 @@
                         );
                         return Err(StreamEnd::TakenOver(started));
                     }
+                    timeout = self.silence_interval(SILENCE_TIMEOUT);
                 }
                 pending::RequestEvent::Silence => {
                     if !is_silent {
@@ -133,9 +134,7 @@
                         context.mark_silent(replica, silent_since);
                     }
                     self.take_over(true);
-                    let newest = self.pending.last();
-                    timeout = newest
-                        .map_or(SILENCE_TIMEOUT, |attempt| attempt.timeout.max(SILENCE_TIMEOUT));
+                    timeout = self.silence_interval(SILENCE_TIMEOUT);
                 }
             }
         }
