Gateway: a replica's error is delivered if the silent replica never responds

What callers saw: 504 at the deadline in place of the 500 of a replica, while another replica of the request was silent (`server_error_is_lost_beside_a_silent_replica`).

Cause: since a silent attempt is kept until the deadline, the deadline ended the request while the error was held for the case that the silent replica succeeds. Shortly before the deadline the error is now delivered.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -203,6 +203,10 @@
                         attempt.is_silent = true;
                         self.context.mark_silent(&attempt.selected.replica, attempt.sent_at);
                     }
+                    if self.server_error.is_some() && self.is_deadline_near() {
+                        let reason = reason::RefusalReason::DeadlinePassed;
+                        return Err(self.end_unanswered(sink, reason, NOT_RUN_RETRY_AFTER_MS));
+                    }
                     self.take_over(sink.has_begun());
                 }
             }
