Entry: a planned stop finishes the keyed calls that run for other daemons

What callers saw: `unknown` for a keyed call of a daemon that was not stopped, when the daemon that holds the shard of its key stopped as planned and the service took longer than stop.hand_over_ms (3 s) to respond. Cause: the stop waits for the requests of its own callers without a limit, but gave the shards hand_over_ms for all that runs there, among it the calls of other daemons' callers; then the process exits, and the next holder finds a claim without a result. Change: keyed runs are counted where they run, and a stop that is not forced waits for them within the limit that it has (stop.limit_ms). The shards begin no calls meanwhile. A forced stop is as before.

--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -51,7 +51,9 @@
     /// Number of requests in progress.
     pub in_progress: atomic::AtomicUsize,
     /// Number of calls whose response is not written to its end.
-    pub open_responses: atomic::AtomicUsize,
+    pub open_responses: Arc<atomic::AtomicUsize>,
+    /// Number of keyed calls that run here, for the callers of all daemons.
+    pub keyed_runs: Arc<atomic::AtomicUsize>,
     /// The latest view; empty before the first one.
     view: ArcSwapOption<snapshot::ViewSnapshot>,
     picker: sync::Mutex<Box<dyn picker::ReplicaPicker>>,
@@ -90,7 +92,8 @@
             reclaimed: server::StopSignal::new(),
             shutdown: server::StopSignal::new(),
             in_progress: atomic::AtomicUsize::new(0),
-            open_responses: atomic::AtomicUsize::new(0),
+            open_responses: Arc::default(),
+            keyed_runs: Arc::default(),
             view: ArcSwapOption::empty(),
             picker: sync::Mutex::new(policies.picker),
             gate: sync::Mutex::new(policies.gate),
@@ -382,22 +385,20 @@
     }
 }
 
-/// Counts a call as one whose response is not written, until dropped.
-pub struct OpenResponse {
-    core: Arc<EntryCore>,
-}
+/// Adds one to a count until dropped.
+pub struct CountGuard(Arc<atomic::AtomicUsize>);
 
-impl OpenResponse {
-    /// Counts a call.
-    pub fn new(core: &Arc<EntryCore>) -> Self {
-        core.open_responses.fetch_add(1, atomic::Ordering::Relaxed);
-        OpenResponse { core: core.clone() }
+impl CountGuard {
+    /// Adds one to the count.
+    pub fn new(count: &Arc<atomic::AtomicUsize>) -> Self {
+        count.fetch_add(1, atomic::Ordering::Relaxed);
+        CountGuard(count.clone())
     }
 }
 
-impl Drop for OpenResponse {
+impl Drop for CountGuard {
     fn drop(&mut self) {
-        self.core.open_responses.fetch_sub(1, atomic::Ordering::Relaxed);
+        self.0.fetch_sub(1, atomic::Ordering::Relaxed);
     }
 }
 
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -225,6 +225,7 @@
         let mut is_reclaim_handled = false;
         while !self.is_wait_over(limit) {
             if self.is_idle() && self.core.now() >= grace_end {
+                self.stop_shards(limit).await;
                 self.shut_down().await;
                 return StopOutcome::Finished;
             }
@@ -238,6 +239,7 @@
         log_event!(event::LogEvent::StopForced);
         self.core.intake_closed.trigger();
         self.hand_over_remaining().await;
+        self.stop_shards(Some(self.core.now())).await;
         self.shut_down().await;
         StopOutcome::Forced
     }
@@ -272,10 +274,19 @@
         open_count(&core.in_progress) == 0 && open_count(&core.open_responses) == 0
     }
 
-    async fn shut_down(&self) {
-        if let Some(shards) = &self.shards {
-            shards.stop(self.core.settings.stop.hand_over_ms).await;
+    /// Stops the shards. Keyed calls that run here, also for other daemons, can finish until `limit`.
+    async fn stop_shards(&self, limit: Option<time::MonotonicTime>) {
+        let Some(shards) = &self.shards else { return };
+        loop {
+            let has_runs = self.core.keyed_runs.load(atomic::Ordering::Relaxed) > 0;
+            let is_stopped = shards.stop(self.core.settings.stop.hand_over_ms).await;
+            if is_stopped || !has_runs || self.is_wait_over(limit) {
+                return;
+            }
         }
+    }
+
+    async fn shut_down(&self) {
         self.server_stop.trigger();
         self.core.shutdown.trigger();
         let control = self.control.lock().unwrap_or_else(sync::PoisonError::into_inner).take();
--- a/crates/entry/src/keyed.rs
+++ b/crates/entry/src/keyed.rs
@@ -119,6 +119,7 @@
 #[async_trait]
 impl call::CallRunner for ClaimedRunner {
     async fn run(&self, call: &call::KeyedCall) -> call::RunOutcome {
+        let _run = core::CountGuard::new(&self.core.keyed_runs);
         let started_at = self.core.now();
         let not_run = |reason| call::RunOutcome::NotRun { reason, retry_after: None };
         let context = match self.wait_for_context(call).await {
--- a/crates/entry/src/serve/handler.rs
+++ b/crates/entry/src/serve/handler.rs
@@ -65,7 +65,7 @@
         if let Some(response) = probe_response(&self.core, &request) {
             return response;
         }
-        let open_response = core::OpenResponse::new(&self.core);
+        let open_response = core::CountGuard::new(&self.core.open_responses);
         let id = self.core.new_request_id();
         let served = self.serve_call(id.clone(), request).await;
         let mut response =
--- a/crates/entry/tests/ended_answers.rs
+++ b/crates/entry/tests/ended_answers.rs
@@ -17,6 +17,7 @@
 use http_types::Method;
 use samphiremoor_base::cases;
 use samphiremoor_base::quantity;
+use samphiremoor_base::time::Millis;
 use samphiremoor_entry::daemon;
 
 /// Silence of a service, which is longer than all limits for upstreams in the test's settings.
@@ -99,3 +100,33 @@
     let received = reading.join().expect("the caller reads").expect("the response is whole");
     assert!(received > LARGE_BYTES, "{received} bytes");
 }
+
+// Keyed calls run at the daemon that holds the shard of their key, for the callers of all daemons.
+#[test]
+fn planned_stop_cuts_the_keyed_calls_of_other_daemons() {
+    const PARTS: &[&str] = &["HTTP/1.1 201 Made\r\ncontent-length: 4\r\n\r\ndone"];
+    let view = fixture::SharedView::new(&[], &[start_slow_service(PARTS)]);
+    let holder = fixture::TestDaemon::start_with(&view, |settings| {
+        settings.stop.hand_over_ms = Millis::new(100);
+    });
+    holder.wait_for_shards();
+    let other = fixture::TestDaemon::start(&view);
+    holder.wait_for_view();
+    other.wait_for_shards();
+    let path = format!("/v1/services/{}/slots/7", fixture::BOOKING);
+    let send = |number| {
+        let call =
+            TestCall::new(other.entry.address(), Method::Post, &path, fixture::KEY).body("{}");
+        task::spawn(call.header("Idempotency-Key", &format!("key-{number}")).full())
+    };
+    let calls: Vec<_> = (0..16).map(send).collect();
+    let run_count = || holder.entry.core().keyed_runs.load(atomic::Ordering::Relaxed);
+    fixture::wait_until("the holder runs calls", || run_count() > 0);
+    holder.entry.stop();
+    task::block_on(holder.entry.finish());
+    assert_eq!(run_count(), 0, "calls of the other daemon still run at the stopped one");
+    for call in calls {
+        let response = task::block_on(call);
+        assert_eq!(response.outcome.as_deref(), Some("complete"), "{response:?}");
+    }
+}
--- a/crates/shards/src/service.rs
+++ b/crates/shards/src/service.rs
@@ -94,12 +94,13 @@
         }
     }
 
-    /// Finishes running calls and releases all leases, within `time_limit`.
-    pub async fn stop(&self, time_limit: time::Millis) {
+    /// Finishes running calls and releases all leases. Returns whether that is done within
+    /// `time_limit`; if not, it goes on and can be waited for again.
+    pub async fn stop(&self, time_limit: time::Millis) -> bool {
         let (responder, receiver) = channel::bounded(1);
         self.state.send(event::ControlEvent::Stop(responder)).await;
         // Leases that are not released by then expire and are taken over by other daemons.
-        let _ = future::timeout(time_limit.to_duration(), receiver.recv()).await;
+        matches!(future::timeout(time_limit.to_duration(), receiver.recv()).await, Ok(Ok(())))
     }
 }
 
