Gateway: a refusal whose body stalls no longer holds its request

What callers saw: 504 at the deadline for a request that no replica ran, if the replica that refused it fell silent in the body of its refusal or sent one without a length. Cause: the head says that the request did not run; the body was read, only to reuse the connection, until the deadline. Change: the body has 100 ms. Past it the connection is dropped, and the refusal counts as any other: another replica, or 503 with the time to come back.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -3,6 +3,7 @@
 
 use std::sync;
 
+use async_std::future;
 use samphiremoor_base::reason;
 use samphiremoor_base::time;
 use samphiremoor_fleet::selection;
@@ -23,6 +24,9 @@
 /// deadline from which a request is not sent to another replica.
 pub(crate) const MIN_TIMEOUT: time::Millis = time::Millis::new(50);
 
+/// Timeout for the body of a refusal, which is short and arrives together with its head.
+const REFUSAL_BODY_TIMEOUT: time::Millis = time::Millis::new(100);
+
 /// How an attempt starts, or fails before it starts.
 pub(crate) enum AttemptStart {
     /// The response has begun and can be relayed.
@@ -115,7 +119,9 @@
             let is_other = response.metadata.is_other_replica;
             // The body of a refusal is short. If it can't be read to its end, the connection is not
             // reused.
-            if upstream::read_body(&mut connection, &response).await.is_ok() {
+            let body_read = upstream::read_body(&mut connection, &response);
+            let read = future::timeout(REFUSAL_BODY_TIMEOUT.to_duration(), body_read).await;
+            if matches!(read, Ok(Ok(_))) {
                 upstream::release(self.core, &selected.replica, connection, &response);
             }
             if is_other {
