HTTP client: a body that ends with its connection is read

A caller of a plain service whose response has no length got 200 with an empty body, complete. Cause: async-h1's client sets a body only for a length or chunked coding. Change: httpio::response_reader reads the client's responses with the parser of httpio::message; framing and its end are decided by the pure message::BodyDecoder, which connection::BodyReader now uses too. async-h1 still encodes the requests.

--- a/crates/httpio/src/client.rs
+++ b/crates/httpio/src/client.rs
@@ -12,6 +12,7 @@
 use http_types::Url;
 use samphiremoor_base::time;
 
+use crate::response_reader;
 use crate::timeout_stream;
 
 /// Timeouts of one call.
@@ -84,9 +85,14 @@
     };
     // Nagle's algorithm would delay small writes until earlier ones are acknowledged.
     stream.set_nodelay(true).map_err(CallError::NotConnected)?;
-    let stream = timeout_stream::TimeoutStream::new(stream, limits.head, limits.head);
+    let mut stream = timeout_stream::TimeoutStream::new(stream, limits.head, limits.head);
     let read_timeout = stream.read_timeout();
-    let exchange = async_h1::connect(stream, request);
+    let method = request.method();
+    let exchange = async {
+        let mut encoder = async_h1::client::Encoder::new(request);
+        futures_lite::io::copy(&mut encoder, &mut stream).await?;
+        response_reader::read(stream, method).await
+    };
     match future::timeout(limits.head.to_duration(), exchange).await {
         Ok(Ok(response)) => {
             // All further reads are of the body.
--- a/crates/httpio/src/connection.rs
+++ b/crates/httpio/src/connection.rs
@@ -15,7 +15,7 @@
 /// Size of the read buffer of an idle connection, and the step by which the buffer grows.
 const READ_BUFFER_BYTES: usize = 8 * 1024;
 /// Maximum size of a response head.
-const MAX_RESPONSE_HEAD: quantity::ByteCount = quantity::ByteCount::new(64 * 1024);
+pub(crate) const MAX_RESPONSE_HEAD: quantity::ByteCount = quantity::ByteCount::new(64 * 1024);
 /// Maximum size of a response body that is buffered whole.
 pub const MAX_RESPONSE_BODY: quantity::ByteCount = quantity::ByteCount::new(16 * 1024 * 1024);
 /// Bytes of pipelined requests that are buffered; further bytes stay in the socket.
@@ -234,19 +234,13 @@
 /// Reads one body incrementally.
 #[derive(Clone, Copy, Debug)]
 pub struct BodyReader {
-    framing: message::BodyFraming,
-    remaining: u64,
-    decoder: message::ChunkDecoder,
+    decoder: message::BodyDecoder,
 }
 
 impl BodyReader {
     /// Creates a reader at the start of a body.
     pub fn new(framing: message::BodyFraming) -> Self {
-        let remaining = match framing {
-            message::BodyFraming::Length(length) => length,
-            _ => 0,
-        };
-        BodyReader { framing, remaining, decoder: message::ChunkDecoder::default() }
+        BodyReader { decoder: message::BodyDecoder::new(framing) }
     }
 
     /// Appends body bytes to `out` and returns whether the body is complete.
@@ -270,9 +264,9 @@
             return Ok(false);
         }
         if connection.fill().await? == 0 {
-            return match self.framing {
-                message::BodyFraming::UntilClose => Ok(true),
-                _ => Err(ReadError::Broken(io::ErrorKind::UnexpectedEof.into())),
+            return match self.decoder.is_done_at_close() {
+                true => Ok(true),
+                false => Err(ReadError::Broken(io::ErrorKind::UnexpectedEof.into())),
             };
         }
         self.take(connection, out)
@@ -284,26 +278,8 @@
         connection: &mut RawConnection,
         out: &mut Vec<u8>,
     ) -> Result<bool, ReadError> {
-        let buffered = connection.buffered();
-        let taken = match self.framing {
-            message::BodyFraming::Chunked => self.decoder.decode(buffered, out)?,
-            message::BodyFraming::UntilClose => {
-                out.extend_from_slice(buffered);
-                buffered.len()
-            }
-            message::BodyFraming::Length(_) => {
-                let count =
-                    buffered.len().min(usize::try_from(self.remaining).unwrap_or(usize::MAX));
-                out.extend_from_slice(&buffered[..count]);
-                self.remaining -= count as u64;
-                count
-            }
-        };
+        let taken = self.decoder.decode(connection.buffered(), out)?;
         connection.consume(taken);
-        Ok(match self.framing {
-            message::BodyFraming::Chunked => self.decoder.is_done(),
-            message::BodyFraming::Length(_) => self.remaining == 0,
-            message::BodyFraming::UntilClose => false,
-        })
+        Ok(self.decoder.is_done())
     }
 }
--- a/crates/httpio/src/message.rs
+++ b/crates/httpio/src/message.rs
@@ -1,9 +1,9 @@
 //! Parsing of the heads and the body framing of raw HTTP/1.1 messages, without I/O.
 //!
-//! Used for connections on which bodies are relayed unchanged. To prevent request smuggling, messages
-//! that two parsers could read differently are refused: two lengths, a length together with chunked
-//! coding, folded lines, lines that end with a bare LF, and chunk sizes that are not plain
-//! hexadecimal numbers.
+//! Used for the responses to clients and for connections on which bodies are relayed unchanged. To
+//! prevent request smuggling, messages that two parsers could read differently are refused: two
+//! lengths, a length together with chunked coding, folded lines, lines that end with a bare LF, and
+//! chunk sizes that are not plain hexadecimal numbers.
 
 use std::error;
 use std::fmt;
@@ -370,6 +370,63 @@
     }
 }
 
+/// Decodes a body incrementally.
+#[derive(Clone, Copy, Debug)]
+pub struct BodyDecoder {
+    framing: BodyFraming,
+    /// Bytes left of a body that is delimited by its length.
+    remaining: u64,
+    chunks: ChunkDecoder,
+}
+
+impl BodyDecoder {
+    /// Creates a decoder at the start of a body.
+    pub fn new(framing: BodyFraming) -> Self {
+        let remaining = match framing {
+            BodyFraming::Length(length) => length,
+            BodyFraming::Chunked | BodyFraming::UntilClose => 0,
+        };
+        BodyDecoder { framing, remaining, chunks: ChunkDecoder::default() }
+    }
+
+    /// Appends the decoded `bytes` to `out` and returns the number of bytes consumed.
+    ///
+    /// Bytes after the end of the body are not consumed.
+    ///
+    /// # Errors
+    ///
+    /// Fails on malformed chunks.
+    pub fn decode(&mut self, bytes: &[u8], out: &mut Vec<u8>) -> Result<usize, MessageError> {
+        match self.framing {
+            BodyFraming::Chunked => self.chunks.decode(bytes, out),
+            BodyFraming::UntilClose => {
+                out.extend_from_slice(bytes);
+                Ok(bytes.len())
+            }
+            BodyFraming::Length(_) => {
+                let count = bytes.len().min(usize::try_from(self.remaining).unwrap_or(usize::MAX));
+                out.extend_from_slice(&bytes[..count]);
+                self.remaining -= count as u64;
+                Ok(count)
+            }
+        }
+    }
+
+    /// Whether the body is complete while the connection is open.
+    pub fn is_done(&self) -> bool {
+        match self.framing {
+            BodyFraming::Chunked => self.chunks.is_done(),
+            BodyFraming::Length(_) => self.remaining == 0,
+            BodyFraming::UntilClose => false,
+        }
+    }
+
+    /// Whether the body is complete if the connection closes now.
+    pub fn is_done_at_close(&self) -> bool {
+        self.framing == BodyFraming::UntilClose || self.is_done()
+    }
+}
+
 /// Returns the first line without its CRLF; `None` while the line is incomplete.
 fn split_line(bytes: &[u8]) -> Result<Option<&[u8]>, MessageError> {
     let Some(end) = bytes.iter().position(|byte| *byte == b'\n') else {
