Quota: a late refund is taken off the step in which its request was admitted

A workspace could run more than its limit in a window: a request that waits for seconds and is given up unrun returned its units to the newest step of the window, which stays when the step of its admission has expired. In the test 1,090 units in a window that allows 1,080. Cause: refund subtracted the units from the last entry of `consumed`, whatever it held. Change: refund takes the time of the admission and subtracts from that step; a step that has left the window is no longer counted, and neither is its refund.

--- a/crates/fleet/src/quota.rs
+++ b/crates/fleet/src/quota.rs
@@ -281,14 +281,20 @@
         Err(time::Millis::new(wait.max(0.0) as u64).max(self.propagation_delay))
     }
 
-    /// Returns the units of a request that did not run to the bucket.
-    pub fn refund(&mut self, workspace: &id::WorkspaceId, tokens: Option<u64>) {
+    /// Returns the units of a request that was admitted at `admitted_at` and did not run.
+    pub fn refund(
+        &mut self,
+        workspace: &id::WorkspaceId,
+        tokens: Option<u64>,
+        admitted_at: time::MonotonicTime,
+    ) {
         let Some(bucket) = self.buckets.get_mut(workspace) else { return };
         let units = bucket.units(tokens);
         bucket.level = (bucket.level + units).min(bucket.rule.burst);
         // Peers subtract the rise of this total from one report to the next, and ignore a fall.
         bucket.admitted_units -= units;
-        if let Some((_, consumed)) = bucket.consumed.back_mut() {
+        let mut steps = bucket.consumed.iter_mut().rev();
+        if let Some((_, consumed)) = steps.find(|(start, _)| *start <= admitted_at) {
             *consumed -= units;
         }
     }
--- a/crates/fleet/tests/quota.rs
+++ b/crates/fleet/tests/quota.rs
@@ -9,6 +9,7 @@
 use samphiremoor_base::id;
 use samphiremoor_base::quantity;
 use samphiremoor_base::time;
+use samphiremoor_fleet::digest;
 use samphiremoor_fleet::policy;
 use samphiremoor_fleet::quota;
 
@@ -307,3 +308,35 @@
     );
     assert!(limiter.try_acquire(&workspace(), Some(9), 0.0, now).is_err());
 }
+
+// The units of a request that is given up late must not be taken off those admitted since, which
+// stay in the window for longer.
+#[test]
+fn late_refund_leaves_later_admissions_in_the_window() {
+    let window = time::Millis::new(WINDOW_MS);
+    let tolerance = quota::QuotaTolerance { window, excess_ratio: 0.0, excess_units: 0.0 };
+    let mut limiter = quota::QuotaLimiter::new(tolerance);
+    let quota =
+        policy::QuotaRule { rate: 10.0, burst: 1_000.0, counts_tokens: true, default_tokens: 1 };
+    let rule = policy::WorkspaceRule { id: workspace(), priority: None, quota: Some(quota) };
+    limiter.configure(&[sync::Arc::new(rule)], time::MonotonicTime::new(0));
+    limiter.set_propagation(2, time::Millis::new(0));
+    let acquire = |limiter: &mut quota::QuotaLimiter, tokens: u64, now_ms: u64| {
+        let now = time::MonotonicTime::new(now_ms);
+        // Nearly all of the demand is at the peer, so that only the window admits requests here.
+        let demand = digest::WorkspaceDemand {
+            workspace: workspace(),
+            admitted_units: 0.0,
+            requested_rate: 10_000.0,
+            admitted_rate: 0.0,
+        };
+        let peer = "peer".parse().expect("the name is an identifier");
+        limiter.observe_peer_demands(&peer, quantity::Incarnation::new(1), &[demand], now);
+        limiter.try_acquire(&workspace(), Some(tokens), 1.0, now).is_ok()
+    };
+    assert!(acquire(&mut limiter, 900, 100_000));
+    assert!(acquire(&mut limiter, 150, 106_000));
+    limiter.refund(&workspace(), Some(900), time::MonotonicTime::new(100_000));
+    assert!(acquire(&mut limiter, 900, 109_000), "the refunded units are admitted again");
+    assert!(!acquire(&mut limiter, 40, 109_000), "1,090 units in a window that allows 1,080");
+}
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -202,6 +202,7 @@
             return is_written;
         }
     };
+    let admitted_at = core.now();
     let mut sink = new_sink(request.metadata.request_id.clone());
     core.state.borrow_mut().in_progress += 1;
     let progress = forward::RequestProgress::new(&request.route);
@@ -221,7 +222,7 @@
         let reason = reason::RefusalReason::DeadlinePassed;
         forward::unanswered_outcome(&progress, &sink, reason, UNAVAILABLE_RETRY_AFTER)
     });
-    refund_unrun(core, &request, &progress);
+    refund_unrun(core, &request, &progress, admitted_at);
     let request_id = request.metadata.request_id.as_deref();
     let is_reusable = match outcome {
         forward::RequestOutcome::Answered(_) => true,
@@ -306,11 +307,12 @@
     core: &core::GatewayCore,
     request: &forward::IncomingRequest,
     progress: &forward::RequestProgress,
+    admitted_at: time::MonotonicTime,
 ) {
     let Some(workspace) = &request.workspace else { return };
     if progress.tracker.get().is_known_not_run() {
         let tokens = request.metadata.prompt.as_ref().map(selection::PromptSize::quota_tokens);
-        core.state.borrow_mut().quota.refund(&workspace.id, tokens);
+        core.state.borrow_mut().quota.refund(&workspace.id, tokens, admitted_at);
     }
 }
 
