Gateway: takeovers of refused attempts stay in the retry budget

What happened: after a takeover that a different replica at the address refused (421), the next takeover withdrew nothing from the retry budget, although the refused request had arrived there. 4 takeovers in place of the 3 that the budget granted (`takeovers_of_wrong_replicas_exceed_the_retry_budget`).

Cause: treated such an attempt like one that opened no connection. Only the latter leaves its retry unused.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -265,12 +265,11 @@
     /// Sends the request to another replica while those that have it are silent, if that is allowed.
     /// `has_begun` says whether a stream is in progress, which only events can continue.
     pub(crate) fn take_over(&mut self, has_begun: bool) {
-        // The retry that an attempt withdrew without reaching a replica is still available.
-        let reason = match self.is_unsent() {
-            true => reason::RetryReason::ConnectFailed,
-            false => reason::RetryReason::ConnectionSilent,
+        // The retry that an attempt withdrew and did not use is still available.
+        let reason = match self.failure.take() {
+            Some(reason::RetryReason::ConnectFailed) => reason::RetryReason::ConnectFailed,
+            _ => reason::RetryReason::ConnectionSilent,
         };
-        self.failure = None;
         let may_send = self.context.progress.tracker.get().may_send();
         let is_exhausted = self.connect_failures >= MAX_CONNECT_FAILURES;
         if !may_send || is_exhausted || self.is_deadline_near() {
