Replica entries: software versions, also between daemons

Entries state the version of a replica's software, which the gateway dropped. It is now decoded, kept with the entry and named in E0401. Daemons serve entries to each other in postcard, which is not self-describing: the list of entries keeps its layout, and a list of versions follows. Releases that know no versions ignore what follows, and their lists are read without versions; a version that is known is kept when such a list is applied.

No request is treated differently yet.

--- a/crates/fleet/src/replica.rs
+++ b/crates/fleet/src/replica.rs
@@ -2,7 +2,11 @@
 //! digests of peers.
 
 use std::collections;
+use std::error;
+use std::fmt;
 use std::net;
+use std::str;
+use std::sync;
 
 use samphiremoor_base::id;
 use samphiremoor_base::quantity;
@@ -38,9 +42,73 @@
 /// this time. An engine prefills some ten thousand tokens meanwhile.
 const PENDING_TIME_CONSTANT: time::Millis = time::Millis::new(300);
 
+/// Maximum length of a software version, in bytes.
+pub const MAX_VERSION_BYTES: usize = 200;
+
+/// Error for a text that is not a valid software version.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum VersionError {
+    /// The text is empty.
+    Empty,
+    /// The text has this many bytes, more than [`MAX_VERSION_BYTES`].
+    TooLong(usize),
+    /// The text contains a control character.
+    ControlCharacter,
+}
+
+impl fmt::Display for VersionError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            VersionError::Empty => f.write_str("the version is empty; give at least one character"),
+            VersionError::TooLong(length) => {
+                write!(f, "the version has {length} bytes; shorten it to {MAX_VERSION_BYTES}")
+            }
+            VersionError::ControlCharacter => {
+                f.write_str("the version holds a control character; use printable ones")
+            }
+        }
+    }
+}
+
+impl error::Error for VersionError {}
+
+/// Version of the software that a replica runs, as opposed to that of its weights. Versions have no
+/// order.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct SoftwareVersion(sync::Arc<str>);
+
+impl SoftwareVersion {
+    /// Returns the version as text.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Display for SoftwareVersion {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl str::FromStr for SoftwareVersion {
+    type Err = VersionError;
+
+    fn from_str(text: &str) -> Result<Self, VersionError> {
+        if text.is_empty() {
+            return Err(VersionError::Empty);
+        }
+        if text.len() > MAX_VERSION_BYTES {
+            return Err(VersionError::TooLong(text.len()));
+        }
+        if text.chars().any(char::is_control) {
+            return Err(VersionError::ControlCharacter);
+        }
+        Ok(SoftwareVersion(text.into()))
+    }
+}
+
 /// Entry with which a replica registers itself in the table.
 #[derive(Clone, Debug, PartialEq)]
-#[derive(serde::Deserialize, serde::Serialize)]
 pub struct ReplicaEntry {
     /// Id of the replica.
     pub id: id::ReplicaId,
@@ -50,6 +118,8 @@
     pub address: net::SocketAddr,
     /// Availability zone of the replica.
     pub zone: id::ZoneId,
+    /// Version of the replica's software; `None` if not reported.
+    pub version: Option<SoftwareVersion>,
     /// Number of requests that the replica processes concurrently.
     pub slots: u32,
     /// Whether the replica is draining, that is, accepts no new requests.
@@ -136,11 +206,16 @@
                     && replica.entry.address == entry.address =>
             {
                 replica.missing_since = None;
-                let was_draining = replica.entry.is_draining;
-                replica.entry = entry;
+                let previous = std::mem::replace(&mut replica.entry, entry);
                 // A replica never stops draining, so an entry that says otherwise is outdated.
-                replica.entry.is_draining |= was_draining;
-                if is_draining && !was_draining {
+                replica.entry.is_draining |= previous.is_draining;
+                if replica.entry.version.is_none() {
+                    // Daemons that don't know versions pass entries on without them.
+                    replica.entry.version = previous.version;
+                } else if replica.entry.version != previous.version {
+                    self.version += 1;
+                }
+                if is_draining && !previous.is_draining {
                     self.version += 1;
                     changes.push(ReplicaChange::Leaving(id));
                 }
--- a/crates/fleet/tests/entries/mod.rs
+++ b/crates/fleet/tests/entries/mod.rs
@@ -23,6 +23,7 @@
         service: service(),
         address: format!("10.0.0.{index}:80").parse().expect("the address is valid"),
         zone: zone(index),
+        version: None,
         slots: 64,
         is_draining: false,
         incarnation: quantity::Incarnation::new(incarnation),
--- a/crates/fleet/tests/replica.rs
+++ b/crates/fleet/tests/replica.rs
@@ -19,6 +19,7 @@
         service: "desk".parse().expect("the name is an identifier"),
         address: "10.0.0.1:80".parse().expect("the address is valid"),
         zone: "north".parse().expect("the name is an identifier"),
+        version: None,
         slots: 6,
         is_draining,
         incarnation: quantity::Incarnation::new(incarnation),
@@ -27,6 +28,48 @@
     }
 }
 
+fn versioned_entry(incarnation: u64, version: Option<&str>) -> replica::ReplicaEntry {
+    let version = version.map(|version| version.parse().expect("the version is valid"));
+    replica::ReplicaEntry { version, ..entry(incarnation, false) }
+}
+
+fn version(table: &replica::ReplicaTable) -> Option<&str> {
+    table.get(&replica_id())?.entry.version.as_ref().map(replica::SoftwareVersion::as_str)
+}
+
+fn check_version(text: &str, expected: Result<&str, replica::VersionError>) {
+    let parsed = text.parse::<replica::SoftwareVersion>().map(|version| version.to_string());
+    assert_eq!(parsed.as_deref(), expected.as_ref().copied());
+}
+
+samphiremoor_base::cases! {
+    version_is_any_printable_text => check_version("v1.2 (build 7)", Ok("v1.2 (build 7)"));
+    empty_version => check_version("", Err(replica::VersionError::Empty));
+    long_version => check_version(&"x".repeat(201), Err(replica::VersionError::TooLong(201)));
+    version_with_line_end => check_version("v1\n", Err(replica::VersionError::ControlCharacter));
+}
+
+// Peers of an earlier release serve entries without versions.
+#[test]
+fn entry_without_version_keeps_the_known_one_of_its_incarnation() {
+    let mut table = replica::ReplicaTable::default();
+    table.upsert(versioned_entry(1, Some("v1")));
+    table.upsert(versioned_entry(1, None));
+    assert_eq!(version(&table), Some("v1"));
+    table.upsert(versioned_entry(2, None));
+    assert_eq!(version(&table), None);
+}
+
+#[test]
+fn version_that_becomes_known_is_announced_to_peers() {
+    let mut table = replica::ReplicaTable::default();
+    table.upsert(versioned_entry(1, None));
+    let announced = table.version();
+    table.upsert(versioned_entry(1, Some("v1")));
+    assert_eq!(version(&table), Some("v1"));
+    assert!(table.version() > announced);
+}
+
 fn is_available(table: &replica::ReplicaTable, now_ms: u64) -> bool {
     table.get(&replica_id()).is_some_and(|replica| replica.is_available(monotonic_ms(now_ms)))
 }
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -257,10 +257,12 @@
                     let entry =
                         state.replicas.get(replica).map(|known_replica| &known_replica.entry);
                     let address = entry.map(|entry| entry.address.to_string()).unwrap_or_default();
+                    let version = entry.and_then(|entry| entry.version.as_ref());
                     log_event!(
                         event::LogEvent::UpstreamJoined,
                         replica = replica,
                         address = address,
+                        version = version.map_or("-", replica::SoftwareVersion::as_str),
                         source = source,
                     );
                 }
--- a/crates/gateway/src/peer_records.rs
+++ b/crates/gateway/src/peer_records.rs
@@ -2,10 +2,14 @@
 
 use std::net::SocketAddr;
 
+use samphiremoor_base::id;
+use samphiremoor_base::quantity;
 use samphiremoor_base::time;
 use samphiremoor_fleet::replica;
 use samphiremoor_httpio::persistent;
 use samphiremoor_platform::table;
+use serde::Deserialize;
+use serde::Serialize;
 
 use crate::core;
 
@@ -16,6 +20,90 @@
 /// Path of the known replica entries.
 const ENTRIES_PATH: &str = "/entries";
 
+/// Entry of a replica as it is sent to peers. Its layout is that of earlier releases, which know no
+/// software versions: they read the list of entries and ignore the list of versions that follows.
+#[derive(Clone, Debug)]
+#[derive(Deserialize, Serialize)]
+struct EntryWire {
+    id: id::ReplicaId,
+    service: id::ServiceId,
+    address: SocketAddr,
+    zone: id::ZoneId,
+    slots: u32,
+    is_draining: bool,
+    incarnation: quantity::Incarnation,
+    is_reclaimable: bool,
+    time_to_reclaim: Option<time::Millis>,
+}
+
+impl From<&replica::ReplicaEntry> for EntryWire {
+    fn from(entry: &replica::ReplicaEntry) -> Self {
+        EntryWire {
+            id: entry.id.clone(),
+            service: entry.service.clone(),
+            address: entry.address,
+            zone: entry.zone.clone(),
+            slots: entry.slots,
+            is_draining: entry.is_draining,
+            incarnation: entry.incarnation,
+            is_reclaimable: entry.is_reclaimable,
+            time_to_reclaim: entry.time_to_reclaim,
+        }
+    }
+}
+
+impl From<EntryWire> for replica::ReplicaEntry {
+    fn from(wire: EntryWire) -> Self {
+        replica::ReplicaEntry {
+            id: wire.id,
+            service: wire.service,
+            address: wire.address,
+            zone: wire.zone,
+            version: None,
+            slots: wire.slots,
+            is_draining: wire.is_draining,
+            incarnation: wire.incarnation,
+            is_reclaimable: wire.is_reclaimable,
+            time_to_reclaim: wire.time_to_reclaim,
+        }
+    }
+}
+
+/// Software versions of the entries, in their order.
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize, Serialize)]
+struct VersionsWire(Vec<Option<String>>);
+
+/// Encodes replica entries for peers.
+///
+/// # Errors
+///
+/// Fails if an entry can't be encoded.
+pub fn encode_entries(entries: &[&replica::ReplicaEntry]) -> Result<Vec<u8>, postcard::Error> {
+    let wires: Vec<_> = entries.iter().map(|entry| EntryWire::from(*entry)).collect();
+    let version = |entry: &&replica::ReplicaEntry| entry.version.as_ref().map(ToString::to_string);
+    let versions = VersionsWire(entries.iter().map(version).collect());
+    postcard::to_extend(&versions, postcard::to_stdvec(&wires)?)
+}
+
+/// Decodes the replica entries of a peer. Those of a peer of an earlier release have no versions.
+///
+/// # Errors
+///
+/// Fails if the bytes are not a list of entries, with or without a list of versions.
+pub fn decode_entries(bytes: &[u8]) -> Result<Vec<replica::ReplicaEntry>, postcard::Error> {
+    let (wires, rest): (Vec<EntryWire>, _) = postcard::take_from_bytes(bytes)?;
+    let VersionsWire(versions) = match rest {
+        [] => VersionsWire::default(),
+        _ => postcard::from_bytes(rest)?,
+    };
+    let mut entries: Vec<_> = wires.into_iter().map(replica::ReplicaEntry::from).collect();
+    for (entry, version) in entries.iter_mut().zip(versions) {
+        entry.version = version.and_then(|version| version.parse().ok());
+    }
+    Ok(entries)
+}
+
 /// Responds to a peer's request; the flag is `false` if there is nothing to serve.
 pub fn respond(core: &core::GatewayCore, target: &str) -> (bool, Vec<u8>) {
     match target {
@@ -23,7 +111,7 @@
             let text = core.state.borrow().policy_text.to_vec();
             (!text.is_empty(), text)
         }
-        ENTRIES_PATH => encode_entries(core),
+        ENTRIES_PATH => serve_entries(core),
         _ => (false, Vec::new()),
     }
 }
@@ -55,10 +143,10 @@
     }
 }
 
-fn encode_entries(core: &core::GatewayCore) -> (bool, Vec<u8>) {
+fn serve_entries(core: &core::GatewayCore) -> (bool, Vec<u8>) {
     let state = core.state.borrow();
     let entries: Vec<_> = state.replicas.iter().map(|known_replica| &known_replica.entry).collect();
-    match postcard::to_stdvec(&entries) {
+    match encode_entries(&entries) {
         Ok(bytes) => (!entries.is_empty(), bytes),
         Err(cause) => {
             log::warn!("failed to encode the replica entries ({cause}); peers must read the table");
@@ -79,5 +167,5 @@
     let decode_error = |cause: postcard::Error| {
         table::PlatformError::NotDone(format!("unreadable entries: {cause}").into())
     };
-    postcard::from_bytes(&bytes).map_err(decode_error)
+    decode_entries(&bytes).map_err(decode_error)
 }
--- /dev/null
+++ b/crates/gateway/tests/peer_records.rs
@@ -0,0 +1,92 @@
+//! Replica entries that daemons serve to each other, also between releases.
+
+use std::net;
+
+use samphiremoor_base::id;
+use samphiremoor_base::quantity;
+use samphiremoor_base::time;
+use samphiremoor_fleet::replica;
+use samphiremoor_gateway::peer_records;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Entry as releases encode it that know no software versions.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+struct UnversionedEntry {
+    id: id::ReplicaId,
+    service: id::ServiceId,
+    address: net::SocketAddr,
+    zone: id::ZoneId,
+    slots: u32,
+    is_draining: bool,
+    incarnation: quantity::Incarnation,
+    is_reclaimable: bool,
+    time_to_reclaim: Option<time::Millis>,
+}
+
+fn entry(index: u64, version: Option<&str>) -> replica::ReplicaEntry {
+    replica::ReplicaEntry {
+        id: format!("replica-{index}").parse().expect("the name is an identifier"),
+        service: "desk".parse().expect("the name is an identifier"),
+        address: "10.0.0.1:80".parse().expect("the address is valid"),
+        zone: "north".parse().expect("the name is an identifier"),
+        version: version.map(|version| version.parse().expect("the version is valid")),
+        slots: 6,
+        is_draining: index.is_multiple_of(2),
+        incarnation: quantity::Incarnation::new(index),
+        is_reclaimable: true,
+        time_to_reclaim: Some(time::Millis::new(700)),
+    }
+}
+
+fn unversioned(entry: &replica::ReplicaEntry) -> UnversionedEntry {
+    UnversionedEntry {
+        id: entry.id.clone(),
+        service: entry.service.clone(),
+        address: entry.address,
+        zone: entry.zone.clone(),
+        slots: entry.slots,
+        is_draining: entry.is_draining,
+        incarnation: entry.incarnation,
+        is_reclaimable: entry.is_reclaimable,
+        time_to_reclaim: entry.time_to_reclaim,
+    }
+}
+
+fn entries() -> Vec<replica::ReplicaEntry> {
+    vec![entry(1, Some("v1")), entry(2, None), entry(3, Some("v1.2"))]
+}
+
+fn encode(entries: &[replica::ReplicaEntry]) -> Vec<u8> {
+    let entries: Vec<_> = entries.iter().collect();
+    peer_records::encode_entries(&entries).expect("the entries can be encoded")
+}
+
+#[test]
+fn entries_keep_their_versions() {
+    assert_eq!(peer_records::decode_entries(&encode(&entries())).ok(), Some(entries()));
+}
+
+#[test]
+fn earlier_release_reads_entries_without_versions() {
+    let expected: Vec<_> = entries().iter().map(unversioned).collect();
+    let decoded: Vec<UnversionedEntry> =
+        postcard::from_bytes(&encode(&entries())).expect("the layout is that of earlier releases");
+    assert_eq!(decoded, expected);
+}
+
+#[test]
+fn entries_of_an_earlier_release_have_no_versions() {
+    let sent: Vec<_> = entries().iter().map(unversioned).collect();
+    let bytes = postcard::to_stdvec(&sent).expect("the entries can be encoded");
+    let decoded = peer_records::decode_entries(&bytes).expect("the versions may be missing");
+    assert_eq!(decoded.iter().map(unversioned).collect::<Vec<_>>(), sent);
+    assert!(decoded.iter().all(|entry| entry.version.is_none()));
+}
+
+#[test]
+fn truncated_versions_are_refused() {
+    let bytes = encode(&entries());
+    assert!(peer_records::decode_entries(&bytes[..bytes.len() - 1]).is_err());
+}
