Forwarding: a stream goes on at the software version that began it

Cause: a retry within a response could go to any replica of the service, and so can the takeover from a silent replica. The first event now fixes the version for the request, and replicas of other versions, or of none that is known, are no candidates for it. If none is left the request ends at once: a begun response is cut, others are refused as not run. Streams of replicas that state no version are retried as before.

--- a/crates/base/src/reason.rs
+++ b/crates/base/src/reason.rs
@@ -75,6 +75,8 @@
         DeadlinePassed => "deadline-passed",
         /// No replica can serve the request now.
         NoReplica => "no-replica",
+        /// No replica of the software version that began the stream can serve the request now.
+        NoReplicaOfVersion => "no-replica-of-version",
         /// The retry budget is exhausted.
         RetryBudgetSpent => "retry-budget-spent",
         /// The claim on the idempotency key could not be written.
--- a/crates/fleet/src/selection.rs
+++ b/crates/fleet/src/selection.rs
@@ -102,6 +102,8 @@
     pub prompt: Option<&'a PromptSize>,
     /// Replicas that the request was already sent to.
     pub excluded: &'a [id::ReplicaId],
+    /// Software version that the replica must run; `None` if any will do.
+    pub required_version: Option<&'a replica::SoftwareVersion>,
     /// Whether a silent replica is chosen if no other one is available.
     pub includes_silent: bool,
     /// Number of daemons that select replicas.
@@ -117,6 +119,8 @@
 pub struct SelectedReplica {
     /// Id of the replica.
     pub replica: id::ReplicaId,
+    /// Software version of the replica, if it reported one.
+    pub version: Option<replica::SoftwareVersion>,
     /// Work that the replica completes before the request's first token, in prompt tokens.
     pub tokens_ahead: f64,
     /// Prompt tokens of the request that are expected to miss the replica's prefix cache.
@@ -136,14 +140,17 @@
     }
 }
 
-/// Returns the available replicas of the service that the request was not sent to yet, or the silent
-/// ones if there are none.
+/// Returns the available replicas of the service and version that the request was not sent to yet,
+/// or the silent ones if there are none.
 fn candidates<'a>(
     table: &'a replica::ReplicaTable,
     query: &SelectionQuery<'_>,
 ) -> SmallVec<[&'a replica::KnownReplica; 32]> {
     let unused = || {
-        let replicas = table.of_service(query.service);
+        let replicas = table.of_service(query.service).filter(|replica| {
+            let version = replica.entry.version.as_ref();
+            query.required_version.is_none_or(|required| version == Some(required))
+        });
         replicas.filter(|replica| !query.excluded.contains(&replica.entry.id))
     };
     let available: SmallVec<[_; 32]> =
@@ -179,9 +186,10 @@
             + f64::from(excess) * EXCESS_TOKENS
             + f64::from(uncached_tokens);
         let replica = candidate.entry.id.clone();
+        let version = candidate.entry.version.clone();
         let utilization = f64::from(load.running) / f64::from(candidate.entry.slots.max(1));
         let cost = tokens_ahead + candidate.failure_rate(query.now) * FAILING_TOKENS;
-        (cost, SelectedReplica { replica, tokens_ahead, uncached_tokens, utilization })
+        (cost, SelectedReplica { replica, version, tokens_ahead, uncached_tokens, utilization })
     };
     let preferred = preferred.map(|candidate| evaluate(candidate, prompt.shared_tokens()));
     let drawn =
@@ -241,6 +249,7 @@
     let utilization = f64::from(load.running) / f64::from(selected.entry.slots.max(1));
     Some(SelectedReplica {
         replica: selected.entry.id.clone(),
+        version: selected.entry.version.clone(),
         tokens_ahead: 0.0,
         uncached_tokens: 0,
         utilization,
--- a/crates/fleet/tests/selection.rs
+++ b/crates/fleet/tests/selection.rs
@@ -46,6 +46,15 @@
     table: &replica::ReplicaTable,
     prompt: Option<&selection::PromptSize>,
     excluded: &[id::ReplicaId],
+) -> Option<selection::SelectedReplica> {
+    choose_version(table, prompt, excluded, None)
+}
+
+fn choose_version(
+    table: &replica::ReplicaTable,
+    prompt: Option<&selection::PromptSize>,
+    excluded: &[id::ReplicaId],
+    required_version: Option<&replica::SoftwareVersion>,
 ) -> Option<selection::SelectedReplica> {
     let (service, zone) = (entries::service(), entries::zone(0));
     let query = selection::SelectionQuery {
@@ -53,6 +62,7 @@
         zone: &zone,
         prompt,
         excluded,
+        required_version,
         includes_silent: true,
         daemon_count: 1,
         draw: DRAW.with(|draw| draw.replace((draw.get() * 7.31 + 0.117).fract())),
@@ -196,3 +206,30 @@
         assert!(selected.is_some(), "a silent replica is better than none");
     }
 }
+
+/// Chooses among replicas of `v1`, of `v2` and of no known version, and checks that the required one
+/// is chosen, if any is left after `excluded`.
+fn check_version(prompt: Option<&selection::PromptSize>, excluded: &[usize], is_left: bool) {
+    let mut table = replica::ReplicaTable::default();
+    for (index, version) in ["v1", "v2", "v2", "v1", "", "v2"].into_iter().enumerate() {
+        let entry =
+            replica::ReplicaEntry { version: version.parse().ok(), ..entries::entry(index, 1) };
+        table.upsert(entry);
+    }
+    let required_version = "v1".parse().expect("the version is valid");
+    let excluded: Vec<_> = excluded.iter().map(|index| entries::replica_id(*index)).collect();
+    for _ in 0..50 {
+        let selected = choose_version(&table, prompt, &excluded, Some(&required_version));
+        let version = selected.map(|selected| selected.version);
+        assert_eq!(version, is_left.then(|| Some(required_version.clone())));
+    }
+}
+
+samphiremoor_base::cases! {
+    plain_request_goes_to_the_required_version => check_version(None, &[], true);
+    prompt_goes_to_the_required_version => check_version(Some(&prompt(7, 4_800, 900)), &[], true);
+    required_version_leaves_the_other_replica => check_version(None, &[0], true);
+    plain_request_has_no_replica_of_the_required_version => check_version(None, &[0, 3], false);
+    prompt_has_no_replica_of_the_required_version =>
+        check_version(Some(&prompt(7, 4_800, 900)), &[0, 3], false);
+}
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -12,6 +12,7 @@
 use samphiremoor_base::time;
 use samphiremoor_fleet::admission;
 use samphiremoor_fleet::dispatch;
+use samphiremoor_fleet::replica;
 use samphiremoor_fleet::selection;
 
 use crate::adapter;
@@ -92,6 +93,11 @@
     RequestOutcome::Own(local, reason)
 }
 
+/// Returns a version for the log.
+fn version_label(version: Option<&replica::SoftwareVersion>) -> &str {
+    version.map_or("-", replica::SoftwareVersion::as_str)
+}
+
 /// Forwards a request and returns how it ended.
 pub async fn forward(
     core: &rc::Rc<core::GatewayCore>,
@@ -108,6 +114,7 @@
         context: context::RequestContext { core, request, progress, service },
         splitter: events::EventSplitter::new(request.metadata.last_event_id),
         excluded: core::ExcludedReplicas::new(),
+        required_version: None,
         pending: pending::PendingAttempts::new(),
         failure: None,
         server_error: None,
@@ -123,6 +130,9 @@
     pub(crate) splitter: events::EventSplitter,
     /// Replicas that the request was already sent to.
     pub(crate) excluded: core::ExcludedReplicas,
+    /// Software version of the replica that began the stream. What another version writes can't
+    /// continue it.
+    pub(crate) required_version: Option<replica::SoftwareVersion>,
     /// Attempts whose response has not begun.
     pub(crate) pending: pending::PendingAttempts<'a>,
     /// Failure of the last attempt, unless another one was sent since.
@@ -159,6 +169,7 @@
                         request = self.context.request_id(),
                         from = replica,
                         to = selected.replica,
+                        version = version_label(selected.version.as_ref()),
                         delivered = self.splitter.delivered(),
                     );
                     self.cancel_pending();
@@ -361,7 +372,17 @@
             choice = self.query_replica(&[], true);
         }
         let Some(selected) = choice else {
-            let reason = reason::RefusalReason::NoReplica;
+            let reason = match self.required_version {
+                Some(_) => reason::RefusalReason::NoReplicaOfVersion,
+                None => reason::RefusalReason::NoReplica,
+            };
+            log_event!(
+                event::LogEvent::ReplicaMissing,
+                request = self.context.request_id(),
+                service = service,
+                required_version = version_label(self.required_version.as_ref()),
+                delivered = self.splitter.delivered(),
+            );
             return Err(self.end_unanswered(sink, reason, NOT_READY_RETRY_AFTER_MS));
         };
         let mut state = core.state.borrow_mut();
@@ -385,6 +406,8 @@
             event::LogEvent::ReplicaChosen,
             request = self.context.request_id(),
             replica = selected.replica,
+            version = version_label(selected.version.as_ref()),
+            required_version = version_label(self.required_version.as_ref()),
             ahead_tokens = selected.tokens_ahead as u64,
             unread_tokens = selected.uncached_tokens,
             fill = format_args!("{:.2}", selected.utilization),
@@ -408,6 +431,7 @@
             zone: &core.settings.availability_zone,
             prompt,
             excluded,
+            required_version: self.required_version.as_ref(),
             includes_silent,
             daemon_count: state.live_daemons,
             draw: rand::random(),
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -125,6 +125,7 @@
             zone: &core.settings.availability_zone,
             prompt: self.context.request.metadata.prompt.as_ref(),
             excluded: &self.excluded,
+            required_version: None,
             includes_silent: false,
             daemon_count: state.live_daemons,
             draw: rand::random(),
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -70,10 +70,14 @@
                 Ok(is_body_end) => is_body_end,
                 Err(end) => return end,
             };
+            let begins_stream = self.splitter.delivered() == 0;
             let mut events = Vec::new();
             let is_in_order = self.splitter.take_events(&mut events);
             if !events.is_empty() && !has_first_event {
                 has_first_event = true;
+                if begins_stream && self.required_version.is_none() {
+                    self.required_version.clone_from(&stream.selected.version);
+                }
                 on_first_event();
             }
             let is_complete = is_body_end && is_in_order && !self.splitter.is_incomplete();
