Migration: the KV cache of a stream goes to its software version only

What callers saw: a stream that was moved off a draining replica went on at another software version (ORDER). Cause: the target of a migration was the best other replica of the service. It is now chosen among replicas of the version that began the stream; without one the stream stays on its replica, which serves on while it drains.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -109,9 +109,10 @@
             && self.context.request.metadata.request_id.is_some()
     }
 
-    /// Chooses the best other replica as the target of a stream's migration, withdraws a retry from
-    /// the budget, and returns the future that performs the migration. Returns `None` if the
-    /// request has no ID, there is no such replica, or the retry budget is used up.
+    /// Chooses the best other replica of the stream's software version as the target of its
+    /// migration, withdraws a retry from the budget, and returns the future that performs the
+    /// migration. Returns `None` if the request has no ID, there is no such replica, or the retry
+    /// budget is used up.
     fn prepare_migration(
         &self,
         selected: &selection::SelectedReplica,
@@ -125,7 +126,7 @@
             zone: &core.settings.availability_zone,
             prompt: self.context.request.metadata.prompt.as_ref(),
             excluded: &self.excluded,
-            required_version: None,
+            required_version: self.required_version.as_ref(),
             includes_silent: false,
             daemon_count: state.live_daemons,
             draw: rand::random(),
