Gateway: a stream is stopped for its migration only once there is a copy

What callers saw: while a replica leaves, a stream that may not be resumed was cut in the middle if the replica that it was to move to had no room; both replicas were sound. Cause: the one order of a migration stopped the source first and copied then. A refusal came too late: the source had closed its stream and kept the cache, and a new run was not allowed. Change: two orders. The first copies the cache while the stream goes on; if it is refused or unanswered, the stream stays where it is. The second stops the source and copies what is new; if it fails, the first copy serves. A copy that no stream uses is freed at both ends, since it takes memory and a slot at the target. Ruled out: going on at the stopped source from the handle in its refusal. The source is draining, and the drain time may be over.

--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -87,6 +87,15 @@
     TimedOut,
 }
 
+/// Step of the migration of a stream's KV cache.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum MigrationStep {
+    /// Copies the KV cache while the stream continues at the source.
+    Copy,
+    /// Stops the stream at the source, then copies what is new.
+    Stop,
+}
+
 /// Encodes and decodes the headers of a deployment's protocol.
 pub trait HeaderCodec {
     /// Decodes the headers of a caller's request.
@@ -111,18 +120,22 @@
         request_id: Option<&str>,
     ) -> ResponseMetadata;
 
-    /// Encodes a request to the replica at `source` that stops a stream there and migrates its KV
-    /// cache to the replica at `target`.
+    /// Encodes a request to the replica at `source` that performs one step of the migration of a
+    /// stream's KV cache to the replica at `target`.
     fn encode_migration(
         &self,
         request_id: &str,
         source: std::net::SocketAddr,
         target: std::net::SocketAddr,
+        step: MigrationStep,
         out: &mut Vec<u8>,
     );
 
-    /// Decodes the response to a migration from `source` and returns the location of the KV cache,
-    /// or `None` if it was not migrated.
+    /// Encodes a request to the replica at `source` that frees a copy of a KV cache.
+    fn encode_release(&self, location: &str, source: std::net::SocketAddr, out: &mut Vec<u8>);
+
+    /// Decodes the response to a step of a migration from `source` and returns the location of the
+    /// KV cache, or `None` if it was not copied.
     fn decode_migration(
         &self,
         status: u16,
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -19,6 +19,7 @@
 use crate::context;
 use crate::core;
 use crate::events;
+use crate::migration;
 use crate::pending;
 use crate::response;
 
@@ -61,8 +62,8 @@
 pub(crate) struct MigratedStream {
     /// The replica that holds the KV cache.
     pub(crate) selected: selection::SelectedReplica,
-    /// Location of the KV cache.
-    pub(crate) kv_location: sync::Arc<str>,
+    /// The KV cache there.
+    pub(crate) kv_copy: migration::KvCopy,
 }
 
 impl From<response::WriteError> for RequestOutcome {
@@ -152,7 +153,7 @@
                 RelayOutcome::TakenOver(other) => taken_over = Some(other),
                 RelayOutcome::Failed(reason) => self.end_failed(&replica, reason),
                 RelayOutcome::Migrated(stream) => {
-                    let MigratedStream { selected, kv_location } = *stream;
+                    let MigratedStream { selected, kv_copy } = *stream;
                     self.context.progress.update(dispatch::DispatchTracker::migrate);
                     log_event!(
                         event::LogEvent::StreamMoved,
@@ -162,7 +163,8 @@
                         delivered = self.splitter.delivered(),
                     );
                     self.cancel_pending();
-                    self.begin_attempt(selected, Some(kv_location), sink.has_begun());
+                    let kv_location = kv_copy.into_location();
+                    self.begin_attempt(selected, kv_location, sink.has_begun());
                 }
             }
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,7 +4,7 @@
 //! holds the traits that a deployment's adapter implements, and [`daemon`] starts all tasks.
 //! [`caller`] serves callers' connections, [`forward`] takes one request through its attempts,
 //! [`attempt`] makes one of them, [`pending`] waits for several, and [`upstream`] and [`stream`] talk to replicas over the
-//! connections that [`idle`] pools; [`response`] writes to callers. [`table_sync`] follows the policy and the replica entries in
+//! connections that [`idle`] pools, and `migration` moves KV caches between them; [`response`] writes to callers. [`table_sync`] follows the policy and the replica entries in
 //! the platform's table, [`digest_exchange`] and [`peer_records`] exchange state with the other
 //! daemons, and [`duties`] performs the tasks that one daemon does for all.
 
@@ -20,6 +20,7 @@
 pub mod forward;
 pub mod idle;
 pub mod metrics;
+mod migration;
 pub mod peer_records;
 pub mod pending;
 pub mod relay;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -7,6 +7,7 @@
 
 use crate::attempt;
 use crate::forward;
+use crate::migration;
 use crate::response;
 use crate::stream;
 use crate::upstream;
@@ -72,7 +73,7 @@
             let end = self.forward_events(&mut stream, sink, || {}, || false).await;
             return self.finish_stream(stream, end);
         };
-        // The source replica keeps sending events until it stops the stream for the migration.
+        // The source replica keeps sending events until it is stopped once there is a copy.
         let mut migration = pin::pin!(migration);
         let mut migrated = None;
         let end = {
@@ -140,17 +141,12 @@
         }
         drop(state);
         core.metrics.count_retry(reason::RetryReason::ReplicaLeaving);
-        Some(async move {
-            let migration = upstream::migrate_kv_cache(
-                &core,
-                &source,
-                source_address,
-                target_address,
-                &request_id,
-            );
-            let kv_location = migration.await?;
-            Some(forward::MigratedStream { selected: target, kv_location })
-        })
+        let migration =
+            migration::KvMigration { core, request_id, source, source_address, target_address };
+        Some(Box::pin(async move {
+            let kv_copy = migration.run().await?;
+            Some(forward::MigratedStream { selected: target, kv_copy })
+        }))
     }
 
     fn finish_stream(
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -190,23 +190,47 @@
         .map_err(exchange_error)
 }
 
-/// Instructs the replica at `source` to stop a stream and migrate its KV cache to the replica at
-/// `target`. Returns the location of the KV cache, or `None` if it was not migrated.
+/// Orders one step of the migration of a stream's KV cache from the first to the second address.
+/// Returns the location of the KV cache, or `None` if it was not copied.
 pub async fn migrate_kv_cache(
     core: &rc::Rc<core::GatewayCore>,
     replica: &id::ReplicaId,
-    source: SocketAddr,
-    target: SocketAddr,
+    (source, target): (SocketAddr, SocketAddr),
     request_id: &str,
+    step: adapter::MigrationStep,
 ) -> Option<sync::Arc<str>> {
-    let mut connection = acquire(core, replica, source, true).await.ok()?;
     let mut bytes = Vec::new();
-    core.adapter.codec.encode_migration(request_id, source, target, &mut bytes);
-    connection.raw.write(&bytes).await.ok()?;
+    core.adapter.codec.encode_migration(request_id, source, target, step, &mut bytes);
+    let (status, body) = order(core, replica, source, "POST", &bytes).await?;
+    core.adapter.codec.decode_migration(status, &body, source)
+}
+
+/// Frees a copy of a KV cache at both ends of its migration.
+pub async fn release_kv_cache(
+    core: &rc::Rc<core::GatewayCore>,
+    replica: &id::ReplicaId,
+    source: SocketAddr,
+    location: &str,
+) {
+    let mut bytes = Vec::new();
+    core.adapter.codec.encode_release(location, source, &mut bytes);
+    order(core, replica, source, "DELETE", &bytes).await;
+}
+
+/// Sends a request about a KV cache and returns the status and the body of the response.
+async fn order(
+    core: &rc::Rc<core::GatewayCore>,
+    replica: &id::ReplicaId,
+    address: SocketAddr,
+    method: &str,
+    request: &[u8],
+) -> Option<(u16, Vec<u8>)> {
+    let mut connection = acquire(core, replica, address, true).await.ok()?;
+    connection.raw.write(request).await.ok()?;
     let head = connection.raw.response_head().await.ok()?;
-    let framing = message::response_framing(&head, "POST").ok()?;
+    let framing = message::response_framing(&head, method).ok()?;
     let body = connection.raw.body(framing, connection::MAX_RESPONSE_BODY).await.ok()?;
-    core.adapter.codec.decode_migration(head.status, &body, source)
+    Some((head.status, body))
 }
 
 /// Converts the error of a failed read.
