load: busy time is counted after the warm-up, as held time is

Cause: busy_time was summed over the whole run. Change: RunWorld counts only the part of each step and call that lies in the counted time, from which the held time's bounds are taken, too.

--- a/crates/load/src/experiment/replica.rs
+++ b/crates/load/src/experiment/replica.rs
@@ -60,7 +60,7 @@
     pub epoch: u32,
     /// Duration of its steps, in percent of the normal duration.
     pub step_percent: u32,
-    /// Total time during which the replica computed.
+    /// Time after the warm-up during which the replica computed.
     pub busy_time: Duration,
     /// Queued and running work.
     pub work: ReplicaWork,
@@ -170,7 +170,6 @@
         engine.is_stepping = true;
         let mut step = engine.scheduler.step();
         step.length = self.scaled_duration(step.length);
-        self.busy_time += step.length;
         Some(step)
     }
 
--- a/crates/load/src/experiment/world.rs
+++ b/crates/load/src/experiment/world.rs
@@ -7,6 +7,7 @@
 mod views;
 
 use std::collections;
+use std::ops;
 use std::time::Duration;
 
 use rand::SeedableRng as _;
@@ -200,13 +201,23 @@
         time::MonotonicTime::new(CLOCK_START_MS + self.now.as_millis() as u64)
     }
 
+    /// Returns the time after the warm-up in which calls and costs are counted.
+    fn counted_time(&self) -> ops::Range<SimTime> {
+        let length = self.plan.length.get();
+        let start = time::Millis::new(length * WARM_UP_PER_MILLE / 1_000);
+        start.to_duration()..self.plan.length.to_duration()
+    }
+
+    /// Returns the part of an interval of this length from now on that is counted.
+    fn counted_part(&self, length: Duration) -> Duration {
+        let counted = self.counted_time();
+        (self.now + length).min(counted.end).saturating_sub(self.now.max(counted.start))
+    }
+
     fn report(&self) -> tally::RunReport {
-        let length = self.plan.length;
-        let counted_ms = length.get() - length.get() * WARM_UP_PER_MILLE / 1_000;
-        let counted_length = time::Millis::new(counted_ms);
         let to_hours = |duration: Duration| duration.as_secs_f64() / 3_600.0;
-        let end = length.to_duration();
-        let start = end.saturating_sub(counted_length.to_duration());
+        let ops::Range { start, end } = self.counted_time();
+        let counted_length = time::Millis::from(end - start);
         let (mut held_cost, mut busy_cost) = (0.0, 0.0);
         const MICROS_PER_UNIT: f64 = 1_000_000.0;
         for replica in &self.replicas {
--- a/crates/load/src/experiment/world/upstreams.rs
+++ b/crates/load/src/experiment/world/upstreams.rs
@@ -39,6 +39,8 @@
         let Some(step) = self.replicas[replica].start_step() else { return };
         let epoch = self.replicas[replica].epoch;
         let length = step.length;
+        let counted_length = self.counted_part(length);
+        self.replicas[replica].busy_time += counted_length;
         self.schedule_after(
             length,
             SimEvent::StepFinished { replica, epoch, step: Box::new(step) },
@@ -61,7 +63,8 @@
                 continue;
             };
             let length = self.replicas[replica].scaled_duration(plain.service_time.to_duration());
-            self.replicas[replica].busy_time += length / replica::PLAIN_SERVERS as u32;
+            let counted_length = self.counted_part(length);
+            self.replicas[replica].busy_time += counted_length / replica::PLAIN_SERVERS as u32;
             self.schedule_after(length, SimEvent::PlainFinished { replica, epoch, call });
         }
     }
--- a/crates/load/tests/experiment.rs
+++ b/crates/load/tests/experiment.rs
@@ -87,7 +87,17 @@
     assert_eq!(format!("{once:?}"), format!("{again:?}"));
 }
 
+/// Checks that replicas are not busy for longer than they are held.
+fn check_costs(name: &str) {
+    let report = run(name, policy::PolicyKind::Scored, situation::Situation::TwiceCapacity);
+    let busy_cost = report.busy_cost_per_thousand.expect("the busy time is known");
+    let held_cost = report.cost_per_thousand;
+    assert!(busy_cost <= held_cost, "busy time costs {busy_cost}, held time {held_cost}");
+}
+
 samphiremoor_base::cases! {
+    busy_time_is_within_held_time_in_ulaanbaatar => check_costs("ulaanbaatar");
+    busy_time_is_within_held_time_in_casa_settat => check_costs("casa-settat");
     overload_does_not_collapse_goodput_in_ulaanbaatar => check_overload("ulaanbaatar");
     overload_does_not_collapse_goodput_in_casa_settat => check_overload("casa-settat");
     confirmations_meet_their_target_under_overload =>
