standin-engine: the oldest import is dropped once there are too many

Cause: imported_tokens lost an entry only when the request arrived. Change: at most 1,024 imports are kept, as many as exports; the oldest one is dropped.

--- a/crates/standin-engine/src/runtime.rs
+++ b/crates/standin-engine/src/runtime.rs
@@ -26,6 +26,8 @@
 /// Maximum number of requests whose KV cache is kept for export, including queued and running
 /// requests.
 const MAX_EXPORTS: usize = 1_024;
+/// Maximum number of imported KV caches whose requests have not arrived.
+pub const MAX_IMPORTS: usize = 1_024;
 
 /// State of the engine, shared by the scheduler loop and the HTTP handler.
 pub struct EngineRuntime {
@@ -48,7 +50,8 @@
     orders: orders::OrderBook,
     jobs: collections::HashMap<batch::SequenceNumber, JobHandle>,
     exports: collections::VecDeque<wire::KvBlob>,
-    imported_tokens: collections::HashMap<id::RequestId, quantity::TokenCount>,
+    /// Requests whose KV cache was imported and that have not arrived, and the tokens in it.
+    imports: collections::VecDeque<(id::RequestId, quantity::TokenCount)>,
     counts: wire::EngineCounts,
     last_sample: LoadSample,
 }
@@ -97,7 +100,7 @@
             ),
             jobs: collections::HashMap::new(),
             exports: collections::VecDeque::new(),
-            imported_tokens: collections::HashMap::new(),
+            imports: collections::VecDeque::new(),
             counts: wire::EngineCounts::default(),
             last_sample: LoadSample::default(),
         };
@@ -146,7 +149,7 @@
             blocks: blocks.clone(),
             prompt: quantity::TokenCount::new(prompt_tokens.len() as u64),
             delivered: quantity::TokenCount::new(call.continue_from),
-            imported: shared.imported_tokens.remove(&call.request).unwrap_or_default(),
+            imported: shared.take_import(&call.request).unwrap_or_default(),
             target: quantity::TokenCount::new(call.target),
         };
         let (sender, receiver) = channel::unbounded();
@@ -254,7 +257,7 @@
         let mut shared = self.lock();
         let changes = shared.scheduler.import(&blob.blocks);
         shared.journal.append(&changes, now);
-        shared.imported_tokens.insert(blob.request.clone(), quantity::TokenCount::new(blob.tokens));
+        shared.push_import(blob.request.clone(), quantity::TokenCount::new(blob.tokens));
     }
 
     fn kv_blob(
@@ -322,6 +325,20 @@
         }
     }
 
+    /// Stores an import, and drops the oldest one if there are too many: its request may never come.
+    fn push_import(&mut self, request: id::RequestId, tokens: quantity::TokenCount) {
+        self.take_import(&request);
+        self.imports.push_back((request, tokens));
+        if self.imports.len() > MAX_IMPORTS {
+            self.imports.pop_front();
+        }
+    }
+
+    fn take_import(&mut self, request: &id::RequestId) -> Option<quantity::TokenCount> {
+        let index = self.imports.iter().position(|(imported, _)| imported == request)?;
+        self.imports.remove(index).map(|(_, tokens)| tokens)
+    }
+
     fn extend_export(&mut self, request: &id::RequestId, bytes_per_token: u64) {
         let export = self.exports.iter_mut().rev().find(|blob| blob.request == *request);
         if let Some(blob) = export {
--- a/crates/standin-engine/tests/engine.rs
+++ b/crates/standin-engine/tests/engine.rs
@@ -150,6 +150,29 @@
     });
 }
 
+// An import whose call never comes must not stay for good.
+#[test]
+fn oldest_import_that_is_never_continued_is_dropped() {
+    task::block_on(async {
+        let (first, second) = (start().await, start().await);
+        stream(first, &body(6)).await;
+        let path = "/kv/export?request=entry-1:7";
+        let mut blob = json_of(first, Method::Get, path, &json!(null)).await;
+        json_of(second, Method::Post, "/kv/import", &blob).await;
+        // The blocks of the prompt stay in the prefix cache, whatever becomes of the import.
+        blob["blocks"] = json!([]);
+        blob["bytes"] = json!(0);
+        for number in 0..runtime::MAX_IMPORTS {
+            blob["request"] = json!(format!("entry-2:{number}"));
+            json_of(second, Method::Post, "/kv/import", &blob).await;
+        }
+        let mut continued = body(9);
+        continued["continue_from"] = json!(6);
+        let usage = stream(second, &continued).await.usage.expect("the stream is complete");
+        assert_ne!(usage["prompt_tokens_details"]["computed_tokens"], 0);
+    });
+}
+
 #[test]
 fn cancelled_stream_ends_with_an_error() {
     task::block_on(async {
