Limits: a request for admission carries no priority of its own

AdmissionRequest::priority was never read. No caller saw a fault: the adaptive gate ranks each service by the priority of its record in the view, and entry and load filled the field from the same record; scenarios/limits/priority (least_urgent_services_are_shed_first) shows that the priority has effect. Change: the field is gone, so that nobody counts on it. No behaviour changes, hence no new test.

--- a/crates/entry/src/serve/accept.rs
+++ b/crates/entry/src/serve/accept.rs
@@ -49,7 +49,6 @@
     let request = gate::AdmissionRequest {
         workspace: &info.workspace,
         service: &service.id,
-        priority: service.priority,
         deadline_left: info.deadline.since(now),
         now,
     };
--- a/crates/limits/src/gate.rs
+++ b/crates/limits/src/gate.rs
@@ -1,7 +1,6 @@
 //! Interface between the entry daemon and the admission policies.
 
 use samphiremoor_base::id;
-use samphiremoor_base::quantity;
 use samphiremoor_base::reason;
 use samphiremoor_base::time;
 use samphiremoor_view::zone;
@@ -31,8 +30,6 @@
     pub workspace: &'a id::WorkspaceId,
     /// Service that the request calls.
     pub service: &'a id::ServiceId,
-    /// Priority of the service; 0 is the most urgent.
-    pub priority: quantity::PriorityLevel,
     /// Remaining time until the deadline.
     pub deadline_left: time::Millis,
     /// Current time.
--- a/crates/limits/tests/properties.rs
+++ b/crates/limits/tests/properties.rs
@@ -4,7 +4,6 @@
 
 use proptest::prelude::*;
 use proptest::test_runner;
-use samphiremoor_base::quantity;
 use samphiremoor_base::reason;
 use samphiremoor_base::time;
 use samphiremoor_limits::adaptive;
@@ -48,7 +47,6 @@
     gate.admit(&gate::AdmissionRequest {
         workspace: &common::workspace_id(common::WORKSPACES[workspace].0),
         service: &common::service_id(common::SERVICES[service]),
-        priority: quantity::PriorityLevel::new(service as u8),
         deadline_left: time::Millis::new(60_000),
         now,
     })
--- a/crates/limits/tests/scenarios.rs
+++ b/crates/limits/tests/scenarios.rs
@@ -6,7 +6,6 @@
 use std::error;
 use std::fmt::Write as _;
 
-use samphiremoor_base::quantity;
 use samphiremoor_base::reason;
 use samphiremoor_base::time;
 use samphiremoor_limits::adaptive;
@@ -80,11 +79,9 @@
         service: &str,
         deadline_ms: u64,
     ) -> Result<(), gate::AdmissionRefusal> {
-        let priority = common::SERVICES.iter().position(|name| *name == service).unwrap_or(0);
         let permit = self.gate.admit(&gate::AdmissionRequest {
             workspace: &common::workspace_id(workspace),
             service: &common::service_id(service),
-            priority: quantity::PriorityLevel::new(priority as u8),
             deadline_left: time::Millis::new(deadline_ms),
             now: self.now,
         })?;
--- a/crates/load/examples/daemon_state.rs
+++ b/crates/load/examples/daemon_state.rs
@@ -102,7 +102,6 @@
         let request = gate::AdmissionRequest {
             workspace: &workspace,
             service: &service.id,
-            priority: service.priority,
             deadline_left: service.latency.deadline,
             now,
         };
--- a/crates/load/src/experiment/world/admission.rs
+++ b/crates/load/src/experiment/world/admission.rs
@@ -37,7 +37,6 @@
         let admission = self.daemons[daemon].gate.admit(&gate::AdmissionRequest {
             workspace: &state.planned.workspace,
             service: &state.service.id,
-            priority: state.service.priority,
             deadline_left,
             now,
         });
