--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -50,6 +50,10 @@
     pub shutdown: server::StopSignal,
     /// Number of requests in progress.
     pub in_progress: atomic::AtomicUsize,
+    /// Number of calls whose response is not written to its end.
+    pub open_responses: Arc<atomic::AtomicUsize>,
+    /// Number of keyed calls that run here, for the callers of all daemons.
+    pub keyed_runs: Arc<atomic::AtomicUsize>,
     /// The latest view; empty before the first one.
     view: ArcSwapOption<snapshot::ViewSnapshot>,
     picker: sync::Mutex<Box<dyn picker::ReplicaPicker>>,
@@ -88,6 +92,8 @@
             reclaimed: server::StopSignal::new(),
             shutdown: server::StopSignal::new(),
             in_progress: atomic::AtomicUsize::new(0),
+            open_responses: Arc::default(),
+            keyed_runs: Arc::default(),
             view: ArcSwapOption::empty(),
             picker: sync::Mutex::new(policies.picker),
             gate: sync::Mutex::new(policies.gate),
@@ -379,6 +385,23 @@
     }
 }
 
+/// Adds one to a count until dropped.
+pub struct CountGuard(Arc<atomic::AtomicUsize>);
+
+impl CountGuard {
+    /// Adds one to the count.
+    pub fn new(count: &Arc<atomic::AtomicUsize>) -> Self {
+        count.fetch_add(1, atomic::Ordering::Relaxed);
+        CountGuard(count.clone())
+    }
+}
+
+impl Drop for CountGuard {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, atomic::Ordering::Relaxed);
+    }
+}
+
 /// Retry context that shares the daemon's retry budget.
 pub struct SharedRetryContext<'a> {
     budget: &'a sync::Mutex<budget::RetryBudget>,
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -1,6 +1,7 @@
 //! Callers' connections: reads requests, has them forwarded, and writes the responses that the
 //! gateway generates itself.
 
+use std::pin;
 use std::rc;
 
 use async_std::future;
@@ -17,6 +18,7 @@
 use samphiremoor_httpio::message;
 
 use crate::adapter;
+use crate::context;
 use crate::core;
 use crate::forward;
 use crate::response;
@@ -86,7 +88,8 @@
     is_reusable && !closes_connection && !core.is_stopping()
 }
 
-/// Waits for the first byte of a request. Returns `false` if none arrives.
+/// Waits for the first byte of a request. Returns `false` if none arrives. A policy that comes into
+/// force meanwhile may extend the wait.
 async fn await_request(
     core: &rc::Rc<core::GatewayCore>,
     raw: &mut connection::RawConnection,
@@ -94,11 +97,21 @@
     if !raw.buffered().is_empty() {
         return true;
     }
-    let idle_limit = current_limits(core).idle_timeout;
+    let idle_since = core.now();
     let received = async { matches!(raw.fill().await, Ok(count) if count > 0) };
     let shutdown = async { core.idle_shutdown.recv().await.is_ok() };
-    let has_request = futures_lite::future::or(received, shutdown);
-    future::timeout(idle_limit.to_duration(), has_request).await.unwrap_or(false)
+    let mut has_request = pin::pin!(futures_lite::future::or(received, shutdown));
+    loop {
+        let idle_until = idle_since + current_limits(core).idle_timeout;
+        let idle_left = idle_until.since(core.now());
+        if idle_left.get() == 0 {
+            return false;
+        }
+        let waiting = future::timeout(idle_left.to_duration(), has_request.as_mut());
+        if let Ok(has_request) = waiting.await {
+            return has_request;
+        }
+    }
 }
 
 fn current_limits(core: &core::GatewayCore) -> policy::CallerLimits {
@@ -205,7 +218,7 @@
     let admitted_at = core.now();
     let mut sink = new_sink(request.metadata.request_id.clone());
     core.state.borrow_mut().in_progress += 1;
-    let progress = forward::RequestProgress::new(&request.route);
+    let progress = context::RequestProgress::new(&request.route, arrived_at);
     let outcome = {
         let forwarding = forward::forward(core, &request, &progress, &mut sink);
         let time_left = request.deadline.since(core.now());
@@ -245,7 +258,7 @@
     head: message::RequestHead,
     body: Vec<u8>,
     arrived_at: time::MonotonicTime,
-) -> Result<forward::IncomingRequest, Refusal> {
+) -> Result<context::IncomingRequest, Refusal> {
     let metadata = core.adapter.codec.decode_request(&head).map_err(|cause| {
         log_event!(event::LogEvent::RequestRefused, cause = cause);
         (None, adapter::LocalResponse::Malformed, reason::RefusalReason::BadHeader)
@@ -290,7 +303,7 @@
         }
     }
     let timeout = metadata.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
-    Ok(forward::IncomingRequest {
+    Ok(context::IncomingRequest {
         route: route.clone(),
         workspace: workspace.cloned(),
         deadline: arrived_at + timeout,
@@ -305,8 +318,8 @@
 /// Returns the rate-limit units of a request that was not run.
 fn refund_unrun(
     core: &core::GatewayCore,
-    request: &forward::IncomingRequest,
-    progress: &forward::RequestProgress,
+    request: &context::IncomingRequest,
+    progress: &context::RequestProgress,
     admitted_at: time::MonotonicTime,
 ) {
     let Some(workspace) = &request.workspace else { return };
@@ -318,13 +331,14 @@
 
 fn log_outcome(
     core: &core::GatewayCore,
-    incoming: Option<&forward::IncomingRequest>,
-    progress: Option<&forward::RequestProgress>,
+    incoming: Option<&context::IncomingRequest>,
+    progress: Option<&context::RequestProgress>,
     outcome: &forward::RequestOutcome,
     sink: &response::ResponseSink,
     arrived_at: time::MonotonicTime,
 ) {
-    let elapsed = core.now().since(arrived_at);
+    let now = core.now();
+    let elapsed = now.since(arrived_at);
     let (label, reason) = match outcome {
         forward::RequestOutcome::Answered(_) => ("answered", None),
         forward::RequestOutcome::Own(_, reason) => ("refused", Some(*reason)),
@@ -353,6 +367,9 @@
         end = format_args!("{outcome:?}"),
         response = sink.state(),
         bytes = sink.bytes(),
+        phase = progress.map_or(context::ResponsePhase::Head, |progress| progress.phase.get()),
+        silent = progress
+            .map_or(time::Millis::default(), |progress| now.since(progress.last_data_at.get())),
         after = elapsed,
     );
 }
