Gateway: requests that a stop abandons are answered

What callers saw: a daemon that stopped exited 0.3 s before its kill, and a request that was read and still at a silent replica ended with a closed channel: neither an answer nor a refusal. Since silences no longer end an attempt, safe calls and streams are among them too. Cause: stop only left its loop; nothing ended the requests in progress, and a request stopped counting as in progress before its response was written. Change: at that moment each request ends as at its deadline: one that has not run is refused with a time to come back, one that may have run gets 502, a response that has begun is cut as before. The exit waits at most 150 ms for them, within the margin.

--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -217,23 +217,28 @@
     };
     let admitted_at = core.now();
     let mut sink = new_sink(request.metadata.request_id.clone());
-    core.state.borrow_mut().in_progress += 1;
+    let _progress = core::ProgressGuard::new(core);
     let progress = context::RequestProgress::new(&request.route, arrived_at);
     let outcome = {
         let forwarding = forward::forward(core, &request, &progress, &mut sink);
         let time_left = request.deadline.since(core.now());
-        let forwarded_in_time =
-            async { future::timeout(time_left.to_duration(), forwarding).await.ok() };
+        let forwarded_in_time = async {
+            let outcome = future::timeout(time_left.to_duration(), forwarding).await;
+            outcome.map_err(|_| (reason::RefusalReason::DeadlinePassed, UNAVAILABLE_RETRY_AFTER))
+        };
         let disconnected = async {
             raw.wait_closed().await;
-            Some(forward::RequestOutcome::CallerGone)
+            Ok(forward::RequestOutcome::CallerGone)
+        };
+        let stopped = async {
+            core.forced_stop.started().await;
+            Err((reason::RefusalReason::Stopping, STOPPING_RETRY_AFTER))
         };
-        futures_lite::future::or(forwarded_in_time, disconnected).await
+        let ended = futures_lite::future::or(forwarded_in_time, disconnected);
+        futures_lite::future::or(ended, stopped).await
     };
-    core.state.borrow_mut().in_progress -= 1;
-    let outcome = outcome.unwrap_or_else(|| {
-        let reason = reason::RefusalReason::DeadlinePassed;
-        forward::unanswered_outcome(&progress, &sink, reason, UNAVAILABLE_RETRY_AFTER)
+    let outcome = outcome.unwrap_or_else(|(reason, wait)| {
+        forward::unanswered_outcome(&progress, &sink, reason, wait)
     });
     refund_unrun(core, &request, &progress, admitted_at);
     let request_id = request.metadata.request_id.as_deref();
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -83,6 +83,8 @@
     pub metrics: metrics::GatewayMetrics,
     /// Ends the waits for a next request on callers' connections.
     pub idle_shutdown: IdleShutdown,
+    /// Ends the requests in progress shortly before the process is killed.
+    pub forced_stop: ForcedStop,
     /// State that changes at run time.
     pub state: cell::RefCell<CoreState>,
 }
@@ -177,6 +179,7 @@
             incarnation,
             metrics: metrics::GatewayMetrics::default(),
             idle_shutdown: IdleShutdown::default(),
+            forced_stop: ForcedStop::default(),
             state: cell::RefCell::new(state),
         })
     }
@@ -397,6 +400,50 @@
     }
 }
 
+/// Signal that ends the requests in progress.
+pub struct ForcedStop {
+    /// Closes with the signal; nothing is ever sent on the channel.
+    sender: channel::Sender<()>,
+    receiver: channel::Receiver<()>,
+}
+
+impl Default for ForcedStop {
+    fn default() -> Self {
+        let (sender, receiver) = channel::bounded(1);
+        ForcedStop { sender, receiver }
+    }
+}
+
+impl ForcedStop {
+    /// Gives the signal.
+    pub fn start(&self) {
+        self.sender.close();
+    }
+
+    /// Waits for the signal.
+    pub async fn started(&self) {
+        // Always an error, since nothing is sent.
+        let _ = self.receiver.recv().await;
+    }
+}
+
+/// Counts a request in progress until dropped.
+pub struct ProgressGuard(rc::Rc<GatewayCore>);
+
+impl ProgressGuard {
+    /// Counts a request.
+    pub fn new(core: &rc::Rc<GatewayCore>) -> Self {
+        core.state.borrow_mut().in_progress += 1;
+        ProgressGuard(core.clone())
+    }
+}
+
+impl Drop for ProgressGuard {
+    fn drop(&mut self) {
+        self.0.state.borrow_mut().in_progress -= 1;
+    }
+}
+
 /// Counts a wait for a next request until dropped.
 struct IdleWait<'a>(&'a cell::Cell<u32>);
 
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -32,6 +32,10 @@
 
 /// Time before the process is killed at which requests still in progress are abandoned.
 const KILL_MARGIN: time::Millis = time::Millis::new(300);
+/// Time within which the responses to abandoned requests are written.
+const RESPONSE_TIME: time::Millis = time::Millis::new(150);
+/// Interval between checks for requests in progress once they are abandoned.
+const RESPONSE_CHECK_INTERVAL: time::Millis = time::Millis::new(5);
 /// Interval between checks for requests in progress while the daemon stops; also the pause after a
 /// failed accept on an operator address.
 const STOP_CHECK_INTERVAL: time::Millis = time::Millis::new(50);
@@ -237,6 +241,15 @@
     }
 }
 
+/// Ends the requests in progress: each gets a response unless one has begun.
+async fn end_requests(core: &core::GatewayCore) {
+    core.forced_stop.start();
+    let forced_at = core.now();
+    while core.state.borrow().in_progress > 0 && core.now().since(forced_at) < RESPONSE_TIME {
+        task::sleep(RESPONSE_CHECK_INTERVAL.to_duration()).await;
+    }
+}
+
 /// Drains the daemon: accepts requests for a while longer, waits for those in progress and for
 /// connections whose request may be on its way, and abandons what is left shortly before the
 /// process is killed.
@@ -260,6 +273,7 @@
         }
         if elapsed >= abandon_after {
             log_event!(event::LogEvent::StopForced, in_progress = in_progress);
+            end_requests(core).await;
             break;
         }
     }
