Gateway: a connection that was not announced to close serves its next request at a stop

What callers saw: a request that arrived whole while the one before it on its connection was in progress got neither an answer nor a refusal if the daemon was told to stop meanwhile. Cause: the connection was closed after the earlier response, although that response had announced no close. Change: only a response that announces it closes the connection. The next request is served or refused as any other at a stop, with the announcement, and an idle connection closes with the others.

--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -85,7 +85,7 @@
     let _memory = BodyMemory::reserve(core, body.len());
     let closes_connection = head.fields.has_token("connection", "close") || core.is_stopping();
     let is_reusable = serve_request(core, raw, head, body, arrived_at, closes_connection).await;
-    is_reusable && !closes_connection && !core.is_stopping()
+    is_reusable && !closes_connection
 }
 
 /// Waits for the first byte of a request. Returns `false` if none arrives. A policy that comes into
