Logs: E0108 also names the replica that takes over from a silent one

A takeover was logged as a retry with the replica before it, so that neither the replica that was asked nor its version could be read before the response ended.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -292,6 +292,7 @@
         if !self.withdraw_retry(reason) {
             return;
         }
+        self.log_choice(&selected);
         self.begin_attempt(selected, None, has_begun);
     }
 
@@ -434,6 +435,13 @@
                 return Err(self.end_unanswered(sink, reason, wait.get() as f64));
             }
         }
+        drop(state);
+        self.log_choice(&selected);
+        Ok(selected)
+    }
+
+    fn log_choice(&self, selected: &selection::SelectedReplica) {
+        let context::RequestContext { core, progress, .. } = self.context;
         log_event!(
             event::LogEvent::ReplicaChosen,
             request = self.context.request_id(),
@@ -443,10 +451,9 @@
             ahead_tokens = selected.tokens_ahead as u64,
             unread_tokens = selected.uncached_tokens,
             fill = format_args!("{:.2}", selected.utilization),
-            daemons_known = state.live_daemons,
+            daemons_known = core.state.borrow().live_daemons,
             sends = progress.tracker.get().attempts(),
         );
-        Ok(selected)
     }
 
     /// Chooses the best replica that is not excluded.
