Gateway: a stopping daemon waits for a request that is being read

A caller that had sent a part of its request when the daemon ended found its connection closed without a response. Cause: a request counts as in progress only once its head and body are read, and a connection as waiting only until the first byte. Change: a connection delays the stop from the first byte of a request until its response is written (StopDelay); the limit, shortly before the process is killed, is as before.

--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -66,6 +66,7 @@
     if !await_request(core, raw).await {
         return false;
     }
+    let _delay = core.idle_shutdown.delay_stop();
     let arrived_at = core.now();
     let limits = current_limits(core);
     let head = match future::timeout(
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -380,7 +380,7 @@
     /// Waits for the signal, and for at least [`IDLE_TIME_MIN`]. Always returns an error, since
     /// nothing is sent.
     pub async fn recv(&self) -> Result<(), channel::RecvError> {
-        let _wait = IdleWait::new(&self.wait_count);
+        let _wait = self.delay_stop();
         let clock = SteadyClock;
         let waiting_since = clock.now();
         let signal = self.receiver.recv().await;
@@ -389,23 +389,29 @@
         signal
     }
 
-    /// Returns the number of connections that wait for a next request.
+    /// Makes a stopping daemon wait for a connection until the guard is dropped.
+    pub fn delay_stop(&self) -> StopDelay<'_> {
+        StopDelay::new(&self.wait_count)
+    }
+
+    /// Returns the number of connections for which a stopping daemon waits: those that wait for a
+    /// next request, and those whose request is read or served.
     pub fn wait_count(&self) -> u32 {
         self.wait_count.get()
     }
 }
 
-/// Counts a wait for a next request until dropped.
-struct IdleWait<'a>(&'a cell::Cell<u32>);
+/// Counts a connection for which a stopping daemon waits until dropped.
+pub struct StopDelay<'a>(&'a cell::Cell<u32>);
 
-impl<'a> IdleWait<'a> {
+impl<'a> StopDelay<'a> {
     fn new(wait_count: &'a cell::Cell<u32>) -> Self {
         wait_count.set(wait_count.get() + 1);
-        IdleWait(wait_count)
+        StopDelay(wait_count)
     }
 }
 
-impl Drop for IdleWait<'_> {
+impl Drop for StopDelay<'_> {
     fn drop(&mut self) {
         self.0.set(self.0.get() - 1);
     }
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -238,8 +238,8 @@
 }
 
 /// Drains the daemon: accepts requests for a while longer, waits for those in progress and for
-/// connections whose request may be on its way, and abandons what is left shortly before the
-/// process is killed.
+/// connections whose request may be on its way or is being read, and abandons what is left shortly
+/// before the process is killed.
 pub async fn stop(core: &rc::Rc<core::GatewayCore>) {
     let stopping_since = core.now();
     core.state.borrow_mut().stopping_since = Some(stopping_since);
