--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -7,6 +7,8 @@
 //! - [`replica`] tracks the replicas and [`selection`] chooses one for each request.
 //! - [`admission`] refuses requests that can't be served in time.
 //! - [`dispatch`] tracks the attempts of a request and whether it may have run.
+//! - [`attempt_record`] remembers the version at which streams began, and [`attempt_message`] encodes
+//!   what daemons tell each other about it.
 //! - [`quota`] enforces the quotas of workspaces across all daemons.
 //! - [`usage`] counts runs in windows of [`wall_clock`] time.
 //! - [`duty`] holds the lease on singleton tasks, and [`capacity`] plans orders for replicas.
@@ -14,6 +16,8 @@
 //! - [`decay`] provides exponentially decayed sums for measured rates.
 
 pub mod admission;
+pub mod attempt_message;
+pub mod attempt_record;
 pub mod capacity;
 pub mod decay;
 pub mod digest;
