Resumption: a caller's stream goes on at the software version that began it

Cause: the daemon that gets the further request has no knowledge of where the stream began, and chose any replica of the route.

At the first event of a resumable stream the daemon now stores where it began and copies that record within 100 ms to three daemons in as many zones, chosen by rendezvous hashing of the request's ID. A request that resumes a stream is served at the service and version of that record, found in the daemon's own store or by asking the daemons that may hold it, or it is refused as not run, at once if all of them say no and after 200 ms if some don't answer. Records have one version for good, so each positive answer is right and a lost one only costs a refusal. Where no replica states a version nothing changes. E0115 and samphiremoor_gateway_resumes_total say where a version was found.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -65,6 +65,7 @@
     112 ReplicaSilent "replica-silent" Info "A replica has sent no data for a request for too long; the request stays there and may be sent to another replica as well.",
     113 ReplicaResumed "replica-resumed" Info "A silent replica sends data again for a request; the line has the length of the silence.",
     114 ReplicaMissing "replica-missing" Info "No replica can be selected for a request; the line has the software version that its stream requires, if any.",
+    115 StreamResumed "stream-resumed" Info "A caller resumes a stream; the line has the attempt that brought the first event, the software version that began it, and the daemon that knew it.",
     201 ClaimsWritten "claims-written" Debug "A batch of claims was written.",
     202 ClaimsRefused "claims-refused" Warn "A batch of claims was refused because another daemon holds the lease.",
     203 ClaimsUnsettled "claims-unsettled" Warn "The response to a write of claims was lost; the row is read back.",
--- a/crates/base/src/reason.rs
+++ b/crates/base/src/reason.rs
@@ -77,6 +77,8 @@
         NoReplica => "no-replica",
         /// No replica of the software version that began the stream can serve the request now.
         NoReplicaOfVersion => "no-replica-of-version",
+        /// The software version that began the stream is not known.
+        UnknownStreamVersion => "unknown-stream-version",
         /// The retry budget is exhausted.
         RetryBudgetSpent => "retry-budget-spent",
         /// The claim on the idempotency key could not be written.
--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -29,6 +29,8 @@
     pub prompt: Option<selection::PromptSize>,
     /// ID of the last event that the caller received from an earlier response to this request.
     pub last_event_id: Option<u64>,
+    /// Request ID of the attempt that brought the first event of the stream that the caller resumes.
+    pub resumed_attempt: Option<sync::Arc<str>>,
 }
 
 /// Values that the headers of one dispatch to a replica carry.
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -308,11 +308,12 @@
             );
         }
     }
-    let timeout = metadata.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
+    let caller_timeout = metadata.timeout.unwrap_or(DEFAULT_TIMEOUT);
     Ok(context::IncomingRequest {
         route: route.clone(),
         workspace: workspace.cloned(),
-        deadline: arrived_at + timeout,
+        deadline: arrived_at + caller_timeout.min(route.timeout),
+        caller_deadline: arrived_at + caller_timeout,
         revision: policy.revision,
         head,
         body,
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -35,6 +35,8 @@
     pub arrived_at: time::MonotonicTime,
     /// When the request times out.
     pub deadline: time::MonotonicTime,
+    /// When the caller gives up, which may be later than the route's timeout.
+    pub caller_deadline: time::MonotonicTime,
     /// Revision of the policy by which the request is served.
     pub revision: quantity::RevisionNumber,
 }
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -26,6 +26,7 @@
 use smallvec::SmallVec;
 
 use crate::adapter;
+use crate::attempt_exchange;
 use crate::idle;
 use crate::metrics;
 use crate::settings;
@@ -85,6 +86,8 @@
     pub idle_shutdown: IdleShutdown,
     /// Ends the requests in progress shortly before the process is killed.
     pub forced_stop: ForcedStop,
+    /// Records of the attempts that began streams.
+    pub attempts: attempt_exchange::AttemptExchange,
     /// State that changes at run time.
     pub state: cell::RefCell<CoreState>,
 }
@@ -180,6 +183,7 @@
             metrics: metrics::GatewayMetrics::default(),
             idle_shutdown: IdleShutdown::default(),
             forced_stop: ForcedStop::default(),
+            attempts: attempt_exchange::AttemptExchange::default(),
             state: cell::RefCell::new(state),
         })
     }
--- a/crates/gateway/src/digest_exchange.rs
+++ b/crates/gateway/src/digest_exchange.rs
@@ -15,23 +15,28 @@
 
 use async_std::net;
 use async_std::task;
+use async_trait::async_trait;
 use samphiremoor_base::event;
 use samphiremoor_base::id;
 use samphiremoor_base::log_event;
 use samphiremoor_base::quantity;
 use samphiremoor_base::time;
+use samphiremoor_fleet::attempt_message;
+use samphiremoor_fleet::attempt_record;
 use samphiremoor_fleet::digest;
 use samphiremoor_fleet::load;
 use samphiremoor_platform::table;
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::attempt_exchange;
 use crate::core;
 use crate::peer_records;
 
 /// Interval between digests. Older load figures mislead replica selection.
 const DIGEST_INTERVAL: time::Millis = time::Millis::new(300);
-/// Interval between checks for replica changes, which are sent at once.
+/// Interval between checks for replica changes, which are sent at once, and between batches of
+/// attempt records.
 const CHANGE_INTERVAL: time::Millis = time::Millis::new(100);
 /// Interval between digests if groups are zones. It is longer because processor time on a small VM
 /// limits the rate.
@@ -134,6 +139,7 @@
         state: cell::RefCell::default(),
         is_fetching_policy: cell::Cell::new(false),
     });
+    core.attempts.connect(exchange.clone());
     task::spawn_local(write_row(core.clone()));
     task::spawn_local(read_rows(exchange.clone()));
     task::spawn_local(receive_digests(exchange.clone()));
@@ -203,6 +209,11 @@
             }
         };
         let bytes = &buffer[..length];
+        if bytes.first() == Some(&attempt_message::MESSAGE_MARK) {
+            let core = &exchange.core;
+            core.attempts.receive(bytes, sender, core.now()).await;
+            continue;
+        }
         let digest: digest::PeerDigest = match postcard::from_bytes(bytes) {
             Ok(digest) => digest,
             Err(cause) => {
@@ -383,7 +394,7 @@
         for address in recipients {
             if let Err(cause) = self.socket.send_to(bytes, address).await {
                 log::trace!(
-                    "failed to send a datagram to {address} ({cause}); the next digest follows"
+                    "failed to send a datagram to {address} ({cause}); digests and queries are repeated"
                 );
             }
         }
@@ -404,13 +415,16 @@
         core_state.quota.set_propagation(daemon_count, propagation_time);
     }
 
-    /// Waits for the next round, which starts early if the known replicas change.
+    /// Waits for the next round, which starts early if the known replicas change, and copies attempt
+    /// records meanwhile.
     async fn await_round(&self, interval: time::Millis) {
         let started_at = self.core.now();
         let version = || self.core.state.borrow().replicas.version();
         let initial_version = version();
         while self.core.now().since(started_at) < interval && version() == initial_version {
             task::sleep(CHANGE_INTERVAL.to_duration()).await;
+            let local_zone = &self.core.settings.availability_zone;
+            self.core.attempts.copy_records(local_zone, self.core.now()).await;
         }
     }
 
@@ -605,6 +619,27 @@
     }
 }
 
+#[async_trait(?Send)]
+impl attempt_exchange::PeerNetwork for DigestExchange {
+    fn candidates(&self) -> Vec<attempt_record::HolderCandidate> {
+        let now = self.core.now();
+        let is_zonal = self.is_zonal();
+        let state = self.state.borrow();
+        let candidate = |(daemon, peer): (&id::DaemonId, &KnownPeer)| {
+            let is_in_group = !is_zonal || self.is_local_zone(&peer.zone);
+            // Daemons of other groups send no digests to this one.
+            let is_live = is_live(peer, now) || !is_in_group;
+            let (daemon, zone) = (daemon.clone(), peer.zone.clone());
+            attempt_record::HolderCandidate { daemon, zone, address: peer.address, is_live }
+        };
+        state.peers.iter().map(candidate).collect()
+    }
+
+    async fn send_datagram(&self, bytes: &[u8], recipients: &[SocketAddr]) {
+        self.send_bytes(bytes, recipients).await;
+    }
+}
+
 fn is_live(peer: &KnownPeer, now: time::MonotonicTime) -> bool {
     peer.last_contact.is_some_and(|contact_at| now.since(contact_at) < LIVENESS_TIMEOUT)
 }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -23,6 +23,7 @@
 use crate::migration;
 use crate::pending;
 use crate::response;
+use crate::resumption;
 
 /// Number of attempts that failed to connect or reached a different replica after which a request
 /// is given up. No replica ran the request in them.
@@ -109,16 +110,20 @@
     progress: &context::RequestProgress,
     sink: &mut response::ResponseSink,
 ) -> RequestOutcome {
-    let Some(service) = request.route.pick_service(rand::random()) else {
-        let wait = admission::retry_after(NOT_READY_RETRY_AFTER_MS, rand::random());
-        return unanswered_outcome(progress, sink, reason::RefusalReason::UnknownService, wait);
+    let choice = match resumption::choose_service(core, request).await {
+        Ok(choice) => choice,
+        Err(reason) => {
+            let wait = admission::retry_after(NOT_READY_RETRY_AFTER_MS, rand::random());
+            return unanswered_outcome(progress, sink, reason, wait);
+        }
     };
-    core.state.borrow_mut().budget(service, &core.settings.shared).deposit();
+    let resumption::ServiceChoice { service, required_version } = choice;
+    core.state.borrow_mut().budget(&service, &core.settings.shared).deposit();
     let mut forwarder = RequestForwarder {
-        context: context::RequestContext { core, request, progress, service },
+        context: context::RequestContext { core, request, progress, service: &service },
         splitter: events::EventSplitter::new(request.metadata.last_event_id),
         excluded: core::ExcludedReplicas::new(),
-        required_version: None,
+        required_version,
         pending: pending::PendingAttempts::new(),
         failure: None,
         server_error: None,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,10 +6,12 @@
 //! [`attempt`] makes one of them, [`pending`] waits for several, and [`upstream`] and [`stream`] talk to replicas over the
 //! connections that [`idle`] pools, and `migration` moves KV caches between them; [`response`] writes to callers. [`table_sync`] follows the policy and the replica entries in
 //! the platform's table, [`digest_exchange`] and [`peer_records`] exchange state with the other
-//! daemons, and [`duties`] performs the tasks that one daemon does for all.
+//! daemons, [`resumption`] and [`attempt_exchange`] let callers resume streams at any daemon, and
+//! [`duties`] performs the tasks that one daemon does for all.
 
 pub mod adapter;
 pub mod attempt;
+pub mod attempt_exchange;
 pub mod caller;
 pub mod context;
 pub mod core;
@@ -25,6 +27,7 @@
 pub mod pending;
 pub mod relay;
 pub mod response;
+pub mod resumption;
 pub mod settings;
 pub mod stream;
 pub mod table_sync;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -19,6 +19,7 @@
     responses: prometheus::IntCounterVec,
     refusals: prometheus::IntCounterVec,
     retries: prometheus::IntCounterVec,
+    resumes: prometheus::IntCounterVec,
     first_byte_seconds: prometheus::Histogram,
     total_seconds: prometheus::Histogram,
 }
@@ -48,6 +49,11 @@
             counter_vec("samphiremoor_gateway_refusals_total", "Refusals by reason.", "reason");
         let retries =
             counter_vec("samphiremoor_gateway_retries_total", "Further sends by reason.", "reason");
+        let resumes = counter_vec(
+            "samphiremoor_gateway_resumes_total",
+            "Streams that callers resume, by where their origin was found.",
+            "origin",
+        );
         let first_byte_seconds =
             histogram("samphiremoor_gateway_first_seconds", "Time to the first byte of an answer.");
         let total_seconds =
@@ -58,6 +64,7 @@
             responses,
             refusals,
             retries,
+            resumes,
             first_byte_seconds,
             total_seconds,
         }
@@ -93,6 +100,11 @@
         self.retries.with_label_values(&[reason.label()]).inc();
     }
 
+    /// Counts a stream that a caller resumes by where its origin was found.
+    pub fn count_resume(&self, origin: &str) {
+        self.resumes.with_label_values(&[origin]).inc();
+    }
+
     /// Records the time until the first byte of a replica's response.
     pub fn observe_first_byte(&self, elapsed: time::Millis) {
         self.first_byte_seconds.observe(elapsed.to_duration().as_secs_f64());
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -52,6 +52,9 @@
             let now = context.core.now();
             guard.finish_prefill();
             context.core.metrics.observe_first_byte(now.since(started_at));
+            if is_first_stream {
+                context.record_origin(&selected);
+            }
             let mut state = context.core.state.borrow_mut();
             if is_first_stream {
                 let ttft = now.since(started_at);
@@ -160,6 +163,9 @@
         match end {
             stream::StreamEnd::Complete => {
                 self.context.record_result(replica, false);
+                if let Some(attempt) = self.context.recorded_attempt() {
+                    self.context.core.attempts.complete(attempt);
+                }
                 let status = stream.response.head.status;
                 upstream::release(self.context.core, replica, stream.connection, &stream.response);
                 forward::RelayOutcome::Ended(forward::RequestOutcome::Answered(status))
