--- a/crates/entry/src/finish.rs
+++ b/crates/entry/src/finish.rs
@@ -119,6 +119,9 @@
         RefusalReason::NoReplicaOfVersion => {
             "no replica of the software version that began the stream is left; send the call anew"
         }
+        RefusalReason::UnknownStreamVersion => {
+            "no daemon knows the software version that began the stream; send the call anew"
+        }
         RefusalReason::RetryBudgetSpent => "too many upstreams fail; try again later",
         RefusalReason::ClaimUnavailable => "the claim can't be written now; try again later",
         RefusalReason::ShardUnavailable => "the key's shard has no holder now; try again later",
