Gateway: a stream awaits its migration and a takeover together

What callers saw: a stream that had ended at its leaving source was cut 1.5 s later if the response to its migration was late and no retry was left in the budget; and it was cut at its deadline beside another replica that had taken over and responded. Cause: the wait for the migration looked at nothing else. It gave the migration up after 1.5 s before it was known whether anything else could serve the stream, and meanwhile it read no response of the attempts that were pending. Change: both are awaited, as in a silence of a stream in progress. After 1.5 s another replica may take over, if the route, the budget and the replicas allow it; the migration stays. The first of them to respond serves the stream.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -8,6 +8,7 @@
 use crate::attempt;
 use crate::forward;
 use crate::migration;
+use crate::pending;
 use crate::response;
 use crate::stream;
 use crate::upstream;
@@ -92,11 +93,10 @@
         }
         let migrated = match migrated {
             Some(migrated) => migrated,
-            None if !context.progress.tracker.get().may_send() => migration.await,
-            None => {
-                let duration = upstream::MIGRATION_TIMEOUT.to_duration();
-                async_std::future::timeout(duration, migration).await.unwrap_or(None)
-            }
+            None => match self.await_migration(migration).await {
+                Ok(migrated) => migrated,
+                Err(other) => return forward::RelayOutcome::TakenOver(other),
+            },
         };
         match migrated {
             Some(migrated) => forward::RelayOutcome::Migrated(Box::new(migrated)),
@@ -104,6 +104,26 @@
         }
     }
 
+    /// Waits for the migration of a stream that has ended at its source. Other replicas may take over
+    /// meanwhile; the error is the response of the one that does.
+    async fn await_migration(
+        &mut self,
+        mut migration: pin::Pin<&mut impl Future<Output = Option<forward::MigratedStream>>>,
+    ) -> Result<Option<forward::MigratedStream>, Box<attempt::StartedAttempt>> {
+        loop {
+            let timeout = upstream::MIGRATION_TIMEOUT;
+            match pending::next_event(migration.as_mut(), &mut self.pending, timeout).await {
+                pending::RequestEvent::Progress(migrated) => return Ok(migrated),
+                pending::RequestEvent::Attempt(other, start) => {
+                    if let Some(started) = self.end_attempt(&other, start) {
+                        return Err(started);
+                    }
+                }
+                pending::RequestEvent::Silence => self.take_over(true),
+            }
+        }
+    }
+
     /// Returns whether the KV cache of this request can be migrated.
     fn can_migrate(&self) -> bool {
         let state = self.context.core.state.borrow();
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -22,8 +22,8 @@
 const DEFAULT_MAX_IDLE: time::Millis = time::Millis::new(4_000);
 /// Margin before a replica's keep-alive timeout at which a connection is not reused.
 const IDLE_MARGIN: time::Millis = time::Millis::new(700);
-/// Time after the end of a stream at its source for which its migration is awaited if the stream can
-/// resume without the KV cache.
+/// Time after the end of a stream at its source after which a stream that can resume without the KV
+/// cache may be taken over by another replica.
 pub(crate) const MIGRATION_TIMEOUT: time::Millis = time::Millis::new(1_500);
 /// Number of responses to other requests that are skipped on one connection before it is closed.
 const MAX_SKIPPED_RESPONSES: u32 = 3;
