Forwarding: a failed takeover is followed by the next replica

While a replica was silent and the one that should take over refused, closed or failed, callers waited for one more whole silence before a third replica was asked: four times the latency target of a plain call, 1.5 s or more of a stream. Meanwhile deadlines passed (504, or a cut stream).

Cause: only connect failures and replies of another replica shortened the interval; after any other failure the last attempt's timeout began again, though its replica was known to be silent.

A failure now shortens the interval whenever all pending attempts are silent. The retry is withdrawn and logged with the reason of the failure. Pending attempts beside a silent stream are marked as silent too, so that an attempt still in its time is not overtaken.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -212,10 +212,7 @@
                     }
                 }
                 pending::RequestEvent::Silence => {
-                    for attempt in self.pending.iter_mut().filter(|attempt| !attempt.is_silent) {
-                        attempt.is_silent = true;
-                        self.context.mark_silent(&attempt.selected.replica, attempt.sent_at);
-                    }
+                    self.mark_pending_silent();
                     if self.server_error.is_some() && self.is_deadline_near() {
                         let reason = reason::RefusalReason::DeadlinePassed;
                         return Err(self.end_unanswered(sink, reason, NOT_RUN_RETRY_AFTER_MS));
@@ -234,7 +231,7 @@
         let time_left = request.deadline.since(core.now()).saturating_sub(MIN_SILENCE_INTERVAL);
         let interval = if !progress.tracker.get().may_send() {
             time_left
-        } else if self.is_unsent() {
+        } else if self.failure.is_some() && self.pending.iter().all(|attempt| attempt.is_silent) {
             MIN_SILENCE_INTERVAL
         } else {
             self.pending.last().map_or(min_interval, |attempt| attempt.timeout.max(min_interval))
@@ -242,10 +239,12 @@
         interval.min(time_left).max(MIN_SILENCE_INTERVAL)
     }
 
-    /// Whether the last attempt reached no replica that may have run the request.
-    fn is_unsent(&self) -> bool {
-        let unsent = [reason::RetryReason::ConnectFailed, reason::RetryReason::ReplicaLeaving];
-        self.failure.is_some_and(|failure| unsent.contains(&failure))
+    /// Marks the replicas of the pending attempts as silent.
+    pub(crate) fn mark_pending_silent(&mut self) {
+        for attempt in self.pending.iter_mut().filter(|attempt| !attempt.is_silent) {
+            attempt.is_silent = true;
+            self.context.mark_silent(&attempt.selected.replica, attempt.sent_at);
+        }
     }
 
     fn is_deadline_near(&self) -> bool {
@@ -278,11 +277,7 @@
     /// Sends the request to another replica while those that have it are silent, if that is allowed.
     /// `has_begun` says whether a stream is in progress, which only events can continue.
     pub(crate) fn take_over(&mut self, has_begun: bool) {
-        // The retry that an attempt withdrew and did not use is still available.
-        let reason = match self.failure.take() {
-            Some(reason::RetryReason::ConnectFailed) => reason::RetryReason::ConnectFailed,
-            _ => reason::RetryReason::ConnectionSilent,
-        };
+        let reason = self.failure.take().unwrap_or(reason::RetryReason::ConnectionSilent);
         let may_send = self.context.progress.tracker.get().may_send();
         let is_exhausted = self.connect_failures >= MAX_CONNECT_FAILURES;
         if !may_send || is_exhausted || self.is_deadline_near() {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -137,6 +137,7 @@
                         is_silent = true;
                         context.mark_silent(replica, silent_since);
                     }
+                    self.mark_pending_silent();
                     self.take_over(true);
                     timeout = self.silence_interval(SILENCE_TIMEOUT);
                 }
