Forwarding: a takeover wins once it brings data

A replica fell silent, another one took the request over, sent the head of its response and broke off or sent nothing more. Callers lost the response (a cut stream, or 504) though the silent replica went on soon after.

Cause: an attempt counted as started at the head of its response, which closed the connection of the silent replica. Nothing had been delivered by then.

The attempt of a takeover now reads up to the first event of a stream, or the whole body of a plain response, before it wins; until then the silent replica may go on and closes it instead. Attempts that are the only one of their request start at the head, as before. A stream may run at two replicas for 400 ms, so one that has sent its head, and no event after 300 ms, wins without it: the silent replica has sent nothing for longer. That case is not mended, and stream_is_cut_by_a_takeover_that_is_silent_after_its_head stays listed.

stream_is_cut_by_a_takeover_that_breaks_after_its_head and call_is_lost_to_a_takeover_that_is_silent_after_its_head failed in 3 of 3 runs before and pass now.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -4,14 +4,17 @@
 use std::sync;
 
 use async_std::future;
+use samphiremoor_base::id;
 use samphiremoor_base::reason;
 use samphiremoor_base::time;
 use samphiremoor_fleet::selection;
+use samphiremoor_httpio::connection;
 use samphiremoor_httpio::message;
 
 use crate::adapter;
 use crate::context;
 use crate::core;
+use crate::events;
 use crate::upstream;
 
 /// Multiple of the route's latency target after which a plain request is sent to another replica as
@@ -24,10 +27,14 @@
 /// Timeout for the body of a refusal, which is short and arrives together with its head.
 const REFUSAL_BODY_TIMEOUT: time::Millis = time::Millis::new(100);
 
+/// Time after the head of a stream within which its first event decides a takeover. A stream may run
+/// at two replicas for 400 ms.
+const FIRST_EVENT_TIMEOUT: time::Millis = time::Millis::new(300);
+
 /// How an attempt starts, or fails before it starts.
 pub(crate) enum AttemptStart {
-    /// The response has begun and can be relayed.
-    Response(Box<StartedAttempt>),
+    /// The response has begun and can be delivered.
+    Response(StartedResponse),
     /// No byte was sent to the replica.
     NotSent,
     /// A different replica now has the address.
@@ -41,8 +48,18 @@
     ServerError(Box<BufferedResponse>),
 }
 
+/// A response that has begun.
+pub(crate) enum StartedResponse {
+    /// The response is relayed as it arrives.
+    Relayed(Box<StartedAttempt>),
+    /// The response was read whole.
+    Buffered(Box<BufferedResponse>),
+}
+
 /// A replica's response that was read whole.
 pub(crate) struct BufferedResponse {
+    /// The replica.
+    pub(crate) replica: id::ReplicaId,
     /// Status and headers.
     pub(crate) head: message::ResponseHead,
     /// Whole body.
@@ -55,6 +72,8 @@
     pub(crate) connection: upstream::UpstreamConnection,
     /// Head of the response.
     pub(crate) response: upstream::ReplicaResponse,
+    /// Body that follows the head.
+    pub(crate) body: PartialBody,
     pub(crate) guard: core::LoadGuard,
     /// When the request was sent.
     pub(crate) started_at: time::MonotonicTime,
@@ -62,12 +81,23 @@
     pub(crate) is_migrated: bool,
 }
 
+/// Body of which a part was read.
+pub(crate) struct PartialBody {
+    pub(crate) reader: connection::BodyReader,
+    /// Data that was read.
+    pub(crate) data: Vec<u8>,
+    /// Whether the body was read to its end.
+    pub(crate) is_read: bool,
+}
+
 /// State of the response when an attempt is sent.
 pub(crate) struct ResumePoint {
     /// ID of the last event that was delivered.
     pub(crate) last_event_id: Option<u64>,
     /// Whether a stream is in progress, which only events can continue.
     pub(crate) has_begun: bool,
+    /// Whether another replica has the request and is silent.
+    pub(crate) is_takeover: bool,
     /// Location of the KV cache from which the attempt resumes.
     pub(crate) kv_location: Option<sync::Arc<str>>,
 }
@@ -137,24 +167,74 @@
             return AttemptStart::Failed(reason::RetryReason::UpstreamError);
         }
         let is_migrated = resume.kv_location.is_some();
-        let started =
-            StartedAttempt { selected, connection, response, guard, started_at, is_migrated };
-        if status < 500 || !is_repeatable {
-            return AttemptStart::Response(Box::new(started));
+        let reader = connection::BodyReader::new(response.framing);
+        let body = PartialBody { reader, data: Vec::new(), is_read: false };
+        let mut started =
+            StartedAttempt { selected, connection, response, body, guard, started_at, is_migrated };
+        let is_stream = self.request.route.kind.is_stream() && is_success;
+        if resume.is_takeover && is_stream {
+            return match self.read_first_event(&mut started, resume.last_event_id).await {
+                Ok(()) => AttemptStart::Response(StartedResponse::Relayed(Box::new(started))),
+                Err(reason) => AttemptStart::Failed(reason),
+            };
+        }
+        let is_error = status >= 500;
+        if !is_repeatable || !resume.is_takeover && !is_error {
+            return AttemptStart::Response(StartedResponse::Relayed(Box::new(started)));
         }
-        match self.read_plain(started).await {
-            Ok(buffered) => AttemptStart::ServerError(Box::new(buffered)),
+        let read = self.read_plain(started).await;
+        self.count_run();
+        match read {
+            Ok(buffered) if is_error => AttemptStart::ServerError(Box::new(buffered)),
+            Ok(buffered) => AttemptStart::Response(StartedResponse::Buffered(Box::new(buffered))),
             Err(reason) => AttemptStart::Failed(reason),
         }
     }
 
+    /// Reads a stream up to the first event that follows `last_event_id`, or to its end. Stops at a
+    /// timeout.
+    async fn read_first_event(
+        self,
+        started: &mut StartedAttempt,
+        last_event_id: Option<u64>,
+    ) -> Result<(), reason::RetryReason> {
+        self.progress.on_data(context::ResponsePhase::Events, self.core.now());
+        let StartedAttempt { connection, body, .. } = &mut *started;
+        let mut splitter = events::EventSplitter::new(last_event_id);
+        let reading = async {
+            loop {
+                let known_length = body.data.len();
+                let read = body.reader.read(&mut connection.raw, &mut body.data).await;
+                body.is_read = read.ok()?;
+                splitter.buffer().extend_from_slice(&body.data[known_length..]);
+                let is_in_order = splitter.take_events(&mut Vec::new());
+                if splitter.delivered() > 0 {
+                    return Some(());
+                }
+                if !is_in_order || body.is_read && splitter.is_incomplete() {
+                    return None;
+                }
+                if body.is_read {
+                    return Some(());
+                }
+            }
+        };
+        match future::timeout(FIRST_EVENT_TIMEOUT.to_duration(), reading).await {
+            Ok(Some(())) | Err(_) => Ok(()),
+            Ok(None) => {
+                self.record_result(&started.selected.replica, true);
+                self.count_run();
+                Err(reason::RetryReason::ConnectionClosed)
+            }
+        }
+    }
+
     /// Reads the body of a response that is no stream.
     pub(crate) async fn read_plain(
         self,
         started: StartedAttempt,
     ) -> Result<BufferedResponse, reason::RetryReason> {
         let StartedAttempt { selected, mut connection, response, guard, started_at, .. } = started;
-        self.count_run();
         self.progress.on_data(context::ResponsePhase::Body, self.core.now());
         let Ok(body) = upstream::read_body(&mut connection, &response).await else {
             self.record_result(&selected.replica, true);
@@ -164,7 +244,7 @@
         self.record_result(&selected.replica, response.head.status >= 500);
         upstream::release(self.core, &selected.replica, connection, &response);
         self.core.metrics.observe_first_byte(self.core.now().since(started_at));
-        Ok(BufferedResponse { head: response.head, body })
+        Ok(BufferedResponse { replica: selected.replica, head: response.head, body })
     }
 
     fn encode_request(
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -3,7 +3,6 @@
 
 use std::convert;
 use std::rc;
-use std::sync;
 
 use samphiremoor_base::event;
 use samphiremoor_base::id;
@@ -57,7 +56,7 @@
     /// The response failed, and the replica may have run the request.
     Failed(reason::RetryReason),
     /// The replica was silent, and another one responded meanwhile.
-    TakenOver(Box<attempt::StartedAttempt>),
+    TakenOver(attempt::StartedResponse),
     /// The replica is leaving, and the stream continues at another one.
     Migrated(Box<MigratedStream>),
 }
@@ -149,7 +148,7 @@
 
 impl RequestForwarder<'_> {
     async fn run(&mut self, sink: &mut response::ResponseSink) -> RequestOutcome {
-        let mut taken_over: Option<Box<attempt::StartedAttempt>> = None;
+        let mut taken_over: Option<attempt::StartedResponse> = None;
         loop {
             let started = match taken_over.take() {
                 Some(started) => started,
@@ -159,6 +158,13 @@
                 },
             };
             self.cancel_pending();
+            let started = match started {
+                attempt::StartedResponse::Relayed(started) => started,
+                attempt::StartedResponse::Buffered(response) => {
+                    self.context.progress.replica.replace(Some(response.replica.clone()));
+                    return self.deliver(*response, sink).await;
+                }
+            };
             let replica = started.selected.replica.clone();
             self.context.progress.replica.replace(Some(replica.clone()));
             match self.relay(*started, sink).await {
@@ -178,7 +184,8 @@
                     );
                     self.cancel_pending();
                     let kv_location = kv_copy.into_location();
-                    self.begin_attempt(selected, kv_location, sink.has_begun());
+                    let resume = self.resume_point(sink.has_begun());
+                    self.begin_attempt(selected, attempt::ResumePoint { kv_location, ..resume });
                 }
             }
         }
@@ -189,7 +196,7 @@
     async fn await_response(
         &mut self,
         sink: &response::ResponseSink,
-    ) -> Result<Box<attempt::StartedAttempt>, RequestOutcome> {
+    ) -> Result<attempt::StartedResponse, RequestOutcome> {
         let mut check_at = self.context.core.now() + self.silence_interval(time::Millis::default());
         loop {
             if self.pending.is_empty() {
@@ -199,7 +206,7 @@
                     return Err(outcome);
                 }
                 let selected = self.select_replica(sink)?;
-                self.begin_attempt(selected, None, sink.has_begun());
+                self.begin_attempt(selected, self.resume_point(sink.has_begun()));
                 check_at = self.context.core.now() + self.silence_interval(time::Millis::default());
             }
             let timeout = check_at.since(self.context.core.now());
@@ -252,19 +259,21 @@
         time_left <= MIN_SILENCE_INTERVAL
     }
 
+    fn resume_point(&self, has_begun: bool) -> attempt::ResumePoint {
+        let last_event_id = self.splitter.last_id();
+        attempt::ResumePoint { last_event_id, has_begun, is_takeover: false, kv_location: None }
+    }
+
     /// Sends the request to a replica, whose response is awaited with the other pending ones.
     fn begin_attempt(
         &mut self,
         selected: selection::SelectedReplica,
-        kv_location: Option<sync::Arc<str>>,
-        has_begun: bool,
+        resume: attempt::ResumePoint,
     ) {
         self.context.progress.update(dispatch::DispatchTracker::begin_attempt);
         self.context.progress.replica.replace(Some(selected.replica.clone()));
         self.excluded.push(selected.replica.clone());
         self.failure = None;
-        let last_event_id = self.splitter.last_id();
-        let resume = attempt::ResumePoint { last_event_id, has_begun, kv_location };
         self.pending.push(pending::PendingAttempt {
             sent_at: self.context.core.now(),
             timeout: self.context.first_byte_timeout(&selected),
@@ -288,7 +297,8 @@
             return;
         }
         self.log_choice(&selected);
-        self.begin_attempt(selected, None, has_begun);
+        let resume = self.resume_point(has_begun);
+        self.begin_attempt(selected, attempt::ResumePoint { is_takeover: true, ..resume });
     }
 
     /// Ends a pending attempt. Returns its response, or updates the progress after a failure.
@@ -296,7 +306,7 @@
         &mut self,
         attempt: &pending::PendingAttempt<'_>,
         start: attempt::AttemptStart,
-    ) -> Option<Box<attempt::StartedAttempt>> {
+    ) -> Option<attempt::StartedResponse> {
         let replica = &attempt.selected.replica;
         let has_response =
             !matches!(start, attempt::AttemptStart::NotSent | attempt::AttemptStart::Failed(_));
--- a/crates/gateway/src/pending.rs
+++ b/crates/gateway/src/pending.rs
@@ -1,5 +1,5 @@
 //! Attempts whose response has not begun. A request has several of them while its replicas are
-//! silent; the first one to respond serves the request.
+//! silent; the first one to go on or to bring data serves the request.
 
 use std::future;
 use std::pin;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -23,6 +23,7 @@
         if self.context.request.route.kind.is_stream() && is_success {
             return self.relay_stream(started, sink).await;
         }
+        self.context.count_run();
         match self.context.read_plain(started).await {
             Ok(buffered) => forward::RelayOutcome::Ended(self.deliver(buffered, sink).await),
             Err(reason) => forward::RelayOutcome::Failed(reason),
@@ -38,12 +39,13 @@
             selected,
             connection,
             response,
+            body,
             mut guard,
             started_at,
             is_migrated,
         } = started;
         let context = self.context;
-        let mut stream = stream::ReplicaStream::new(selected.clone(), connection, response);
+        let mut stream = stream::ReplicaStream::new(selected.clone(), connection, response, body);
         self.splitter.discard_partial();
         let workspace = context.request.workspace.as_ref().map(|rule| &rule.id);
         let window = context.core.settings.times.usage_window_ms;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -3,7 +3,6 @@
 use samphiremoor_base::reason;
 use samphiremoor_base::time;
 use samphiremoor_fleet::selection;
-use samphiremoor_httpio::connection;
 
 use crate::attempt;
 use crate::context;
@@ -24,7 +23,7 @@
     /// The connection failed, or the bytes are not a valid stream.
     Broken,
     /// The replica was silent, and another one responded meanwhile.
-    TakenOver(Box<attempt::StartedAttempt>),
+    TakenOver(attempt::StartedResponse),
     /// The replica is leaving; the stream is still in progress there.
     Leaving,
     /// The caller closed the connection.
@@ -39,7 +38,7 @@
     pub(crate) connection: upstream::UpstreamConnection,
     /// Head of the replica's response.
     pub(crate) response: upstream::ReplicaResponse,
-    reader: connection::BodyReader,
+    body: attempt::PartialBody,
 }
 
 impl ReplicaStream {
@@ -48,9 +47,9 @@
         selected: selection::SelectedReplica,
         connection: upstream::UpstreamConnection,
         response: upstream::ReplicaResponse,
+        body: attempt::PartialBody,
     ) -> Self {
-        let reader = connection::BodyReader::new(response.framing);
-        ReplicaStream { selected, connection, response, reader }
+        ReplicaStream { selected, connection, response, body }
     }
 }
 
@@ -105,10 +104,14 @@
         let replica = &stream.selected.replica;
         let silent_since = context.core.now();
         context.progress.on_data(context::ResponsePhase::Events, silent_since);
+        if !stream.body.data.is_empty() {
+            self.splitter.buffer().append(&mut stream.body.data);
+            return Ok(stream.body.is_read);
+        }
         let mut is_silent = false;
         let mut timeout = SILENCE_TIMEOUT;
         loop {
-            let read = stream.reader.read(&mut stream.connection.raw, self.splitter.buffer());
+            let read = stream.body.reader.read(&mut stream.connection.raw, self.splitter.buffer());
             match pending::next_event(read, &mut self.pending, timeout).await {
                 pending::RequestEvent::Progress(read) => {
                     // The other attempts go on if the stream is broken.
