--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -111,7 +111,7 @@
     async fn await_migration(
         &mut self,
         mut migration: pin::Pin<&mut impl Future<Output = Option<forward::MigratedStream>>>,
-    ) -> Result<Option<forward::MigratedStream>, Box<attempt::StartedAttempt>> {
+    ) -> Result<Option<forward::MigratedStream>, attempt::StartedResponse> {
         loop {
             let timeout = upstream::MIGRATION_TIMEOUT;
             match pending::next_event(migration.as_mut(), &mut self.pending, timeout).await {
