Forwarding: a short deadline does not mark a replica as silent

Calls with little time left marked their replica as silent 50 ms before their deadline, however short it was. Streams whose replica had fallen silent found no other one to take over, and were cut at their deadline.

Cause: every check for silence marked all pending attempts, also the last check before a deadline.

A replica is now marked only once it has had its time until the response begins. Replicas that have had that time are marked as before, also for requests that may run once.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -251,11 +251,14 @@
         interval.min(time_left).max(MIN_SILENCE_INTERVAL)
     }
 
-    /// Marks the replicas of the pending attempts as silent.
+    /// Marks the replicas of the pending attempts as silent that had their time to respond.
     pub(crate) fn mark_pending_silent(&mut self) {
+        let now = self.context.core.now();
         for attempt in self.pending.iter_mut().filter(|attempt| !attempt.is_silent) {
-            attempt.is_silent = true;
-            self.context.mark_silent(&attempt.selected.replica, attempt.sent_at);
+            if now >= attempt.sent_at + attempt.timeout {
+                attempt.is_silent = true;
+                self.context.mark_silent(&attempt.selected.replica, attempt.sent_at);
+            }
         }
     }
 
