--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,12 +2,14 @@
 //!
 //! This crate does the I/O on one thread; the decisions are made in the `fleet` crate. [`adapter`]
 //! holds the traits that a deployment's adapter implements, and [`daemon`] starts all tasks.
-//! [`caller`] serves callers' connections, [`forward`] takes one request through its attempts,
-//! [`attempt`] makes one of them, [`pending`] waits for several, and [`upstream`] and [`stream`] talk to replicas over the
-//! connections that [`idle`] pools, and `migration` moves KV caches between them; [`response`] writes to callers. [`table_sync`] follows the policy and the replica entries in
-//! the platform's table, [`digest_exchange`] and [`peer_records`] exchange state with the other
-//! daemons, [`resumption`] and [`attempt_exchange`] let callers resume streams at any daemon, and
-//! [`duties`] performs the tasks that one daemon does for all.
+//! [`caller`] serves callers' connections, and [`response`] writes to them. [`forward`] takes one
+//! request through its attempts: [`context`] is what they share, [`attempt`] makes one of them,
+//! [`pending`] waits for several, and [`relay`] and [`stream`] pass a response on. [`upstream`]
+//! talks to replicas over the connections that [`idle`] pools, and `migration` moves KV caches
+//! between them. [`resumption`] and [`attempt_exchange`] let callers resume streams at any daemon.
+//! [`table_sync`] follows the policy and the replica entries in the platform's table,
+//! [`digest_exchange`] and [`peer_records`] exchange state with the other daemons, and [`duties`]
+//! performs the tasks that one daemon does for all.
 
 pub mod adapter;
 pub mod attempt;
