Fleet: a removed replica is remembered, and lists have a position

The table of replicas knows the position of the store that its entries match, and ignores lists of an earlier one; peers send the position after the versions, where earlier releases ignore it. A removed replica is remembered for a minute: it goes on draining if it returns within its start, and an entry that may be older than the removal (a list of a later era, or without a position) is used only once the table has kept it for six seconds or the replica has registered again. Replicas that a later era lacks have the two seconds that they have after an outage.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod event;
 pub mod id;
 pub mod outcome;
+pub mod position;
 pub mod quantity;
 pub mod reason;
 pub mod testing;
--- a/crates/base/src/quantity.rs
+++ b/crates/base/src/quantity.rs
@@ -64,6 +64,10 @@
     /// Version of a row in the platform's table.
     RowVersion(u64)
 );
+quantity!(
+    /// Era of the platform's table: greater each time that the table returns from an older copy.
+    StoreEra(u64)
+);
 quantity!(
     /// A number of tokens.
     TokenCount(u64)
--- a/crates/fleet/src/replica.rs
+++ b/crates/fleet/src/replica.rs
@@ -9,6 +9,7 @@
 use std::sync;
 
 use samphiremoor_base::id;
+use samphiremoor_base::position;
 use samphiremoor_base::quantity;
 use samphiremoor_base::time;
 use smallvec::SmallVec;
@@ -19,6 +20,11 @@
 /// Time after an outage of the table for which missing entries are retained. A running replica has
 /// registered again by then.
 const OUTAGE_GRACE: time::Millis = time::Millis::new(2_000);
+/// Time for which a removed replica is remembered. The table returns from copies that are younger.
+const REMOVAL_MEMORY: time::Millis = time::Millis::new(60_000);
+/// Time after the return of the table from an older copy in which it drops the entry of a replica
+/// that is gone: a few intervals between a replica's reports.
+const RESTORE_GRACE: time::Millis = time::Millis::new(6_000);
 /// First backoff of an unreachable replica, in which it receives no requests. It is short, as a
 /// single reset connection proves little.
 const MIN_BACKOFF: time::Millis = time::Millis::new(250);
@@ -133,6 +139,13 @@
     pub time_to_reclaim: Option<time::Millis>,
 }
 
+impl ReplicaEntry {
+    /// Whether two entries are of one start of a replica.
+    fn is_same_start(&self, other: &ReplicaEntry) -> bool {
+        self.address == other.address && self.incarnation == other.incarnation
+    }
+}
+
 /// State of one replica as this daemon knows it.
 #[derive(Clone, Debug)]
 pub struct KnownReplica {
@@ -167,11 +180,27 @@
     peers: collections::HashMap<id::DaemonId, PeerLoads>,
     /// Version of the entries, which increases with each change that other daemons need to learn.
     version: u64,
+    /// Position of the table that the entries match, if known.
+    position: Option<position::StorePosition>,
+    /// Replicas that were removed recently.
+    removed: collections::BTreeMap<id::ReplicaId, RemovedReplica>,
+    /// Entries of removed replicas that an older copy of the table brought back, and when they are
+    /// used if the table still has them.
+    restored: collections::BTreeMap<id::ReplicaId, (ReplicaEntry, time::MonotonicTime)>,
     /// When the table last failed to respond, or when it first responded again.
     last_outage_at: Option<time::MonotonicTime>,
     is_table_unavailable: bool,
 }
 
+/// A replica whose entry was removed from the table.
+#[derive(Clone, Debug)]
+struct RemovedReplica {
+    entry: ReplicaEntry,
+    removed_at: time::MonotonicTime,
+    /// Era of the table in which the entry was removed.
+    era: quantity::StoreEra,
+}
+
 /// Loads that a peer places on replicas, from its last digest.
 #[derive(Clone, Debug)]
 struct PeerLoads {
@@ -195,9 +224,15 @@
 
 impl ReplicaTable {
     /// Adds or updates an entry that was written. Ignores entries of an earlier incarnation.
-    pub fn upsert(&mut self, entry: ReplicaEntry) -> ReplicaChanges {
+    pub fn upsert(&mut self, mut entry: ReplicaEntry) -> ReplicaChanges {
         let mut changes = ReplicaChanges::new();
         let id = entry.id.clone();
+        self.restored.remove(&id);
+        if let Some(removed) = self.removed.remove(&id)
+            && removed.entry.is_same_start(&entry)
+        {
+            entry.is_draining |= removed.entry.is_draining;
+        }
         let is_draining = entry.is_draining;
         match self.replicas.get_mut(&id) {
             Some(replica) if replica.entry.incarnation > entry.incarnation => return changes,
@@ -237,29 +272,68 @@
     /// the grace period after it, the replica is only marked as missing.
     pub fn remove(&mut self, id: &id::ReplicaId, now: time::MonotonicTime) -> ReplicaChanges {
         let mut changes = ReplicaChanges::new();
+        self.restored.remove(id);
         if self.is_in_outage_grace(now) {
             if let Some(replica) = self.replicas.get_mut(id) {
                 replica.missing_since.get_or_insert(now);
             }
             return changes;
         }
-        if self.replicas.remove(id).is_some() {
+        if let Some(replica) = self.replicas.remove(id) {
+            self.remember(replica, now);
             changes.push(ReplicaChange::Removed(id.clone()));
             self.rebuild_index();
         }
         changes
     }
 
-    /// Replaces all entries by those of the table.
+    /// Returns whether the entries match a later position of the table.
+    pub fn is_ahead_of(&self, position: position::StorePosition) -> bool {
+        self.position.is_some_and(|current| current > position)
+    }
+
+    /// Returns the position of the table that the entries match, if known.
+    pub fn position(&self) -> Option<position::StorePosition> {
+        self.position
+    }
+
+    /// Sets the position of the table that the entries match, unless they match a later one. If the
+    /// table has returned from an older copy, replicas that registered since the copy have the time
+    /// to do so again that they have after an outage.
+    pub fn advance(&mut self, position: position::StorePosition, now: time::MonotonicTime) {
+        if self.is_ahead_of(position) {
+            return;
+        }
+        if self.position.is_some_and(|current| current.era < position.era) {
+            self.last_outage_at = Some(now);
+        }
+        self.position = Some(position);
+    }
+
+    /// Replaces all entries by those of the table at a position, or by those of a peer that does not
+    /// report its position. Entries of an earlier position are ignored.
     pub fn replace(
         &mut self,
         entries: Vec<ReplicaEntry>,
+        position: Option<position::StorePosition>,
         now: time::MonotonicTime,
     ) -> ReplicaChanges {
+        let mut changes = ReplicaChanges::new();
+        if let Some(position) = position {
+            if self.is_ahead_of(position) {
+                return changes;
+            }
+            self.advance(position, now);
+        }
         let listed_ids: collections::BTreeSet<_> =
             entries.iter().map(|entry| entry.id.clone()).collect();
-        let mut changes = ReplicaChanges::new();
+        self.restored.retain(|id, _| listed_ids.contains(id));
         for entry in entries {
+            if self.may_be_restored(&entry, position) {
+                let used_from = now + RESTORE_GRACE;
+                self.restored.entry(entry.id.clone()).or_insert((entry, used_from));
+                continue;
+            }
             changes.extend(self.upsert(entry));
         }
         let missing_ids: Vec<_> =
@@ -284,22 +358,51 @@
             self.is_table_unavailable = false;
             self.last_outage_at = Some(now);
         }
-        let mut changes = ReplicaChanges::new();
+        self.removed.retain(|_, removed| now.since(removed.removed_at) < REMOVAL_MEMORY);
+        let mut changes = self.use_restored(now);
         if self.is_in_outage_grace(now) {
             return changes;
         }
-        self.replicas.retain(|id, replica| {
-            if replica.missing_since.is_some() {
-                changes.push(ReplicaChange::Removed(id.clone()));
-            }
-            replica.missing_since.is_none()
-        });
-        if !changes.is_empty() {
-            self.rebuild_index();
+        let missing = self.replicas.extract_if(.., |_, replica| replica.missing_since.is_some());
+        let missing_replicas: Vec<_> = missing.map(|(_, replica)| replica).collect();
+        if missing_replicas.is_empty() {
+            return changes;
+        }
+        for replica in missing_replicas {
+            changes.push(ReplicaChange::Removed(replica.entry.id.clone()));
+            self.remember(replica, now);
         }
+        self.rebuild_index();
         changes
     }
 
+    /// Uses the restored entries of removed replicas that the table has kept.
+    fn use_restored(&mut self, now: time::MonotonicTime) -> ReplicaChanges {
+        let kept = self.restored.extract_if(.., |_, (_, used_from)| now >= *used_from);
+        let kept_entries: Vec<_> = kept.map(|(_, (entry, _))| entry).collect();
+        kept_entries.into_iter().flat_map(|entry| self.upsert(entry)).collect()
+    }
+
+    /// Remembers a replica that was removed.
+    fn remember(&mut self, replica: KnownReplica, now: time::MonotonicTime) {
+        let era = self.position.unwrap_or_default().era;
+        let entry = replica.entry;
+        self.removed.insert(entry.id.clone(), RemovedReplica { entry, removed_at: now, era });
+    }
+
+    /// Whether a listed entry may be of a replica that was removed since it was written: the table
+    /// has returned from an older copy, or the position of the list is not known.
+    fn may_be_restored(
+        &self,
+        entry: &ReplicaEntry,
+        position: Option<position::StorePosition>,
+    ) -> bool {
+        self.removed.get(&entry.id).is_some_and(|removed| {
+            removed.entry.is_same_start(entry)
+                && position.is_none_or(|position| position.era > removed.era)
+        })
+    }
+
     /// Marks a replica as draining after a peer saw it leave, if `incarnation` is the current one.
     pub fn on_peer_departure(
         &mut self,
--- a/crates/fleet/tests/replica.rs
+++ b/crates/fleet/tests/replica.rs
@@ -1,6 +1,7 @@
 //! State of the replicas across departures, restarts and outages of the table.
 
 use samphiremoor_base::id;
+use samphiremoor_base::position;
 use samphiremoor_base::quantity;
 use samphiremoor_base::time;
 use samphiremoor_fleet::replica;
@@ -271,3 +272,86 @@
     replica.on_data(monotonic_ms(30));
     assert!(!replica.is_reachable(monotonic_ms(40)));
 }
+
+fn at(text: &str) -> position::StorePosition {
+    text.parse().expect("the position is valid")
+}
+
+/// Returns a table that knew the replica at position 1.10 and removed it at position 1.20.
+fn table_after_removal(is_draining: bool) -> replica::ReplicaTable {
+    let mut table = replica::ReplicaTable::default();
+    table.replace(vec![entry(1, is_draining)], Some(at("1.10")), monotonic_ms(0));
+    table.remove(&replica_id(), monotonic_ms(1_000));
+    table.advance(at("1.20"), monotonic_ms(1_000));
+    table
+}
+
+/// A list that a peer copied before the removal, at a known position or not.
+fn check_older_list(list_position: Option<position::StorePosition>) {
+    let mut table = table_after_removal(false);
+    table.replace(vec![entry(1, false)], list_position, monotonic_ms(1_100));
+    table.on_table_response(monotonic_ms(3_100));
+    assert!(!is_available(&table, 3_100), "the replica has left");
+}
+
+samphiremoor_base::cases! {
+    older_list_does_not_bring_a_removed_replica_back => check_older_list(Some(at("1.15")));
+    list_without_position_does_not_bring_a_removed_replica_back => check_older_list(None);
+}
+
+#[test]
+fn older_list_does_not_remove_a_replica() {
+    let mut table = replica::ReplicaTable::default();
+    table.replace(vec![entry(1, false)], Some(at("1.10")), monotonic_ms(0));
+    table.replace(Vec::new(), Some(at("1.9")), monotonic_ms(100));
+    assert!(is_available(&table, 100));
+    table.replace(Vec::new(), Some(at("1.11")), monotonic_ms(200));
+    assert!(!is_available(&table, 200));
+}
+
+#[test]
+fn removed_replica_that_registers_again_is_used() {
+    let mut table = table_after_removal(false);
+    table.replace(vec![entry(1, false)], Some(at("1.30")), monotonic_ms(1_100));
+    assert!(is_available(&table, 1_100));
+}
+
+// A replica never stops draining, so an entry that says otherwise is older than the removal.
+#[test]
+fn replica_that_drained_and_was_removed_is_not_used_again() {
+    let mut table = table_after_removal(true);
+    table.upsert(entry(1, false));
+    assert!(!is_available(&table, 1_100));
+    table.upsert(entry(2, false));
+    assert!(is_available(&table, 1_200), "the next incarnation receives requests");
+}
+
+// The copy is older than the removal. The table drops the entry again if the replica is gone.
+#[test]
+fn entry_that_a_restored_copy_brings_back_is_used_only_once_it_is_confirmed() {
+    let mut table = table_after_removal(false);
+    table.replace(vec![entry(1, false)], Some(at("2.12")), monotonic_ms(2_000));
+    table.on_table_response(monotonic_ms(7_900));
+    assert!(!is_available(&table, 7_900));
+    let mut dropped_table = table.clone();
+    dropped_table.replace(Vec::new(), Some(at("2.30")), monotonic_ms(7_950));
+    dropped_table.on_table_response(monotonic_ms(8_100));
+    assert!(!is_available(&dropped_table, 8_100), "the table has dropped the entry");
+    let mut written_table = table.clone();
+    written_table.upsert(entry(1, false));
+    assert!(is_available(&written_table, 7_950), "the replica has registered again");
+    table.on_table_response(monotonic_ms(8_100));
+    assert!(is_available(&table, 8_100), "the table has kept the entry");
+}
+
+// The replica registered after the copy was made, and does so again.
+#[test]
+fn replica_that_a_restored_copy_lacks_is_retained_for_the_grace_period() {
+    let mut table = replica::ReplicaTable::default();
+    table.replace(vec![entry(1, false)], Some(at("1.20")), monotonic_ms(0));
+    table.replace(Vec::new(), Some(at("2.12")), monotonic_ms(1_000));
+    table.on_table_response(monotonic_ms(2_900));
+    assert!(is_available(&table, 2_900));
+    table.on_table_response(monotonic_ms(3_100));
+    assert!(!is_available(&table, 3_100));
+}
--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -5,6 +5,7 @@
 
 use async_trait::async_trait;
 use samphiremoor_base::id;
+use samphiremoor_base::position;
 use samphiremoor_base::quantity;
 use samphiremoor_base::time;
 use samphiremoor_fleet::capacity;
@@ -165,16 +166,12 @@
     pub text: sync::Arc<[u8]>,
 }
 
-/// A position in the change history of the table.
-#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
-pub struct TableCursor(pub u64);
-
 /// Changes to replica entries after a cursor.
 #[derive(Clone, Debug)]
 pub enum EntryChanges {
-    /// Entries that were written or removed after the cursor, and the next cursor.
-    Since(Vec<EntryChange>, TableCursor),
-    /// The change history no longer covers the cursor; all entries must be read.
+    /// Entries that were written or removed after the position, and the next position.
+    Since(Vec<EntryChange>, position::StorePosition),
+    /// The change history does not cover the position; all entries must be read.
     HistoryTruncated,
 }
 
@@ -190,27 +187,32 @@
 /// Reads the policy and the replica entries that operators and replicas write into the table.
 #[async_trait]
 pub trait RecordSource: Send + Sync {
-    /// Reads the newest policy, if there is one, and the table's cursor.
-    async fn policy(&self) -> Result<(Option<PolicyUpdate>, TableCursor), table::PlatformError>;
+    /// Reads the newest policy, if there is one, and the table's position.
+    async fn policy(
+        &self,
+    ) -> Result<(Option<PolicyUpdate>, position::StorePosition), table::PlatformError>;
 
-    /// Waits at most `wait` for a policy newer than the cursor `after`.
+    /// Waits at most `wait` for a policy that was written after the position `after`. Reads the
+    /// newest policy if the change history does not cover the position.
     async fn next_policy(
         &self,
-        after: TableCursor,
+        after: position::StorePosition,
         wait: time::Millis,
-    ) -> Result<(Option<PolicyUpdate>, TableCursor), table::PlatformError>;
+    ) -> Result<(Option<PolicyUpdate>, position::StorePosition), table::PlatformError>;
 
     /// Parses a policy from its encoded text.
     fn parse_policy(&self, text: &[u8]) -> Option<PolicyUpdate>;
 
-    /// Reads all replica entries.
+    /// Reads all replica entries, and the table's position.
     async fn entries(
         &self,
-    ) -> Result<(Vec<replica::ReplicaEntry>, TableCursor), table::PlatformError>;
+    ) -> Result<(Vec<replica::ReplicaEntry>, position::StorePosition), table::PlatformError>;
 
-    /// Reads the replica entries that changed after the cursor.
-    async fn entry_changes(&self, after: TableCursor)
-    -> Result<EntryChanges, table::PlatformError>;
+    /// Reads the replica entries that changed after the position.
+    async fn entry_changes(
+        &self,
+        after: position::StorePosition,
+    ) -> Result<EntryChanges, table::PlatformError>;
 }
 
 /// Calls to the cloud that only the holder of the duty lease makes. The fencing token lets the
--- a/crates/gateway/src/peer_records.rs
+++ b/crates/gateway/src/peer_records.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use samphiremoor_base::id;
+use samphiremoor_base::position;
 use samphiremoor_base::quantity;
 use samphiremoor_base::time;
 use samphiremoor_fleet::replica;
@@ -74,34 +75,63 @@
 #[derive(Deserialize, Serialize)]
 struct VersionsWire(Vec<Option<String>>);
 
-/// Encodes replica entries for peers.
+/// Position of the table that the entries match, if known.
+#[derive(Clone, Copy, Debug, Default)]
+#[derive(Deserialize, Serialize)]
+struct PositionWire(Option<position::StorePosition>);
+
+/// Replica entries of a peer.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EntryList {
+    /// The entries.
+    pub entries: Vec<replica::ReplicaEntry>,
+    /// Position of the table that they match; `None` if the peer does not report it.
+    pub position: Option<position::StorePosition>,
+}
+
+/// Encodes replica entries for peers, with the position of the table that they match.
 ///
 /// # Errors
 ///
 /// Fails if an entry can't be encoded.
-pub fn encode_entries(entries: &[&replica::ReplicaEntry]) -> Result<Vec<u8>, postcard::Error> {
+pub fn encode_entries(
+    entries: &[&replica::ReplicaEntry],
+    position: Option<position::StorePosition>,
+) -> Result<Vec<u8>, postcard::Error> {
     let wires: Vec<_> = entries.iter().map(|entry| EntryWire::from(*entry)).collect();
     let version = |entry: &&replica::ReplicaEntry| entry.version.as_ref().map(ToString::to_string);
     let versions = VersionsWire(entries.iter().map(version).collect());
-    postcard::to_extend(&versions, postcard::to_stdvec(&wires)?)
+    let encoded = postcard::to_extend(&versions, postcard::to_stdvec(&wires)?)?;
+    postcard::to_extend(&PositionWire(position), encoded)
 }
 
-/// Decodes the replica entries of a peer. Those of a peer of an earlier release have no versions.
+/// Decodes the first value of `bytes`, or returns the default if there are none. Also returns the
+/// bytes after it.
+fn take_optional<'a, T: Default + Deserialize<'a>>(
+    bytes: &'a [u8],
+) -> Result<(T, &'a [u8]), postcard::Error> {
+    match bytes {
+        [] => Ok((T::default(), bytes)),
+        _ => postcard::take_from_bytes(bytes),
+    }
+}
+
+/// Decodes the replica entries of a peer. Those of peers of earlier releases have no position, or
+/// neither versions nor position.
 ///
 /// # Errors
 ///
-/// Fails if the bytes are not a list of entries, with or without a list of versions.
-pub fn decode_entries(bytes: &[u8]) -> Result<Vec<replica::ReplicaEntry>, postcard::Error> {
+/// Fails if the bytes are not a list of entries, followed by nothing, a list of versions, or a list
+/// of versions and a position.
+pub fn decode_entries(bytes: &[u8]) -> Result<EntryList, postcard::Error> {
     let (wires, rest): (Vec<EntryWire>, _) = postcard::take_from_bytes(bytes)?;
-    let VersionsWire(versions) = match rest {
-        [] => VersionsWire::default(),
-        _ => postcard::from_bytes(rest)?,
-    };
+    let (VersionsWire(versions), rest) = take_optional(rest)?;
+    let (PositionWire(position), _) = take_optional(rest)?;
     let mut entries: Vec<_> = wires.into_iter().map(replica::ReplicaEntry::from).collect();
     for (entry, version) in entries.iter_mut().zip(versions) {
         entry.version = version.and_then(|version| version.parse().ok());
     }
-    Ok(entries)
+    Ok(EntryList { entries, position })
 }
 
 /// Responds to a peer's request; the flag is `false` if there is nothing to serve.
@@ -146,7 +176,7 @@
 fn serve_entries(core: &core::GatewayCore) -> (bool, Vec<u8>) {
     let state = core.state.borrow();
     let entries: Vec<_> = state.replicas.iter().map(|known_replica| &known_replica.entry).collect();
-    match encode_entries(&entries) {
+    match encode_entries(&entries, state.replicas.position()) {
         Ok(bytes) => (!entries.is_empty(), bytes),
         Err(cause) => {
             log::warn!("failed to encode the replica entries ({cause}); peers must read the table");
@@ -160,9 +190,7 @@
 /// # Errors
 ///
 /// Fails if the peer does not respond or knows no entries.
-pub async fn read_entries(
-    address: SocketAddr,
-) -> Result<Vec<replica::ReplicaEntry>, table::PlatformError> {
+pub async fn read_entries(address: SocketAddr) -> Result<EntryList, table::PlatformError> {
     let bytes = fetch(address, ENTRIES_PATH).await?;
     let decode_error = |cause: postcard::Error| {
         table::PlatformError::NotDone(format!("unreadable entries: {cause}").into())
--- a/crates/gateway/src/table_sync.rs
+++ b/crates/gateway/src/table_sync.rs
@@ -5,6 +5,7 @@
 use async_std::task;
 use samphiremoor_base::event;
 use samphiremoor_base::log_event;
+use samphiremoor_base::position;
 use samphiremoor_base::time;
 use samphiremoor_platform::table;
 
@@ -65,7 +66,7 @@
 pub async fn follow_policy(core: rc::Rc<core::GatewayCore>) {
     let records = core.adapter.records.clone();
     let mut call_status = PlatformCallStatus::new("policy");
-    let mut cursor: Option<adapter::TableCursor> = None;
+    let mut cursor: Option<position::StorePosition> = None;
     loop {
         if core.state.borrow().table_reader.is_some() {
             // Peers' digests announce newer revisions while a peer reads the table. Changes from
@@ -102,8 +103,7 @@
 /// daemon; never returns.
 pub async fn follow_entries(core: rc::Rc<core::GatewayCore>) {
     let mut call_status = PlatformCallStatus::new("entries");
-    let mut cursor: Option<adapter::TableCursor> = None;
-    let mut newest_cursor = adapter::TableCursor::default();
+    let mut cursor: Option<position::StorePosition> = None;
     let mut copied_version = None;
     loop {
         if follow_reader(&core, &mut copied_version).await {
@@ -112,7 +112,7 @@
             continue;
         }
         copied_version = None;
-        let result = read_entries(&core, cursor, newest_cursor).await;
+        let result = read_entries(&core, cursor).await;
         let now = core.now();
         match result {
             Ok(next_cursor) => {
@@ -120,8 +120,6 @@
                 core.state.borrow_mut().table_read_at = Some(now);
                 let changes = core.state.borrow_mut().replicas.on_table_response(now);
                 core.apply_changes(&changes, "return");
-                newest_cursor =
-                    next_cursor.map_or(newest_cursor, |next_cursor| next_cursor.max(newest_cursor));
                 cursor = next_cursor;
                 let has_no_replicas = core.state.borrow().replicas.iter().next().is_none();
                 let pause = if has_no_replicas || cursor.is_none() {
@@ -153,8 +151,8 @@
     if *copied_version == Some(reader) {
         return true;
     }
-    let entries = match peer_records::read_entries(reader.0).await {
-        Ok(entries) => entries,
+    let list = match peer_records::read_entries(reader.0).await {
+        Ok(list) => list,
         Err(cause) => {
             log::debug!(
                 "{} does not serve its entries ({cause}); reading the table instead",
@@ -163,30 +161,36 @@
             return false;
         }
     };
-    *copied_version = Some(reader);
     let now = core.now();
-    let changes = core.state.borrow_mut().replicas.replace(entries, now);
+    let mut state = core.state.borrow_mut();
+    if list.position.is_some_and(|position| state.replicas.is_ahead_of(position)) {
+        // The peer has not read what this daemon has read before; its entries are copied later.
+        return true;
+    }
+    *copied_version = Some(reader);
+    let changes = state.replicas.replace(list.entries, list.position, now);
+    drop(state);
     core.apply_changes(&changes, "reader");
     true
 }
 
 /// Reads and applies the entries that changed after the cursor, or all entries without a cursor.
-/// Returns the next cursor, or `None` if all entries must be read next. `newest_cursor` is the
-/// newest one of all earlier reads.
+/// Returns the next cursor, or `None` if all entries must be read next.
 async fn read_entries(
     core: &core::GatewayCore,
-    cursor: Option<adapter::TableCursor>,
-    newest_cursor: adapter::TableCursor,
-) -> Result<Option<adapter::TableCursor>, table::PlatformError> {
+    cursor: Option<position::StorePosition>,
+) -> Result<Option<position::StorePosition>, table::PlatformError> {
     let records = core.adapter.records.clone();
     let Some(cursor) = cursor else {
         let (entries, next_cursor) = records.entries().await?;
-        if next_cursor < newest_cursor {
-            // A stale read: an earlier one returned a newer version of the table.
+        let now = core.now();
+        let mut state = core.state.borrow_mut();
+        if state.replicas.is_ahead_of(next_cursor) {
+            // A stale read: an earlier one returned a later position of the table.
             return Ok(None);
         }
-        let now = core.now();
-        let changes = core.state.borrow_mut().replicas.replace(entries, now);
+        let changes = state.replicas.replace(entries, Some(next_cursor), now);
+        drop(state);
         core.apply_changes(&changes, "table");
         return Ok(Some(next_cursor));
     };
@@ -205,5 +209,6 @@
         drop(state);
         core.apply_changes(&changes, "table");
     }
+    core.state.borrow_mut().replicas.advance(next_cursor, now);
     Ok(Some(next_cursor.max(cursor)))
 }
--- a/crates/gateway/tests/peer_records.rs
+++ b/crates/gateway/tests/peer_records.rs
@@ -3,6 +3,7 @@
 use std::net;
 
 use samphiremoor_base::id;
+use samphiremoor_base::position;
 use samphiremoor_base::quantity;
 use samphiremoor_base::time;
 use samphiremoor_fleet::replica;
@@ -60,12 +61,18 @@
 
 fn encode(entries: &[replica::ReplicaEntry]) -> Vec<u8> {
     let entries: Vec<_> = entries.iter().collect();
-    peer_records::encode_entries(&entries).expect("the entries can be encoded")
+    peer_records::encode_entries(&entries, Some(list_position()))
+        .expect("the entries can be encoded")
+}
+
+fn list_position() -> position::StorePosition {
+    "2.1042".parse().expect("the position is valid")
 }
 
 #[test]
-fn entries_keep_their_versions() {
-    assert_eq!(peer_records::decode_entries(&encode(&entries())).ok(), Some(entries()));
+fn entries_keep_their_versions_and_position() {
+    let list = peer_records::EntryList { entries: entries(), position: Some(list_position()) };
+    assert_eq!(peer_records::decode_entries(&encode(&entries())).ok(), Some(list));
 }
 
 #[test]
@@ -81,12 +88,31 @@
     let sent: Vec<_> = entries().iter().map(unversioned).collect();
     let bytes = postcard::to_stdvec(&sent).expect("the entries can be encoded");
     let decoded = peer_records::decode_entries(&bytes).expect("the versions may be missing");
-    assert_eq!(decoded.iter().map(unversioned).collect::<Vec<_>>(), sent);
-    assert!(decoded.iter().all(|entry| entry.version.is_none()));
+    assert_eq!(decoded.entries.iter().map(unversioned).collect::<Vec<_>>(), sent);
+    assert!(decoded.entries.iter().all(|entry| entry.version.is_none()));
+    assert_eq!(decoded.position, None);
 }
 
 #[test]
-fn truncated_versions_are_refused() {
+fn entries_of_a_release_without_positions_have_versions() {
     let bytes = encode(&entries());
-    assert!(peer_records::decode_entries(&bytes[..bytes.len() - 1]).is_err());
+    let position_bytes = postcard::to_stdvec(&Some(list_position())).expect("it can be encoded");
+    let unpositioned = &bytes[..bytes.len() - position_bytes.len()];
+    let list = peer_records::EntryList { entries: entries(), position: None };
+    assert_eq!(peer_records::decode_entries(unpositioned).ok(), Some(list));
+}
+
+#[test]
+fn truncated_lists_are_refused() {
+    let bytes = encode(&entries());
+    let encoded_length = |bytes: Result<Vec<u8>, _>| bytes.expect("it can be encoded").len();
+    let unversioned: Vec<_> = entries().iter().map(unversioned).collect();
+    // Earlier releases send the list up to its entries, or up to its versions.
+    let complete_lengths = [
+        encoded_length(postcard::to_stdvec(&unversioned)),
+        bytes.len() - encoded_length(postcard::to_stdvec(&Some(list_position()))),
+    ];
+    for length in (0..bytes.len()).filter(|length| !complete_lengths.contains(length)) {
+        assert!(peer_records::decode_entries(&bytes[..length]).is_err(), "{length} bytes");
+    }
 }
