Gateway: positions of the store are ordered by era, then version

Class of fault: a version taken for a position in history while the history can start anew.

The platform's adapter decodes Store-Era; StorePosition (era, version) is compared as a pair for entries, policy and peers' lists. Changes of another era lead to one full read. A read that brings nothing no longer counts as a read of the table, so such a daemon isn't followed. E0010 and a counter tell of the restore. A store without eras behaves as before, but that a policy is read again from the version that the table gives, not from a greater one.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -50,6 +50,7 @@
     6 PlatformUnavailable "platform-unavailable" Warn "A call to the platform failed; it is retried with backoff.",
     7 PlatformBack "platform-back" Info "The platform responds again after failed calls.",
     9 SettingsReloaded "settings-reloaded" Info "The settings file was read again; the line says whether the settings changed, and when they take effect.",
+    10 StoreRestored "store-restored" Warn "The platform's table returned from an older copy of itself; the line has the last known position before it and the first one after it.",
     8 PeerSilent "peer-silent" Warn "A connection to another daemon timed out and is opened again.",
     101 RequestAccepted "request-accepted" Debug "A request was accepted.",
     102 RequestFinished "request-finished" Info "A request ended; the line has the outcome, status and time.",
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -20,6 +20,7 @@
     refusals: prometheus::IntCounterVec,
     retries: prometheus::IntCounterVec,
     resumes: prometheus::IntCounterVec,
+    store_restores: prometheus::IntCounter,
     first_byte_seconds: prometheus::Histogram,
     total_seconds: prometheus::Histogram,
 }
@@ -54,6 +55,11 @@
             "Streams that callers resume, by where their origin was found.",
             "origin",
         );
+        let store_restores = prometheus::IntCounter::new(
+            "samphiremoor_gateway_store_restores_total",
+            "Returns of the platform's table from an older copy.",
+        );
+        let store_restores = register(&registry, store_restores.expect("the name is valid"));
         let first_byte_seconds =
             histogram("samphiremoor_gateway_first_seconds", "Time to the first byte of an answer.");
         let total_seconds =
@@ -65,6 +71,7 @@
             refusals,
             retries,
             resumes,
+            store_restores,
             first_byte_seconds,
             total_seconds,
         }
@@ -105,6 +112,11 @@
         self.resumes.with_label_values(&[origin]).inc();
     }
 
+    /// Counts a return of the platform's table from an older copy.
+    pub fn count_store_restore(&self) {
+        self.store_restores.inc();
+    }
+
     /// Records the time until the first byte of a replica's response.
     pub fn observe_first_byte(&self, elapsed: time::Millis) {
         self.first_byte_seconds.observe(elapsed.to_duration().as_secs_f64());
--- a/crates/gateway/src/table_sync.rs
+++ b/crates/gateway/src/table_sync.rs
@@ -85,9 +85,7 @@
                 if let Some(update) = update {
                     core.apply_policy(update, "table");
                 }
-                cursor = Some(
-                    cursor.map_or(next_cursor, |previous_cursor| previous_cursor.max(next_cursor)),
-                );
+                cursor = Some(next_cursor);
             }
             Err(cause) => {
                 // The history may have been truncated past the cursor meanwhile, so the policy is
@@ -117,7 +115,9 @@
         match result {
             Ok(next_cursor) => {
                 call_status.record_success();
-                core.state.borrow_mut().table_read_at = Some(now);
+                if next_cursor.is_some() {
+                    core.state.borrow_mut().table_read_at = Some(now);
+                }
                 let changes = core.state.borrow_mut().replicas.on_table_response(now);
                 core.apply_changes(&changes, "return");
                 cursor = next_cursor;
@@ -168,12 +168,29 @@
         return true;
     }
     *copied_version = Some(reader);
+    let previous_position = state.replicas.position();
     let changes = state.replicas.replace(list.entries, list.position, now);
     drop(state);
+    report_restore(core, previous_position, "reader");
     core.apply_changes(&changes, "reader");
     true
 }
 
+/// Logs and counts the return of the table from an older copy if the entries match a later era than
+/// at `previous_position`. `source` is logged as the origin of the entries.
+fn report_restore(
+    core: &core::GatewayCore,
+    previous_position: Option<position::StorePosition>,
+    source: &str,
+) {
+    let position = core.state.borrow().replicas.position();
+    let (Some(before), Some(after)) = (previous_position, position) else { return };
+    if before.era < after.era {
+        core.metrics.count_store_restore();
+        log_event!(event::LogEvent::StoreRestored, before = before, after = after, source = source);
+    }
+}
+
 /// Reads and applies the entries that changed after the cursor, or all entries without a cursor.
 /// Returns the next cursor, or `None` if all entries must be read next.
 async fn read_entries(
@@ -189,8 +206,10 @@
             // A stale read: an earlier one returned a later position of the table.
             return Ok(None);
         }
+        let previous_position = state.replicas.position();
         let changes = state.replicas.replace(entries, Some(next_cursor), now);
         drop(state);
+        report_restore(core, previous_position, "table");
         core.apply_changes(&changes, "table");
         return Ok(Some(next_cursor));
     };
--- a/crates/httpio/src/persistent.rs
+++ b/crates/httpio/src/persistent.rs
@@ -39,6 +39,8 @@
 pub struct ClientResponse {
     /// The status code.
     pub status: u16,
+    /// The header fields.
+    pub fields: message::HeaderFields,
     /// The body.
     pub body: Vec<u8>,
 }
@@ -96,7 +98,7 @@
     let body = connection.body(framing, connection::MAX_RESPONSE_BODY).await?;
     let is_keep_alive = head.is_keep_alive && framing != message::BodyFraming::UntilClose;
     Ok((
-        ClientResponse { status: head.status, body },
+        ClientResponse { status: head.status, fields: head.fields, body },
         is_keep_alive && connection.buffered().is_empty(),
     ))
 }
