--- a/crates/fleet/src/replica.rs
+++ b/crates/fleet/src/replica.rs
@@ -414,6 +414,7 @@
             return None;
         }
         replica.entry.is_draining = true;
+        self.version += 1;
         Some(ReplicaChange::Leaving(id.clone()))
     }
 
--- a/crates/fleet/tests/replica.rs
+++ b/crates/fleet/tests/replica.rs
@@ -249,6 +249,18 @@
     assert_eq!(table.version(), version_before, "a repeated entry is no change");
 }
 
+// Daemons that missed the peer's digests copy the entries when their version changes.
+#[test]
+fn departure_that_a_peer_reports_changes_the_version() {
+    let mut table = replica::ReplicaTable::default();
+    table.upsert(entry(1, false));
+    let version_before = table.version();
+    table.on_peer_departure(&replica_id(), quantity::Incarnation::new(1));
+    assert!(table.version() > version_before);
+    table.upsert(entry(1, true));
+    assert_eq!(table.version(), version_before + 1, "the table tells no news");
+}
+
 #[test]
 fn silent_replica_is_avoided_until_it_sends_data() {
     let mut table = replica::ReplicaTable::default();
