Fleet: one failed call is no outage of the table

Replicas that are removed from the table stay in use for two seconds after an outage, since their entries may have expired meanwhile.

An outage is now a time of 1.5 s or more without a response of the table, to this daemon or to the peer that reads it for this daemon; a running replica keeps its entry for longer without a report. The digest says how old the peer's last read is.

--- a/crates/fleet/src/replica.rs
+++ b/crates/fleet/src/replica.rs
@@ -20,6 +20,9 @@
 /// Time after an outage of the table for which missing entries are retained. A running replica has
 /// registered again by then.
 const OUTAGE_GRACE: time::Millis = time::Millis::new(2_000);
+/// Shortest time without a response of the table that counts as an outage. A running replica keeps
+/// its entry for longer than that without a report.
+const MIN_OUTAGE: time::Millis = time::Millis::new(1_500);
 /// Time for which a removed replica is remembered. The table returns from copies that are younger.
 const REMOVAL_MEMORY: time::Millis = time::Millis::new(60_000);
 /// Time after the return of the table from an older copy in which it drops the entry of a replica
@@ -187,7 +190,9 @@
     /// Entries of removed replicas that an older copy of the table brought back, and when they are
     /// used if the table still has them.
     restored: collections::BTreeMap<id::ReplicaId, (ReplicaEntry, time::MonotonicTime)>,
-    /// When the table last failed to respond, or when it first responded again.
+    /// When the table last responded to this daemon or to the peer that reads it for this daemon.
+    last_response_at: Option<time::MonotonicTime>,
+    /// When the table first responded again after the last outage.
     last_outage_at: Option<time::MonotonicTime>,
     is_table_unavailable: bool,
 }
@@ -344,18 +349,24 @@
         changes
     }
 
-    /// Starts or extends an outage: the table did not respond.
-    pub fn on_table_unavailable(&mut self, now: time::MonotonicTime) {
-        self.last_outage_at = Some(now);
+    /// Observes that the table did not respond.
+    pub fn on_table_unavailable(&mut self) {
         self.is_table_unavailable = true;
     }
 
-    /// Ends an outage, if any: the table responded. Drops entries that are still missing after the
-    /// grace period.
-    pub fn on_table_response(&mut self, now: time::MonotonicTime) -> ReplicaChanges {
-        if self.is_table_unavailable {
+    /// Observes that the table responded at `responded_at`, which is before `now` if a peer reads
+    /// the table. This ends an outage, if any. Drops entries that are still missing after the grace
+    /// period.
+    pub fn on_table_response(
+        &mut self,
+        responded_at: time::MonotonicTime,
+        now: time::MonotonicTime,
+    ) -> ReplicaChanges {
+        let previous_at = self.last_response_at.replace(responded_at);
+        if std::mem::take(&mut self.is_table_unavailable)
+            && previous_at.is_none_or(|previous_at| responded_at.since(previous_at) >= MIN_OUTAGE)
+        {
             // The grace period starts at the end of the outage.
-            self.is_table_unavailable = false;
             self.last_outage_at = Some(now);
         }
         self.removed.retain(|_, removed| now.since(removed.removed_at) < REMOVAL_MEMORY);
--- a/crates/fleet/tests/replica.rs
+++ b/crates/fleet/tests/replica.rs
@@ -119,24 +119,61 @@
 fn entries_missing_after_an_outage_are_retained_for_the_grace_period() {
     let mut table = replica::ReplicaTable::default();
     table.upsert(entry(1, false));
-    table.on_table_unavailable(monotonic_ms(1_000));
+    table.on_table_unavailable();
     table.remove(&replica_id(), monotonic_ms(1_200));
     assert!(is_available(&table, 1_300), "an outage of the table does not affect the replica");
-    table.on_table_response(monotonic_ms(4_000));
+    table.on_table_response(monotonic_ms(4_000), monotonic_ms(4_000));
     assert!(is_available(&table, 5_900), "a running replica has two seconds to register again");
-    table.on_table_response(monotonic_ms(6_100));
+    table.on_table_response(monotonic_ms(6_100), monotonic_ms(6_100));
     assert!(!is_available(&table, 6_100));
 }
 
+/// The table fails to respond for a while after a response at `last_response_ms`; the replica is
+/// removed after that. Returns whether it is used two seconds later.
+fn is_used_after_failed_calls(last_response_ms: u64, next_response_ms: u64) -> bool {
+    let mut table = replica::ReplicaTable::default();
+    table.upsert(entry(1, false));
+    let respond = |table: &mut replica::ReplicaTable, millis| {
+        table.on_table_response(monotonic_ms(millis), monotonic_ms(millis));
+    };
+    respond(&mut table, last_response_ms);
+    table.on_table_unavailable();
+    respond(&mut table, next_response_ms);
+    let removed_ms = next_response_ms + 50;
+    table.remove(&replica_id(), monotonic_ms(removed_ms));
+    for millis in (next_response_ms + 450..removed_ms + 2_000).step_by(450) {
+        respond(&mut table, millis);
+    }
+    is_available(&table, removed_ms + 2_000)
+}
+
+samphiremoor_base::cases! {
+    one_failed_call_is_no_outage => assert!(!is_used_after_failed_calls(1_000, 1_550));
+    failed_calls_of_a_second_are_no_outage => assert!(!is_used_after_failed_calls(1_000, 2_400));
+    failed_calls_of_two_seconds_are_an_outage => assert!(is_used_after_failed_calls(1_000, 3_000));
+}
+
+// The peer that read the table for this daemon had last read it two seconds ago.
+#[test]
+fn outage_counts_from_the_last_read_of_the_peer() {
+    let mut table = replica::ReplicaTable::default();
+    table.upsert(entry(1, false));
+    table.on_table_response(monotonic_ms(1_000), monotonic_ms(2_500));
+    table.on_table_unavailable();
+    table.on_table_response(monotonic_ms(3_000), monotonic_ms(3_000));
+    table.remove(&replica_id(), monotonic_ms(3_100));
+    assert!(is_available(&table, 3_100));
+}
+
 #[test]
 fn entries_that_return_after_an_outage_are_kept() {
     let mut table = replica::ReplicaTable::default();
     table.upsert(entry(1, false));
-    table.on_table_unavailable(monotonic_ms(1_000));
+    table.on_table_unavailable();
     table.remove(&replica_id(), monotonic_ms(1_200));
-    table.on_table_response(monotonic_ms(4_000));
+    table.on_table_response(monotonic_ms(4_000), monotonic_ms(4_000));
     table.upsert(entry(1, false));
-    table.on_table_response(monotonic_ms(7_000));
+    table.on_table_response(monotonic_ms(7_000), monotonic_ms(7_000));
     assert!(is_available(&table, 7_000));
 }
 
@@ -209,9 +246,9 @@
     let mut table = replica::ReplicaTable::default();
     table.upsert(entry(1, false));
     assert!(table.matches_table(monotonic_ms(500)));
-    table.on_table_unavailable(monotonic_ms(1_000));
+    table.on_table_unavailable();
     assert!(!table.matches_table(monotonic_ms(1_100)));
-    table.on_table_response(monotonic_ms(4_000));
+    table.on_table_response(monotonic_ms(4_000), monotonic_ms(4_000));
     assert!(!table.matches_table(monotonic_ms(5_900)));
     assert!(table.matches_table(monotonic_ms(6_100)));
 }
@@ -222,11 +259,11 @@
 fn entries_do_not_match_the_table_until_missing_ones_are_dropped() {
     let mut table = replica::ReplicaTable::default();
     table.upsert(entry(1, false));
-    table.on_table_unavailable(monotonic_ms(1_000));
-    table.on_table_response(monotonic_ms(4_000));
+    table.on_table_unavailable();
+    table.on_table_response(monotonic_ms(4_000), monotonic_ms(4_000));
     table.remove(&replica_id(), monotonic_ms(4_200));
     assert!(!table.matches_table(monotonic_ms(6_100)));
-    assert_eq!(table.on_table_response(monotonic_ms(6_200)).len(), 1);
+    assert_eq!(table.on_table_response(monotonic_ms(6_200), monotonic_ms(6_200)).len(), 1);
     assert!(table.matches_table(monotonic_ms(6_200)));
 }
 
@@ -302,7 +339,7 @@
 fn check_older_list(list_position: Option<position::StorePosition>) {
     let mut table = table_after_removal(false);
     table.replace(vec![entry(1, false)], list_position, monotonic_ms(1_100));
-    table.on_table_response(monotonic_ms(3_100));
+    table.on_table_response(monotonic_ms(3_100), monotonic_ms(3_100));
     assert!(!is_available(&table, 3_100), "the replica has left");
 }
 
@@ -343,16 +380,16 @@
 fn entry_that_a_restored_copy_brings_back_is_used_only_once_it_is_confirmed() {
     let mut table = table_after_removal(false);
     table.replace(vec![entry(1, false)], Some(at("2.12")), monotonic_ms(2_000));
-    table.on_table_response(monotonic_ms(7_900));
+    table.on_table_response(monotonic_ms(7_900), monotonic_ms(7_900));
     assert!(!is_available(&table, 7_900));
     let mut dropped_table = table.clone();
     dropped_table.replace(Vec::new(), Some(at("2.30")), monotonic_ms(7_950));
-    dropped_table.on_table_response(monotonic_ms(8_100));
+    dropped_table.on_table_response(monotonic_ms(8_100), monotonic_ms(8_100));
     assert!(!is_available(&dropped_table, 8_100), "the table has dropped the entry");
     let mut written_table = table.clone();
     written_table.upsert(entry(1, false));
     assert!(is_available(&written_table, 7_950), "the replica has registered again");
-    table.on_table_response(monotonic_ms(8_100));
+    table.on_table_response(monotonic_ms(8_100), monotonic_ms(8_100));
     assert!(is_available(&table, 8_100), "the table has kept the entry");
 }
 
@@ -362,8 +399,8 @@
     let mut table = replica::ReplicaTable::default();
     table.replace(vec![entry(1, false)], Some(at("1.20")), monotonic_ms(0));
     table.replace(Vec::new(), Some(at("2.12")), monotonic_ms(1_000));
-    table.on_table_response(monotonic_ms(2_900));
+    table.on_table_response(monotonic_ms(2_900), monotonic_ms(2_900));
     assert!(is_available(&table, 2_900));
-    table.on_table_response(monotonic_ms(3_100));
+    table.on_table_response(monotonic_ms(3_100), monotonic_ms(3_100));
     assert!(!is_available(&table, 3_100));
 }
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -112,9 +112,8 @@
     pub idle_pool: idle::IdlePool,
     /// When the daemon was instructed to stop.
     pub stopping_since: Option<time::MonotonicTime>,
-    /// The peer that reads the table for this daemon and the version of its entries; `None` if this
-    /// daemon reads the table itself.
-    pub table_reader: Option<(SocketAddr, u64)>,
+    /// The peer that reads the table for this daemon; `None` if this daemon reads the table itself.
+    pub table_reader: Option<TableReader>,
     /// When the last successful read of the entries from the table ended.
     pub table_read_at: Option<time::MonotonicTime>,
     /// Number of live daemons, including this one.
@@ -134,6 +133,17 @@
     budgets: collections::HashMap<id::ServiceId, budget::RetryBudget>,
 }
 
+/// A peer that reads the table for this daemon.
+#[derive(Clone, Copy, Debug)]
+pub struct TableReader {
+    /// Address at which the peer serves its entries.
+    pub address: SocketAddr,
+    /// Version of the peer's entries.
+    pub entries_version: u64,
+    /// When the peer last read the table.
+    pub read_at: time::MonotonicTime,
+}
+
 /// Time constant with which the prompt token sums decay; a sum falls to about a third in this time.
 const PROMPT_DECAY_TIME: time::Millis = time::Millis::new(2_000);
 
--- a/crates/gateway/src/digest_exchange.rs
+++ b/crates/gateway/src/digest_exchange.rs
@@ -436,20 +436,11 @@
         let now = self.core.now();
         let state = self.state.borrow();
         let preceding_peers = state.peers.range(..self.core.settings.daemon.clone());
-        let reader = preceding_peers.map(|(_, peer)| peer).find(|peer| {
-            let is_in_group = !is_zonal || self.is_local_zone(&peer.zone);
-            let is_in_contact =
-                peer.last_contact.is_some_and(|contact_at| now.since(contact_at) < READER_TIMEOUT);
-            let is_reader = peer.digest.as_ref().is_some_and(|digest| {
-                !digest.is_stopping && digest.table_age.is_some_and(|age| age < MAX_READ_AGE)
-            });
-            is_in_group && is_in_contact && is_reader
-        });
-        let version =
-            |peer: &KnownPeer| peer.digest.as_ref().map_or(0, |digest| digest.entries_version);
-        let reader = reader.map(|peer| (peer.address, version(peer)));
+        let reader = preceding_peers
+            .filter(|(_, peer)| !is_zonal || self.is_local_zone(&peer.zone))
+            .find_map(|(_, peer)| table_reader(peer, now));
         let previous = std::mem::replace(&mut self.core.state.borrow_mut().table_reader, reader);
-        let address = |reader: Option<(SocketAddr, u64)>| reader.map(|(address, _)| address);
+        let address = |reader: Option<core::TableReader>| reader.map(|reader| reader.address);
         if address(previous) != address(reader) {
             let name =
                 address(reader).map_or_else(|| "none".to_owned(), |address| address.to_string());
@@ -640,6 +631,21 @@
     }
 }
 
+/// Returns the reader that a peer is, or `None` if its digests don't say that its reads of the table
+/// succeed.
+fn table_reader(peer: &KnownPeer, now: time::MonotonicTime) -> Option<core::TableReader> {
+    let contact_at = peer.last_contact?;
+    let digest = peer.digest.as_ref()?;
+    let table_age = digest.table_age?;
+    let is_reader =
+        now.since(contact_at) < READER_TIMEOUT && !digest.is_stopping && table_age < MAX_READ_AGE;
+    is_reader.then(|| core::TableReader {
+        address: peer.address,
+        entries_version: digest.entries_version,
+        read_at: time::MonotonicTime::new(contact_at.get().saturating_sub(table_age.get())),
+    })
+}
+
 fn is_live(peer: &KnownPeer, now: time::MonotonicTime) -> bool {
     peer.last_contact.is_some_and(|contact_at| now.since(contact_at) < LIVENESS_TIMEOUT)
 }
--- a/crates/gateway/src/table_sync.rs
+++ b/crates/gateway/src/table_sync.rs
@@ -118,7 +118,7 @@
                 if next_cursor.is_some() {
                     core.state.borrow_mut().table_read_at = Some(now);
                 }
-                let changes = core.state.borrow_mut().replicas.on_table_response(now);
+                let changes = core.state.borrow_mut().replicas.on_table_response(now, now);
                 core.apply_changes(&changes, "return");
                 cursor = next_cursor;
                 let has_no_replicas = core.state.borrow().replicas.iter().next().is_none();
@@ -130,7 +130,7 @@
                 task::sleep(pause.to_duration()).await;
             }
             Err(cause) => {
-                core.state.borrow_mut().replicas.on_table_unavailable(now);
+                core.state.borrow_mut().replicas.on_table_unavailable();
                 task::sleep(call_status.record_failure(&cause).to_duration()).await;
             }
         }
@@ -146,17 +146,18 @@
 ) -> bool {
     let Some(reader) = core.state.borrow().table_reader else { return false };
     let now = core.now();
-    let changes = core.state.borrow_mut().replicas.on_table_response(now);
+    let changes = core.state.borrow_mut().replicas.on_table_response(reader.read_at, now);
     core.apply_changes(&changes, "return");
-    if *copied_version == Some(reader) {
+    let current_version = (reader.address, reader.entries_version);
+    if *copied_version == Some(current_version) {
         return true;
     }
-    let list = match peer_records::read_entries(reader.0).await {
+    let list = match peer_records::read_entries(reader.address).await {
         Ok(list) => list,
         Err(cause) => {
             log::debug!(
                 "{} does not serve its entries ({cause}); reading the table instead",
-                reader.0
+                reader.address
             );
             return false;
         }
@@ -167,7 +168,7 @@
         // The peer has not read what this daemon has read before; its entries are copied later.
         return true;
     }
-    *copied_version = Some(reader);
+    *copied_version = Some(current_version);
     let previous_position = state.replicas.position();
     let changes = state.replicas.replace(list.entries, list.position, now);
     drop(state);
