Fleet: an entry without an incarnation is of the same start as before

Requests then reached a replica that had said that it leaves.

A missing incarnation says nothing: such entries are of one start if their addresses are equal. The known incarnation is kept, and loads are counted off for the same start.

--- a/crates/fleet/src/replica.rs
+++ b/crates/fleet/src/replica.rs
@@ -51,6 +51,9 @@
 /// this time. An engine prefills some ten thousand tokens meanwhile.
 const PENDING_TIME_CONSTANT: time::Millis = time::Millis::new(300);
 
+/// Incarnation in the entry of a replica that reports none.
+const UNKNOWN_INCARNATION: quantity::Incarnation = quantity::Incarnation::new(0);
+
 /// Maximum length of a software version, in bytes.
 pub const MAX_VERSION_BYTES: usize = 200;
 
@@ -143,9 +146,24 @@
 }
 
 impl ReplicaEntry {
+    /// Whether the entry is of the replica's start with this incarnation and address. Starts without
+    /// a known incarnation are told apart by their addresses.
+    pub fn is_of_start(
+        &self,
+        incarnation: quantity::Incarnation,
+        address: net::SocketAddr,
+    ) -> bool {
+        let is_unknown = self.has_no_incarnation() || incarnation == UNKNOWN_INCARNATION;
+        self.address == address && (is_unknown || self.incarnation == incarnation)
+    }
+
     /// Whether two entries are of one start of a replica.
     fn is_same_start(&self, other: &ReplicaEntry) -> bool {
-        self.address == other.address && self.incarnation == other.incarnation
+        self.is_of_start(other.incarnation, other.address)
+    }
+
+    fn has_no_incarnation(&self) -> bool {
+        self.incarnation == UNKNOWN_INCARNATION
     }
 }
 
@@ -240,13 +258,12 @@
         }
         let is_draining = entry.is_draining;
         match self.replicas.get_mut(&id) {
-            Some(replica) if replica.entry.incarnation > entry.incarnation => return changes,
-            Some(replica)
-                if replica.entry.incarnation == entry.incarnation
-                    && replica.entry.address == entry.address =>
-            {
+            Some(replica) if replica.entry.is_same_start(&entry) => {
                 replica.missing_since = None;
                 let previous = std::mem::replace(&mut replica.entry, entry);
+                if replica.entry.has_no_incarnation() {
+                    replica.entry.incarnation = previous.incarnation;
+                }
                 // A replica never stops draining, so an entry that says otherwise is outdated.
                 replica.entry.is_draining |= previous.is_draining;
                 if replica.entry.version.is_none() {
@@ -261,6 +278,11 @@
                 }
                 return changes;
             }
+            Some(replica)
+                if !entry.has_no_incarnation() && replica.entry.incarnation > entry.incarnation =>
+            {
+                return changes;
+            }
             _ => {
                 self.replicas.insert(id.clone(), KnownReplica::new(entry));
                 changes.push(ReplicaChange::Joined(id.clone()));
--- a/crates/fleet/tests/replica.rs
+++ b/crates/fleet/tests/replica.rs
@@ -95,6 +95,41 @@
     assert!(is_available(&table, 0), "the next incarnation receives requests");
 }
 
+/// Some sources of an entry lack its incarnation, which is 0 then.
+fn check_drains_across_sources(ready: u64, draining: u64, repeated: u64) {
+    let mut table = replica::ReplicaTable::default();
+    table.upsert(entry(ready, false));
+    table.upsert(entry(draining, true));
+    assert!(!is_available(&table, 0), "the replica drains");
+    table.upsert(entry(repeated, false));
+    assert!(!is_available(&table, 0), "a replica never stops draining");
+}
+
+samphiremoor_base::cases! {
+    draining_entry_without_incarnation_counts => check_drains_across_sources(5, 0, 5);
+    draining_lasts_when_the_incarnation_becomes_known => check_drains_across_sources(0, 0, 5);
+    draining_lasts_when_the_incarnation_gets_lost => check_drains_across_sources(5, 5, 0);
+    draining_lasts_without_incarnations => check_drains_across_sources(0, 0, 0);
+}
+
+#[test]
+fn restart_at_another_address_ends_draining_without_incarnations() {
+    let mut table = replica::ReplicaTable::default();
+    table.upsert(entry(0, true));
+    let address = "10.0.0.2:80".parse().expect("the address is valid");
+    table.upsert(replica::ReplicaEntry { address, ..entry(0, false) });
+    assert!(is_available(&table, 0));
+}
+
+#[test]
+fn restart_ends_draining_once_the_incarnation_was_known() {
+    let mut table = replica::ReplicaTable::default();
+    table.upsert(entry(0, true));
+    table.upsert(entry(5, true));
+    table.upsert(entry(7, false));
+    assert!(is_available(&table, 0));
+}
+
 #[test]
 fn new_incarnation_starts_without_load_or_backoff() {
     let mut table = replica::ReplicaTable::default();
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -523,9 +523,7 @@
         let mut state = self.core.state.borrow_mut();
         let Some(known_replica) = state.replicas.get_mut(&self.replica) else { return };
         // A new incarnation of the replica carries none of this load.
-        if known_replica.entry.incarnation == self.incarnation
-            && known_replica.entry.address == self.address
-        {
+        if known_replica.entry.is_of_start(self.incarnation, self.address) {
             update(&mut known_replica.local_load);
         }
     }
