Gateway: a replica that begins to leave gets no request that waited

The same holds for any request whose connection opens late.

The target is looked at again before the source is stopped, and each replica right before a request is written to it. A request that isn't written goes on elsewhere without a retry from the budget. Only a stream that can't resume without its copy still goes to a target that began to leave after the stop.

stream_does_not_move_to_a_target_that_drains_during_the_copy and _the_stop failed before (one stream each at the target) and pass.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -7,6 +7,7 @@
 use samphiremoor_base::id;
 use samphiremoor_base::reason;
 use samphiremoor_base::time;
+use samphiremoor_fleet::policy;
 use samphiremoor_fleet::selection;
 use samphiremoor_httpio::connection;
 use samphiremoor_httpio::message;
@@ -123,6 +124,13 @@
             self.mark_unreachable(&selected.replica);
             return AttemptStart::NotSent;
         };
+        // The replica may have begun to leave while the connection opened or a KV cache was copied.
+        // A stream that can't resume without that copy has no other replica to go on at.
+        let needs_copy = resume.kv_location.is_some()
+            && self.request.route.kind != policy::RouteKind::Stream { resumable: true };
+        if !needs_copy && !self.core.accepts_requests(&selected.replica, address) {
+            return AttemptStart::NotSent;
+        }
         let started_at = self.core.now();
         self.progress.on_data(context::ResponsePhase::Head, started_at);
         let bytes = self.encode_request(&selected, &resume, started_at);
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -243,6 +243,16 @@
             .is_some_and(|known_replica| known_replica.should_migrate(now))
     }
 
+    /// Returns whether the replica that was chosen at this address still accepts requests: it is known
+    /// there and not draining.
+    pub fn accepts_requests(&self, replica: &id::ReplicaId, address: SocketAddr) -> bool {
+        let state = self.state.borrow();
+        let known_replica = state.replicas.get(replica);
+        known_replica.is_some_and(|known_replica| {
+            !known_replica.entry.is_draining && known_replica.entry.address == address
+        })
+    }
+
     /// Puts a policy in force unless the current one is as new. `source` is logged as its origin.
     pub fn apply_policy(&self, update: adapter::PolicyUpdate, source: &str) {
         let now = self.now();
--- a/crates/gateway/src/migration.rs
+++ b/crates/gateway/src/migration.rs
@@ -26,17 +26,21 @@
     /// The leaving replica.
     pub(crate) source: id::ReplicaId,
     pub(crate) source_address: SocketAddr,
+    pub(crate) target: id::ReplicaId,
     pub(crate) target_address: SocketAddr,
 }
 
 impl KvMigration {
     /// Copies the KV cache, then stops the stream at the source and copies the rest. Returns `None`
-    /// and leaves the stream at the source if the target has no room.
+    /// and leaves the stream at the source if the target has no room or is leaving itself.
     pub(crate) async fn run(self) -> Option<KvCopy> {
         let migration = rc::Rc::new(self);
         let (sender, receiver) = channel::bounded(1);
         task::spawn_local(migration.clone().copy(sender));
         let mut copy = receiver.recv().await.ok()?;
+        if !migration.core.accepts_requests(&migration.target, migration.target_address) {
+            return None;
+        }
         let stop = migration.order(adapter::MigrationStep::Stop, LAST_COPY_TIMEOUT);
         if let Some(location) = stop.await {
             copy.location = Some(location);
@@ -58,7 +62,7 @@
         step: adapter::MigrationStep,
         timeout: time::Millis,
     ) -> Option<sync::Arc<str>> {
-        let KvMigration { core, request_id, source, source_address, target_address } = self;
+        let KvMigration { core, request_id, source, source_address, target_address, .. } = self;
         let addresses = (*source_address, *target_address);
         let order = upstream::migrate_kv_cache(core, source, addresses, request_id, step);
         future::timeout(timeout.to_duration(), order).await.unwrap_or(None)
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -168,8 +168,14 @@
         }
         drop(state);
         core.metrics.count_retry(reason::RetryReason::ReplicaLeaving);
-        let migration =
-            migration::KvMigration { core, request_id, source, source_address, target_address };
+        let migration = migration::KvMigration {
+            core,
+            request_id,
+            source,
+            source_address,
+            target: target.replica.clone(),
+            target_address,
+        };
         Some(Box::pin(async move {
             let kv_copy = migration.run().await?;
             Some(forward::MigratedStream { selected: target, kv_copy })
