Entry: a stream does not migrate to a replica that began to leave

A stream went on at a replica that had begun to leave while its KV cache was transferred there: the next replica was planned before the transfer and not looked at again.

The planned replica is used only while the view shows it as live; otherwise another one is selected. The test failed before and passes.

--- a/crates/entry/src/run/executor.rs
+++ b/crates/entry/src/run/executor.rs
@@ -18,6 +18,7 @@
 use samphiremoor_requests::policy;
 use samphiremoor_routing::picker;
 use samphiremoor_routing::prefix;
+use samphiremoor_view::zone;
 use smallvec::SmallVec;
 
 use crate::core;
@@ -178,8 +179,10 @@
             // The shards write the claim before they start a runner.
             RequestAction::WriteClaim => return Some(RequestInput::Claimed),
             RequestAction::ChooseReplica(excluded) => {
-                let planned_replica =
-                    self.planned_replica.take().filter(|replica| !excluded.contains(replica));
+                let planned_replica = self.planned_replica.take();
+                // The replica may have begun to leave during the migration.
+                let planned_replica = planned_replica
+                    .filter(|replica| !excluded.contains(replica) && self.is_live(replica));
                 let selected = planned_replica.map(RequestInput::ReplicaChosen);
                 return Some(selected.unwrap_or_else(|| self.select_replica(&excluded)));
             }
@@ -276,6 +279,12 @@
         });
     }
 
+    fn is_live(&self, replica: &id::ReplicaId) -> bool {
+        let Some(snapshot) = self.core.view() else { return false };
+        let replica = snapshot.replica(replica);
+        replica.is_some_and(|replica| replica.state == zone::UpstreamState::Live)
+    }
+
     /// Returns the address of a replica, if the view contains it.
     pub fn address_of(&self, replica: &id::ReplicaId) -> Option<net::SocketAddr> {
         let snapshot = self.core.view()?;
--- a/crates/entry/tests/streams.rs
+++ b/crates/entry/tests/streams.rs
@@ -108,6 +108,39 @@
     short_stream_is_recomputed => check_leaving(100_000, &[]);
 }
 
+// The successor begins to leave while the KV cache is transferred to it.
+#[test]
+fn stream_does_not_migrate_to_a_replica_that_leaves_during_the_transfer() {
+    let [leaving, successor, third] = [200, 200, 200].map(FakeEngine::start);
+    leaving.set_fault(EngineFault::PauseMs(10));
+    leaving.set_other_pause(500);
+    let addresses = [leaving.address(), successor.address(), third.address()];
+    let view = fixture::SharedView::new(&addresses, &[]);
+    view.change(|view| {
+        view.replicas[1].load.running = 9;
+        view.replicas[2].state = samphiremoor_view::zone::UpstreamState::Joining;
+    });
+    let daemon = fixture::TestDaemon::start_with(&view, |settings| {
+        settings.upstreams.leave_grace_ms = samphiremoor_base::time::Millis::new(1);
+        settings.upstreams.kv_transfer_min_tokens = samphiremoor_base::quantity::TokenCount::new(1);
+    });
+    let stream_task = task::spawn(TestCall::chat(daemon.entry.address(), "hello", true).stream());
+    fixture::wait_until("the stream has begun", || {
+        let kept = daemon.entry.core().registry.in_progress();
+        kept.iter().any(|kept| kept.token_count().get() > 2)
+    });
+    view.change(|view| view.replicas[0].state = samphiremoor_view::zone::UpstreamState::Leaving);
+    fixture::wait_until("the transfer has begun", || !leaving.queries().concat().is_empty());
+    view.change(|view| {
+        view.replicas[1].state = samphiremoor_view::zone::UpstreamState::Leaving;
+        view.replicas[2].state = samphiremoor_view::zone::UpstreamState::Live;
+    });
+    let response = task::block_on(stream_task);
+    assert_eq!(response.text(), upstream::full_text("hello", 200));
+    assert!(response.is_done);
+    assert!(successor.calls().is_empty(), "the stream went on at a leaving replica");
+}
+
 #[test]
 fn leaving_replica_gets_no_new_call() {
     let leaving = FakeEngine::start(RESPONSE_TOKENS);
