Fleet: permits divide a replica's limit among the daemons

This is the decision without its use: a schedule of permits that all daemons compute alike, so that no two use the same one. A share below one request in four seconds is a permit now and then, no message is needed for it, and an unused permit is kept for a while.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod outcome;
 pub mod position;
 pub mod quantity;
+pub mod rate;
 pub mod reason;
 pub mod testing;
 pub mod time;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`attempt_record`] remembers the version at which streams began, and [`attempt_message`] encodes
 //!   what daemons tell each other about it.
 //! - [`quota`] enforces the quotas of workspaces across all daemons.
+//! - [`limit`] divides the limits that replicas name among the daemons.
 //! - [`usage`] counts runs in windows of [`wall_clock`] time.
 //! - [`duty`] holds the lease on singleton tasks, and [`capacity`] plans orders for replicas.
 //! - [`digest`] and [`load`] define the state that daemons exchange.
@@ -23,6 +24,7 @@
 pub mod digest;
 pub mod dispatch;
 pub mod duty;
+pub mod limit;
 pub mod load;
 pub mod policy;
 pub mod quota;
--- a/crates/fleet/src/quota.rs
+++ b/crates/fleet/src/quota.rs
@@ -35,7 +35,7 @@
 const INITIAL_PROPAGATION: time::Millis = time::Millis::new(450);
 /// Time after the start in which a daemon may not have received digests of all others yet. In this
 /// time its share of the units is at most that of an equal division among all daemons.
-const WARM_UP_TIME: time::Millis = time::Millis::new(2_500);
+pub(crate) const WARM_UP_TIME: time::Millis = time::Millis::new(2_500);
 /// Number of daemons assumed until the actual number is known.
 const INITIAL_DAEMONS: usize = 16;
 /// Fraction of the quota rate that is added to the demand of each daemon, so that the first
