Gateway: a replica gets no more requests than the limit that it names

The platform's adapter decodes the header; each request that is sent uses a permit, whichever way it comes: first sends, retries, takeovers, resumptions, streams that move, and orders about KV caches. A replica without a permit is not chosen; where only such replicas are left, the request is refused at once with the reason replica-limit and the time until the next permit. Changes are told to the peers behind the digest, where earlier releases ignore them. A migration's target is never a limited replica, since its request comes later.

--- a/crates/base/src/reason.rs
+++ b/crates/base/src/reason.rs
@@ -75,6 +75,9 @@
         DeadlinePassed => "deadline-passed",
         /// No replica can serve the request now.
         NoReplica => "no-replica",
+        /// The replicas that can serve the request get no more requests than the limits that they
+        /// named.
+        ReplicaLimit => "replica-limit",
         /// No replica of the software version that began the stream can serve the request now.
         NoReplicaOfVersion => "no-replica-of-version",
         /// The software version that began the stream is not known.
--- a/crates/entry/src/finish.rs
+++ b/crates/entry/src/finish.rs
@@ -116,6 +116,9 @@
         RefusalReason::DeadlineUnreachable => "the deadline can't be met; allow more time",
         RefusalReason::DeadlinePassed => "the deadline passed; allow more time",
         RefusalReason::NoReplica => "no replica can serve it now; try again later",
+        RefusalReason::ReplicaLimit => {
+            "the replicas take no more requests at present; try again later"
+        }
         RefusalReason::NoReplicaOfVersion => {
             "no replica of the software version that began the stream is left; send the call anew"
         }
--- a/crates/fleet/src/digest.rs
+++ b/crates/fleet/src/digest.rs
@@ -9,6 +9,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::limit;
 use crate::load;
 use crate::usage;
 
@@ -74,6 +75,34 @@
     pub departed: Vec<(id::ReplicaId, quantity::Incarnation)>,
 }
 
+/// Encodes a digest and notices of limits as one message. Earlier releases read the digest and
+/// ignore the notices that follow.
+///
+/// # Errors
+///
+/// Fails if the digest can't be encoded.
+pub fn encode(
+    digest: &PeerDigest,
+    notices: &[limit::LimitNotice],
+) -> Result<Vec<u8>, postcard::Error> {
+    let encoded = postcard::to_stdvec(digest)?;
+    match notices {
+        [] => Ok(encoded),
+        _ => postcard::to_extend(notices, encoded),
+    }
+}
+
+/// Decodes a digest and the notices of limits that follow, if any.
+///
+/// # Errors
+///
+/// Fails if the bytes are not a digest, or a digest and notices.
+pub fn decode(bytes: &[u8]) -> Result<(PeerDigest, Vec<limit::LimitNotice>), postcard::Error> {
+    let (digest, rest) = postcard::take_from_bytes(bytes)?;
+    let notices = if rest.is_empty() { Vec::new() } else { postcard::from_bytes(rest)? };
+    Ok((digest, notices))
+}
+
 /// Aggregates the digests of a zone's daemons.
 #[derive(Clone, Debug, Default)]
 pub struct DigestAggregator {
--- a/crates/fleet/src/selection.rs
+++ b/crates/fleet/src/selection.rs
@@ -102,6 +102,8 @@
     pub prompt: Option<&'a PromptSize>,
     /// Replicas that the request was already sent to.
     pub excluded: &'a [id::ReplicaId],
+    /// Replicas that may not get a request now, because of limits that they named.
+    pub full: &'a [(id::ReplicaId, time::Millis)],
     /// Software version that the replica must run; `None` if any will do.
     pub required_version: Option<&'a replica::SoftwareVersion>,
     /// Whether a silent replica is chosen if no other one is available.
@@ -140,25 +142,46 @@
     }
 }
 
-/// Returns the available replicas of the service and version that the request was not sent to yet,
-/// or the silent ones if there are none.
+/// Returns the time after which one of the replicas that could serve the request, but for the limits
+/// that they named, may get a request. Returns `None` if there is no such replica.
+pub fn limit_wait(
+    table: &replica::ReplicaTable,
+    query: &SelectionQuery<'_>,
+) -> Option<time::Millis> {
+    let reachable = unused(table, query).filter(|replica| replica.is_reachable(query.now));
+    reachable.filter_map(|replica| full_wait(query, &replica.entry.id)).min()
+}
+
+fn full_wait(query: &SelectionQuery<'_>, replica: &id::ReplicaId) -> Option<time::Millis> {
+    query.full.iter().find(|(full, _)| full == replica).map(|(_, wait)| *wait)
+}
+
+/// Returns the replicas of the service and version that the request was not sent to yet.
+fn unused<'a>(
+    table: &'a replica::ReplicaTable,
+    query: &SelectionQuery<'_>,
+) -> impl Iterator<Item = &'a replica::KnownReplica> {
+    let replicas = table.of_service(query.service).filter(|replica| {
+        let version = replica.entry.version.as_ref();
+        query.required_version.is_none_or(|required| version == Some(required))
+    });
+    replicas.filter(|replica| !query.excluded.contains(&replica.entry.id))
+}
+
+/// Returns the available replicas that the request can be sent to, or the silent ones if there are
+/// none.
 fn candidates<'a>(
     table: &'a replica::ReplicaTable,
     query: &SelectionQuery<'_>,
 ) -> SmallVec<[&'a replica::KnownReplica; 32]> {
-    let unused = || {
-        let replicas = table.of_service(query.service).filter(|replica| {
-            let version = replica.entry.version.as_ref();
-            query.required_version.is_none_or(|required| version == Some(required))
-        });
-        replicas.filter(|replica| !query.excluded.contains(&replica.entry.id))
-    };
+    let allowed =
+        || unused(table, query).filter(|replica| full_wait(query, &replica.entry.id).is_none());
     let available: SmallVec<[_; 32]> =
-        unused().filter(|replica| replica.is_available(query.now)).collect();
+        allowed().filter(|replica| replica.is_available(query.now)).collect();
     if !available.is_empty() || !query.includes_silent {
         return available;
     }
-    unused().filter(|replica| replica.is_reachable(query.now)).collect()
+    allowed().filter(|replica| replica.is_reachable(query.now)).collect()
 }
 
 /// Chooses the replica with the least cost in prompt tokens among the preferred replica of the
--- a/crates/fleet/tests/digest.rs
+++ b/crates/fleet/tests/digest.rs
@@ -2,7 +2,9 @@
 
 use samphiremoor_base::id;
 use samphiremoor_base::quantity;
+use samphiremoor_base::rate;
 use samphiremoor_fleet::digest;
+use samphiremoor_fleet::limit;
 use samphiremoor_fleet::load;
 use samphiremoor_fleet::usage;
 
@@ -95,3 +97,41 @@
         "the counts of a new incarnation start at zero"
     );
 }
+
+fn notices() -> Vec<limit::LimitNotice> {
+    let notice = |name: &str, rate: Option<u64>| limit::LimitNotice {
+        replica: name.parse().expect("the name is an identifier"),
+        rate: rate.map(rate::RequestRate::from_millis),
+        observed_ms: 1_796_000_000_000,
+    };
+    vec![notice("replica-1", Some(1_100)), notice("replica-2", None)]
+}
+
+/// A digest and notices are read by daemons of this release and of earlier ones, which send none.
+fn check_releases(notices: &[limit::LimitNotice]) {
+    let sent = digest_of("one", 1, 100.0, 3);
+    let bytes = digest::encode(&sent, notices).expect("the digest can be encoded");
+    assert_eq!(digest::decode(&bytes).ok(), Some((sent.clone(), notices.to_vec())));
+    assert_eq!(
+        postcard::from_bytes(&bytes).ok(),
+        Some(sent.clone()),
+        "an earlier release reads it"
+    );
+    let earlier = postcard::to_stdvec(&sent).expect("the digest can be encoded");
+    assert_eq!(digest::decode(&earlier).ok(), Some((sent, Vec::new())));
+}
+
+samphiremoor_base::cases! {
+    digest_without_notices_is_that_of_earlier_releases => check_releases(&[]);
+    digest_with_notices_is_read_by_earlier_releases => check_releases(&notices());
+}
+
+#[test]
+fn truncated_notices_are_refused() {
+    let sent = digest_of("one", 1, 100.0, 3);
+    let bytes = digest::encode(&sent, &notices()).expect("the digest can be encoded");
+    let digest_length = digest::encode(&sent, &[]).expect("the digest can be encoded").len();
+    for length in digest_length + 1..bytes.len() {
+        assert!(digest::decode(&bytes[..length]).is_err(), "{length} bytes");
+    }
+}
--- a/crates/fleet/tests/selection.rs
+++ b/crates/fleet/tests/selection.rs
@@ -56,19 +56,63 @@
     excluded: &[id::ReplicaId],
     required_version: Option<&replica::SoftwareVersion>,
 ) -> Option<selection::SelectedReplica> {
+    with_query(prompt, excluded, required_version, &[], |query| selection::choose(table, query))
+}
+
+fn with_query<T>(
+    prompt: Option<&selection::PromptSize>,
+    excluded: &[id::ReplicaId],
+    required_version: Option<&replica::SoftwareVersion>,
+    full: &[(id::ReplicaId, time::Millis)],
+    select: impl FnOnce(&selection::SelectionQuery<'_>) -> T,
+) -> T {
     let (service, zone) = (entries::service(), entries::zone(0));
     let query = selection::SelectionQuery {
         service: &service,
         zone: &zone,
         prompt,
         excluded,
+        full,
         required_version,
         includes_silent: true,
         daemon_count: 1,
         draw: DRAW.with(|draw| draw.replace((draw.get() * 7.31 + 0.117).fract())),
         now: NOW,
     };
-    selection::choose(table, &query)
+    select(&query)
+}
+
+/// One of two replicas is full; with `excluded`, the other one is left out. A request is sent to the
+/// replica at `expected`, or may come back when the full one takes it.
+fn check_full(
+    prompt: Option<&selection::PromptSize>,
+    excluded: &[id::ReplicaId],
+    expected: Result<usize, u64>,
+) {
+    let table = table(2);
+    let full = [(entries::replica_id(0), time::Millis::new(700))];
+    for _ in 0..50 {
+        let end = with_query(prompt, excluded, None, &full, |query| {
+            let selected = selection::choose(&table, query).map(|selected| selected.replica);
+            selected.ok_or_else(|| selection::limit_wait(&table, query))
+        });
+        let expected = expected.map(entries::replica_id);
+        assert_eq!(end, expected.map_err(|wait| Some(time::Millis::new(wait))));
+    }
+}
+
+samphiremoor_base::cases! {
+    full_replica_gets_no_call => check_full(None, &[], Ok(1));
+    full_replica_gets_no_prompt => check_full(Some(&prompt(5, 900, 100)), &[], Ok(1));
+    call_waits_for_the_only_replica => check_full(None, &[entries::replica_id(1)], Err(700));
+}
+
+#[test]
+fn request_without_any_replica_waits_for_no_limit() {
+    let table = replica::ReplicaTable::default();
+    let full = [(entries::replica_id(0), time::Millis::new(700))];
+    let wait = with_query(None, &[], None, &full, |query| selection::limit_wait(&table, query));
+    assert_eq!(wait, None);
 }
 
 /// Adds a request with `tokens` prompt tokens to prefill to this daemon's load on a replica.
--- a/crates/fleet/tests/selection_load.rs
+++ b/crates/fleet/tests/selection_load.rs
@@ -239,6 +239,7 @@
             zone: &zone,
             prompt: Some(&prompt),
             excluded: &[],
+            full: &[],
             required_version: None,
             includes_silent: true,
             daemon_count: self.shape.daemons as u32,
--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -7,6 +7,7 @@
 use samphiremoor_base::id;
 use samphiremoor_base::position;
 use samphiremoor_base::quantity;
+use samphiremoor_base::rate;
 use samphiremoor_base::time;
 use samphiremoor_fleet::capacity;
 use samphiremoor_fleet::dispatch;
@@ -53,8 +54,20 @@
     pub body_length: usize,
 }
 
+/// Limit that a replica's response names on the requests that it takes from all daemons together.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub enum NamedLimit {
+    /// The response names none.
+    #[default]
+    Absent,
+    /// The limit.
+    Rate(rate::RequestRate),
+    /// The response names a value that is no rate, for this reason.
+    Invalid(sync::Arc<str>, rate::RateError),
+}
+
 /// What a replica's response says besides its status.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ResponseMetadata {
     /// Request to which the response belongs.
     pub origin: dispatch::ResponseOrigin,
@@ -62,6 +75,8 @@
     pub is_not_run: bool,
     /// Whether a different replica now has the address.
     pub is_other_replica: bool,
+    /// Limit that the replica names.
+    pub limit: NamedLimit,
 }
 
 /// A response that the gateway generates itself.
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -150,6 +150,9 @@
                 return AttemptStart::Failed(reason::RetryReason::ConnectionClosed);
             }
         };
+        if !response.metadata.is_other_replica {
+            self.core.observe_limit(&selected.replica, &response.metadata.limit, started_at);
+        }
         if response.metadata.is_other_replica || response.metadata.is_not_run {
             let is_other = response.metadata.is_other_replica;
             // The body of a refusal is short. If it can't be read to its end, the connection is not
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -12,10 +12,12 @@
 use samphiremoor_base::id;
 use samphiremoor_base::log_event;
 use samphiremoor_base::quantity;
+use samphiremoor_base::rate;
 use samphiremoor_base::time;
 use samphiremoor_fleet::admission;
 use samphiremoor_fleet::decay;
 use samphiremoor_fleet::digest;
+use samphiremoor_fleet::limit;
 use samphiremoor_fleet::load;
 use samphiremoor_fleet::policy;
 use samphiremoor_fleet::quota;
@@ -108,6 +110,10 @@
     pub usage: usage::UsageCounter,
     /// Estimate of the wall-clock time from the clocks of all daemons.
     pub wall_clock: wall_clock::ClockEstimate,
+    /// Limits that replicas named.
+    pub limits: limit::LimitTable,
+    /// Values that replicas named and that are no limits, as they were logged last.
+    refused_limits: collections::BTreeMap<id::ReplicaId, sync::Arc<str>>,
     /// Pool of idle connections to replicas.
     pub idle_pool: idle::IdlePool,
     /// When the daemon was instructed to stop.
@@ -173,6 +179,8 @@
             ttft_estimator: admission::TtftEstimator::default(),
             usage: usage::UsageCounter::new(settings.daemon.clone(), incarnation),
             wall_clock,
+            limits: limit::LimitTable::new(now),
+            refused_limits: collections::BTreeMap::new(),
             idle_pool: idle::IdlePool::default(),
             stopping_since: None,
             table_reader: None,
@@ -273,6 +281,52 @@
         state.policy_text = update.text;
     }
 
+    /// Observes the limit that a response of a replica names; its request was sent at `sent_at`.
+    pub fn observe_limit(
+        &self,
+        replica: &id::ReplicaId,
+        named_limit: &adapter::NamedLimit,
+        sent_at: time::MonotonicTime,
+    ) {
+        let mut state = self.state.borrow_mut();
+        let instant = state.limit_instant(self.now());
+        let rate = match named_limit {
+            adapter::NamedLimit::Absent => None,
+            adapter::NamedLimit::Rate(rate) => Some(*rate),
+            adapter::NamedLimit::Invalid(value, cause) => {
+                let previous = state.refused_limits.insert(replica.clone(), value.clone());
+                if previous.as_ref() != Some(value) {
+                    log_event!(
+                        event::LogEvent::LimitRefused,
+                        replica = replica,
+                        value = format_args!("{value:?}"),
+                        cause = cause,
+                    );
+                }
+                None
+            }
+        };
+        let change = state.limits.observe_response(replica, rate, sent_at, instant);
+        drop(state);
+        log_limit_change(replica, change, "response");
+    }
+
+    /// Counts a request that is sent to a replica against the limit that it named, if any.
+    pub fn record_send(&self, replica: &id::ReplicaId) {
+        let mut state = self.state.borrow_mut();
+        let instant = state.limit_instant(self.now());
+        state.limits.record_send(replica, instant);
+    }
+
+    /// Applies the notices of a peer about limits.
+    pub fn apply_limit_notices(&self, notices: &[limit::LimitNotice]) {
+        let now = self.now();
+        for notice in notices {
+            let change = self.state.borrow_mut().limits.observe_notice(notice, now);
+            log_limit_change(&notice.replica, change, "peer");
+        }
+    }
+
     /// Logs changes to replicas, closes the idle connections of leaving ones, and keeps departures
     /// for the digests to peers. `source` is logged as the origin of the changes.
     pub fn apply_changes(&self, changes: &[replica::ReplicaChange], source: &str) {
@@ -318,7 +372,37 @@
     }
 }
 
+/// Logs a change of a replica's limit. `source` is logged as its origin.
+fn log_limit_change(replica: &id::ReplicaId, change: Option<limit::LimitChange>, source: &str) {
+    let Some(change) = change else { return };
+    let text = |rate: Option<rate::RequestRate>| {
+        rate.map_or_else(|| "none".to_owned(), |rate| rate.to_string())
+    };
+    log_event!(
+        event::LogEvent::UpstreamLimited,
+        replica = replica,
+        limit = text(change.after),
+        before = text(change.before),
+        source = source,
+    );
+}
+
 impl CoreState {
+    /// Returns the instant at which limits are looked up.
+    pub fn limit_instant(&self, now: time::MonotonicTime) -> limit::LimitInstant {
+        let unix_ms = u64::try_from(self.wall_clock.now(now)).unwrap_or(0);
+        limit::LimitInstant { now, unix_ms }
+    }
+
+    /// Forgets the limits of replicas that are not known any more. Returns the number of replicas
+    /// that name one.
+    pub fn sweep_limits(&mut self, now: time::MonotonicTime) -> usize {
+        let replicas = &self.replicas;
+        self.limits.retain(now, |replica| replicas.get(replica).is_some());
+        self.refused_limits.retain(|replica, _| replicas.get(replica).is_some());
+        self.limits.limited_replicas().count()
+    }
+
     /// Returns the retry budget of a service, with this daemon's share of the retry slack.
     pub fn budget(
         &mut self,
--- a/crates/gateway/src/digest_exchange.rs
+++ b/crates/gateway/src/digest_exchange.rs
@@ -24,6 +24,7 @@
 use samphiremoor_fleet::attempt_message;
 use samphiremoor_fleet::attempt_record;
 use samphiremoor_fleet::digest;
+use samphiremoor_fleet::limit;
 use samphiremoor_fleet::load;
 use samphiremoor_platform::table;
 use serde::Deserialize;
@@ -214,8 +215,8 @@
             core.attempts.receive(bytes, sender, core.now()).await;
             continue;
         }
-        let digest: digest::PeerDigest = match postcard::from_bytes(bytes) {
-            Ok(digest) => digest,
+        let (digest, notices) = match digest::decode(bytes) {
+            Ok(decoded) => decoded,
             Err(cause) => {
                 log::warn!(
                     "{sender} sent an invalid digest ({cause}); run the same version on all daemons"
@@ -223,6 +224,7 @@
                 continue;
             }
         };
+        exchange.core.apply_limit_notices(&notices);
         exchange.receive_digest(digest, sender, bytes).await;
     }
 }
@@ -291,6 +293,7 @@
             digest: None,
         };
         state.peers.insert(daemon.clone(), peer);
+        self.core.state.borrow_mut().limits.on_daemon_joined(self.core.now());
         log_event!(event::LogEvent::DaemonJoined, daemon = daemon, address = address);
     }
 
@@ -380,7 +383,8 @@
     }
 
     async fn send(&self, digest: &digest::PeerDigest, recipients: &[SocketAddr]) {
-        let bytes = match postcard::to_stdvec(digest) {
+        let notices = self.core.state.borrow().limits.notices(self.core.now());
+        let bytes = match digest::encode(digest, &notices) {
             Ok(bytes) => bytes,
             Err(cause) => {
                 log::warn!("failed to encode a digest ({cause}); skipping it");
@@ -413,13 +417,51 @@
         let mut core_state = self.core.state.borrow_mut();
         core_state.live_daemons = live_daemons;
         core_state.quota.set_propagation(daemon_count, propagation_time);
+        let instant = core_state.limit_instant(now);
+        core_state.limits.set_turn(self.daemon_turn(&state, is_zonal), instant);
+        self.core.metrics.set_limited_replicas(core_state.sweep_limits(now));
+    }
+
+    /// Returns the position of this daemon among all daemons that are known to run or may run behind
+    /// a partition, ordered by zone and ID.
+    fn daemon_turn(&self, state: &ExchangeState, is_zonal: bool) -> limit::DaemonTurn {
+        let local_daemon = &self.core.settings.daemon;
+        let local_zone = &self.core.settings.availability_zone;
+        let is_member = |peer: &&KnownPeer| !is_zonal || peer.zone == *local_zone;
+        let members = state.peers.values().filter(is_member).count();
+        let preceding_peers = state.peers.range(..local_daemon.clone()).map(|(_, peer)| peer);
+        let mut turn = limit::DaemonTurn {
+            index: preceding_peers.filter(is_member).count() as u32,
+            daemons: members as u32 + 1,
+        };
+        if !is_zonal {
+            return turn;
+        }
+        let mut zone_members: collections::BTreeMap<&id::ZoneId, u32> =
+            collections::BTreeMap::new();
+        for peer in state.peers.values().filter(|peer| peer.zone != *local_zone) {
+            *zone_members.entry(&peer.zone).or_default() += 1;
+        }
+        // The rows of daemons that are gone remain, so the sum of a zone counts more.
+        let sums = state.aggregators.iter();
+        zone_members.extend(sums.map(|(zone, aggregator)| (zone, aggregator.members)));
+        for (zone, count) in zone_members {
+            turn.daemons += count;
+            if zone < local_zone {
+                turn.index += count;
+            }
+        }
+        turn
     }
 
     /// Waits for the next round, which starts early if the known replicas change, and copies attempt
     /// records meanwhile.
     async fn await_round(&self, interval: time::Millis) {
         let started_at = self.core.now();
-        let version = || self.core.state.borrow().replicas.version();
+        let version = || {
+            let state = self.core.state.borrow();
+            (state.replicas.version(), state.limits.version())
+        };
         let initial_version = version();
         while self.core.now().since(started_at) < interval && version() == initial_version {
             task::sleep(CHANGE_INTERVAL.to_duration()).await;
@@ -548,6 +590,9 @@
             if last_incarnation.is_some_and(|incarnation| digest.incarnation < incarnation) {
                 return;
             }
+            if last_incarnation.is_some_and(|incarnation| digest.incarnation > incarnation) {
+                self.core.state.borrow_mut().limits.on_daemon_joined(now);
+            }
             peer.last_contact = Some(now);
             peer.digest = Some(digest.clone());
         }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -33,6 +33,9 @@
 /// `Retry-After` of a request that no replica ran, in milliseconds. A replica that refused for lack
 /// of capacity has some again after a few responses.
 const NOT_RUN_RETRY_AFTER_MS: f64 = 250.0;
+/// Maximum jitter of the `Retry-After` of a request that a limit keeps from all replicas. What the
+/// replica may get by then is kept for longer.
+const LIMIT_JITTER: time::Millis = time::Millis::new(500);
 /// `Retry-After` of a request whose route has no service or for which no replica can be chosen, in
 /// milliseconds.
 const NOT_READY_RETRY_AFTER_MS: f64 = 700.0;
@@ -278,6 +281,7 @@
         selected: selection::SelectedReplica,
         resume: attempt::ResumePoint,
     ) {
+        self.context.core.record_send(&selected.replica);
         self.context.progress.update(dispatch::DispatchTracker::begin_attempt);
         self.context.progress.replica.replace(Some(selected.replica.clone()));
         self.excluded.push(selected.replica.clone());
@@ -418,6 +422,12 @@
             choice = self.query_replica(&[], true);
         }
         let Some(selected) = choice else {
+            if let Some(wait) = self.limit_wait() {
+                let reason = reason::RefusalReason::ReplicaLimit;
+                let jitter = rand::random_range(0..LIMIT_JITTER.get());
+                let wait = wait + time::Millis::new(jitter);
+                return Err(unanswered_outcome(progress, sink, reason, wait));
+            }
             let reason = match self.required_version {
                 Some(_) => reason::RefusalReason::NoReplicaOfVersion,
                 None => reason::RefusalReason::NoReplica,
@@ -475,21 +485,39 @@
         excluded: &[id::ReplicaId],
         includes_silent: bool,
     ) -> Option<selection::SelectedReplica> {
+        self.with_query(excluded, includes_silent, selection::choose)
+    }
+
+    /// Returns the time after which a replica may get the request that is kept from it only by a
+    /// limit.
+    fn limit_wait(&self) -> Option<time::Millis> {
+        self.with_query(&self.excluded, true, selection::limit_wait)
+    }
+
+    /// Returns what `select` makes of the query for a replica of this request.
+    fn with_query<T>(
+        &self,
+        excluded: &[id::ReplicaId],
+        includes_silent: bool,
+        select: impl FnOnce(&replica::ReplicaTable, &selection::SelectionQuery<'_>) -> T,
+    ) -> T {
         let context::RequestContext { core, request, service, .. } = self.context;
         let state = core.state.borrow();
         let prompt = request.metadata.prompt.as_ref().filter(|_| self.is_engine_request(&state));
+        let now = core.now();
         let query = selection::SelectionQuery {
             service,
             zone: &core.settings.availability_zone,
             prompt,
             excluded,
+            full: &state.limits.full_replicas(state.limit_instant(now)),
             required_version: self.required_version.as_ref(),
             includes_silent,
             daemon_count: state.live_daemons,
             draw: rand::random(),
-            now: core.now(),
+            now,
         };
-        selection::choose(&state.replicas, &query)
+        select(&state.replicas, &query)
     }
 
     /// Whether the request has a prompt for an engine.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -21,6 +21,7 @@
     retries: prometheus::IntCounterVec,
     resumes: prometheus::IntCounterVec,
     store_restores: prometheus::IntCounter,
+    limited_replicas: prometheus::IntGauge,
     first_byte_seconds: prometheus::Histogram,
     total_seconds: prometheus::Histogram,
 }
@@ -60,6 +61,11 @@
             "Returns of the platform's table from an older copy.",
         );
         let store_restores = register(&registry, store_restores.expect("the name is valid"));
+        let limited_replicas = prometheus::IntGauge::new(
+            "samphiremoor_gateway_limited_replicas",
+            "Replicas that name a limit on their requests.",
+        );
+        let limited_replicas = register(&registry, limited_replicas.expect("the name is valid"));
         let first_byte_seconds =
             histogram("samphiremoor_gateway_first_seconds", "Time to the first byte of an answer.");
         let total_seconds =
@@ -72,6 +78,7 @@
             retries,
             resumes,
             store_restores,
+            limited_replicas,
             first_byte_seconds,
             total_seconds,
         }
@@ -117,6 +124,11 @@
         self.store_restores.inc();
     }
 
+    /// Sets the number of replicas that name a limit.
+    pub fn set_limited_replicas(&self, count: usize) {
+        self.limited_replicas.set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     /// Records the time until the first byte of a replica's response.
     pub fn observe_first_byte(&self, elapsed: time::Millis) {
         self.first_byte_seconds.observe(elapsed.to_duration().as_secs_f64());
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -3,6 +3,8 @@
 use std::pin;
 
 use samphiremoor_base::reason;
+use samphiremoor_base::time;
+use samphiremoor_fleet::limit;
 use samphiremoor_fleet::selection;
 
 use crate::attempt;
@@ -147,11 +149,16 @@
         let request_id = self.context.request.metadata.request_id.clone()?;
         let source = selected.replica.clone();
         let mut state = core.state.borrow_mut();
+        // The request is sent to the target only after the copy, without a choice.
+        let limited = state.limits.limited_replicas();
+        let limited: limit::FullReplicas =
+            limited.map(|replica| (replica.clone(), time::Millis::default())).collect();
         let query = selection::SelectionQuery {
             service: self.context.service,
             zone: &core.settings.availability_zone,
             prompt: self.context.request.metadata.prompt.as_ref(),
             excluded: &self.excluded,
+            full: &limited,
             required_version: self.required_version.as_ref(),
             includes_silent: false,
             daemon_count: state.live_daemons,
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -226,6 +226,7 @@
     request: &[u8],
 ) -> Option<(u16, Vec<u8>)> {
     let mut connection = acquire(core, replica, address, true).await.ok()?;
+    core.record_send(replica);
     connection.raw.write(request).await.ok()?;
     let head = connection.raw.response_head().await.ok()?;
     let framing = message::response_framing(&head, method).ok()?;
