Gateway: a response without end is read up to a bound

A replica that sent bytes without end held the daemon: the loops that read a head or a body always found more bytes, never let another task run, and the buffer of a stream's incomplete event grew without a bound.

Bounds: interim responses 64 KB, trailers 64 KB, a refusal's body 64 KB, an event 256 KB, events that the caller already has 1 MB in a row; and a connection lets other tasks run after each 256 KB. Heads (64 KB) and whole bodies (16 MB) had theirs.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -157,7 +157,7 @@
             let is_other = response.metadata.is_other_replica;
             // The body of a refusal is short. If it can't be read to its end, the connection is not
             // reused.
-            let body_read = upstream::read_body(&mut connection, &response);
+            let body_read = upstream::read_refusal(&mut connection, &response);
             let read = future::timeout(REFUSAL_BODY_TIMEOUT.to_duration(), body_read).await;
             if matches!(read, Ok(Ok(_))) {
                 upstream::release(self.core, &selected.replica, connection, &response);
@@ -222,7 +222,8 @@
                 if splitter.delivered() > 0 {
                     return Some(());
                 }
-                if !is_in_order || body.is_read && splitter.is_incomplete() {
+                let is_truncated = body.is_read && splitter.is_incomplete();
+                if !is_in_order || is_truncated || splitter.is_excessive() {
                     return None;
                 }
                 if body.is_read {
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -1,5 +1,10 @@
 //! Splits a stream of server-sent events into whole events and checks the order of their IDs.
 
+/// Largest event, in bytes. What is longer is no event.
+const MAX_EVENT_BYTES: usize = 256 * 1024;
+/// Largest number of bytes of events that the caller already has, between two that it lacks.
+const MAX_DUPLICATE_BYTES: usize = 1024 * 1024;
+
 /// How an event relates to the events that the caller already has.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum EventOrder {
@@ -17,6 +22,8 @@
     buffer: Vec<u8>,
     last_id: Option<u64>,
     delivered: u64,
+    /// Number of bytes of the events since the last one that was delivered.
+    duplicate_bytes: usize,
 }
 
 impl EventSplitter {
@@ -45,9 +52,15 @@
         self.buffer.iter().any(|byte| !matches!(byte, b'\r' | b'\n'))
     }
 
+    /// Returns whether the stream has gone on for too long without an event that the caller lacks.
+    pub fn is_excessive(&self) -> bool {
+        self.buffer.len() > MAX_EVENT_BYTES || self.duplicate_bytes > MAX_DUPLICATE_BYTES
+    }
+
     /// Discards the incomplete event of a broken stream.
     pub fn discard_partial(&mut self) {
         self.buffer.clear();
+        self.duplicate_bytes = 0;
     }
 
     /// Moves the complete events that follow the last one to `out` and drops those that the caller
@@ -62,8 +75,9 @@
                     out.extend_from_slice(event);
                     self.last_id = id.or(self.last_id);
                     self.delivered += 1;
+                    self.duplicate_bytes = 0;
                 }
-                (EventOrder::Duplicate, _) => {}
+                (EventOrder::Duplicate, _) => self.duplicate_bytes += length,
                 (EventOrder::Gap, _) => {
                     is_in_order = false;
                     break;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -87,7 +87,7 @@
             if is_complete {
                 return StreamEnd::Complete;
             }
-            if is_body_end || !is_in_order {
+            if is_body_end || !is_in_order || self.splitter.is_excessive() {
                 return StreamEnd::Broken;
             }
             if has_first_event && should_migrate() {
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -8,6 +8,7 @@
 
 use async_std::io::WriteExt as _;
 use samphiremoor_base::id;
+use samphiremoor_base::quantity;
 use samphiremoor_base::time;
 use samphiremoor_fleet::dispatch;
 use samphiremoor_httpio::connection;
@@ -25,6 +26,8 @@
 /// Time after the end of a stream at its source after which a stream that can resume without the KV
 /// cache may be taken over by another replica.
 pub(crate) const MIGRATION_TIMEOUT: time::Millis = time::Millis::new(1_500);
+/// Largest body of a refusal.
+const MAX_REFUSAL_BODY: quantity::ByteCount = quantity::ByteCount::new(64 * 1024);
 /// Number of responses to other requests that are skipped on one connection before it is closed.
 const MAX_SKIPPED_RESPONSES: u32 = 3;
 
@@ -190,6 +193,18 @@
         .map_err(exchange_error)
 }
 
+/// Reads the body of a refusal, which is short.
+///
+/// # Errors
+///
+/// Fails if the body is long, truncated or malformed.
+pub async fn read_refusal(
+    connection: &mut UpstreamConnection,
+    response: &ReplicaResponse,
+) -> Result<Vec<u8>, ExchangeError> {
+    connection.raw.body(response.framing, MAX_REFUSAL_BODY).await.map_err(exchange_error)
+}
+
 /// Orders one step of the migration of a stream's KV cache from the first to the second address.
 /// Returns the location of the KV cache, or `None` if it was not copied.
 pub async fn migrate_kv_cache(
--- a/crates/httpio/src/connection.rs
+++ b/crates/httpio/src/connection.rs
@@ -15,13 +15,16 @@
 
 /// Size of the read buffer of an idle connection, and the step by which the buffer grows.
 const READ_BUFFER_BYTES: usize = 8 * 1024;
-/// Maximum size of a response head.
+/// Maximum size of a response head, and of the interim responses before it.
 pub(crate) const MAX_RESPONSE_HEAD: quantity::ByteCount = quantity::ByteCount::new(64 * 1024);
 /// Maximum size of a response body that is buffered whole.
 pub const MAX_RESPONSE_BODY: quantity::ByteCount = quantity::ByteCount::new(16 * 1024 * 1024);
 /// Bytes of pipelined requests that are buffered; further bytes stay in the socket.
 const MAX_PIPELINED_BYTES: usize = 64 * 1024;
 
+/// Number of bytes after whose receipt other tasks run, even if more bytes are there.
+const MAX_TURN_BYTES: usize = 256 * 1024;
+
 /// Time in which the reactor reports a connection that opened during a pause of the process.
 const REACTOR_TIME: time::Millis = time::Millis::new(5);
 
@@ -33,6 +36,8 @@
     buffer: Vec<u8>,
     start: usize,
     end: usize,
+    /// Number of bytes received since other tasks could run.
+    turn_bytes: usize,
 }
 
 /// Error of reading a message.
@@ -69,7 +74,7 @@
     pub fn new(stream: net::TcpStream) -> io::Result<Self> {
         // Nagle's algorithm would delay small writes until earlier ones are acknowledged.
         stream.set_nodelay(true)?;
-        Ok(RawConnection { stream, buffer: Vec::new(), start: 0, end: 0 })
+        Ok(RawConnection { stream, buffer: Vec::new(), start: 0, end: 0, turn_bytes: 0 })
     }
 
     /// Opens a connection to an address.
@@ -129,8 +134,13 @@
         if self.buffer.len() < self.end + READ_BUFFER_BYTES / 2 {
             self.buffer.resize(self.end + READ_BUFFER_BYTES, 0);
         }
+        if self.turn_bytes >= MAX_TURN_BYTES {
+            self.turn_bytes = 0;
+            futures_lite::future::yield_now().await;
+        }
         let read = self.stream.read(&mut self.buffer[self.end..]).await?;
         self.end += read;
+        self.turn_bytes += read;
         Ok(read)
     }
 
@@ -188,8 +198,10 @@
     ///
     /// # Errors
     ///
-    /// Fails if the connection closes or the bytes are not a valid head.
+    /// Fails if the connection closes, the bytes are not a valid head, or the interim responses are
+    /// too large.
     pub async fn response_head(&mut self) -> Result<message::ResponseHead, ReadError> {
+        let mut interim_bytes = message::InterimBytes::default();
         loop {
             if let Some((head, length)) =
                 message::parse_response(self.buffered(), MAX_RESPONSE_HEAD)?
@@ -198,6 +210,7 @@
                 if head.status >= 200 {
                     return Ok(head);
                 }
+                interim_bytes.add(length, MAX_RESPONSE_HEAD)?;
                 continue;
             }
             self.fill_head().await?;
--- a/crates/httpio/src/message.rs
+++ b/crates/httpio/src/message.rs
@@ -14,6 +14,8 @@
 const MAX_FIELDS: usize = 96;
 /// Maximum length of a chunk-size line with its extensions, and of a trailer line, in bytes.
 const MAX_CHUNK_LINE_BYTES: usize = 1024;
+/// Maximum size of the trailers of a body.
+const MAX_TRAILER_BYTES: usize = 64 * 1024;
 
 /// One header field.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -217,6 +219,25 @@
     Ok(Some((ResponseHead { status, fields, is_keep_alive }, length)))
 }
 
+/// Size of the interim (1xx) responses before a response.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct InterimBytes(usize);
+
+impl InterimBytes {
+    /// Adds the length of an interim response.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the sum exceeds the limit.
+    pub fn add(&mut self, length: usize, limit: quantity::ByteCount) -> Result<(), MessageError> {
+        self.0 += length;
+        match self.0 as u64 > limit.get() {
+            true => Err(MessageError::TooLarge),
+            false => Ok(()),
+        }
+    }
+}
+
 /// Determines how the body of a request is delimited.
 ///
 /// # Errors
@@ -299,6 +320,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ChunkDecoder {
     state: ChunkState,
+    /// Number of bytes of the trailers so far.
+    trailer_bytes: usize,
 }
 
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -356,6 +379,10 @@
                 ChunkState::Trailer => {
                     let Some(line) = split_line(rest)? else { return Ok(consumed) };
                     consumed += line.len() + 2;
+                    self.trailer_bytes += line.len() + 2;
+                    if self.trailer_bytes > MAX_TRAILER_BYTES {
+                        return Err(MessageError::TooLarge);
+                    }
                     if line.is_empty() {
                         self.state = ChunkState::Done;
                     }
--- a/crates/httpio/src/response_reader.rs
+++ b/crates/httpio/src/response_reader.rs
@@ -31,6 +31,7 @@
     method: Method,
 ) -> io::Result<Response> {
     let mut source = ByteSource { stream, received: Vec::new() };
+    let mut interim_bytes = message::InterimBytes::default();
     let head = loop {
         match message::parse_response(&source.received, connection::MAX_RESPONSE_HEAD) {
             Ok(Some((head, length))) => {
@@ -38,6 +39,7 @@
                 if head.status >= 200 {
                     break head;
                 }
+                interim_bytes.add(length, connection::MAX_RESPONSE_HEAD).map_err(malformed)?;
             }
             Ok(None) => {
                 if !future::poll_fn(|cx| source.poll_fill(cx)).await? {
