Entry: an event stream without end is read up to a bound

An upstream that sent bytes without end in a stream of events held a thread of the daemon and grew its memory: the decoder reads lines without a bound and the token timer is not asked meanwhile.

--- a/crates/entry/src/run/attempt.rs
+++ b/crates/entry/src/run/attempt.rs
@@ -111,6 +111,9 @@
             (_, Some(io::ErrorKind::TimedOut)) => {
                 Some(Err(input::AttemptFailure::ConnectionSilent))
             }
+            (_, Some(io::ErrorKind::FileTooLarge)) => {
+                Some(Err(input::AttemptFailure::InvalidResponse))
+            }
             (None, None) => None,
             _ => Some(Err(input::AttemptFailure::ConnectionClosed)),
         }
@@ -218,6 +221,9 @@
         if !self.belongs_to_response(&chunk) {
             return self.ready_events.push_back(AttemptEvent::Foreign);
         }
+        if let AttemptPhase::Reading(reader) = &self.phase {
+            reader.failure.record_use();
+        }
         self.handle_chunk(message.id().as_deref(), &chunk);
     }
 
--- a/crates/httpio/src/body.rs
+++ b/crates/httpio/src/body.rs
@@ -5,6 +5,7 @@
 use std::io;
 use std::pin;
 use std::sync;
+use std::sync::atomic;
 use std::task;
 
 use futures_lite::AsyncBufRead;
@@ -98,18 +99,29 @@
     fn consume(self: pin::Pin<&mut Self>, _: usize) {}
 }
 
-/// Failure of a body that was split off by [`split_failure`].
+/// Failure of a body that was split off by [`split_failure`], and the bytes that may be read of it.
 #[derive(Clone, Debug, Default)]
-pub struct BodyFailure(sync::Arc<sync::OnceLock<io::ErrorKind>>);
+pub struct BodyFailure {
+    kind: sync::Arc<sync::OnceLock<io::ErrorKind>>,
+    /// Number of bytes read since the last use.
+    unused_bytes: sync::Arc<atomic::AtomicUsize>,
+}
 
 impl BodyFailure {
-    /// Returns the kind of the failed read, or `None` if no read has failed.
+    /// Returns the kind of the failed read, or `None` if no read has failed. It is
+    /// [`io::ErrorKind::FileTooLarge`] if too many bytes were read without a use.
     pub fn kind(&self) -> Option<io::ErrorKind> {
-        self.0.get().copied()
+        self.kind.get().copied()
+    }
+
+    /// Records that what was read so far was of use.
+    pub fn record_use(&self) {
+        self.unused_bytes.store(0, atomic::Ordering::Relaxed);
     }
 }
 
-/// Returns a body that ends where a read of the given one fails, and a handle to that failure.
+/// Returns a body that ends where a read of the given one fails, and a handle to that failure. Reads
+/// also fail after [`MAX_UNUSED_BYTES`] without a use that the handle records.
 ///
 /// The decoder of event streams drops an incomplete event at the end of a body, but must not be
 /// given a failed read inside a line: it asserts that there is none.
@@ -119,6 +131,9 @@
     (Body::from_reader(BufReader::new(reader), None), failure)
 }
 
+/// Largest number of bytes of an event stream between two events that are of use.
+pub const MAX_UNUSED_BYTES: usize = 1024 * 1024;
+
 /// A reader that records a failed read and reports the end instead.
 struct FailureReader {
     body: Body,
@@ -135,8 +150,16 @@
             return task::Poll::Ready(Ok(0));
         }
         let read = futures_lite::ready!(pin::Pin::new(&mut self.body).poll_read(cx, out));
+        let unused_bytes = &self.failure.unused_bytes;
+        let read = read.and_then(|count| {
+            let previous_bytes = unused_bytes.fetch_add(count, atomic::Ordering::Relaxed);
+            match previous_bytes + count > MAX_UNUSED_BYTES {
+                true => Err(io::ErrorKind::FileTooLarge.into()),
+                false => Ok(count),
+            }
+        });
         task::Poll::Ready(read.or_else(|cause| {
-            self.failure.0.get_or_init(|| cause.kind());
+            self.failure.kind.get_or_init(|| cause.kind());
             Ok(0)
         }))
     }
