--- a/crates/fleet/src/digest.rs
+++ b/crates/fleet/src/digest.rs
@@ -5,11 +5,11 @@
 
 use samphiremoor_base::id;
 use samphiremoor_base::quantity;
+use samphiremoor_base::rate;
 use samphiremoor_base::time;
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::limit;
 use crate::load;
 use crate::usage;
 
@@ -37,6 +37,18 @@
     pub prompt_rate: f32,
 }
 
+/// Notice of a limit that is new, changed or lifted.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct LimitNotice {
+    /// The replica.
+    pub replica: id::ReplicaId,
+    /// Its limit; `None` if it was lifted.
+    pub rate: Option<rate::RequestRate>,
+    /// When the replica said so, in milliseconds since the Unix epoch.
+    pub observed_ms: u64,
+}
+
 /// State of one daemon, or the aggregate of all daemons of an availability zone.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Deserialize, Serialize)]
@@ -81,10 +93,7 @@
 /// # Errors
 ///
 /// Fails if the digest can't be encoded.
-pub fn encode(
-    digest: &PeerDigest,
-    notices: &[limit::LimitNotice],
-) -> Result<Vec<u8>, postcard::Error> {
+pub fn encode(digest: &PeerDigest, notices: &[LimitNotice]) -> Result<Vec<u8>, postcard::Error> {
     let encoded = postcard::to_stdvec(digest)?;
     match notices {
         [] => Ok(encoded),
@@ -97,7 +106,7 @@
 /// # Errors
 ///
 /// Fails if the bytes are not a digest, or a digest and notices.
-pub fn decode(bytes: &[u8]) -> Result<(PeerDigest, Vec<limit::LimitNotice>), postcard::Error> {
+pub fn decode(bytes: &[u8]) -> Result<(PeerDigest, Vec<LimitNotice>), postcard::Error> {
     let (digest, rest) = postcard::take_from_bytes(bytes)?;
     let notices = if rest.is_empty() { Vec::new() } else { postcard::from_bytes(rest)? };
     Ok((digest, notices))
--- a/crates/fleet/src/limit.rs
+++ b/crates/fleet/src/limit.rs
@@ -17,11 +17,10 @@
 use samphiremoor_base::id;
 use samphiremoor_base::rate;
 use samphiremoor_base::time;
-use serde::Deserialize;
-use serde::Serialize;
 use siphasher::sip;
 use smallvec::SmallVec;
 
+use crate::digest;
 use crate::quota;
 
 /// Lowest rate of permits. A replica that takes fewer requests is asked at this rate whether its
@@ -54,18 +53,6 @@
     pub daemons: u32,
 }
 
-/// Notice of a limit that is new, changed or lifted.
-#[derive(Clone, Debug, Eq, PartialEq)]
-#[derive(Deserialize, Serialize)]
-pub struct LimitNotice {
-    /// The replica.
-    pub replica: id::ReplicaId,
-    /// Its limit; `None` if it was lifted.
-    pub rate: Option<rate::RequestRate>,
-    /// When the replica said so, in milliseconds since the Unix epoch.
-    pub observed_ms: u64,
-}
-
 /// Change of a replica's limit, for the log.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct LimitChange {
@@ -158,7 +145,7 @@
     /// Observes a notice of a peer, unless a later one is known.
     pub fn observe_notice(
         &mut self,
-        notice: &LimitNotice,
+        notice: &digest::LimitNotice,
         now: time::MonotonicTime,
     ) -> Option<LimitChange> {
         let limit = self.limits.get(&notice.replica);
@@ -238,12 +225,12 @@
 
     /// Returns the recent changes, to report them to the peers, or all limits if a daemon joined
     /// recently.
-    pub fn notices(&self, now: time::MonotonicTime) -> Vec<LimitNotice> {
+    pub fn notices(&self, now: time::MonotonicTime) -> Vec<digest::LimitNotice> {
         let is_in_time = |at: time::MonotonicTime| now.since(at) < NOTICE_REPEAT_TIME;
         let has_joined = self.joined_at.is_some_and(is_in_time);
         let is_recent = |limit: &ReplicaLimit| has_joined || is_in_time(limit.changed_at);
         let recent = self.limits.iter().filter(|(_, limit)| is_recent(limit));
-        let notice = |(replica, limit): (&id::ReplicaId, &ReplicaLimit)| LimitNotice {
+        let notice = |(replica, limit): (&id::ReplicaId, &ReplicaLimit)| digest::LimitNotice {
             replica: replica.clone(),
             rate: limit.rate,
             observed_ms: limit.observed_ms,
--- a/crates/fleet/tests/digest.rs
+++ b/crates/fleet/tests/digest.rs
@@ -4,7 +4,6 @@
 use samphiremoor_base::quantity;
 use samphiremoor_base::rate;
 use samphiremoor_fleet::digest;
-use samphiremoor_fleet::limit;
 use samphiremoor_fleet::load;
 use samphiremoor_fleet::usage;
 
@@ -98,8 +97,8 @@
     );
 }
 
-fn notices() -> Vec<limit::LimitNotice> {
-    let notice = |name: &str, rate: Option<u64>| limit::LimitNotice {
+fn notices() -> Vec<digest::LimitNotice> {
+    let notice = |name: &str, rate: Option<u64>| digest::LimitNotice {
         replica: name.parse().expect("the name is an identifier"),
         rate: rate.map(rate::RequestRate::from_millis),
         observed_ms: 1_796_000_000_000,
@@ -108,7 +107,7 @@
 }
 
 /// A digest and notices are read by daemons of this release and of earlier ones, which send none.
-fn check_releases(notices: &[limit::LimitNotice]) {
+fn check_releases(notices: &[digest::LimitNotice]) {
     let sent = digest_of("one", 1, 100.0, 3);
     let bytes = digest::encode(&sent, notices).expect("the digest can be encoded");
     assert_eq!(digest::decode(&bytes).ok(), Some((sent.clone(), notices.to_vec())));
--- a/crates/fleet/tests/limit.rs
+++ b/crates/fleet/tests/limit.rs
@@ -6,6 +6,7 @@
 use samphiremoor_base::rate;
 use samphiremoor_base::testing;
 use samphiremoor_base::time;
+use samphiremoor_fleet::digest;
 use samphiremoor_fleet::limit;
 
 /// Wall-clock time at the start of a test.
@@ -293,7 +294,7 @@
     let instant = cluster.instant();
     let table = &mut cluster.daemons[0].table;
     table.observe_response(&replica(), Some(per_second("4")), instant.now, instant);
-    let notice = |rate, observed_ms| limit::LimitNotice { replica: replica(), rate, observed_ms };
+    let notice = |rate, observed_ms| digest::LimitNotice { replica: replica(), rate, observed_ms };
     assert_eq!(table.observe_notice(&notice(None, instant.unix_ms - 1), instant.now), None);
     let later = notice(Some(per_second("2")), instant.unix_ms + 1);
     assert!(table.observe_notice(&later, instant.now).is_some());
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -319,7 +319,7 @@
     }
 
     /// Applies the notices of a peer about limits.
-    pub fn apply_limit_notices(&self, notices: &[limit::LimitNotice]) {
+    pub fn apply_limit_notices(&self, notices: &[digest::LimitNotice]) {
         let now = self.now();
         for notice in notices {
             let change = self.state.borrow_mut().limits.observe_notice(notice, now);
