Gateway: limits cost nothing while no replica names one

The agreed wall-clock time is the median over all peers; it was computed for each choice, send and response, also without any limit. It is now asked for only where a replica is known to name one.

--- a/crates/fleet/src/limit.rs
+++ b/crates/fleet/src/limit.rs
@@ -212,6 +212,16 @@
         waits.filter(|(_, wait)| wait.get() > 0).collect()
     }
 
+    /// Returns whether a replica names a limit, or did so recently.
+    pub fn contains(&self, replica: &id::ReplicaId) -> bool {
+        self.limits.contains_key(replica)
+    }
+
+    /// Returns whether no replica names a limit or did so recently.
+    pub fn is_empty(&self) -> bool {
+        self.limits.is_empty()
+    }
+
     /// Returns the replicas that name a limit.
     pub fn limited_replicas(&self) -> impl Iterator<Item = &id::ReplicaId> {
         let limited = self.limits.iter().filter(|(_, limit)| limit.rate.is_some());
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -289,6 +289,9 @@
         sent_at: time::MonotonicTime,
     ) {
         let mut state = self.state.borrow_mut();
+        if *named_limit == adapter::NamedLimit::Absent && !state.limits.contains(replica) {
+            return;
+        }
         let instant = state.limit_instant(self.now());
         let rate = match named_limit {
             adapter::NamedLimit::Absent => None,
@@ -314,8 +317,10 @@
     /// Counts a request that is sent to a replica against the limit that it named, if any.
     pub fn record_send(&self, replica: &id::ReplicaId) {
         let mut state = self.state.borrow_mut();
-        let instant = state.limit_instant(self.now());
-        state.limits.record_send(replica, instant);
+        if state.limits.contains(replica) {
+            let instant = state.limit_instant(self.now());
+            state.limits.record_send(replica, instant);
+        }
     }
 
     /// Applies the notices of a peer about limits.
@@ -394,6 +399,14 @@
         limit::LimitInstant { now, unix_ms }
     }
 
+    /// Returns the replicas that may not get a request now, because of limits that they named.
+    pub fn full_replicas(&self, now: time::MonotonicTime) -> limit::FullReplicas {
+        match self.limits.is_empty() {
+            true => limit::FullReplicas::new(),
+            false => self.limits.full_replicas(self.limit_instant(now)),
+        }
+    }
+
     /// Forgets the limits of replicas that are not known any more. Returns the number of replicas
     /// that name one.
     pub fn sweep_limits(&mut self, now: time::MonotonicTime) -> usize {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -510,7 +510,7 @@
             zone: &core.settings.availability_zone,
             prompt,
             excluded,
-            full: &state.limits.full_replicas(state.limit_instant(now)),
+            full: &state.full_replicas(now),
             required_version: self.required_version.as_ref(),
             includes_silent,
             daemon_count: state.live_daemons,
