--- a/crates/gateway/tests/events.rs
+++ b/crates/gateway/tests/events.rs
@@ -86,3 +86,29 @@
         proptest::prop_assert_eq!(out, stream(1..=12).into_bytes());
     }
 }
+
+#[test]
+fn event_without_end_is_excessive() {
+    let mut splitter = events::EventSplitter::default();
+    let mut out = Vec::new();
+    splitter.buffer().extend_from_slice(b"id: 1\ndata: a\n\ndata: ");
+    assert!(splitter.take_events(&mut out) && !splitter.is_excessive());
+    splitter.buffer().extend(std::iter::repeat_n(b'x', 300 * 1024));
+    assert!(splitter.take_events(&mut out));
+    assert!(splitter.is_excessive(), "the event has no end");
+    splitter.discard_partial();
+    assert!(!splitter.is_excessive());
+}
+
+#[test]
+fn repeated_events_are_excessive_until_a_new_one_comes() {
+    let mut splitter = events::EventSplitter::new(Some(5));
+    let mut out = Vec::new();
+    for _ in 0..100_000 {
+        splitter.buffer().extend_from_slice(b"id: 5\ndata: a\n\n");
+        assert!(splitter.take_events(&mut out));
+    }
+    assert!(splitter.is_excessive());
+    splitter.buffer().extend_from_slice(b"id: 6\ndata: a\n\n");
+    assert!(splitter.take_events(&mut out) && !splitter.is_excessive());
+}
