--- a/crates/fleet/src/limit.rs
+++ b/crates/fleet/src/limit.rs
@@ -26,9 +26,10 @@
 /// Lowest rate of permits. A replica that takes fewer requests is asked at this rate whether its
 /// limit still holds.
 const MIN_RATE: rate::RequestRate = rate::RequestRate::from_millis(100);
-/// Time for which an unused permit is kept, and the number of permits of all daemons that are kept
-/// in addition. The replica may get these requests at once.
+/// Time for which an unused permit is kept, besides that of [`KEPT_PERMITS`].
 const KEPT_TIME: time::Millis = time::Millis::new(1_000);
+/// Number of permits of all daemons in whose time an unused permit is kept, too. The replica may get
+/// as many requests at once as fall due in both times.
 const KEPT_PERMITS: u64 = 3;
 /// Time for which digests repeat a change of a limit.
 const NOTICE_REPEAT_TIME: time::Millis = time::Millis::new(5_000);
@@ -72,7 +73,7 @@
     turn: DaemonTurn,
     /// When the daemon started.
     started_at: time::MonotonicTime,
-    /// When a daemon joined or restarted last, which knows no limits.
+    /// When a daemon last joined or restarted. It knows no limits until it is told.
     joined_at: Option<time::MonotonicTime>,
     /// Number of changes that other daemons need to learn.
     version: u64,
@@ -264,7 +265,7 @@
     /// Permits of all daemons per thousand seconds.
     rate: u64,
     daemons: u64,
-    /// Remainder of the numbers of this daemon's permits, divided by the number of daemons.
+    /// Remainder of this daemon's permit numbers when divided by the number of daemons.
     turn: u64,
 }
 
