Claims: a holder that stops closes only once its lease is released

A change of the copy set was being written when the stop asked for the release; its end was taken for the release, so the holder closed with the result unwritten and the lease still in its name. Seen with the writes printed in a scratch copy: a write of the lease row with no batch and one pending entry, then the exit.

The holder closes when the lease row that was written has no holder; the release with the results follows the change. The pure test failed before (closed before the lease was released).

--- a/crates/claims/src/shard/phases.rs
+++ b/crates/claims/src/shard/phases.rs
@@ -24,6 +24,8 @@
                     self.submit(now, submission, actions);
                 }
             }
+            // A change of the copy set that was in progress is not the release, which follows.
+            shard::HolderPhase::Releasing if self.lease().row.holder.is_some() => {}
             shard::HolderPhase::Releasing => self.close(transition::CloseReason::Released, actions),
             shard::HolderPhase::Recovering(_)
             | shard::HolderPhase::Open
