Gateway: reads of the document from other daemons are logged and counted

Cause: a failed read was logged at debug level only, so that the logs of an incident did not tell whether followers read slowly, failed or never asked. E0304 and E0305 name the source, the time and the bytes or the cause; two counters give reads by result and bytes sent. No change of logic.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -77,6 +77,8 @@
     301 RevisionInForce "revision-in-force" Info "A revision of the records took effect in this process.",
     302 RecordRefused "record-refused" Warn "A record was refused; the line has the reason.",
     303 RevisionRelayed "revision-relayed" Debug "A revision of the records was received from a peer.",
+    304 DocumentRead "document-read" Info "A daemon read the operators' document from another one; the line has the source, the bytes and the time.",
+    305 DocumentUnread "document-unread" Info "A daemon could not read the operators' document, or a part of it, from another one and asks again or elsewhere; the line has the source, the cause and the time.",
     401 UpstreamJoined "upstream-joined" Info "An upstream is in service.",
     402 UpstreamLeaving "upstream-leaving" Info "An upstream is leaving and gets no new requests.",
     403 UpstreamGone "upstream-gone" Info "An upstream was removed.",
--- a/crates/gateway/src/digest_exchange.rs
+++ b/crates/gateway/src/digest_exchange.rs
@@ -247,19 +247,33 @@
 }
 
 async fn fetch_policy(exchange: rc::Rc<DigestExchange>, address: SocketAddr) {
+    let core = &exchange.core;
+    let started_at = core.now();
     let result = peer_records::read_policy(address).await;
     exchange.is_fetching_policy.set(false);
+    let elapsed = core.now().since(started_at);
     let text = match result {
         Ok(text) => text,
         Err(cause) => {
-            log::debug!(
-                "failed to read the policy from {address} ({cause}); retrying after its next digest"
+            core.metrics.count_document_read("failed");
+            log_event!(
+                event::LogEvent::DocumentUnread,
+                source = address,
+                after = elapsed,
+                cause = cause,
             );
             return;
         }
     };
-    match exchange.core.adapter.records.parse_policy(&text) {
-        Some(update) => exchange.core.apply_policy(update, "peer"),
+    core.metrics.count_document_read("served");
+    log_event!(
+        event::LogEvent::DocumentRead,
+        source = address,
+        after = elapsed,
+        bytes = text.len(),
+    );
+    match core.adapter.records.parse_policy(&text) {
+        Some(update) => core.apply_policy(update, "peer"),
         None => log_event!(event::LogEvent::RecordRefused, source = "peer", bytes = text.len()),
     }
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -21,6 +21,8 @@
     retries: prometheus::IntCounterVec,
     resumes: prometheus::IntCounterVec,
     store_restores: prometheus::IntCounter,
+    document_reads: prometheus::IntCounterVec,
+    document_bytes: prometheus::IntCounter,
     limited_replicas: prometheus::IntGauge,
     first_byte_seconds: prometheus::Histogram,
     total_seconds: prometheus::Histogram,
@@ -61,6 +63,16 @@
             "Returns of the platform's table from an older copy.",
         );
         let store_restores = register(&registry, store_restores.expect("the name is valid"));
+        let document_reads = counter_vec(
+            "samphiremoor_gateway_document_reads_total",
+            "Reads of the operators' document from other daemons, by result.",
+            "result",
+        );
+        let document_bytes = prometheus::IntCounter::new(
+            "samphiremoor_gateway_document_sent_bytes_total",
+            "Bytes of the operators' document sent to other daemons.",
+        );
+        let document_bytes = register(&registry, document_bytes.expect("the name is valid"));
         let limited_replicas = prometheus::IntGauge::new(
             "samphiremoor_gateway_limited_replicas",
             "Replicas that name a limit on their requests.",
@@ -78,6 +90,8 @@
             retries,
             resumes,
             store_restores,
+            document_reads,
+            document_bytes,
             limited_replicas,
             first_byte_seconds,
             total_seconds,
@@ -124,6 +138,16 @@
         self.store_restores.inc();
     }
 
+    /// Counts a read of the operators' document, or of a part of it, from another daemon.
+    pub fn count_document_read(&self, result: &str) {
+        self.document_reads.with_label_values(&[result]).inc();
+    }
+
+    /// Counts bytes of the operators' document that were sent to another daemon.
+    pub fn count_document_bytes(&self, bytes: usize) {
+        self.document_bytes.inc_by(bytes as u64);
+    }
+
     /// Sets the number of replicas that name a limit.
     pub fn set_limited_replicas(&self, count: usize) {
         self.limited_replicas.set(i64::try_from(count).unwrap_or(i64::MAX));
--- a/crates/gateway/src/peer_records.rs
+++ b/crates/gateway/src/peer_records.rs
@@ -139,6 +139,7 @@
     match target {
         POLICY_PATH => {
             let text = core.state.borrow().policy_text.to_vec();
+            core.metrics.count_document_bytes(text.len());
             (!text.is_empty(), text)
         }
         ENTRIES_PATH => serve_entries(core),
