Table: long responses are limited by their progress

Callers saw a change that never came into force, or a daemon that never became ready, where the document takes longer to arrive than 0.5 s: the limit covered the whole call, and each call began from the start. Reads of rows now have the limit for their head and for each 16 KiB of their body; a response that stops or trickles is still given up. Transactions and calls to the cloud keep the limit for the whole call.

--- a/crates/gateway/src/peer_records.rs
+++ b/crates/gateway/src/peer_records.rs
@@ -163,7 +163,7 @@
         target: path,
         fields: &[],
         body: &[],
-        limit: RECORDS_TIMEOUT,
+        limit: persistent::CallLimit::Whole(RECORDS_TIMEOUT),
     };
     match client.call(&request).await {
         Ok(response) if response.status == 200 => Ok(response.body),
--- a/crates/httpio/src/persistent.rs
+++ b/crates/httpio/src/persistent.rs
@@ -1,6 +1,7 @@
 //! A client that keeps one connection to a server open and sends one request at a time on it.
 
 use std::fmt::Write as _;
+use std::io;
 use std::net::SocketAddr;
 
 use async_std::future;
@@ -19,6 +20,23 @@
     idle: sync::Mutex<Option<connection::RawConnection>>,
 }
 
+/// Number of bytes of a body that must arrive in time if a call is limited by its progress.
+const PROGRESS_BYTES: usize = 16 * 1024;
+
+/// Timeout of a call.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CallLimit {
+    /// The whole response must arrive within this time.
+    Whole(time::Millis),
+    /// The response may be of any size as long as it goes on.
+    Progress {
+        /// Time within which the head must arrive.
+        head: time::Millis,
+        /// Time within which each 16 KiB of the body, or its end, must arrive.
+        step: time::Millis,
+    },
+}
+
 /// A request.
 #[derive(Clone, Debug)]
 pub struct ClientRequest<'a> {
@@ -30,8 +48,8 @@
     pub fields: &'a [(&'a str, &'a str)],
     /// The body.
     pub body: &'a [u8],
-    /// Timeout for the whole call.
-    pub limit: time::Millis,
+    /// Timeout of the call.
+    pub limit: CallLimit,
 }
 
 /// A response with its whole body.
@@ -68,23 +86,86 @@
                 .map_err(client::CallError::NotConnected)?,
         };
         let exchange = exchange(&mut connection, self.address, request);
-        match future::timeout(request.limit.to_duration(), exchange).await {
+        let result = match request.limit {
+            CallLimit::Whole(limit) => future::timeout(limit.to_duration(), exchange).await,
+            CallLimit::Progress { .. } => Ok(exchange.await),
+        };
+        match result {
             Ok(Ok((response, is_keep_alive))) => {
                 *idle = is_keep_alive.then_some(connection);
                 Ok(response)
             }
-            Ok(Err(cause)) => Err(client::CallError::Broken(format!("{cause:?}"))),
-            Err(_) => Err(client::CallError::TimedOut),
+            Ok(Err(ExchangeError::Read(cause))) => {
+                Err(client::CallError::Broken(format!("{cause:?}")))
+            }
+            Ok(Err(ExchangeError::TimedOut)) | Err(_) => Err(client::CallError::TimedOut),
         }
     }
 }
 
+/// Why a call got no response.
+enum ExchangeError {
+    /// The connection failed, or the response is invalid.
+    Read(connection::ReadError),
+    /// The response did not go on in time.
+    TimedOut,
+}
+
+impl From<connection::ReadError> for ExchangeError {
+    fn from(cause: connection::ReadError) -> Self {
+        ExchangeError::Read(cause)
+    }
+}
+
+impl From<io::Error> for ExchangeError {
+    fn from(cause: io::Error) -> Self {
+        ExchangeError::Read(cause.into())
+    }
+}
+
+impl From<message::MessageError> for ExchangeError {
+    fn from(cause: message::MessageError) -> Self {
+        ExchangeError::Read(cause.into())
+    }
+}
+
+impl From<future::TimeoutError> for ExchangeError {
+    fn from(_: future::TimeoutError) -> Self {
+        ExchangeError::TimedOut
+    }
+}
+
 /// Sends a request on a connection; also returns whether the connection can be reused.
 async fn exchange(
     connection: &mut connection::RawConnection,
     address: SocketAddr,
     request: &ClientRequest<'_>,
-) -> Result<(ClientResponse, bool), connection::ReadError> {
+) -> Result<(ClientResponse, bool), ExchangeError> {
+    let head = match request.limit {
+        CallLimit::Whole(_) => exchange_heads(connection, address, request).await?,
+        CallLimit::Progress { head: limit, .. } => {
+            let heads = exchange_heads(connection, address, request);
+            future::timeout(limit.to_duration(), heads).await??
+        }
+    };
+    let framing = message::response_framing(&head, request.method)?;
+    let body = match request.limit {
+        CallLimit::Whole(_) => connection.body(framing, connection::MAX_RESPONSE_BODY).await?,
+        CallLimit::Progress { step, .. } => read_body(connection, framing, step).await?,
+    };
+    let is_keep_alive = head.is_keep_alive && framing != message::BodyFraming::UntilClose;
+    Ok((
+        ClientResponse { status: head.status, fields: head.fields, body },
+        is_keep_alive && connection.buffered().is_empty(),
+    ))
+}
+
+/// Sends a request and reads the head of the response.
+async fn exchange_heads(
+    connection: &mut connection::RawConnection,
+    address: SocketAddr,
+    request: &ClientRequest<'_>,
+) -> Result<message::ResponseHead, connection::ReadError> {
     let mut head = format!("{} {} HTTP/1.1\r\nHost: {address}\r\n", request.method, request.target);
     for (name, value) in request.fields {
         let _ = write!(head, "{name}: {value}\r\n");
@@ -93,12 +174,39 @@
     let mut bytes = head.into_bytes();
     bytes.extend_from_slice(request.body);
     connection.write(&bytes).await?;
-    let head = connection.response_head().await?;
-    let framing = message::response_framing(&head, request.method)?;
-    let body = connection.body(framing, connection::MAX_RESPONSE_BODY).await?;
-    let is_keep_alive = head.is_keep_alive && framing != message::BodyFraming::UntilClose;
-    Ok((
-        ClientResponse { status: head.status, fields: head.fields, body },
-        is_keep_alive && connection.buffered().is_empty(),
-    ))
+    connection.response_head().await
+}
+
+/// Reads a body of which each [`PROGRESS_BYTES`] must arrive within `step`.
+async fn read_body(
+    connection: &mut connection::RawConnection,
+    framing: message::BodyFraming,
+    step: time::Millis,
+) -> Result<Vec<u8>, ExchangeError> {
+    let limit = connection::MAX_RESPONSE_BODY.get();
+    if let message::BodyFraming::Length(length) = framing
+        && length > limit
+    {
+        return Err(connection::ReadError::BodyTooLarge.into());
+    }
+    let mut reader = connection::BodyReader::new(framing);
+    let mut body = Vec::new();
+    loop {
+        let target_length = body.len() + PROGRESS_BYTES;
+        let reading = async {
+            while body.len() < target_length {
+                if reader.read(connection, &mut body).await? {
+                    return Ok(true);
+                }
+            }
+            Ok::<bool, connection::ReadError>(false)
+        };
+        let is_done = future::timeout(step.to_duration(), reading).await??;
+        if body.len() as u64 > limit {
+            return Err(connection::ReadError::BodyTooLarge.into());
+        }
+        if is_done {
+            return Ok(body);
+        }
+    }
 }
