Gateway: documents go from daemon to daemon in parts

Cause: all daemons of a zone read the whole text from the one that announced it first, each within 0.8 s for the whole call, and began from the start after a failure. The class is dissemination whose cost grows with document x followers on one link.

A document is now split into parts where its content says so; a follower reads the list of parts, then only those that it lacks, compressed, in pieces of up to 256 KiB, and goes on at another daemon after a failure. Each daemon that has a revision announces it at once and serves two reads at a time and four new readers a second; the others find more daemons that have it by then. Without progress for 0.7 s a follower reads the table itself. Peers of earlier releases are served, and asked, as before.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -11,6 +11,7 @@
 //!   what daemons tell each other about it.
 //! - [`quota`] enforces the quotas of workspaces across all daemons.
 //! - [`limit`] divides the limits that replicas name among the daemons.
+//! - [`document`] and [`document_fetch`] pass large documents from daemon to daemon.
 //! - [`usage`] counts runs in windows of [`wall_clock`] time.
 //! - [`duty`] holds the lease on singleton tasks, and [`capacity`] plans orders for replicas.
 //! - [`digest`] and [`load`] define the state that daemons exchange.
@@ -23,6 +24,8 @@
 pub mod decay;
 pub mod digest;
 pub mod dispatch;
+pub mod document;
+pub mod document_fetch;
 pub mod duty;
 pub mod limit;
 pub mod load;
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -17,6 +17,7 @@
 use samphiremoor_fleet::admission;
 use samphiremoor_fleet::decay;
 use samphiremoor_fleet::digest;
+use samphiremoor_fleet::document_fetch;
 use samphiremoor_fleet::limit;
 use samphiremoor_fleet::load;
 use samphiremoor_fleet::policy;
@@ -31,6 +32,7 @@
 use crate::attempt_exchange;
 use crate::idle;
 use crate::metrics;
+use crate::served_document;
 use crate::settings;
 
 /// Fraction of the retry ratio shared by all daemons that is used. The rest covers requests at a
@@ -98,8 +100,13 @@
 pub struct CoreState {
     /// The policy in force; `None` until one was read.
     pub policy: Option<sync::Arc<policy::ServingPolicy>>,
-    /// Encoded text of the policy, served to peers.
-    pub policy_text: sync::Arc<[u8]>,
+    /// Document of the policy, served to peers.
+    pub document: served_document::ServedDocument,
+    /// Bounds the reads of the document that are served at once.
+    pub uploads: document_fetch::UploadLimit,
+    /// Whether no peer serves a newer document that one has announced, so that it is read from the
+    /// table.
+    pub is_document_stalled: bool,
     /// Known replicas.
     pub replicas: replica::ReplicaTable,
     /// Rate limits of workspaces.
@@ -173,7 +180,9 @@
         );
         let state = CoreState {
             policy: None,
-            policy_text: sync::Arc::from(&[][..]),
+            document: served_document::ServedDocument::default(),
+            uploads: document_fetch::UploadLimit::default(),
+            is_document_stalled: false,
             replicas: replica::ReplicaTable::default(),
             quota: quota::QuotaLimiter::new(settings.shared.quota_tolerance()),
             ttft_estimator: admission::TtftEstimator::default(),
@@ -261,12 +270,17 @@
         })
     }
 
+    /// Returns the revision of the policy in force; 0 if there is none.
+    pub fn revision(&self) -> quantity::RevisionNumber {
+        self.state.borrow().revision()
+    }
+
     /// Puts a policy in force unless the current one is as new. `source` is logged as its origin.
     pub fn apply_policy(&self, update: adapter::PolicyUpdate, source: &str) {
         let now = self.now();
         let mut state = self.state.borrow_mut();
-        let current_revision = state.policy.as_ref().map_or(0, |policy| policy.revision.get());
-        if update.policy.revision.get() <= current_revision {
+        let current_revision = state.revision();
+        if update.policy.revision <= current_revision {
             return;
         }
         let policy = sync::Arc::new(update.policy);
@@ -277,8 +291,8 @@
             before = current_revision,
             source = source,
         );
+        state.document = served_document::ServedDocument::new(policy.revision, update.text);
         state.policy = Some(policy);
-        state.policy_text = update.text;
     }
 
     /// Observes the limit that a response of a replica names; its request was sent at `sent_at`.
@@ -393,6 +407,11 @@
 }
 
 impl CoreState {
+    /// Returns the revision of the policy in force; 0 if there is none.
+    pub fn revision(&self) -> quantity::RevisionNumber {
+        self.policy.as_ref().map(|policy| policy.revision).unwrap_or_default()
+    }
+
     /// Returns the instant at which limits are looked up.
     pub fn limit_instant(&self, now: time::MonotonicTime) -> limit::LimitInstant {
         let unix_ms = u64::try_from(self.wall_clock.now(now)).unwrap_or(0);
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -45,6 +45,8 @@
 const SETTINGS_INTERVAL: time::Millis = time::Millis::new(5_000);
 /// Timeout for reading a request on the operator addresses and the peer address.
 const INTERNAL_REQUEST_TIMEOUT: time::Millis = time::Millis::new(5_000);
+/// Timeout for writing a response on the operator addresses and the peer address.
+const INTERNAL_RESPONSE_TIMEOUT: time::Millis = time::Millis::new(5_000);
 /// Largest request head on the operator addresses and the peer address.
 const INTERNAL_HEAD_LIMIT: quantity::ByteCount = quantity::ByteCount::new(8 * 1024);
 
@@ -158,21 +160,20 @@
     thread::Builder::new().name("signals".to_owned()).spawn(watch).map(|_| ())
 }
 
-/// Responds to a readiness probe; `true` becomes status 200, `false` 503.
-fn respond_readiness(core: &core::GatewayCore, _target: &str) -> (bool, Vec<u8>) {
-    (core.is_ready(), Vec::new())
+fn respond_readiness(core: &core::GatewayCore, _target: &str) -> peer_records::InternalResponse {
+    (core.is_ready(), Vec::new()).into()
 }
 
-fn render_metrics(core: &core::GatewayCore, _target: &str) -> (bool, Vec<u8>) {
-    (true, core.metrics.render())
+fn render_metrics(core: &core::GatewayCore, _target: &str) -> peer_records::InternalResponse {
+    (true, core.metrics.render()).into()
 }
 
-/// Serves requests on an operator or peer address; never returns. `respond` returns for a request
-/// target whether the status is 200 or 503, and the body.
+/// Serves requests on an operator or peer address; never returns. `respond` returns the response to
+/// a request target.
 async fn serve_internal(
     core: rc::Rc<core::GatewayCore>,
     listener: net::TcpListener,
-    respond: fn(&core::GatewayCore, &str) -> (bool, Vec<u8>),
+    respond: fn(&core::GatewayCore, &str) -> peer_records::InternalResponse,
 ) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
@@ -188,16 +189,24 @@
             else {
                 return;
             };
-            let (is_ok, body) = respond(&core, &head.target);
-            let status = if is_ok { "200 OK" } else { "503 Service Unavailable" };
+            let response = respond(&core, &head.target);
             let head = format!(
-                "HTTP/1.1 {status}\r\nContent-Type: text/plain\r\nContent-Length: {}\r\nConnection: close\r\n\r\n",
-                body.len()
+                "HTTP/1.1 {}\r\nContent-Type: text/plain\r\nContent-Length: {}\r\nConnection: close\r\n\r\n",
+                response.status.line(),
+                response.body.len()
             );
             let mut out = head.into_bytes();
-            out.extend_from_slice(&body);
-            if let Err(cause) = raw.write(&out).await {
-                log::debug!("failed to send a response on an operator or peer address ({cause})");
+            out.extend_from_slice(&response.body);
+            // A reader that has stopped must not keep its slot.
+            let writing = raw.write(&out);
+            match future::timeout(INTERNAL_RESPONSE_TIMEOUT.to_duration(), writing).await {
+                Ok(Ok(())) => {}
+                Ok(Err(cause)) => {
+                    log::debug!(
+                        "failed to send a response on an operator or peer address ({cause})"
+                    )
+                }
+                Err(_) => log::debug!("a response on an operator or peer address was not read"),
             }
         });
     }
--- a/crates/gateway/src/digest_exchange.rs
+++ b/crates/gateway/src/digest_exchange.rs
@@ -24,6 +24,7 @@
 use samphiremoor_fleet::attempt_message;
 use samphiremoor_fleet::attempt_record;
 use samphiremoor_fleet::digest;
+use samphiremoor_fleet::document_fetch;
 use samphiremoor_fleet::limit;
 use samphiremoor_fleet::load;
 use samphiremoor_platform::table;
@@ -32,7 +33,7 @@
 
 use crate::attempt_exchange;
 use crate::core;
-use crate::peer_records;
+use crate::document_exchange;
 
 /// Interval between digests. Older load figures mislead replica selection.
 const DIGEST_INTERVAL: time::Millis = time::Millis::new(300);
@@ -111,6 +112,8 @@
     address: SocketAddr,
     incarnation: quantity::Incarnation,
     last_contact: time::MonotonicTime,
+    /// Policy revision that it applies.
+    revision: quantity::RevisionNumber,
     /// Number of daemons whose digests it aggregates, as it last reported.
     members: u32,
 }
@@ -246,35 +249,37 @@
     }
 }
 
-async fn fetch_policy(exchange: rc::Rc<DigestExchange>, address: SocketAddr) {
-    let core = &exchange.core;
-    let started_at = core.now();
-    let result = peer_records::read_policy(address).await;
+async fn fetch_policy(exchange: rc::Rc<DigestExchange>) {
+    let peers: rc::Rc<dyn document_exchange::DocumentPeers> = exchange.clone();
+    document_exchange::catch_up(&exchange.core, &peers).await;
     exchange.is_fetching_policy.set(false);
-    let elapsed = core.now().since(started_at);
-    let text = match result {
-        Ok(text) => text,
-        Err(cause) => {
-            core.metrics.count_document_read("failed");
-            log_event!(
-                event::LogEvent::DocumentUnread,
-                source = address,
-                after = elapsed,
-                cause = cause,
-            );
-            return;
-        }
-    };
-    core.metrics.count_document_read("served");
-    log_event!(
-        event::LogEvent::DocumentRead,
-        source = address,
-        after = elapsed,
-        bytes = text.len(),
-    );
-    match core.adapter.records.parse_policy(&text) {
-        Some(update) => core.apply_policy(update, "peer"),
-        None => log_event!(event::LogEvent::RecordRefused, source = "peer", bytes = text.len()),
+}
+
+impl document_exchange::DocumentPeers for DigestExchange {
+    fn holders(&self, revision: quantity::RevisionNumber) -> Vec<document_fetch::DocumentHolder> {
+        let now = self.core.now();
+        let is_zonal = self.is_zonal();
+        let state = self.state.borrow();
+        let has_revision = |peer: &&KnownPeer| {
+            peer.digest.as_ref().is_some_and(|digest| digest.revision > revision)
+                && is_live(peer, now)
+                && (!is_zonal || self.is_local_zone(&peer.zone))
+        };
+        let members = state
+            .peers
+            .values()
+            .filter(has_revision)
+            .map(|peer| document_fetch::DocumentHolder { address: peer.address, is_remote: false });
+        let aggregators = state.aggregators.values().filter(|aggregator| {
+            is_zonal
+                && aggregator.revision > revision
+                && now.since(aggregator.last_contact) < LIVENESS_TIMEOUT
+        });
+        let aggregators = aggregators.map(|aggregator| document_fetch::DocumentHolder {
+            address: aggregator.address,
+            is_remote: true,
+        });
+        members.chain(aggregators).collect()
     }
 }
 
@@ -468,13 +473,13 @@
         turn
     }
 
-    /// Waits for the next round, which starts early if the known replicas change, and copies attempt
-    /// records meanwhile.
+    /// Waits for the next round, which starts early if the known replicas or the policy change, and
+    /// copies attempt records meanwhile.
     async fn await_round(&self, interval: time::Millis) {
         let started_at = self.core.now();
         let version = || {
             let state = self.core.state.borrow();
-            (state.replicas.version(), state.limits.version())
+            (state.replicas.version(), state.limits.version(), state.revision())
         };
         let initial_version = version();
         while self.core.now().since(started_at) < interval && version() == initial_version {
@@ -531,7 +536,7 @@
             incarnation: core.incarnation,
             address: core.settings.listen.peers,
             is_stopping: state.stopping_since.is_some(),
-            revision: state.policy.as_ref().map(|policy| policy.revision).unwrap_or_default(),
+            revision: state.revision(),
             unix_ms: u64::try_from(state.wall_clock.local(now)).unwrap_or(0),
             table_age: self.table_age(&state, now),
             entries_version: state.replicas.version(),
@@ -632,6 +637,7 @@
             address: digest.address,
             incarnation: digest.incarnation,
             last_contact: now,
+            revision: digest.revision,
             members: digest.members,
         };
         state.aggregators.insert(digest.zone.clone(), aggregator);
@@ -656,15 +662,15 @@
         state.usage.merge_peer(key, incarnation, &digest.usage);
         state.wall_clock.observe_peer(key, i64::try_from(digest.unix_ms).unwrap_or(0), now);
         state.store_peer_prompt_rates(key, &digest.service_demands, now);
-        let current_revision = state.policy.as_ref().map_or(0, |policy| policy.revision.get());
+        let current_revision = state.revision();
         let mut changes = Vec::new();
         for (replica, incarnation) in &digest.departed {
             changes.extend(state.replicas.on_peer_departure(replica, *incarnation));
         }
         drop(state);
         core.apply_changes(&changes, "peer");
-        if digest.revision.get() > current_revision && !self.is_fetching_policy.replace(true) {
-            task::spawn_local(fetch_policy(self.clone(), digest.address));
+        if digest.revision > current_revision && !self.is_fetching_policy.replace(true) {
+            task::spawn_local(fetch_policy(self.clone()));
         }
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,8 +8,9 @@
 //! talks to replicas over the connections that [`idle`] pools, and `migration` moves KV caches
 //! between them. [`resumption`] and [`attempt_exchange`] let callers resume streams at any daemon.
 //! [`table_sync`] follows the policy and the replica entries in the platform's table,
-//! [`digest_exchange`] and [`peer_records`] exchange state with the other daemons, and [`duties`]
-//! performs the tasks that one daemon does for all.
+//! [`digest_exchange`] and [`peer_records`] exchange state with the other daemons, `document_exchange`
+//! reads the policy from those that have it, and [`duties`] performs the tasks that one daemon does for
+//! all.
 
 pub mod adapter;
 pub mod attempt;
@@ -19,6 +20,7 @@
 pub mod core;
 pub mod daemon;
 pub mod digest_exchange;
+mod document_exchange;
 pub mod duties;
 pub mod events;
 pub mod forward;
@@ -30,6 +32,7 @@
 pub mod relay;
 pub mod response;
 pub mod resumption;
+pub mod served_document;
 pub mod settings;
 pub mod stream;
 pub mod table_sync;
--- a/crates/gateway/src/peer_records.rs
+++ b/crates/gateway/src/peer_records.rs
@@ -1,4 +1,5 @@
-//! Records that daemons serve to each other over HTTP: the policy's text and the replica entries.
+//! Records that daemons serve to each other over HTTP: the policy's text, whole or in parts, and the
+//! replica entries.
 
 use std::net::SocketAddr;
 
@@ -6,7 +7,10 @@
 use samphiremoor_base::position;
 use samphiremoor_base::quantity;
 use samphiremoor_base::time;
+use samphiremoor_fleet::document;
+use samphiremoor_fleet::document_fetch;
 use samphiremoor_fleet::replica;
+use samphiremoor_httpio::client;
 use samphiremoor_httpio::persistent;
 use samphiremoor_platform::table;
 use serde::Deserialize;
@@ -14,10 +18,16 @@
 
 use crate::core;
 
-/// Timeout of a request to a peer for its policy or its entries.
+/// Timeout for the response of a peer to a request for its entries to begin, and to go on.
 const RECORDS_TIMEOUT: time::Millis = time::Millis::new(800);
-/// Path of the policy's text.
+/// Timeout for the response of a peer to a request for its document to begin, and to go on.
+const DOCUMENT_TIMEOUT: time::Millis = time::Millis::new(500);
+/// Path of the policy's whole text, which peers of earlier releases read and serve.
 const POLICY_PATH: &str = "/policy";
+/// Path of the list of the parts of the policy's text.
+const MANIFEST_PATH: &str = "/policy/manifest";
+/// Prefix of the path of parts of the policy's text, before the revision and ranges of parts.
+const PARTS_PREFIX: &str = "/policy/parts/";
 /// Path of the known replica entries.
 const ENTRIES_PATH: &str = "/entries";
 
@@ -134,38 +144,145 @@
     Ok(EntryList { entries, position })
 }
 
-/// Responds to a peer's request; the flag is `false` if there is nothing to serve.
-pub fn respond(core: &core::GatewayCore, target: &str) -> (bool, Vec<u8>) {
+/// Status of a response on an operator or peer address.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum InternalStatus {
+    /// The body is what was requested.
+    Found,
+    /// The daemon serves enough others; the request may be repeated.
+    Busy,
+    /// There is nothing to serve.
+    Unavailable,
+}
+
+impl InternalStatus {
+    /// Returns the status code and its reason.
+    pub fn line(self) -> &'static str {
+        match self {
+            InternalStatus::Found => "200 OK",
+            InternalStatus::Busy => "429 Too Many Requests",
+            InternalStatus::Unavailable => "503 Service Unavailable",
+        }
+    }
+}
+
+/// Response on an operator or peer address.
+#[derive(Debug)]
+pub struct InternalResponse {
+    /// Status of the response.
+    pub status: InternalStatus,
+    /// Body of the response.
+    pub body: Vec<u8>,
+    /// Slot that is taken until the response is written.
+    pub slot: Option<document_fetch::UploadSlot>,
+}
+
+impl From<(bool, Vec<u8>)> for InternalResponse {
+    /// Converts a body; the flag says whether there is something to serve.
+    fn from((is_found, body): (bool, Vec<u8>)) -> Self {
+        let status = if is_found { InternalStatus::Found } else { InternalStatus::Unavailable };
+        InternalResponse { status, body, slot: None }
+    }
+}
+
+/// Responds to a peer's request.
+pub fn respond(core: &core::GatewayCore, target: &str) -> InternalResponse {
     match target {
         POLICY_PATH => {
-            let text = core.state.borrow().policy_text.to_vec();
+            let text = core.state.borrow().document.text().to_vec();
             core.metrics.count_document_bytes(text.len());
-            (!text.is_empty(), text)
+            (!text.is_empty(), text).into()
         }
-        ENTRIES_PATH => serve_entries(core),
-        _ => (false, Vec::new()),
+        MANIFEST_PATH => serve_manifest(core),
+        ENTRIES_PATH => serve_entries(core).into(),
+        _ => match target.strip_prefix(PARTS_PREFIX) {
+            Some(request) => serve_parts(core, request),
+            None => (false, Vec::new()).into(),
+        },
     }
 }
 
-/// Reads the policy's text from a peer.
+/// Serves the list of parts of the document to a daemon that begins to read it.
+fn serve_manifest(core: &core::GatewayCore) -> InternalResponse {
+    let mut state = core.state.borrow_mut();
+    if state.document.text().is_empty() {
+        return (false, Vec::new()).into();
+    }
+    let slot = state.uploads.admit_reader(core.now());
+    let encode = || state.document.manifest().encode();
+    serve_slot(core, slot, || match encode() {
+        Ok(bytes) => Some(bytes),
+        Err(cause) => {
+            log::warn!("failed to encode the list of parts ({cause}); peers must read the table");
+            None
+        }
+    })
+}
+
+/// Serves parts of the document.
+fn serve_parts(core: &core::GatewayCore, request: &str) -> InternalResponse {
+    let state = core.state.borrow();
+    serve_slot(core, state.uploads.take(), || {
+        state.document.compressed_parts(request).map(|bytes| bytes.to_vec())
+    })
+}
+
+/// Serves what `encode` returns, or turns the reader away if there is no slot for it.
+fn serve_slot(
+    core: &core::GatewayCore,
+    slot: Option<document_fetch::UploadSlot>,
+    encode: impl FnOnce() -> Option<Vec<u8>>,
+) -> InternalResponse {
+    let Some(slot) = slot else {
+        return InternalResponse { status: InternalStatus::Busy, body: Vec::new(), slot: None };
+    };
+    let Some(body) = encode() else { return (false, Vec::new()).into() };
+    core.metrics.count_document_bytes(body.len());
+    InternalResponse { status: InternalStatus::Found, body, slot: Some(slot) }
+}
+
+/// Performs a step of reading the document from a peer.
 ///
 /// # Errors
 ///
-/// Fails if the peer does not respond or has no policy.
-pub async fn read_policy(address: SocketAddr) -> Result<Vec<u8>, table::PlatformError> {
-    fetch(address, POLICY_PATH).await
+/// Fails if the peer does not respond.
+pub async fn read_document(
+    step: &document_fetch::FetchStep,
+) -> Result<document_fetch::FetchOutcome, client::CallError> {
+    let (address, target) = match step {
+        document_fetch::FetchStep::ReadManifest(address) => (*address, MANIFEST_PATH.to_owned()),
+        document_fetch::FetchStep::ReadParts(address, revision, ranges) => {
+            let ranges = document::encode_ranges(ranges);
+            (*address, format!("{PARTS_PREFIX}{revision}/{ranges}"))
+        }
+        document_fetch::FetchStep::ReadWhole(address) => (*address, POLICY_PATH.to_owned()),
+        document_fetch::FetchStep::Wait(_) | document_fetch::FetchStep::Finished(_) => {
+            return Ok(document_fetch::FetchOutcome::Unsupported);
+        }
+    };
+    let limit = persistent::CallLimit::Progress { head: DOCUMENT_TIMEOUT, step: DOCUMENT_TIMEOUT };
+    let response = get(address, &target, limit).await?;
+    Ok(match response.status {
+        200 => document_fetch::FetchOutcome::Served(response.body),
+        429 => document_fetch::FetchOutcome::Busy,
+        _ => document_fetch::FetchOutcome::Unsupported,
+    })
+}
+
+async fn get(
+    address: SocketAddr,
+    target: &str,
+    limit: persistent::CallLimit,
+) -> Result<persistent::ClientResponse, client::CallError> {
+    let client = persistent::PersistentClient::new(address, DOCUMENT_TIMEOUT);
+    let request =
+        persistent::ClientRequest { method: "GET", target, fields: &[], body: &[], limit };
+    client.call(&request).await
 }
 
 async fn fetch(address: SocketAddr, path: &str) -> Result<Vec<u8>, table::PlatformError> {
-    let client = persistent::PersistentClient::new(address, RECORDS_TIMEOUT);
-    let request = persistent::ClientRequest {
-        method: "GET",
-        target: path,
-        fields: &[],
-        body: &[],
-        limit: persistent::CallLimit::Whole(RECORDS_TIMEOUT),
-    };
-    match client.call(&request).await {
+    let limit = persistent::CallLimit::Progress { head: RECORDS_TIMEOUT, step: RECORDS_TIMEOUT };
+    match get(address, path, limit).await {
         Ok(response) if response.status == 200 => Ok(response.body),
         Ok(response) => Err(table::PlatformError::NotDone(
             format!("the peer has no such record (status {})", response.status).into(),
--- a/crates/gateway/src/table_sync.rs
+++ b/crates/gateway/src/table_sync.rs
@@ -68,7 +68,7 @@
     let mut call_status = PlatformCallStatus::new("policy");
     let mut cursor: Option<position::StorePosition> = None;
     loop {
-        if core.state.borrow().table_reader.is_some() {
+        if follows_policy(&core) {
             // Peers' digests announce newer revisions while a peer reads the table. Changes from
             // that time may be missed here, so the policy is read again afterwards.
             cursor = None;
@@ -97,6 +97,12 @@
     }
 }
 
+/// Returns whether peers serve newer policies to this daemon.
+fn follows_policy(core: &core::GatewayCore) -> bool {
+    let state = core.state.borrow();
+    state.table_reader.is_some() && !state.is_document_stalled
+}
+
 /// Follows the replica entries in the table, or those of the peer that reads the table for this
 /// daemon; never returns.
 pub async fn follow_entries(core: rc::Rc<core::GatewayCore>) {
