Gateway: a follower judges the reader of the policy by its reads of the policy

Callers of all daemons of a group saw the old revision for as long as their reader's calls for the policy alone were refused or hung: the reader was chosen by the age of its reads of replica entries, and nobody read the policy in its place. Digests now say how old the last read of the policy is, behind the notices of limits, where earlier releases ignore it; the reader of the policy and that of the entries are chosen each by their own age. A failed read makes a daemon no reader at once. Long polls last 0.6 s instead of 1.5 s, so that a hanging one shows within the 0.9 s that followers allow: one more call in 1.1 s for each group, not for each daemon.

reader_whose_policy_reads_are_refused_holds_back_its_followers and reader_whose_policy_reads_hang_holds_back_its_followers failed before (not in force within 20 s) and pass.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -87,7 +87,7 @@
     406 DaemonJoined "daemon-joined" Info "A daemon was discovered, or the state of a daemon changed.",
     407 DaemonGone "daemon-gone" Warn "A daemon was removed.",
     408 UpstreamSuspected "upstream-suspected" Warn "An upstream is unreachable, timed out or has another identity than expected; it gets no requests for a while.",
-    409 ReaderChosen "reader-chosen" Info "The daemon that reads the table on behalf of this one was selected; none means that this daemon reads it itself.",
+    409 ReaderChosen "reader-chosen" Info "The daemon that reads the replica entries or the policy in the table on behalf of this one was selected; none means that this daemon reads them itself.",
     410 UpstreamLimited "upstream-limited" Info "An upstream named a limit on the requests that it takes from all daemons together, or changed or lifted it; the line has the limits before and after, in requests per second, and who learned of it.",
     411 LimitRefused "limit-refused" Warn "An upstream named a limit that is no number of requests per second; it counts as absent. The line appears once for each value.",
     501 OrderSent "order-sent" Info "An order was sent to an upstream; the line has the fencing token.",
--- a/crates/fleet/src/digest.rs
+++ b/crates/fleet/src/digest.rs
@@ -87,28 +87,60 @@
     pub departed: Vec<(id::ReplicaId, quantity::Incarnation)>,
 }
 
-/// Encodes a digest and notices of limits as one message. Earlier releases read the digest and
-/// ignore the notices that follow.
+/// How a daemon reads the policy from the table.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct PolicyRead {
+    /// Age of the last read, in milliseconds; `None` if the last read failed or the daemon does not
+    /// read the policy itself.
+    pub age: Option<time::Millis>,
+}
+
+/// What a daemon tells its peers besides its digest.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct DigestNotices {
+    /// Notices of limits.
+    pub limits: Vec<LimitNotice>,
+    /// How the daemon reads the policy; `None` if it is of an earlier release, which does not say.
+    pub policy_read: Option<PolicyRead>,
+}
+
+/// Notices behind those of limits. New ones are added at the end.
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
+struct LaterNotices {
+    policy_read: Option<PolicyRead>,
+}
+
+/// Encodes a digest and notices as one message. Earlier releases read the digest, or the digest and
+/// the notices of limits, and ignore what follows.
 ///
 /// # Errors
 ///
 /// Fails if the digest can't be encoded.
-pub fn encode(digest: &PeerDigest, notices: &[LimitNotice]) -> Result<Vec<u8>, postcard::Error> {
-    let encoded = postcard::to_stdvec(digest)?;
-    match notices {
-        [] => Ok(encoded),
-        _ => postcard::to_extend(notices, encoded),
-    }
+pub fn encode(digest: &PeerDigest, notices: &DigestNotices) -> Result<Vec<u8>, postcard::Error> {
+    let encoded = postcard::to_extend(&notices.limits, postcard::to_stdvec(digest)?)?;
+    let later_notices = LaterNotices { policy_read: notices.policy_read };
+    postcard::to_extend(&later_notices, encoded)
 }
 
-/// Decodes a digest and the notices of limits that follow, if any.
+/// Decodes a digest and the notices that follow, if any.
 ///
 /// # Errors
 ///
 /// Fails if the bytes are not a digest, or a digest and notices.
-pub fn decode(bytes: &[u8]) -> Result<(PeerDigest, Vec<LimitNotice>), postcard::Error> {
+pub fn decode(bytes: &[u8]) -> Result<(PeerDigest, DigestNotices), postcard::Error> {
     let (digest, rest) = postcard::take_from_bytes(bytes)?;
-    let notices = if rest.is_empty() { Vec::new() } else { postcard::from_bytes(rest)? };
+    let mut notices = DigestNotices::default();
+    if rest.is_empty() {
+        return Ok((digest, notices));
+    }
+    let (limits, rest) = postcard::take_from_bytes(rest)?;
+    notices.limits = limits;
+    if !rest.is_empty() {
+        let later_notices: LaterNotices = postcard::from_bytes(rest)?;
+        notices.policy_read = later_notices.policy_read;
+    }
     Ok((digest, notices))
 }
 
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -125,10 +125,15 @@
     pub idle_pool: idle::IdlePool,
     /// When the daemon was instructed to stop.
     pub stopping_since: Option<time::MonotonicTime>,
-    /// The peer that reads the table for this daemon; `None` if this daemon reads the table itself.
+    /// The peer that reads the replica entries for this daemon; `None` if this daemon reads them
+    /// itself.
     pub table_reader: Option<TableReader>,
     /// When the last successful read of the entries from the table ended.
     pub table_read_at: Option<time::MonotonicTime>,
+    /// The peer that reads the policy for this daemon; `None` if this daemon reads it itself.
+    pub policy_reader: Option<SocketAddr>,
+    /// When the last read of the policy from the table ended; `None` if it failed.
+    pub policy_read_at: Option<time::MonotonicTime>,
     /// Number of live daemons, including this one.
     pub live_daemons: u32,
     /// Number of requests in progress.
@@ -146,7 +151,7 @@
     budgets: collections::HashMap<id::ServiceId, budget::RetryBudget>,
 }
 
-/// A peer that reads the table for this daemon.
+/// A peer that reads the replica entries for this daemon.
 #[derive(Clone, Copy, Debug)]
 pub struct TableReader {
     /// Address at which the peer serves its entries.
@@ -194,6 +199,8 @@
             stopping_since: None,
             table_reader: None,
             table_read_at: None,
+            policy_reader: None,
+            policy_read_at: None,
             live_daemons: 1,
             in_progress: 0,
             departures: Vec::new(),
--- a/crates/gateway/src/digest_exchange.rs
+++ b/crates/gateway/src/digest_exchange.rs
@@ -5,7 +5,7 @@
 //! group. In a large deployment each availability zone is a group: the first live daemon of a zone,
 //! in order of their IDs, aggregates the zone's digests, sends the sum to the aggregators of the
 //! other zones, and relays the sums it receives to its own zone. The first daemon of a group whose
-//! table reads succeed reads the table for the others. Daemons discover each other through one row
+//! reads of the replica entries succeed reads these for the others, and likewise for the policy. Daemons discover each other through one row
 //! per daemon in the table.
 
 use std::cell;
@@ -104,6 +104,8 @@
     added_at: time::MonotonicTime,
     /// Last digest of a peer in this daemon's group.
     digest: Option<digest::PeerDigest>,
+    /// How the peer reads the policy, as it said with that digest.
+    policy_read: Option<digest::PolicyRead>,
 }
 
 /// The daemon that aggregates another zone's digests.
@@ -227,8 +229,8 @@
                 continue;
             }
         };
-        exchange.core.apply_limit_notices(&notices);
-        exchange.receive_digest(digest, sender, bytes).await;
+        exchange.core.apply_limit_notices(&notices.limits);
+        exchange.receive_digest(digest, &notices, sender, bytes).await;
     }
 }
 
@@ -244,7 +246,7 @@
             exchange.send(&sum, &recipients).await;
         }
         exchange.update_daemon_count(is_zonal);
-        exchange.choose_reader(is_zonal);
+        exchange.choose_readers(is_zonal);
         exchange.await_round(if is_zonal { ZONE_DIGEST_INTERVAL } else { DIGEST_INTERVAL }).await;
     }
 }
@@ -310,6 +312,7 @@
             last_sent: None,
             added_at: self.core.now(),
             digest: None,
+            policy_read: None,
         };
         state.peers.insert(daemon.clone(), peer);
         self.core.state.borrow_mut().limits.on_daemon_joined(self.core.now());
@@ -402,7 +405,7 @@
     }
 
     async fn send(&self, digest: &digest::PeerDigest, recipients: &[SocketAddr]) {
-        let notices = self.core.state.borrow().limits.notices(self.core.now());
+        let notices = self.notices();
         let bytes = match digest::encode(digest, &notices) {
             Ok(bytes) => bytes,
             Err(cause) => {
@@ -413,6 +416,18 @@
         self.send_bytes(&bytes, recipients).await;
     }
 
+    fn notices(&self) -> digest::DigestNotices {
+        let now = self.core.now();
+        let state = self.core.state.borrow();
+        let reads_itself = state.policy_reader.is_none();
+        let read_at = state.policy_read_at.filter(|_| reads_itself);
+        let age = read_at.map(|read_at| now.since(read_at));
+        digest::DigestNotices {
+            limits: state.limits.notices(now),
+            policy_read: Some(digest::PolicyRead { age }),
+        }
+    }
+
     async fn send_bytes(&self, bytes: &[u8], recipients: &[SocketAddr]) {
         for address in recipients {
             if let Err(cause) = self.socket.send_to(bytes, address).await {
@@ -489,24 +504,26 @@
         }
     }
 
-    /// Chooses the daemon that reads the table for this one: the first daemon of the group, in
-    /// order of their IDs, that precedes this one and whose table reads succeed. If the table
-    /// refuses that daemon, the next one takes over; without one, this daemon reads the table
-    /// itself.
-    fn choose_reader(&self, is_zonal: bool) {
+    /// Chooses the daemons that read the replica entries and the policy for this one: of each, the
+    /// first daemon of the group, in order of their IDs, that precedes this one and whose reads of
+    /// them succeed. If the table refuses that daemon, the next one takes over; without one, this
+    /// daemon reads the table itself.
+    fn choose_readers(&self, is_zonal: bool) {
         let now = self.core.now();
         let state = self.state.borrow();
-        let preceding_peers = state.peers.range(..self.core.settings.daemon.clone());
-        let reader = preceding_peers
-            .filter(|(_, peer)| !is_zonal || self.is_local_zone(&peer.zone))
-            .find_map(|(_, peer)| table_reader(peer, now));
-        let previous = std::mem::replace(&mut self.core.state.borrow_mut().table_reader, reader);
+        let preceding_peers = || {
+            let peers = state.peers.range(..self.core.settings.daemon.clone());
+            peers.map(|(_, peer)| peer).filter(|peer| !is_zonal || self.is_local_zone(&peer.zone))
+        };
+        let table_reader = preceding_peers().find_map(|peer| table_reader(peer, now));
+        let policy_reader = preceding_peers().find_map(|peer| policy_reader(peer, now));
+        let mut core_state = self.core.state.borrow_mut();
+        let previous_table = std::mem::replace(&mut core_state.table_reader, table_reader);
+        let previous_policy = std::mem::replace(&mut core_state.policy_reader, policy_reader);
+        drop(core_state);
         let address = |reader: Option<core::TableReader>| reader.map(|reader| reader.address);
-        if address(previous) != address(reader) {
-            let name =
-                address(reader).map_or_else(|| "none".to_owned(), |address| address.to_string());
-            log_event!(event::LogEvent::ReaderChosen, reader = name);
-        }
+        log_reader("entries", address(previous_table), address(table_reader));
+        log_reader("policy", previous_policy, policy_reader);
     }
 
     fn build_digest(&self) -> digest::PeerDigest {
@@ -564,6 +581,7 @@
     async fn receive_digest(
         self: &rc::Rc<Self>,
         digest: digest::PeerDigest,
+        notices: &digest::DigestNotices,
         sender: SocketAddr,
         bytes: &[u8],
     ) {
@@ -571,7 +589,7 @@
         if digest.members == 0 {
             self.add_peer(&digest.daemon, digest.address, &digest.zone);
             if !is_zonal || self.is_local_zone(&digest.zone) {
-                self.receive_member(digest);
+                self.receive_member(digest, notices.policy_read);
             }
             return;
         }
@@ -602,7 +620,11 @@
         self.send_bytes(bytes, &members).await;
     }
 
-    fn receive_member(self: &rc::Rc<Self>, digest: digest::PeerDigest) {
+    fn receive_member(
+        self: &rc::Rc<Self>,
+        digest: digest::PeerDigest,
+        policy_read: Option<digest::PolicyRead>,
+    ) {
         let now = self.core.now();
         if let Some(peer) = self.state.borrow_mut().peers.get_mut(&digest.daemon) {
             let last_incarnation = peer.digest.as_ref().map(|last_digest| last_digest.incarnation);
@@ -614,6 +636,7 @@
             }
             peer.last_contact = Some(now);
             peer.digest = Some(digest.clone());
+            peer.policy_read = policy_read;
         }
         self.apply(&digest.daemon.clone(), digest.incarnation, &digest);
     }
@@ -696,8 +719,25 @@
     }
 }
 
-/// Returns the reader that a peer is, or `None` if its digests don't say that its reads of the table
-/// succeed.
+/// Logs the choice of another reader.
+fn log_reader(records: &str, previous: Option<SocketAddr>, reader: Option<SocketAddr>) {
+    if previous != reader {
+        let name = reader.map_or_else(|| "none".to_owned(), |address| address.to_string());
+        log_event!(event::LogEvent::ReaderChosen, records = records, reader = name);
+    }
+}
+
+/// Returns the address of a peer if its digests say that its reads of the policy succeed. Those of
+/// earlier releases say so for their reads of the replica entries only.
+fn policy_reader(peer: &KnownPeer, now: time::MonotonicTime) -> Option<SocketAddr> {
+    let digest = peer.digest.as_ref()?;
+    let age = peer.policy_read.map_or(digest.table_age, |policy_read| policy_read.age)?;
+    let is_current = now.since(peer.last_contact?) < READER_TIMEOUT;
+    (is_current && !digest.is_stopping && age < MAX_READ_AGE).then_some(peer.address)
+}
+
+/// Returns the reader that a peer is, or `None` if its digests don't say that its reads of the replica
+/// entries succeed.
 fn table_reader(peer: &KnownPeer, now: time::MonotonicTime) -> Option<core::TableReader> {
     let contact_at = peer.last_contact?;
     let digest = peer.digest.as_ref()?;
--- a/crates/gateway/src/table_sync.rs
+++ b/crates/gateway/src/table_sync.rs
@@ -13,9 +13,10 @@
 use crate::core;
 use crate::peer_records;
 
-/// Longest wait of one long poll for a newer policy. It bounds the time until a silent connection
-/// is noticed, so that a change is in force within the two seconds that operators are promised.
-const POLICY_WAIT: time::Millis = time::Millis::new(1_500);
+/// Longest wait of one long poll for a newer policy. It bounds the time until followers notice that
+/// the polls of their reader hang, so that a change is in force within the two seconds that operators
+/// are promised.
+const POLICY_WAIT: time::Millis = time::Millis::new(600);
 /// Interval between reads of the replica entries. All daemons must know within two seconds that a
 /// replica is leaving. These two seconds also cover a read that hangs, the interval between digests
 /// and the read from a peer.
@@ -82,6 +83,7 @@
         match result {
             Ok((update, next_cursor)) => {
                 call_status.record_success();
+                core.state.borrow_mut().policy_read_at = Some(core.now());
                 if let Some(update) = update {
                     core.apply_policy(update, "table");
                 }
@@ -91,6 +93,7 @@
                 // The history may have been truncated past the cursor meanwhile, so the policy is
                 // read without a cursor.
                 cursor = None;
+                core.state.borrow_mut().policy_read_at = None;
                 task::sleep(call_status.record_failure(&cause).to_duration()).await;
             }
         }
@@ -100,7 +103,7 @@
 /// Returns whether peers serve newer policies to this daemon.
 fn follows_policy(core: &core::GatewayCore) -> bool {
     let state = core.state.borrow();
-    state.table_reader.is_some() && !state.is_document_stalled
+    state.policy_reader.is_some() && !state.is_document_stalled
 }
 
 /// Follows the replica entries in the table, or those of the peer that reads the table for this
