Fleet: quarantine of prompt segments under which replicas crash

Crashes count against the shared segments of the requests that had not gone on at the replica; responses that go on clear their segments; crashes that a quarantined segment explains count against no other.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`quota`] enforces the quotas of workspaces across all daemons.
 //! - [`limit`] divides the limits that replicas name among the daemons.
 //! - [`document`] and [`document_fetch`] pass large documents from daemon to daemon.
+//! - [`quarantine`] finds prompt segments under which replicas crash.
 //! - [`usage`] counts runs in windows of [`wall_clock`] time.
 //! - [`duty`] holds the lease on singleton tasks, and [`capacity`] plans orders for replicas.
 //! - [`digest`] and [`load`] define the state that daemons exchange.
@@ -30,6 +31,7 @@
 pub mod limit;
 pub mod load;
 pub mod policy;
+pub mod quarantine;
 pub mod quota;
 pub mod replica;
 pub mod selection;
--- /dev/null
+++ b/crates/fleet/tests/quarantine_sim/mod.rs
@@ -0,0 +1,429 @@
+//! Simulation of daemons, replicas that crash, and the notices between the daemons.
+
+use std::collections;
+
+use rand::Rng as _;
+use rand::SeedableRng as _;
+use samphiremoor_base::id;
+use samphiremoor_base::quantity;
+use samphiremoor_base::time;
+use samphiremoor_fleet::limit;
+use samphiremoor_fleet::quarantine;
+
+/// Step of the simulation, in milliseconds.
+const STEP_MS: u64 = 50;
+/// Number of steps after which a daemon looks for news to send.
+const CHANGE_STEPS: u64 = 2;
+/// Number of steps between digests, in one group and with groups by zone.
+const DIGEST_STEPS: (u64, u64) = (6, 10);
+/// Largest number of daemons that form one group.
+const MAX_GROUP: usize = 16;
+/// Number of segments that many requests share.
+const POPULAR_SEGMENTS: u64 = 3;
+/// Share of lost datagrams.
+const LOSS: f64 = 0.02;
+/// Time from an event until the response has gone on, in milliseconds.
+const SURVIVAL_MS: u64 = 300;
+/// Unix time at the start, in milliseconds.
+const START_MS: u64 = 1_700_000_000_000;
+
+/// The segment under which replicas crash.
+pub(crate) const BAD_SEGMENT: quarantine::SegmentId = quarantine::SegmentId::new(0xbad);
+
+/// A deployment and its load.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SimSettings {
+    pub(crate) daemons: usize,
+    pub(crate) zones: usize,
+    pub(crate) replicas: usize,
+    /// Sound and bad requests a second of all daemons together.
+    pub(crate) rates: (f64, f64),
+    /// Number of segments between the popular one and the request's own.
+    pub(crate) middle_segments: u64,
+    /// Plain crashes a second.
+    pub(crate) plain_crashes: f64,
+    /// Share of the replicas that crash at one moment every five seconds.
+    pub(crate) wave: f64,
+    /// Restarts of daemons a second.
+    pub(crate) restarts: f64,
+    /// Whether the first zone is cut off from the others for some seconds.
+    pub(crate) has_cut: bool,
+    /// Whether the bad segment was sound at first.
+    pub(crate) turns_bad: bool,
+    pub(crate) seconds: u64,
+    pub(crate) seed: u64,
+}
+
+/// What the replicas and callers saw.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct SimReport {
+    /// Crashes under the bad segment, in milliseconds from the start.
+    pub(crate) crashes_ms: Vec<u64>,
+    /// Arrivals of bad requests at replicas, in milliseconds, from daemons in touch.
+    pub(crate) bad_arrivals_ms: Vec<u64>,
+    /// Sound requests that were refused.
+    pub(crate) refused_sound: u32,
+    /// Sound requests.
+    pub(crate) sound: u32,
+    /// Sound segments that were quarantined by some daemon.
+    pub(crate) wrong: collections::BTreeSet<quarantine::SegmentId>,
+    /// Largest number of bytes of notices that a daemon received in a second.
+    pub(crate) notice_bytes: u64,
+}
+
+impl SimReport {
+    /// Returns the arrivals of bad requests later than 3 s after the fifth crash.
+    pub(crate) fn late_arrivals(&self) -> usize {
+        let Some(fifth_ms) = self.crashes_ms.get(4) else { return 0 };
+        self.bad_arrivals_ms.iter().filter(|at_ms| **at_ms > fifth_ms + 3_000).count()
+    }
+}
+
+/// A request at a replica.
+struct SimRequest {
+    daemon: usize,
+    segments: quarantine::SegmentIds,
+    is_bad: bool,
+    /// When its response begins.
+    begins_ms: u64,
+    /// Whether its response went on.
+    has_survived: bool,
+    /// When its response ends.
+    ends_ms: u64,
+}
+
+struct SimReplica {
+    incarnation: u64,
+    up_from_ms: u64,
+    requests: Vec<SimRequest>,
+}
+
+struct SimDaemon {
+    table: quarantine::QuarantineTable,
+    sent_version: u64,
+    /// Until when the daemon counts as out of touch, in milliseconds.
+    disturbed_until_ms: u64,
+    received_bytes: u64,
+}
+
+/// A message that arrives at a daemon.
+struct SimMessage {
+    to: usize,
+    from_zone: usize,
+    notices: Vec<quarantine::QuarantineNotice>,
+    source: quarantine::NoticeSource,
+}
+
+struct Simulation {
+    settings: SimSettings,
+    daemons: Vec<SimDaemon>,
+    replicas: Vec<SimReplica>,
+    messages: Vec<SimMessage>,
+    step: u64,
+    rng: rand_chacha::ChaCha8Rng,
+    report: SimReport,
+}
+
+/// Runs a simulation.
+pub(crate) fn run(settings: SimSettings) -> SimReport {
+    let mut simulation = Simulation {
+        settings,
+        daemons: (0..settings.daemons).map(|_| SimDaemon::new(0)).collect(),
+        replicas: (0..settings.replicas)
+            .map(|_| SimReplica { incarnation: 1, up_from_ms: 0, requests: Vec::new() })
+            .collect(),
+        messages: Vec::new(),
+        step: 0,
+        rng: rand_chacha::ChaCha8Rng::seed_from_u64(settings.seed),
+        report: SimReport::default(),
+    };
+    while simulation.now_ms() < settings.seconds * 1_000 {
+        simulation.run_step();
+    }
+    simulation.report
+}
+
+impl SimDaemon {
+    fn new(disturbed_until_ms: u64) -> Self {
+        SimDaemon {
+            table: quarantine::QuarantineTable::default(),
+            sent_version: 0,
+            disturbed_until_ms,
+            received_bytes: 0,
+        }
+    }
+}
+
+impl Simulation {
+    fn now_ms(&self) -> u64 {
+        self.step * STEP_MS
+    }
+
+    fn instant(&self) -> limit::LimitInstant {
+        limit::LimitInstant {
+            now: time::MonotonicTime::new(self.now_ms() + 1_000_000),
+            unix_ms: START_MS + self.now_ms(),
+        }
+    }
+
+    fn zone(&self, daemon: usize) -> usize {
+        daemon % self.settings.zones
+    }
+
+    fn is_zonal(&self) -> bool {
+        self.settings.daemons > MAX_GROUP
+    }
+
+    fn group(&self, daemon: usize) -> usize {
+        if self.is_zonal() { self.zone(daemon) } else { 0 }
+    }
+
+    fn is_cut(&self, from_zone: usize, to: usize) -> bool {
+        let is_cut = self.settings.has_cut && (8_000..12_000).contains(&self.now_ms());
+        is_cut && (from_zone == 0) != (self.zone(to) == 0)
+    }
+
+    fn run_step(&mut self) {
+        self.step += 1;
+        self.deliver();
+        self.finish_requests();
+        self.disturb();
+        self.send_requests();
+        self.exchange();
+        let instant = self.instant();
+        for index in 0..self.daemons.len() {
+            let table = &mut self.daemons[index].table;
+            let mut changes = table.evaluate(instant);
+            changes.extend(table.sweep(instant.now));
+            self.note(&changes);
+        }
+        if self.now_ms().is_multiple_of(1_000) {
+            for daemon in &mut self.daemons {
+                let bytes = std::mem::take(&mut daemon.received_bytes);
+                self.report.notice_bytes = self.report.notice_bytes.max(bytes);
+            }
+        }
+    }
+
+    fn note(&mut self, changes: &[quarantine::QuarantineChange]) {
+        for change in changes {
+            if let quarantine::QuarantineChange::Quarantined(segment, _) = change
+                && *segment != BAD_SEGMENT
+            {
+                self.report.wrong.insert(*segment);
+            }
+        }
+    }
+
+    /// Delivers the messages of the last step; aggregators pass those of other groups on.
+    fn deliver(&mut self) {
+        let instant = self.instant();
+        for message in std::mem::take(&mut self.messages) {
+            if self.rng.random_bool(LOSS) || self.is_cut(message.from_zone, message.to) {
+                continue;
+            }
+            let SimMessage { to, notices, source, .. } = message;
+            let daemon = &mut self.daemons[to];
+            let encoded = postcard::to_stdvec(&notices).expect("notices can be encoded");
+            daemon.received_bytes += encoded.len() as u64;
+            for notice in &notices {
+                let changes = self.daemons[to].table.observe_notice(notice, source, instant);
+                self.note(&changes);
+            }
+            if source == quarantine::NoticeSource::Remote && to < self.settings.zones {
+                self.send(to, &notices, quarantine::NoticeSource::Remote);
+            }
+        }
+    }
+
+    /// Sends notices to the other daemons of the sender's group.
+    fn send(
+        &mut self,
+        from: usize,
+        notices: &[quarantine::QuarantineNotice],
+        source: quarantine::NoticeSource,
+    ) {
+        for to in 0..self.daemons.len() {
+            if to != from && self.group(to) == self.group(from) {
+                let (notices, from_zone) = (notices.to_vec(), self.zone(from));
+                self.messages.push(SimMessage { to, from_zone, notices, source });
+            }
+        }
+    }
+
+    fn exchange(&mut self) {
+        let interval = if self.is_zonal() { DIGEST_STEPS.1 } else { DIGEST_STEPS.0 };
+        let now = self.instant().now;
+        for from in 0..self.daemons.len() {
+            let phase = self.step + from as u64;
+            let table = &self.daemons[from].table;
+            let has_news = phase.is_multiple_of(CHANGE_STEPS)
+                && table.version() != self.daemons[from].sent_version;
+            if !has_news && !phase.is_multiple_of(interval) {
+                continue;
+            }
+            self.daemons[from].sent_version = self.daemons[from].table.version();
+            let is_first = from < if self.is_zonal() { self.settings.zones } else { 1 };
+            let mut notices = self.daemons[from].table.member_notices(now);
+            if is_first {
+                notices.extend(self.daemons[from].table.join_notices(now));
+            }
+            if !notices.is_empty() {
+                self.send(from, &notices, quarantine::NoticeSource::Member);
+            }
+            let notices = self.daemons[from].table.group_notices(now);
+            if self.is_zonal() && is_first && !notices.is_empty() {
+                for to in (0..self.settings.zones).filter(|to| *to != from) {
+                    let (notices, from_zone) = (notices.clone(), self.zone(from));
+                    let source = quarantine::NoticeSource::Remote;
+                    self.messages.push(SimMessage { to, from_zone, notices, source });
+                }
+            }
+        }
+    }
+
+    /// Begins and ends responses, and crashes the replicas that begin a bad one.
+    fn finish_requests(&mut self) {
+        let (now_ms, instant) = (self.now_ms(), self.instant());
+        let is_bad_now = !self.settings.turns_bad || now_ms >= 6_000;
+        for index in 0..self.replicas.len() {
+            let begins_bad = |request: &SimRequest| request.is_bad && now_ms >= request.begins_ms;
+            if is_bad_now && self.replicas[index].requests.iter().any(begins_bad) {
+                self.report.crashes_ms.push(now_ms);
+                self.crash(index);
+                continue;
+            }
+            let mut survived = Vec::new();
+            let replica = &mut self.replicas[index];
+            for request in &mut replica.requests {
+                let goes_on =
+                    now_ms >= request.begins_ms + SURVIVAL_MS || now_ms >= request.ends_ms;
+                if goes_on && !request.has_survived {
+                    request.has_survived = true;
+                    survived.push((request.daemon, request.segments.clone()));
+                }
+            }
+            replica.requests.retain(|request| now_ms < request.ends_ms);
+            for (daemon, segments) in survived {
+                let changes = self.daemons[daemon].table.observe_survival(&segments, instant);
+                self.note(&changes);
+            }
+        }
+    }
+
+    /// Crashes a replica. The daemons of its requests report it.
+    fn crash(&mut self, index: usize) {
+        let (now_ms, instant) = (self.now_ms(), self.instant());
+        let down_ms = self.rng.random_range(1_000..4_000);
+        let replica = &mut self.replicas[index];
+        if now_ms < replica.up_from_ms {
+            return;
+        }
+        let incarnation = quantity::Incarnation::new(replica.incarnation);
+        let id: id::ReplicaId = format!("replica-{index}").parse().expect("a valid ID");
+        replica.incarnation += 1;
+        replica.up_from_ms = now_ms + down_ms;
+        for request in std::mem::take(&mut replica.requests) {
+            if request.has_survived {
+                continue;
+            }
+            let (_, shared) = request.segments.split_last().expect("a prompt has segments");
+            let table = &mut self.daemons[request.daemon].table;
+            let changes = table.observe_crash(&id, incarnation, shared, instant);
+            self.note(&changes);
+        }
+    }
+
+    /// Crashes replicas and restarts daemons without a request's fault.
+    fn disturb(&mut self) {
+        let per_step = STEP_MS as f64 / 1_000.0;
+        if self.rng.random_bool((self.settings.plain_crashes * per_step).min(1.0)) {
+            let index = self.rng.random_range(0..self.replicas.len());
+            self.crash(index);
+        }
+        if self.settings.wave > 0.0 && self.now_ms().is_multiple_of(5_000) {
+            for index in 0..self.replicas.len() {
+                if self.rng.random_bool(self.settings.wave) {
+                    self.crash(index);
+                }
+            }
+        }
+        if self.rng.random_bool((self.settings.restarts * per_step).min(1.0)) {
+            let index = self.rng.random_range(0..self.daemons.len());
+            self.daemons[index] = SimDaemon::new(self.now_ms() + 3_000);
+            let now = self.instant().now;
+            for daemon in &mut self.daemons {
+                daemon.table.on_daemon_joined(now);
+            }
+        }
+        if self.settings.has_cut && (8_000..12_000).contains(&self.now_ms()) {
+            let until_ms = self.now_ms() + 3_000;
+            for daemon in self.daemons.iter_mut().step_by(self.settings.zones) {
+                daemon.disturbed_until_ms = until_ms;
+            }
+        }
+    }
+
+    fn send_requests(&mut self) {
+        let (sound, bad) = self.settings.rates;
+        for (rate, is_bad) in [(sound, false), (bad, true)] {
+            if is_bad && self.now_ms() < 4_000 && !self.settings.turns_bad {
+                continue;
+            }
+            let mut expected = rate * STEP_MS as f64 / 1_000.0;
+            while expected > 0.0 {
+                if self.rng.random_bool(expected.min(1.0)) {
+                    self.send_request(is_bad);
+                }
+                expected -= 1.0;
+            }
+        }
+    }
+
+    fn send_request(&mut self, is_bad: bool) {
+        let (now_ms, instant) = (self.now_ms(), self.instant());
+        let daemon = self.rng.random_range(0..self.daemons.len());
+        let mut segments = quarantine::SegmentIds::new();
+        segments.push(quarantine::SegmentId::new(self.rng.random_range(1..=POPULAR_SEGMENTS)));
+        if is_bad {
+            segments.push(BAD_SEGMENT);
+        }
+        if self.settings.middle_segments > 0 {
+            let middle = 10_000 + self.rng.random_range(0..self.settings.middle_segments);
+            segments.push(quarantine::SegmentId::new(middle));
+        }
+        let own = self.rng.random_range(1_000_000..u64::MAX);
+        segments.push(quarantine::SegmentId::new(own));
+        let (_, shared) = segments.split_last().expect("a prompt has segments");
+        let is_refused = self.daemons[daemon].table.find_quarantined(shared, instant).is_some();
+        if !is_bad {
+            self.report.sound += 1;
+            self.report.refused_sound += u32::from(is_refused);
+        }
+        if is_refused {
+            return;
+        }
+        let is_up = |replica: &&mut SimReplica| now_ms >= replica.up_from_ms;
+        let up_count = self.replicas.iter_mut().filter(is_up).count();
+        if up_count == 0 {
+            return;
+        }
+        let chosen = self.rng.random_range(0..up_count);
+        let begins_ms = now_ms + self.rng.random_range(50..400);
+        let ends_ms = begins_ms + self.rng.random_range(100..2_000);
+        let replica = self.replicas.iter_mut().filter(is_up).nth(chosen);
+        let replica = replica.expect("the replica is up");
+        let has_survived = false;
+        replica.requests.push(SimRequest {
+            daemon,
+            segments,
+            is_bad,
+            begins_ms,
+            has_survived,
+            ends_ms,
+        });
+        if is_bad && now_ms >= self.daemons[daemon].disturbed_until_ms {
+            self.report.bad_arrivals_ms.push(now_ms);
+        }
+    }
+}
