Gateway: requests with a prompt segment under which replicas crash are refused

Cause: nothing related a crash to a request's content, and retries took the request to the next replica.

A connection that closes or a response that breaks off before it has gone on is a crash if the replica then refuses connections; its shared segments are reported behind the digests (fleet::quarantine decides). Requests with a quarantined segment get 503 at once, before the quota; a request under which a replica crashed is neither sent again, taken over nor migrated unless all its shared segments have gone on. The holder of the duty lease shows verdicts as rows quarantine/SEGMENT, by which operators lift them and daemons learn of them when they start, and alone may test one. Events E0412 to E0414, a counter of crashes, a gauge of quarantined segments.

--- a/crates/base/src/reason.rs
+++ b/crates/base/src/reason.rs
@@ -78,6 +78,10 @@
         /// The replicas that can serve the request get no more requests than the limits that they
         /// named.
         ReplicaLimit => "replica-limit",
+        /// The prompt has a segment under which replicas crash.
+        Quarantined => "quarantined",
+        /// A replica crashed under the request, which is not sent to another one.
+        ReplicaCrashed => "replica-crashed",
         /// No replica of the software version that began the stream can serve the request now.
         NoReplicaOfVersion => "no-replica-of-version",
         /// The software version that began the stream is not known.
--- a/crates/entry/src/finish.rs
+++ b/crates/entry/src/finish.rs
@@ -82,7 +82,9 @@
         RefusalReason::DeadlinePassed | RefusalReason::DeadlineUnreachable => {
             StatusCode::GatewayTimeout
         }
-        RefusalReason::UpstreamFailed | RefusalReason::ClaimWithoutResult => StatusCode::BadGateway,
+        RefusalReason::UpstreamFailed
+        | RefusalReason::ReplicaCrashed
+        | RefusalReason::ClaimWithoutResult => StatusCode::BadGateway,
         _ => StatusCode::ServiceUnavailable,
     }
 }
@@ -119,6 +121,12 @@
         RefusalReason::ReplicaLimit => {
             "the replicas take no more requests at present; try again later"
         }
+        RefusalReason::Quarantined => {
+            "replicas crash under a part of the prompt; leave it out or try again much later"
+        }
+        RefusalReason::ReplicaCrashed => {
+            "the replica crashed, perhaps under this request; it is not sent to another one"
+        }
         RefusalReason::NoReplicaOfVersion => {
             "no replica of the software version that began the stream is left; send the call anew"
         }
--- a/crates/fleet/src/digest.rs
+++ b/crates/fleet/src/digest.rs
@@ -11,6 +11,7 @@
 use serde::Serialize;
 
 use crate::load;
+use crate::quarantine;
 use crate::usage;
 
 /// Demand of one workspace at one daemon.
@@ -103,13 +104,16 @@
     pub limits: Vec<LimitNotice>,
     /// How the daemon reads the policy; `None` if it is of an earlier release, which does not say.
     pub policy_read: Option<PolicyRead>,
+    /// Notices of crashes and quarantined segments.
+    pub quarantine: Vec<quarantine::QuarantineNotice>,
 }
 
-/// Notices behind those of limits. New ones are added at the end.
+/// Notices behind those of limits.
 #[derive(Clone, Debug, Default, PartialEq)]
 #[derive(Deserialize, Serialize)]
 struct LaterNotices {
     policy_read: Option<PolicyRead>,
+    quarantine: Vec<quarantine::QuarantineNotice>,
 }
 
 /// Encodes a digest and notices as one message. Earlier releases read the digest, or the digest and
@@ -120,7 +124,8 @@
 /// Fails if the digest can't be encoded.
 pub fn encode(digest: &PeerDigest, notices: &DigestNotices) -> Result<Vec<u8>, postcard::Error> {
     let encoded = postcard::to_extend(&notices.limits, postcard::to_stdvec(digest)?)?;
-    let later_notices = LaterNotices { policy_read: notices.policy_read };
+    let later_notices =
+        LaterNotices { policy_read: notices.policy_read, quarantine: notices.quarantine.clone() };
     postcard::to_extend(&later_notices, encoded)
 }
 
@@ -140,6 +145,7 @@
     if !rest.is_empty() {
         let later_notices: LaterNotices = postcard::from_bytes(rest)?;
         notices.policy_read = later_notices.policy_read;
+        notices.quarantine = later_notices.quarantine;
     }
     Ok((digest, notices))
 }
--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine.rs
@@ -538,6 +538,18 @@
         })
     }
 
+    /// Returns whether one of the segments is quarantined, or crashes speak against it and it never
+    /// went on.
+    pub fn is_suspect(&self, shared: &[SegmentId], instant: limit::LimitInstant) -> bool {
+        if self.crashes.is_empty() && self.verdicts.is_empty() {
+            return false;
+        }
+        let is_new_suspect = |segment: &SegmentId| {
+            self.survivors.get(*segment).is_none() && self.is_watched(*segment)
+        };
+        self.find_quarantined(shared, instant).is_some() || shared.iter().any(is_new_suspect)
+    }
+
     /// Returns the quarantined segments.
     pub fn verdicts(&self) -> impl Iterator<Item = (&SegmentId, &SegmentVerdict)> {
         self.verdicts.iter()
--- a/crates/fleet/tests/digest.rs
+++ b/crates/fleet/tests/digest.rs
@@ -6,6 +6,7 @@
 use samphiremoor_base::time;
 use samphiremoor_fleet::digest;
 use samphiremoor_fleet::load;
+use samphiremoor_fleet::quarantine;
 use samphiremoor_fleet::usage;
 
 fn daemon_id(text: &str) -> id::DaemonId {
@@ -107,6 +108,19 @@
     vec![notice("replica-1", Some(1_100)), notice("replica-2", None)]
 }
 
+fn crash_notices() -> Vec<quarantine::QuarantineNotice> {
+    let segment = quarantine::SegmentId::new(7);
+    vec![
+        quarantine::QuarantineNotice::Crash {
+            replica: "replica-1".parse().expect("the name is an identifier"),
+            incarnation: quantity::Incarnation::new(3),
+            at_ms: 1_700_000_000_000,
+            suspects: vec![segment],
+        },
+        quarantine::QuarantineNotice::Survival { segment, at_ms: 1_700_000_000_000 },
+    ]
+}
+
 /// Layout of the notices of limits, as a release decodes them that knows no others.
 type LimitsOnly = (digest::PeerDigest, Vec<digest::LimitNotice>);
 
@@ -114,7 +128,8 @@
 /// notices of limits, or none.
 fn check_releases(limits: &[digest::LimitNotice], policy_read: Option<digest::PolicyRead>) {
     let sent = digest_of("one", 1, 100.0, 3);
-    let notices = digest::DigestNotices { limits: limits.to_vec(), policy_read };
+    let notices =
+        digest::DigestNotices { limits: limits.to_vec(), policy_read, quarantine: crash_notices() };
     let bytes = digest::encode(&sent, &notices).expect("the digest can be encoded");
     assert_eq!(digest::decode(&bytes).ok(), Some((sent.clone(), notices)));
     assert_eq!(
@@ -134,7 +149,8 @@
         Some((sent.clone(), digest::DigestNotices::default()))
     );
     let earlier = postcard::to_extend(limits, earlier).expect("the notices can be encoded");
-    let expected = digest::DigestNotices { limits: limits.to_vec(), policy_read: None };
+    let expected =
+        digest::DigestNotices { limits: limits.to_vec(), ..digest::DigestNotices::default() };
     assert_eq!(digest::decode(&earlier).ok(), Some((sent, expected)));
 }
 
@@ -151,7 +167,11 @@
 #[test]
 fn truncated_notices_are_refused() {
     let sent = digest_of("one", 1, 100.0, 3);
-    let notices = digest::DigestNotices { limits: notices(), policy_read: READS };
+    let notices = digest::DigestNotices {
+        limits: notices(),
+        policy_read: READS,
+        quarantine: crash_notices(),
+    };
     let bytes = digest::encode(&sent, &notices).expect("the digest can be encoded");
     let digest_length = postcard::to_stdvec(&sent).expect("the digest can be encoded").len();
     let limits = postcard::to_stdvec(&notices.limits).expect("the notices can be encoded");
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -15,6 +15,7 @@
 use crate::adapter;
 use crate::context;
 use crate::core;
+use crate::crash;
 use crate::events;
 use crate::upstream;
 
@@ -44,6 +45,8 @@
     NotRun,
     /// The attempt failed, and the replica may have run the request.
     Failed(reason::RetryReason),
+    /// The replica crashed, perhaps under this request.
+    Crashed,
     /// The replica responded with a server error, which is delivered unless another attempt
     /// succeeds.
     ServerError(Box<BufferedResponse>),
@@ -147,7 +150,7 @@
                 let is_stale = connection.is_reused && cause == upstream::ExchangeError::Closed;
                 self.record_result(&selected.replica, !is_stale);
                 self.count_run();
-                return AttemptStart::Failed(reason::RetryReason::ConnectionClosed);
+                return self.failed_start(&guard.replica_start()).await;
             }
         };
         if !response.metadata.is_other_replica {
@@ -186,19 +189,30 @@
         if resume.is_takeover && is_stream {
             return match self.read_first_event(&mut started, resume.last_event_id).await {
                 Ok(()) => AttemptStart::Response(StartedResponse::Relayed(Box::new(started))),
-                Err(reason) => AttemptStart::Failed(reason),
+                Err(_) => self.failed_start(&started.guard.replica_start()).await,
             };
         }
         let is_error = status >= 500;
         if !is_repeatable || !resume.is_takeover && !is_error {
             return AttemptStart::Response(StartedResponse::Relayed(Box::new(started)));
         }
+        let start = started.guard.replica_start();
         let read = self.read_plain(started).await;
         self.count_run();
         match read {
             Ok(buffered) if is_error => AttemptStart::ServerError(Box::new(buffered)),
             Ok(buffered) => AttemptStart::Response(StartedResponse::Buffered(Box::new(buffered))),
-            Err(reason) => AttemptStart::Failed(reason),
+            Err(_) => self.failed_start(&start).await,
+        }
+    }
+
+    /// Returns how an attempt ends whose connection closed or whose response broke off.
+    async fn failed_start(&self, start: &crash::ReplicaStart) -> AttemptStart {
+        match self.check_crash(start).await {
+            crash::FailureVerdict::MayRepeat => {
+                AttemptStart::Failed(reason::RetryReason::ConnectionClosed)
+            }
+            crash::FailureVerdict::IsSuspect => AttemptStart::Crashed,
         }
     }
 
@@ -254,6 +268,9 @@
         };
         drop(guard);
         self.record_result(&selected.replica, response.head.status >= 500);
+        if (200..300).contains(&response.head.status) {
+            self.core.observe_survival(self.request.metadata.prompt.as_ref());
+        }
         upstream::release(self.core, &selected.replica, connection, &response);
         self.core.metrics.observe_first_byte(self.core.now().since(started_at));
         Ok(BufferedResponse { replica: selected.replica, head: response.head, body })
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -13,6 +13,7 @@
 use samphiremoor_base::reason;
 use samphiremoor_base::time;
 use samphiremoor_fleet::policy;
+use samphiremoor_fleet::quarantine;
 use samphiremoor_fleet::selection;
 use samphiremoor_httpio::connection;
 use samphiremoor_httpio::message;
@@ -289,6 +290,18 @@
         return refuse(adapter::LocalResponse::WrongKey, reason::RefusalReason::WrongKey);
     };
     let now = core.now();
+    let mut tests_verdict = false;
+    let shared = quarantine::shared_segments(metadata.prompt.as_ref());
+    let instant = state.limit_instant(now);
+    if let Some((segment, wait)) = state.quarantine.find_quarantined(&shared, instant) {
+        let holds_lease = core.lease_state.local_version.get().is_some();
+        tests_verdict = holds_lease && state.quarantine.begin_test(segment, instant);
+        if !tests_verdict {
+            state.quarantine.record_refusal(segment, now);
+            let response = adapter::LocalResponse::NotRun(wait.max(UNAVAILABLE_RETRY_AFTER));
+            return refuse(response, reason::RefusalReason::Quarantined);
+        }
+    }
     if let Some(workspace) = workspace {
         let tokens = metadata.prompt.as_ref().map(selection::PromptSize::quota_tokens);
         if let Err(wait) = state.quota.try_acquire(&workspace.id, tokens, rand::random(), now) {
@@ -314,6 +327,7 @@
         workspace: workspace.cloned(),
         deadline: arrived_at + caller_timeout.min(route.timeout),
         caller_deadline: arrived_at + caller_timeout,
+        tests_verdict,
         revision: policy.revision,
         head,
         body,
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -37,6 +37,8 @@
     pub deadline: time::MonotonicTime,
     /// When the caller gives up, which may be later than the route's timeout.
     pub caller_deadline: time::MonotonicTime,
+    /// Whether the request tests a verdict on one of its prompt segments.
+    pub tests_verdict: bool,
     /// Revision of the policy by which the request is served.
     pub revision: quantity::RevisionNumber,
 }
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -21,8 +21,10 @@
 use samphiremoor_fleet::limit;
 use samphiremoor_fleet::load;
 use samphiremoor_fleet::policy;
+use samphiremoor_fleet::quarantine;
 use samphiremoor_fleet::quota;
 use samphiremoor_fleet::replica;
+use samphiremoor_fleet::selection;
 use samphiremoor_fleet::usage;
 use samphiremoor_fleet::wall_clock;
 use samphiremoor_requests::budget;
@@ -30,6 +32,8 @@
 
 use crate::adapter;
 use crate::attempt_exchange;
+use crate::crash;
+use crate::digest_exchange;
 use crate::idle;
 use crate::metrics;
 use crate::served_document;
@@ -92,6 +96,8 @@
     pub forced_stop: ForcedStop,
     /// Records of the attempts that began streams.
     pub attempts: attempt_exchange::AttemptExchange,
+    /// Whether this daemon or a peer holds the duty lease.
+    pub lease_state: digest_exchange::LeaseState,
     /// State that changes at run time.
     pub state: cell::RefCell<CoreState>,
 }
@@ -119,6 +125,10 @@
     pub wall_clock: wall_clock::ClockEstimate,
     /// Limits that replicas named.
     pub limits: limit::LimitTable,
+    /// Crashes of replicas and the prompt segments that are quarantined for them.
+    pub quarantine: quarantine::QuarantineTable,
+    /// Recent probes of replicas that may have crashed.
+    pub crash_probes: collections::HashMap<id::ReplicaId, crash::CrashProbe>,
     /// Values that replicas named and that are no limits, as they were logged last.
     refused_limits: collections::BTreeMap<id::ReplicaId, sync::Arc<str>>,
     /// Pool of idle connections to replicas.
@@ -194,6 +204,8 @@
             usage: usage::UsageCounter::new(settings.daemon.clone(), incarnation),
             wall_clock,
             limits: limit::LimitTable::new(now),
+            quarantine: quarantine::QuarantineTable::default(),
+            crash_probes: collections::HashMap::new(),
             refused_limits: collections::BTreeMap::new(),
             idle_pool: idle::IdlePool::default(),
             stopping_since: None,
@@ -218,6 +230,7 @@
             idle_shutdown: IdleShutdown::default(),
             forced_stop: ForcedStop::default(),
             attempts: attempt_exchange::AttemptExchange::default(),
+            lease_state: digest_exchange::LeaseState::default(),
             state: cell::RefCell::new(state),
         })
     }
@@ -353,6 +366,79 @@
         }
     }
 
+    /// Observes that a daemon joined or restarted, which does not know what others were told.
+    pub fn on_daemon_joined(&self) {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        state.limits.on_daemon_joined(now);
+        state.quarantine.on_daemon_joined(now);
+    }
+
+    /// Applies the notices of a peer about crashes and quarantined segments.
+    pub fn apply_quarantine_notices(
+        &self,
+        notices: &[quarantine::QuarantineNotice],
+        source: quarantine::NoticeSource,
+    ) {
+        if notices.is_empty() {
+            return;
+        }
+        let mut state = self.state.borrow_mut();
+        let instant = state.limit_instant(self.now());
+        let mut changes = quarantine::QuarantineChanges::new();
+        for notice in notices {
+            changes.extend(state.quarantine.observe_notice(notice, source, instant));
+        }
+        drop(state);
+        self.apply_quarantine_changes(&changes, "peer");
+    }
+
+    /// Observes that a response to a request with a prompt went on.
+    pub fn observe_survival(&self, prompt: Option<&selection::PromptSize>) {
+        let segments = quarantine::all_segments(prompt);
+        if segments.is_empty() {
+            return;
+        }
+        let mut state = self.state.borrow_mut();
+        let instant = state.limit_instant(self.now());
+        let changes = state.quarantine.observe_survival(&segments, instant);
+        drop(state);
+        self.apply_quarantine_changes(&changes, "response");
+    }
+
+    /// Quarantines the segments that crashes speak against, and forgets what is old.
+    pub fn update_quarantine(&self) {
+        let mut state = self.state.borrow_mut();
+        let instant = state.limit_instant(self.now());
+        let mut changes = state.quarantine.evaluate(instant);
+        changes.extend(state.quarantine.sweep(instant.now));
+        state.crash_probes.retain(|_, probe| probe.is_recent(instant.now));
+        drop(state);
+        self.apply_quarantine_changes(&changes, "crashes");
+    }
+
+    /// Logs changes of the quarantine. `source` is logged as their origin.
+    pub fn apply_quarantine_changes(&self, changes: &[quarantine::QuarantineChange], source: &str) {
+        if changes.is_empty() {
+            return;
+        }
+        for change in changes {
+            match change {
+                quarantine::QuarantineChange::Quarantined(segment, crashes) => log_event!(
+                    event::LogEvent::SegmentQuarantined,
+                    segment = segment,
+                    crashes = crashes,
+                    source = source,
+                ),
+                quarantine::QuarantineChange::Released(segment) => {
+                    log_event!(event::LogEvent::SegmentReleased, segment = segment, source = source,)
+                }
+            }
+        }
+        let count = self.state.borrow().quarantine.verdicts().count();
+        self.metrics.set_quarantined_segments(count);
+    }
+
     /// Logs changes to replicas, closes the idle connections of leaving ones, and keeps departures
     /// for the digests to peers. `source` is logged as the origin of the changes.
     pub fn apply_changes(&self, changes: &[replica::ReplicaChange], source: &str) {
@@ -644,6 +730,12 @@
         self.address
     }
 
+    /// Returns the start of the replica that has the request.
+    pub fn replica_start(&self) -> crash::ReplicaStart {
+        let (incarnation, address) = (self.incarnation, self.address);
+        crash::ReplicaStart { replica: self.replica.clone(), incarnation, address }
+    }
+
     /// Removes the request's prompt tokens from the load, since the prefill is done.
     pub fn finish_prefill(&mut self) {
         let pending_tokens = std::mem::take(&mut self.pending_tokens);
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -27,6 +27,7 @@
 use crate::digest_exchange;
 use crate::duties;
 use crate::peer_records;
+use crate::quarantine_records;
 use crate::settings;
 use crate::table_sync;
 
@@ -118,18 +119,18 @@
     let callers = bind(listen.callers).await?;
     let ready = bind(listen.ready).await?;
     let metrics = bind(listen.metrics).await?;
-    let lease_state = digest_exchange::LeaseState::default();
     let peers = net::UdpSocket::bind(listen.peers).await;
     let peers = peers.map_err(|cause| StartError::Listen(listen.peers, cause))?;
     let peer_requests = bind(listen.peers).await?;
-    digest_exchange::start(core, peers, &lease_state);
+    digest_exchange::start(core, peers);
     task::spawn_local(serve_internal(core.clone(), peer_requests, peer_records::respond));
     task::spawn_local(table_sync::follow_policy(core.clone()));
     task::spawn_local(table_sync::follow_entries(core.clone()));
     task::spawn_local(caller::accept(core.clone(), callers));
     task::spawn_local(serve_internal(core.clone(), ready, respond_readiness));
     task::spawn_local(serve_internal(core.clone(), metrics, render_metrics));
-    task::spawn_local(duties::run(core.clone(), lease_state));
+    task::spawn_local(duties::run(core.clone()));
+    task::spawn_local(quarantine_records::run(core.clone()));
     task::spawn_local(sweep_idle(core.clone()));
     log_event!(
         event::LogEvent::ProcessStarted,
--- a/crates/gateway/src/digest_exchange.rs
+++ b/crates/gateway/src/digest_exchange.rs
@@ -27,6 +27,7 @@
 use samphiremoor_fleet::document_fetch;
 use samphiremoor_fleet::limit;
 use samphiremoor_fleet::load;
+use samphiremoor_fleet::quarantine;
 use samphiremoor_platform::table;
 use serde::Deserialize;
 use serde::Serialize;
@@ -74,6 +75,8 @@
 const READER_TIMEOUT: time::Millis = time::Millis::new(1_200);
 /// Largest datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 60 * 1024;
+/// Largest number of notices of crashes and quarantined segments in one datagram.
+const MAX_QUARANTINE_NOTICES: usize = 128;
 /// Key prefix of the daemons' rows.
 const ROW_PREFIX: &str = "daemon/";
 
@@ -137,11 +140,11 @@
 }
 
 /// Starts the digest exchange on a bound socket.
-pub fn start(core: &rc::Rc<core::GatewayCore>, socket: net::UdpSocket, lease_state: &LeaseState) {
+pub fn start(core: &rc::Rc<core::GatewayCore>, socket: net::UdpSocket) {
     let exchange = rc::Rc::new(DigestExchange {
         core: core.clone(),
         socket,
-        lease_state: lease_state.clone(),
+        lease_state: core.lease_state.clone(),
         state: cell::RefCell::default(),
         is_fetching_policy: cell::Cell::new(false),
     });
@@ -230,6 +233,8 @@
             }
         };
         exchange.core.apply_limit_notices(&notices.limits);
+        let source = exchange.notice_source(&digest);
+        exchange.core.apply_quarantine_notices(&notices.quarantine, source);
         exchange.receive_digest(digest, &notices, sender, bytes).await;
     }
 }
@@ -241,9 +246,9 @@
         let local_digest = exchange.build_digest();
         let is_zonal = exchange.is_zonal();
         let members = exchange.due_members(is_zonal);
-        exchange.send(&local_digest, &members).await;
+        exchange.send(&local_digest, exchange.member_notices(), &members).await;
         if is_zonal && let Some((sum, recipients)) = exchange.zone_sum(&local_digest) {
-            exchange.send(&sum, &recipients).await;
+            exchange.send(&sum, exchange.group_notices(), &recipients).await;
         }
         exchange.update_daemon_count(is_zonal);
         exchange.choose_readers(is_zonal);
@@ -315,7 +320,7 @@
             policy_read: None,
         };
         state.peers.insert(daemon.clone(), peer);
-        self.core.state.borrow_mut().limits.on_daemon_joined(self.core.now());
+        self.core.on_daemon_joined();
         log_event!(event::LogEvent::DaemonJoined, daemon = daemon, address = address);
     }
 
@@ -404,8 +409,13 @@
         Some((sum, recipients))
     }
 
-    async fn send(&self, digest: &digest::PeerDigest, recipients: &[SocketAddr]) {
-        let notices = self.notices();
+    async fn send(
+        &self,
+        digest: &digest::PeerDigest,
+        quarantine: Vec<quarantine::QuarantineNotice>,
+        recipients: &[SocketAddr],
+    ) {
+        let notices = self.notices(quarantine);
         let bytes = match digest::encode(digest, &notices) {
             Ok(bytes) => bytes,
             Err(cause) => {
@@ -416,7 +426,39 @@
         self.send_bytes(&bytes, recipients).await;
     }
 
-    fn notices(&self) -> digest::DigestNotices {
+    /// Returns what this daemon tells its group about crashes and quarantined segments. The first
+    /// daemon of the group tells those that joined of all verdicts.
+    fn member_notices(&self) -> Vec<quarantine::QuarantineNotice> {
+        let now = self.core.now();
+        let is_first = self.is_aggregator(&self.state.borrow(), now);
+        let table = &self.core.state.borrow().quarantine;
+        let mut notices = table.member_notices(now);
+        if is_first {
+            notices.extend(table.join_notices(now));
+        }
+        notices.truncate(MAX_QUARANTINE_NOTICES);
+        notices
+    }
+
+    /// Returns what this daemon tells other groups about crashes and quarantined segments in its own.
+    fn group_notices(&self) -> Vec<quarantine::QuarantineNotice> {
+        let now = self.core.now();
+        let mut notices = self.core.state.borrow().quarantine.group_notices(now);
+        notices.truncate(MAX_QUARANTINE_NOTICES);
+        notices
+    }
+
+    /// Returns whether the sender of a digest is of this daemon's group.
+    fn notice_source(&self, digest: &digest::PeerDigest) -> quarantine::NoticeSource {
+        let is_member =
+            digest.members == 0 && (!self.is_zonal() || self.is_local_zone(&digest.zone));
+        match is_member {
+            true => quarantine::NoticeSource::Member,
+            false => quarantine::NoticeSource::Remote,
+        }
+    }
+
+    fn notices(&self, quarantine: Vec<quarantine::QuarantineNotice>) -> digest::DigestNotices {
         let now = self.core.now();
         let state = self.core.state.borrow();
         let reads_itself = state.policy_reader.is_none();
@@ -425,6 +467,7 @@
         digest::DigestNotices {
             limits: state.limits.notices(now),
             policy_read: Some(digest::PolicyRead { age }),
+            quarantine,
         }
     }
 
@@ -494,11 +537,13 @@
         let started_at = self.core.now();
         let version = || {
             let state = self.core.state.borrow();
-            (state.replicas.version(), state.limits.version(), state.revision())
+            let notices = (state.limits.version(), state.quarantine.version());
+            (state.replicas.version(), notices, state.revision())
         };
         let initial_version = version();
         while self.core.now().since(started_at) < interval && version() == initial_version {
             task::sleep(CHANGE_INTERVAL.to_duration()).await;
+            self.core.update_quarantine();
             let local_zone = &self.core.settings.availability_zone;
             self.core.attempts.copy_records(local_zone, self.core.now()).await;
         }
@@ -632,7 +677,7 @@
                 return;
             }
             if last_incarnation.is_some_and(|incarnation| digest.incarnation > incarnation) {
-                self.core.state.borrow_mut().limits.on_daemon_joined(now);
+                self.core.on_daemon_joined();
             }
             peer.last_contact = Some(now);
             peer.digest = Some(digest.clone());
--- a/crates/gateway/src/duties.rs
+++ b/crates/gateway/src/duties.rs
@@ -43,7 +43,8 @@
 const REPORT_PREFIX: &str = "usage/";
 
 /// Performs the duties whenever this daemon holds the lease; never returns.
-pub async fn run(core: rc::Rc<core::GatewayCore>, lease_state: digest_exchange::LeaseState) {
+pub async fn run(core: rc::Rc<core::GatewayCore>) {
+    let lease_state = core.lease_state.clone();
     let lease_time = core.settings.times.lease_ms;
     let lease = duty::DutyLease::new(core.settings.daemon.clone(), core.incarnation, lease_time);
     let acquire_delay = time::Millis::new(rand::random_range(0..MAX_ACQUIRE_DELAY_MS));
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -18,6 +18,7 @@
 use crate::attempt;
 use crate::context;
 use crate::core;
+use crate::crash;
 use crate::events;
 use crate::migration;
 use crate::pending;
@@ -58,7 +59,7 @@
     /// The request has ended.
     Ended(RequestOutcome),
     /// The response failed, and the replica may have run the request.
-    Failed(reason::RetryReason),
+    Failed(reason::RetryReason, crash::FailureVerdict),
     /// The replica was silent, and another one responded meanwhile.
     TakenOver(attempt::StartedResponse),
     /// The replica is leaving, and the stream continues at another one.
@@ -130,6 +131,7 @@
         failure: None,
         server_error: None,
         connect_failures: 0,
+        is_crash_suspect: false,
     };
     forwarder.run(sink).await
 }
@@ -152,6 +154,8 @@
     server_error: Option<Box<attempt::BufferedResponse>>,
     /// Number of attempts that failed to connect or reached a different replica.
     connect_failures: u32,
+    /// Whether a replica crashed, perhaps under this request.
+    is_crash_suspect: bool,
 }
 
 impl RequestForwarder<'_> {
@@ -178,7 +182,10 @@
             match self.relay(*started, sink).await {
                 RelayOutcome::Ended(outcome) => return outcome,
                 RelayOutcome::TakenOver(other) => taken_over = Some(other),
-                RelayOutcome::Failed(reason) => self.end_failed(&replica, reason),
+                RelayOutcome::Failed(reason, verdict) => {
+                    self.is_crash_suspect |= verdict == crash::FailureVerdict::IsSuspect;
+                    self.end_failed(&replica, reason);
+                }
                 RelayOutcome::Migrated(stream) => {
                     let MigratedStream { selected, kv_copy } = *stream;
                     self.context.progress.update(dispatch::DispatchTracker::migrate);
@@ -301,7 +308,7 @@
         let reason = self.failure.take().unwrap_or(reason::RetryReason::ConnectionSilent);
         let may_send = self.context.progress.tracker.get().may_send();
         let is_exhausted = self.connect_failures >= MAX_CONNECT_FAILURES;
-        if !may_send || is_exhausted || self.is_deadline_near() {
+        if !may_send || is_exhausted || self.is_deadline_near() || self.is_suspect() {
             return;
         }
         let Some(selected) = self.query_replica(&self.excluded, false) else { return };
@@ -320,8 +327,12 @@
         start: attempt::AttemptStart,
     ) -> Option<attempt::StartedResponse> {
         let replica = &attempt.selected.replica;
-        let has_response =
-            !matches!(start, attempt::AttemptStart::NotSent | attempt::AttemptStart::Failed(_));
+        let has_response = !matches!(
+            start,
+            attempt::AttemptStart::NotSent
+                | attempt::AttemptStart::Failed(_)
+                | attempt::AttemptStart::Crashed
+        );
         if attempt.is_silent && has_response {
             self.context.mark_resumed(replica, attempt.sent_at);
         }
@@ -347,6 +358,12 @@
                     .update(|tracker| tracker.end_attempt(dispatch::DispatchOutcome::MayHaveRun));
                 reason
             }
+            attempt::AttemptStart::Crashed => {
+                progress
+                    .update(|tracker| tracker.end_attempt(dispatch::DispatchOutcome::MayHaveRun));
+                self.is_crash_suspect = true;
+                reason::RetryReason::ConnectionClosed
+            }
             attempt::AttemptStart::ServerError(response) => {
                 progress.update(|tracker| tracker.end_attempt(dispatch::DispatchOutcome::Ran));
                 self.server_error = Some(response);
@@ -414,6 +431,10 @@
     ) -> Result<selection::SelectedReplica, RequestOutcome> {
         let context::RequestContext { core, request, progress, service } = self.context;
         let now = core.now();
+        if let Some(wait) = self.context.quarantine_wait() {
+            let reason = reason::RefusalReason::Quarantined;
+            return Err(unanswered_outcome(progress, sink, reason, wait));
+        }
         // A migration does not count as an attempt, so a stream may have begun before the first one.
         let is_new = progress.tracker.get().attempts() == 0 && !sink.has_begun();
         let mut choice = self.query_replica(&self.excluded, true);
@@ -540,6 +561,9 @@
         if core.now() >= request.deadline {
             return give_up(reason::RefusalReason::DeadlinePassed);
         }
+        if self.is_crash_suspect {
+            return give_up(reason::RefusalReason::ReplicaCrashed);
+        }
         let is_exhausted = self.connect_failures >= MAX_CONNECT_FAILURES;
         if is_exhausted || !progress.tracker.get().may_send() {
             return give_up(reason::RefusalReason::UpstreamFailed);
@@ -570,6 +594,12 @@
         true
     }
 
+    /// Whether the request may be the one under which replicas crash. Such a request goes to no
+    /// further replica.
+    pub(crate) fn is_suspect(&self) -> bool {
+        self.is_crash_suspect || self.context.is_suspect()
+    }
+
     /// Returns the outcome of a request for which no response of a replica can be delivered.
     fn end_unanswered(
         &self,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,7 +10,8 @@
 //! [`table_sync`] follows the policy and the replica entries in the platform's table,
 //! [`digest_exchange`] and [`peer_records`] exchange state with the other daemons, `document_exchange`
 //! reads the policy from those that have it, and [`duties`] performs the tasks that one daemon does for
-//! all.
+//! all. [`crash`] finds requests under which replicas crash, and `quarantine_records` shows operators
+//! what is refused for that.
 
 pub mod adapter;
 pub mod attempt;
@@ -18,6 +19,7 @@
 pub mod caller;
 pub mod context;
 pub mod core;
+pub mod crash;
 pub mod daemon;
 pub mod digest_exchange;
 mod document_exchange;
@@ -29,6 +31,7 @@
 mod migration;
 pub mod peer_records;
 pub mod pending;
+mod quarantine_records;
 pub mod relay;
 pub mod response;
 pub mod resumption;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -24,6 +24,8 @@
     document_reads: prometheus::IntCounterVec,
     document_bytes: prometheus::IntCounter,
     limited_replicas: prometheus::IntGauge,
+    replica_crashes: prometheus::IntCounter,
+    quarantined_segments: prometheus::IntGauge,
     first_byte_seconds: prometheus::Histogram,
     total_seconds: prometheus::Histogram,
 }
@@ -78,6 +80,17 @@
             "Replicas that name a limit on their requests.",
         );
         let limited_replicas = register(&registry, limited_replicas.expect("the name is valid"));
+        let replica_crashes = prometheus::IntCounter::new(
+            "samphiremoor_gateway_replica_crashes_total",
+            "Requests of this daemon under which a replica crashed before they went on.",
+        );
+        let replica_crashes = register(&registry, replica_crashes.expect("the name is valid"));
+        let quarantined_segments = prometheus::IntGauge::new(
+            "samphiremoor_gateway_quarantined_segments",
+            "Prompt segments whose requests are refused, since replicas crash under them.",
+        );
+        let quarantined_segments =
+            register(&registry, quarantined_segments.expect("the name is valid"));
         let first_byte_seconds =
             histogram("samphiremoor_gateway_first_seconds", "Time to the first byte of an answer.");
         let total_seconds =
@@ -93,6 +106,8 @@
             document_reads,
             document_bytes,
             limited_replicas,
+            replica_crashes,
+            quarantined_segments,
             first_byte_seconds,
             total_seconds,
         }
@@ -153,6 +168,16 @@
         self.limited_replicas.set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
+    /// Counts a request under which a replica crashed before it went on.
+    pub fn count_replica_crash(&self) {
+        self.replica_crashes.inc();
+    }
+
+    /// Sets the number of quarantined prompt segments.
+    pub fn set_quarantined_segments(&self, count: usize) {
+        self.quarantined_segments.set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     /// Records the time until the first byte of a replica's response.
     pub fn observe_first_byte(&self, elapsed: time::Millis) {
         self.first_byte_seconds.observe(elapsed.to_duration().as_secs_f64());
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -8,6 +8,7 @@
 use samphiremoor_fleet::selection;
 
 use crate::attempt;
+use crate::crash;
 use crate::forward;
 use crate::migration;
 use crate::pending;
@@ -27,9 +28,13 @@
             return self.relay_stream(started, sink).await;
         }
         self.context.count_run();
+        let start = started.guard.replica_start();
         match self.context.read_plain(started).await {
             Ok(buffered) => forward::RelayOutcome::Ended(self.deliver(buffered, sink).await),
-            Err(reason) => forward::RelayOutcome::Failed(reason),
+            Err(reason) => {
+                let verdict = self.context.check_crash(&start).await;
+                forward::RelayOutcome::Failed(reason, verdict)
+            }
         }
     }
 
@@ -48,6 +53,7 @@
             is_migrated,
         } = started;
         let context = self.context;
+        let start = guard.replica_start();
         let mut stream = stream::ReplicaStream::new(selected.clone(), connection, response, body);
         self.splitter.discard_partial();
         let workspace = context.request.workspace.as_ref().map(|rule| &rule.id);
@@ -75,11 +81,11 @@
         let should_migrate = || can_migrate && context.core.should_migrate(&selected.replica);
         let end = self.forward_events(&mut stream, sink, on_first_event, should_migrate).await;
         if !matches!(end, stream::StreamEnd::Leaving) {
-            return self.finish_stream(stream, end);
+            return self.finish_stream(stream, end, &start).await;
         }
         let Some(migration) = self.prepare_migration(&selected) else {
             let end = self.forward_events(&mut stream, sink, || {}, || false).await;
-            return self.finish_stream(stream, end);
+            return self.finish_stream(stream, end, &start).await;
         };
         // The source replica keeps sending events until it is stopped once there is a copy.
         let mut migration = pin::pin!(migration);
@@ -93,7 +99,7 @@
             futures_lite::future::or(forwarding, migrating).await
         };
         if !matches!(end, stream::StreamEnd::Broken) {
-            return self.finish_stream(stream, end);
+            return self.finish_stream(stream, end, &start).await;
         }
         let migrated = match migrated {
             Some(migrated) => migrated,
@@ -104,7 +110,7 @@
         };
         match migrated {
             Some(migrated) => forward::RelayOutcome::Migrated(Box::new(migrated)),
-            None => self.finish_stream(stream, end),
+            None => self.finish_stream(stream, end, &start).await,
         }
     }
 
@@ -148,6 +154,9 @@
         let core = self.context.core.clone();
         let request_id = self.context.request.metadata.request_id.clone()?;
         let source = selected.replica.clone();
+        if self.is_suspect() {
+            return None;
+        }
         let mut state = core.state.borrow_mut();
         // The request is sent to the target only after the copy, without a choice.
         let limited = state.limits.limited_replicas();
@@ -189,10 +198,11 @@
         }))
     }
 
-    fn finish_stream(
+    async fn finish_stream(
         &self,
         stream: stream::ReplicaStream,
         end: stream::StreamEnd,
+        start: &crash::ReplicaStart,
     ) -> forward::RelayOutcome {
         let replica = &stream.selected.replica;
         match end {
@@ -211,7 +221,11 @@
             }
             stream::StreamEnd::Broken | stream::StreamEnd::Leaving => {
                 self.context.record_result(replica, true);
-                forward::RelayOutcome::Failed(reason::RetryReason::ConnectionClosed)
+                let verdict = match stream.has_survived {
+                    true => crash::FailureVerdict::MayRepeat,
+                    false => self.context.check_crash(start).await,
+                };
+                forward::RelayOutcome::Failed(reason::RetryReason::ConnectionClosed, verdict)
             }
         }
     }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -6,6 +6,7 @@
 
 use crate::attempt;
 use crate::context;
+use crate::crash;
 use crate::forward;
 use crate::pending;
 use crate::response;
@@ -39,6 +40,10 @@
     /// Head of the replica's response.
     pub(crate) response: upstream::ReplicaResponse,
     body: attempt::PartialBody,
+    /// When the first event arrived.
+    first_event_at: Option<time::MonotonicTime>,
+    /// Whether the stream has gone on for a while after its first event, or is complete.
+    pub(crate) has_survived: bool,
 }
 
 impl ReplicaStream {
@@ -49,7 +54,14 @@
         response: upstream::ReplicaResponse,
         body: attempt::PartialBody,
     ) -> Self {
-        ReplicaStream { selected, connection, response, body }
+        ReplicaStream {
+            selected,
+            connection,
+            response,
+            body,
+            first_event_at: None,
+            has_survived: false,
+        }
     }
 }
 
@@ -80,6 +92,7 @@
                 on_first_event();
             }
             let is_complete = is_body_end && is_in_order && !self.splitter.is_incomplete();
+            self.observe_survival(stream, !events.is_empty(), is_complete);
             let head = &stream.response.head;
             if sink.write_events(head, &events, is_complete).await.is_err() {
                 return StreamEnd::CallerGone;
@@ -96,6 +109,20 @@
         }
     }
 
+    /// Observes that a stream is complete, or has gone on for a while after its first event.
+    fn observe_survival(&self, stream: &mut ReplicaStream, has_events: bool, is_complete: bool) {
+        let core = self.context.core;
+        let now = core.now();
+        if has_events {
+            stream.first_event_at.get_or_insert(now);
+        }
+        let has_gone_on =
+            stream.first_event_at.is_some_and(|at| now.since(at) >= crash::SURVIVAL_TIME);
+        if (has_gone_on || is_complete) && !std::mem::replace(&mut stream.has_survived, true) {
+            core.observe_survival(self.context.request.metadata.prompt.as_ref());
+        }
+    }
+
     /// Reads more of a stream into the splitter and returns whether the stream has ended. While the
     /// replica is silent, other replicas may take over; their attempts are cancelled once it sends
     /// data.
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -88,6 +88,26 @@
     Ok(UpstreamConnection { raw, is_reused: false, address })
 }
 
+/// Returns whether a replica refuses connections, as no process listens at its address. A connection
+/// that opens is kept for a later request.
+pub async fn refuses_connections(
+    core: &rc::Rc<core::GatewayCore>,
+    replica: &id::ReplicaId,
+    address: SocketAddr,
+) -> bool {
+    match connection::RawConnection::connect(address, CONNECT_TIMEOUT).await {
+        Ok(raw) => {
+            let mut state = core.state.borrow_mut();
+            state.idle_pool.put(replica, raw, address, core.now(), DEFAULT_MAX_IDLE);
+            false
+        }
+        Err(cause) => matches!(
+            cause.kind(),
+            io::ErrorKind::ConnectionRefused | io::ErrorKind::ConnectionReset
+        ),
+    }
+}
+
 /// Returns a connection to the pool if the response allows its reuse.
 pub fn release(
     core: &core::GatewayCore,
