--- a/crates/entry/tests/begun_responses.rs
+++ b/crates/entry/tests/begun_responses.rs
@@ -11,6 +11,7 @@
 use fixture::upstream::EngineFault;
 use fixture::upstream::FakeEngine;
 use fixture::upstream::FakeService;
+use fixture::upstream::UnframedEnd;
 use samphiremoor_base::cases;
 use samphiremoor_base::time;
 use samphiremoor_entry::settings;
@@ -121,6 +122,10 @@
 
 const HEALTHY: EngineFault = EngineFault::None;
 const CUT: EngineFault = EngineFault::CloseAfter(5);
+const UNFRAMED: EngineFault = EngineFault::Unframed(UnframedEnd::Whole);
+const UNFRAMED_CLOSED: EngineFault = EngineFault::Unframed(UnframedEnd::CloseAfter(5));
+const UNFRAMED_TORN: EngineFault = EngineFault::Unframed(UnframedEnd::CloseInside(5));
+const UNFRAMED_RESET: EngineFault = EngineFault::Unframed(UnframedEnd::ResetAfter(5));
 
 cases! {
     whole_stream => check_stream(TIMEOUT_MS, &[HEALTHY], "12 tokens, done");
@@ -141,6 +146,19 @@
         TIMEOUT_MS, &[EngineFault::BytesAfter(5, TORN_DATA), HEALTHY], "12 tokens, done");
     replica_sends_error_event => check_stream(
         TIMEOUT_MS, &[EngineFault::BytesAfter(5, ERROR_EVENT), HEALTHY], "12 tokens, done");
+    unframed_stream => check_stream(TIMEOUT_MS, &[UNFRAMED], "12 tokens, done");
+    unframed_stream_ends_between_events => check_stream(
+        TIMEOUT_MS, &[UNFRAMED_CLOSED, HEALTHY], "12 tokens, done");
+    unframed_stream_ends_inside_an_event => check_stream(
+        TIMEOUT_MS, &[UNFRAMED_TORN, HEALTHY], "12 tokens, done");
+    unframed_stream_is_reset => check_stream(
+        TIMEOUT_MS, &[UNFRAMED_RESET, HEALTHY], "12 tokens, done");
+    every_unframed_stream_ends_between_events => check_stream(
+        TIMEOUT_MS, &[UNFRAMED_CLOSED, UNFRAMED_CLOSED], "5 tokens, no-replica unknown");
+    every_unframed_stream_ends_inside_an_event => check_stream(
+        TIMEOUT_MS, &[UNFRAMED_TORN, UNFRAMED_TORN], "5 tokens, no-replica unknown");
+    every_unframed_stream_is_reset => check_stream(
+        TIMEOUT_MS, &[UNFRAMED_RESET, UNFRAMED_RESET], "5 tokens, no-replica unknown");
     second_replica_fails => check_stream(
         TIMEOUT_MS, &[CUT, EngineFault::ServerError, HEALTHY], "12 tokens, done");
     second_replica_refuses => check_stream(
@@ -166,6 +184,10 @@
 cases! {
     whole_full_response => check_full(
         TIMEOUT_MS, &[HEALTHY], &format!("200 complete, {}", full_text()));
+    unframed_full_response => check_full(
+        TIMEOUT_MS, &[UNFRAMED], &format!("200 complete, {}", full_text()));
+    reset_unframed_full_response => check_full(
+        TIMEOUT_MS, &[UNFRAMED_RESET, HEALTHY], &format!("200 complete, {}", full_text()));
     replica_cut_in_full_response => check_full(
         TIMEOUT_MS, &[CUT, HEALTHY], &format!("200 complete, {}", full_text()));
     second_replica_rejects_full_response => check_full(
--- a/crates/entry/tests/services.rs
+++ b/crates/entry/tests/services.rs
@@ -27,6 +27,8 @@
 const FAILED: Option<&str> = Some("HTTP/1.1 500 No\r\ncontent-length: 0\r\n\r\n");
 /// Response whose body ends before its content length.
 const TRUNCATED: Option<&str> = Some("HTTP/1.1 200 OK\r\ncontent-length: 99\r\n\r\nhalf");
+/// Response with neither a length nor chunks, which ends with its connection.
+const UNFRAMED: Option<&str> = Some("HTTP/1.1 201 Made\r\nx-slot: 9\r\n\r\ndone");
 /// Response to another caller's request.
 const CROSSED: Option<&str> =
     Some("HTTP/1.1 200 OK\r\nsamphiremoor-request-id: entry-x:1\r\ncontent-length: 4\r\n\r\nhers");
@@ -86,7 +88,18 @@
     assert_eq!(trial.healthy_runs, 1);
 }
 
+/// Expects the response of the first replica.
+fn check_served(service: &str, response: Option<&'static str>) {
+    let trial = call_service(service, response);
+    assert_eq!(trial.response.status, 201, "{:?}", trial.response);
+    assert_eq!(trial.response.text, "done");
+    assert_eq!(trial.response.outcome.as_deref(), Some("complete"));
+    assert_eq!((trial.faulty_runs, trial.healthy_runs), (1, 0));
+}
+
 cases! {
+    unframed_response_of_a_repeatable_call_is_served => check_served(fixture::LOOKUP, UNFRAMED);
+    unframed_response_of_a_keyed_call_is_served => check_served(fixture::BOOKING, UNFRAMED);
     repeatable_call_is_retried_after_refusal => check_retried(NOT_RUN);
     repeatable_call_is_retried_after_error => check_retried(FAILED);
     repeatable_call_is_retried_after_truncated_response => check_retried(TRUNCATED);
