--- a/crates/gateway/src/digest_exchange.rs
+++ b/crates/gateway/src/digest_exchange.rs
@@ -5,8 +5,8 @@
 //! group. In a large deployment each availability zone is a group: the first live daemon of a zone,
 //! in order of their IDs, aggregates the zone's digests, sends the sum to the aggregators of the
 //! other zones, and relays the sums it receives to its own zone. The first daemon of a group whose
-//! reads of the replica entries succeed reads these for the others, and likewise for the policy. Daemons discover each other through one row
-//! per daemon in the table.
+//! reads of the replica entries succeed reads these for the others, and likewise for the policy.
+//! Daemons discover each other through one row per daemon in the table.
 
 use std::cell;
 use std::collections;
