Fleet: notices of the quarantine are bounded, and a member's starts no round elsewhere

Found by reading the change. The table kept every notice of the last 2 s and digests sent all of them with each round; the gateway cut the list to the 128 oldest, so that a verdict waited behind earlier crashes; every daemon that heard a notice began a round at once, and each answered for each suspect.

The table keeps the newest 128 notices and hands each out every 0.5 s; a daemon's reports of one crash are one notice; it says that a suspect went on after a random part of 0.3 s, unless another one does; only the aggregator begins a round for a member's notice.

--- a/crates/entry/src/quarantine.rs
+++ b/crates/entry/src/quarantine.rs
@@ -231,7 +231,6 @@
 
 /// Sends news to the other daemons, and finds the messages that crashes speak against; never returns.
 pub(crate) async fn exchange_news(core: Arc<core::EntryCore>, peers: Arc<peer::PeerClients>) {
-    let mut sent_version = 0;
     let mut known_daemons = BTreeSet::new();
     loop {
         task::sleep(NEWS_INTERVAL.to_duration()).await;
@@ -250,15 +249,11 @@
             changes
         });
         core.apply_quarantine_changes(&changes, "crashes");
-        let version = core.quarantine.with_table(|table| table.version());
-        if version != sent_version || has_joined {
-            sent_version = version;
-            send_news(&core, &peers, has_joined);
-        }
+        send_news(&core, &peers, has_joined);
     }
 }
 
-/// Sends the recent news. Those who don't respond get them with the next ones.
+/// Sends the news that are due.
 fn send_news(core: &Arc<core::EntryCore>, peers: &Arc<peer::PeerClients>, has_joined: bool) {
     let now = core.now();
     let is_first = core.is_first_daemon(|daemon| daemon.zone == core.settings.zone);
--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine.rs
@@ -11,6 +11,7 @@
 
 use std::collections;
 use std::fmt;
+use std::hash::Hasher as _;
 use std::num;
 use std::str;
 
@@ -19,6 +20,7 @@
 use samphiremoor_base::time;
 use serde::Deserialize;
 use serde::Serialize;
+use siphasher::sip;
 use smallvec::SmallVec;
 
 use crate::clock_instant;
@@ -45,7 +47,7 @@
 /// Number of suspects of one crash.
 const MAX_SUSPECTS: usize = 64;
 /// Number of suspects of one crash that a daemon reports.
-pub const MAX_REPORTED_SUSPECTS: usize = 8;
+const MAX_REPORTED_SUSPECTS: usize = 16;
 /// Number of quarantined segments.
 const MAX_VERDICTS: usize = 64;
 /// Number of segments in each of the two generations of those that went on.
@@ -57,8 +59,15 @@
 const TIED_TEST_INTERVAL: time::Millis = time::Millis::new(10_000);
 /// Time without refused requests after which a verdict is forgotten.
 const VERDICT_MEMORY: time::Millis = time::Millis::new(1_800_000);
-/// Time for which digests repeat a notice.
+/// Time for which a notice is repeated, as datagrams get lost.
 const NOTICE_REPEAT_TIME: time::Millis = time::Millis::new(2_000);
+/// Interval between two sends of a notice.
+const NOTICE_INTERVAL: time::Millis = time::Millis::new(500);
+/// Number of notices that are repeated; the newest ones are.
+const MAX_NOTICES: usize = 128;
+/// Longest delay before a daemon says that a suspect went on. Most daemons then have heard so from
+/// another one.
+const MAX_SURVIVAL_DELAY: time::Millis = time::Millis::new(300);
 /// Shortest time between two announcements of the same verdict or of the same segment going on.
 const ANNOUNCEMENT_INTERVAL: time::Millis = time::Millis::new(1_000);
 /// Time after which a verdict by which requests are refused is announced again.
@@ -191,6 +200,19 @@
     notice: QuarantineNotice,
     source: NoticeSource,
     until: time::MonotonicTime,
+    /// When the notice is due to be sent to the daemons of the group.
+    member_due_at: time::MonotonicTime,
+    /// When the notice is due to be sent to other groups.
+    group_due_at: time::MonotonicTime,
+}
+
+/// A notice that a suspect went on, which is not sent yet.
+#[derive(Clone, Copy, Debug)]
+struct PendingSurvival {
+    due_at: time::MonotonicTime,
+    /// Time of the crash or verdict that the survival must follow to matter, in milliseconds since the
+    /// Unix epoch.
+    needed_ms: u64,
 }
 
 /// When segments last went on, in milliseconds since the Unix epoch. Segments that are not seen for
@@ -226,9 +248,14 @@
     outgoing: Vec<OutgoingNotice>,
     /// When this daemon last announced that a suspect went on.
     announced_survivals: collections::BTreeMap<SegmentId, time::MonotonicTime>,
+    /// Suspects that went on, which other daemons may not know.
+    pending_survivals: collections::BTreeMap<SegmentId, PendingSurvival>,
     /// When a daemon last joined, which does not know the verdicts.
     joined_at: Option<time::MonotonicTime>,
+    /// Number of notices for the daemons of this group.
     version: u64,
+    /// Number of notices for other groups.
+    group_version: u64,
 }
 
 impl QuarantineTable {
@@ -241,9 +268,7 @@
         instant: clock_instant::ClockInstant,
     ) -> QuarantineChanges {
         let mut suspects: Vec<SegmentId> = suspects.to_vec();
-        // Those that never went on are more likely at fault.
-        suspects.sort_by_key(|segment| (self.survivors.get(*segment), *segment));
-        suspects.truncate(MAX_REPORTED_SUSPECTS);
+        self.limit_suspects(&mut suspects);
         let notice = QuarantineNotice::Crash {
             replica: replica.clone(),
             incarnation,
@@ -253,6 +278,13 @@
         self.observe_notice(&notice, NoticeSource::Local, instant)
     }
 
+    /// Keeps the suspects that a daemon reports. Those that never went on are more likely at fault.
+    fn limit_suspects(&self, suspects: &mut Vec<SegmentId>) {
+        suspects.sort_by_key(|segment| (self.survivors.get(*segment), *segment));
+        suspects.dedup();
+        suspects.truncate(MAX_REPORTED_SUSPECTS);
+    }
+
     /// Observes that a response to a request with these segments went on.
     pub fn observe_survival(
         &mut self,
@@ -261,12 +293,11 @@
     ) -> QuarantineChanges {
         let mut changes = QuarantineChanges::new();
         for segment in segments {
-            let is_watched = self.is_watched(*segment);
+            let suspected_ms = self.suspected_ms(*segment);
             self.survivors.insert(*segment, instant.unix_ms);
-            if is_watched {
-                let at_ms = instant.unix_ms;
-                changes.extend(self.clear(*segment, at_ms));
-                self.announce_survival(*segment, at_ms, instant.now);
+            if let Some(suspected_ms) = suspected_ms {
+                changes.extend(self.clear(*segment, instant.unix_ms));
+                self.schedule_survival(*segment, suspected_ms, instant.now);
             }
         }
         changes
@@ -278,7 +309,6 @@
         segment: SegmentId,
         instant: clock_instant::ClockInstant,
     ) -> QuarantineChanges {
-        self.announced_survivals.remove(&segment);
         self.observe_survival(&[segment], instant)
     }
 
@@ -300,6 +330,10 @@
                     self.survivors.insert(*segment, *at_ms);
                     changes.extend(self.clear(*segment, *at_ms));
                 }
+                let pending = self.pending_survivals.get(segment);
+                if pending.is_some_and(|pending| *at_ms > pending.needed_ms) {
+                    self.pending_survivals.remove(segment);
+                }
                 is_news
             }
             QuarantineNotice::Verdict { segment, since_ms, next_test_ms } => {
@@ -353,11 +387,12 @@
         };
         for segment in suspects {
             let last_ms = self.survivors.get(*segment);
-            if let Some(last_ms) = last_ms {
-                self.announce_survival(*segment, last_ms, instant.now);
+            let is_cleared = last_ms.is_some_and(|last_ms| last_ms > self.crashes[index].at_ms);
+            if last_ms.is_some() {
+                let needed_ms = if is_cleared { self.crashes[index].at_ms } else { 0 };
+                self.schedule_survival(*segment, needed_ms, instant.now);
             }
             let crash = &mut self.crashes[index];
-            let is_cleared = last_ms.is_some_and(|last_ms| last_ms > crash.at_ms);
             let is_known = crash.suspects.contains(segment);
             if !is_known && !is_cleared && crash.suspects.len() < MAX_SUSPECTS {
                 is_news = true;
@@ -388,10 +423,7 @@
         changes: &mut QuarantineChanges,
     ) -> bool {
         if self.survivors.get(segment).is_some_and(|last_ms| last_ms > since_ms) {
-            self.announced_survivals.remove(&segment);
-            if let Some(last_ms) = self.survivors.get(segment) {
-                self.announce_survival(segment, last_ms, instant.now);
-            }
+            self.schedule_survival(segment, since_ms, instant.now);
             return false;
         }
         match self.verdicts.get_mut(&segment) {
@@ -425,13 +457,13 @@
         self.verdicts.insert(segment, verdict);
         // The segment explains the crashes; other suspects of them are not at fault.
         self.crashes.retain(|crash| !crash.suspects.contains(&segment));
-        self.version += 1;
     }
 
     /// Quarantines the segments that the crashes speak against. To be called several times a second.
     pub fn evaluate(&mut self, instant: clock_instant::ClockInstant) -> QuarantineChanges {
         let now = instant.now;
         self.crashes.retain(|crash| now.since(crash.learned_at) < EVIDENCE_TIME);
+        self.announce_survivals(now);
         let mut changes = QuarantineChanges::new();
         let found = self.find_culprits(now);
         let interval = if found.len() > 1 { TIED_TEST_INTERVAL } else { TEST_INTERVALS.0 };
@@ -483,10 +515,12 @@
         crash.suspects.iter().any(|segment| self.verdicts.contains_key(segment))
     }
 
-    /// Whether crashes or a verdict speak against a segment.
-    fn is_watched(&self, segment: SegmentId) -> bool {
-        self.verdicts.contains_key(&segment)
-            || self.crashes.iter().any(|crash| crash.suspects.contains(&segment))
+    /// Returns when crashes or a verdict last spoke against a segment, in milliseconds since the Unix
+    /// epoch.
+    fn suspected_ms(&self, segment: SegmentId) -> Option<u64> {
+        let verdict_ms = self.verdicts.get(&segment).map(|verdict| verdict.since_ms);
+        let crashes = self.crashes.iter().filter(|crash| crash.suspects.contains(&segment));
+        crashes.map(|crash| crash.at_ms).max().max(verdict_ms)
     }
 
     /// Returns a quarantined segment among `segments` and the time until its next test.
@@ -552,7 +586,7 @@
             return false;
         }
         let is_new_suspect = |segment: &SegmentId| {
-            self.survivors.get(*segment).is_none() && self.is_watched(*segment)
+            self.survivors.get(*segment).is_none() && self.suspected_ms(*segment).is_some()
         };
         self.find_quarantined(shared, instant).is_some() || shared.iter().any(is_new_suspect)
     }
@@ -562,11 +596,16 @@
         self.verdicts.iter()
     }
 
-    /// Returns the number of notices that other daemons need to learn.
+    /// Returns the number of notices for the daemons of this group so far.
     pub fn version(&self) -> u64 {
         self.version
     }
 
+    /// Returns the number of notices for other groups so far, which the aggregator of this group sends.
+    pub fn group_version(&self) -> u64 {
+        self.group_version
+    }
+
     /// Observes that a daemon joined or restarted, which must learn of all verdicts.
     pub fn on_daemon_joined(&mut self, now: time::MonotonicTime) {
         self.joined_at = Some(now);
@@ -583,18 +622,17 @@
         unused.map(|(segment, _)| QuarantineChange::Released(segment)).collect()
     }
 
-    /// Returns the notices for the daemons of this group.
-    pub fn member_notices(&self, now: time::MonotonicTime) -> Vec<QuarantineNotice> {
-        let local = |outgoing: &&OutgoingNotice| {
-            outgoing.source == NoticeSource::Local && now < outgoing.until
-        };
-        self.outgoing.iter().filter(local).map(|outgoing| outgoing.notice.clone()).collect()
+    /// Returns the notices that are due to be sent to the daemons of this group.
+    pub fn member_notices(&mut self, now: time::MonotonicTime) -> Vec<QuarantineNotice> {
+        let local =
+            self.outgoing.iter_mut().filter(|outgoing| outgoing.source == NoticeSource::Local);
+        take_due(local.map(|outgoing| (&outgoing.notice, &mut outgoing.member_due_at)), now)
     }
 
-    /// Returns the notices that the aggregator of this group sends to other groups.
-    pub fn group_notices(&self, now: time::MonotonicTime) -> Vec<QuarantineNotice> {
-        let current = self.outgoing.iter().filter(|outgoing| now < outgoing.until);
-        current.map(|outgoing| outgoing.notice.clone()).collect()
+    /// Returns the notices that are due to be sent by the aggregator of this group to other groups.
+    pub fn group_notices(&mut self, now: time::MonotonicTime) -> Vec<QuarantineNotice> {
+        let all = self.outgoing.iter_mut();
+        take_due(all.map(|outgoing| (&outgoing.notice, &mut outgoing.group_due_at)), now)
     }
 
     /// Returns all verdicts if a daemon joined recently. The first daemon of a group sends them.
@@ -610,18 +648,73 @@
         source: NoticeSource,
         now: time::MonotonicTime,
     ) {
-        self.version += 1;
+        self.group_version += 1;
+        if source == NoticeSource::Local {
+            self.version += 1;
+        }
+        let notice = match source {
+            NoticeSource::Local => self.merge_crash(notice),
+            _ => notice,
+        };
+        if self.outgoing.len() == MAX_NOTICES {
+            self.outgoing.remove(0);
+        }
         let until = now + NOTICE_REPEAT_TIME;
-        self.outgoing.push(OutgoingNotice { notice, source, until });
+        let (member_due_at, group_due_at) = (now, now);
+        self.outgoing.push(OutgoingNotice { notice, source, until, member_due_at, group_due_at });
     }
 
-    fn announce_survival(&mut self, segment: SegmentId, at_ms: u64, now: time::MonotonicTime) {
-        let announced_at = self.announced_survivals.get(&segment);
-        if announced_at.is_some_and(|at| now.since(*at) < ANNOUNCEMENT_INTERVAL) {
-            return;
+    /// Replaces this daemon's earlier notice of the same crash by one with the suspects of both.
+    fn merge_crash(&mut self, mut notice: QuarantineNotice) -> QuarantineNotice {
+        let QuarantineNotice::Crash { replica, incarnation, suspects, .. } = &mut notice else {
+            return notice;
+        };
+        let is_same = |outgoing: &mut OutgoingNotice| match &outgoing.notice {
+            QuarantineNotice::Crash { replica: other, incarnation: other_incarnation, .. } => {
+                outgoing.source == NoticeSource::Local
+                    && other == replica
+                    && other_incarnation == incarnation
+            }
+            _ => false,
+        };
+        let earlier: Vec<_> = self.outgoing.extract_if(.., is_same).collect();
+        for outgoing in earlier {
+            if let QuarantineNotice::Crash { suspects: others, .. } = outgoing.notice {
+                suspects.extend(others);
+            }
+        }
+        self.limit_suspects(suspects);
+        notice
+    }
+
+    /// Lets the other daemons know that a suspect went on, unless one of them says so first. The time
+    /// of the survival differs from daemon to daemon, and so does the delay; few are short.
+    fn schedule_survival(&mut self, segment: SegmentId, needed_ms: u64, now: time::MonotonicTime) {
+        let mut hasher = sip::SipHasher13::new();
+        hasher.write_u64(segment.0);
+        hasher.write_u64(self.survivors.get(segment).unwrap_or_default());
+        let draw = hasher.finish() as f64 / u64::MAX as f64;
+        let delay_ms = MAX_SURVIVAL_DELAY.get() as f64 * draw.cbrt();
+        let due_at = now + time::Millis::new(delay_ms as u64);
+        let pending = PendingSurvival { due_at, needed_ms };
+        let pending = self.pending_survivals.entry(segment).or_insert(pending);
+        pending.needed_ms = pending.needed_ms.max(needed_ms);
+    }
+
+    /// Announces the survivals that are due and were not announced recently.
+    fn announce_survivals(&mut self, now: time::MonotonicTime) {
+        let announced = &self.announced_survivals;
+        let is_due = |segment: &SegmentId, pending: &mut PendingSurvival| {
+            let announced_at = announced.get(segment);
+            now >= pending.due_at
+                && announced_at.is_none_or(|at| now.since(*at) >= ANNOUNCEMENT_INTERVAL)
+        };
+        let due: Vec<_> = self.pending_survivals.extract_if(.., is_due).collect();
+        for (segment, _) in due {
+            let Some(at_ms) = self.survivors.get(segment) else { continue };
+            self.announced_survivals.insert(segment, now);
+            self.announce(QuarantineNotice::Survival { segment, at_ms }, NoticeSource::Local, now);
         }
-        self.announced_survivals.insert(segment, now);
-        self.announce(QuarantineNotice::Survival { segment, at_ms }, NoticeSource::Local, now);
     }
 
     /// Announces a verdict unless that was done recently.
@@ -640,6 +733,19 @@
     }
 }
 
+/// Returns the notices that are due, and when they are due again.
+fn take_due<'a>(
+    notices: impl Iterator<Item = (&'a QuarantineNotice, &'a mut time::MonotonicTime)>,
+    now: time::MonotonicTime,
+) -> Vec<QuarantineNotice> {
+    let due = notices.filter(|(_, due_at)| now >= **due_at);
+    due.map(|(notice, due_at)| {
+        *due_at = now + NOTICE_INTERVAL;
+        notice.clone()
+    })
+    .collect()
+}
+
 fn verdict_notice(segment: SegmentId, verdict: &SegmentVerdict) -> QuarantineNotice {
     QuarantineNotice::Verdict {
         segment,
--- a/crates/gateway/src/digest_exchange.rs
+++ b/crates/gateway/src/digest_exchange.rs
@@ -76,8 +76,6 @@
 const READER_TIMEOUT: time::Millis = time::Millis::new(1_200);
 /// Largest datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 60 * 1024;
-/// Largest number of notices of crashes and quarantined segments in one datagram.
-const MAX_QUARANTINE_NOTICES: usize = 128;
 /// Key prefix of the daemons' rows.
 const ROW_PREFIX: &str = "daemon/";
 
@@ -423,21 +421,18 @@
     fn member_notices(&self) -> Vec<quarantine::QuarantineNotice> {
         let now = self.core.now();
         let is_first = self.is_aggregator(&self.state.borrow(), now);
-        let table = &self.core.state.borrow().quarantine;
+        let table = &mut self.core.state.borrow_mut().quarantine;
         let mut notices = table.member_notices(now);
         if is_first {
             notices.extend(table.join_notices(now));
         }
-        notices.truncate(MAX_QUARANTINE_NOTICES);
         notices
     }
 
     /// Returns what this daemon tells other groups about crashes and quarantined segments in its own.
     fn group_notices(&self) -> Vec<quarantine::QuarantineNotice> {
         let now = self.core.now();
-        let mut notices = self.core.state.borrow().quarantine.group_notices(now);
-        notices.truncate(MAX_QUARANTINE_NOTICES);
-        notices
+        self.core.state.borrow_mut().quarantine.group_notices(now)
     }
 
     /// Returns whether the sender of a digest is of this daemon's group.
@@ -527,9 +522,13 @@
     /// copies attempt records meanwhile.
     async fn await_round(&self, interval: time::Millis) {
         let started_at = self.core.now();
+        let passes_on = self.is_zonal() && self.is_aggregator(&self.state.borrow(), started_at);
         let version = || {
             let state = self.core.state.borrow();
-            let notices = (state.limits.version(), state.quarantine.version());
+            let quarantine = &state.quarantine;
+            let quarantine_version =
+                if passes_on { quarantine.group_version() } else { quarantine.version() };
+            let notices = (state.limits.version(), quarantine_version);
             (state.replicas.version(), notices, state.revision())
         };
         let initial_version = version();
