--- a/crates/entry/src/quarantine.rs
+++ b/crates/entry/src/quarantine.rs
@@ -40,8 +40,6 @@
 const PROBE_TIMEOUT: time::Millis = time::Millis::new(400);
 /// Time from the first token of a response after which it has gone on.
 pub(crate) const SURVIVAL_TIME: time::Millis = time::Millis::new(1_000);
-/// Key prefix of the operators' rows.
-const ROW_PREFIX: &str = "quarantine/";
 
 impl core::EntryCore {
     fn quarantine_instant(&self) -> clock_instant::ClockInstant {
@@ -346,17 +344,12 @@
 async fn read_rows(
     store: &dyn table::TableStore,
 ) -> Result<quarantine_rows::SegmentRows, table::PlatformError> {
-    let rows = table::scan_all(store, ROW_PREFIX).await?;
-    let decode = |row: table::TableRow| {
-        let name = row.key.as_str().strip_prefix(ROW_PREFIX)?;
-        let decoded = (name.parse().ok(), serde_json::from_str(&row.value).ok());
-        let (Some(segment), Some(segment_row)) = decoded else {
-            log::warn!("row {} is not that of a quarantined message; delete it", row.key);
-            return None;
-        };
-        Some((segment, segment_row))
-    };
-    Ok(rows.into_iter().filter_map(decode).collect())
+    let rows = table::scan_all(store, quarantine_rows::ROW_PREFIX).await?;
+    let (rows, unreadable) = quarantine_rows::decode(&rows);
+    for key in unreadable {
+        log::warn!("row {key} is not that of a quarantined message; delete it");
+    }
+    Ok(rows)
 }
 
 /// Lifts the verdicts that an operator has marked, writes the rows of new ones and deletes those of
@@ -371,14 +364,7 @@
         let changes = core.quarantine.with_table(|table| table.release(segment, instant));
         core.apply_quarantine_changes(&changes, "operator");
     }
-    let changes = core.quarantine.with_table(|table| quarantine_rows::changes(&rows, table));
-    let key = |segment| table::RowKey::new(&format!("{ROW_PREFIX}{segment}"));
-    let put = changes.put.iter().map(|(segment, row)| {
-        let value = serde_json::to_string(row).unwrap_or_default();
-        table::RowWrite::Put(key(segment), value.as_str().into())
-    });
-    let deleted = changes.deleted.iter().map(|segment| table::RowWrite::Delete(key(segment)));
-    let writes: Vec<_> = put.chain(deleted).collect();
+    let writes = core.quarantine.with_table(|table| quarantine_rows::writes(&rows, table));
     if writes.is_empty() {
         return Ok(());
     }
--- a/crates/fleet/src/quarantine_rows.rs
+++ b/crates/fleet/src/quarantine_rows.rs
@@ -2,11 +2,17 @@
 
 use std::collections;
 
+use samphiremoor_platform::table;
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::quarantine;
 
+/// Key prefix of the rows.
+pub const ROW_PREFIX: &str = "quarantine/";
+/// Largest number of rows that one transaction writes.
+const MAX_WRITES: usize = 100;
+
 /// State of a segment in its row.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
@@ -44,13 +50,20 @@
 /// Rows by segment.
 pub type SegmentRows = collections::BTreeMap<quarantine::SegmentId, SegmentRow>;
 
-/// Change of the rows.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct RowChanges {
-    /// Rows to write.
-    pub put: SegmentRows,
-    /// Segments whose rows to delete.
-    pub deleted: Vec<quarantine::SegmentId>,
+/// Decodes the rows of a scan of [`ROW_PREFIX`]. Also returns the keys of those that are not rows of
+/// segments.
+pub fn decode(rows: &[table::TableRow]) -> (SegmentRows, Vec<table::RowKey>) {
+    let (mut segment_rows, mut unreadable) = (SegmentRows::new(), Vec::new());
+    for row in rows {
+        let name = row.key.as_str().strip_prefix(ROW_PREFIX).unwrap_or_default();
+        match (name.parse(), serde_json::from_str(&row.value)) {
+            (Ok(segment), Ok(segment_row)) => {
+                segment_rows.insert(segment, segment_row);
+            }
+            _ => unreadable.push(row.key.clone()),
+        }
+    }
+    (segment_rows, unreadable)
 }
 
 /// Returns the segments whose verdicts an operator has lifted.
@@ -59,8 +72,9 @@
     released.map(|(segment, _)| *segment).collect()
 }
 
-/// Returns what makes the rows show the verdicts of a table.
-pub fn changes(rows: &SegmentRows, table: &quarantine::QuarantineTable) -> RowChanges {
+/// Returns the writes that make the rows show the verdicts of a table, as many as one transaction
+/// takes.
+pub fn writes(rows: &SegmentRows, table: &quarantine::QuarantineTable) -> Vec<table::RowWrite> {
     let row = |verdict: &quarantine::SegmentVerdict| SegmentRow {
         state: SegmentState::Quarantined,
         since_ms: verdict.since_ms,
@@ -68,7 +82,14 @@
     };
     let wanted: SegmentRows =
         table.verdicts().map(|(segment, verdict)| (*segment, row(verdict))).collect();
-    let deleted = rows.keys().filter(|segment| !wanted.contains_key(segment)).copied().collect();
-    let put = wanted.into_iter().filter(|(segment, row)| rows.get(segment) != Some(row)).collect();
-    RowChanges { put, deleted }
+    let key =
+        |segment: &quarantine::SegmentId| table::RowKey::new(&format!("{ROW_PREFIX}{segment}"));
+    let changed = wanted.iter().filter(|(segment, row)| rows.get(segment) != Some(row));
+    let put = changed.map(|(segment, row)| {
+        let value = serde_json::to_string(row).unwrap_or_default();
+        table::RowWrite::Put(key(segment), value.as_str().into())
+    });
+    let ended = rows.keys().filter(|segment| !wanted.contains_key(segment));
+    let delete = ended.map(|segment| table::RowWrite::Delete(key(segment)));
+    put.chain(delete).take(MAX_WRITES).collect()
 }
--- a/crates/gateway/src/quarantine_records.rs
+++ b/crates/gateway/src/quarantine_records.rs
@@ -15,8 +15,6 @@
 const READ_INTERVAL: time::Millis = time::Millis::new(5_000);
 /// Pause after a failed read or write of the rows.
 const RETRY_PAUSE: time::Millis = time::Millis::new(1_000);
-/// Key prefix of the rows.
-const ROW_PREFIX: &str = "quarantine/";
 
 /// Learns the verdicts from the rows, then keeps the rows up to date while this daemon holds the duty
 /// lease; never returns.
@@ -44,17 +42,13 @@
 async fn read_rows(
     core: &core::GatewayCore,
 ) -> Result<quarantine_rows::SegmentRows, table::PlatformError> {
-    let rows = table::scan_all(core.adapter.table.as_ref(), ROW_PREFIX).await?;
-    let decode = |row: table::TableRow| {
-        let name = row.key.as_str().strip_prefix(ROW_PREFIX)?;
-        let decoded = (name.parse().ok(), serde_json::from_str(&row.value).ok());
-        let (Some(segment), Some(segment_row)) = decoded else {
-            log::warn!("row {} is not that of a quarantined segment; delete it", row.key);
-            return None;
-        };
-        Some((segment, segment_row))
-    };
-    Ok(rows.into_iter().filter_map(decode).collect())
+    let store = core.adapter.table.as_ref();
+    let rows = table::scan_all(store, quarantine_rows::ROW_PREFIX).await?;
+    let (rows, unreadable) = quarantine_rows::decode(&rows);
+    for key in unreadable {
+        log::warn!("row {key} is not that of a quarantined segment; delete it");
+    }
+    Ok(rows)
 }
 
 /// Adopts the verdicts of the rows.
@@ -76,14 +70,7 @@
         drop(state);
         core.apply_quarantine_changes(&changes, "operator");
     }
-    let changes = quarantine_rows::changes(&rows, &core.state.borrow().quarantine);
-    let key = |segment| table::RowKey::new(&format!("{ROW_PREFIX}{segment}"));
-    let put = changes.put.iter().map(|(segment, row)| {
-        let value = serde_json::to_string(row).unwrap_or_default();
-        table::RowWrite::Put(key(segment), value.as_str().into())
-    });
-    let deleted = changes.deleted.iter().map(|segment| table::RowWrite::Delete(key(segment)));
-    let writes: Vec<_> = put.chain(deleted).collect();
+    let writes = quarantine_rows::writes(&rows, &core.state.borrow().quarantine);
     if !writes.is_empty() {
         let write_id = digest_exchange::write_id(core);
         let transaction = table::TableTransaction { write_id, conditions: Vec::new(), writes };
