HTTP: one reader of whole bodies of a limited size

Found by reading the change: the call that is limited by its progress had its own copy of the loop and of both checks of RawConnection::body. Both use connection::WholeBodyReader. No change of behavior; tests of httpio, endless_responses and large_documents pass.

--- a/crates/httpio/src/connection.rs
+++ b/crates/httpio/src/connection.rs
@@ -237,21 +237,58 @@
         framing: message::BodyFraming,
         limit: quantity::ByteCount,
     ) -> Result<Vec<u8>, ReadError> {
-        let mut reader = BodyReader::new(framing);
-        let mut body = Vec::new();
-        if let message::BodyFraming::Length(length) = framing
-            && length > limit.get()
-        {
-            return Err(ReadError::BodyTooLarge);
+        let mut reader = WholeBodyReader::new(framing, limit)?;
+        reader.read_more(self, usize::MAX).await?;
+        Ok(reader.body)
+    }
+}
+
+/// Reads a whole body of a limited size.
+#[derive(Debug)]
+pub(crate) struct WholeBodyReader {
+    reader: BodyReader,
+    limit: quantity::ByteCount,
+    /// The bytes that were read.
+    pub(crate) body: Vec<u8>,
+}
+
+impl WholeBodyReader {
+    /// Creates a reader at the start of a body of at most `limit` bytes.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the body has a length and is larger.
+    pub(crate) fn new(
+        framing: message::BodyFraming,
+        limit: quantity::ByteCount,
+    ) -> Result<Self, ReadError> {
+        match framing {
+            message::BodyFraming::Length(length) if length > limit.get() => {
+                Err(ReadError::BodyTooLarge)
+            }
+            _ => Ok(WholeBodyReader { reader: BodyReader::new(framing), limit, body: Vec::new() }),
         }
-        while !reader.read(self, &mut body).await? {
-            if body.len() as u64 > limit.get() {
+    }
+
+    /// Reads at least `count` more bytes, or to the end of the body. Returns whether that is reached.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the body is larger than the limit, malformed or truncated.
+    pub(crate) async fn read_more(
+        &mut self,
+        connection: &mut RawConnection,
+        count: usize,
+    ) -> Result<bool, ReadError> {
+        let target_length = self.body.len().saturating_add(count);
+        loop {
+            let is_done = self.reader.read(connection, &mut self.body).await?;
+            if self.body.len() as u64 > self.limit.get() {
                 return Err(ReadError::BodyTooLarge);
             }
-        }
-        match body.len() as u64 > limit.get() {
-            true => Err(ReadError::BodyTooLarge),
-            false => Ok(body),
+            if is_done || self.body.len() >= target_length {
+                return Ok(is_done);
+            }
         }
     }
 }
--- a/crates/httpio/src/persistent.rs
+++ b/crates/httpio/src/persistent.rs
@@ -183,30 +183,11 @@
     framing: message::BodyFraming,
     step: time::Millis,
 ) -> Result<Vec<u8>, ExchangeError> {
-    let limit = connection::MAX_RESPONSE_BODY.get();
-    if let message::BodyFraming::Length(length) = framing
-        && length > limit
-    {
-        return Err(connection::ReadError::BodyTooLarge.into());
-    }
-    let mut reader = connection::BodyReader::new(framing);
-    let mut body = Vec::new();
+    let mut reader = connection::WholeBodyReader::new(framing, connection::MAX_RESPONSE_BODY)?;
     loop {
-        let target_length = body.len() + PROGRESS_BYTES;
-        let reading = async {
-            while body.len() < target_length {
-                if reader.read(connection, &mut body).await? {
-                    return Ok(true);
-                }
-            }
-            Ok::<bool, connection::ReadError>(false)
-        };
-        let is_done = future::timeout(step.to_duration(), reading).await??;
-        if body.len() as u64 > limit {
-            return Err(connection::ReadError::BodyTooLarge.into());
-        }
-        if is_done {
-            return Ok(body);
+        let reading = reader.read_more(connection, PROGRESS_BYTES);
+        if future::timeout(step.to_duration(), reading).await?? {
+            return Ok(reader.body);
         }
     }
 }
