Fleet, entry: the wire of later notices without a copy, no unused function

Found by reading the change: a struct repeated two fields of DigestNotices for the wire and cloned them, PartStore::retain had no caller, and each entry daemon prepared notices for other zones that only the first one sends. The bytes are the same (tests of digest pass).

--- a/crates/entry/src/quarantine.rs
+++ b/crates/entry/src/quarantine.rs
@@ -255,28 +255,19 @@
 fn send_news(core: &Arc<core::EntryCore>, peers: &Arc<peer::PeerClients>, has_joined: bool) {
     let now = core.now();
     let is_first = core.is_first_daemon(|daemon| daemon.zone == core.settings.zone);
-    let (mut member_notices, group_notices) =
-        core.quarantine.with_table(|table| (table.member_notices(now), table.group_notices(now)));
+    let (members, others) = core.news_receivers();
+    let news = |is_relayed, notices| {
+        let zone = core.settings.zone.clone();
+        message_quarantine::NewsRequest { zone, is_relayed, notices }
+    };
+    let mut notices = core.quarantine.with_table(|table| table.member_notices(now));
     if is_first && has_joined {
-        member_notices.extend(core.quarantine.with_table(|table| table.join_notices(now)));
+        notices.extend(core.quarantine.with_table(|table| table.join_notices(now)));
     }
-    let (members, others) = core.news_receivers();
-    let zone = core.settings.zone.clone();
-    spawn_news(
-        peers,
-        members,
-        message_quarantine::NewsRequest {
-            zone: zone.clone(),
-            is_relayed: false,
-            notices: member_notices,
-        },
-    );
+    spawn_news(peers, members, news(false, notices));
     if is_first {
-        spawn_news(
-            peers,
-            others,
-            message_quarantine::NewsRequest { zone, is_relayed: true, notices: group_notices },
-        );
+        let notices = core.quarantine.with_table(|table| table.group_notices(now));
+        spawn_news(peers, others, news(true, notices));
     }
 }
 
--- a/crates/fleet/src/digest.rs
+++ b/crates/fleet/src/digest.rs
@@ -108,14 +108,6 @@
     pub quarantine: Vec<quarantine::QuarantineNotice>,
 }
 
-/// Notices behind those of limits.
-#[derive(Clone, Debug, Default, PartialEq)]
-#[derive(Deserialize, Serialize)]
-struct LaterNotices {
-    policy_read: Option<PolicyRead>,
-    quarantine: Vec<quarantine::QuarantineNotice>,
-}
-
 /// Encodes a digest and notices as one message. Earlier releases read the digest, or the digest and
 /// the notices of limits, and ignore what follows.
 ///
@@ -124,9 +116,7 @@
 /// Fails if the digest can't be encoded.
 pub fn encode(digest: &PeerDigest, notices: &DigestNotices) -> Result<Vec<u8>, postcard::Error> {
     let encoded = postcard::to_extend(&notices.limits, postcard::to_stdvec(digest)?)?;
-    let later_notices =
-        LaterNotices { policy_read: notices.policy_read, quarantine: notices.quarantine.clone() };
-    postcard::to_extend(&later_notices, encoded)
+    postcard::to_extend(&(notices.policy_read, &notices.quarantine), encoded)
 }
 
 /// Decodes a digest and the notices that follow, if any.
@@ -143,9 +133,7 @@
     let (limits, rest) = postcard::take_from_bytes(rest)?;
     notices.limits = limits;
     if !rest.is_empty() {
-        let later_notices: LaterNotices = postcard::from_bytes(rest)?;
-        notices.policy_read = later_notices.policy_read;
-        notices.quarantine = later_notices.quarantine;
+        (notices.policy_read, notices.quarantine) = postcard::from_bytes(rest)?;
     }
     Ok((digest, notices))
 }
--- a/crates/fleet/src/document.rs
+++ b/crates/fleet/src/document.rs
@@ -263,10 +263,4 @@
         }
         Some(text)
     }
-
-    /// Drops the parts that a document does not have.
-    pub fn retain(&mut self, manifest: &DocumentManifest) {
-        let used: collections::HashSet<_> = manifest.parts.iter().map(|part| part.digest).collect();
-        self.parts.retain(|digest, _| used.contains(digest));
-    }
 }
