Gateway: one condition for readers, names of what they hold

Found by reading the change: the conditions under which a peer reads the policy or the entries for others were two copies; limit_instant returned an instant that has nothing to do with limits; responses of readiness probes and metrics were types of peer_records. No change of behavior: tests of layers, protections, large_documents and crashing_prompts pass.

--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -292,7 +292,7 @@
     let now = core.now();
     let mut tests_verdict = false;
     let shared = quarantine::shared_segments(metadata.prompt.as_ref());
-    let instant = state.limit_instant(now);
+    let instant = state.clock_instant(now);
     if let Some((segment, wait)) = state.quarantine.find_quarantined(&shared, instant) {
         let holds_lease = core.lease_state.local_version.get().is_some();
         tests_verdict = holds_lease && state.quarantine.begin_test(segment, instant);
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -327,7 +327,7 @@
         if *named_limit == adapter::NamedLimit::Absent && !state.limits.contains(replica) {
             return;
         }
-        let instant = state.limit_instant(self.now());
+        let instant = state.clock_instant(self.now());
         let rate = match named_limit {
             adapter::NamedLimit::Absent => None,
             adapter::NamedLimit::Rate(rate) => Some(*rate),
@@ -353,7 +353,7 @@
     pub fn record_send(&self, replica: &id::ReplicaId) {
         let mut state = self.state.borrow_mut();
         if state.limits.contains(replica) {
-            let instant = state.limit_instant(self.now());
+            let instant = state.clock_instant(self.now());
             state.limits.record_send(replica, instant);
         }
     }
@@ -385,7 +385,7 @@
             return;
         }
         let mut state = self.state.borrow_mut();
-        let instant = state.limit_instant(self.now());
+        let instant = state.clock_instant(self.now());
         let mut changes = quarantine::QuarantineChanges::new();
         for notice in notices {
             changes.extend(state.quarantine.observe_notice(notice, source, instant));
@@ -401,7 +401,7 @@
             return;
         }
         let mut state = self.state.borrow_mut();
-        let instant = state.limit_instant(self.now());
+        let instant = state.clock_instant(self.now());
         let changes = state.quarantine.observe_survival(&segments, instant);
         drop(state);
         self.apply_quarantine_changes(&changes, "response");
@@ -410,7 +410,7 @@
     /// Quarantines the segments that crashes speak against, and forgets what is old.
     pub fn update_quarantine(&self) {
         let mut state = self.state.borrow_mut();
-        let instant = state.limit_instant(self.now());
+        let instant = state.clock_instant(self.now());
         let mut changes = state.quarantine.evaluate(instant);
         changes.extend(state.quarantine.sweep(instant.now));
         state.crash_probes.retain(|_, probe| probe.is_recent(instant.now));
@@ -506,8 +506,8 @@
         self.policy.as_ref().map(|policy| policy.revision).unwrap_or_default()
     }
 
-    /// Returns the instant at which limits are looked up.
-    pub fn limit_instant(&self, now: time::MonotonicTime) -> clock_instant::ClockInstant {
+    /// Returns the current instant on the daemon's clocks.
+    pub fn clock_instant(&self, now: time::MonotonicTime) -> clock_instant::ClockInstant {
         let unix_ms = u64::try_from(self.wall_clock.now(now)).unwrap_or(0);
         clock_instant::ClockInstant { now, unix_ms }
     }
@@ -516,7 +516,7 @@
     pub fn full_replicas(&self, now: time::MonotonicTime) -> limit::FullReplicas {
         match self.limits.is_empty() {
             true => limit::FullReplicas::new(),
-            false => self.limits.full_replicas(self.limit_instant(now)),
+            false => self.limits.full_replicas(self.clock_instant(now)),
         }
     }
 
--- a/crates/gateway/src/crash.rs
+++ b/crates/gateway/src/crash.rs
@@ -46,7 +46,7 @@
         );
         self.core.metrics.count_replica_crash();
         let mut state = self.core.state.borrow_mut();
-        let instant = state.limit_instant(self.core.now());
+        let instant = state.clock_instant(self.core.now());
         let changes =
             state.quarantine.observe_crash(&start.replica, start.incarnation, &shared, instant);
         let may_repeat = state.quarantine.may_repeat(&shared, instant);
@@ -63,7 +63,7 @@
         }
         let shared = quarantine::shared_segments(self.request.metadata.prompt.as_ref());
         let mut state = self.core.state.borrow_mut();
-        let instant = state.limit_instant(self.core.now());
+        let instant = state.clock_instant(self.core.now());
         let (segment, wait) = state.quarantine.find_quarantined(&shared, instant)?;
         state.quarantine.record_refusal(segment, instant.now);
         Some(wait.max(MIN_RETRY_AFTER))
@@ -74,7 +74,7 @@
     pub(crate) fn is_suspect(&self) -> bool {
         let shared = quarantine::shared_segments(self.request.metadata.prompt.as_ref());
         let state = self.core.state.borrow();
-        let instant = state.limit_instant(self.core.now());
+        let instant = state.clock_instant(self.core.now());
         state.quarantine.is_suspect(&shared, instant)
     }
 
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -26,6 +26,7 @@
 use crate::core;
 use crate::digest_exchange;
 use crate::duties;
+use crate::internal_response;
 use crate::peer_records;
 use crate::quarantine_records;
 use crate::settings;
@@ -161,11 +162,14 @@
     thread::Builder::new().name("signals".to_owned()).spawn(watch).map(|_| ())
 }
 
-fn respond_readiness(core: &core::GatewayCore, _target: &str) -> peer_records::InternalResponse {
+fn respond_readiness(
+    core: &core::GatewayCore,
+    _target: &str,
+) -> internal_response::InternalResponse {
     (core.is_ready(), Vec::new()).into()
 }
 
-fn render_metrics(core: &core::GatewayCore, _target: &str) -> peer_records::InternalResponse {
+fn render_metrics(core: &core::GatewayCore, _target: &str) -> internal_response::InternalResponse {
     (true, core.metrics.render()).into()
 }
 
@@ -174,7 +178,7 @@
 async fn serve_internal(
     core: rc::Rc<core::GatewayCore>,
     listener: net::TcpListener,
-    respond: fn(&core::GatewayCore, &str) -> peer_records::InternalResponse,
+    respond: fn(&core::GatewayCore, &str) -> internal_response::InternalResponse,
 ) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
--- a/crates/gateway/src/digest_exchange.rs
+++ b/crates/gateway/src/digest_exchange.rs
@@ -481,7 +481,7 @@
         let mut core_state = self.core.state.borrow_mut();
         core_state.live_daemons = live_daemons;
         core_state.quota.set_propagation(daemon_count, propagation_time);
-        let instant = core_state.limit_instant(now);
+        let instant = core_state.clock_instant(now);
         core_state.limits.set_turn(self.daemon_turn(&state, is_zonal), instant);
         self.core.metrics.set_limited_replicas(core_state.sweep_limits(now));
     }
@@ -766,10 +766,9 @@
 /// Returns the address of a peer if its digests say that its reads of the policy succeed. Those of
 /// earlier releases say so for their reads of the replica entries only.
 fn policy_reader(peer: &KnownPeer, now: time::MonotonicTime) -> Option<SocketAddr> {
-    let digest = peer.digest.as_ref()?;
-    let age = peer.policy_read.map_or(digest.table_age, |policy_read| policy_read.age)?;
-    let is_current = now.since(peer.last_contact?) < READER_TIMEOUT;
-    (is_current && !digest.is_stopping && age < MAX_READ_AGE).then_some(peer.address)
+    let table_age = peer.digest.as_ref()?.table_age;
+    let age = peer.policy_read.map_or(table_age, |policy_read| policy_read.age)?;
+    may_read(peer, age, now).then_some(peer.address)
 }
 
 /// Returns the reader that a peer is, or `None` if its digests don't say that its reads of the replica
@@ -778,15 +777,21 @@
     let contact_at = peer.last_contact?;
     let digest = peer.digest.as_ref()?;
     let table_age = digest.table_age?;
-    let is_reader =
-        now.since(contact_at) < READER_TIMEOUT && !digest.is_stopping && table_age < MAX_READ_AGE;
-    is_reader.then(|| core::TableReader {
+    may_read(peer, table_age, now).then(|| core::TableReader {
         address: peer.address,
         entries_version: digest.entries_version,
         read_at: time::MonotonicTime::new(contact_at.get().saturating_sub(table_age.get())),
     })
 }
 
+/// Whether a peer whose last read was `age` old at its last digest may read for others.
+fn may_read(peer: &KnownPeer, age: time::Millis, now: time::MonotonicTime) -> bool {
+    let is_stopping = peer.digest.as_ref().is_some_and(|digest| digest.is_stopping);
+    let is_current =
+        peer.last_contact.is_some_and(|contact_at| now.since(contact_at) < READER_TIMEOUT);
+    is_current && !is_stopping && age < MAX_READ_AGE
+}
+
 fn is_live(peer: &KnownPeer, now: time::MonotonicTime) -> bool {
     peer.last_contact.is_some_and(|contact_at| now.since(contact_at) < LIVENESS_TIMEOUT)
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod events;
 pub mod forward;
 pub mod idle;
+pub mod internal_response;
 pub mod lease_state;
 pub mod metrics;
 mod migration;
--- a/crates/gateway/src/peer_records.rs
+++ b/crates/gateway/src/peer_records.rs
@@ -17,6 +17,7 @@
 use serde::Serialize;
 
 use crate::core;
+use crate::internal_response;
 
 /// Timeout for the response of a peer to a request for its entries to begin, and to go on.
 const RECORDS_TIMEOUT: time::Millis = time::Millis::new(800);
@@ -144,49 +145,8 @@
     Ok(EntryList { entries, position })
 }
 
-/// Status of a response on an operator or peer address.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum InternalStatus {
-    /// The body is what was requested.
-    Found,
-    /// The daemon serves enough others; the request may be repeated.
-    Busy,
-    /// There is nothing to serve.
-    Unavailable,
-}
-
-impl InternalStatus {
-    /// Returns the status code and its reason.
-    pub fn line(self) -> &'static str {
-        match self {
-            InternalStatus::Found => "200 OK",
-            InternalStatus::Busy => "429 Too Many Requests",
-            InternalStatus::Unavailable => "503 Service Unavailable",
-        }
-    }
-}
-
-/// Response on an operator or peer address.
-#[derive(Debug)]
-pub struct InternalResponse {
-    /// Status of the response.
-    pub status: InternalStatus,
-    /// Body of the response.
-    pub body: Vec<u8>,
-    /// Slot that is taken until the response is written.
-    pub slot: Option<document_fetch::UploadSlot>,
-}
-
-impl From<(bool, Vec<u8>)> for InternalResponse {
-    /// Converts a body; the flag says whether there is something to serve.
-    fn from((is_found, body): (bool, Vec<u8>)) -> Self {
-        let status = if is_found { InternalStatus::Found } else { InternalStatus::Unavailable };
-        InternalResponse { status, body, slot: None }
-    }
-}
-
 /// Responds to a peer's request.
-pub fn respond(core: &core::GatewayCore, target: &str) -> InternalResponse {
+pub fn respond(core: &core::GatewayCore, target: &str) -> internal_response::InternalResponse {
     match target {
         POLICY_PATH => {
             let text = core.state.borrow().document.text().to_vec();
@@ -203,7 +163,7 @@
 }
 
 /// Serves the list of parts of the document to a daemon that begins to read it.
-fn serve_manifest(core: &core::GatewayCore) -> InternalResponse {
+fn serve_manifest(core: &core::GatewayCore) -> internal_response::InternalResponse {
     let mut state = core.state.borrow_mut();
     if state.document.text().is_empty() {
         return (false, Vec::new()).into();
@@ -220,7 +180,7 @@
 }
 
 /// Serves parts of the document.
-fn serve_parts(core: &core::GatewayCore, request: &str) -> InternalResponse {
+fn serve_parts(core: &core::GatewayCore, request: &str) -> internal_response::InternalResponse {
     let state = core.state.borrow();
     serve_slot(core, state.uploads.take(), || {
         state.document.compressed_parts(request).map(|bytes| bytes.to_vec())
@@ -232,13 +192,21 @@
     core: &core::GatewayCore,
     slot: Option<document_fetch::UploadSlot>,
     encode: impl FnOnce() -> Option<Vec<u8>>,
-) -> InternalResponse {
+) -> internal_response::InternalResponse {
     let Some(slot) = slot else {
-        return InternalResponse { status: InternalStatus::Busy, body: Vec::new(), slot: None };
+        return internal_response::InternalResponse {
+            status: internal_response::InternalStatus::Busy,
+            body: Vec::new(),
+            slot: None,
+        };
     };
     let Some(body) = encode() else { return (false, Vec::new()).into() };
     core.metrics.count_document_bytes(body.len());
-    InternalResponse { status: InternalStatus::Found, body, slot: Some(slot) }
+    internal_response::InternalResponse {
+        status: internal_response::InternalStatus::Found,
+        body,
+        slot: Some(slot),
+    }
 }
 
 /// Performs a step of reading the document from a peer.
--- a/crates/gateway/src/quarantine_records.rs
+++ b/crates/gateway/src/quarantine_records.rs
@@ -65,7 +65,7 @@
     let rows = read_rows(core).await?;
     for segment in quarantine_rows::released(&rows) {
         let mut state = core.state.borrow_mut();
-        let instant = state.limit_instant(core.now());
+        let instant = state.clock_instant(core.now());
         let changes = state.quarantine.release(segment, instant);
         drop(state);
         core.apply_quarantine_changes(&changes, "operator");
