Gateway: a stream that ends with its connection before its first event is broken off

Found by reading the change.

Such a stream without any event is now broken off: it is resumed where that is allowed, else answered 502, and its replica is probed.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -269,7 +269,8 @@
         };
         drop(guard);
         self.record_result(&selected.replica, response.head.status >= 500);
-        if (200..300).contains(&response.head.status) {
+        let is_framed = response.framing != message::BodyFraming::UntilClose;
+        if is_framed && (200..300).contains(&response.head.status) {
             self.core.observe_survival(self.request.metadata.prompt.as_ref());
         }
         upstream::release(self.core, &selected.replica, connection, &response);
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -3,6 +3,7 @@
 use samphiremoor_base::reason;
 use samphiremoor_base::time;
 use samphiremoor_fleet::selection;
+use samphiremoor_httpio::message;
 
 use crate::attempt;
 use crate::context;
@@ -63,6 +64,11 @@
             has_survived: false,
         }
     }
+
+    /// Whether the response has neither a length nor chunks, so that it ends with its connection.
+    fn is_unframed(&self) -> bool {
+        self.response.framing == message::BodyFraming::UntilClose
+    }
 }
 
 impl forward::RequestForwarder<'_> {
@@ -91,7 +97,13 @@
                 }
                 on_first_event();
             }
-            let is_complete = is_body_end && is_in_order && !self.splitter.is_incomplete();
+            // Nothing but an event tells a stream that ends with its connection from one that never
+            // began.
+            let has_no_events = stream.is_unframed()
+                && self.splitter.delivered() == 0
+                && self.splitter.last_id().is_none();
+            let is_complete =
+                is_body_end && is_in_order && !self.splitter.is_incomplete() && !has_no_events;
             self.observe_survival(stream, !events.is_empty(), is_complete);
             let head = &stream.response.head;
             if sink.write_events(head, &events, is_complete).await.is_err() {
@@ -109,7 +121,8 @@
         }
     }
 
-    /// Observes that a stream is complete, or has gone on for a while after its first event.
+    /// Observes that a stream is complete, or has gone on for a while after its first event. The end of
+    /// a connection alone does not tell a complete stream from a crash.
     fn observe_survival(&self, stream: &mut ReplicaStream, has_events: bool, is_complete: bool) {
         let core = self.context.core;
         let now = core.now();
@@ -118,7 +131,9 @@
         }
         let has_gone_on =
             stream.first_event_at.is_some_and(|at| now.since(at) >= crash::SURVIVAL_TIME);
-        if (has_gone_on || is_complete) && !std::mem::replace(&mut stream.has_survived, true) {
+        let is_proved_complete = is_complete && !stream.is_unframed();
+        if (has_gone_on || is_proved_complete) && !std::mem::replace(&mut stream.has_survived, true)
+        {
             core.observe_survival(self.context.request.metadata.prompt.as_ref());
         }
     }
