Gateway: connections to replicas are opened behind a trait

Tests need daemons with links of their own to the replicas: hung, reset, or kept connections only. No change of behaviour.

--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -34,6 +34,7 @@
 use crate::adapter;
 use crate::attempt_exchange;
 use crate::crash_probe;
+use crate::dialer;
 use crate::idle;
 use crate::lease_state;
 use crate::metrics;
@@ -85,6 +86,8 @@
     pub settings: settings::GatewaySettings,
     /// Adapter to the deployment's protocols.
     pub adapter: adapter::DeploymentAdapter,
+    /// Opens connections to replicas.
+    pub dialer: sync::Arc<dyn dialer::ReplicaDialer>,
     /// Clock of this daemon.
     pub clock: SteadyClock,
     /// Incarnation of this daemon.
@@ -184,6 +187,15 @@
     pub fn new(
         settings: settings::GatewaySettings,
         adapter: adapter::DeploymentAdapter,
+    ) -> rc::Rc<Self> {
+        GatewayCore::with_dialer(settings, adapter, sync::Arc::new(dialer::TcpDialer))
+    }
+
+    /// Creates the state of a daemon that opens connections to replicas with `dialer`.
+    pub fn with_dialer(
+        settings: settings::GatewaySettings,
+        adapter: adapter::DeploymentAdapter,
+        dialer: sync::Arc<dyn dialer::ReplicaDialer>,
     ) -> rc::Rc<Self> {
         let clock = SteadyClock;
         let now = clock.now();
@@ -225,6 +237,7 @@
         rc::Rc::new(GatewayCore {
             settings,
             adapter,
+            dialer,
             clock,
             incarnation,
             metrics: metrics::GatewayMetrics::default(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod crash;
 pub mod crash_probe;
 pub mod daemon;
+pub mod dialer;
 pub mod digest_exchange;
 mod document_exchange;
 pub mod duties;
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -89,7 +89,7 @@
             return Ok(UpstreamConnection { raw, is_reused: true, address });
         }
     }
-    let raw = connection::RawConnection::connect(address, CONNECT_TIMEOUT).await?;
+    let raw = core.dialer.connect(address, CONNECT_TIMEOUT).await?;
     Ok(UpstreamConnection { raw, is_reused: false, address })
 }
 
@@ -101,7 +101,7 @@
     address: SocketAddr,
 ) -> bool {
     for _ in 0..PROBE_CONNECTIONS {
-        match connection::RawConnection::connect(address, CONNECT_TIMEOUT).await {
+        match core.dialer.connect(address, CONNECT_TIMEOUT).await {
             Ok(raw) => {
                 // A process that ends closes its sockets one after the other, and may have accepted
                 // the connection before it closed that one, too.
