--- a/crates/base/src/digest.rs
+++ b/crates/base/src/digest.rs
@@ -91,3 +91,16 @@
         digest.as_str().to_owned()
     }
 }
+
+/// Returns the first 128 bits of the SHA-256 digest of a sequence of byte strings, which are hashed as in
+/// [`HexDigest::of_parts`].
+pub fn truncated_digest<'a>(parts: impl IntoIterator<Item = &'a [u8]>) -> u128 {
+    let mut hasher = sha2::Sha256::new();
+    for part in parts {
+        hasher.update((part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    let mut first = [0; 16];
+    first.copy_from_slice(&hasher.finalize()[..16]);
+    u128::from_be_bytes(first)
+}
--- a/crates/base/src/reason.rs
+++ b/crates/base/src/reason.rs
@@ -78,7 +78,7 @@
         /// The replicas that can serve the request get no more requests than the limits that they
         /// named.
         ReplicaLimit => "replica-limit",
-        /// The prompt has a segment under which replicas crash.
+        /// Replicas crash under the request, or under a segment of its prompt.
         Quarantined => "quarantined",
         /// A replica crashed under the request, which is not sent to another one.
         ReplicaCrashed => "replica-crashed",
--- a/crates/entry/src/finish.rs
+++ b/crates/entry/src/finish.rs
@@ -122,7 +122,7 @@
             "the replicas take no more requests at present; try again later"
         }
         RefusalReason::Quarantined => {
-            "replicas crash under a part of the prompt; leave it out or try again much later"
+            "replicas crash under the call or a part of its prompt; change it or try again much later"
         }
         RefusalReason::ReplicaCrashed => {
             "the replica crashed, perhaps under this request; it is not sent to another one"
--- a/crates/entry/src/handover.rs
+++ b/crates/entry/src/handover.rs
@@ -7,6 +7,7 @@
 use samphiremoor_base::event;
 use samphiremoor_base::log_event;
 use samphiremoor_base::time;
+use samphiremoor_fleet::quarantine as fleet_quarantine;
 use samphiremoor_peers::server;
 use samphiremoor_shards::message;
 use samphiremoor_shards::service;
@@ -115,8 +116,21 @@
                     peer::EntryResponse::HandedOver(accept_handover(&core, *handover))
                 }
                 peer::EntryRequest::News(news) => {
-                    core.apply_news(&news);
-                    quarantine::relay_news(&core, &peers, *news);
+                    let wire = fleet_quarantine::NoticesWire {
+                        segments: news.notices.clone(),
+                        requests: Vec::new(),
+                    };
+                    core.apply_news(&news.zone, wire);
+                    quarantine::relay_news(&core, &peers, *news, peer::EntryRequest::News);
+                    peer::EntryResponse::NewsTaken
+                }
+                peer::EntryRequest::CallNews(news) => {
+                    let wire = fleet_quarantine::NoticesWire {
+                        segments: Vec::new(),
+                        requests: news.notices.clone(),
+                    };
+                    core.apply_news(&news.zone, wire);
+                    quarantine::relay_news(&core, &peers, *news, peer::EntryRequest::CallNews);
                     peer::EntryResponse::NewsTaken
                 }
                 peer::EntryRequest::Shard(request) => {
@@ -156,7 +170,10 @@
     let body = request::CallBody::parse(handover.call, handover.body.as_bytes()).ok()?;
     let service = snapshot.service(&body.model.service)?.clone();
     let target = model::target_model(&service, &body.model).ok()?;
-    if core.quarantine_wait(&body.shared_segments()).is_some() {
+    if core
+        .quarantine_wait(&body.shared_segments(), || body.fingerprint(&handover.workspace))
+        .is_some()
+    {
         return None;
     }
     let remaining = handover.remaining.max(time::Millis::new(1));
--- a/crates/entry/src/keyed.rs
+++ b/crates/entry/src/keyed.rs
@@ -135,6 +135,11 @@
             headers: call.headers.clone(),
             body: call.body.clone(),
         };
+        let fingerprint = || plain_call.fingerprint(&call.key.workspace, &call.key.service);
+        if let Some(wait) = self.core.quarantine_wait(&[], fingerprint) {
+            let reason = reason::RefusalReason::Quarantined;
+            return call::RunOutcome::NotRun { reason, retry_after: Some(wait) };
+        }
         let deadline = started_at + call.remaining;
         let repeat = policy::RepeatPolicy::AtMostOnce;
         let plain_end = plain::run(self.core.clone(), context, plain_call, repeat, deadline).await;
--- a/crates/entry/src/message_quarantine.rs
+++ b/crates/entry/src/message_quarantine.rs
@@ -1,4 +1,4 @@
-//! State of the quarantine of messages, and what daemons tell each other about it.
+//! State of the quarantine of calls and messages, and its notices to other daemons.
 
 use std::collections::HashMap;
 use std::sync;
@@ -12,23 +12,29 @@
 /// Time for which the result of a probe counts for other calls that ended with the engine.
 const PROBE_MEMORY: time::Millis = time::Millis::new(300);
 
-/// News about crashes and quarantined messages from another daemon.
+/// Notices of crashes and of what is quarantined for them, from another daemon. `N` is what all releases
+/// read, or what earlier ones don't.
 #[derive(Clone, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
-pub struct NewsRequest {
-    /// Availability zone that the news are of.
+pub struct NewsRequest<N> {
+    /// Availability zone that the notices are of.
     pub zone: id::ZoneId,
     /// Whether the first daemon of the receiver's zone passes them on.
     pub is_relayed: bool,
-    /// The news.
-    pub notices: Vec<quarantine::QuarantineNotice>,
+    /// The notices.
+    pub notices: Vec<N>,
 }
 
-/// Messages under which engines crash, as this daemon knows them.
+/// Notices about messages.
+pub type MessageNews = NewsRequest<quarantine::SegmentNoticeWire>;
+/// Notices about whole calls.
+pub type CallNews = NewsRequest<quarantine::RequestNoticeWire>;
+
+/// Calls and messages under which upstreams crash, as this daemon knows them.
 #[derive(Debug, Default)]
 pub struct MessageQuarantine {
     table: sync::Mutex<quarantine::QuarantineTable>,
-    /// When engines were probed last, and whether they had crashed.
+    /// When upstreams were probed last, and whether they had crashed.
     probes: sync::Mutex<HashMap<id::ReplicaId, (time::MonotonicTime, bool)>>,
 }
 
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -42,6 +42,8 @@
     pub engine_crashes: prometheus::IntCounter,
     /// Messages whose calls are refused.
     pub quarantined_messages: prometheus::IntGauge,
+    /// Number of quarantined calls.
+    pub quarantined_calls: prometheus::IntGauge,
     /// Revision of the records in force.
     pub revision: prometheus::IntGauge,
     /// 1 while the daemon is ready for new requests, else 0.
@@ -133,6 +135,11 @@
                 "samphiremoor_quarantined_messages",
                 "Messages whose calls are refused, since engines crash under them.",
             ),
+            quarantined_calls: gauge(
+                &registry,
+                "samphiremoor_quarantined_calls",
+                "Calls that are refused whenever they come, since upstreams crash under them",
+            ),
             revision: gauge(
                 &registry,
                 "samphiremoor_revision_in_force",
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -29,8 +29,10 @@
     HandOver(Box<HandOverRequest>),
     /// A request of the shard protocol.
     Shard(Box<message::ShardRequest>),
-    /// News about crashes and quarantined messages.
-    News(Box<message_quarantine::NewsRequest>),
+    /// Notices of crashes and quarantined messages.
+    News(Box<message_quarantine::MessageNews>),
+    /// Notices of quarantined calls.
+    CallNews(Box<message_quarantine::CallNews>),
 }
 
 /// Response of an entry daemon to another.
@@ -43,7 +45,7 @@
     HandedOver(HandOverResponse),
     /// Response to [`EntryRequest::Shard`].
     Shard(Box<message::ShardResponse>),
-    /// Response to [`EntryRequest::News`].
+    /// Response to [`EntryRequest::News`] and [`EntryRequest::CallNews`].
     NewsTaken,
 }
 
@@ -186,7 +188,7 @@
         }
     }
 
-    /// Sends news about crashes and quarantined messages to a daemon.
+    /// Sends notices of crashes and of what is quarantined to a daemon.
     ///
     /// # Errors
     ///
@@ -194,10 +196,9 @@
     pub async fn send_news(
         &self,
         address: std::net::SocketAddr,
-        news: &message_quarantine::NewsRequest,
+        news: &EntryRequest,
     ) -> Result<(), client::PeerError> {
-        let entry_request = EntryRequest::News(Box::new(news.clone()));
-        match self.send_request(address, &entry_request).await? {
+        match self.send_request(address, news).await? {
             EntryResponse::NewsTaken => Ok(()),
             _ => Err(client::PeerError::Codec),
         }
--- a/crates/entry/src/quarantine.rs
+++ b/crates/entry/src/quarantine.rs
@@ -1,8 +1,7 @@
-//! Messages of chat calls under which engines crash.
+//! Calls, and messages of chat calls, under which upstreams crash.
 //!
-//! The daemons tell each other of crashes, of messages whose responses went on and of verdicts. Each
-//! sends its news to the daemons of its availability zone; the first daemon of the zone sends them to
-//! the first ones of the other zones, which pass them on.
+//! Each daemon sends notices of crashes, survivals and verdicts to the daemons of its availability zone;
+//! the first daemon of the zone sends them to the first ones of the other zones, which pass them on.
 
 use std::collections::BTreeSet;
 use std::io;
@@ -19,7 +18,9 @@
 use samphiremoor_fleet::clock_instant;
 use samphiremoor_fleet::quarantine;
 use samphiremoor_fleet::quarantine_rows;
+use samphiremoor_fleet::suspect;
 use samphiremoor_platform::table;
+use samphiremoor_requests::input;
 use samphiremoor_view::zone;
 
 use crate::core;
@@ -32,13 +33,17 @@
 const ROW_INTERVAL: time::Millis = time::Millis::new(5_000);
 /// Pause after a failed read of the operators' rows.
 const RETRY_PAUSE: time::Millis = time::Millis::new(1_000);
-/// Number of connections by which an engine is probed.
+/// Number of connections by which an upstream is probed.
 const PROBE_CONNECTIONS: u32 = 2;
-/// Time for which a connection to an engine that lives stays open.
+/// Time for which a connection to an upstream that lives stays open.
 const PROBE_TIME: time::Millis = time::Millis::new(30);
+/// Number of other upstreams that are probed to find out whether this daemon reaches any.
+const MAX_WITNESSES: usize = 3;
+/// Timeout of a connection to one of them.
+const PATH_TIMEOUT: time::Millis = time::Millis::new(150);
 /// Timeout of a probe.
 const PROBE_TIMEOUT: time::Millis = time::Millis::new(400);
-/// Time from the first token of a response after which it has gone on.
+/// Time from the first token of a response after which it has survived.
 pub(crate) const SURVIVAL_TIME: time::Millis = time::Millis::new(1_000);
 
 impl core::EntryCore {
@@ -48,68 +53,93 @@
         clock_instant::ClockInstant { now: self.now(), unix_ms }
     }
 
-    /// Returns the time until calls with one of the messages may be served, if one is quarantined. The
-    /// first daemon of all lets one call through when the verdict is due to be tested.
-    pub(crate) fn quarantine_wait(&self, shared: &[quarantine::SegmentId]) -> Option<time::Millis> {
+    /// Returns the time until a call with these shared messages and this fingerprint may be served, if
+    /// one of them is quarantined. The first daemon of all lets one call through when the verdict is
+    /// due to be tested.
+    pub(crate) fn quarantine_wait(
+        &self,
+        shared: &[suspect::SuspectId],
+        fingerprint: impl FnOnce() -> suspect::RequestFingerprint,
+    ) -> Option<time::Millis> {
+        let mut suspects = suspect::SuspectIds::from_slice(shared);
+        if self.quarantine.with_table(|table| table.has_request_suspects()) {
+            suspects.push(suspect::SuspectId::Request(fingerprint()));
+        }
         let instant = self.quarantine_instant();
         let is_tester = self.is_first_daemon(|_| true);
         self.quarantine.with_table(|table| {
-            let (segment, wait) = table.find_quarantined(shared, instant)?;
-            if is_tester && table.begin_test(segment, instant) {
+            let (suspect, wait) = table.find_quarantined(&suspects, instant)?;
+            if is_tester && table.begin_test(suspect, instant) {
                 return None;
             }
-            table.record_refusal(segment, instant.now);
+            table.record_refusal(suspect, instant.now);
             Some(wait.max(self.settings.callers.retry_after_ms))
         })
     }
 
-    /// Returns whether a call with these messages may be the one under which engines crash.
-    pub(crate) fn is_crash_suspect(&self, shared: &[quarantine::SegmentId]) -> bool {
+    /// Returns whether upstreams may crash under a call with these suspects.
+    pub(crate) fn is_crash_suspect(&self, suspects: &[suspect::SuspectId]) -> bool {
         let instant = self.quarantine_instant();
-        self.quarantine.with_table(|table| table.is_suspect(shared, instant))
+        self.quarantine.with_table(|table| table.is_suspect(suspects, instant))
     }
 
-    /// Observes that the response to a call with these messages went on.
-    pub(crate) fn observe_survival(&self, messages: &[quarantine::SegmentId]) {
-        if messages.is_empty() {
-            return;
-        }
+    /// Observes that the response to a call with these suspects survived.
+    pub(crate) fn observe_survival(&self, suspects: &[suspect::SuspectId]) {
         let instant = self.quarantine_instant();
-        let changes = self.quarantine.with_table(|table| table.observe_survival(messages, instant));
+        let changes = self.quarantine.with_table(|table| table.observe_survival(suspects, instant));
         self.apply_quarantine_changes(&changes, "response");
     }
 
-    /// Finds out whether the engine of a failed dispatch has crashed, and reports the crash. Returns
-    /// whether it may be this call's fault, so that the call may not be sent to another engine. The
-    /// response must not have gone on there.
-    pub(crate) async fn check_crash(
+    /// Returns the failure of a dispatch, or the crash that it turns out to be if that may be the call's
+    /// fault. The call is then sent to no other upstream. The response must not have survived there.
+    pub(crate) async fn check_failure(
+        &self,
+        replica: Option<&id::ReplicaId>,
+        request: &id::RequestId,
+        suspects: &[suspect::SuspectId],
+        failure: input::AttemptFailure,
+    ) -> input::AttemptFailure {
+        let may_be_crash = matches!(
+            failure,
+            input::AttemptFailure::ConnectionClosed | input::AttemptFailure::InvalidResponse
+        );
+        let Some(replica) = replica.filter(|_| may_be_crash) else { return failure };
+        match self.check_crash(replica, request, suspects).await {
+            true => input::AttemptFailure::ReplicaCrashed,
+            false => failure,
+        }
+    }
+
+    /// Finds out whether the upstream of a failed dispatch has crashed, and reports the crash. Returns
+    /// whether it may be this call's fault.
+    async fn check_crash(
         &self,
         replica: &id::ReplicaId,
         request: &id::RequestId,
-        shared: &[quarantine::SegmentId],
+        suspects: &[suspect::SuspectId],
     ) -> bool {
-        if shared.is_empty() || !self.has_crashed(replica).await {
+        if !self.has_crashed(replica).await {
             return false;
         }
-        let segments: Vec<_> = shared.iter().map(ToString::to_string).collect();
+        let names: Vec<_> = suspects.iter().map(ToString::to_string).collect();
         log_event!(
             event::LogEvent::UpstreamCrashed,
             replica = replica,
             request = request,
-            segments = segments.join(","),
+            suspects = names.join(","),
         );
         self.metrics.engine_crashes.inc();
         let instant = self.quarantine_instant();
         let incarnation = quantity::Incarnation::default();
         let (changes, may_repeat) = self.quarantine.with_table(|table| {
-            let changes = table.observe_crash(replica, incarnation, shared, instant);
-            (changes, table.may_repeat(shared, instant))
+            let changes = table.observe_crash(replica, incarnation, suspects, instant);
+            (changes, table.may_repeat(suspects, instant))
         });
         self.apply_quarantine_changes(&changes, "crashes");
         !may_repeat
     }
 
-    /// Probes whether an engine in service refuses connections.
+    /// Probes whether an upstream in service refuses connections while others accept them.
     async fn has_crashed(&self, replica: &id::ReplicaId) -> bool {
         let Some(snapshot) = self.view() else { return false };
         let Some(replica_view) = snapshot.replica(replica) else { return false };
@@ -120,18 +150,20 @@
         if let Some(has_crashed) = self.quarantine.probe_result(replica, now) {
             return has_crashed;
         }
-        let has_crashed = refuses_connections(replica_view.address).await;
+        let has_crashed = refuses_connections(replica_view.address).await
+            && has_path(&snapshot.view, replica).await;
         self.quarantine.record_probe(replica, has_crashed, now);
         has_crashed
     }
 
-    /// Applies the news of another daemon.
-    pub(crate) fn apply_news(&self, news: &message_quarantine::NewsRequest) {
-        let source = match news.zone == self.settings.zone {
+    /// Applies the notices of another daemon.
+    pub(crate) fn apply_news(&self, zone: &id::ZoneId, wire: quarantine::NoticesWire) {
+        let source = match *zone == self.settings.zone {
             true => quarantine::NoticeSource::Member,
             false => quarantine::NoticeSource::Remote,
         };
-        self.apply_notices(&news.notices, source);
+        let notices: Vec<quarantine::QuarantineNotice> = wire.into();
+        self.apply_notices(&notices, source);
     }
 
     fn apply_notices(
@@ -154,19 +186,26 @@
         }
         for change in changes {
             match change {
-                quarantine::QuarantineChange::Quarantined(segment, crashes) => log_event!(
-                    event::LogEvent::SegmentQuarantined,
-                    segment = segment,
+                quarantine::QuarantineChange::Quarantined(suspect, crashes) => log_event!(
+                    event::LogEvent::SuspectQuarantined,
+                    suspect = suspect,
                     crashes = crashes,
                     source = source,
                 ),
-                quarantine::QuarantineChange::Released(segment) => {
-                    log_event!(event::LogEvent::SegmentReleased, segment = segment, source = source,)
+                quarantine::QuarantineChange::Released(suspect) => {
+                    log_event!(event::LogEvent::SuspectReleased, suspect = suspect, source = source)
+                }
+                quarantine::QuarantineChange::Refuted(replica, _) => {
+                    log_event!(event::LogEvent::CrashRefuted, replica = replica, source = source,)
                 }
             }
         }
-        let count = self.quarantine.with_table(|table| table.verdicts().count());
-        self.metrics.quarantined_messages.set(i64::try_from(count).unwrap_or(i64::MAX));
+        let (calls, messages) = self.quarantine.with_table(|table| {
+            let calls = table.verdicts().filter(|(suspect, _)| suspect.is_request()).count();
+            (calls, table.verdicts().count() - calls)
+        });
+        self.metrics.quarantined_calls.set(i64::try_from(calls).unwrap_or(i64::MAX));
+        self.metrics.quarantined_messages.set(i64::try_from(messages).unwrap_or(i64::MAX));
     }
 
     /// Returns whether no live daemon that `is_counted` precedes this one, in order of their IDs.
@@ -200,6 +239,25 @@
     }
 }
 
+/// Returns whether this daemon reaches another upstream, so that a refused connection speaks against the
+/// one and not against the path to it. Upstreams of the same pool are tried first.
+async fn has_path(view: &zone::ZoneView, replica: &id::ReplicaId) -> bool {
+    let pool = view.replicas.iter().find(|other| other.id == *replica).map(|other| &other.pool);
+    let is_live = |other: &&zone::ReplicaView| {
+        other.id != *replica && other.state == zone::UpstreamState::Live
+    };
+    let mut others: Vec<_> = view.replicas.iter().filter(is_live).collect();
+    others.sort_by_key(|other| Some(&other.pool) != pool);
+    for other in others.into_iter().take(MAX_WITNESSES) {
+        let connecting = async_std::net::TcpStream::connect(other.address);
+        let connected = async_std::future::timeout(PATH_TIMEOUT.to_duration(), connecting).await;
+        if matches!(connected, Ok(Ok(_))) {
+            return true;
+        }
+    }
+    false
+}
+
 /// Returns whether no process listens at an address.
 async fn refuses_connections(address: SocketAddr) -> bool {
     for _ in 0..PROBE_CONNECTIONS {
@@ -227,7 +285,7 @@
     false
 }
 
-/// Sends news to the other daemons, and finds the messages that crashes speak against; never returns.
+/// Sends notices to the other daemons, and quarantines what crashes speak against; never returns.
 pub(crate) async fn exchange_news(core: Arc<core::EntryCore>, peers: Arc<peer::PeerClients>) {
     let mut known_daemons = BTreeSet::new();
     loop {
@@ -251,53 +309,65 @@
     }
 }
 
-/// Sends the news that are due.
+/// Sends the notices that are due.
 fn send_news(core: &Arc<core::EntryCore>, peers: &Arc<peer::PeerClients>, has_joined: bool) {
     let now = core.now();
     let is_first = core.is_first_daemon(|daemon| daemon.zone == core.settings.zone);
     let (members, others) = core.news_receivers();
-    let news = |is_relayed, notices| {
-        let zone = core.settings.zone.clone();
-        message_quarantine::NewsRequest { zone, is_relayed, notices }
-    };
     let mut notices = core.quarantine.with_table(|table| table.member_notices(now));
     if is_first && has_joined {
         notices.extend(core.quarantine.with_table(|table| table.join_notices(now)));
     }
-    spawn_news(peers, members, news(false, notices));
+    spawn_notices(core, peers, &members, false, &notices);
     if is_first {
         let notices = core.quarantine.with_table(|table| table.group_notices(now));
-        spawn_news(peers, others, news(true, notices));
+        spawn_notices(core, peers, &others, true, &notices);
     }
 }
 
-fn spawn_news(
+/// Sends notices in the form that all releases read, and those that earlier ones don't read apart.
+fn spawn_notices(
+    core: &core::EntryCore,
     peers: &Arc<peer::PeerClients>,
-    receivers: Vec<SocketAddr>,
-    news: message_quarantine::NewsRequest,
+    receivers: &[SocketAddr],
+    is_relayed: bool,
+    notices: &[quarantine::QuarantineNotice],
 ) {
-    if news.notices.is_empty() {
-        return;
+    let wire = quarantine::NoticesWire::from(notices);
+    let zone = core.settings.zone.clone();
+    if !wire.segments.is_empty() {
+        let notices = wire.segments;
+        let news = message_quarantine::NewsRequest { zone: zone.clone(), is_relayed, notices };
+        spawn_news(peers, receivers, &peer::EntryRequest::News(Box::new(news)));
+    }
+    if !wire.requests.is_empty() {
+        let news = message_quarantine::NewsRequest { zone, is_relayed, notices: wire.requests };
+        spawn_news(peers, receivers, &peer::EntryRequest::CallNews(Box::new(news)));
     }
-    for address in receivers {
+}
+
+fn spawn_news(peers: &Arc<peer::PeerClients>, receivers: &[SocketAddr], news: &peer::EntryRequest) {
+    for address in receivers.iter().copied() {
         let (peers, news) = (peers.clone(), news.clone());
         task::spawn(async move {
             if let Err(cause) = peers.send_news(address, &news).await {
-                log::debug!("{address} did not take news of quarantined messages ({cause})");
+                log::debug!("{address} did not take notices of what is quarantined ({cause})");
             }
         });
     }
 }
 
-/// Passes the news of another zone on to this one.
-pub(crate) fn relay_news(
+/// Passes the notices of another zone on to this one. `new_request` makes the request to its daemons.
+pub(crate) fn relay_news<N>(
     core: &core::EntryCore,
     peers: &Arc<peer::PeerClients>,
-    news: message_quarantine::NewsRequest,
+    news: message_quarantine::NewsRequest<N>,
+    new_request: impl FnOnce(Box<message_quarantine::NewsRequest<N>>) -> peer::EntryRequest,
 ) {
     if news.is_relayed && news.zone != core.settings.zone {
         let (members, _) = core.news_receivers();
-        spawn_news(peers, members, message_quarantine::NewsRequest { is_relayed: false, ..news });
+        let news = message_quarantine::NewsRequest { is_relayed: false, ..news };
+        spawn_news(peers, &members, &new_request(Box::new(news)));
     }
 }
 
@@ -307,12 +377,12 @@
     loop {
         match read_rows(store.as_ref()).await {
             Ok(rows) => {
-                let notices = rows.iter().filter_map(|(segment, row)| row.notice(*segment));
+                let notices = rows.iter().filter_map(|(suspect, row)| row.notice(*suspect));
                 let notices: Vec<_> = notices.collect();
                 core.apply_notices(&notices, quarantine::NoticeSource::Remote);
                 break;
             }
-            Err(cause) => log::debug!("failed to read the quarantined messages ({cause})"),
+            Err(cause) => log::debug!("failed to read what is quarantined ({cause})"),
         }
         task::sleep(RETRY_PAUSE.to_duration()).await;
     }
@@ -326,7 +396,7 @@
         match update_rows(&core, store.as_ref()).await {
             Ok(()) => has_rows = has_verdicts,
             Err(cause) => {
-                log::warn!("failed to update the rows of quarantined messages ({cause}); retrying");
+                log::warn!("failed to update the rows of what is quarantined ({cause}); retrying");
             }
         }
     }
@@ -334,11 +404,11 @@
 
 async fn read_rows(
     store: &dyn table::TableStore,
-) -> Result<quarantine_rows::SegmentRows, table::PlatformError> {
+) -> Result<quarantine_rows::SuspectRows, table::PlatformError> {
     let rows = table::scan_all(store, quarantine_rows::ROW_PREFIX).await?;
     let (rows, unreadable) = quarantine_rows::decode(&rows);
     for key in unreadable {
-        log::warn!("row {key} is not that of a quarantined message; delete it");
+        log::warn!("row {key} does not name what is quarantined; delete it");
     }
     Ok(rows)
 }
@@ -350,9 +420,9 @@
     store: &dyn table::TableStore,
 ) -> Result<(), table::PlatformError> {
     let rows = read_rows(store).await?;
-    for segment in quarantine_rows::released(&rows) {
+    for suspect in quarantine_rows::released(&rows) {
         let instant = core.quarantine_instant();
-        let changes = core.quarantine.with_table(|table| table.release(segment, instant));
+        let changes = core.quarantine.with_table(|table| table.release(suspect, instant));
         core.apply_quarantine_changes(&changes, "operator");
     }
     let writes = core.quarantine.with_table(|table| quarantine_rows::writes(&rows, table));
--- a/crates/entry/src/run/model.rs
+++ b/crates/entry/src/run/model.rs
@@ -14,6 +14,7 @@
 use samphiremoor_base::id;
 use samphiremoor_base::quantity;
 use samphiremoor_base::time as base_time;
+use samphiremoor_fleet::suspect;
 use samphiremoor_httpio::client;
 use samphiremoor_records::set;
 use samphiremoor_requests::action;
@@ -168,19 +169,13 @@
         let attempt::AttemptEvent::Failed(failure) = &event else { return event };
         let has_survived =
             self.driver.current_attempt.as_ref().is_some_and(|current| current.has_survived);
-        let may_be_crash = matches!(
-            failure,
-            input::AttemptFailure::ConnectionClosed | input::AttemptFailure::InvalidResponse
-        );
-        let Some(replica) = self.executor.replica().filter(|_| may_be_crash && !has_survived)
-        else {
+        if has_survived {
             return event;
-        };
-        let shared = self.driver.body.shared_segments();
-        match self.core.check_crash(replica, &self.driver.kept.info.id, &shared).await {
-            true => attempt::AttemptEvent::Failed(input::AttemptFailure::ReplicaCrashed),
-            false => event,
         }
+        let suspects = self.driver.suspects();
+        let (replica, request) = (self.executor.replica(), &self.driver.kept.info.id);
+        let failure = self.core.check_failure(replica, request, &suspects, *failure).await;
+        attempt::AttemptEvent::Failed(failure)
     }
 
     fn handle_attempt_event(
@@ -201,7 +196,7 @@
                 if let Some(usage) = usage {
                     self.executor.record_usage(prompt_usage(usage));
                 }
-                self.core.observe_survival(&self.driver.body.all_segments());
+                self.driver.observe_survival();
                 self.driver.close_attempt(usage);
                 let usage = usage.map(|usage| self.driver.caller_usage(usage));
                 *response_end = Some(kept::KeptEnd::Streamed { finish_reason, usage });
@@ -245,8 +240,8 @@
     /// other replica is available, the stream stays at the leaving one.
     fn start_migration(&mut self, replica: &id::ReplicaId) {
         let Some(attempt) = self.driver.attempt_number() else { return };
-        let shared = self.driver.body.shared_segments();
-        if self.executor.replica() != Some(replica) || self.core.is_crash_suspect(&shared) {
+        let suspects = self.driver.suspects();
+        if self.executor.replica() != Some(replica) || self.core.is_crash_suspect(&suspects) {
             return;
         }
         let Some(next_replica) = self.executor.plan_migration() else { return };
@@ -394,9 +389,9 @@
         if let Some(current) = &mut self.current_attempt {
             current.has_token = true;
             let first_token_at = *current.first_token_at.get_or_insert(now);
-            let has_gone_on = now.since(first_token_at) >= quarantine::SURVIVAL_TIME;
-            if has_gone_on && !std::mem::replace(&mut current.has_survived, true) {
-                self.core.observe_survival(&self.body.all_segments());
+            let has_proceeded = now.since(first_token_at) >= quarantine::SURVIVAL_TIME;
+            if has_proceeded && !std::mem::replace(&mut current.has_survived, true) {
+                self.observe_survival();
             }
         }
         self.kept.push_token(text);
@@ -411,6 +406,23 @@
 }
 
 impl StreamDriver {
+    /// Returns what upstreams may crash under: the messages that other calls share, and the call.
+    fn suspects(&self) -> suspect::SuspectIds {
+        let mut suspects = self.body.shared_segments();
+        suspects.push(self.call_suspect());
+        suspects
+    }
+
+    fn call_suspect(&self) -> suspect::SuspectId {
+        suspect::SuspectId::Request(self.body.fingerprint(&self.kept.info.workspace))
+    }
+
+    fn observe_survival(&self) {
+        let mut survivors = self.body.all_segments();
+        survivors.push(self.call_suspect());
+        self.core.observe_survival(&survivors);
+    }
+
     fn attempt_number(&self) -> Option<input::AttemptNumber> {
         self.current_attempt.as_ref().map(|current| current.number)
     }
--- a/crates/entry/src/run/plain.rs
+++ b/crates/entry/src/run/plain.rs
@@ -12,6 +12,7 @@
 use samphiremoor_base::id;
 use samphiremoor_base::quantity;
 use samphiremoor_base::time;
+use samphiremoor_fleet::suspect;
 use samphiremoor_httpio::client;
 use samphiremoor_httpio::problem;
 use samphiremoor_requests::action;
@@ -38,6 +39,25 @@
     pub body: Arc<[u8]>,
 }
 
+impl PlainCall {
+    /// Returns the fingerprint of the call of a workspace to a service.
+    pub fn fingerprint(
+        &self,
+        workspace: &id::WorkspaceId,
+        service: &id::ServiceId,
+    ) -> suspect::RequestFingerprint {
+        suspect::RequestIdentity {
+            host: service.as_str(),
+            method: self.method.as_ref(),
+            target: &self.path,
+            workspace: Some(workspace),
+            prompt: None,
+            body: &self.body,
+        }
+        .fingerprint()
+    }
+}
+
 /// Result of a call of a plain service.
 #[derive(Clone, Debug)]
 pub struct PlainEnd {
@@ -56,6 +76,8 @@
     deadline: time::MonotonicTime,
 ) -> PlainEnd {
     let policy = core.settings.request_policy(repeat);
+    let fingerprint = call.fingerprint(&context.workspace, &context.service.id);
+    let suspects = [suspect::SuspectId::Request(fingerprint)];
     let mut driver = PlainDriver {
         call,
         request: context.request.clone(),
@@ -79,11 +101,15 @@
             PlainEvent::AttemptEnded(attempt_number, Ok(result)) => {
                 driver.current_attempt = None;
                 executor.record_first_response();
+                core.observe_survival(&suspects);
                 response = Some(result);
                 executor.feed(RequestInput::ResponseComplete(attempt_number), &mut driver);
             }
             PlainEvent::AttemptEnded(attempt_number, Err(failure)) => {
                 driver.current_attempt = None;
+                let replica = executor.replica().cloned();
+                let failure =
+                    core.check_failure(replica.as_ref(), &driver.request, &suspects, failure).await;
                 let input = RequestInput::AttemptFailed { attempt: attempt_number, failure };
                 executor.feed(input, &mut driver);
             }
--- a/crates/entry/src/serve/model.rs
+++ b/crates/entry/src/serve/model.rs
@@ -42,7 +42,8 @@
     })?;
     let service = caller.service(&body.model.service)?.clone();
     let target = target_model(&service, &body.model)?;
-    if let Some(wait) = core.quarantine_wait(&body.shared_segments()) {
+    let fingerprint = || body.fingerprint(&caller.workspace.id);
+    if let Some(wait) = core.quarantine_wait(&body.shared_segments(), fingerprint) {
         let refusal = response::CallRefusal::new(reason::RefusalReason::Quarantined);
         return Err(refusal.retry_after(wait));
     }
--- a/crates/entry/src/serve/service.rs
+++ b/crates/entry/src/serve/service.rs
@@ -79,6 +79,14 @@
         headers: headers::forwarded(http_request.iter()),
         body: Arc::from(bytes),
     };
+    // A keyed call may have a result already; it is checked before it is dispatched.
+    if service.repeatable || key.is_none() {
+        let fingerprint = || call.fingerprint(&caller.workspace.id, &service.id);
+        if let Some(wait) = core.quarantine_wait(&[], fingerprint) {
+            let refusal = response::CallRefusal::new(reason::RefusalReason::Quarantined);
+            return Err(refusal.retry_after(wait));
+        }
+    }
     let info = accept::new_info(core, id, &caller.workspace.id, &service, time_limit);
     let admitted = accept::admit(core, &info, &service)?;
     let body_bytes = call.body.len();
--- a/crates/entry/src/wire/request.rs
+++ b/crates/entry/src/wire/request.rs
@@ -7,7 +7,7 @@
 
 use samphiremoor_base::id;
 use samphiremoor_base::quantity;
-use samphiremoor_fleet::quarantine;
+use samphiremoor_fleet::suspect;
 use samphiremoor_records::set;
 use serde::Deserialize;
 use serde::Serialize;
@@ -228,7 +228,7 @@
 impl CallBody {
     /// Returns the messages of a chat call, which are the parts of its prompt. Completion calls have
     /// a prompt without parts.
-    pub fn all_segments(&self) -> quarantine::SegmentIds {
+    pub fn all_segments(&self) -> suspect::SuspectIds {
         let messages = match (self.call, self.fields.get(self.call.prompt_field())) {
             (ModelCall::Chat, Some(Value::Array(messages))) => &messages[..],
             _ => &[],
@@ -236,17 +236,31 @@
         let hash = |message: &Value| {
             let mut hasher = sip::SipHasher13::new();
             hasher.write(message_text(message).as_bytes());
-            quarantine::SegmentId::new(hasher.finish())
+            suspect::SuspectId::Segment(hasher.finish())
         };
         messages.iter().map(hash).collect()
     }
 
     /// Returns the messages that other calls may share: all but the last one.
-    pub fn shared_segments(&self) -> quarantine::SegmentIds {
+    pub fn shared_segments(&self) -> suspect::SuspectIds {
         let mut segments = self.all_segments();
         segments.pop();
         segments
     }
+
+    /// Returns the fingerprint of the call of a workspace.
+    pub fn fingerprint(&self, workspace: &id::WorkspaceId) -> suspect::RequestFingerprint {
+        let body = serde_json::to_vec(&self.fields).expect("a body has string keys");
+        suspect::RequestIdentity {
+            host: self.model.service.as_str(),
+            method: "POST",
+            target: self.call.path(),
+            workspace: Some(workspace),
+            prompt: None,
+            body: &body,
+        }
+        .fingerprint()
+    }
 }
 
 /// The caller's fields without those that this system sets.
--- a/crates/entry/tests/crashing_prompts.rs
+++ b/crates/entry/tests/crashing_prompts.rs
@@ -1,4 +1,5 @@
-//! Calls with a message under which engines crash are found and refused, and sound ones are served.
+//! Calls under which upstreams crash, or with a message under which engines do, are found and refused, and
+//! sound ones are served.
 
 mod fixture;
 
@@ -66,7 +67,8 @@
 /// Serves one call, as engines close their connections after it.
 fn serve(mut stream: net::TcpStream, has_crashed: &atomic::AtomicBool, bad_count: &BadCount) {
     let Some((head, body)) = read_call(&mut stream) else { return };
-    if !head.target.ends_with("completions") {
+    let is_plain = head.target.contains("/slots/");
+    if !is_plain && !head.target.ends_with("completions") {
         let _ = stream.write_all(b"HTTP/1.1 404 None\r\ncontent-length: 0\r\n\r\n");
         return;
     }
@@ -79,6 +81,11 @@
         has_crashed.store(true, atomic::Ordering::SeqCst);
         return;
     }
+    if is_plain {
+        let _ = stream
+            .write_all(b"HTTP/1.1 201 Made\r\nconnection: close\r\ncontent-length: 4\r\n\r\ndone");
+        return;
+    }
     let chunk = |text: Option<&str>, finish_reason: Option<&str>| {
         serde_json::json!({
             "id": head.fields.text("samphiremoor-request-id"),
@@ -193,3 +200,57 @@
         assert_eq!(trial.call_sound(count % 2, &format!("sound-{count}")).status, 200);
     }
 }
+
+/// Sends a call of a plain service.
+fn call_plain(daemon: &fixture::TestDaemon, service: &str, key: &str, body: &str) -> FullResponse {
+    let path = format!("/v1/services/{service}/slots/7?day=2");
+    let call = TestCall::new(daemon.entry.address(), Method::Post, &path, fixture::KEY);
+    call.header("Idempotency-Key", key).body(body).full_blocking()
+}
+
+#[test]
+fn plain_call_crashes_one_upstream_after_the_other() {
+    let bad_count = BadCount::default();
+    let addresses: Vec<_> = (0..6).map(|_| start_engine(&bad_count)).collect();
+    let view = fixture::SharedView::new(&[], &addresses);
+    let daemons: Vec<_> = (0..2).map(|_| fixture::TestDaemon::start(&view)).collect();
+    daemons.iter().for_each(fixture::TestDaemon::wait_for_shards);
+    let bad_body = format!("\"{BAD}\"");
+    assert_eq!(call_plain(&daemons[0], fixture::LOOKUP, "k-0", "1").status, 201);
+    // The first call crashes two upstreams, as one crash may be a coincidence; the next one a third.
+    for (daemon, bad) in [(0, 2), (1, 3)] {
+        let response = call_plain(&daemons[daemon], fixture::LOOKUP, "k-1", &bad_body);
+        assert_eq!(response.status, 502, "{response:?}");
+        assert_eq!(bad_count.load(atomic::Ordering::SeqCst), bad);
+        thread::sleep(time::Duration::from_millis(500));
+    }
+    thread::sleep(DETECTION_TIME);
+    for daemon in &daemons {
+        let response = call_plain(daemon, fixture::LOOKUP, "k-2", &bad_body);
+        assert_eq!(response.status, 503, "{response:?}");
+        assert_eq!(response.outcome.as_deref(), Some("not-run"), "{response:?}");
+        assert_eq!(call_plain(daemon, fixture::LOOKUP, "k-3", "1").status, 201);
+    }
+    assert_eq!(bad_count.load(atomic::Ordering::SeqCst), 3);
+}
+
+#[test]
+fn keyed_call_crashes_one_upstream_after_the_other() {
+    let bad_count = BadCount::default();
+    let addresses: Vec<_> = (0..6).map(|_| start_engine(&bad_count)).collect();
+    let view = fixture::SharedView::new(&[], &addresses);
+    let daemon = fixture::TestDaemon::start(&view);
+    daemon.wait_for_shards();
+    let bad_body = format!("\"{BAD}\"");
+    for count in 0..3 {
+        let key = format!("bad-{count}");
+        assert_eq!(call_plain(&daemon, fixture::BOOKING, &key, &bad_body).status, 502);
+    }
+    thread::sleep(DETECTION_TIME);
+    let response = call_plain(&daemon, fixture::BOOKING, "bad-3", &bad_body);
+    assert_eq!(response.outcome.as_deref(), Some("not-run"), "{response:?}");
+    assert_eq!(bad_count.load(atomic::Ordering::SeqCst), 3);
+    // The outcome of a key that was used is known as before.
+    let response = call_plain(&daemon, fixture::BOOKING, "bad-0", &bad_body);
+    assert_eq!(response.outcome.as_deref(), Some("unknown"), "{response:?}");
+}
--- a/crates/fleet/src/digest.rs
+++ b/crates/fleet/src/digest.rs
@@ -104,19 +104,21 @@
     pub limits: Vec<LimitNotice>,
     /// How the daemon reads the policy; `None` if it is of an earlier release, which does not say.
     pub policy_read: Option<PolicyRead>,
-    /// Notices of crashes and quarantined segments.
+    /// Notices of crashes and of what is quarantined for them.
     pub quarantine: Vec<quarantine::QuarantineNotice>,
 }
 
 /// Encodes a digest and notices as one message. Earlier releases read the digest, or the digest and
-/// the notices of limits, and ignore what follows.
+/// some of the notices, and ignore what follows.
 ///
 /// # Errors
 ///
 /// Fails if the digest can't be encoded.
 pub fn encode(digest: &PeerDigest, notices: &DigestNotices) -> Result<Vec<u8>, postcard::Error> {
+    let wire = quarantine::NoticesWire::from(&notices.quarantine[..]);
     let encoded = postcard::to_extend(&notices.limits, postcard::to_stdvec(digest)?)?;
-    postcard::to_extend(&(notices.policy_read, &notices.quarantine), encoded)
+    let encoded = postcard::to_extend(&(notices.policy_read, &wire.segments), encoded)?;
+    postcard::to_extend(&wire.requests, encoded)
 }
 
 /// Decodes a digest and the notices that follow, if any.
@@ -133,7 +135,13 @@
     let (limits, rest) = postcard::take_from_bytes(rest)?;
     notices.limits = limits;
     if !rest.is_empty() {
-        (notices.policy_read, notices.quarantine) = postcard::from_bytes(rest)?;
+        let mut wire = quarantine::NoticesWire::default();
+        let ((policy_read, segments), rest) = postcard::take_from_bytes(rest)?;
+        (notices.policy_read, wire.segments) = (policy_read, segments);
+        if !rest.is_empty() {
+            wire.requests = postcard::from_bytes(rest)?;
+        }
+        notices.quarantine = wire.into();
     }
     Ok((digest, notices))
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -12,8 +12,8 @@
 //! - [`quota`] enforces the quotas of workspaces across all daemons.
 //! - [`limit`] divides the limits that replicas name among the daemons.
 //! - [`document`] and [`document_fetch`] pass large documents from daemon to daemon.
-//! - [`quarantine`] finds prompt segments under which replicas crash; [`quarantine_rows`] shows them
-//!   to operators.
+//! - [`quarantine`] finds the requests and prompt segments under which replicas crash, each a
+//!   [`suspect`]; [`quarantine_rows`] shows them to operators.
 //! - [`usage`] counts runs in windows of [`wall_clock`] time.
 //! - [`duty`] holds the lease on singleton tasks, and [`capacity`] plans orders for replicas.
 //! - [`digest`] and [`load`] define the state that daemons exchange.
@@ -38,5 +38,6 @@
 pub mod quota;
 pub mod replica;
 pub mod selection;
+pub mod suspect;
 pub mod usage;
 pub mod wall_clock;
--- a/crates/fleet/src/replica.rs
+++ b/crates/fleet/src/replica.rs
@@ -179,6 +179,8 @@
     failures_updated_at: time::MonotonicTime,
     /// When the replica last responded or closed a connection.
     pub last_contact: Option<time::MonotonicTime>,
+    /// When the last request that the replica answered was sent.
+    pub last_answered: Option<time::MonotonicTime>,
     /// When the replica was first found draining.
     draining_since: Option<time::MonotonicTime>,
     /// When the replica may receive requests again after it was unreachable.
@@ -539,6 +541,7 @@
             average_failures: 0.0,
             failures_updated_at: time::MonotonicTime::default(),
             last_contact: None,
+            last_answered: None,
             draining_since: None,
             backoff_until: None,
             next_backoff: MIN_BACKOFF,
@@ -578,6 +581,11 @@
         }
     }
 
+    /// Observes that the replica answered a request that was sent at `sent_at`.
+    pub fn on_answer(&mut self, sent_at: time::MonotonicTime) {
+        self.last_answered = self.last_answered.max(Some(sent_at));
+    }
+
     /// Observes that the replica sent data, which ends its silence.
     pub fn on_data(&mut self, now: time::MonotonicTime) {
         self.last_contact = Some(now);
--- a/crates/fleet/tests/digest.rs
+++ b/crates/fleet/tests/digest.rs
@@ -7,6 +7,7 @@
 use samphiremoor_fleet::digest;
 use samphiremoor_fleet::load;
 use samphiremoor_fleet::quarantine;
+use samphiremoor_fleet::suspect;
 use samphiremoor_fleet::usage;
 
 fn daemon_id(text: &str) -> id::DaemonId {
@@ -109,21 +110,36 @@
 }
 
 fn crash_notices() -> Vec<quarantine::QuarantineNotice> {
-    let segment = quarantine::SegmentId::new(7);
+    let segment = suspect::SuspectId::Segment(7);
+    let request = suspect::SuspectId::Request(suspect::RequestFingerprint::new(9 << 100));
     vec![
         quarantine::QuarantineNotice::Crash {
             replica: "replica-1".parse().expect("the name is an identifier"),
             incarnation: quantity::Incarnation::new(3),
             at_ms: 1_700_000_000_000,
-            suspects: vec![segment],
+            reporter: Some("one".parse().expect("the name is an identifier")),
+            suspects: vec![segment, request],
         },
-        quarantine::QuarantineNotice::Survival { segment, at_ms: 1_700_000_000_000 },
+        quarantine::QuarantineNotice::Survival { suspect: request, at_ms: 1_700_000_000_001 },
+        quarantine::QuarantineNotice::Alive {
+            replica: "replica-1".parse().expect("the name is an identifier"),
+            incarnation: quantity::Incarnation::new(3),
+            crash_ms: 1_700_000_000_000,
+        },
+        quarantine::QuarantineNotice::Survival { suspect: segment, at_ms: 1_700_000_000_000 },
     ]
 }
 
 /// Layout of the notices of limits, as a release decodes them that knows no others.
 type LimitsOnly = (digest::PeerDigest, Vec<digest::LimitNotice>);
 
+/// Layout of the notices, as a release decodes them that knows segments but no requests.
+type SegmentsOnly = (
+    digest::PeerDigest,
+    Vec<digest::LimitNotice>,
+    (Option<digest::PolicyRead>, Vec<quarantine::SegmentNoticeWire>),
+);
+
 /// A digest and notices are read by daemons of this release and of earlier ones, which know only
 /// notices of limits, or none.
 fn check_releases(limits: &[digest::LimitNotice], policy_read: Option<digest::PolicyRead>) {
@@ -143,6 +159,20 @@
         Some((sent.clone(), limits.to_vec())),
         "a release with limits reads it"
     );
+    let with_segments: SegmentsOnly =
+        postcard::from_bytes(&bytes).expect("a release with segments reads it");
+    let crash = quarantine::SegmentNoticeWire::Crash {
+        replica: "replica-1".parse().expect("the name is an identifier"),
+        incarnation: quantity::Incarnation::new(3),
+        at_ms: 1_700_000_000_000,
+        suspects: vec![7],
+    };
+    let survival = quarantine::SegmentNoticeWire::Survival { segment: 7, at_ms: 1_700_000_000_000 };
+    let crashes = vec![crash, survival];
+    assert_eq!(with_segments, (sent.clone(), limits.to_vec(), (policy_read, crashes)));
+    let encoded = postcard::to_stdvec(&with_segments).expect("the notices can be encoded");
+    let (_, decoded) = digest::decode(&encoded).expect("this release reads it");
+    assert_eq!(decoded.quarantine.len(), 2, "notices of a release without requests");
     let earlier = postcard::to_stdvec(&sent).expect("the digest can be encoded");
     assert_eq!(
         digest::decode(&earlier).ok(),
@@ -175,9 +205,15 @@
     let bytes = digest::encode(&sent, &notices).expect("the digest can be encoded");
     let digest_length = postcard::to_stdvec(&sent).expect("the digest can be encoded").len();
     let limits = postcard::to_stdvec(&notices.limits).expect("the notices can be encoded");
+    let wire = quarantine::NoticesWire::from(&notices.quarantine[..]);
+    let segments = postcard::to_stdvec(&(notices.policy_read, wire.segments))
+        .expect("the notices can be encoded");
+    // Messages that end behind the notices of limits or of segments are whole, as earlier releases send
+    // them.
+    let limits_end = digest_length + limits.len();
+    let whole_lengths = [limits_end, limits_end + segments.len()];
     for length in digest_length + 1..bytes.len() {
-        // A message that ends behind the notices of limits is whole, as earlier releases send it.
-        let is_whole = length == digest_length + limits.len();
+        let is_whole = whole_lengths.contains(&length);
         assert_eq!(digest::decode(&bytes[..length]).is_ok(), is_whole, "{length} bytes");
     }
 }
--- a/crates/fleet/tests/quarantine.rs
+++ b/crates/fleet/tests/quarantine.rs
@@ -1,4 +1,4 @@
-//! Segments under which replicas crash are found over all daemons, and no sound ones.
+//! Requests and segments under which replicas crash are found over all daemons, and no sound ones.
 
 mod quarantine_sim;
 
@@ -10,8 +10,9 @@
 use samphiremoor_base::time;
 use samphiremoor_fleet::clock_instant;
 use samphiremoor_fleet::quarantine;
+use samphiremoor_fleet::suspect;
 
-/// Number of requests with a bad segment that may reach replicas late.
+/// Number of bad requests that may reach replicas late.
 const MAX_LATE_ARRIVALS: usize = 3;
 
 /// Largest number of bytes of notices that a daemon may receive in a second: what control may cost in
@@ -29,6 +30,8 @@
     restarts: 0.0,
     has_cut: false,
     turns_bad: false,
+    has_plain_requests: false,
+    has_false_witness: false,
     seconds: 20,
     seed: 1,
 };
@@ -52,13 +55,82 @@
     for seed in 0..3 {
         let report = quarantine_sim::run(quarantine_sim::SimSettings { seed, ..settings });
         assert!(report.crashes_ms.len() >= 4, "{report:?}");
-        assert!(report.late_arrivals() <= MAX_LATE_ARRIVALS, "seed {seed}: {report:?}");
+        assert!(report.late_arrivals(5) <= MAX_LATE_ARRIVALS, "seed {seed}: {report:?}");
         assert!(report.wrong.is_empty(), "seed {seed}: {:?}", report.wrong);
         assert_eq!(report.refused_sound, 0, "seed {seed}: of {}", report.sound);
         assert!(report.notice_bytes <= MAX_NOTICE_BYTES, "{} bytes", report.notice_bytes);
     }
 }
 
+/// Plain requests before four replicas, of which one bad request crashes all.
+const PLAIN: quarantine_sim::SimSettings = quarantine_sim::SimSettings {
+    replicas: 4,
+    rates: (62.0, 3.0),
+    has_plain_requests: true,
+    seconds: 30,
+    ..CALM
+};
+const PLAIN_LARGE: quarantine_sim::SimSettings =
+    quarantine_sim::SimSettings { daemons: 84, zones: 5, replicas: 16, ..PLAIN };
+const PLAIN_LARGEST: quarantine_sim::SimSettings =
+    quarantine_sim::SimSettings { daemons: 400, zones: 11, replicas: 40, seconds: 20, ..PLAIN };
+
+fn check_plain(settings: quarantine_sim::SimSettings) {
+    for seed in 0..6 {
+        let report = quarantine_sim::run(quarantine_sim::SimSettings { seed, ..settings });
+        // A crash for another reason may be the third one under the request.
+        assert!(report.crashes_ms.len() >= 2, "{report:?}");
+        assert!(report.late_arrivals(3) <= MAX_LATE_ARRIVALS, "seed {seed}: {report:?}");
+        assert!(report.wrong.is_empty(), "seed {seed}: {:?}", report.wrong);
+        assert_eq!(report.refused_sound, 0, "seed {seed}: of {}", report.sound);
+        assert_eq!(report.excessive_attempts, 0, "seed {seed}");
+        assert!(report.notice_bytes <= MAX_NOTICE_BYTES, "{} bytes", report.notice_bytes);
+    }
+}
+
+macro_rules! plain_cases {
+    ($($name:ident => $base:ident { $($field:ident: $value:expr),* };)*) => {
+        $(#[test] fn $name() {
+            check_plain(quarantine_sim::SimSettings { $($field: $value,)* ..$base });
+        })*
+    };
+}
+
+plain_cases! {
+    bad_request_at_7_daemons => PLAIN {};
+    bad_request_at_84_daemons => PLAIN_LARGE {};
+    bad_request_at_400_daemons => PLAIN_LARGEST {};
+    bad_request_at_12_replicas => PLAIN { replicas: 12 };
+    bad_request_twenty_times_a_second => PLAIN { rates: (62.0, 20.0) };
+    bad_request_beside_plain_crashes => PLAIN { plain_crashes: 0.5 };
+    bad_request_beside_plain_crashes_at_84_daemons => PLAIN_LARGE { plain_crashes: 1.0 };
+    bad_request_beside_crashes_of_all_replicas => PLAIN { wave: 1.0 };
+    bad_request_beside_crashes_of_all_replicas_at_84_daemons => PLAIN_LARGE { wave: 1.0 };
+    bad_request_beside_restarts => PLAIN { restarts: 0.5 };
+    bad_request_beside_a_cut => PLAIN { has_cut: true };
+    bad_request_beside_a_cut_at_84_daemons => PLAIN_LARGE { has_cut: true };
+    bad_request_beside_a_false_witness => PLAIN { has_false_witness: true };
+    bad_request_beside_a_false_witness_at_84_daemons => PLAIN_LARGE { has_false_witness: true };
+}
+
+#[test]
+fn false_witness_has_a_sound_request_quarantined() {
+    for daemons in [2, 7, 84] {
+        for seed in 0..6 {
+            let report = quarantine_sim::run(quarantine_sim::SimSettings {
+                daemons,
+                zones: daemons.min(4),
+                rates: (62.0, 0.0),
+                has_false_witness: true,
+                seed,
+                ..PLAIN
+            });
+            assert!(report.wrong.is_empty(), "{daemons}, seed {seed}: {:?}", report.wrong);
+            assert_eq!(report.refused_sound, 0, "{daemons}, seed {seed}");
+        }
+    }
+}
+
 macro_rules! cases {
     ($($name:ident => $base:ident { $($field:ident: $value:expr),* };)*) => {
         $(#[test] fn $name() {
@@ -118,6 +190,38 @@
         prop_assert!(report.wrong.is_empty(), "{:?}", report.wrong);
         prop_assert_eq!(report.refused_sound, 0);
     }
+
+    /// A sound request that is repeated many times a second is never refused, whatever crashes beside it.
+    #[test]
+    fn no_sound_request_is_quarantined(
+        daemons in 1_usize..24,
+        replicas in 2_usize..16,
+        rate in 62.0_f64..120.0,
+        bad in 0.0_f64..10.0,
+        crashes in 0.0_f64..2.0,
+        wave in 0.0_f64..1.0,
+        restarts in 0.0_f64..0.5,
+        has_cut: bool,
+        has_false_witness: bool,
+        seed: u64,
+    ) {
+        let report = quarantine_sim::run(quarantine_sim::SimSettings {
+            daemons,
+            zones: daemons.min(4),
+            replicas,
+            rates: (rate, bad),
+            plain_crashes: crashes,
+            wave,
+            restarts,
+            has_cut,
+            has_false_witness: has_false_witness && daemons > 1,
+            seconds: 20,
+            seed,
+            ..PLAIN
+        });
+        prop_assert!(report.wrong.is_empty(), "{:?}", report.wrong);
+        prop_assert_eq!(report.refused_sound, 0);
+    }
 }
 
 /// Returns the instant this many milliseconds after the start of a test.
@@ -128,8 +232,8 @@
     }
 }
 
-fn segment(number: u64) -> quarantine::SegmentId {
-    quarantine::SegmentId::new(number)
+fn segment(number: u64) -> suspect::SuspectId {
+    suspect::SuspectId::Segment(number)
 }
 
 /// Lets replicas crash under segments, 100 ms apart from `from_ms` on.
@@ -235,7 +339,7 @@
     let now = at(1_800).now;
     for notices in [table.member_notices(now), table.group_notices(now)] {
         assert!(notices.len() <= MAX_NOTICES, "{} notices", notices.len());
-        let is_verdict = |notice: &quarantine::QuarantineNotice| matches!(notice, quarantine::QuarantineNotice::Verdict { segment: found, .. } if *found == segment(7));
+        let is_verdict = |notice: &quarantine::QuarantineNotice| matches!(notice, quarantine::QuarantineNotice::Verdict { suspect: found, .. } if *found == segment(7));
         assert!(notices.iter().any(is_verdict));
     }
 }
--- a/crates/fleet/tests/quarantine_rows.rs
+++ b/crates/fleet/tests/quarantine_rows.rs
@@ -6,6 +6,7 @@
 use samphiremoor_fleet::clock_instant;
 use samphiremoor_fleet::quarantine;
 use samphiremoor_fleet::quarantine_rows;
+use samphiremoor_fleet::suspect;
 use samphiremoor_platform::table;
 
 /// Number of writes that a transaction takes.
@@ -27,7 +28,7 @@
     for segment in 0..count {
         for crash in 0..4 {
             let incarnation = quantity::Incarnation::new(segment * 10 + crash + 1);
-            let suspects = [quarantine::SegmentId::new(segment)];
+            let suspects = [suspect::SuspectId::Segment(segment)];
             table.observe_crash(&replica, incarnation, &suspects, at(segment));
         }
     }
@@ -46,14 +47,14 @@
     ];
     let (segment_rows, unreadable) = quarantine_rows::decode(&rows);
     assert_eq!(segment_rows.len(), 2);
-    assert_eq!(quarantine_rows::released(&segment_rows), [quarantine::SegmentId::new(0xad)]);
+    assert_eq!(quarantine_rows::released(&segment_rows), [suspect::SuspectId::Segment(0xad)]);
     assert_eq!(unreadable, [rows[1].key.clone(), rows[2].key.clone()]);
 }
 
 #[test]
 fn rows_that_show_the_verdicts_are_written_again() {
     let table = table_with_verdicts(3);
-    let writes = quarantine_rows::writes(&quarantine_rows::SegmentRows::new(), &table);
+    let writes = quarantine_rows::writes(&quarantine_rows::SuspectRows::new(), &table);
     assert_eq!(writes.len(), 3);
     let written: Vec<_> = writes
         .iter()
--- a/crates/fleet/tests/quarantine_sim/mod.rs
+++ b/crates/fleet/tests/quarantine_sim/mod.rs
@@ -9,6 +9,7 @@
 use samphiremoor_base::time;
 use samphiremoor_fleet::clock_instant;
 use samphiremoor_fleet::quarantine;
+use samphiremoor_fleet::suspect;
 
 /// Step of the simulation, in milliseconds.
 const STEP_MS: u64 = 50;
@@ -28,7 +29,20 @@
 const START_MS: u64 = 1_700_000_000_000;
 
 /// The segment under which replicas crash.
-pub(crate) const BAD_SEGMENT: quarantine::SegmentId = quarantine::SegmentId::new(0xbad);
+pub(crate) const BAD_SEGMENT: suspect::SuspectId = suspect::SuspectId::Segment(0xbad);
+
+/// The request under which replicas crash, if they do under one request.
+pub(crate) const BAD_REQUEST: suspect::SuspectId =
+    suspect::SuspectId::Request(suspect::RequestFingerprint::new(0xbad));
+/// The sound request that comes again and again.
+const POPULAR_REQUEST: suspect::SuspectId =
+    suspect::SuspectId::Request(suspect::RequestFingerprint::new(0x50));
+/// Share of the sound requests that are [`POPULAR_REQUEST`].
+const POPULAR_SHARE: f64 = 0.8;
+/// Number of replicas to which a plain request is sent at most.
+const MAX_ATTEMPTS: u32 = 3;
+/// Time in which a daemon without a path to replicas reports crashes, in milliseconds.
+const FALSE_REPORTS_MS: std::ops::Range<u64> = 6_000..9_000;
 
 /// A deployment and its load.
 #[derive(Clone, Copy, Debug)]
@@ -50,6 +64,11 @@
     pub(crate) has_cut: bool,
     /// Whether the bad segment was sound at first.
     pub(crate) turns_bad: bool,
+    /// Whether requests are plain, and replicas crash under one request instead of a segment.
+    pub(crate) has_plain_requests: bool,
+    /// Whether the path of one daemon to the replicas breaks, so that it reports crashes of replicas that
+    /// live.
+    pub(crate) has_false_witness: bool,
     pub(crate) seconds: u64,
     pub(crate) seed: u64,
 }
@@ -66,24 +85,32 @@
     /// Sound requests.
     pub(crate) sound: u32,
     /// Sound segments that were quarantined by some daemon.
-    pub(crate) wrong: collections::BTreeSet<quarantine::SegmentId>,
+    pub(crate) wrong: collections::BTreeSet<suspect::SuspectId>,
     /// Largest number of bytes of notices that a daemon received in a second.
     pub(crate) notice_bytes: u64,
+    /// Requests that crashed more replicas than one attempt after the first allows.
+    pub(crate) excessive_attempts: u32,
 }
 
 impl SimReport {
-    /// Returns the arrivals of bad requests later than 3 s after the fifth crash.
-    pub(crate) fn late_arrivals(&self) -> usize {
-        let Some(fifth_ms) = self.crashes_ms.get(4) else { return 0 };
-        self.bad_arrivals_ms.iter().filter(|at_ms| **at_ms > fifth_ms + 3_000).count()
+    /// Returns the arrivals of bad requests later than 3 s after this many crashes.
+    pub(crate) fn late_arrivals(&self, crashes: usize) -> usize {
+        let Some(crash_ms) = self.crashes_ms.get(crashes - 1) else { return 0 };
+        self.bad_arrivals_ms.iter().filter(|at_ms| **at_ms > crash_ms + 3_000).count()
     }
 }
 
 /// A request at a replica.
 struct SimRequest {
     daemon: usize,
-    segments: quarantine::SegmentIds,
+    /// What the response clears.
+    survivors: suspect::SuspectIds,
+    /// What a crash speaks against.
+    suspects: suspect::SuspectIds,
     is_bad: bool,
+    /// Number of replicas that the request was sent to.
+    attempts: u32,
+    sent_at: time::MonotonicTime,
     /// When its response begins.
     begins_ms: u64,
     /// Whether its response went on.
@@ -104,6 +131,8 @@
     /// Until when the daemon counts as out of touch, in milliseconds.
     disturbed_until_ms: u64,
     received_bytes: u64,
+    /// Incarnation of each replica that answered, and when the last such request was sent.
+    answered: collections::HashMap<id::ReplicaId, (quantity::Incarnation, time::MonotonicTime)>,
 }
 
 /// A message that arrives at a daemon.
@@ -128,7 +157,7 @@
 pub(crate) fn run(settings: SimSettings) -> SimReport {
     let mut simulation = Simulation {
         settings,
-        daemons: (0..settings.daemons).map(|_| SimDaemon::new(0)).collect(),
+        daemons: (0..settings.daemons).map(|index| SimDaemon::new(index, 0)).collect(),
         replicas: (0..settings.replicas)
             .map(|_| SimReplica { incarnation: 1, up_from_ms: 0, requests: Vec::new() })
             .collect(),
@@ -144,12 +173,14 @@
 }
 
 impl SimDaemon {
-    fn new(disturbed_until_ms: u64) -> Self {
+    fn new(index: usize, disturbed_until_ms: u64) -> Self {
+        let daemon = format!("d{index:03}").parse().expect("a valid ID");
         SimDaemon {
-            table: quarantine::QuarantineTable::default(),
+            table: quarantine::QuarantineTable::new(daemon),
             sent_version: 0,
             disturbed_until_ms,
             received_bytes: 0,
+            answered: collections::HashMap::new(),
         }
     }
 }
@@ -192,8 +223,13 @@
         self.exchange();
         let instant = self.instant();
         for index in 0..self.daemons.len() {
-            let table = &mut self.daemons[index].table;
-            let mut changes = table.evaluate(instant);
+            let SimDaemon { table, answered, .. } = &mut self.daemons[index];
+            let last_answered = |replica: &id::ReplicaId, incarnation| {
+                let (answered_by, sent_at) = answered.get(replica)?;
+                (*answered_by == incarnation).then_some(*sent_at)
+            };
+            let mut changes = table.refute_answered(last_answered, instant);
+            changes.extend(table.evaluate(instant));
             changes.extend(table.sweep(instant.now));
             self.note(&changes);
         }
@@ -209,6 +245,7 @@
         for change in changes {
             if let quarantine::QuarantineChange::Quarantined(segment, _) = change
                 && *segment != BAD_SEGMENT
+                && *segment != BAD_REQUEST
             {
                 self.report.wrong.insert(*segment);
             }
@@ -224,7 +261,8 @@
             }
             let SimMessage { to, notices, source, .. } = message;
             let daemon = &mut self.daemons[to];
-            let encoded = postcard::to_stdvec(&notices).expect("notices can be encoded");
+            let wire = quarantine::NoticesWire::from(&notices[..]);
+            let encoded = postcard::to_stdvec(&wire).expect("notices can be encoded");
             daemon.received_bytes += encoded.len() as u64;
             for notice in &notices {
                 let changes = self.daemons[to].table.observe_notice(notice, source, instant);
@@ -302,12 +340,15 @@
                     now_ms >= request.begins_ms + SURVIVAL_MS || now_ms >= request.ends_ms;
                 if goes_on && !request.has_survived {
                     request.has_survived = true;
-                    survived.push((request.daemon, request.segments.clone()));
+                    survived.push((request.daemon, request.survivors.clone(), request.sent_at));
                 }
             }
             replica.requests.retain(|request| now_ms < request.ends_ms);
-            for (daemon, segments) in survived {
-                let changes = self.daemons[daemon].table.observe_survival(&segments, instant);
+            let incarnation = quantity::Incarnation::new(replica.incarnation);
+            for (daemon, survivors, sent_at) in survived {
+                let daemon = &mut self.daemons[daemon];
+                daemon.answered.insert(replica_id(index), (incarnation, sent_at));
+                let changes = daemon.table.observe_survival(&survivors, instant);
                 self.note(&changes);
             }
         }
@@ -315,24 +356,64 @@
 
     /// Crashes a replica. The daemons of its requests report it.
     fn crash(&mut self, index: usize) {
-        let (now_ms, instant) = (self.now_ms(), self.instant());
+        let now_ms = self.now_ms();
         let down_ms = self.rng.random_range(1_000..4_000);
         let replica = &mut self.replicas[index];
         if now_ms < replica.up_from_ms {
             return;
         }
         let incarnation = quantity::Incarnation::new(replica.incarnation);
-        let id: id::ReplicaId = format!("replica-{index}").parse().expect("a valid ID");
         replica.incarnation += 1;
         replica.up_from_ms = now_ms + down_ms;
-        for request in std::mem::take(&mut replica.requests) {
-            if request.has_survived {
-                continue;
+        let requests = std::mem::take(&mut replica.requests);
+        for request in requests {
+            self.report_crash(index, incarnation, request);
+        }
+    }
+
+    /// Reports the end of a request as a crash of its replica, and sends the request once more if it may
+    /// be.
+    fn report_crash(
+        &mut self,
+        index: usize,
+        incarnation: quantity::Incarnation,
+        request: SimRequest,
+    ) {
+        if request.has_survived {
+            return;
+        }
+        let instant = self.instant();
+        let table = &mut self.daemons[request.daemon].table;
+        let changes =
+            table.observe_crash(&replica_id(index), incarnation, &request.suspects, instant);
+        let may_repeat = table.may_repeat(&request.suspects, instant);
+        let is_refused = table.find_quarantined(&request.suspects, instant).is_some();
+        self.note(&changes);
+        if self.settings.has_plain_requests
+            && may_repeat
+            && !is_refused
+            && request.attempts < MAX_ATTEMPTS
+        {
+            self.report.excessive_attempts += u32::from(request.is_bad && request.attempts >= 2);
+            self.dispatch(request);
+        }
+    }
+
+    /// Reports the requests of a daemon whose path is broken as crashes of replicas that live.
+    fn report_falsely(&mut self) {
+        const FALSE_WITNESS: usize = 1;
+        let now = self.instant().now;
+        for index in 0..self.replicas.len() {
+            let replica = &mut self.replicas[index];
+            let incarnation = quantity::Incarnation::new(replica.incarnation);
+            let lost = replica.requests.extract_if(.., |request| request.daemon == FALSE_WITNESS);
+            let lost: Vec<_> = lost.collect();
+            if self.daemons[FALSE_WITNESS].table.trusts_itself(now) {
+                for request in lost {
+                    let attempts = MAX_ATTEMPTS;
+                    self.report_crash(index, incarnation, SimRequest { attempts, ..request });
+                }
             }
-            let (_, shared) = request.segments.split_last().expect("a prompt has segments");
-            let table = &mut self.daemons[request.daemon].table;
-            let changes = table.observe_crash(&id, incarnation, shared, instant);
-            self.note(&changes);
         }
     }
 
@@ -352,12 +433,15 @@
         }
         if self.rng.random_bool((self.settings.restarts * per_step).min(1.0)) {
             let index = self.rng.random_range(0..self.daemons.len());
-            self.daemons[index] = SimDaemon::new(self.now_ms() + 3_000);
+            self.daemons[index] = SimDaemon::new(index, self.now_ms() + 3_000);
             let now = self.instant().now;
             for daemon in &mut self.daemons {
                 daemon.table.on_daemon_joined(now);
             }
         }
+        if self.settings.has_false_witness && FALSE_REPORTS_MS.contains(&self.now_ms()) {
+            self.report_falsely();
+        }
         if self.settings.has_cut && (8_000..12_000).contains(&self.now_ms()) {
             let until_ms = self.now_ms() + 3_000;
             for daemon in self.daemons.iter_mut().step_by(self.settings.zones) {
@@ -383,21 +467,16 @@
     }
 
     fn send_request(&mut self, is_bad: bool) {
-        let (now_ms, instant) = (self.now_ms(), self.instant());
+        let instant = self.instant();
         let daemon = self.rng.random_range(0..self.daemons.len());
-        let mut segments = quarantine::SegmentIds::new();
-        segments.push(quarantine::SegmentId::new(self.rng.random_range(1..=POPULAR_SEGMENTS)));
-        if is_bad {
-            segments.push(BAD_SEGMENT);
-        }
-        if self.settings.middle_segments > 0 {
-            let middle = 10_000 + self.rng.random_range(0..self.settings.middle_segments);
-            segments.push(quarantine::SegmentId::new(middle));
-        }
-        let own = self.rng.random_range(1_000_000..u64::MAX);
-        segments.push(quarantine::SegmentId::new(own));
-        let (_, shared) = segments.split_last().expect("a prompt has segments");
-        let is_refused = self.daemons[daemon].table.find_quarantined(shared, instant).is_some();
+        let (survivors, suspects) = match self.settings.has_plain_requests {
+            true => {
+                let request = suspect::SuspectIds::from_slice(&[self.draw_request(is_bad)]);
+                (request.clone(), request)
+            }
+            false => self.draw_prompt(is_bad),
+        };
+        let is_refused = self.daemons[daemon].table.find_quarantined(&suspects, instant).is_some();
         if !is_bad {
             self.report.sound += 1;
             self.report.refused_sound += u32::from(is_refused);
@@ -405,27 +484,76 @@
         if is_refused {
             return;
         }
-        let is_up = |replica: &&mut SimReplica| now_ms >= replica.up_from_ms;
-        let up_count = self.replicas.iter_mut().filter(is_up).count();
-        if up_count == 0 {
-            return;
-        }
-        let chosen = self.rng.random_range(0..up_count);
-        let begins_ms = now_ms + self.rng.random_range(50..400);
-        let ends_ms = begins_ms + self.rng.random_range(100..2_000);
-        let replica = self.replicas.iter_mut().filter(is_up).nth(chosen);
-        let replica = replica.expect("the replica is up");
         let has_survived = false;
-        replica.requests.push(SimRequest {
+        let (begins_ms, ends_ms, sent_at) = (0, 0, instant.now);
+        self.dispatch(SimRequest {
             daemon,
-            segments,
+            survivors,
+            suspects,
             is_bad,
+            attempts: 0,
+            sent_at,
             begins_ms,
             has_survived,
             ends_ms,
         });
-        if is_bad && now_ms >= self.daemons[daemon].disturbed_until_ms {
+    }
+
+    /// Returns the fingerprint of a plain request.
+    fn draw_request(&mut self, is_bad: bool) -> suspect::SuspectId {
+        if is_bad {
+            return BAD_REQUEST;
+        }
+        if self.rng.random_bool(POPULAR_SHARE) {
+            return POPULAR_REQUEST;
+        }
+        let bits = self.rng.random_range(1_000_000..u128::MAX);
+        suspect::SuspectId::Request(suspect::RequestFingerprint::new(bits))
+    }
+
+    /// Returns the segments and the shared segments of a prompt.
+    fn draw_prompt(&mut self, is_bad: bool) -> (suspect::SuspectIds, suspect::SuspectIds) {
+        let mut segments = suspect::SuspectIds::new();
+        segments.push(suspect::SuspectId::Segment(self.rng.random_range(1..=POPULAR_SEGMENTS)));
+        if is_bad {
+            segments.push(BAD_SEGMENT);
+        }
+        if self.settings.middle_segments > 0 {
+            let middle = 10_000 + self.rng.random_range(0..self.settings.middle_segments);
+            segments.push(suspect::SuspectId::Segment(middle));
+        }
+        let shared = segments.clone();
+        let own = self.rng.random_range(1_000_000..u64::MAX);
+        segments.push(suspect::SuspectId::Segment(own));
+        (segments, shared)
+    }
+
+    /// Sends a request to a replica that is up, if there is one.
+    fn dispatch(&mut self, request: SimRequest) {
+        let (now_ms, instant) = (self.now_ms(), self.instant());
+        let is_up = |replica: &&mut SimReplica| now_ms >= replica.up_from_ms;
+        let up_count = self.replicas.iter_mut().filter(is_up).count();
+        if up_count == 0 {
+            return;
+        }
+        let chosen = self.rng.random_range(0..up_count);
+        let (begins, runs) = match self.settings.has_plain_requests {
+            true => (0..150, 10..60),
+            false => (50..400, 100..2_000),
+        };
+        let begins_ms = now_ms + self.rng.random_range(begins);
+        let ends_ms = begins_ms + self.rng.random_range(runs);
+        if request.is_bad && now_ms >= self.daemons[request.daemon].disturbed_until_ms {
             self.report.bad_arrivals_ms.push(now_ms);
         }
+        let replica = self.replicas.iter_mut().filter(is_up).nth(chosen);
+        let replica = replica.expect("the replica is up");
+        let attempts = request.attempts + 1;
+        let sent_at = instant.now;
+        replica.requests.push(SimRequest { attempts, sent_at, begins_ms, ends_ms, ..request });
     }
 }
+
+fn replica_id(index: usize) -> id::ReplicaId {
+    format!("replica-{index}").parse().expect("a valid ID")
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -155,6 +155,7 @@
             }
         };
         if !response.metadata.is_other_replica {
+            guard.record_answer(started_at);
             self.core.observe_limit(&selected.replica, &response.metadata.limit, started_at);
         }
         if response.metadata.is_other_replica || response.metadata.is_not_run {
@@ -270,8 +271,8 @@
         drop(guard);
         self.record_result(&selected.replica, response.head.status >= 500);
         let is_framed = response.framing != message::BodyFraming::UntilClose;
-        if is_framed && (200..300).contains(&response.head.status) {
-            self.core.observe_survival(self.request.metadata.prompt.as_ref());
+        if is_framed && response.head.status < 500 {
+            self.observe_survival();
         }
         upstream::release(self.core, &selected.replica, connection, &response);
         self.core.metrics.observe_first_byte(self.core.now().since(started_at));
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -1,6 +1,7 @@
 //! Callers' connections: reads requests, has them forwarded, and writes the responses that the
 //! gateway generates itself.
 
+use std::cell;
 use std::pin;
 use std::rc;
 
@@ -13,8 +14,8 @@
 use samphiremoor_base::reason;
 use samphiremoor_base::time;
 use samphiremoor_fleet::policy;
-use samphiremoor_fleet::quarantine;
 use samphiremoor_fleet::selection;
+use samphiremoor_fleet::suspect;
 use samphiremoor_httpio::connection;
 use samphiremoor_httpio::message;
 
@@ -291,13 +292,19 @@
     };
     let now = core.now();
     let mut tests_verdict = false;
-    let shared = quarantine::shared_segments(metadata.prompt.as_ref());
+    let mut suspects = suspect::shared_segments(metadata.prompt.as_ref());
+    let fingerprint = cell::OnceCell::new();
+    if state.quarantine.has_request_suspects() {
+        let identity = context::identity(&head, &metadata, workspace.map(|rule| &**rule), &body);
+        suspects
+            .push(suspect::SuspectId::Request(*fingerprint.get_or_init(|| identity.fingerprint())));
+    }
     let instant = state.clock_instant(now);
-    if let Some((segment, wait)) = state.quarantine.find_quarantined(&shared, instant) {
+    if let Some((suspect, wait)) = state.quarantine.find_quarantined(&suspects, instant) {
         let holds_lease = core.lease_state.local_version.get().is_some();
-        tests_verdict = holds_lease && state.quarantine.begin_test(segment, instant);
+        tests_verdict = holds_lease && state.quarantine.begin_test(suspect, instant);
         if !tests_verdict {
-            state.quarantine.record_refusal(segment, now);
+            state.quarantine.record_refusal(suspect, now);
             let response = adapter::LocalResponse::NotRun(wait.max(UNAVAILABLE_RETRY_AFTER));
             return refuse(response, reason::RefusalReason::Quarantined);
         }
@@ -327,6 +334,7 @@
         workspace: workspace.cloned(),
         deadline: arrived_at + caller_timeout.min(route.timeout),
         caller_deadline: arrived_at + caller_timeout,
+        fingerprint,
         tests_verdict,
         revision: policy.revision,
         head,
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -14,6 +14,7 @@
 use samphiremoor_base::time;
 use samphiremoor_fleet::dispatch;
 use samphiremoor_fleet::policy;
+use samphiremoor_fleet::suspect;
 use samphiremoor_httpio::message;
 
 use crate::adapter;
@@ -37,12 +38,41 @@
     pub deadline: time::MonotonicTime,
     /// When the caller gives up, which may be later than the route's timeout.
     pub caller_deadline: time::MonotonicTime,
-    /// Whether the request tests a verdict on one of its prompt segments.
+    /// Fingerprint of the request, once it was needed.
+    pub fingerprint: cell::OnceCell<suspect::RequestFingerprint>,
+    /// Whether the request tests a verdict on it or on one of its prompt segments.
     pub tests_verdict: bool,
     /// Revision of the policy by which the request is served.
     pub revision: quantity::RevisionNumber,
 }
 
+impl IncomingRequest {
+    /// Returns the fingerprint of the request, which is computed at the first call.
+    pub fn fingerprint(&self) -> suspect::RequestFingerprint {
+        let workspace = self.workspace.as_deref();
+        *self.fingerprint.get_or_init(|| {
+            identity(&self.head, &self.metadata, workspace, &self.body).fingerprint()
+        })
+    }
+}
+
+/// Returns what makes a request the same as another one.
+pub(crate) fn identity<'a>(
+    head: &'a message::RequestHead,
+    metadata: &'a adapter::RequestMetadata,
+    workspace: Option<&'a policy::WorkspaceRule>,
+    body: &'a [u8],
+) -> suspect::RequestIdentity<'a> {
+    suspect::RequestIdentity {
+        host: head.fields.text("host").unwrap_or_default(),
+        method: &head.method,
+        target: &head.target,
+        workspace: workspace.map(|rule| &rule.id),
+        prompt: metadata.prompt.as_ref(),
+        body,
+    }
+}
+
 /// Part of a replica's response that a request waits for.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ResponsePhase {
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -25,7 +25,6 @@
 use samphiremoor_fleet::quarantine;
 use samphiremoor_fleet::quota;
 use samphiremoor_fleet::replica;
-use samphiremoor_fleet::selection;
 use samphiremoor_fleet::usage;
 use samphiremoor_fleet::wall_clock;
 use samphiremoor_requests::budget;
@@ -129,7 +128,7 @@
     pub wall_clock: wall_clock::ClockEstimate,
     /// Limits that replicas named.
     pub limits: limit::LimitTable,
-    /// Crashes of replicas and the prompt segments that are quarantined for them.
+    /// Crashes of replicas and what is quarantined for them.
     pub quarantine: quarantine::QuarantineTable,
     /// Recent probes of replicas that may have crashed.
     pub crash_probes: collections::HashMap<id::ReplicaId, crash_probe::CrashProbe>,
@@ -217,7 +216,7 @@
             usage: usage::UsageCounter::new(settings.daemon.clone(), incarnation),
             wall_clock,
             limits: limit::LimitTable::new(now),
-            quarantine: quarantine::QuarantineTable::default(),
+            quarantine: quarantine::QuarantineTable::new(settings.daemon.clone()),
             crash_probes: collections::HashMap::new(),
             refused_limits: collections::BTreeMap::new(),
             idle_pool: idle::IdlePool::default(),
@@ -407,27 +406,20 @@
         self.apply_quarantine_changes(&changes, "peer");
     }
 
-    /// Observes that a response to a request with a prompt went on.
-    pub fn observe_survival(&self, prompt: Option<&selection::PromptSize>) {
-        let segments = quarantine::all_segments(prompt);
-        if segments.is_empty() {
-            return;
-        }
-        let mut state = self.state.borrow_mut();
-        let instant = state.clock_instant(self.now());
-        let changes = state.quarantine.observe_survival(&segments, instant);
-        drop(state);
-        self.apply_quarantine_changes(&changes, "response");
-    }
-
-    /// Quarantines the segments that crashes speak against, and forgets what is old.
+    /// Quarantines what crashes speak against, drops crashes of replicas that have answered since, and
+    /// forgets what is old.
     pub fn update_quarantine(&self) {
         let mut state = self.state.borrow_mut();
+        let state = &mut *state;
         let instant = state.clock_instant(self.now());
-        let mut changes = state.quarantine.evaluate(instant);
+        let last_answered = |replica: &id::ReplicaId, incarnation| {
+            let known_replica = state.replicas.get(replica)?;
+            known_replica.last_answered.filter(|_| known_replica.entry.incarnation == incarnation)
+        };
+        let mut changes = state.quarantine.refute_answered(last_answered, instant);
+        changes.extend(state.quarantine.evaluate(instant));
         changes.extend(state.quarantine.sweep(instant.now));
         state.crash_probes.retain(|_, probe| probe.is_recent(instant.now));
-        drop(state);
         self.apply_quarantine_changes(&changes, "crashes");
     }
 
@@ -438,19 +430,32 @@
         }
         for change in changes {
             match change {
-                quarantine::QuarantineChange::Quarantined(segment, crashes) => log_event!(
-                    event::LogEvent::SegmentQuarantined,
-                    segment = segment,
+                quarantine::QuarantineChange::Quarantined(suspect, crashes) => log_event!(
+                    event::LogEvent::SuspectQuarantined,
+                    suspect = suspect,
                     crashes = crashes,
                     source = source,
                 ),
-                quarantine::QuarantineChange::Released(segment) => {
-                    log_event!(event::LogEvent::SegmentReleased, segment = segment, source = source,)
+                quarantine::QuarantineChange::Released(suspect) => {
+                    log_event!(event::LogEvent::SuspectReleased, suspect = suspect, source = source)
+                }
+                quarantine::QuarantineChange::Refuted(replica, reporters) => {
+                    let reporters: Vec<_> = reporters.iter().map(id::DaemonId::as_str).collect();
+                    self.metrics.count_refuted_crash();
+                    log_event!(
+                        event::LogEvent::CrashRefuted,
+                        replica = replica,
+                        reporters = reporters.join(","),
+                        source = source,
+                    );
                 }
             }
         }
-        let count = self.state.borrow().quarantine.verdicts().count();
-        self.metrics.set_quarantined_segments(count);
+        let state = self.state.borrow();
+        let requests =
+            state.quarantine.verdicts().filter(|(suspect, _)| suspect.is_request()).count();
+        let segments = state.quarantine.verdicts().count() - requests;
+        self.metrics.set_quarantined(segments, requests);
     }
 
     /// Logs changes to replicas, closes the idle connections of leaving ones, and keeps departures
@@ -750,6 +755,15 @@
         crash_probe::ReplicaStart { replica: self.replica.clone(), incarnation, address }
     }
 
+    /// Records that the replica answered the request, which was sent at `sent_at`.
+    pub fn record_answer(&self, sent_at: time::MonotonicTime) {
+        let mut state = self.core.state.borrow_mut();
+        let Some(known_replica) = state.replicas.get_mut(&self.replica) else { return };
+        if known_replica.entry.is_of_start(self.incarnation, self.address) {
+            known_replica.on_answer(sent_at);
+        }
+    }
+
     /// Removes the request's prompt tokens from the load, since the prefill is done.
     pub fn finish_prefill(&mut self) {
         let pending_tokens = std::mem::take(&mut self.pending_tokens);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -25,7 +25,9 @@
     document_bytes: prometheus::IntCounter,
     limited_replicas: prometheus::IntGauge,
     replica_crashes: prometheus::IntCounter,
+    refuted_crashes: prometheus::IntCounter,
     quarantined_segments: prometheus::IntGauge,
+    quarantined_requests: prometheus::IntGauge,
     first_byte_seconds: prometheus::Histogram,
     total_seconds: prometheus::Histogram,
 }
@@ -82,9 +84,20 @@
         let limited_replicas = register(&registry, limited_replicas.expect("the name is valid"));
         let replica_crashes = prometheus::IntCounter::new(
             "samphiremoor_gateway_replica_crashes_total",
-            "Requests of this daemon under which a replica crashed before they went on.",
+            "Requests of this daemon under which a replica crashed before they survived.",
         );
         let replica_crashes = register(&registry, replica_crashes.expect("the name is valid"));
+        let refuted_crashes = prometheus::IntCounter::new(
+            "samphiremoor_gateway_refuted_crashes_total",
+            "Crashes that were reported of replicas that are alive.",
+        );
+        let refuted_crashes = register(&registry, refuted_crashes.expect("the name is valid"));
+        let quarantined_requests = prometheus::IntGauge::new(
+            "samphiremoor_gateway_quarantined_requests",
+            "Requests that are refused whenever they come, since replicas crash under them.",
+        );
+        let quarantined_requests =
+            register(&registry, quarantined_requests.expect("the name is valid"));
         let quarantined_segments = prometheus::IntGauge::new(
             "samphiremoor_gateway_quarantined_segments",
             "Prompt segments whose requests are refused, since replicas crash under them.",
@@ -107,7 +120,9 @@
             document_bytes,
             limited_replicas,
             replica_crashes,
+            refuted_crashes,
             quarantined_segments,
+            quarantined_requests,
             first_byte_seconds,
             total_seconds,
         }
@@ -168,14 +183,20 @@
         self.limited_replicas.set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
-    /// Counts a request under which a replica crashed before it went on.
+    /// Counts a request under which a replica crashed before it survived.
     pub fn count_replica_crash(&self) {
         self.replica_crashes.inc();
     }
 
-    /// Sets the number of quarantined prompt segments.
-    pub fn set_quarantined_segments(&self, count: usize) {
-        self.quarantined_segments.set(i64::try_from(count).unwrap_or(i64::MAX));
+    /// Counts a crash that was reported of a replica that is alive.
+    pub fn count_refuted_crash(&self) {
+        self.refuted_crashes.inc();
+    }
+
+    /// Sets the numbers of quarantined prompt segments and requests.
+    pub fn set_quarantined(&self, segments: usize, requests: usize) {
+        self.quarantined_segments.set(i64::try_from(segments).unwrap_or(i64::MAX));
+        self.quarantined_requests.set(i64::try_from(requests).unwrap_or(i64::MAX));
     }
 
     /// Records the time until the first byte of a replica's response.
--- a/crates/gateway/src/quarantine_records.rs
+++ b/crates/gateway/src/quarantine_records.rs
@@ -1,4 +1,4 @@
-//! Rows of the table in which operators see quarantined prompt segments and lift verdicts.
+//! Rows of the table in which operators see what is quarantined and lift verdicts.
 
 use std::rc;
 
@@ -20,7 +20,7 @@
 /// lease; never returns.
 pub(crate) async fn run(core: rc::Rc<core::GatewayCore>) {
     while let Err(cause) = read_verdicts(&core).await {
-        log::debug!("failed to read the quarantined segments ({cause}); retrying");
+        log::debug!("failed to read what is quarantined ({cause}); retrying");
         task::sleep(RETRY_PAUSE.to_duration()).await;
     }
     let mut has_rows = false;
@@ -33,7 +33,7 @@
         match update_rows(&core).await {
             Ok(has_more) => has_rows = has_more,
             Err(cause) => {
-                log::warn!("failed to update the rows of quarantined segments ({cause}); retrying")
+                log::warn!("failed to update the rows of what is quarantined ({cause}); retrying")
             }
         }
     }
@@ -41,12 +41,12 @@
 
 async fn read_rows(
     core: &core::GatewayCore,
-) -> Result<quarantine_rows::SegmentRows, table::PlatformError> {
+) -> Result<quarantine_rows::SuspectRows, table::PlatformError> {
     let store = core.adapter.table.as_ref();
     let rows = table::scan_all(store, quarantine_rows::ROW_PREFIX).await?;
     let (rows, unreadable) = quarantine_rows::decode(&rows);
     for key in unreadable {
-        log::warn!("row {key} is not that of a quarantined segment; delete it");
+        log::warn!("row {key} does not name what is quarantined; delete it");
     }
     Ok(rows)
 }
@@ -54,7 +54,7 @@
 /// Adopts the verdicts of the rows.
 async fn read_verdicts(core: &core::GatewayCore) -> Result<(), table::PlatformError> {
     let rows = read_rows(core).await?;
-    let notices: Vec<_> = rows.iter().filter_map(|(segment, row)| row.notice(*segment)).collect();
+    let notices: Vec<_> = rows.iter().filter_map(|(suspect, row)| row.notice(*suspect)).collect();
     core.apply_quarantine_notices(&notices, quarantine::NoticeSource::Remote);
     Ok(())
 }
@@ -63,10 +63,10 @@
 /// ended ones. Returns whether there are rows left.
 async fn update_rows(core: &core::GatewayCore) -> Result<bool, table::PlatformError> {
     let rows = read_rows(core).await?;
-    for segment in quarantine_rows::released(&rows) {
+    for suspect in quarantine_rows::released(&rows) {
         let mut state = core.state.borrow_mut();
         let instant = state.clock_instant(core.now());
-        let changes = state.quarantine.release(segment, instant);
+        let changes = state.quarantine.release(suspect, instant);
         drop(state);
         core.apply_quarantine_changes(&changes, "operator");
     }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -121,20 +121,20 @@
         }
     }
 
-    /// Observes that a stream is complete, or has gone on for a while after its first event. The end of
+    /// Observes that a stream is complete, or proceeded for a while after its first event. The end of
     /// a connection alone does not tell a complete stream from a crash.
     fn observe_survival(&self, stream: &mut ReplicaStream, has_events: bool, is_complete: bool) {
-        let core = self.context.core;
-        let now = core.now();
+        let now = self.context.core.now();
         if has_events {
             stream.first_event_at.get_or_insert(now);
         }
-        let has_gone_on =
+        let has_proceeded =
             stream.first_event_at.is_some_and(|at| now.since(at) >= crash::SURVIVAL_TIME);
         let is_proved_complete = is_complete && !stream.is_unframed();
-        if (has_gone_on || is_proved_complete) && !std::mem::replace(&mut stream.has_survived, true)
+        if (has_proceeded || is_proved_complete)
+            && !std::mem::replace(&mut stream.has_survived, true)
         {
-            core.observe_survival(self.context.request.metadata.prompt.as_ref());
+            self.context.observe_survival();
         }
     }
 
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -20,6 +20,8 @@
 
 /// Timeout for connecting to a replica. Within a region a handshake takes a few milliseconds.
 const CONNECT_TIMEOUT: time::Millis = time::Millis::new(400);
+/// Timeout for a connection that shows whether this daemon reaches other replicas.
+const PATH_TIMEOUT: time::Millis = time::Millis::new(150);
 /// Number of connections by which a replica is probed.
 const PROBE_CONNECTIONS: u32 = 2;
 /// Time for which a connection to a replica that lives stays open.
@@ -123,6 +125,18 @@
     false
 }
 
+/// Returns whether a replica accepts a connection, which is kept for a later request.
+pub async fn accepts_connections(
+    core: &rc::Rc<core::GatewayCore>,
+    replica: &id::ReplicaId,
+    address: SocketAddr,
+) -> bool {
+    let Ok(raw) = core.dialer.connect(address, PATH_TIMEOUT).await else { return false };
+    let mut state = core.state.borrow_mut();
+    state.idle_pool.put(replica, raw, address, core.now(), DEFAULT_MAX_IDLE);
+    true
+}
+
 /// Returns a connection to the pool if the response allows its reuse.
 pub fn release(
     core: &core::GatewayCore,
