Fleet: a request's fingerprint leaves out the prompt's header; recent survivals only

Suspected: a request whose prompt header differs from time to time had a new fingerprint each time, and one that was sound once counted as frequent.

A request counts as frequent only if it survived within 10 s before the crashes, and is then quarantined after five; two crashes end its attempts either way. A verdict is written to the table within 0.5 s, and read there by daemons under whose requests replicas crash, as these may be cut off from peers.

--- a/crates/entry/src/run/plain.rs
+++ b/crates/entry/src/run/plain.rs
@@ -51,7 +51,6 @@
             method: self.method.as_ref(),
             target: &self.path,
             workspace: Some(workspace),
-            prompt: None,
             body: &self.body,
         }
         .fingerprint()
--- a/crates/entry/src/wire/request.rs
+++ b/crates/entry/src/wire/request.rs
@@ -256,7 +256,6 @@
             method: "POST",
             target: self.call.path(),
             workspace: Some(workspace),
-            prompt: None,
             body: &body,
         }
         .fingerprint()
--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine.rs
@@ -47,6 +47,8 @@
 /// Time for which a daemon's crash reports don't count after one of them proved wrong, and for which
 /// they did not count before. Its own path to replicas may be broken.
 const DISTRUST_TIME: time::Millis = time::Millis::new(5_000);
+/// Time for which a crash report is recent.
+const RECENT_REPORT_TIME: time::Millis = time::Millis::new(5_000);
 /// Number of crash reports that proved wrong that are remembered.
 const MAX_REFUTED: usize = 64;
 
@@ -411,6 +413,13 @@
             || self.evidence.has_request_suspects()
     }
 
+    /// Whether this daemon recently reported a crash under a request that may be at fault. It lacks the
+    /// verdict, if there is one, while no peer reaches it.
+    pub fn has_recent_report(&self, now: time::MonotonicTime) -> bool {
+        let reported_at = self.daemon.as_ref().and_then(|daemon| self.evidence.last_report(daemon));
+        reported_at.is_some_and(|at| now.since(at) < RECENT_REPORT_TIME)
+    }
+
     /// Returns a quarantined suspect among `suspects` and the time until its next test.
     pub fn find_quarantined(
         &self,
--- a/crates/fleet/src/quarantine/evidence.rs
+++ b/crates/fleet/src/quarantine/evidence.rs
@@ -18,7 +18,7 @@
 /// Number of crashes that are remembered.
 const MAX_CRASHES: usize = 256;
 /// Number of suspects of one crash, of each kind.
-const MAX_SUSPECTS: usize = 64;
+const MAX_SUSPECTS: usize = 128;
 /// Number of suspects of one crash that a daemon reports, of each kind.
 const MAX_REPORTED_SUSPECTS: usize = 16;
 /// Number of suspects in each of the two generations of those that survived.
@@ -65,16 +65,18 @@
 /// survives within the settle time.
 const KNOWN_SEGMENT: VerdictRule =
     VerdictRule { crashes: 5, settle: time::Millis::new(1_500), span: time::Millis::new(0) };
-/// Rule for requests that never survived.
+/// Rule for requests that did not survive lately.
 const NEW_REQUEST: VerdictRule =
     VerdictRule { crashes: 3, settle: time::Millis::new(600), span: time::Millis::new(0) };
-/// Rule for requests that survived before the crashes. A whole service may crash at one moment, under
-/// many sound requests.
+/// Rule for requests that survived shortly before the crashes. A whole service may crash at one moment,
+/// under many copies of a frequent sound request.
 const KNOWN_REQUEST: VerdictRule =
-    VerdictRule { crashes: 3, settle: time::Millis::new(600), span: time::Millis::new(1_000) };
+    VerdictRule { crashes: 5, settle: time::Millis::new(600), span: time::Millis::new(1_000) };
 
-/// Number of crashes of a new and of a known request after which it is not sent again.
-const REPEATED_REQUEST_CRASHES: (usize, usize) = (2, 3);
+/// Longest time from the last survival of a frequent request to a crash.
+const FREQUENT_TIME: time::Millis = time::Millis::new(10_000);
+/// Number of crashes after which a request is not sent again.
+const REPEATED_REQUEST_CRASHES: usize = 2;
 
 /// A crash of a replica.
 #[derive(Clone, Debug)]
@@ -151,6 +153,17 @@
         self.crashes.iter().any(|crash| crash.suspects.iter().any(|suspect| suspect.is_request()))
     }
 
+    /// Returns when a daemon last learned of a crash that it reports itself, under a request that may be
+    /// at fault.
+    pub(super) fn last_report(&self, daemon: &id::DaemonId) -> Option<time::MonotonicTime> {
+        let is_repeated = |suspect: &suspect::SuspectId| {
+            suspect.is_request() && self.crash_count(*suspect) >= REPEATED_REQUEST_CRASHES
+        };
+        let own = self.unexplained().filter(|crash| crash.reporters.contains(daemon));
+        let repeated = own.filter(|crash| crash.suspects.iter().any(is_repeated));
+        repeated.map(|crash| crash.learned_at).max()
+    }
+
     fn unexplained(&self) -> impl Iterator<Item = &CrashRecord> {
         self.crashes.iter().filter(|crash| !crash.is_explained)
     }
@@ -288,16 +301,15 @@
         let last_ms = self.last_survival(suspect);
         let is_known = last_ms.is_some_and(|last_ms| unix_ms < last_ms + EVIDENCE_TIME.get());
         let crashes = self.crash_count(suspect);
-        match (suspect.is_request(), is_known) {
-            (true, false) => crashes < REPEATED_REQUEST_CRASHES.0,
-            (true, true) => crashes < REPEATED_REQUEST_CRASHES.1,
-            (false, is_known) => is_known && crashes < KNOWN_SEGMENT.crashes,
+        match suspect.is_request() {
+            true => crashes < REPEATED_REQUEST_CRASHES,
+            false => is_known && crashes < KNOWN_SEGMENT.crashes,
         }
     }
 
     /// Returns whether crashes speak against a suspect that never survived.
     pub(super) fn is_new_suspect(&self, suspect: suspect::SuspectId) -> bool {
-        let needed = if suspect.is_request() { REPEATED_REQUEST_CRASHES.0 } else { 1 };
+        let needed = if suspect.is_request() { REPEATED_REQUEST_CRASHES } else { 1 };
         self.last_survival(suspect).is_none() && self.crash_count(suspect) >= needed
     }
 
@@ -326,6 +338,14 @@
         }
     }
 
+    /// Whether a suspect counts as one that never survived. A request that comes seldom may have been
+    /// sound once.
+    fn is_new(&self, suspect: suspect::SuspectId, sightings: &[Sighting]) -> bool {
+        let Some(last_ms) = self.last_survival(suspect) else { return true };
+        let first_ms = sightings.iter().map(|(_, at_ms)| *at_ms).min().unwrap_or_default();
+        suspect.is_request() && last_ms + FREQUENT_TIME.get() < first_ms
+    }
+
     /// Returns the suspects of one kind to quarantine: those that never survived come first, then
     /// those with most crashes.
     fn find_kind(
@@ -341,7 +361,7 @@
             (false, false) => &KNOWN_SEGMENT,
         };
         let rank = |(suspect, times): (&suspect::SuspectId, &Vec<Sighting>)| {
-            let is_new = self.last_survival(*suspect).is_none();
+            let is_new = self.is_new(*suspect, times);
             rule(is_new).satisfied_at(times)?;
             (suspect.is_request() == is_request).then_some((is_new, times.len()))
         };
--- a/crates/fleet/src/suspect.rs
+++ b/crates/fleet/src/suspect.rs
@@ -106,8 +106,6 @@
     pub target: &'a str,
     /// Workspace of the caller; `None` on a route that needs none.
     pub workspace: Option<&'a id::WorkspaceId>,
-    /// Prompt, if it is not part of the body.
-    pub prompt: Option<&'a selection::PromptSize>,
     /// Body.
     pub body: &'a [u8],
 }
@@ -116,14 +114,8 @@
     /// Hashes the identity with a cryptographic hash, since a caller may look for collisions.
     pub fn fingerprint(&self) -> RequestFingerprint {
         let workspace = self.workspace.map_or("", id::WorkspaceId::as_str);
-        let segments = self.prompt.map_or(&[][..], |prompt| &prompt.segments);
-        let mut prompt = Vec::with_capacity(segments.len() * 12);
-        for segment in segments {
-            prompt.extend_from_slice(&segment.hash.to_le_bytes());
-            prompt.extend_from_slice(&segment.tokens.to_le_bytes());
-        }
         let texts = [workspace, self.host, self.method, self.target].map(str::as_bytes);
-        let parts = texts.into_iter().chain([&prompt[..], self.body]);
+        let parts = texts.into_iter().chain([self.body]);
         RequestFingerprint(digest::truncated_digest(parts))
     }
 }
--- a/crates/fleet/tests/quarantine.rs
+++ b/crates/fleet/tests/quarantine.rs
@@ -109,6 +109,9 @@
     bad_request_beside_restarts => PLAIN { restarts: 0.5 };
     bad_request_beside_a_cut => PLAIN { has_cut: true };
     bad_request_beside_a_cut_at_84_daemons => PLAIN_LARGE { has_cut: true };
+    bad_request_that_was_sound => PLAIN { turns_bad: true, rates: (62.0, 1.0) };
+    frequent_request_that_turns_bad => PLAIN { turns_bad: true };
+    frequent_request_that_turns_bad_at_84_daemons => PLAIN_LARGE { turns_bad: true };
     bad_request_beside_a_false_witness => PLAIN { has_false_witness: true };
     bad_request_beside_a_false_witness_at_84_daemons => PLAIN_LARGE { has_false_witness: true };
 }
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -295,7 +295,7 @@
     let mut suspects = suspect::shared_segments(metadata.prompt.as_ref());
     let fingerprint = cell::OnceCell::new();
     if state.quarantine.has_request_suspects() {
-        let identity = context::identity(&head, &metadata, workspace.map(|rule| &**rule), &body);
+        let identity = context::identity(&head, workspace.map(|rule| &**rule), &body);
         suspects
             .push(suspect::SuspectId::Request(*fingerprint.get_or_init(|| identity.fingerprint())));
     }
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -50,16 +50,13 @@
     /// Returns the fingerprint of the request, which is computed at the first call.
     pub fn fingerprint(&self) -> suspect::RequestFingerprint {
         let workspace = self.workspace.as_deref();
-        *self.fingerprint.get_or_init(|| {
-            identity(&self.head, &self.metadata, workspace, &self.body).fingerprint()
-        })
+        *self.fingerprint.get_or_init(|| identity(&self.head, workspace, &self.body).fingerprint())
     }
 }
 
 /// Returns what makes a request the same as another one.
 pub(crate) fn identity<'a>(
     head: &'a message::RequestHead,
-    metadata: &'a adapter::RequestMetadata,
     workspace: Option<&'a policy::WorkspaceRule>,
     body: &'a [u8],
 ) -> suspect::RequestIdentity<'a> {
@@ -68,7 +65,6 @@
         method: &head.method,
         target: &head.target,
         workspace: workspace.map(|rule| &rule.id),
-        prompt: metadata.prompt.as_ref(),
         body,
     }
 }
--- a/crates/gateway/src/quarantine_records.rs
+++ b/crates/gateway/src/quarantine_records.rs
@@ -13,6 +13,8 @@
 
 /// Interval between reads of the rows while there are verdicts.
 const READ_INTERVAL: time::Millis = time::Millis::new(5_000);
+/// Interval between checks whether the rows must be read or written early.
+const CHECK_INTERVAL: time::Millis = time::Millis::new(500);
 /// Pause after a failed read or write of the rows.
 const RETRY_PAUSE: time::Millis = time::Millis::new(1_000);
 
@@ -24,13 +26,30 @@
         task::sleep(RETRY_PAUSE.to_duration()).await;
     }
     let mut has_rows = false;
+    let mut verdict_count = 0;
+    let mut updated_at = core.now();
     loop {
-        task::sleep(READ_INTERVAL.to_duration()).await;
-        let has_verdicts = core.state.borrow().quarantine.verdicts().next().is_some();
-        if core.lease_state.local_version.get().is_none() || !has_verdicts && !has_rows {
+        task::sleep(CHECK_INTERVAL.to_duration()).await;
+        let now = core.now();
+        let holds_lease = core.lease_state.local_version.get().is_some();
+        let (count, has_report) = {
+            let state = core.state.borrow();
+            (state.quarantine.verdicts().count(), state.quarantine.has_recent_report(now))
+        };
+        // The holder shows a new verdict at once; a daemon under whose requests replicas crash may be cut
+        // off from the daemons that know the verdict.
+        let is_early = if holds_lease { count != verdict_count } else { has_report };
+        let is_due = now.since(updated_at) >= READ_INTERVAL;
+        let is_needed = has_report || holds_lease && (count > 0 || has_rows);
+        if !is_needed || !is_early && !is_due {
             continue;
         }
-        match update_rows(&core).await {
+        (verdict_count, updated_at) = (count, now);
+        let result = match holds_lease {
+            true => update_rows(&core).await,
+            false => read_verdicts(&core).await.map(|()| false),
+        };
+        match result {
             Ok(has_more) => has_rows = has_more,
             Err(cause) => {
                 log::warn!("failed to update the rows of what is quarantined ({cause}); retrying")
