Fleet: victims of a bad prompt segment are not held to be at fault

Cause: a sound request that is sent again beside others with a bad segment ends with three replicas, was quarantined as a whole, and explained the crashes away, so the segment never reached its four.

Change: a request is no culprit while a segment that never survived is in half of its crashes, and a verdict on a request explains crashes to requests only. Crash notices are repeated for 1 s, as each now names requests.

--- a/crates/fleet/src/quarantine/evidence.rs
+++ b/crates/fleet/src/quarantine/evidence.rs
@@ -19,8 +19,8 @@
 const MAX_CRASHES: usize = 256;
 /// Number of suspects of one crash, of each kind.
 const MAX_SUSPECTS: usize = 128;
-/// Number of suspects of one crash that a daemon reports, of each kind.
-const MAX_REPORTED_SUSPECTS: usize = 16;
+/// Numbers of segments and of requests of one crash that a daemon reports.
+const MAX_REPORTED_SUSPECTS: [usize; 2] = [16, 16];
 /// Number of suspects in each of the two generations of those that survived.
 const GENERATION_SIZE: usize = 4_096;
 /// Number of crashes after which requests that can't be told apart are all quarantined. Before that,
@@ -78,6 +78,29 @@
 /// Number of crashes after which a request is not sent again.
 const REPEATED_REQUEST_CRASHES: usize = 2;
 
+/// Which suspects of a crash are not at fault, as a quarantined one is.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+enum ExplainedCrash {
+    /// Any suspect may be at fault.
+    #[default]
+    Open,
+    /// Other requests are not at fault. A segment may be at fault for the quarantined request as well.
+    ByRequest,
+    /// No other suspect is at fault.
+    BySegment,
+}
+
+impl ExplainedCrash {
+    /// Whether the crash counts against suspects of a kind.
+    fn counts_against(self, is_request: bool) -> bool {
+        match self {
+            ExplainedCrash::Open => true,
+            ExplainedCrash::ByRequest => !is_request,
+            ExplainedCrash::BySegment => false,
+        }
+    }
+}
+
 /// A crash of a replica.
 #[derive(Clone, Debug)]
 pub(super) struct CrashRecord {
@@ -88,8 +111,8 @@
     pub(super) suspects: Vec<suspect::SuspectId>,
     /// Daemons that report the crash, as far as they are named.
     pub(super) reporters: SmallVec<[id::DaemonId; 2]>,
-    /// Whether a quarantined suspect explains the crash, so that it counts against no other one.
-    is_explained: bool,
+    /// What a quarantined suspect explains of the crash.
+    explained: ExplainedCrash,
 }
 
 /// When suspects last survived, in milliseconds since the Unix epoch. Suspects that are not seen for
@@ -159,13 +182,17 @@
         let is_repeated = |suspect: &suspect::SuspectId| {
             suspect.is_request() && self.crash_count(*suspect) >= REPEATED_REQUEST_CRASHES
         };
-        let own = self.unexplained().filter(|crash| crash.reporters.contains(daemon));
+        let own = self.crashes.iter().filter(|crash| crash.reporters.contains(daemon));
         let repeated = own.filter(|crash| crash.suspects.iter().any(is_repeated));
         repeated.map(|crash| crash.learned_at).max()
     }
 
-    fn unexplained(&self) -> impl Iterator<Item = &CrashRecord> {
-        self.crashes.iter().filter(|crash| !crash.is_explained)
+    /// Returns the crashes that speak against a suspect.
+    fn crashes_of(&self, suspect: suspect::SuspectId) -> impl Iterator<Item = &CrashRecord> {
+        self.crashes.iter().filter(move |crash| {
+            crash.explained.counts_against(suspect.is_request())
+                && crash.suspects.contains(&suspect)
+        })
     }
 
     /// Keeps the suspects that a daemon reports. Those that never survived are most likely at fault, and
@@ -176,11 +203,12 @@
             (self.last_survival(*suspect), cmp::Reverse(crashes), *suspect)
         });
         suspects.dedup();
-        let mut counts = [0; 2];
+        let mut remaining = MAX_REPORTED_SUSPECTS;
         suspects.retain(|suspect| {
-            let count = &mut counts[usize::from(suspect.is_request())];
-            *count += 1;
-            *count <= MAX_REPORTED_SUSPECTS
+            let remaining = &mut remaining[usize::from(suspect.is_request())];
+            let is_kept = *remaining > 0;
+            *remaining = remaining.saturating_sub(1);
+            is_kept
         });
     }
 
@@ -211,7 +239,7 @@
             learned_at: now,
             suspects: Vec::new(),
             reporters: SmallVec::new(),
-            is_explained: false,
+            explained: ExplainedCrash::Open,
         });
         (self.crashes.len() - 1, true)
     }
@@ -250,8 +278,12 @@
 
     /// Marks the crashes that a quarantined suspect explains; other suspects of them are not at fault.
     pub(super) fn explain(&mut self, suspect: suspect::SuspectId) {
+        let explained = match suspect.is_request() {
+            true => ExplainedCrash::ByRequest,
+            false => ExplainedCrash::BySegment,
+        };
         for crash in self.crashes.iter_mut().filter(|crash| crash.suspects.contains(&suspect)) {
-            crash.is_explained = true;
+            crash.explained = crash.explained.max(explained);
         }
     }
 
@@ -292,7 +324,7 @@
 
     /// Returns the number of crashes that speak against a suspect.
     pub(super) fn crash_count(&self, suspect: suspect::SuspectId) -> usize {
-        self.unexplained().filter(|crash| crash.suspects.contains(&suspect)).count()
+        self.crashes_of(suspect).count()
     }
 
     /// Returns whether a request with a suspect may be sent once more after a crash: few crashes speak
@@ -313,8 +345,8 @@
         self.last_survival(suspect).is_none() && self.crash_count(suspect) >= needed
     }
 
-    /// Returns the suspects to quarantine, with the number of their crashes. A request is a narrower
-    /// explanation than a segment, so requests come first.
+    /// Returns the suspects to quarantine, with the number of their crashes. Requests come first, unless a
+    /// segment explains their crashes, too.
     pub(super) fn find_culprits(
         &self,
         now: time::MonotonicTime,
@@ -323,13 +355,18 @@
             return SmallVec::new();
         }
         let mut sightings = Sightings::new();
-        for crash in self.unexplained() {
-            for suspect in &crash.suspects {
+        for crash in &self.crashes {
+            let counted = crash
+                .suspects
+                .iter()
+                .filter(|suspect| crash.explained.counts_against(suspect.is_request()));
+            for suspect in counted {
                 sightings.entry(*suspect).or_default().push((crash.learned_at, crash.at_ms));
             }
         }
         sightings.values_mut().for_each(|times| times.sort_unstable());
-        let requests = self.find_kind(&sightings, true, now);
+        let mut requests = self.find_kind(&sightings, true, now);
+        requests.retain(|(request, _)| !self.is_victim(*request));
         let is_tied = requests.len() > 1;
         let is_certain = requests.iter().all(|(_, crashes)| *crashes >= TIED_REQUEST_CRASHES);
         match requests.is_empty() || is_tied && !is_certain {
@@ -338,6 +375,23 @@
         }
     }
 
+    /// Whether a segment that never survived explains half of the crashes of a request, as not all suspects
+    /// of a crash are reported. The request may have been sent again beside others with the segment.
+    fn is_victim(&self, request: suspect::SuspectId) -> bool {
+        let mut counts: collections::HashMap<suspect::SuspectId, usize> =
+            collections::HashMap::new();
+        let mut crashes = 0;
+        for crash in self.crashes_of(request) {
+            crashes += 1;
+            for segment in crash.suspects.iter().filter(|suspect| !suspect.is_request()) {
+                *counts.entry(*segment).or_default() += 1;
+            }
+        }
+        counts
+            .into_iter()
+            .any(|(segment, count)| count + 1 >= crashes && self.last_survival(segment).is_none())
+    }
+
     /// Whether a suspect counts as one that never survived. A request that comes seldom may have been
     /// sound once.
     fn is_new(&self, suspect: suspect::SuspectId, sightings: &[Sighting]) -> bool {
--- a/crates/fleet/src/quarantine/notice.rs
+++ b/crates/fleet/src/quarantine/notice.rs
@@ -10,6 +10,8 @@
 
 /// Time for which a notice is repeated, as datagrams get lost.
 pub(super) const NOTICE_REPEAT_TIME: time::Millis = time::Millis::new(2_000);
+/// The same for notices of crashes, which are many when replicas crash one after the other.
+const CRASH_REPEAT_TIME: time::Millis = time::Millis::new(1_000);
 /// Interval between two sends of a notice.
 const NOTICE_INTERVAL: time::Millis = time::Millis::new(500);
 /// Number of notices that are repeated; the newest ones are.
@@ -106,7 +108,8 @@
         if self.outgoing.len() == MAX_NOTICES {
             self.outgoing.remove(0);
         }
-        let until = now + NOTICE_REPEAT_TIME;
+        let is_crash = matches!(notice, QuarantineNotice::Crash { .. });
+        let until = now + if is_crash { CRASH_REPEAT_TIME } else { NOTICE_REPEAT_TIME };
         let (member_due_at, group_due_at) = (now, now);
         self.outgoing.push(OutgoingNotice { notice, source, until, member_due_at, group_due_at });
     }
--- a/crates/fleet/tests/quarantine.rs
+++ b/crates/fleet/tests/quarantine.rs
@@ -31,6 +31,7 @@
     has_cut: false,
     turns_bad: false,
     has_plain_requests: false,
+    has_retries: false,
     has_false_witness: false,
     seconds: 20,
     seed: 1,
@@ -158,6 +159,11 @@
     bad_segment_beside_many_others_at_84_daemons => LARGE { middle_segments: 3_000 };
     sound_segment_that_turns_bad_at_7_daemons => CALM { turns_bad: true };
     sound_segment_that_turns_bad_at_84_daemons => LARGE { turns_bad: true };
+    sound_requests_are_sent_again_at_7_daemons => CALM { has_retries: true };
+    sound_requests_are_sent_again_at_84_daemons => LARGE { has_retries: true };
+    sound_requests_are_sent_again_beside_waves => CALM { has_retries: true, wave: 0.3 };
+    sound_requests_are_sent_again_at_many_bad_ones =>
+        CALM { has_retries: true, rates: (100.0, 12.0) };
     few_bad_requests_at_7_daemons => CALM { rates: (60.0, 0.8), seconds: 30 };
 }
 
--- a/crates/fleet/tests/quarantine_sim/mod.rs
+++ b/crates/fleet/tests/quarantine_sim/mod.rs
@@ -66,6 +66,8 @@
     pub(crate) turns_bad: bool,
     /// Whether requests are plain, and replicas crash under one request instead of a segment.
     pub(crate) has_plain_requests: bool,
+    /// Whether callers send a request with a prompt again after a crash, as the same request.
+    pub(crate) has_retries: bool,
     /// Whether the path of one daemon to the replicas breaks, so that it reports crashes of replicas that
     /// live.
     pub(crate) has_false_witness: bool,
@@ -396,6 +398,14 @@
         {
             self.report.excessive_attempts += u32::from(request.is_bad && request.attempts >= 2);
             self.dispatch(request);
+        } else if self.settings.has_retries && request.attempts < MAX_ATTEMPTS {
+            let daemon = self.rng.random_range(0..self.daemons.len());
+            let table = &self.daemons[daemon].table;
+            let is_refused = table.find_quarantined(&request.suspects, instant).is_some();
+            self.report.refused_sound += u32::from(is_refused && !request.is_bad);
+            if !is_refused {
+                self.dispatch(SimRequest { daemon, ..request });
+            }
         }
     }
 
@@ -522,9 +532,15 @@
             let middle = 10_000 + self.rng.random_range(0..self.settings.middle_segments);
             segments.push(suspect::SuspectId::Segment(middle));
         }
-        let shared = segments.clone();
+        let mut shared = segments.clone();
         let own = self.rng.random_range(1_000_000..u64::MAX);
         segments.push(suspect::SuspectId::Segment(own));
+        if self.settings.has_retries {
+            let request = suspect::RequestFingerprint::new(u128::from(own));
+            for suspects in [&mut segments, &mut shared] {
+                suspects.push(suspect::SuspectId::Request(request));
+            }
+        }
         (segments, shared)
     }
 
