--- a/crates/fleet/src/quarantine/evidence.rs
+++ b/crates/fleet/src/quarantine/evidence.rs
@@ -67,7 +67,7 @@
     VerdictRule { crashes: 5, settle: time::Millis::new(1_500), span: time::Millis::new(0) };
 /// Rule for requests that did not survive lately.
 const NEW_REQUEST: VerdictRule =
-    VerdictRule { crashes: 3, settle: time::Millis::new(600), span: time::Millis::new(0) };
+    VerdictRule { crashes: 3, settle: time::Millis::new(1_200), span: time::Millis::new(0) };
 /// Rule for requests that survived shortly before the crashes. A whole service may crash at one moment,
 /// under many copies of a frequent sound request.
 const KNOWN_REQUEST: VerdictRule =
