Gateway: a verdict doesn't end the daemon's digest rounds

In a test with links, a daemon panicked: "RefCell already mutably borrowed".

Cause: kept the state borrowed while the changes of the quarantine were logged. The task that evaluates the evidence also sends the digests; it ended at this daemon's first own verdict or refutation, so verdicts and notices were sent no more, while requests were still served.

Change: the state is released before. The tests of crashing requests check that no daemon panicked; both failed before.

--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -409,8 +409,8 @@
     /// Quarantines what crashes speak against, drops crashes of replicas that have answered since, and
     /// forgets what is old.
     pub fn update_quarantine(&self) {
-        let mut state = self.state.borrow_mut();
-        let state = &mut *state;
+        let mut guard = self.state.borrow_mut();
+        let state = &mut *guard;
         let instant = state.clock_instant(self.now());
         let last_answered = |replica: &id::ReplicaId, incarnation| {
             let known_replica = state.replicas.get(replica)?;
@@ -420,6 +420,7 @@
         changes.extend(state.quarantine.evaluate(instant));
         changes.extend(state.quarantine.sweep(instant.now));
         state.crash_probes.retain(|_, probe| probe.is_recent(instant.now));
+        drop(guard);
         self.apply_quarantine_changes(&changes, "crashes");
     }
 
