--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine.rs
@@ -278,7 +278,7 @@
         let is_known = self.refuted.iter().any(|refuted| {
             refuted.replica == *replica
                 && refuted.incarnation == incarnation
-                && refuted.crash_ms >= crash_ms
+                && refuted.crash_ms + evidence::SAME_CRASH_TIME.get() >= crash_ms
         });
         if is_known {
             return false;
@@ -287,7 +287,7 @@
             self.refuted.remove(0);
         }
         let replica = replica.clone();
-        let reporters = self.evidence.remove_crash(&replica, incarnation);
+        let reporters = self.evidence.remove_crash(&replica, incarnation, crash_ms);
         self.refuted.push(RefutedCrash { replica: replica.clone(), incarnation, crash_ms });
         for reporter in &reporters {
             self.distrusted.insert(reporter.clone(), now + DISTRUST_TIME);
@@ -306,15 +306,14 @@
         instant: clock_instant::ClockInstant,
     ) -> QuarantineChanges {
         let mut changes = QuarantineChanges::new();
-        // A replica without a known incarnation may have started again.
-        let known = self
-            .evidence
-            .crashes()
-            .iter()
-            .filter(|crash| crash.incarnation != quantity::Incarnation::default());
-        let answered = known.filter(|crash| {
+        let answered = self.evidence.crashes().iter().filter(|crash| {
+            // A replica without a known incarnation may have started again later.
+            let is_unknown = crash.incarnation == quantity::Incarnation::default();
+            let is_same_start = |sent_at: time::MonotonicTime| {
+                !is_unknown || sent_at.since(crash.learned_at) < evidence::SAME_CRASH_TIME
+            };
             let sent_at = last_answered(&crash.replica, crash.incarnation);
-            sent_at.is_some_and(|sent_at| sent_at > crash.learned_at)
+            sent_at.is_some_and(|sent_at| sent_at > crash.learned_at && is_same_start(sent_at))
         });
         let notices: Vec<_> = answered
             .map(|crash| QuarantineNotice::Alive {
--- a/crates/fleet/src/quarantine/evidence.rs
+++ b/crates/fleet/src/quarantine/evidence.rs
@@ -292,9 +292,13 @@
         &mut self,
         replica: &id::ReplicaId,
         incarnation: quantity::Incarnation,
+        crash_ms: u64,
     ) -> SmallVec<[id::DaemonId; 2]> {
-        let is_same =
-            |crash: &mut CrashRecord| crash.replica == *replica && crash.incarnation == incarnation;
+        let is_same = |crash: &mut CrashRecord| {
+            crash.replica == *replica
+                && crash.incarnation == incarnation
+                && crash.at_ms.abs_diff(crash_ms) < SAME_CRASH_TIME.get()
+        };
         self.crashes.extract_if(.., is_same).flat_map(|crash| crash.reporters).collect()
     }
 
