Gateway: connections to replicas by way of other daemons

Cause: a request's only path to a replica was its own daemon's connection, each attempt waited 400 ms for a connection that hangs, and nothing that all replicas share was known.

Change: after 60 ms, or at once on a path that is suspected, a tunnel by way of another daemon is opened beside the direct connection. fleet::reachability decides which paths are suspected and which daemons relay; the relay serves known daemons and known replicas only, directly and bounded. Kept connections on a suspected path are used only if they responded since. A replica that refuses connections has crashed only if it refuses a relay, too. Which replica, attempts, budgets, quotas and permits stay with the daemon that took the request.

--- a/crates/fleet/src/digest.rs
+++ b/crates/fleet/src/digest.rs
@@ -12,6 +12,7 @@
 
 use crate::load;
 use crate::quarantine;
+use crate::reachability;
 use crate::usage;
 
 /// Demand of one workspace at one daemon.
@@ -106,6 +107,8 @@
     pub policy_read: Option<PolicyRead>,
     /// Notices of crashes and of what is quarantined for them.
     pub quarantine: Vec<quarantine::QuarantineNotice>,
+    /// Groups of replicas to which the daemon has lost its path.
+    pub lost_paths: Vec<reachability::PathGroup>,
 }
 
 /// Encodes a digest and notices as one message. Earlier releases read the digest, or the digest and
@@ -118,7 +121,7 @@
     let wire = quarantine::NoticesWire::from(&notices.quarantine[..]);
     let encoded = postcard::to_extend(&notices.limits, postcard::to_stdvec(digest)?)?;
     let encoded = postcard::to_extend(&(notices.policy_read, &wire.segments), encoded)?;
-    postcard::to_extend(&wire.requests, encoded)
+    postcard::to_extend(&(&wire.requests, &notices.lost_paths), encoded)
 }
 
 /// Decodes a digest and the notices that follow, if any.
@@ -139,7 +142,7 @@
         let ((policy_read, segments), rest) = postcard::take_from_bytes(rest)?;
         (notices.policy_read, wire.segments) = (policy_read, segments);
         if !rest.is_empty() {
-            wire.requests = postcard::from_bytes(rest)?;
+            (wire.requests, notices.lost_paths) = postcard::from_bytes(rest)?;
         }
         notices.quarantine = wire.into();
     }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -5,6 +5,8 @@
 //!
 //! - [`policy`] holds the configuration that operators declare.
 //! - [`replica`] tracks the replicas and [`selection`] chooses one for each request.
+//! - [`reachability`] tells which replicas are reached directly, and chooses the daemons that relay
+//!   connections to the others.
 //! - [`admission`] refuses requests that can't be served in time.
 //! - [`dispatch`] tracks the attempts of a request and whether it may have run.
 //! - [`attempt_record`] remembers the version at which streams began, and [`attempt_message`] encodes
@@ -36,6 +38,7 @@
 pub mod quarantine;
 pub mod quarantine_rows;
 pub mod quota;
+pub mod reachability;
 pub mod replica;
 pub mod selection;
 pub mod suspect;
--- a/crates/fleet/tests/digest.rs
+++ b/crates/fleet/tests/digest.rs
@@ -7,6 +7,7 @@
 use samphiremoor_fleet::digest;
 use samphiremoor_fleet::load;
 use samphiremoor_fleet::quarantine;
+use samphiremoor_fleet::reachability;
 use samphiremoor_fleet::suspect;
 use samphiremoor_fleet::usage;
 
@@ -109,6 +110,13 @@
     vec![notice("replica-1", Some(1_100)), notice("replica-2", None)]
 }
 
+fn lost_paths() -> Vec<reachability::PathGroup> {
+    vec![reachability::PathGroup {
+        service: "desk".parse().expect("the name is an identifier"),
+        zone: "north".parse().expect("the name is an identifier"),
+    }]
+}
+
 fn crash_notices() -> Vec<quarantine::QuarantineNotice> {
     let segment = suspect::SuspectId::Segment(7);
     let request = suspect::SuspectId::Request(suspect::RequestFingerprint::new(9 << 100));
@@ -144,8 +152,12 @@
 /// notices of limits, or none.
 fn check_releases(limits: &[digest::LimitNotice], policy_read: Option<digest::PolicyRead>) {
     let sent = digest_of("one", 1, 100.0, 3);
-    let notices =
-        digest::DigestNotices { limits: limits.to_vec(), policy_read, quarantine: crash_notices() };
+    let notices = digest::DigestNotices {
+        limits: limits.to_vec(),
+        policy_read,
+        quarantine: crash_notices(),
+        lost_paths: lost_paths(),
+    };
     let bytes = digest::encode(&sent, &notices).expect("the digest can be encoded");
     assert_eq!(digest::decode(&bytes).ok(), Some((sent.clone(), notices)));
     assert_eq!(
@@ -201,6 +213,7 @@
         limits: notices(),
         policy_read: READS,
         quarantine: crash_notices(),
+        lost_paths: lost_paths(),
     };
     let bytes = digest::encode(&sent, &notices).expect("the digest can be encoded");
     let digest_length = postcard::to_stdvec(&sent).expect("the digest can be encoded").len();
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt: dispatches a request to a replica and reads its response up to the part that is
 //! relayed.
 
+use std::io;
 use std::sync;
 
 use async_std::future;
@@ -124,9 +125,14 @@
         let is_repeatable = self.request.route.kind.is_repeatable();
         let address = guard.address();
         let result = upstream::acquire(self.core, &selected.replica, address, is_repeatable).await;
-        let Ok(mut connection) = result else {
-            self.mark_unreachable(&selected.replica);
-            return AttemptStart::NotSent;
+        let mut connection = match result {
+            Ok(connection) => connection,
+            Err(cause) => {
+                if cause.kind() != io::ErrorKind::NetworkUnreachable {
+                    self.mark_unreachable(&selected.replica);
+                }
+                return AttemptStart::NotSent;
+            }
         };
         // The replica may have begun to leave while the connection opened or a KV cache was copied.
         // A stream that can't resume without that copy has no other replica to go on at.
@@ -154,6 +160,9 @@
                 return self.failed_start(&guard.replica_start()).await;
             }
         };
+        if connection.is_direct() {
+            self.core.state.borrow_mut().paths.on_data(self.core.now());
+        }
         if !response.metadata.is_other_replica {
             guard.record_answer(started_at);
             self.core.observe_limit(&selected.replica, &response.metadata.limit, started_at);
--- a/crates/gateway/src/attempt_exchange.rs
+++ b/crates/gateway/src/attempt_exchange.rs
@@ -16,6 +16,7 @@
 use samphiremoor_base::time;
 use samphiremoor_fleet::attempt_message;
 use samphiremoor_fleet::attempt_record;
+use samphiremoor_fleet::reachability;
 
 /// Interval at which a query is sent again, since datagrams get lost.
 const QUERY_INTERVAL: time::Millis = time::Millis::new(50);
@@ -33,6 +34,16 @@
     /// Returns all known daemons but this one.
     fn candidates(&self) -> Vec<attempt_record::HolderCandidate>;
 
+    /// Returns the daemons that may relay connections to the replicas of a group.
+    fn relays(&self, _group: &reachability::PathGroup) -> Vec<reachability::RelayCandidate> {
+        Vec::new()
+    }
+
+    /// Returns whether the daemon at an address is believed to run and not to stop.
+    fn is_live(&self, _daemon: SocketAddr) -> bool {
+        false
+    }
+
     /// Sends a datagram to each recipient. It may get lost.
     async fn send_datagram(&self, bytes: &[u8], recipients: &[SocketAddr]);
 }
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -24,6 +24,7 @@
 use samphiremoor_fleet::policy;
 use samphiremoor_fleet::quarantine;
 use samphiremoor_fleet::quota;
+use samphiremoor_fleet::reachability;
 use samphiremoor_fleet::replica;
 use samphiremoor_fleet::usage;
 use samphiremoor_fleet::wall_clock;
@@ -39,6 +40,7 @@
 use crate::metrics;
 use crate::served_document;
 use crate::settings;
+use crate::tunnel;
 
 /// Fraction of the retry ratio shared by all daemons that is used. The rest covers requests at a
 /// window's edge, which are counted late.
@@ -99,6 +101,8 @@
     pub forced_stop: ForcedStop,
     /// Records of the attempts that began streams.
     pub attempts: attempt_exchange::AttemptExchange,
+    /// The daemons that may relay connections to replicas.
+    pub relays: tunnel::RelayDirectory,
     /// Whether this daemon or a peer holds the duty lease.
     pub lease_state: lease_state::LeaseState,
     /// State that changes at run time.
@@ -132,6 +136,10 @@
     pub quarantine: quarantine::QuarantineTable,
     /// Recent probes of replicas that may have crashed.
     pub crash_probes: collections::HashMap<id::ReplicaId, crash_probe::CrashProbe>,
+    /// Paths from this daemon to replicas.
+    pub paths: reachability::PathTable,
+    /// Number of connections of other daemons that this one relays.
+    pub relayed_tunnels: u32,
     /// Values that replicas named and that are no limits, as they were logged last.
     refused_limits: collections::BTreeMap<id::ReplicaId, sync::Arc<str>>,
     /// Pool of idle connections to replicas.
@@ -218,6 +226,8 @@
             limits: limit::LimitTable::new(now),
             quarantine: quarantine::QuarantineTable::new(settings.daemon.clone()),
             crash_probes: collections::HashMap::new(),
+            paths: reachability::PathTable::default(),
+            relayed_tunnels: 0,
             refused_limits: collections::BTreeMap::new(),
             idle_pool: idle::IdlePool::default(),
             stopping_since: None,
@@ -243,6 +253,7 @@
             idle_shutdown: IdleShutdown::default(),
             forced_stop: ForcedStop::default(),
             attempts: attempt_exchange::AttemptExchange::default(),
+            relays: tunnel::RelayDirectory::default(),
             lease_state: lease_state::LeaseState::default(),
             state: cell::RefCell::new(state),
         })
@@ -459,6 +470,53 @@
         self.metrics.set_quarantined(segments, requests);
     }
 
+    /// Returns what identifies a replica at a relay; `None` if it is not known at this address.
+    pub fn tunnel_target(
+        &self,
+        replica: &id::ReplicaId,
+        address: SocketAddr,
+    ) -> Option<tunnel::TunnelTarget> {
+        let state = self.state.borrow();
+        let entry = &state.replicas.get(replica)?.entry;
+        let group = reachability::PathGroup::of(entry);
+        let same_group = state
+            .replicas
+            .of_service(&entry.service)
+            .filter(|other| other.entry.zone == entry.zone && !other.entry.is_draining);
+        let target = tunnel::TunnelTarget {
+            replica: replica.clone(),
+            incarnation: entry.incarnation,
+            group,
+            group_size: same_group.count(),
+        };
+        (entry.address == address).then_some(target)
+    }
+
+    /// Returns whether the path to a replica is suspected to be broken.
+    pub fn is_path_suspected(&self, target: &tunnel::TunnelTarget) -> bool {
+        let state = self.state.borrow();
+        state.paths.suspected_since(&target.group, &target.replica).is_some()
+    }
+
+    /// Logs changes of the paths to replicas.
+    pub fn log_path_changes(&self, changes: &[reachability::PathChange]) {
+        if changes.is_empty() {
+            return;
+        }
+        for change in changes {
+            match change {
+                reachability::PathChange::Suspected(group) => {
+                    log_event!(event::LogEvent::PathSuspected, group = group)
+                }
+                reachability::PathChange::Restored(group) => {
+                    log_event!(event::LogEvent::PathRestored, group = group)
+                }
+            }
+        }
+        let count = self.state.borrow().paths.suspected_groups().count();
+        self.metrics.set_suspected_paths(count);
+    }
+
     /// Logs changes to replicas, closes the idle connections of leaving ones, and keeps departures
     /// for the digests to peers. `source` is logged as the origin of the changes.
     pub fn apply_changes(&self, changes: &[replica::ReplicaChange], source: &str) {
--- a/crates/gateway/src/crash.rs
+++ b/crates/gateway/src/crash.rs
@@ -12,6 +12,7 @@
 use crate::context;
 use crate::core;
 use crate::crash_probe;
+use crate::tunnel;
 use crate::upstream;
 
 /// Interval between checks for the result of a probe of another request.
@@ -137,13 +138,37 @@
     }
     let mut probe = crash_probe::CrashProbe { started_at: core.now(), has_crashed: None };
     core.state.borrow_mut().crash_probes.insert(start.replica.clone(), probe);
-    let has_crashed = upstream::refuses_connections(core, &start.replica, start.address).await
-        && has_path(core, start, probe.started_at).await;
+    let has_crashed = match core.tunnel_target(&start.replica, start.address) {
+        Some(target) => Box::pin(is_down(core, start, &target, probe.started_at)).await,
+        None => false,
+    };
     probe.has_crashed = Some(has_crashed);
     core.state.borrow_mut().crash_probes.insert(start.replica.clone(), probe);
     has_crashed
 }
 
+/// Returns whether a replica is down: it refuses the connections of this daemon, whose path is sound, and
+/// of another one.
+async fn is_down(
+    core: &rc::Rc<core::GatewayCore>,
+    start: &crash_probe::ReplicaStart,
+    target: &tunnel::TunnelTarget,
+    probed_at: time::MonotonicTime,
+) -> bool {
+    let has_lost_path = core.is_path_suspected(target);
+    if !has_lost_path && !upstream::refuses_connections(core, &start.replica, start.address).await {
+        return false;
+    }
+    match upstream::probe_tunnel(core, target, start.address).await {
+        Ok(()) => false,
+        Err(tunnel::TunnelError::ReplicaRefused) => true,
+        // No other daemon can tell.
+        Err(tunnel::TunnelError::Unreachable) => {
+            !has_lost_path && has_path(core, start, probed_at).await
+        }
+    }
+}
+
 /// Returns whether this daemon reaches other replicas, so that a refused connection speaks against the
 /// replica and not against the path to it.
 async fn has_path(
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -27,10 +27,13 @@
 use crate::digest_exchange;
 use crate::duties;
 use crate::internal_response;
+use crate::path_probe;
 use crate::peer_records;
 use crate::quarantine_records;
 use crate::settings;
 use crate::table_sync;
+use crate::tunnel;
+use crate::tunnel_relay;
 
 /// Time before the process is killed at which requests still in progress are abandoned.
 const KILL_MARGIN: time::Millis = time::Millis::new(300);
@@ -124,14 +127,15 @@
     let peers = peers.map_err(|cause| StartError::Listen(listen.peers, cause))?;
     let peer_requests = bind(listen.peers).await?;
     digest_exchange::start(core, peers);
-    task::spawn_local(serve_internal(core.clone(), peer_requests, peer_records::respond));
+    task::spawn_local(serve_internal(core.clone(), peer_requests, peer_records::respond, true));
     task::spawn_local(table_sync::follow_policy(core.clone()));
     task::spawn_local(table_sync::follow_entries(core.clone()));
     task::spawn_local(caller::accept(core.clone(), callers));
-    task::spawn_local(serve_internal(core.clone(), ready, respond_readiness));
-    task::spawn_local(serve_internal(core.clone(), metrics, render_metrics));
+    task::spawn_local(serve_internal(core.clone(), ready, respond_readiness, false));
+    task::spawn_local(serve_internal(core.clone(), metrics, render_metrics, false));
     task::spawn_local(duties::run(core.clone()));
     task::spawn_local(quarantine_records::run(core.clone()));
+    task::spawn_local(path_probe::run(core.clone()));
     task::spawn_local(sweep_idle(core.clone()));
     log_event!(
         event::LogEvent::ProcessStarted,
@@ -174,14 +178,15 @@
 }
 
 /// Serves requests on an operator or peer address; never returns. `respond` returns the response to
-/// a request target.
+/// a request target. Connections to replicas are relayed if `relays_tunnels` is set.
 async fn serve_internal(
     core: rc::Rc<core::GatewayCore>,
     listener: net::TcpListener,
     respond: fn(&core::GatewayCore, &str) -> internal_response::InternalResponse,
+    relays_tunnels: bool,
 ) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
+        let Ok((stream, sender)) = listener.accept().await else {
             task::sleep(STOP_CHECK_INTERVAL.to_duration()).await;
             continue;
         };
@@ -194,6 +199,10 @@
             else {
                 return;
             };
+            if relays_tunnels && let Some(replica) = head.target.strip_prefix(tunnel::TUNNEL_PREFIX)
+            {
+                return tunnel_relay::serve(&core, raw, (&head, replica), sender).await;
+            }
             let response = respond(&core, &head.target);
             let head = format!(
                 "HTTP/1.1 {}\r\nContent-Type: text/plain\r\nContent-Length: {}\r\nConnection: close\r\n\r\n",
--- a/crates/gateway/src/digest_exchange.rs
+++ b/crates/gateway/src/digest_exchange.rs
@@ -28,6 +28,7 @@
 use samphiremoor_fleet::limit;
 use samphiremoor_fleet::load;
 use samphiremoor_fleet::quarantine;
+use samphiremoor_fleet::reachability;
 use samphiremoor_platform::table;
 use serde::Deserialize;
 use serde::Serialize;
@@ -99,6 +100,8 @@
     digest: Option<digest::PeerDigest>,
     /// How the peer reads the policy, as it said with that digest.
     policy_read: Option<digest::PolicyRead>,
+    /// Paths that the peer has lost, by that digest.
+    lost_paths: Vec<reachability::PathGroup>,
 }
 
 /// The daemon that aggregates another zone's digests.
@@ -139,6 +142,7 @@
         is_fetching_policy: cell::Cell::new(false),
     });
     core.attempts.connect(exchange.clone());
+    core.relays.connect(exchange.clone());
     task::spawn_local(write_row(core.clone()));
     task::spawn_local(read_rows(exchange.clone()));
     task::spawn_local(receive_digests(exchange.clone()));
@@ -308,6 +312,7 @@
             added_at: self.core.now(),
             digest: None,
             policy_read: None,
+            lost_paths: Vec::new(),
         };
         state.peers.insert(daemon.clone(), peer);
         self.core.on_daemon_joined();
@@ -429,6 +434,14 @@
         notices
     }
 
+    /// Whether a peer runs and doesn't stop, as far as known: daemons of other groups send no digests to
+    /// this one.
+    fn may_relay(&self, peer: &KnownPeer, now: time::MonotonicTime) -> bool {
+        let is_in_group = !self.is_zonal() || self.is_local_zone(&peer.zone);
+        let is_stopping = peer.digest.as_ref().is_some_and(|digest| digest.is_stopping);
+        !is_in_group || is_live(peer, now) && !is_stopping
+    }
+
     /// Returns what this daemon tells other groups about crashes and quarantined segments in its own.
     fn group_notices(&self) -> Vec<quarantine::QuarantineNotice> {
         let now = self.core.now();
@@ -455,6 +468,7 @@
             limits: state.limits.notices(now),
             policy_read: Some(digest::PolicyRead { age }),
             quarantine,
+            lost_paths: state.paths.suspected_groups().cloned().collect(),
         }
     }
 
@@ -625,7 +639,7 @@
         if digest.members == 0 {
             self.add_peer(&digest.daemon, digest.address, &digest.zone);
             if !is_zonal || self.is_local_zone(&digest.zone) {
-                self.receive_member(digest, notices.policy_read);
+                self.receive_member(digest, notices);
             }
             return;
         }
@@ -659,9 +673,12 @@
     fn receive_member(
         self: &rc::Rc<Self>,
         digest: digest::PeerDigest,
-        policy_read: Option<digest::PolicyRead>,
+        notices: &digest::DigestNotices,
     ) {
         let now = self.core.now();
+        if digest.is_stopping {
+            self.core.state.borrow_mut().idle_pool.remove_relayed(digest.address);
+        }
         if let Some(peer) = self.state.borrow_mut().peers.get_mut(&digest.daemon) {
             let last_incarnation = peer.digest.as_ref().map(|last_digest| last_digest.incarnation);
             if last_incarnation.is_some_and(|incarnation| digest.incarnation < incarnation) {
@@ -672,7 +689,8 @@
             }
             peer.last_contact = Some(now);
             peer.digest = Some(digest.clone());
-            peer.policy_read = policy_read;
+            peer.policy_read = notices.policy_read;
+            peer.lost_paths.clone_from(&notices.lost_paths);
         }
         self.apply(&digest.daemon.clone(), digest.incarnation, &digest);
     }
@@ -750,6 +768,24 @@
         state.peers.iter().map(candidate).collect()
     }
 
+    fn relays(&self, group: &reachability::PathGroup) -> Vec<reachability::RelayCandidate> {
+        let now = self.core.now();
+        let state = self.state.borrow();
+        let candidate = |peer: &KnownPeer| reachability::RelayCandidate {
+            address: peer.address,
+            zone: peer.zone.clone(),
+            is_live: self.may_relay(peer, now),
+            has_lost_path: peer.lost_paths.contains(group),
+        };
+        state.peers.values().map(candidate).collect()
+    }
+
+    fn is_live(&self, daemon: SocketAddr) -> bool {
+        let now = self.core.now();
+        let state = self.state.borrow();
+        state.peers.values().any(|peer| peer.address == daemon && self.may_relay(peer, now))
+    }
+
     async fn send_datagram(&self, bytes: &[u8], recipients: &[SocketAddr]) {
         self.send_bytes(bytes, recipients).await;
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,7 +5,8 @@
 //! [`caller`] serves callers' connections, and [`response`] writes to them. [`forward`] takes one
 //! request through its attempts: [`context`] is what they share, [`attempt`] makes one of them,
 //! [`pending`] waits for several, and [`relay`] and [`stream`] pass a response on. [`upstream`]
-//! talks to replicas over the connections that [`idle`] pools, and `migration` moves KV caches
+//! talks to replicas over the connections that [`dialer`] opens and [`idle`] pools, [`tunnel`] opens those
+//! by way of other daemons, `tunnel_relay` serves these and `path_probe` finds out when they are needed, and `migration` moves KV caches
 //! between them. [`resumption`] and [`attempt_exchange`] let callers resume streams at any daemon.
 //! [`table_sync`] follows the policy and the replica entries in the platform's table,
 //! [`digest_exchange`] and [`peer_records`] exchange state with the other daemons, `document_exchange`
@@ -33,6 +34,7 @@
 pub mod lease_state;
 pub mod metrics;
 mod migration;
+mod path_probe;
 pub mod peer_records;
 pub mod pending;
 mod quarantine_records;
@@ -43,4 +45,6 @@
 pub mod settings;
 pub mod stream;
 pub mod table_sync;
+pub mod tunnel;
+mod tunnel_relay;
 pub mod upstream;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -26,6 +26,9 @@
     limited_replicas: prometheus::IntGauge,
     replica_crashes: prometheus::IntCounter,
     refuted_crashes: prometheus::IntCounter,
+    tunnels: prometheus::IntCounterVec,
+    relayed_tunnels: prometheus::IntGauge,
+    suspected_paths: prometheus::IntGauge,
     quarantined_segments: prometheus::IntGauge,
     quarantined_requests: prometheus::IntGauge,
     first_byte_seconds: prometheus::Histogram,
@@ -92,6 +95,21 @@
             "Crashes that were reported of replicas that are alive.",
         );
         let refuted_crashes = register(&registry, refuted_crashes.expect("the name is valid"));
+        let tunnels = counter_vec(
+            "samphiremoor_gateway_tunnels_total",
+            "Connections to replicas by way of other daemons, by result.",
+            "result",
+        );
+        let relayed_tunnels = prometheus::IntGauge::new(
+            "samphiremoor_gateway_relayed_tunnels",
+            "Connections of other daemons to replicas that this daemon relays.",
+        );
+        let relayed_tunnels = register(&registry, relayed_tunnels.expect("the name is valid"));
+        let suspected_paths = prometheus::IntGauge::new(
+            "samphiremoor_gateway_suspected_paths",
+            "Services by availability zone that this daemon seems to reach only by way of others.",
+        );
+        let suspected_paths = register(&registry, suspected_paths.expect("the name is valid"));
         let quarantined_requests = prometheus::IntGauge::new(
             "samphiremoor_gateway_quarantined_requests",
             "Requests that are refused whenever they come, since replicas crash under them.",
@@ -121,6 +139,9 @@
             limited_replicas,
             replica_crashes,
             refuted_crashes,
+            tunnels,
+            relayed_tunnels,
+            suspected_paths,
             quarantined_segments,
             quarantined_requests,
             first_byte_seconds,
@@ -193,6 +214,21 @@
         self.refuted_crashes.inc();
     }
 
+    /// Counts a connection to a replica by way of another daemon, by its result.
+    pub fn count_tunnel(&self, result: &str) {
+        self.tunnels.with_label_values(&[result]).inc();
+    }
+
+    /// Sets the number of connections of other daemons that this one relays.
+    pub fn set_relayed_tunnels(&self, count: u32) {
+        self.relayed_tunnels.set(i64::from(count));
+    }
+
+    /// Sets the number of path groups that this daemon seems to reach only by way of others.
+    pub fn set_suspected_paths(&self, count: usize) {
+        self.suspected_paths.set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     /// Sets the numbers of quarantined prompt segments and requests.
     pub fn set_quarantined(&self, segments: usize, requests: usize) {
         self.quarantined_segments.set(i64::try_from(segments).unwrap_or(i64::MAX));
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -156,6 +156,10 @@
             let read = stream.body.reader.read(&mut stream.connection.raw, self.splitter.buffer());
             match pending::next_event(read, &mut self.pending, timeout).await {
                 pending::RequestEvent::Progress(read) => {
+                    if stream.connection.is_direct() {
+                        let core = context.core;
+                        core.state.borrow_mut().paths.on_data(core.now());
+                    }
                     // The other attempts go on if the stream is broken.
                     let is_body_end = read.map_err(|_| StreamEnd::Broken)?;
                     if is_silent {
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -3,25 +3,32 @@
 use std::cell;
 use std::io;
 use std::net::SocketAddr;
+use std::pin;
 use std::rc;
 use std::sync;
 
+use async_std::future;
 use async_std::io::WriteExt as _;
 use async_std::task;
 use samphiremoor_base::id;
 use samphiremoor_base::quantity;
 use samphiremoor_base::time;
 use samphiremoor_fleet::dispatch;
+use samphiremoor_fleet::reachability;
 use samphiremoor_httpio::connection;
 use samphiremoor_httpio::message;
 
 use crate::adapter;
 use crate::core;
+use crate::tunnel;
 
 /// Timeout for connecting to a replica. Within a region a handshake takes a few milliseconds.
 const CONNECT_TIMEOUT: time::Millis = time::Millis::new(400);
 /// Timeout for a connection that shows whether this daemon reaches other replicas.
 const PATH_TIMEOUT: time::Millis = time::Millis::new(150);
+/// Time without an answer after which a tunnel is tried beside a direct connection. Within a region that
+/// opens in a few milliseconds.
+const HEDGE_TIME: time::Millis = time::Millis::new(60);
 /// Number of connections by which a replica is probed.
 const PROBE_CONNECTIONS: u32 = 2;
 /// Time for which a connection to a replica that lives stays open.
@@ -46,6 +53,15 @@
     /// Whether the connection carried an exchange before.
     pub is_reused: bool,
     address: SocketAddr,
+    /// Daemon that relays the connection; `None` if it is direct.
+    relay: Option<SocketAddr>,
+}
+
+impl UpstreamConnection {
+    /// Whether the connection goes to the replica directly.
+    pub fn is_direct(&self) -> bool {
+        self.relay.is_none()
+    }
 }
 
 /// Head of a replica's response.
@@ -84,15 +100,123 @@
 ) -> io::Result<UpstreamConnection> {
     loop {
         let now = core.now();
-        let idle_connection =
-            core.state.borrow_mut().idle_pool.take(replica, address, is_repeatable, now);
-        let Some(raw) = idle_connection else { break };
+        let idle_connection = {
+            let state = &mut *core.state.borrow_mut();
+            let entry = state.replicas.get(replica).map(|known_replica| &known_replica.entry);
+            let group = entry.map(reachability::PathGroup::of);
+            let suspected_since =
+                group.and_then(|group| state.paths.suspected_since(&group, replica));
+            state.idle_pool.take(replica, address, is_repeatable, suspected_since, now)
+        };
+        let Some((raw, relay)) = idle_connection else { break };
         if raw.is_idle().await {
-            return Ok(UpstreamConnection { raw, is_reused: true, address });
+            return Ok(UpstreamConnection { raw, is_reused: true, address, relay });
+        }
+    }
+    let (raw, relay) = Box::pin(dial(core, replica, address)).await?;
+    Ok(UpstreamConnection { raw, is_reused: false, address, relay })
+}
+
+/// What ended first.
+enum DialEnd {
+    Direct(io::Result<connection::RawConnection>),
+    Tunnel(Result<(connection::RawConnection, SocketAddr), tunnel::TunnelError>),
+}
+
+/// Opens a connection to a replica: a direct one, or a tunnel if that hangs or the path is suspected.
+/// Returns it with the relay, if any.
+async fn dial(
+    core: &rc::Rc<core::GatewayCore>,
+    replica: &id::ReplicaId,
+    address: SocketAddr,
+) -> io::Result<(connection::RawConnection, Option<SocketAddr>)> {
+    let mut direct = core.dialer.connect(address, CONNECT_TIMEOUT);
+    let Some(target) = core.tunnel_target(replica, address) else {
+        return direct.await.map(|raw| (raw, None));
+    };
+    let is_suspected = core.is_path_suspected(&target);
+    if !is_suspected
+        && let Ok(opened) = future::timeout(HEDGE_TIME.to_duration(), direct.as_mut()).await
+    {
+        return finish_direct(core, &target, opened).map(|raw| (raw, None));
+    }
+    let mut tunnel = pin::pin!(tunnel::open(core, &target));
+    let first = futures_lite::future::or(async { DialEnd::Direct(direct.as_mut().await) }, async {
+        DialEnd::Tunnel(tunnel.as_mut().await)
+    });
+    let tunneled = match first.await {
+        DialEnd::Direct(opened) => match finish_direct(core, &target, opened) {
+            Ok(raw) => return Ok((raw, None)),
+            Err(cause) => tunnel.await.map_err(|refusal| (refusal, cause)),
+        },
+        DialEnd::Tunnel(Err(tunnel::TunnelError::Unreachable)) => {
+            match finish_direct(core, &target, direct.await) {
+                Ok(raw) => return Ok((raw, None)),
+                Err(cause) => Err((tunnel::TunnelError::Unreachable, cause)),
+            }
+        }
+        DialEnd::Tunnel(tunneled) => {
+            record_failure(core, &target);
+            tunneled.map_err(|refusal| (refusal, io::ErrorKind::TimedOut.into()))
+        }
+    };
+    match tunneled {
+        Ok((raw, relay)) => {
+            core.state.borrow_mut().paths.on_relayed(&target.replica, core.now());
+            Ok((raw, Some(relay)))
+        }
+        Err((tunnel::TunnelError::ReplicaRefused, _)) => {
+            let changes =
+                core.state.borrow_mut().paths.on_replica_down(&target.group, &target.replica);
+            core.log_path_changes(&changes);
+            Err(io::ErrorKind::ConnectionRefused.into())
+        }
+        // The path is at fault, not the replica.
+        Err((tunnel::TunnelError::Unreachable, _)) if is_suspected => {
+            Err(io::ErrorKind::NetworkUnreachable.into())
+        }
+        Err((tunnel::TunnelError::Unreachable, cause)) => Err(cause),
+    }
+}
+
+/// Records what a direct connection says of the path.
+fn finish_direct(
+    core: &core::GatewayCore,
+    target: &tunnel::TunnelTarget,
+    opened: io::Result<connection::RawConnection>,
+) -> io::Result<connection::RawConnection> {
+    match opened {
+        Ok(raw) => {
+            let changes = core.state.borrow_mut().paths.on_opened(&target.group, &target.replica);
+            core.log_path_changes(&changes);
+            Ok(raw)
+        }
+        Err(cause) => {
+            record_failure(core, target);
+            Err(cause)
         }
     }
-    let raw = core.dialer.connect(address, CONNECT_TIMEOUT).await?;
-    Ok(UpstreamConnection { raw, is_reused: false, address })
+}
+
+/// Records that a direct connection was refused or does not open.
+fn record_failure(core: &core::GatewayCore, target: &tunnel::TunnelTarget) {
+    let tunnel::TunnelTarget { replica, group, group_size, .. } = target;
+    let now = core.now();
+    let changes = core.state.borrow_mut().paths.on_failure(group, replica, *group_size, now);
+    core.log_path_changes(&changes);
+}
+
+/// Returns whether a replica accepts a direct connection, which is kept for a later request, and records
+/// what that says of the path.
+pub async fn probe_path(core: &rc::Rc<core::GatewayCore>, replica: &id::ReplicaId) -> bool {
+    let address = core.state.borrow().replicas.get(replica).map(|replica| replica.entry.address);
+    let Some(address) = address else { return false };
+    let Some(target) = core.tunnel_target(replica, address) else { return false };
+    let opened = core.dialer.connect(address, PATH_TIMEOUT).await;
+    let Ok(raw) = finish_direct(core, &target, opened) else { return false };
+    let mut state = core.state.borrow_mut();
+    state.idle_pool.put(replica, (raw, None), address, core.now(), DEFAULT_MAX_IDLE);
+    true
 }
 
 /// Returns whether a replica refuses connections, as no process listens at its address. A connection
@@ -103,14 +227,14 @@
     address: SocketAddr,
 ) -> bool {
     for _ in 0..PROBE_CONNECTIONS {
-        match core.dialer.connect(address, CONNECT_TIMEOUT).await {
-            Ok(raw) => {
+        match dial(core, replica, address).await {
+            Ok((raw, relay)) => {
                 // A process that ends closes its sockets one after the other, and may have accepted
                 // the connection before it closed that one, too.
                 task::sleep(PROBE_TIME.to_duration()).await;
                 if raw.is_idle().await {
-                    let mut state = core.state.borrow_mut();
-                    state.idle_pool.put(replica, raw, address, core.now(), DEFAULT_MAX_IDLE);
+                    let (mut state, now) = (core.state.borrow_mut(), core.now());
+                    state.idle_pool.put(replica, (raw, relay), address, now, DEFAULT_MAX_IDLE);
                     return false;
                 }
             }
@@ -125,6 +249,24 @@
     false
 }
 
+/// Connects to a replica by way of another daemon, to find out whether the replica or this daemon's path
+/// refuses connections. A tunnel that opens is kept for a later request.
+///
+/// # Errors
+///
+/// Fails if the replica refuses the relay, or no relay reaches it.
+pub async fn probe_tunnel(
+    core: &rc::Rc<core::GatewayCore>,
+    target: &tunnel::TunnelTarget,
+    address: SocketAddr,
+) -> Result<(), tunnel::TunnelError> {
+    let (raw, relay) = tunnel::open(core, target).await?;
+    let (mut state, now) = (core.state.borrow_mut(), core.now());
+    state.paths.on_relayed(&target.replica, now);
+    state.idle_pool.put(&target.replica, (raw, Some(relay)), address, now, DEFAULT_MAX_IDLE);
+    Ok(())
+}
+
 /// Returns whether a replica accepts a connection, which is kept for a later request.
 pub async fn accepts_connections(
     core: &rc::Rc<core::GatewayCore>,
@@ -133,7 +275,7 @@
 ) -> bool {
     let Ok(raw) = core.dialer.connect(address, PATH_TIMEOUT).await else { return false };
     let mut state = core.state.borrow_mut();
-    state.idle_pool.put(replica, raw, address, core.now(), DEFAULT_MAX_IDLE);
+    state.idle_pool.put(replica, (raw, None), address, core.now(), DEFAULT_MAX_IDLE);
     true
 }
 
@@ -156,7 +298,12 @@
         return;
     }
     let max_idle = max_idle(&response.head.fields);
-    state.idle_pool.put(replica, connection.raw, connection.address, now, max_idle);
+    let UpstreamConnection { raw, address, relay, .. } = connection;
+    // A relay that stops waits for the tunnels that it relays.
+    if relay.is_some_and(|relay| !core.relays.is_live(relay)) {
+        return;
+    }
+    state.idle_pool.put(replica, (raw, relay), address, now, max_idle);
 }
 
 fn max_idle(fields: &message::HeaderFields) -> time::Millis {
