--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -38,9 +38,9 @@
 use crate::idle;
 use crate::lease_state;
 use crate::metrics;
+use crate::relay_directory;
 use crate::served_document;
 use crate::settings;
-use crate::tunnel;
 
 /// Fraction of the retry ratio shared by all daemons that is used. The rest covers requests at a
 /// window's edge, which are counted late.
@@ -102,7 +102,7 @@
     /// Records of the attempts that began streams.
     pub attempts: attempt_exchange::AttemptExchange,
     /// The daemons that may relay connections to replicas.
-    pub relays: tunnel::RelayDirectory,
+    pub relays: relay_directory::RelayDirectory,
     /// Whether this daemon or a peer holds the duty lease.
     pub lease_state: lease_state::LeaseState,
     /// State that changes at run time.
@@ -253,7 +253,7 @@
             idle_shutdown: IdleShutdown::default(),
             forced_stop: ForcedStop::default(),
             attempts: attempt_exchange::AttemptExchange::default(),
-            relays: tunnel::RelayDirectory::default(),
+            relays: relay_directory::RelayDirectory::default(),
             lease_state: lease_state::LeaseState::default(),
             state: cell::RefCell::new(state),
         })
@@ -475,7 +475,7 @@
         &self,
         replica: &id::ReplicaId,
         address: SocketAddr,
-    ) -> Option<tunnel::TunnelTarget> {
+    ) -> Option<relay_directory::TunnelTarget> {
         let state = self.state.borrow();
         let entry = &state.replicas.get(replica)?.entry;
         let group = reachability::PathGroup::of(entry);
@@ -483,7 +483,7 @@
             .replicas
             .of_service(&entry.service)
             .filter(|other| other.entry.zone == entry.zone && !other.entry.is_draining);
-        let target = tunnel::TunnelTarget {
+        let target = relay_directory::TunnelTarget {
             replica: replica.clone(),
             incarnation: entry.incarnation,
             group,
@@ -493,7 +493,7 @@
     }
 
     /// Returns whether the path to a replica is suspected to be broken.
-    pub fn is_path_suspected(&self, target: &tunnel::TunnelTarget) -> bool {
+    pub fn is_path_suspected(&self, target: &relay_directory::TunnelTarget) -> bool {
         let state = self.state.borrow();
         state.paths.suspected_since(&target.group, &target.replica).is_some()
     }
--- a/crates/gateway/src/crash.rs
+++ b/crates/gateway/src/crash.rs
@@ -12,6 +12,7 @@
 use crate::context;
 use crate::core;
 use crate::crash_probe;
+use crate::relay_directory;
 use crate::tunnel;
 use crate::upstream;
 
@@ -152,7 +153,7 @@
 async fn is_down(
     core: &rc::Rc<core::GatewayCore>,
     start: &crash_probe::ReplicaStart,
-    target: &tunnel::TunnelTarget,
+    target: &relay_directory::TunnelTarget,
     probed_at: time::MonotonicTime,
 ) -> bool {
     let has_lost_path = core.is_path_suspected(target);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod pending;
 mod quarantine_records;
 pub mod relay;
+pub mod relay_directory;
 pub mod response;
 pub mod resumption;
 pub mod served_document;
--- a/crates/gateway/src/tunnel.rs
+++ b/crates/gateway/src/tunnel.rs
@@ -3,19 +3,14 @@
 //! A tunnel is a connection to the peer address of another daemon, the relay, which connects to the
 //! replica and passes bytes on both ways. [`tunnel_relay`](crate::tunnel_relay) is the relay's side.
 
-use std::cell;
 use std::net::SocketAddr;
-use std::rc;
 
 use async_std::future;
-use samphiremoor_base::id;
-use samphiremoor_base::quantity;
 use samphiremoor_base::time;
-use samphiremoor_fleet::reachability;
 use samphiremoor_httpio::connection;
 
-use crate::attempt_exchange;
 use crate::core;
+use crate::relay_directory;
 
 /// Timeout for a relay to connect to a replica. Within a region that takes a few milliseconds.
 const OPEN_TIMEOUT: time::Millis = time::Millis::new(150);
@@ -26,19 +21,6 @@
 /// Status by which a relay reports that the replica refused the connection.
 pub(crate) const REFUSED_STATUS: u16 = 502;
 
-/// Replica at the end of a tunnel.
-#[derive(Clone, Debug)]
-pub struct TunnelTarget {
-    /// The replica.
-    pub replica: id::ReplicaId,
-    /// Its incarnation.
-    pub incarnation: quantity::Incarnation,
-    /// Its path group.
-    pub group: reachability::PathGroup,
-    /// Number of replicas in the group.
-    pub group_size: usize,
-}
-
 /// Why no tunnel opened. No byte of a request was sent.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum TunnelError {
@@ -48,48 +30,6 @@
     Unreachable,
 }
 
-/// The daemons that may relay connections.
-#[derive(Default)]
-pub struct RelayDirectory {
-    network: cell::OnceCell<rc::Rc<dyn attempt_exchange::PeerNetwork>>,
-    backoff: cell::RefCell<reachability::RelayBackoff>,
-}
-
-impl RelayDirectory {
-    /// Sets the network to the other daemons.
-    pub fn connect(&self, network: rc::Rc<dyn attempt_exchange::PeerNetwork>) {
-        if self.network.set(network).is_err() {
-            log::warn!("the relay directory is connected already; keeping its network");
-        }
-    }
-
-    /// Whether a known daemon has this IP address.
-    pub(crate) fn knows(&self, sender: SocketAddr) -> bool {
-        let Some(network) = self.network.get() else { return false };
-        network.candidates().iter().any(|candidate| candidate.address.ip() == sender.ip())
-    }
-
-    /// Whether a relay is not known to stop, so that connections by way of it may be kept.
-    pub(crate) fn is_live(&self, relay: SocketAddr) -> bool {
-        self.network.get().is_some_and(|network| network.is_live(relay))
-    }
-
-    fn choose(
-        &self,
-        core: &core::GatewayCore,
-        group: &reachability::PathGroup,
-    ) -> reachability::RelayAddresses {
-        let Some(network) = self.network.get() else { return reachability::RelayAddresses::new() };
-        reachability::choose_relays(
-            &network.relays(group),
-            &self.backoff.borrow(),
-            &core.settings.availability_zone,
-            rand::random(),
-            core.now(),
-        )
-    }
-}
-
 /// Opens a tunnel to a replica. Returns the connection and the relay.
 ///
 /// # Errors
@@ -97,9 +37,10 @@
 /// Fails if the replica refuses the relay, or no relay reaches it.
 pub async fn open(
     core: &core::GatewayCore,
-    target: &TunnelTarget,
+    target: &relay_directory::TunnelTarget,
 ) -> Result<(connection::RawConnection, SocketAddr), TunnelError> {
-    for relay in core.relays.choose(core, &target.group) {
+    let local_zone = &core.settings.availability_zone;
+    for relay in core.relays.choose(&target.group, local_zone, core.now()) {
         let opening = future::timeout(OPEN_TIMEOUT.to_duration(), open_by(relay, target)).await;
         match opening {
             Ok(Some(OpenResponse::Opened(raw))) => {
@@ -113,7 +54,7 @@
             Ok(Some(OpenResponse::Unavailable)) => core.metrics.count_tunnel("unavailable"),
             Ok(None) | Err(_) => {
                 core.metrics.count_tunnel("failed");
-                core.relays.backoff.borrow_mut().record_failure(relay, core.now());
+                core.relays.record_failure(relay, core.now());
             }
         }
     }
@@ -130,7 +71,10 @@
     Unavailable,
 }
 
-async fn open_by(relay: SocketAddr, target: &TunnelTarget) -> Option<OpenResponse> {
+async fn open_by(
+    relay: SocketAddr,
+    target: &relay_directory::TunnelTarget,
+) -> Option<OpenResponse> {
     let mut raw = connection::RawConnection::connect(relay, OPEN_TIMEOUT).await.ok()?;
     let request = format!(
         "GET {TUNNEL_PREFIX}{} HTTP/1.1\r\nHost: {relay}\r\n{INCARNATION_FIELD}: {}\r\n\r\n",
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -20,6 +20,7 @@
 
 use crate::adapter;
 use crate::core;
+use crate::relay_directory;
 use crate::tunnel;
 
 /// Timeout for connecting to a replica. Within a region a handshake takes a few milliseconds.
@@ -182,7 +183,7 @@
 /// Records what a direct connection says of the path.
 fn finish_direct(
     core: &core::GatewayCore,
-    target: &tunnel::TunnelTarget,
+    target: &relay_directory::TunnelTarget,
     opened: io::Result<connection::RawConnection>,
 ) -> io::Result<connection::RawConnection> {
     match opened {
@@ -199,8 +200,8 @@
 }
 
 /// Records that a direct connection was refused or does not open.
-fn record_failure(core: &core::GatewayCore, target: &tunnel::TunnelTarget) {
-    let tunnel::TunnelTarget { replica, group, group_size, .. } = target;
+fn record_failure(core: &core::GatewayCore, target: &relay_directory::TunnelTarget) {
+    let relay_directory::TunnelTarget { replica, group, group_size, .. } = target;
     let now = core.now();
     let changes = core.state.borrow_mut().paths.on_failure(group, replica, *group_size, now);
     core.log_path_changes(&changes);
@@ -257,7 +258,7 @@
 /// Fails if the replica refuses the relay, or no relay reaches it.
 pub async fn probe_tunnel(
     core: &rc::Rc<core::GatewayCore>,
-    target: &tunnel::TunnelTarget,
+    target: &relay_directory::TunnelTarget,
     address: SocketAddr,
 ) -> Result<(), tunnel::TunnelError> {
     let (raw, relay) = tunnel::open(core, target).await?;
