--- a/crates/fleet/src/quarantine/evidence.rs
+++ b/crates/fleet/src/quarantine/evidence.rs
@@ -33,10 +33,13 @@
     crashes: usize,
     /// Time after the last of these crashes in which other daemons can announce a survival.
     settle: time::Millis,
-    /// Shortest time between the first and the last crash.
+    /// Time after the first crash from which [`LATER_CRASHES`] of them must be.
     span: time::Millis,
 }
 
+/// Number of crashes that are not of the moment of the first one.
+const LATER_CRASHES: usize = 2;
+
 /// When a daemon learned of a crash under a suspect, and when it happened, in milliseconds since the Unix
 /// epoch.
 type Sighting = (time::MonotonicTime, u64);
@@ -46,11 +49,11 @@
 impl VerdictRule {
     /// Returns when a daemon had learned of enough crashes, in the order in which it did.
     fn satisfied_at(&self, sightings: &[Sighting]) -> Option<time::MonotonicTime> {
-        let (mut first_ms, mut last_ms) = (u64::MAX, 0);
+        let first_ms = sightings.iter().map(|(_, at_ms)| *at_ms).min()?;
+        let mut later = 0;
         for (index, (learned_at, at_ms)) in sightings.iter().enumerate() {
-            first_ms = first_ms.min(*at_ms);
-            last_ms = last_ms.max(*at_ms);
-            if index + 1 >= self.crashes && last_ms - first_ms >= self.span.get() {
+            later += usize::from(*at_ms >= first_ms + self.span.get());
+            if index + 1 >= self.crashes && later >= LATER_CRASHES {
                 return Some(*learned_at);
             }
         }
