Entry: connections to upstreams by way of other daemons

Change: the entry daemon has the gateway's paths and choice of relays. A relay that is asked over the peers' port opens a port that serves one connection of a daemon of the view; httpio::relay passes the bytes on in both programs.

--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -27,6 +27,7 @@
 use crate::registry;
 use crate::settings;
 use crate::snapshot;
+use crate::upstream_path;
 
 /// Shared state of one entry daemon.
 pub struct EntryCore {
@@ -55,7 +56,11 @@
     pub open_responses: Arc<atomic::AtomicUsize>,
     /// Number of keyed calls that run here, for the callers of all daemons.
     pub keyed_runs: Arc<atomic::AtomicUsize>,
-    /// Messages under which engines crash.
+    /// Paths from this daemon to upstreams.
+    pub paths: upstream_path::UpstreamPaths,
+    /// Number of connections of other daemons that this one relays.
+    pub relayed_tunnels: Arc<atomic::AtomicUsize>,
+    /// Calls and messages under which upstreams crash.
     pub quarantine: message_quarantine::MessageQuarantine,
     /// The latest view; empty before the first one.
     view: ArcSwapOption<snapshot::ViewSnapshot>,
@@ -97,6 +102,8 @@
             in_progress: atomic::AtomicUsize::new(0),
             open_responses: Arc::default(),
             keyed_runs: Arc::default(),
+            paths: upstream_path::UpstreamPaths::default(),
+            relayed_tunnels: Arc::default(),
             quarantine: message_quarantine::MessageQuarantine::default(),
             view: ArcSwapOption::empty(),
             picker: sync::Mutex::new(policies.picker),
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -155,6 +155,7 @@
         let peers = Arc::new(peer::PeerClients::new(settings.kept.peer_timeout_ms));
         let peer_address = settings.peer_address;
         let core = Arc::new(core::EntryCore::new(settings, parts.policies));
+        core.paths.connect(peers.clone());
         let incarnation = service::new_incarnation();
         let table = parts.table.clone();
         let shards = start_shards(&core, &peers, parts.table, incarnation)?;
--- a/crates/entry/src/handover.rs
+++ b/crates/entry/src/handover.rs
@@ -19,6 +19,7 @@
 use crate::quarantine;
 use crate::serve::accept;
 use crate::serve::model;
+use crate::tunnel_relay;
 use crate::wire::request;
 
 /// Hands every model call in progress over to a peer, all concurrently. A call that no peer accepts
@@ -133,6 +134,9 @@
                     quarantine::relay_news(&core, &peers, *news, peer::EntryRequest::CallNews);
                     peer::EntryResponse::NewsTaken
                 }
+                peer::EntryRequest::OpenTunnel(replica) => {
+                    peer::EntryResponse::Tunnel(tunnel_relay::open(&core, &replica).await)
+                }
                 peer::EntryRequest::Shard(request) => {
                     let response = match shards {
                         Some(shards) => shards.handle_request(*request).await,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -27,4 +27,6 @@
 pub mod signal;
 pub mod snapshot;
 pub mod source;
+mod tunnel_relay;
+pub mod upstream_path;
 pub mod wire;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -32,6 +32,8 @@
     pub kept_bytes: prometheus::IntGauge,
     /// Streams that were resumed at their offset on another connection.
     pub moved_streams: prometheus::IntCounter,
+    /// Number of connections to upstreams by way of other daemons.
+    pub tunnels: prometheus::IntCounter,
     /// KV caches that were transferred to the next replica.
     pub moved_caches: prometheus::IntCounter,
     /// Tokens that a replica recomputed to resume a stream.
@@ -105,6 +107,11 @@
                 "Requests kept for callers that attach again.",
             ),
             kept_bytes: gauge(&registry, "samphiremoor_kept_bytes", "Bytes of the kept requests."),
+            tunnels: counter(
+                &registry,
+                "samphiremoor_tunnels_total",
+                "Connections to upstreams by way of other daemons.",
+            ),
             moved_streams: counter(
                 &registry,
                 "samphiremoor_moved_streams_total",
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -5,6 +5,7 @@
 use std::sync;
 use std::sync::Arc;
 
+use async_trait::async_trait;
 use samphiremoor_base::id;
 use samphiremoor_base::time;
 use samphiremoor_peers::client;
@@ -17,6 +18,7 @@
 use crate::core;
 use crate::message_quarantine;
 use crate::snapshot;
+use crate::upstream_path;
 use crate::wire::request;
 
 /// Request from one entry daemon to another.
@@ -33,6 +35,8 @@
     News(Box<message_quarantine::MessageNews>),
     /// Notices of quarantined calls.
     CallNews(Box<message_quarantine::CallNews>),
+    /// Asks for a tunnel to an upstream.
+    OpenTunnel(id::ReplicaId),
 }
 
 /// Response of an entry daemon to another.
@@ -47,6 +51,8 @@
     Shard(Box<message::ShardResponse>),
     /// Response to [`EntryRequest::News`] and [`EntryRequest::CallNews`].
     NewsTaken,
+    /// Response to [`EntryRequest::OpenTunnel`]: the port that serves one connection.
+    Tunnel(Result<u16, upstream_path::TunnelRefusal>),
 }
 
 /// Whether a daemon keeps a request.
@@ -218,3 +224,20 @@
         clients.entry(address).or_insert_with(new_client).clone()
     }
 }
+
+#[async_trait]
+impl upstream_path::TunnelOpener for PeerClients {
+    async fn open(
+        &self,
+        relay: std::net::SocketAddr,
+        replica: &id::ReplicaId,
+    ) -> Result<std::net::SocketAddr, upstream_path::TunnelRefusal> {
+        let entry_request = EntryRequest::OpenTunnel(replica.clone());
+        match self.send_request(relay, &entry_request).await {
+            Ok(EntryResponse::Tunnel(opened)) => {
+                opened.map(|port| std::net::SocketAddr::new(relay.ip(), port))
+            }
+            _ => Err(upstream_path::TunnelRefusal::Unavailable),
+        }
+    }
+}
--- a/crates/entry/src/run/attempt.rs
+++ b/crates/entry/src/run/attempt.rs
@@ -3,7 +3,6 @@
 use std::collections::VecDeque;
 use std::future;
 use std::io;
-use std::net;
 use std::pin;
 use std::sync::Arc;
 use std::time::Instant;
@@ -25,14 +24,16 @@
 use samphiremoor_requests::input;
 use samphiremoor_shards::call;
 
+use crate::core;
 use crate::headers;
+use crate::run::dial;
 use crate::wire::chunk;
 
 /// Request and limits of one dispatch.
 #[derive(Clone, Debug)]
 pub struct AttemptCall {
-    /// Address of the replica.
-    pub address: net::SocketAddr,
+    /// The replica.
+    pub target: dial::DialTarget,
     /// Path of the call.
     pub path: &'static str,
     /// Id of the request.
@@ -140,12 +141,12 @@
 
 impl StreamAttempt {
     /// Creates a dispatch. Nothing is sent before the first call of [`next`](Self::next).
-    pub fn open(call: AttemptCall) -> Self {
+    pub fn open(core: Arc<core::EntryCore>, call: AttemptCall) -> Self {
         let request = call.request.clone();
         let next_offset = call.continue_from;
         let token_timer = TokenTimer::new(call.first_token_timeout, call.token_timeout);
         StreamAttempt {
-            phase: AttemptPhase::Opening(Box::pin(open_response(call))),
+            phase: AttemptPhase::Opening(Box::pin(open_response(core, call))),
             request,
             next_offset,
             response_id: None,
@@ -329,12 +330,12 @@
     }
 }
 
-async fn open_response(call: AttemptCall) -> OpenedResponse {
+async fn open_response(core: Arc<core::EntryCore>, call: AttemptCall) -> OpenedResponse {
     let request = match upstream_request(&call) {
         Ok(request) => request,
         Err(failure) => return OpenedResponse::Failed(failure),
     };
-    let response = match client::send(call.address, request, call.limits).await {
+    let response = match dial::send(&core, &call.target, request, call.limits).await {
         Ok(response) => response,
         Err(cause) => return OpenedResponse::Failed(call_failure(&cause)),
     };
@@ -354,8 +355,8 @@
 }
 
 fn upstream_request(call: &AttemptCall) -> Result<Request, input::AttemptFailure> {
-    let url =
-        client::url(call.address, call.path).map_err(|_| input::AttemptFailure::ConnectFailed)?;
+    let url = client::url(call.target.address, call.path)
+        .map_err(|_| input::AttemptFailure::ConnectFailed)?;
     let mut request = Request::new(Method::Post, url);
     request.set_body(call.body.as_slice());
     request.insert_header("Content-Type", "application/json");
--- a/crates/entry/src/run/model.rs
+++ b/crates/entry/src/run/model.rs
@@ -29,6 +29,7 @@
 use crate::metrics;
 use crate::quarantine;
 use crate::run::attempt;
+use crate::run::dial;
 use crate::run::executor;
 use crate::run::transfer;
 use crate::wire::chunk;
@@ -354,8 +355,9 @@
         let tokens = self.kept.progress(0).tokens;
         let resume = request::ResumePoint { offset: command.continue_from, text: tokens.concat() };
         let upstreams = &self.core.settings.upstreams;
+        let target = dial::DialTarget { replica: command.replica.clone(), address };
         let call = attempt::AttemptCall {
-            address,
+            target,
             path: self.body.call.path(),
             request: self.kept.info.id.clone(),
             priority: self.priority,
@@ -378,7 +380,7 @@
             has_token: false,
             first_token_at: None,
             has_survived: false,
-            stream: attempt::StreamAttempt::open(call),
+            stream: attempt::StreamAttempt::open(self.core.clone(), call),
         });
     }
 
--- a/crates/entry/src/run/plain.rs
+++ b/crates/entry/src/run/plain.rs
@@ -24,6 +24,7 @@
 use crate::core;
 use crate::headers;
 use crate::run::attempt;
+use crate::run::dial;
 use crate::run::executor;
 
 /// A call of a plain service.
@@ -78,6 +79,7 @@
     let fingerprint = call.fingerprint(&context.workspace, &context.service.id);
     let suspects = [suspect::SuspectId::Request(fingerprint)];
     let mut driver = PlainDriver {
+        core: core.clone(),
         call,
         request: context.request.clone(),
         repeat,
@@ -177,6 +179,7 @@
 }
 
 struct PlainDriver {
+    core: Arc<core::EntryCore>,
     repeat: policy::RepeatPolicy,
     call: PlainCall,
     request: id::RequestId,
@@ -200,8 +203,10 @@
                 (client::CallLimits { head, silence, ..self.limits }, Some(timer))
             }
         };
+        let target = dial::DialTarget { replica: command.replica.clone(), address };
         let dispatch = PlainDispatch {
-            address,
+            core: self.core.clone(),
+            target,
             call: self.call.clone(),
             request: self.request.clone(),
             remaining: command.remaining,
@@ -224,7 +229,8 @@
 
 /// One dispatch of a call to an upstream.
 struct PlainDispatch {
-    address: net::SocketAddr,
+    core: Arc<core::EntryCore>,
+    target: dial::DialTarget,
     call: PlainCall,
     request: id::RequestId,
     remaining: time::Millis,
@@ -234,9 +240,10 @@
 
 impl PlainDispatch {
     async fn run(self) -> PlainResult {
-        let url = client::url(self.address, &self.call.path)
+        let url = client::url(self.target.address, &self.call.path)
             .map_err(|_| input::AttemptFailure::ConnectFailed)?;
-        let response = client::send(self.address, self.to_request(url), self.limits)
+        let request = self.to_request(url);
+        let response = dial::send(&self.core, &self.target, request, self.limits)
             .await
             .map_err(|cause| attempt::call_failure(&cause))?;
         if !headers::is_response_to(&response, &self.request) {
--- a/crates/fleet/tests/reachability.rs
+++ b/crates/fleet/tests/reachability.rs
@@ -109,7 +109,7 @@
     let north = group("desk", "north");
     table.on_silence([north.clone()], at(0));
     table.on_relayed(&replica("a"), at(0));
-    assert_eq!(table.take_due_probes(at(100)), [north.clone()]);
+    assert_eq!(table.take_due_probes(at(100)), std::slice::from_ref(&north));
     assert!(table.take_due_probes(at(400)).is_empty());
     assert_eq!(table.take_due_probes(at(700)), [north]);
     assert!(table.take_due_replicas(at(400)).is_empty());
--- a/crates/gateway/src/tunnel_relay.rs
+++ b/crates/gateway/src/tunnel_relay.rs
@@ -4,10 +4,6 @@
 use std::net::SocketAddr;
 use std::rc;
 
-use async_std::future;
-use async_std::io::ReadExt as _;
-use async_std::io::WriteExt as _;
-use async_std::net;
 use samphiremoor_base::event;
 use samphiremoor_base::id;
 use samphiremoor_base::log_event;
@@ -16,6 +12,7 @@
 use samphiremoor_fleet::reachability;
 use samphiremoor_httpio::connection;
 use samphiremoor_httpio::message;
+use samphiremoor_httpio::relay;
 
 use crate::core;
 use crate::tunnel;
@@ -24,10 +21,6 @@
 const CONNECT_TIMEOUT: time::Millis = time::Millis::new(120);
 /// Number of tunnels that one daemon relays.
 const MAX_TUNNELS: u32 = 512;
-/// Size of the buffer of each direction.
-const BUFFER_BYTES: usize = 16 * 1024;
-/// Time after the end of a replica's bytes in which the other daemon reads them and closes.
-const LINGER_TIME: time::Millis = time::Millis::new(500);
 
 /// Why a tunnel is refused.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -103,7 +96,7 @@
             // A daemon that stops waits for the requests that it relays.
             let _delay = core.idle_shutdown.delay_stop();
             if raw.write(b"HTTP/1.1 200 OK\r\n\r\n").await.is_ok() {
-                relay(&raw.stream(), &replica.stream()).await;
+                relay::relay(&raw.stream(), &replica.stream()).await;
             }
         }
         Err(refusal) => {
@@ -163,54 +156,3 @@
         }),
     }
 }
-
-/// How one direction of a tunnel ends.
-enum CopyEnd {
-    /// The sender closed its side, and all bytes were passed on.
-    Closed,
-    /// A connection failed.
-    Failed,
-}
-
-/// Passes bytes on between a daemon and a replica until one of them closes.
-async fn relay(daemon: &net::TcpStream, replica: &net::TcpStream) {
-    let from_daemon = async {
-        let end = copy(daemon, replica).await;
-        (end, false)
-    };
-    let from_replica = async {
-        let end = copy(replica, daemon).await;
-        (end, true)
-    };
-    match futures_lite::future::or(from_replica, from_daemon).await {
-        (CopyEnd::Closed, true) => {
-            // Closing with unread bytes would reset the connection before the daemon has read its own.
-            let _ = daemon.shutdown(std::net::Shutdown::Write);
-            let mut rest = [0; 1024];
-            let mut reader = daemon;
-            let draining = async { while matches!(reader.read(&mut rest).await, Ok(1..)) {} };
-            let _ = future::timeout(LINGER_TIME.to_duration(), draining).await;
-        }
-        // The daemon that asked never closes one side only.
-        (CopyEnd::Closed, false) => {}
-        (CopyEnd::Failed, _) => {
-            for stream in [daemon, replica] {
-                let no_linger = Some(std::time::Duration::ZERO);
-                if let Err(cause) = rustix::net::sockopt::set_socket_linger(stream, no_linger) {
-                    log::debug!("failed to reset a relayed connection ({cause})");
-                }
-            }
-        }
-    }
-}
-
-async fn copy(mut from: &net::TcpStream, mut to: &net::TcpStream) -> CopyEnd {
-    let mut buffer = vec![0; BUFFER_BYTES];
-    loop {
-        match from.read(&mut buffer).await {
-            Ok(0) => return CopyEnd::Closed,
-            Ok(count) if to.write_all(&buffer[..count]).await.is_ok() => {}
-            _ => return CopyEnd::Failed,
-        }
-    }
-}
--- a/crates/httpio/src/client.rs
+++ b/crates/httpio/src/client.rs
@@ -77,12 +77,37 @@
     request: Request,
     limits: CallLimits,
 ) -> Result<Response, CallError> {
+    send_on(connect(address, limits.connect).await?, request, limits).await
+}
+
+/// Opens a connection to an address.
+///
+/// # Errors
+///
+/// Fails if the connection is refused or not open within `timeout`.
+pub async fn connect(
+    address: SocketAddr,
+    timeout: time::Millis,
+) -> Result<net::TcpStream, CallError> {
     let connecting = net::TcpStream::connect(address);
-    let stream = match future::timeout(limits.connect.to_duration(), connecting).await {
-        Ok(Ok(stream)) => stream,
-        Ok(Err(cause)) => return Err(CallError::NotConnected(cause)),
-        Err(_) => return Err(CallError::NotConnected(io::ErrorKind::TimedOut.into())),
-    };
+    match future::timeout(timeout.to_duration(), connecting).await {
+        Ok(Ok(stream)) => Ok(stream),
+        Ok(Err(cause)) => Err(CallError::NotConnected(cause)),
+        Err(_) => Err(CallError::NotConnected(io::ErrorKind::TimedOut.into())),
+    }
+}
+
+/// Sends a request on a connection, like [`send`].
+///
+/// # Errors
+///
+/// Fails if the call gets no response. The error says whether the other end may have received the
+/// call.
+pub async fn send_on(
+    stream: net::TcpStream,
+    request: Request,
+    limits: CallLimits,
+) -> Result<Response, CallError> {
     // Nagle's algorithm would delay small writes until earlier ones are acknowledged.
     stream.set_nodelay(true).map_err(CallError::NotConnected)?;
     let mut stream = timeout_stream::TimeoutStream::new(stream, limits.head, limits.head);
--- a/crates/httpio/src/lib.rs
+++ b/crates/httpio/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! [`server`] and the requests of [`client`] are built on async-h1; a failed client call reports
 //! whether the other end may have received the request. [`message`], [`connection`] and
-//! [`persistent`] handle raw messages, for proxies that relay bodies unchanged.
+//! [`persistent`] handle raw messages, for proxies that relay bodies unchanged, and [`relay`] passes whole connections on.
 //!
 //! The daemons, the command line and the stand-ins use this crate for all HTTP. It contains no
 //! logic for records, admission or routing.
@@ -13,6 +13,7 @@
 pub mod message;
 pub mod persistent;
 pub mod problem;
+pub mod relay;
 pub mod request_stream;
 mod response_reader;
 pub mod server;
