--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -40,7 +40,7 @@
     pub recomputed_tokens: prometheus::IntCounter,
     /// Requests handed over to peers.
     pub handed_over: prometheus::IntCounter,
-    /// Calls under which an engine crashed before their responses went on.
+    /// Calls under which an engine crashed before their responses survived.
     pub engine_crashes: prometheus::IntCounter,
     /// Messages whose calls are refused.
     pub quarantined_messages: prometheus::IntGauge,
@@ -135,7 +135,7 @@
             engine_crashes: counter(
                 &registry,
                 "samphiremoor_engine_crashes_total",
-                "Calls under which an engine crashed before their responses went on.",
+                "Calls under which an engine crashed before their responses survived.",
             ),
             quarantined_messages: gauge(
                 &registry,
--- a/crates/entry/src/run/model.rs
+++ b/crates/entry/src/run/model.rs
@@ -327,7 +327,7 @@
     has_token: bool,
     /// When the dispatch delivered its first token.
     first_token_at: Option<base_time::MonotonicTime>,
-    /// Whether the response has gone on for a while after its first token.
+    /// Whether the response has proceeded for a while after its first token.
     has_survived: bool,
     stream: attempt::StreamAttempt,
 }
--- a/crates/fleet/tests/quarantine.rs
+++ b/crates/fleet/tests/quarantine.rs
@@ -89,15 +89,16 @@
     }
 }
 
-macro_rules! plain_cases {
-    ($($name:ident => $base:ident { $($field:ident: $value:expr),* };)*) => {
+macro_rules! cases {
+    ($check:ident: $($name:ident => $base:ident { $($field:ident: $value:expr),* };)*) => {
         $(#[test] fn $name() {
-            check_plain(quarantine_sim::SimSettings { $($field: $value,)* ..$base });
+            $check(quarantine_sim::SimSettings { $($field: $value,)* ..$base });
         })*
     };
 }
 
-plain_cases! {
+cases! {
+    check_plain:
     bad_request_at_7_daemons => PLAIN {};
     bad_request_at_84_daemons => PLAIN_LARGE {};
     bad_request_at_400_daemons => PLAIN_LARGEST {};
@@ -135,15 +136,8 @@
     }
 }
 
-macro_rules! cases {
-    ($($name:ident => $base:ident { $($field:ident: $value:expr),* };)*) => {
-        $(#[test] fn $name() {
-            check(quarantine_sim::SimSettings { $($field: $value,)* ..$base });
-        })*
-    };
-}
-
 cases! {
+    check:
     bad_segment_at_7_daemons => CALM {};
     bad_segment_at_84_daemons => LARGE {};
     bad_segment_at_400_daemons => LARGEST {};
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -128,6 +128,7 @@
         let mut connection = match result {
             Ok(connection) => connection,
             Err(cause) => {
+                // Where this daemon has lost its path, the replica is not at fault.
                 if cause.kind() != io::ErrorKind::NetworkUnreachable {
                     self.mark_unreachable(&selected.replica);
                 }
--- a/crates/gateway/src/crash.rs
+++ b/crates/gateway/src/crash.rs
@@ -181,18 +181,15 @@
         return false;
     }
     let witnesses = {
-        let state = core.state.borrow();
-        let answers = |replica: &replica::KnownReplica| {
-            replica.last_answered.is_some_and(|sent_at| sent_at >= probed_at)
+        let replicas = &core.state.borrow().replicas;
+        let has_answered = |other: &replica::KnownReplica| {
+            other.entry.id != start.replica
+                && other.last_answered.is_some_and(|sent_at| sent_at >= probed_at)
         };
-        if state
-            .replicas
-            .iter()
-            .any(|replica| replica.entry.id != start.replica && answers(replica))
-        {
+        if replicas.iter().any(has_answered) {
             return true;
         }
-        crash_probe::choose_witnesses(&state.replicas, start)
+        crash_probe::choose_witnesses(replicas, start)
     };
     for (replica, address) in witnesses {
         if upstream::accepts_connections(core, &replica, address).await {
--- a/crates/gateway/src/digest_exchange.rs
+++ b/crates/gateway/src/digest_exchange.rs
@@ -421,8 +421,8 @@
         self.send_bytes(&bytes, recipients).await;
     }
 
-    /// Returns what this daemon tells its group about crashes and quarantined segments. The first
-    /// daemon of the group tells those that joined of all verdicts.
+    /// Returns the notices of the quarantine for this daemon's group. The first daemon of the group also
+    /// sends all verdicts to daemons that joined.
     fn member_notices(&self) -> Vec<quarantine::QuarantineNotice> {
         let now = self.core.now();
         let is_first = self.is_aggregator(&self.state.borrow(), now);
@@ -442,7 +442,7 @@
         !is_in_group || is_live(peer, now) && !is_stopping
     }
 
-    /// Returns what this daemon tells other groups about crashes and quarantined segments in its own.
+    /// Returns the notices of the quarantine in this daemon's group for other groups.
     fn group_notices(&self) -> Vec<quarantine::QuarantineNotice> {
         let now = self.core.now();
         self.core.state.borrow_mut().quarantine.group_notices(now)
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -43,7 +43,7 @@
     body: attempt::PartialBody,
     /// When the first event arrived.
     first_event_at: Option<time::MonotonicTime>,
-    /// Whether the stream has gone on for a while after its first event, or is complete.
+    /// Whether the stream has proceeded for a while after its first event, or is complete.
     pub(crate) has_survived: bool,
 }
 
