Gateway: a daemon ends when a task that it needs panics

Cause: async-std ends the task only. Change: the tasks that daemon::start and the digest exchange begin end the process when they panic, so that it is started again.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -34,6 +34,7 @@
 use crate::table_sync;
 use crate::tunnel;
 use crate::tunnel_relay;
+use crate::vital_task;
 
 /// Time before the process is killed at which requests still in progress are abandoned.
 const KILL_MARGIN: time::Millis = time::Millis::new(300);
@@ -127,16 +128,16 @@
     let peers = peers.map_err(|cause| StartError::Listen(listen.peers, cause))?;
     let peer_requests = bind(listen.peers).await?;
     digest_exchange::start(core, peers);
-    task::spawn_local(serve_internal(core.clone(), peer_requests, peer_records::respond, true));
-    task::spawn_local(table_sync::follow_policy(core.clone()));
-    task::spawn_local(table_sync::follow_entries(core.clone()));
-    task::spawn_local(caller::accept(core.clone(), callers));
-    task::spawn_local(serve_internal(core.clone(), ready, respond_readiness, false));
-    task::spawn_local(serve_internal(core.clone(), metrics, render_metrics, false));
-    task::spawn_local(duties::run(core.clone()));
-    task::spawn_local(quarantine_records::run(core.clone()));
-    task::spawn_local(path_probe::run(core.clone()));
-    task::spawn_local(sweep_idle(core.clone()));
+    vital_task::spawn(serve_internal(core.clone(), peer_requests, peer_records::respond, true));
+    vital_task::spawn(table_sync::follow_policy(core.clone()));
+    vital_task::spawn(table_sync::follow_entries(core.clone()));
+    vital_task::spawn(caller::accept(core.clone(), callers));
+    vital_task::spawn(serve_internal(core.clone(), ready, respond_readiness, false));
+    vital_task::spawn(serve_internal(core.clone(), metrics, render_metrics, false));
+    vital_task::spawn(duties::run(core.clone()));
+    vital_task::spawn(quarantine_records::run(core.clone()));
+    vital_task::spawn(path_probe::run(core.clone()));
+    vital_task::spawn(sweep_idle(core.clone()));
     log_event!(
         event::LogEvent::ProcessStarted,
         daemon = core.settings.daemon,
--- a/crates/gateway/src/digest_exchange.rs
+++ b/crates/gateway/src/digest_exchange.rs
@@ -37,6 +37,7 @@
 use crate::core;
 use crate::document_exchange;
 use crate::lease_state;
+use crate::vital_task;
 
 /// Interval between digests. Older load figures mislead replica selection.
 const DIGEST_INTERVAL: time::Millis = time::Millis::new(300);
@@ -143,10 +144,10 @@
     });
     core.attempts.connect(exchange.clone());
     core.relays.connect(exchange.clone());
-    task::spawn_local(write_row(core.clone()));
-    task::spawn_local(read_rows(exchange.clone()));
-    task::spawn_local(receive_digests(exchange.clone()));
-    task::spawn_local(run_rounds(exchange));
+    vital_task::spawn(write_row(core.clone()));
+    vital_task::spawn(read_rows(exchange.clone()));
+    vital_task::spawn(receive_digests(exchange.clone()));
+    vital_task::spawn(run_rounds(exchange));
 }
 
 /// Returns an ID that names a transaction in logs.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,7 +1,7 @@
 //! The gateway daemon: a reverse proxy that forwards callers' requests unchanged to replicas.
 //!
 //! This crate does the I/O on one thread; the decisions are made in the `fleet` crate. [`adapter`]
-//! holds the traits that a deployment's adapter implements, and [`daemon`] starts all tasks.
+//! holds the traits that a deployment's adapter implements, and [`daemon`] starts all tasks, those that it needs as [`vital_task`]s.
 //! [`caller`] serves callers' connections, and [`response`] writes to them. [`forward`] takes one
 //! request through its attempts: [`context`] is what they share, [`attempt`] makes one of them,
 //! [`pending`] waits for several, and [`relay`] and [`stream`] pass a response on. [`upstream`]
@@ -49,3 +49,4 @@
 pub mod tunnel;
 mod tunnel_relay;
 pub mod upstream;
+pub mod vital_task;
