Gateway: a quiet daemon notices that its kept connections hang

What was seen: in a trial with one caller at a time, the first answer by way of another daemon came 1.9 s after the cut: each kept connection took one request down, as silence was only looked for while several replicas have requests.

Change: half a second without data from any replica while one has a request leads to a probe, too, also over pauses between requests.

--- a/crates/gateway/src/path_probe.rs
+++ b/crates/gateway/src/path_probe.rs
@@ -12,8 +12,9 @@
 
 /// Interval between checks of the paths.
 const CHECK_INTERVAL: time::Millis = time::Millis::new(100);
-/// Time without data from any replica, while several have requests, after which paths are probed.
-const SILENCE_TIME: time::Millis = time::Millis::new(300);
+/// Times without data from any replica, while one or several have requests, after which paths are probed.
+const SILENCE_TIMES: (time::Millis, time::Millis) =
+    (time::Millis::new(500), time::Millis::new(300));
 /// Shortest time between probes for silence.
 const SILENCE_PROBE_INTERVAL: time::Millis = time::Millis::new(1_000);
 /// Number of replicas that are probed for silence.
@@ -21,7 +22,8 @@
 
 /// Checks the paths; never returns.
 pub(crate) async fn run(core: rc::Rc<core::GatewayCore>) {
-    let mut silent_since = None;
+    // When the first request since the last data was at a replica.
+    let mut silent_since: Option<time::MonotonicTime> = None;
     let mut last_probe_at: Option<time::MonotonicTime> = None;
     loop {
         task::sleep(CHECK_INTERVAL.to_duration()).await;
@@ -45,31 +47,26 @@
                 upstream::probe_path(&core, &replica).await;
             });
         }
-        if !is_silent(&core) {
-            silent_since = None;
+        let busy_replicas = {
+            let state = core.state.borrow();
+            if state.paths.last_data_at() > silent_since {
+                silent_since = None;
+            }
+            state.replicas.iter().filter(|replica| replica.local_load.running > 0).count()
+        };
+        if busy_replicas == 0 {
             continue;
         }
         let since = *silent_since.get_or_insert(now);
+        let silence_time = if busy_replicas == 1 { SILENCE_TIMES.0 } else { SILENCE_TIMES.1 };
         let may_probe = last_probe_at.is_none_or(|at| now.since(at) >= SILENCE_PROBE_INTERVAL);
-        if now.since(since) >= SILENCE_TIME && may_probe {
+        if now.since(since) >= silence_time && may_probe {
             last_probe_at = Some(now);
             probe_silence(&core, since).await;
         }
     }
 }
 
-/// Whether several replicas have requests of this daemon, and none sent data over a direct connection
-/// for a while.
-fn is_silent(core: &core::GatewayCore) -> bool {
-    let state = core.state.borrow();
-    let busy = state.replicas.iter().filter(|replica| replica.local_load.running > 0);
-    let is_recent = state
-        .paths
-        .last_data_at()
-        .is_some_and(|data_at| core.now().since(data_at) < CHECK_INTERVAL);
-    busy.take(2).count() == 2 && !is_recent
-}
-
 /// Connects to one replica of a group whose path is suspected.
 async fn probe_group(core: rc::Rc<core::GatewayCore>, group: reachability::PathGroup) {
     let replica = {
