--- a/crates/fleet/src/quarantine/evidence.rs
+++ b/crates/fleet/src/quarantine/evidence.rs
@@ -68,7 +68,8 @@
 /// survives within the settle time.
 const KNOWN_SEGMENT: VerdictRule =
     VerdictRule { crashes: 5, settle: time::Millis::new(1_500), span: time::Millis::new(0) };
-/// Rule for requests that did not survive lately.
+/// Rule for requests that did not survive lately. Daemons that restarted learn of survivals from others
+/// within the settle time.
 const NEW_REQUEST: VerdictRule =
     VerdictRule { crashes: 3, settle: time::Millis::new(1_200), span: time::Millis::new(0) };
 /// Rule for requests that survived shortly before the crashes. A whole service may crash at one moment,
@@ -382,8 +383,9 @@
         }
     }
 
-    /// Whether a segment that never survived explains half of the crashes of a request, as not all suspects
-    /// of a crash are reported. The request may have been sent again beside others with the segment.
+    /// Whether a segment that never survived explains the crashes of a request, all but one at most, as not
+    /// all suspects of a crash are reported. The request may have been sent again beside others with the
+    /// segment.
     fn is_victim(&self, request: suspect::SuspectId) -> bool {
         let mut counts: collections::HashMap<suspect::SuspectId, usize> =
             collections::HashMap::new();
