Entry: a relay that does not answer holds a call up for 0.3 s at most

Cause: a daemon that is asked for a tunnel had the time limit of all calls between daemons. Change: 0.3 s, then the next one is asked. Both cases of cut_daemons pass; a relay that hangs has no test of its own.

--- a/crates/entry/src/upstream_path.rs
+++ b/crates/entry/src/upstream_path.rs
@@ -6,6 +6,7 @@
 use std::sync;
 use std::sync::Arc;
 
+use async_std::future;
 use async_trait::async_trait;
 use samphiremoor_base::id;
 use samphiremoor_base::time;
@@ -14,6 +15,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+/// Timeout for a daemon to open a tunnel, before the next one is asked.
+const OPEN_TIMEOUT: time::Millis = time::Millis::new(300);
+
 /// Why another daemon opens no tunnel.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
@@ -82,7 +86,8 @@
     ) -> Result<SocketAddr, TunnelRefusal> {
         let Some(opener) = self.opener.get() else { return Err(TunnelRefusal::Unavailable) };
         for relay in self.choose(view, local, now) {
-            match opener.open(relay, replica).await {
+            let opening = future::timeout(OPEN_TIMEOUT.to_duration(), opener.open(relay, replica));
+            match opening.await.unwrap_or(Err(TunnelRefusal::Unavailable)) {
                 Err(TunnelRefusal::Unavailable) => {
                     let mut backoff =
                         self.backoff.lock().unwrap_or_else(sync::PoisonError::into_inner);
