Gateway, entry: names through modules, shorter lines of docs

Cause: path_probe named items by their full paths, the crate's docs had lines of 150 characters, and the help of a metric lacked its full stop. Change: imports, and the paragraph wrapped again. No logic changes.

--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -145,7 +145,7 @@
             quarantined_calls: gauge(
                 &registry,
                 "samphiremoor_quarantined_calls",
-                "Calls that are refused whenever they come, since upstreams crash under them",
+                "Calls that are refused whenever they come, since upstreams crash under them.",
             ),
             revision: gauge(
                 &registry,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,13 +1,14 @@
 //! The gateway daemon: a reverse proxy that forwards callers' requests unchanged to replicas.
 //!
 //! This crate does the I/O on one thread; the decisions are made in the `fleet` crate. [`adapter`]
-//! holds the traits that a deployment's adapter implements, and [`daemon`] starts all tasks, those that it needs as [`vital_task`]s.
-//! [`caller`] serves callers' connections, and [`response`] writes to them. [`forward`] takes one
-//! request through its attempts: [`context`] is what they share, [`attempt`] makes one of them,
-//! [`pending`] waits for several, and [`relay`] and [`stream`] pass a response on. [`upstream`]
-//! talks to replicas over the connections that [`dialer`] opens and [`idle`] pools, [`tunnel`] opens those
-//! by way of other daemons, `tunnel_relay` serves these and `path_probe` finds out when they are needed, and `migration` moves KV caches
-//! between them. [`resumption`] and [`attempt_exchange`] let callers resume streams at any daemon.
+//! holds the traits that a deployment's adapter implements, and [`daemon`] starts all tasks, those that
+//! it needs as [`vital_task`]s. [`caller`] serves callers' connections, and [`response`] writes to them.
+//! [`forward`] takes one request through its attempts: [`context`] is what they share, [`attempt`]
+//! makes one of them, [`pending`] waits for several, and [`relay`] and [`stream`] pass a response on.
+//! [`upstream`] talks to replicas over the connections that [`dialer`] opens and [`idle`] pools. [`tunnel`]
+//! opens those by way of other daemons, which `tunnel_relay` serves, and `path_probe` finds out when they
+//! are needed. `migration` moves KV caches between replicas. [`resumption`] and [`attempt_exchange`] let
+//! callers resume streams at any daemon.
 //! [`table_sync`] follows the policy and the replica entries in the platform's table,
 //! [`digest_exchange`] and [`peer_records`] exchange state with the other daemons, `document_exchange`
 //! reads the policy from those that have it, and [`duties`] performs the tasks that one daemon does for
--- a/crates/gateway/src/path_probe.rs
+++ b/crates/gateway/src/path_probe.rs
@@ -1,11 +1,14 @@
 //! Finds out whether this daemon has lost its path to replicas, and whether it is back.
 
+use std::cmp;
+use std::collections;
 use std::rc;
 
 use async_std::task;
 use samphiremoor_base::id;
 use samphiremoor_base::time;
 use samphiremoor_fleet::reachability;
+use samphiremoor_fleet::replica;
 
 use crate::core;
 use crate::upstream;
@@ -85,13 +88,13 @@
 async fn probe_silence(core: &rc::Rc<core::GatewayCore>, since: time::MonotonicTime) {
     let replicas: Vec<id::ReplicaId> = {
         let state = core.state.borrow();
-        let sound = |replica: &&samphiremoor_fleet::replica::KnownReplica| {
+        let sound = |replica: &&replica::KnownReplica| {
             let group = reachability::PathGroup::of(&replica.entry);
             let since = state.paths.suspected_since(&group, &replica.entry.id);
             !replica.entry.is_draining && since.is_none()
         };
         let mut sound: Vec<_> = state.replicas.iter().filter(sound).collect();
-        sound.sort_by_key(|replica| std::cmp::Reverse(replica.last_contact));
+        sound.sort_by_key(|replica| cmp::Reverse(replica.last_contact));
         sound.iter().take(SILENCE_PROBES).map(|replica| replica.entry.id.clone()).collect()
     };
     if replicas.is_empty() {
@@ -104,7 +107,7 @@
     }
     let changes = {
         let state = &mut *core.state.borrow_mut();
-        let groups: std::collections::BTreeSet<_> =
+        let groups: collections::BTreeSet<_> =
             state.replicas.iter().map(|other| reachability::PathGroup::of(&other.entry)).collect();
         state.paths.on_silence(groups, since)
     };
