--- a/crates/fleet/tests/quarantine.rs
+++ b/crates/fleet/tests/quarantine.rs
@@ -253,6 +253,22 @@
     table.find_quarantined(&[segment(number)], at(ms)).is_some()
 }
 
+#[test]
+fn replica_that_answers_refutes_its_crash_and_the_witness() {
+    let daemon: id::DaemonId = "witness".parse().expect("a valid ID");
+    let replica: id::ReplicaId = "replica".parse().expect("a valid ID");
+    let mut table = quarantine::QuarantineTable::new(daemon.clone());
+    table.observe_crash(&replica, quantity::Incarnation::new(1), &[segment(7)], at(0));
+    assert!(table.refute_answered(|_, _| Some(at(0).now), at(50)).is_empty());
+    let changes = table.refute_answered(|_, _| Some(at(50).now), at(100));
+    let refuted = quarantine::QuarantineChange::Refuted(replica, [daemon].into_iter().collect());
+    assert_eq!(changes.as_slice(), [refuted]);
+    assert!(!table.trusts_itself(at(100).now));
+    crash(&mut table, &[7], 4, 200);
+    table.evaluate(at(2_000));
+    assert!(!is_quarantined(&table, 7, 2_000));
+}
+
 #[test]
 fn verdict_is_lifted_by_a_response_that_goes_on() {
     let mut table = quarantine::QuarantineTable::default();
