Fleet: one owner answers whether this daemon may send to a replica now

Entries, limits, backoff and silence were asked for in ten places, each with its own subset: the choice of replicas with a list of full ones beside it, the last look before a request is written, witnesses, probes, paths and supply read the entry's flag. fleet::send_gate now answers with the reason and when it ends; the rooms ask it, or is_leaving of the replica where nothing is sent.

Measured: the tests of replicas, choice, load and limits of fleet pass; the two that built a list of full replicas now build the limits that make it, with the same times.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -5,6 +5,7 @@
 //!
 //! - [`policy`] holds the configuration that operators declare.
 //! - [`replica`] tracks the replicas and [`selection`] chooses one for each request.
+//! - [`send_gate`] answers whether a replica may get a request now.
 //! - [`reachability`] tells which replicas are reached directly, and chooses the daemons that relay
 //!   connections to the others.
 //! - [`admission`] refuses requests that can't be served in time.
@@ -41,6 +42,7 @@
 pub mod reachability;
 pub mod replica;
 pub mod selection;
+pub mod send_gate;
 pub mod suspect;
 pub mod usage;
 pub mod wall_clock;
--- a/crates/fleet/src/limit.rs
+++ b/crates/fleet/src/limit.rs
@@ -18,7 +18,6 @@
 use samphiremoor_base::rate;
 use samphiremoor_base::time;
 use siphasher::sip;
-use smallvec::SmallVec;
 
 use crate::clock_instant;
 use crate::digest;
@@ -55,9 +54,6 @@
     pub after: Option<rate::RequestRate>,
 }
 
-/// Limited replicas that may not get a request now, and the time after which they may.
-pub type FullReplicas = SmallVec<[(id::ReplicaId, time::Millis); 4]>;
-
 /// Limits that replicas name, and the permits of this daemon.
 #[derive(Clone, Debug)]
 pub struct LimitTable {
@@ -202,23 +198,11 @@
         PermitSchedule { rate: rate.max(MIN_RATE).as_millis(), daemons, turn }
     }
 
-    /// Returns the replicas that may not get a request now.
-    pub fn full_replicas(&self, instant: clock_instant::ClockInstant) -> FullReplicas {
-        let waits =
-            self.limits.keys().map(|replica| (replica.clone(), self.wait(replica, instant)));
-        waits.filter(|(_, wait)| wait.get() > 0).collect()
-    }
-
     /// Returns whether a replica names a limit, or did so recently.
     pub fn contains(&self, replica: &id::ReplicaId) -> bool {
         self.limits.contains_key(replica)
     }
 
-    /// Returns whether no replica names a limit or did so recently.
-    pub fn is_empty(&self) -> bool {
-        self.limits.is_empty()
-    }
-
     /// Returns the replicas that name a limit.
     pub fn limited_replicas(&self) -> impl Iterator<Item = &id::ReplicaId> {
         let limited = self.limits.iter().filter(|(_, limit)| limit.rate.is_some());
--- a/crates/fleet/src/replica.rs
+++ b/crates/fleet/src/replica.rs
@@ -16,6 +16,7 @@
 
 use crate::decay;
 use crate::load;
+use crate::send_gate;
 
 /// Time after an outage of the table for which missing entries are retained. A running replica has
 /// registered again by then.
@@ -28,14 +29,6 @@
 /// Time after the return of the table from an older copy in which it drops the entry of a replica
 /// that is gone: a few intervals between a replica's reports.
 const RESTORE_GRACE: time::Millis = time::Millis::new(6_000);
-/// First backoff of an unreachable replica, in which it receives no requests. It is short, as a
-/// single reset connection proves little.
-const MIN_BACKOFF: time::Millis = time::Millis::new(250);
-/// Maximum backoff of an unreachable replica.
-const MAX_BACKOFF: time::Millis = time::Millis::new(4_000);
-/// Time for which a silent replica receives no requests while others are available. A replica that
-/// pauses goes on after about a second.
-const SILENCE_BACKOFF: time::Millis = time::Millis::new(1_000);
 /// Weight of a response in the failure rate (EWMA) of a replica, which covers about the last ten
 /// responses.
 const FAILURE_WEIGHT: f64 = 0.1;
@@ -183,12 +176,8 @@
     pub last_answered: Option<time::MonotonicTime>,
     /// When the replica was first found draining.
     draining_since: Option<time::MonotonicTime>,
-    /// When the replica may receive requests again after it was unreachable.
-    backoff_until: Option<time::MonotonicTime>,
-    /// Backoff that the next failed contact starts.
-    next_backoff: time::Millis,
-    /// When the replica may be preferred again after it was silent.
-    silence_backoff_until: Option<time::MonotonicTime>,
+    /// What keeps requests of this daemon away for a while.
+    send_state: send_gate::SendState,
     /// When the entry was found missing from the table during or shortly after an outage.
     missing_since: Option<time::MonotonicTime>,
 }
@@ -543,27 +532,41 @@
             last_contact: None,
             last_answered: None,
             draining_since: None,
-            backoff_until: None,
-            next_backoff: MIN_BACKOFF,
-            silence_backoff_until: None,
+            send_state: send_gate::SendState::default(),
             missing_since: None,
         }
     }
 
+    /// Whether the replica leaves and gets no new requests.
+    pub fn is_leaving(&self) -> bool {
+        self.entry.is_draining
+    }
+
+    /// Returns whether this daemon may send a request to the replica now, but for the limit that the
+    /// replica names; [`send_gate::SendGate`] knows that one, too.
+    pub fn verdict(&self, now: time::MonotonicTime) -> send_gate::SendVerdict {
+        match self.is_leaving() {
+            true => {
+                send_gate::SendVerdict::Held { reason: send_gate::HoldReason::Leaving, until: None }
+            }
+            false => self.send_state.verdict(now),
+        }
+    }
+
     /// Whether new requests may be sent to the replica, and it was not silent recently.
     pub fn is_available(&self, now: time::MonotonicTime) -> bool {
-        self.is_reachable(now) && self.silence_backoff_until.is_none_or(|until| now >= until)
+        self.verdict(now) == send_gate::SendVerdict::Allowed
     }
 
     /// Whether new requests may be sent to the replica, which may be silent.
     pub fn is_reachable(&self, now: time::MonotonicTime) -> bool {
-        !self.entry.is_draining && self.backoff_until.is_none_or(|until| now >= until)
+        self.verdict(now).firm_reason().is_none()
     }
 
     /// Whether streams in progress should migrate to another replica: at once if the VM is
     /// reclaimed, otherwise after the time in which most streams end by themselves.
     pub fn should_migrate(&mut self, now: time::MonotonicTime) -> bool {
-        if !self.entry.is_draining {
+        if !self.is_leaving() {
             return false;
         }
         let draining_since = *self.draining_since.get_or_insert(now);
@@ -576,8 +579,7 @@
         self.on_data(now);
         self.update_failures(is_failure, now);
         if !is_failure {
-            self.backoff_until = None;
-            self.next_backoff = MIN_BACKOFF;
+            self.send_state.on_success();
         }
     }
 
@@ -589,26 +591,20 @@
     /// Observes that the replica sent data, which ends its silence.
     pub fn on_data(&mut self, now: time::MonotonicTime) {
         self.last_contact = Some(now);
-        self.silence_backoff_until = None;
+        self.send_state.on_data();
     }
 
     /// Observes that the replica has sent no data for a request for too long. It may still respond
     /// to that request.
     pub fn on_silent(&mut self, now: time::MonotonicTime) {
         self.update_failures(true, now);
-        self.silence_backoff_until = Some(now + SILENCE_BACKOFF);
+        self.send_state.on_silent(now);
     }
 
-    /// Observes that the replica is unreachable. Starts a backoff, which doubles each time. During a
-    /// backoff, further observations are of the same fault and don't extend it.
+    /// Observes that the replica is unreachable, which starts a backoff.
     pub fn on_unreachable(&mut self, now: time::MonotonicTime) {
         self.update_failures(true, now);
-        if self.backoff_until.is_some_and(|until| now < until) {
-            return;
-        }
-        self.backoff_until = Some(now + self.next_backoff);
-        let doubled_backoff = time::Millis::new(self.next_backoff.get() * 2);
-        self.next_backoff = doubled_backoff.min(MAX_BACKOFF);
+        self.send_state.on_unreachable(now);
     }
 
     /// Returns the failure rate of recent responses, from 0 to 1. It decays over time, so that the
--- a/crates/fleet/src/selection.rs
+++ b/crates/fleet/src/selection.rs
@@ -18,6 +18,7 @@
 use smallvec::SmallVec;
 
 use crate::replica;
+use crate::send_gate;
 
 /// Prompt tokens that delay a first token as much as one request in progress does.
 const RUNNING_TOKENS: f64 = 120.0;
@@ -102,8 +103,8 @@
     pub prompt: Option<&'a PromptSize>,
     /// Replicas that the request was already sent to.
     pub excluded: &'a [id::ReplicaId],
-    /// Replicas that may not get a request now, because of limits that they named.
-    pub full: &'a [(id::ReplicaId, time::Millis)],
+    /// Tells which replicas may get a request now.
+    pub gate: send_gate::SendGate<'a>,
     /// Software version that the replica must run; `None` if any will do.
     pub required_version: Option<&'a replica::SoftwareVersion>,
     /// Whether a silent replica is chosen if no other one is available.
@@ -112,8 +113,6 @@
     pub daemon_count: u32,
     /// Uniform random number from 0 to 1 that seeds the draw of replicas and breaks ties.
     pub draw: f64,
-    /// Current time.
-    pub now: time::MonotonicTime,
 }
 
 /// Replica chosen for a request.
@@ -142,18 +141,20 @@
     }
 }
 
-/// Returns the time after which one of the replicas that could serve the request, but for the limits
-/// that they named, may get a request. Returns `None` if there is no such replica.
-pub fn limit_wait(
+/// Returns when one of the replicas may get the request that is kept from it only by its own wish, and
+/// what it wished. Returns `None` if there is no such replica.
+pub fn earliest_send(
     table: &replica::ReplicaTable,
     query: &SelectionQuery<'_>,
-) -> Option<time::Millis> {
-    let reachable = unused(table, query).filter(|replica| replica.is_reachable(query.now));
-    reachable.filter_map(|replica| full_wait(query, &replica.entry.id)).min()
-}
-
-fn full_wait(query: &SelectionQuery<'_>, replica: &id::ReplicaId) -> Option<time::Millis> {
-    query.full.iter().find(|(full, _)| full == replica).map(|(_, wait)| *wait)
+) -> Option<(time::MonotonicTime, send_gate::HoldReason)> {
+    let wished = unused(table, query).filter_map(|replica| match query.gate.verdict(replica) {
+        send_gate::SendVerdict::Held {
+            reason: reason @ send_gate::HoldReason::Limited,
+            until: Some(until),
+        } => Some((until, reason)),
+        _ => None,
+    });
+    wished.min_by_key(|(until, _)| *until)
 }
 
 /// Returns the replicas of the service and version that the request was not sent to yet.
@@ -174,14 +175,18 @@
     table: &'a replica::ReplicaTable,
     query: &SelectionQuery<'_>,
 ) -> SmallVec<[&'a replica::KnownReplica; 32]> {
-    let allowed =
-        || unused(table, query).filter(|replica| full_wait(query, &replica.entry.id).is_none());
-    let available: SmallVec<[_; 32]> =
-        allowed().filter(|replica| replica.is_available(query.now)).collect();
+    let verdicts: SmallVec<[_; 32]> =
+        unused(table, query).map(|replica| (replica, query.gate.verdict(replica))).collect();
+    let available: SmallVec<[_; 32]> = verdicts
+        .iter()
+        .filter(|(_, verdict)| *verdict == send_gate::SendVerdict::Allowed)
+        .map(|(replica, _)| *replica)
+        .collect();
     if !available.is_empty() || !query.includes_silent {
         return available;
     }
-    allowed().filter(|replica| replica.is_reachable(query.now)).collect()
+    let reachable = verdicts.into_iter().filter(|(_, verdict)| verdict.firm_reason().is_none());
+    reachable.map(|(replica, _)| replica).collect()
 }
 
 /// Chooses the replica with the least cost in prompt tokens among the preferred replica of the
@@ -201,7 +206,7 @@
     });
     // Cost of a candidate, and what is returned if it is selected.
     let evaluate = |candidate: &replica::KnownReplica, cached_tokens: u32| {
-        let load = table.load(candidate, query.now);
+        let load = table.load(candidate, query.gate.now());
         let uncached_tokens = prompt.input_tokens.saturating_sub(cached_tokens);
         let excess = (load.running + 1).saturating_sub(candidate.entry.slots);
         let tokens_ahead = f64::from(load.pending_tokens)
@@ -211,7 +216,7 @@
         let replica = candidate.entry.id.clone();
         let version = candidate.entry.version.clone();
         let utilization = f64::from(load.running) / f64::from(candidate.entry.slots.max(1));
-        let cost = tokens_ahead + candidate.failure_rate(query.now) * FAILING_TOKENS;
+        let cost = tokens_ahead + candidate.failure_rate(query.gate.now()) * FAILING_TOKENS;
         (cost, SelectedReplica { replica, version, tokens_ahead, uncached_tokens, utilization })
     };
     let preferred = preferred.map(|candidate| evaluate(candidate, prompt.shared_tokens()));
@@ -228,7 +233,7 @@
     query: &SelectionQuery<'_>,
 ) -> SmallVec<[&'a replica::KnownReplica; TOTAL_DRAWS]> {
     let is_reliable = |candidate: &&replica::KnownReplica| {
-        candidate.failure_rate(query.now) <= MAX_DRAWN_FAILURE_RATE
+        candidate.failure_rate(query.gate.now()) <= MAX_DRAWN_FAILURE_RATE
     };
     let reliable_candidates: SmallVec<[_; 32]> =
         candidates.iter().copied().filter(is_reliable).collect();
@@ -252,13 +257,13 @@
     query: &SelectionQuery<'_>,
 ) -> Option<SelectedReplica> {
     let cost = |candidate: &replica::KnownReplica| {
-        let load = table.load(candidate, query.now);
+        let load = table.load(candidate, query.gate.now());
         let zone_cost =
             if candidate.entry.zone == *query.zone { 0.0 } else { REMOTE_ZONE_UTILIZATION };
         let slots = f64::from(candidate.entry.slots.max(1));
         f64::from(load.running) / slots
             + zone_cost
-            + candidate.failure_rate(query.now) * FAILING_UTILIZATION
+            + candidate.failure_rate(query.gate.now()) * FAILING_UTILIZATION
     };
     let costs: SmallVec<[(f64, &replica::KnownReplica); 8]> = candidates(table, query)
         .into_iter()
@@ -268,7 +273,7 @@
     let tied = || costs.iter().filter(|(cost, _)| *cost <= min_cost + TIE_MARGIN);
     let position = (query.draw * tied().count() as f64) as usize;
     let (_, selected) = tied().nth(position).or_else(|| tied().next())?;
-    let load = table.load(selected, query.now);
+    let load = table.load(selected, query.gate.now());
     let utilization = f64::from(load.running) / f64::from(selected.entry.slots.max(1));
     Some(SelectedReplica {
         replica: selected.entry.id.clone(),
--- a/crates/fleet/tests/selection.rs
+++ b/crates/fleet/tests/selection.rs
@@ -6,10 +6,14 @@
 use std::collections;
 
 use samphiremoor_base::id;
+use samphiremoor_base::rate;
 use samphiremoor_base::time;
+use samphiremoor_fleet::clock_instant;
+use samphiremoor_fleet::limit;
 use samphiremoor_fleet::load;
 use samphiremoor_fleet::replica;
 use samphiremoor_fleet::selection;
+use samphiremoor_fleet::send_gate;
 
 thread_local! {
     /// Next pseudo-random draw of the test.
@@ -17,6 +21,8 @@
 }
 
 const NOW: time::MonotonicTime = time::MonotonicTime::new(100_000);
+const INSTANT: clock_instant::ClockInstant =
+    clock_instant::ClockInstant { now: NOW, unix_ms: 1_000_300 };
 
 fn table(count: usize) -> replica::ReplicaTable {
     let mut table = replica::ReplicaTable::default();
@@ -56,14 +62,16 @@
     excluded: &[id::ReplicaId],
     required_version: Option<&replica::SoftwareVersion>,
 ) -> Option<selection::SelectedReplica> {
-    with_query(prompt, excluded, required_version, &[], |query| selection::choose(table, query))
+    with_query(prompt, excluded, required_version, &no_limits(), |query| {
+        selection::choose(table, query)
+    })
 }
 
 fn with_query<T>(
     prompt: Option<&selection::PromptSize>,
     excluded: &[id::ReplicaId],
     required_version: Option<&replica::SoftwareVersion>,
-    full: &[(id::ReplicaId, time::Millis)],
+    limits: &limit::LimitTable,
     select: impl FnOnce(&selection::SelectionQuery<'_>) -> T,
 ) -> T {
     let (service, zone) = (entries::service(), entries::zone(0));
@@ -72,16 +80,33 @@
         zone: &zone,
         prompt,
         excluded,
-        full,
+        gate: send_gate::SendGate::new(limits, INSTANT),
         required_version,
         includes_silent: true,
         daemon_count: 1,
         draw: DRAW.with(|draw| draw.replace((draw.get() * 7.31 + 0.117).fract())),
-        now: NOW,
     };
     select(&query)
 }
 
+fn no_limits() -> limit::LimitTable {
+    limit::LimitTable::new(time::MonotonicTime::default())
+}
+
+/// Returns limits by which the first replica may get a request after this many milliseconds.
+fn limits_of_the_first(wait_ms: u64) -> limit::LimitTable {
+    let mut limits = no_limits();
+    let replica = entries::replica_id(0);
+    // One permit falls due at each whole second; those until now are used up.
+    let rate = rate::RequestRate::from_millis(1_000);
+    limits.observe_response(&replica, Some(rate), NOW, INSTANT);
+    while limits.wait(&replica, INSTANT).get() == 0 {
+        limits.record_send(&replica, INSTANT);
+    }
+    assert_eq!(limits.wait(&replica, INSTANT), time::Millis::new(wait_ms));
+    limits
+}
+
 /// One of two replicas is full; with `excluded`, the other one is left out. A request is sent to the
 /// replica at `expected`, or may come back when the full one takes it.
 fn check_full(
@@ -90,14 +115,16 @@
     expected: Result<usize, u64>,
 ) {
     let table = table(2);
-    let full = [(entries::replica_id(0), time::Millis::new(700))];
+    let limits = limits_of_the_first(700);
     for _ in 0..50 {
-        let end = with_query(prompt, excluded, None, &full, |query| {
+        let end = with_query(prompt, excluded, None, &limits, |query| {
             let selected = selection::choose(&table, query).map(|selected| selected.replica);
-            selected.ok_or_else(|| selection::limit_wait(&table, query))
+            selected.ok_or_else(|| selection::earliest_send(&table, query))
         });
         let expected = expected.map(entries::replica_id);
-        assert_eq!(end, expected.map_err(|wait| Some(time::Millis::new(wait))));
+        let limited_until =
+            |wait| Some((NOW + time::Millis::new(wait), send_gate::HoldReason::Limited));
+        assert_eq!(end, expected.map_err(limited_until));
     }
 }
 
@@ -110,8 +137,9 @@
 #[test]
 fn request_without_any_replica_waits_for_no_limit() {
     let table = replica::ReplicaTable::default();
-    let full = [(entries::replica_id(0), time::Millis::new(700))];
-    let wait = with_query(None, &[], None, &full, |query| selection::limit_wait(&table, query));
+    let limits = limits_of_the_first(700);
+    let wait =
+        with_query(None, &[], None, &limits, |query| selection::earliest_send(&table, query));
     assert_eq!(wait, None);
 }
 
--- a/crates/fleet/tests/selection_load.rs
+++ b/crates/fleet/tests/selection_load.rs
@@ -9,9 +9,12 @@
 use rand::SeedableRng as _;
 use samphiremoor_base::id;
 use samphiremoor_base::time;
+use samphiremoor_fleet::clock_instant;
+use samphiremoor_fleet::limit;
 use samphiremoor_fleet::load;
 use samphiremoor_fleet::replica;
 use samphiremoor_fleet::selection;
+use samphiremoor_fleet::send_gate;
 
 /// Prefill speed of an engine, in prompt tokens per millisecond.
 const TOKENS_PER_MS: f64 = 56.9;
@@ -234,17 +237,18 @@
         let prompt = self.prompt(kind);
         let daemon = self.random.random_range(0..self.shape.daemons);
         let (service, zone) = (entries::service(), entries::zone(0));
+        let limits = limit::LimitTable::new(time::MonotonicTime::default());
+        let instant = clock_instant::ClockInstant { now: monotonic(now_ms), unix_ms: now_ms };
         let query = selection::SelectionQuery {
             service: &service,
             zone: &zone,
             prompt: Some(&prompt),
             excluded: &[],
-            full: &[],
+            gate: send_gate::SendGate::new(&limits, instant),
             required_version: None,
             includes_silent: true,
             daemon_count: self.shape.daemons as u32,
             draw: self.random.random(),
-            now: monotonic(now_ms),
         };
         let selected =
             selection::choose(&self.tables[daemon], &query).expect("a replica is available");
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -14,6 +14,7 @@
 use samphiremoor_base::time;
 use samphiremoor_fleet::dispatch;
 use samphiremoor_fleet::policy;
+use samphiremoor_fleet::replica;
 use samphiremoor_fleet::suspect;
 use samphiremoor_httpio::message;
 
@@ -183,8 +184,7 @@
             reason = reason,
             delivered = delivered,
             replica_known = known_replica.is_some(),
-            replica_leaving =
-                known_replica.is_some_and(|known_replica| known_replica.entry.is_draining),
+            replica_leaving = known_replica.is_some_and(replica::KnownReplica::is_leaving),
             failing = format_args!(
                 "{:.2}",
                 known_replica.map_or(0.0, |known_replica| known_replica.failure_rate(now))
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -26,6 +26,7 @@
 use samphiremoor_fleet::quota;
 use samphiremoor_fleet::reachability;
 use samphiremoor_fleet::replica;
+use samphiremoor_fleet::send_gate;
 use samphiremoor_fleet::usage;
 use samphiremoor_fleet::wall_clock;
 use samphiremoor_requests::budget;
@@ -304,13 +305,15 @@
             .is_some_and(|known_replica| known_replica.should_migrate(now))
     }
 
-    /// Returns whether the replica that was chosen at this address still accepts requests: it is known
-    /// there and not draining.
+    /// Returns whether the replica that was chosen at this address may still get the request: it is
+    /// known there and has not asked otherwise since.
     pub fn accepts_requests(&self, replica: &id::ReplicaId, address: SocketAddr) -> bool {
         let state = self.state.borrow();
         let known_replica = state.replicas.get(replica);
+        let gate = state.gate(self.now());
         known_replica.is_some_and(|known_replica| {
-            !known_replica.entry.is_draining && known_replica.entry.address == address
+            known_replica.entry.address == address
+                && gate.chosen_verdict(known_replica) == send_gate::SendVerdict::Allowed
         })
     }
 
@@ -482,7 +485,7 @@
         let same_group = state
             .replicas
             .of_service(&entry.service)
-            .filter(|other| other.entry.zone == entry.zone && !other.entry.is_draining);
+            .filter(|other| other.entry.zone == entry.zone && !other.is_leaving());
         let target = relay_directory::TunnelTarget {
             replica: replica.clone(),
             incarnation: entry.incarnation,
@@ -589,12 +592,9 @@
         clock_instant::ClockInstant { now, unix_ms }
     }
 
-    /// Returns the replicas that may not get a request now, because of limits that they named.
-    pub fn full_replicas(&self, now: time::MonotonicTime) -> limit::FullReplicas {
-        match self.limits.is_empty() {
-            true => limit::FullReplicas::new(),
-            false => self.limits.full_replicas(self.clock_instant(now)),
-        }
+    /// Returns what tells whether this daemon may send requests to replicas now.
+    pub fn gate(&self, now: time::MonotonicTime) -> send_gate::SendGate<'_> {
+        send_gate::SendGate::new(&self.limits, self.clock_instant(now))
     }
 
     /// Forgets the limits of replicas that are not known any more. Returns the number of replicas
--- a/crates/gateway/src/crash.rs
+++ b/crates/gateway/src/crash.rs
@@ -118,7 +118,7 @@
     fn is_in_service(&self, start: &crash_probe::ReplicaStart) -> bool {
         let state = self.core.state.borrow();
         state.replicas.get(&start.replica).is_some_and(|known_replica| {
-            !known_replica.entry.is_draining
+            !known_replica.is_leaving()
                 && known_replica.entry.is_of_start(start.incarnation, start.address)
         })
     }
--- a/crates/gateway/src/crash_probe.rs
+++ b/crates/gateway/src/crash_probe.rs
@@ -51,7 +51,7 @@
     let service = table.get(&start.replica).map(|replica| &replica.entry.service);
     let mut others: Vec<&replica::KnownReplica> = table
         .iter()
-        .filter(|replica| replica.entry.address != start.address && !replica.entry.is_draining)
+        .filter(|replica| replica.entry.address != start.address && !replica.is_leaving())
         .collect();
     others.sort_by_key(|replica| std::cmp::Reverse(replica.last_contact));
     let is_same = |replica: &&&replica::KnownReplica| Some(&replica.entry.service) == service;
--- a/crates/gateway/src/duties.rs
+++ b/crates/gateway/src/duties.rs
@@ -310,7 +310,7 @@
         rule.zone_prices.keys().map(|zone| (zone.clone(), Default::default())).collect();
     for known_replica in state.replicas.of_service(service) {
         let zone = supply.entry(known_replica.entry.zone.clone()).or_default();
-        match (known_replica.entry.is_reclaimable, known_replica.entry.is_draining) {
+        match (known_replica.entry.is_reclaimable, known_replica.is_leaving()) {
             (true, false) => zone.reclaimable += 1,
             (false, false) => zone.on_demand += 1,
             (_, true) => {}
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -13,6 +13,7 @@
 use samphiremoor_fleet::dispatch;
 use samphiremoor_fleet::replica;
 use samphiremoor_fleet::selection;
+use samphiremoor_fleet::send_gate;
 
 use crate::adapter;
 use crate::attempt;
@@ -34,9 +35,9 @@
 /// `Retry-After` of a request that no replica ran, in milliseconds. A replica that refused for lack
 /// of capacity has some again after a few responses.
 const NOT_RUN_RETRY_AFTER_MS: f64 = 250.0;
-/// Maximum jitter of the `Retry-After` of a request that a limit keeps from all replicas. What the
-/// replica may get by then is kept for longer.
-const LIMIT_JITTER: time::Millis = time::Millis::new(500);
+/// Maximum jitter of the `Retry-After` of a request that replicas keep away by their own wish. What a
+/// limited replica may get by then is kept for longer.
+const HOLD_JITTER: time::Millis = time::Millis::new(500);
 /// `Retry-After` of a request whose route has no service or for which no replica can be chosen, in
 /// milliseconds.
 const NOT_READY_RETRY_AFTER_MS: f64 = 700.0;
@@ -101,6 +102,16 @@
     RequestOutcome::Own(local, reason)
 }
 
+/// Returns the reason of the refusal of a request that replicas keep away.
+fn hold_refusal(hold_reason: send_gate::HoldReason) -> reason::RefusalReason {
+    match hold_reason {
+        send_gate::HoldReason::Limited => reason::RefusalReason::ReplicaLimit,
+        send_gate::HoldReason::Leaving
+        | send_gate::HoldReason::Unreachable
+        | send_gate::HoldReason::Silent => reason::RefusalReason::NoReplica,
+    }
+}
+
 /// Returns a version for the log.
 fn version_label(version: Option<&replica::SoftwareVersion>) -> &str {
     version.map_or("-", replica::SoftwareVersion::as_str)
@@ -443,10 +454,10 @@
             choice = self.query_replica(&[], true);
         }
         let Some(selected) = choice else {
-            if let Some(wait) = self.limit_wait() {
-                let reason = reason::RefusalReason::ReplicaLimit;
-                let jitter = rand::random_range(0..LIMIT_JITTER.get());
-                let wait = wait + time::Millis::new(jitter);
+            if let Some((until, hold_reason)) = self.earliest_send() {
+                let jitter = time::Millis::new(rand::random_range(0..HOLD_JITTER.get()));
+                let wait = until.since(now) + jitter;
+                let reason = hold_refusal(hold_reason);
                 return Err(unanswered_outcome(progress, sink, reason, wait));
             }
             let reason = match self.required_version {
@@ -509,10 +520,9 @@
         self.with_query(excluded, includes_silent, selection::choose)
     }
 
-    /// Returns the time after which a replica may get the request that is kept from it only by a
-    /// limit.
-    fn limit_wait(&self) -> Option<time::Millis> {
-        self.with_query(&self.excluded, true, selection::limit_wait)
+    /// Returns when a replica may get the request that is kept from it only by its own wish.
+    fn earliest_send(&self) -> Option<(time::MonotonicTime, send_gate::HoldReason)> {
+        self.with_query(&self.excluded, true, selection::earliest_send)
     }
 
     /// Returns what `select` makes of the query for a replica of this request.
@@ -525,18 +535,16 @@
         let context::RequestContext { core, request, service, .. } = self.context;
         let state = core.state.borrow();
         let prompt = request.metadata.prompt.as_ref().filter(|_| self.is_engine_request(&state));
-        let now = core.now();
         let query = selection::SelectionQuery {
             service,
             zone: &core.settings.availability_zone,
             prompt,
             excluded,
-            full: &state.full_replicas(now),
+            gate: state.gate(core.now()),
             required_version: self.required_version.as_ref(),
             includes_silent,
             daemon_count: state.live_daemons,
             draw: rand::random(),
-            now,
         };
         select(&state.replicas, &query)
     }
--- a/crates/gateway/src/path_probe.rs
+++ b/crates/gateway/src/path_probe.rs
@@ -75,8 +75,7 @@
     let replica = {
         let state = core.state.borrow();
         let mut replicas = state.replicas.of_service(&group.service);
-        let replica =
-            replicas.find(|other| other.entry.zone == group.zone && !other.entry.is_draining);
+        let replica = replicas.find(|other| other.entry.zone == group.zone && !other.is_leaving());
         replica.map(|replica| replica.entry.id.clone())
     };
     if let Some(replica) = replica {
@@ -91,7 +90,7 @@
         let sound = |replica: &&replica::KnownReplica| {
             let group = reachability::PathGroup::of(&replica.entry);
             let since = state.paths.suspected_since(&group, &replica.entry.id);
-            !replica.entry.is_draining && since.is_none()
+            !replica.is_leaving() && since.is_none()
         };
         let mut sound: Vec<_> = state.replicas.iter().filter(sound).collect();
         sound.sort_by_key(|replica| cmp::Reverse(replica.last_contact));
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -3,8 +3,6 @@
 use std::pin;
 
 use samphiremoor_base::reason;
-use samphiremoor_base::time;
-use samphiremoor_fleet::limit;
 use samphiremoor_fleet::selection;
 
 use crate::attempt;
@@ -159,21 +157,19 @@
             return None;
         }
         let mut state = core.state.borrow_mut();
-        // The request is sent to the target only after the copy, without a choice.
-        let limited = state.limits.limited_replicas();
-        let limited: limit::FullReplicas =
-            limited.map(|replica| (replica.clone(), time::Millis::default())).collect();
+        // The request is sent to the target only after the copy, when a limit may leave no permit.
+        let mut excluded = self.excluded.clone();
+        excluded.extend(state.limits.limited_replicas().cloned());
         let query = selection::SelectionQuery {
             service: self.context.service,
             zone: &core.settings.availability_zone,
             prompt: self.context.request.metadata.prompt.as_ref(),
-            excluded: &self.excluded,
-            full: &limited,
+            excluded: &excluded,
+            gate: state.gate(core.now()),
             required_version: self.required_version.as_ref(),
             includes_silent: false,
             daemon_count: state.live_daemons,
             draw: rand::random(),
-            now: core.now(),
         };
         let mut target = selection::choose(&state.replicas, &query)?;
         // The KV cache is migrated, so the target has no prompt tokens to prefill.
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -294,7 +294,7 @@
     let mut state = core.state.borrow_mut();
     let now = core.now();
     let is_accepting =
-        state.replicas.get(replica).is_some_and(|known_replica| !known_replica.entry.is_draining);
+        state.replicas.get(replica).is_some_and(|known_replica| !known_replica.is_leaving());
     if !is_clean || !is_accepting {
         return;
     }
