Gateway: a response by which a replica says that it leaves is a departure

Callers' requests reached a replica after a response with Server-Leaving: 1 had told the daemon that it leaves, as no program read the header: only the row in the table counted, which a replica or a daemon that is cut off does not write or read.

A refusal without an ID that is abandoned counts, too: whichever request it refuses, the replica says it. Other values than 1 are logged once (E0419) and ignored.

--- a/crates/fleet/src/replica.rs
+++ b/crates/fleet/src/replica.rs
@@ -432,9 +432,27 @@
         &mut self,
         id: &id::ReplicaId,
         incarnation: quantity::Incarnation,
+    ) -> Option<ReplicaChange> {
+        self.mark_leaving(id, |entry| entry.incarnation == incarnation)
+    }
+
+    /// Marks a replica as draining after a response said so, if it is of the current start.
+    pub fn on_response_departure(
+        &mut self,
+        id: &id::ReplicaId,
+        incarnation: quantity::Incarnation,
+        address: net::SocketAddr,
+    ) -> Option<ReplicaChange> {
+        self.mark_leaving(id, |entry| entry.is_of_start(incarnation, address))
+    }
+
+    fn mark_leaving(
+        &mut self,
+        id: &id::ReplicaId,
+        is_current: impl FnOnce(&ReplicaEntry) -> bool,
     ) -> Option<ReplicaChange> {
         let replica = self.replicas.get_mut(id)?;
-        if replica.entry.incarnation != incarnation || replica.entry.is_draining {
+        if replica.entry.is_draining || !is_current(&replica.entry) {
             return None;
         }
         replica.entry.is_draining = true;
--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -66,6 +66,18 @@
     Invalid(sync::Arc<str>, rate::RateError),
 }
 
+/// What a replica's response says about whether the replica leaves.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub enum NamedDeparture {
+    /// The response says nothing.
+    #[default]
+    Absent,
+    /// The replica leaves.
+    Leaving,
+    /// The response has a value that is not defined.
+    Invalid(sync::Arc<str>),
+}
+
 /// What a replica's response says besides its status.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ResponseMetadata {
@@ -77,6 +89,8 @@
     pub is_other_replica: bool,
     /// Limit that the replica names.
     pub limit: NamedLimit,
+    /// Whether the replica leaves.
+    pub departure: NamedDeparture,
 }
 
 /// A response that the gateway generates itself.
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -151,14 +151,16 @@
         }
         let method = &self.request.head.method;
         let request_id = self.request.metadata.request_id.as_deref();
-        let exchange = upstream::exchange(self.core, &mut connection, &bytes, method, request_id);
+        let start = guard.replica_start();
+        let exchange =
+            upstream::exchange(self.core, &mut connection, &start, &bytes, method, request_id);
         let response = match exchange.await {
             Ok(response) => response,
             Err(cause) => {
                 let is_stale = connection.is_reused && cause == upstream::ExchangeError::Closed;
                 self.record_result(&selected.replica, !is_stale);
                 self.count_run();
-                return self.failed_start(&guard.replica_start()).await;
+                return self.failed_start(&start).await;
             }
         };
         if connection.is_direct() {
@@ -167,6 +169,7 @@
         if !response.metadata.is_other_replica {
             guard.record_answer(started_at);
             self.core.observe_limit(&selected.replica, &response.metadata.limit, started_at);
+            self.core.observe_announcements(&start, &response.metadata);
         }
         if response.metadata.is_other_replica || response.metadata.is_not_run {
             let is_other = response.metadata.is_other_replica;
@@ -201,14 +204,13 @@
         if resume.is_takeover && is_stream {
             return match self.read_first_event(&mut started, resume.last_event_id).await {
                 Ok(()) => AttemptStart::Response(StartedResponse::Relayed(Box::new(started))),
-                Err(_) => self.failed_start(&started.guard.replica_start()).await,
+                Err(_) => self.failed_start(&start).await,
             };
         }
         let is_error = status >= 500;
         if !is_repeatable || !resume.is_takeover && !is_error {
             return AttemptStart::Response(StartedResponse::Relayed(Box::new(started)));
         }
-        let start = started.guard.replica_start();
         let read = self.read_plain(started).await;
         self.count_run();
         match read {
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -2,6 +2,7 @@
 
 use std::cell;
 use std::collections;
+use std::fmt;
 use std::net::SocketAddr;
 use std::rc;
 use std::sync;
@@ -143,6 +144,8 @@
     pub relayed_tunnels: u32,
     /// Values that replicas named and that are no limits, as they were logged last.
     refused_limits: collections::BTreeMap<id::ReplicaId, sync::Arc<str>>,
+    /// Values in responses of replicas that are ignored, as they were logged last, by what they name.
+    ignored_values: collections::BTreeMap<(id::ReplicaId, &'static str), sync::Arc<str>>,
     /// Pool of idle connections to replicas.
     pub idle_pool: idle::IdlePool,
     /// When the daemon was instructed to stop.
@@ -230,6 +233,7 @@
             paths: reachability::PathTable::default(),
             relayed_tunnels: 0,
             refused_limits: collections::BTreeMap::new(),
+            ignored_values: collections::BTreeMap::new(),
             idle_pool: idle::IdlePool::default(),
             stopping_since: None,
             table_reader: None,
@@ -375,6 +379,55 @@
         log_limit_change(replica, change, "response");
     }
 
+    /// Observes what a response of a start of a replica says besides its result.
+    pub fn observe_announcements(
+        &self,
+        start: &crash_probe::ReplicaStart,
+        metadata: &adapter::ResponseMetadata,
+    ) {
+        if metadata.is_other_replica {
+            return;
+        }
+        match &metadata.departure {
+            adapter::NamedDeparture::Absent => {}
+            adapter::NamedDeparture::Leaving => {
+                let change = self.state.borrow_mut().replicas.on_response_departure(
+                    &start.replica,
+                    start.incarnation,
+                    start.address,
+                );
+                if let Some(change) = change {
+                    self.metrics.count_response_departure();
+                    self.apply_changes(&[change], "response");
+                }
+            }
+            adapter::NamedDeparture::Invalid(value) => {
+                self.log_ignored(start, "departure", value, "the only defined value is 1");
+            }
+        }
+    }
+
+    /// Logs a value of a response that is ignored, once for each value of a replica.
+    fn log_ignored(
+        &self,
+        start: &crash_probe::ReplicaStart,
+        field: &'static str,
+        value: &sync::Arc<str>,
+        cause: impl fmt::Display,
+    ) {
+        let key = (start.replica.clone(), field);
+        let previous = self.state.borrow_mut().ignored_values.insert(key, value.clone());
+        if previous.as_ref() != Some(value) {
+            log_event!(
+                event::LogEvent::HeaderIgnored,
+                replica = start.replica,
+                field = field,
+                value = format_args!("{value:?}"),
+                cause = cause,
+            );
+        }
+    }
+
     /// Counts a request that is sent to a replica against the limit that it named, if any.
     pub fn record_send(&self, replica: &id::ReplicaId) {
         let mut state = self.state.borrow_mut();
@@ -603,6 +656,7 @@
         let replicas = &self.replicas;
         self.limits.retain(now, |replica| replicas.get(replica).is_some());
         self.refused_limits.retain(|replica, _| replicas.get(replica).is_some());
+        self.ignored_values.retain(|(replica, _), _| replicas.get(replica).is_some());
         self.limits.limited_replicas().count()
     }
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -26,6 +26,7 @@
     limited_replicas: prometheus::IntGauge,
     replica_crashes: prometheus::IntCounter,
     refuted_crashes: prometheus::IntCounter,
+    response_departures: prometheus::IntCounter,
     tunnels: prometheus::IntCounterVec,
     relayed_tunnels: prometheus::IntGauge,
     suspected_paths: prometheus::IntGauge,
@@ -95,6 +96,12 @@
             "Crashes that were reported of replicas that are alive.",
         );
         let refuted_crashes = register(&registry, refuted_crashes.expect("the name is valid"));
+        let response_departures = prometheus::IntCounter::new(
+            "samphiremoor_gateway_response_departures_total",
+            "Replicas that said in a response that they leave, before their entries did.",
+        );
+        let response_departures =
+            register(&registry, response_departures.expect("the name is valid"));
         let tunnels = counter_vec(
             "samphiremoor_gateway_tunnels_total",
             "Connections to replicas by way of other daemons, by result.",
@@ -139,6 +146,7 @@
             limited_replicas,
             replica_crashes,
             refuted_crashes,
+            response_departures,
             tunnels,
             relayed_tunnels,
             suspected_paths,
@@ -214,6 +222,11 @@
         self.refuted_crashes.inc();
     }
 
+    /// Counts a replica that said in a response that it leaves, before its entry did.
+    pub fn count_response_departure(&self) {
+        self.response_departures.inc();
+    }
+
     /// Counts a connection to a replica by way of another daemon, by its result.
     pub fn count_tunnel(&self, result: &str) {
         self.tunnels.with_label_values(&[result]).inc();
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -20,6 +20,7 @@
 
 use crate::adapter;
 use crate::core;
+use crate::crash_probe;
 use crate::relay_directory;
 use crate::tunnel;
 
@@ -325,6 +326,7 @@
 pub async fn exchange(
     core: &core::GatewayCore,
     connection: &mut UpstreamConnection,
+    start: &crash_probe::ReplicaStart,
     request: &[u8],
     method: &str,
     request_id: Option<&str>,
@@ -339,7 +341,7 @@
         }
         std::future::pending().await
     };
-    let read = read_response(core, connection, method, request_id);
+    let read = read_response(core, connection, start, method, request_id);
     let (head, metadata, framing) = futures_lite::future::or(read, write).await?;
     Ok(ReplicaResponse { head, metadata, framing, is_written: is_written.get() })
 }
@@ -347,6 +349,7 @@
 async fn read_response(
     core: &core::GatewayCore,
     connection: &mut UpstreamConnection,
+    start: &crash_probe::ReplicaStart,
     method: &str,
     request_id: Option<&str>,
 ) -> Result<(message::ResponseHead, adapter::ResponseMetadata, message::BodyFraming), ExchangeError>
@@ -360,7 +363,11 @@
         match metadata.origin.disposition(is_first) {
             dispatch::ResponseDisposition::Accept => return Ok((head, metadata, framing)),
             dispatch::ResponseDisposition::Skip => is_first = false,
-            dispatch::ResponseDisposition::Abandon => return Err(ExchangeError::Malformed),
+            dispatch::ResponseDisposition::Abandon => {
+                // Whichever request it refuses, it is this replica that says it.
+                core.observe_announcements(start, &metadata);
+                return Err(ExchangeError::Malformed);
+            }
         }
         if framing == message::BodyFraming::UntilClose || !head.is_keep_alive {
             return Err(ExchangeError::Malformed);
