Gateway: a replica that asked for a pause gets no request in that time

Requests reached a replica within the time that its 503 had named by Retry-After, as no program read it: a refusal only raised the failure rate, which other replicas' load outweighs and a success under way lowers.

The codec reads Retry-After of a 503 that is the replica's own: seconds, the longest of several, at most an hour; other texts are logged once and ignored. send_gate holds the replica from the moment of receipt until the end and a jitter beyond it; neither successes nor silence, backoff or entries of the same start shorten that, a new start ends it. The last look before a request is written, and orders about KV caches, ask for it, too. After the end one request goes first, and its answer lets others follow. If only paused replicas are left, callers are refused at once (replica-paused) with the shortest remaining time, but within a third of the time that they wait, as another daemon may serve them. The pause is this daemon's: peers are not told, and a restart forgets it.

--- a/crates/base/src/reason.rs
+++ b/crates/base/src/reason.rs
@@ -78,6 +78,8 @@
         /// The replicas that can serve the request get no more requests than the limits that they
         /// named.
         ReplicaLimit => "replica-limit",
+        /// The replicas that can serve the request want none from this daemon for a while.
+        ReplicaPaused => "replica-paused",
         /// Replicas crash under the request, or under a segment of its prompt.
         Quarantined => "quarantined",
         /// A replica crashed under the request, which is not sent to another one.
--- a/crates/entry/src/finish.rs
+++ b/crates/entry/src/finish.rs
@@ -118,6 +118,9 @@
         RefusalReason::DeadlineUnreachable => "the deadline can't be met; allow more time",
         RefusalReason::DeadlinePassed => "the deadline passed; allow more time",
         RefusalReason::NoReplica => "no replica can serve it now; try again later",
+        RefusalReason::ReplicaPaused => {
+            "the replicas want no requests for a while; try again later"
+        }
         RefusalReason::ReplicaLimit => {
             "the replicas take no more requests at present; try again later"
         }
--- a/crates/fleet/src/replica.rs
+++ b/crates/fleet/src/replica.rs
@@ -571,6 +571,11 @@
         }
     }
 
+    /// Returns when the pause ends that the replica asked this daemon for, if one is in force.
+    pub fn paused_until(&self, now: time::MonotonicTime) -> Option<time::MonotonicTime> {
+        self.send_state.paused_until(now)
+    }
+
     /// Whether new requests may be sent to the replica, and it was not silent recently.
     pub fn is_available(&self, now: time::MonotonicTime) -> bool {
         self.verdict(now) == send_gate::SendVerdict::Allowed
@@ -601,8 +606,20 @@
         }
     }
 
+    /// Observes that a request is sent to the replica.
+    pub fn on_sent(&mut self, now: time::MonotonicTime) {
+        self.send_state.on_sent(now);
+    }
+
+    /// Observes that the replica asks this daemon for a pause. `draw` is a uniform random number from 0
+    /// to 1. Returns whether no pause was in force.
+    pub fn on_pause(&mut self, length: time::Millis, draw: f64, now: time::MonotonicTime) -> bool {
+        self.send_state.on_pause(length, draw, now)
+    }
+
     /// Observes that the replica answered a request that was sent at `sent_at`.
     pub fn on_answer(&mut self, sent_at: time::MonotonicTime) {
+        self.send_state.on_answer(sent_at);
         self.last_answered = self.last_answered.max(Some(sent_at));
     }
 
--- a/crates/fleet/src/selection.rs
+++ b/crates/fleet/src/selection.rs
@@ -149,7 +149,7 @@
 ) -> Option<(time::MonotonicTime, send_gate::HoldReason)> {
     let wished = unused(table, query).filter_map(|replica| match query.gate.verdict(replica) {
         send_gate::SendVerdict::Held {
-            reason: reason @ send_gate::HoldReason::Limited,
+            reason: reason @ (send_gate::HoldReason::Limited | send_gate::HoldReason::Paused),
             until: Some(until),
         } => Some((until, reason)),
         _ => None,
--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -14,6 +14,7 @@
 use samphiremoor_fleet::policy;
 use samphiremoor_fleet::replica;
 use samphiremoor_fleet::selection;
+use samphiremoor_fleet::send_gate;
 use samphiremoor_fleet::usage;
 use samphiremoor_httpio::message;
 use samphiremoor_platform::table;
@@ -66,6 +67,18 @@
     Invalid(sync::Arc<str>, rate::RateError),
 }
 
+/// Pause that a replica's response asks this daemon for.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub enum NamedPause {
+    /// The response asks for none.
+    #[default]
+    Absent,
+    /// The length of the pause.
+    Length(send_gate::PauseLength),
+    /// The response names a value that is no time, for this reason.
+    Invalid(sync::Arc<str>, send_gate::PauseError),
+}
+
 /// What a replica's response says about whether the replica leaves.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub enum NamedDeparture {
@@ -91,6 +104,8 @@
     pub limit: NamedLimit,
     /// Whether the replica leaves.
     pub departure: NamedDeparture,
+    /// Pause that the replica asks for.
+    pub pause: NamedPause,
 }
 
 /// A response that the gateway generates itself.
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -405,6 +405,33 @@
                 self.log_ignored(start, "departure", value, "the only defined value is 1");
             }
         }
+        match &metadata.pause {
+            adapter::NamedPause::Absent => {}
+            adapter::NamedPause::Length(length) => self.pause_replica(start, *length),
+            adapter::NamedPause::Invalid(value, cause) => {
+                self.log_ignored(start, "pause", value, cause);
+            }
+        }
+    }
+
+    /// Sends no request to a replica for the time that it asked for.
+    fn pause_replica(&self, start: &crash_probe::ReplicaStart, asked: send_gate::PauseLength) {
+        let Some(length) = asked.nonzero() else { return };
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        let Some(known_replica) = state.replicas.get_mut(&start.replica) else { return };
+        let is_current = known_replica.entry.is_of_start(start.incarnation, start.address);
+        if is_current && known_replica.on_pause(length, rand::random(), now) {
+            self.metrics.count_pause();
+            log_event!(event::LogEvent::UpstreamPaused, replica = start.replica, seconds = asked,);
+        }
+    }
+
+    /// Returns whether a replica has asked this daemon for a pause that is in force.
+    pub fn is_paused(&self, replica: &id::ReplicaId) -> bool {
+        let state = self.state.borrow();
+        let known_replica = state.replicas.get(replica);
+        known_replica.is_some_and(|known_replica| known_replica.paused_until(self.now()).is_some())
     }
 
     /// Logs a value of a response that is ignored, once for each value of a replica.
@@ -428,9 +455,12 @@
         }
     }
 
-    /// Counts a request that is sent to a replica against the limit that it named, if any.
+    /// Records that a request is sent to a replica, which may have named a limit or asked for a pause.
     pub fn record_send(&self, replica: &id::ReplicaId) {
         let mut state = self.state.borrow_mut();
+        if let Some(known_replica) = state.replicas.get_mut(replica) {
+            known_replica.on_sent(self.now());
+        }
         if state.limits.contains(replica) {
             let instant = state.clock_instant(self.now());
             state.limits.record_send(replica, instant);
--- a/crates/gateway/src/digest_exchange.rs
+++ b/crates/gateway/src/digest_exchange.rs
@@ -499,6 +499,8 @@
         let instant = core_state.clock_instant(now);
         core_state.limits.set_turn(self.daemon_turn(&state, is_zonal), instant);
         self.core.metrics.set_limited_replicas(core_state.sweep_limits(now));
+        let paused = core_state.replicas.iter().filter(|other| other.paused_until(now).is_some());
+        self.core.metrics.set_paused_replicas(paused.count());
     }
 
     /// Returns the position of this daemon among all daemons that are known to run or may run behind
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -38,6 +38,10 @@
 /// Maximum jitter of the `Retry-After` of a request that replicas keep away by their own wish. What a
 /// limited replica may get by then is kept for longer.
 const HOLD_JITTER: time::Millis = time::Millis::new(500);
+/// Fraction, as a divisor, of the time that a caller still waits within which it comes back.
+const CALLER_WAIT_DIVISOR: u64 = 3;
+/// Shortest `Retry-After` of a request that replicas keep away by their own wish.
+const MIN_HOLD_WAIT: time::Millis = time::Millis::new(100);
 /// `Retry-After` of a request whose route has no service or for which no replica can be chosen, in
 /// milliseconds.
 const NOT_READY_RETRY_AFTER_MS: f64 = 700.0;
@@ -106,6 +110,7 @@
 fn hold_refusal(hold_reason: send_gate::HoldReason) -> reason::RefusalReason {
     match hold_reason {
         send_gate::HoldReason::Limited => reason::RefusalReason::ReplicaLimit,
+        send_gate::HoldReason::Paused => reason::RefusalReason::ReplicaPaused,
         send_gate::HoldReason::Leaving
         | send_gate::HoldReason::Unreachable
         | send_gate::HoldReason::Silent => reason::RefusalReason::NoReplica,
@@ -454,9 +459,7 @@
             choice = self.query_replica(&[], true);
         }
         let Some(selected) = choice else {
-            if let Some((until, hold_reason)) = self.earliest_send() {
-                let jitter = time::Millis::new(rand::random_range(0..HOLD_JITTER.get()));
-                let wait = until.since(now) + jitter;
+            if let Some((wait, hold_reason)) = self.hold_wait(&self.excluded) {
                 let reason = hold_refusal(hold_reason);
                 return Err(unanswered_outcome(progress, sink, reason, wait));
             }
@@ -471,7 +474,7 @@
                 required_version = version_label(self.required_version.as_ref()),
                 delivered = self.splitter.delivered(),
             );
-            return Err(self.end_unanswered(sink, reason, NOT_READY_RETRY_AFTER_MS));
+            return Err(self.give_up(sink, reason, NOT_READY_RETRY_AFTER_MS));
         };
         let mut state = core.state.borrow_mut();
         if self.is_engine_request(&state) && is_new {
@@ -520,9 +523,39 @@
         self.with_query(excluded, includes_silent, selection::choose)
     }
 
-    /// Returns when a replica may get the request that is kept from it only by its own wish.
-    fn earliest_send(&self) -> Option<(time::MonotonicTime, send_gate::HoldReason)> {
-        self.with_query(&self.excluded, true, selection::earliest_send)
+    /// Returns the `Retry-After` of a request that replicas keep away by their own wish, and what they
+    /// wished. Other daemons may be allowed to send sooner, and the caller's next attempt may reach one
+    /// of them, so that a pause doesn't use up the time that the caller waits.
+    fn hold_wait(
+        &self,
+        excluded: &[id::ReplicaId],
+    ) -> Option<(time::Millis, send_gate::HoldReason)> {
+        let (until, hold_reason) = self.with_query(excluded, true, selection::earliest_send)?;
+        let now = self.context.core.now();
+        let jitter = time::Millis::new(rand::random_range(0..HOLD_JITTER.get()));
+        let wait = until.since(now) + jitter;
+        let time_left = self.context.request.caller_deadline.since(now);
+        let longest = time::Millis::new(time_left.get() / CALLER_WAIT_DIVISOR).max(MIN_HOLD_WAIT);
+        let is_paused = hold_reason == send_gate::HoldReason::Paused;
+        Some((if is_paused { wait.min(longest) } else { wait }, hold_reason))
+    }
+
+    /// Returns the outcome of a request that is given up. If it did not run, the caller may come back after
+    /// `retry_after_ms`, unless all replicas want no request for longer.
+    fn give_up(
+        &self,
+        sink: &response::ResponseSink,
+        reason: reason::RefusalReason,
+        retry_after_ms: f64,
+    ) -> RequestOutcome {
+        let hold_wait = match self.query_replica(&[], true) {
+            Some(_) => None,
+            None => self.hold_wait(&[]),
+        };
+        match hold_wait {
+            Some((wait, _)) => unanswered_outcome(self.context.progress, sink, reason, wait),
+            None => self.end_unanswered(sink, reason, retry_after_ms),
+        }
     }
 
     /// Returns what `select` makes of the query for a replica of this request.
@@ -565,7 +598,7 @@
         sink: &response::ResponseSink,
     ) -> Option<RequestOutcome> {
         let context::RequestContext { core, request, progress, .. } = self.context;
-        let give_up = |reason| Some(self.end_unanswered(sink, reason, NOT_RUN_RETRY_AFTER_MS));
+        let give_up = |reason| Some(self.give_up(sink, reason, NOT_RUN_RETRY_AFTER_MS));
         if core.now() >= request.deadline {
             return give_up(reason::RefusalReason::DeadlinePassed);
         }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -27,6 +27,8 @@
     replica_crashes: prometheus::IntCounter,
     refuted_crashes: prometheus::IntCounter,
     response_departures: prometheus::IntCounter,
+    replica_pauses: prometheus::IntCounter,
+    paused_replicas: prometheus::IntGauge,
     tunnels: prometheus::IntCounterVec,
     relayed_tunnels: prometheus::IntGauge,
     suspected_paths: prometheus::IntGauge,
@@ -102,6 +104,16 @@
         );
         let response_departures =
             register(&registry, response_departures.expect("the name is valid"));
+        let replica_pauses = prometheus::IntCounter::new(
+            "samphiremoor_gateway_replica_pauses_total",
+            "Pauses that replicas asked this daemon for.",
+        );
+        let replica_pauses = register(&registry, replica_pauses.expect("the name is valid"));
+        let paused_replicas = prometheus::IntGauge::new(
+            "samphiremoor_gateway_paused_replicas",
+            "Replicas that want no request from this daemon now.",
+        );
+        let paused_replicas = register(&registry, paused_replicas.expect("the name is valid"));
         let tunnels = counter_vec(
             "samphiremoor_gateway_tunnels_total",
             "Connections to replicas by way of other daemons, by result.",
@@ -147,6 +159,8 @@
             replica_crashes,
             refuted_crashes,
             response_departures,
+            replica_pauses,
+            paused_replicas,
             tunnels,
             relayed_tunnels,
             suspected_paths,
@@ -222,6 +236,16 @@
         self.refuted_crashes.inc();
     }
 
+    /// Counts a pause that a replica asked for.
+    pub fn count_pause(&self) {
+        self.replica_pauses.inc();
+    }
+
+    /// Sets the number of replicas that want no request now.
+    pub fn set_paused_replicas(&self, count: usize) {
+        self.paused_replicas.set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     /// Counts a replica that said in a response that it leaves, before its entry did.
     pub fn count_response_departure(&self) {
         self.response_departures.inc();
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -445,6 +445,9 @@
     request: &[u8],
 ) -> Option<(u16, Vec<u8>)> {
     let mut connection = acquire(core, replica, address, true).await.ok()?;
+    if core.is_paused(replica) {
+        return None;
+    }
     core.record_send(replica);
     connection.raw.write(request).await.ok()?;
     let head = connection.raw.response_head().await.ok()?;
