Gateway: a refusal of an earlier exchange counts for no later request

Callers were told 'not run' for requests that ran, or such a request was sent to a second replica, after a faulty replica had written an earlier refusal once more on a kept connection. Three causes:

- a 421 without an ID was accepted on a reused connection, too, where no other process can be;
- a request with the ID of an earlier one that was refused on the connection took that refusal for its own;
- a request without an ID took any refusal for its own.

A 421 without an ID now counts only on a connection that carried nothing before; else the connection is abandoned and the request may have run. A connection remembers up to four refused IDs and carries no request with one of them.

Ruled out: refusals with other IDs (skipped), those that arrive while the connection is idle, orders about KV caches (a leaving replica has no kept connection), and the entry daemon, which opens a connection for each dispatch.

--- a/crates/fleet/src/dispatch.rs
+++ b/crates/fleet/src/dispatch.rs
@@ -56,15 +56,18 @@
     ///
     /// A late second refusal of an earlier request looks like a refusal of this one, which would
     /// then be reported as not run while it runs. Only a connection without an earlier request
-    /// rules that out. A connection to a different replica is never used again.
+    /// rules that out.
     pub fn disposition(self, is_first: bool) -> ResponseDisposition {
         match self {
-            ResponseOrigin::SameRequest | ResponseOrigin::UnidentifiedMismatch => {
-                ResponseDisposition::Accept
-            }
+            ResponseOrigin::SameRequest => ResponseDisposition::Accept,
             ResponseOrigin::OtherRequest => ResponseDisposition::Skip,
-            ResponseOrigin::UnidentifiedRefusal if is_first => ResponseDisposition::Accept,
-            ResponseOrigin::UnidentifiedRefusal => ResponseDisposition::Abandon,
+            ResponseOrigin::UnidentifiedRefusal | ResponseOrigin::UnidentifiedMismatch => {
+                if is_first {
+                    ResponseDisposition::Accept
+                } else {
+                    ResponseDisposition::Abandon
+                }
+            }
         }
     }
 }
--- a/crates/fleet/tests/dispatch.rs
+++ b/crates/fleet/tests/dispatch.rs
@@ -92,7 +92,7 @@
         check_response(UnidentifiedRefusal, false, Abandon);
     unidentified_mismatch_on_new_connection => check_response(UnidentifiedMismatch, true, Accept);
     unidentified_mismatch_on_reused_connection =>
-        check_response(UnidentifiedMismatch, false, Accept);
+        check_response(UnidentifiedMismatch, false, Abandon);
 }
 
 #[test]
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -8,6 +8,7 @@
 use samphiremoor_base::id;
 use samphiremoor_base::reason;
 use samphiremoor_base::time;
+use samphiremoor_fleet::attempt_record;
 use samphiremoor_fleet::policy;
 use samphiremoor_fleet::selection;
 use samphiremoor_httpio::connection;
@@ -124,7 +125,11 @@
         };
         let is_repeatable = self.request.route.kind.is_repeatable();
         let address = guard.address();
-        let result = upstream::acquire(self.core, &selected.replica, address, is_repeatable).await;
+        let request_id = self.request.metadata.request_id.as_deref();
+        let attempt = request_id.map(attempt_record::AttemptHash::of);
+        let acquired =
+            upstream::acquire(self.core, &selected.replica, address, attempt, is_repeatable);
+        let result = acquired.await;
         let mut connection = match result {
             Ok(connection) => connection,
             Err(cause) => {
@@ -150,7 +155,6 @@
             state.add_prompt_tokens(self.service, uncached_tokens, started_at);
         }
         let method = &self.request.head.method;
-        let request_id = self.request.metadata.request_id.as_deref();
         let start = guard.replica_start();
         let exchange =
             upstream::exchange(self.core, &mut connection, &start, &bytes, method, request_id);
@@ -171,8 +175,12 @@
             self.core.observe_limit(&selected.replica, &response.metadata.limit, started_at);
             self.core.observe_announcements(&start, &response.metadata);
         }
-        if response.metadata.is_other_replica || response.metadata.is_not_run {
-            let is_other = response.metadata.is_other_replica;
+        if response.metadata.is_other_replica {
+            self.mark_unreachable(&selected.replica);
+            return AttemptStart::WrongReplica;
+        }
+        if response.metadata.is_not_run {
+            connection.record_refusal(attempt);
             // The body of a refusal is short. If it can't be read to its end, the connection is not
             // reused.
             let body_read = upstream::read_refusal(&mut connection, &response);
@@ -180,10 +188,6 @@
             if matches!(read, Ok(Ok(_))) {
                 upstream::release(self.core, &selected.replica, connection, &response);
             }
-            if is_other {
-                self.mark_unreachable(&selected.replica);
-                return AttemptStart::WrongReplica;
-            }
             self.record_result(&selected.replica, true);
             return AttemptStart::NotRun;
         }
--- a/crates/gateway/src/idle.rs
+++ b/crates/gateway/src/idle.rs
@@ -5,11 +5,35 @@
 
 use samphiremoor_base::id;
 use samphiremoor_base::time;
+use samphiremoor_fleet::attempt_record;
 use samphiremoor_httpio::connection;
+use smallvec::SmallVec;
 
 /// Idle time after which a connection is not reused for requests that must not run twice.
 const MAX_IDLE_NON_REPEATABLE: time::Millis = time::Millis::new(2_000);
 
+/// Requests that a replica refused on one connection. It may write such a refusal once more, which is
+/// told from that of the next request by its ID alone.
+pub type RefusedAttempts = SmallVec<[attempt_record::AttemptHash; 2]>;
+
+/// A connection to a replica that may be reused.
+#[derive(Debug)]
+pub struct ReusableConnection {
+    /// The raw connection.
+    pub raw: connection::RawConnection,
+    /// Daemon that relays the connection; `None` if it is direct.
+    pub relay: Option<net::SocketAddr>,
+    /// Requests that the replica refused on it, which it must not carry again.
+    pub refused: RefusedAttempts,
+}
+
+impl ReusableConnection {
+    /// Wraps a connection that carried no request yet.
+    pub fn new(raw: connection::RawConnection, relay: Option<net::SocketAddr>) -> Self {
+        ReusableConnection { raw, relay, refused: RefusedAttempts::new() }
+    }
+}
+
 /// Pool of idle connections to each replica, with the most recently used one last.
 #[derive(Debug, Default)]
 pub struct IdlePool {
@@ -18,17 +42,15 @@
 
 #[derive(Debug)]
 struct IdleConnection {
-    raw: connection::RawConnection,
+    connection: ReusableConnection,
     address: net::SocketAddr,
-    /// Daemon that relays the connection; `None` if it is direct.
-    relay: Option<net::SocketAddr>,
     idle_since: time::MonotonicTime,
     max_idle: time::Millis,
 }
 
 impl IdlePool {
-    /// Takes the most recently used connection to the replica at this address that may be reused, and
-    /// the daemon that relays it, if any. Closes the more recently used ones, which may not.
+    /// Takes the most recently used connection to the replica at this address that may carry the
+    /// attempt. Closes the more recently used ones, which may not.
     ///
     /// Connections are direct, unless the path is suspected since `suspected_since`: then they are
     /// relayed, or direct and were used since.
@@ -36,21 +58,23 @@
         &mut self,
         replica: &id::ReplicaId,
         address: net::SocketAddr,
+        attempt: attempt_record::AttemptHash,
         is_repeatable: bool,
         suspected_since: Option<time::MonotonicTime>,
         now: time::MonotonicTime,
-    ) -> Option<(connection::RawConnection, Option<net::SocketAddr>)> {
+    ) -> Option<ReusableConnection> {
         let list = self.connections.get_mut(replica)?;
         while let Some(idle) = list.pop() {
             let age = now.since(idle.idle_since);
             let is_fresh =
                 age <= idle.max_idle && (is_repeatable || age <= MAX_IDLE_NON_REPEATABLE);
-            let has_path = match (idle.relay, suspected_since) {
+            let has_path = match (idle.connection.relay, suspected_since) {
                 (None, since) => since.is_none_or(|since| idle.idle_since > since),
                 (Some(_), since) => since.is_some(),
             };
-            if idle.address == address && is_fresh && has_path {
-                return Some((idle.raw, idle.relay));
+            let was_refused = idle.connection.refused.contains(&attempt);
+            if idle.address == address && is_fresh && has_path && !was_refused {
+                return Some(idle.connection);
             }
         }
         None
@@ -60,19 +84,19 @@
     pub fn put(
         &mut self,
         replica: &id::ReplicaId,
-        (raw, relay): (connection::RawConnection, Option<net::SocketAddr>),
+        connection: ReusableConnection,
         address: net::SocketAddr,
         idle_since: time::MonotonicTime,
         max_idle: time::Millis,
     ) {
-        let idle = IdleConnection { raw, address, relay, idle_since, max_idle };
+        let idle = IdleConnection { connection, address, idle_since, max_idle };
         self.connections.entry(replica.clone()).or_default().push(idle);
     }
 
     /// Closes the idle connections that a daemon relays.
     pub fn remove_relayed(&mut self, relay: net::SocketAddr) {
         for list in self.connections.values_mut() {
-            list.retain(|idle| idle.relay != Some(relay));
+            list.retain(|idle| idle.connection.relay != Some(relay));
         }
     }
 
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -13,6 +13,7 @@
 use samphiremoor_base::id;
 use samphiremoor_base::quantity;
 use samphiremoor_base::time;
+use samphiremoor_fleet::attempt_record;
 use samphiremoor_fleet::dispatch;
 use samphiremoor_fleet::reachability;
 use samphiremoor_httpio::connection;
@@ -21,6 +22,7 @@
 use crate::adapter;
 use crate::core;
 use crate::crash_probe;
+use crate::idle;
 use crate::relay_directory;
 use crate::tunnel;
 
@@ -46,6 +48,8 @@
 const MAX_REFUSAL_BODY: quantity::ByteCount = quantity::ByteCount::new(64 * 1024);
 /// Number of responses to other requests that are skipped on one connection before it is closed.
 const MAX_SKIPPED_RESPONSES: u32 = 3;
+/// Number of refusals that are remembered on one connection before it is closed.
+const MAX_REFUSALS: usize = 4;
 
 /// A connection to a replica that is in use.
 #[derive(Debug)]
@@ -57,6 +61,8 @@
     address: SocketAddr,
     /// Daemon that relays the connection; `None` if it is direct.
     relay: Option<SocketAddr>,
+    /// Requests that the replica refused on the connection.
+    refused: idle::RefusedAttempts,
 }
 
 impl UpstreamConnection {
@@ -64,6 +70,11 @@
     pub fn is_direct(&self) -> bool {
         self.relay.is_none()
     }
+
+    /// Records that the replica refused an attempt on the connection.
+    pub fn record_refusal(&mut self, attempt: Option<attempt_record::AttemptHash>) {
+        self.refused.extend(attempt);
+    }
 }
 
 /// Head of a replica's response.
@@ -88,8 +99,9 @@
     Malformed,
 }
 
-/// Takes an idle connection to a replica, or opens a new one. `is_repeatable` says whether the
-/// request may be sent once more if it is lost.
+/// Takes an idle connection to a replica, or opens a new one. A request without an ID, whose `attempt` is
+/// `None`, gets a new one, as nothing tells its response from those to earlier requests.
+/// `is_repeatable` says whether the request may be sent once more if it is lost.
 ///
 /// # Errors
 ///
@@ -98,9 +110,10 @@
     core: &rc::Rc<core::GatewayCore>,
     replica: &id::ReplicaId,
     address: SocketAddr,
+    attempt: Option<attempt_record::AttemptHash>,
     is_repeatable: bool,
 ) -> io::Result<UpstreamConnection> {
-    loop {
+    while let Some(attempt) = attempt {
         let now = core.now();
         let idle_connection = {
             let state = &mut *core.state.borrow_mut();
@@ -108,15 +121,16 @@
             let group = entry.map(reachability::PathGroup::of);
             let suspected_since =
                 group.and_then(|group| state.paths.suspected_since(&group, replica));
-            state.idle_pool.take(replica, address, is_repeatable, suspected_since, now)
+            state.idle_pool.take(replica, address, attempt, is_repeatable, suspected_since, now)
         };
-        let Some((raw, relay)) = idle_connection else { break };
+        let Some(idle::ReusableConnection { raw, relay, refused }) = idle_connection else { break };
         if raw.is_idle().await {
-            return Ok(UpstreamConnection { raw, is_reused: true, address, relay });
+            return Ok(UpstreamConnection { raw, is_reused: true, address, relay, refused });
         }
     }
     let (raw, relay) = Box::pin(dial(core, replica, address)).await?;
-    Ok(UpstreamConnection { raw, is_reused: false, address, relay })
+    let refused = idle::RefusedAttempts::new();
+    Ok(UpstreamConnection { raw, is_reused: false, address, relay, refused })
 }
 
 /// What ended first.
@@ -217,7 +231,8 @@
     let opened = core.dialer.connect(address, PATH_TIMEOUT).await;
     let Ok(raw) = finish_direct(core, &target, opened) else { return false };
     let mut state = core.state.borrow_mut();
-    state.idle_pool.put(replica, (raw, None), address, core.now(), DEFAULT_MAX_IDLE);
+    let unused = idle::ReusableConnection::new(raw, None);
+    state.idle_pool.put(replica, unused, address, core.now(), DEFAULT_MAX_IDLE);
     true
 }
 
@@ -236,7 +251,8 @@
                 task::sleep(PROBE_TIME.to_duration()).await;
                 if raw.is_idle().await {
                     let (mut state, now) = (core.state.borrow_mut(), core.now());
-                    state.idle_pool.put(replica, (raw, relay), address, now, DEFAULT_MAX_IDLE);
+                    let unused = idle::ReusableConnection::new(raw, relay);
+                    state.idle_pool.put(replica, unused, address, now, DEFAULT_MAX_IDLE);
                     return false;
                 }
             }
@@ -265,7 +281,8 @@
     let (raw, relay) = tunnel::open(core, target).await?;
     let (mut state, now) = (core.state.borrow_mut(), core.now());
     state.paths.on_relayed(&target.replica, now);
-    state.idle_pool.put(&target.replica, (raw, Some(relay)), address, now, DEFAULT_MAX_IDLE);
+    let unused = idle::ReusableConnection::new(raw, Some(relay));
+    state.idle_pool.put(&target.replica, unused, address, now, DEFAULT_MAX_IDLE);
     Ok(())
 }
 
@@ -277,7 +294,8 @@
 ) -> bool {
     let Ok(raw) = core.dialer.connect(address, PATH_TIMEOUT).await else { return false };
     let mut state = core.state.borrow_mut();
-    state.idle_pool.put(replica, (raw, None), address, core.now(), DEFAULT_MAX_IDLE);
+    let unused = idle::ReusableConnection::new(raw, None);
+    state.idle_pool.put(replica, unused, address, core.now(), DEFAULT_MAX_IDLE);
     true
 }
 
@@ -291,7 +309,8 @@
     let is_clean = response.is_written
         && response.head.is_keep_alive
         && response.framing != message::BodyFraming::UntilClose
-        && connection.raw.buffered().is_empty();
+        && connection.raw.buffered().is_empty()
+        && connection.refused.len() <= MAX_REFUSALS;
     let mut state = core.state.borrow_mut();
     let now = core.now();
     let is_accepting =
@@ -300,12 +319,13 @@
         return;
     }
     let max_idle = max_idle(&response.head.fields);
-    let UpstreamConnection { raw, address, relay, .. } = connection;
+    let UpstreamConnection { raw, address, relay, refused, .. } = connection;
     // A relay that stops waits for the tunnels that it relays.
     if relay.is_some_and(|relay| !core.relays.is_live(relay)) {
         return;
     }
-    state.idle_pool.put(replica, (raw, relay), address, now, max_idle);
+    let reusable = idle::ReusableConnection { raw, relay, refused };
+    state.idle_pool.put(replica, reusable, address, now, max_idle);
 }
 
 fn max_idle(fields: &message::HeaderFields) -> time::Millis {
@@ -444,7 +464,7 @@
     method: &str,
     request: &[u8],
 ) -> Option<(u16, Vec<u8>)> {
-    let mut connection = acquire(core, replica, address, true).await.ok()?;
+    let mut connection = acquire(core, replica, address, None, true).await.ok()?;
     if core.is_paused(replica) {
         return None;
     }
