Gateway: an odd row among the replicas' changes nothing for the others

Another writer's odd row had four effects here:

- a row that is odd outside of its value (ver below 0 or over 64 bits, a value or key that is no text) failed the decoding of the whole response, at each read: no daemon followed the entries any more;
- an odd value in the row of a sound replica counted as its removal, which was told to all daemons;
- values that serde accepts were taken as they were: a start of 2^64 - 1 hides all later starts, port 0, an address of no process, any number of slots;
- the largest number of slots stood for all replicas of a service when capacity is planned, and an entry in a zone without a price took its share of the replicas that are ordered.

Rows are decoded one by one. One that is no entry says nothing of its replica (E0421, a counter): what was known holds until the row can be read again or is removed, also when all rows are read; a list with a row that can't be told apart removes nobody. The planner takes the median of the slots, and only zones that have prices.

--- a/crates/fleet/src/capacity.rs
+++ b/crates/fleet/src/capacity.rs
@@ -12,6 +12,7 @@
 
 use crate::decay;
 use crate::policy;
+use crate::replica;
 
 /// Fraction of the slots of a replica that may be in use so that prompts are still prefilled in
 /// time.
@@ -76,6 +77,36 @@
     pub slots_per_replica: f64,
 }
 
+/// Counts the replicas of a service that are not leaving, by zone. Where zones have prices, others are
+/// none of the deployment.
+pub fn count_supply<'a>(
+    rule: &policy::ScalingRule,
+    replicas: impl Iterator<Item = &'a replica::KnownReplica>,
+) -> collections::BTreeMap<id::ZoneId, ZoneSupply> {
+    let prices = &rule.zone_prices;
+    let mut supply: collections::BTreeMap<id::ZoneId, ZoneSupply> =
+        prices.keys().map(|zone| (zone.clone(), ZoneSupply::default())).collect();
+    for replica in replicas.filter(|replica| !replica.is_leaving()) {
+        if !prices.is_empty() && !prices.contains_key(&replica.entry.zone) {
+            continue;
+        }
+        let zone = supply.entry(replica.entry.zone.clone()).or_default();
+        match replica.entry.is_reclaimable {
+            true => zone.reclaimable += 1,
+            false => zone.on_demand += 1,
+        }
+    }
+    supply
+}
+
+/// Returns the median of the replicas' slots; `None` without replicas. One odd entry does not change it
+/// where there are three or more.
+pub fn typical_slots(slots: impl Iterator<Item = u32>) -> Option<u32> {
+    let mut sorted: Vec<u32> = slots.collect();
+    sorted.sort_unstable();
+    sorted.get(sorted.len().saturating_sub(1) / 2).copied()
+}
+
 /// Order for replicas of one kind in one zone.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct CapacityOrder {
--- a/crates/fleet/src/replica.rs
+++ b/crates/fleet/src/replica.rs
@@ -182,6 +182,23 @@
     missing_since: Option<time::MonotonicTime>,
 }
 
+/// Entries as a list of the table has them.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ListedEntries {
+    /// The entries.
+    pub entries: Vec<ReplicaEntry>,
+    /// Replicas whose rows are no entries. What was known of them holds.
+    pub unreadable: Vec<id::ReplicaId>,
+    /// Whether each row is of one of these. Else a replica that is not listed may be there.
+    pub is_whole: bool,
+}
+
+impl From<Vec<ReplicaEntry>> for ListedEntries {
+    fn from(entries: Vec<ReplicaEntry>) -> Self {
+        ListedEntries { entries, unreadable: Vec::new(), is_whole: true }
+    }
+}
+
 /// All replicas of the deployment.
 #[derive(Clone, Debug, Default)]
 pub struct ReplicaTable {
@@ -332,7 +349,7 @@
     /// report its position. Entries of an earlier position are ignored.
     pub fn replace(
         &mut self,
-        entries: Vec<ReplicaEntry>,
+        list: impl Into<ListedEntries>,
         position: Option<position::StorePosition>,
         now: time::MonotonicTime,
     ) -> ReplicaChanges {
@@ -343,8 +360,10 @@
             }
             self.advance(position, now);
         }
-        let listed_ids: collections::BTreeSet<_> =
+        let ListedEntries { entries, unreadable, is_whole } = list.into();
+        let mut listed_ids: collections::BTreeSet<_> =
             entries.iter().map(|entry| entry.id.clone()).collect();
+        listed_ids.extend(unreadable);
         self.restored.retain(|id, _| listed_ids.contains(id));
         for entry in entries {
             if self.may_be_restored(&entry, position) {
@@ -354,6 +373,9 @@
             }
             changes.extend(self.upsert(entry));
         }
+        if !is_whole {
+            return changes;
+        }
         let missing_ids: Vec<_> =
             self.replicas.keys().filter(|id| !listed_ids.contains(*id)).cloned().collect();
         for id in missing_ids {
--- a/crates/fleet/tests/capacity.rs
+++ b/crates/fleet/tests/capacity.rs
@@ -3,9 +3,11 @@
 use std::collections;
 
 use samphiremoor_base::id;
+use samphiremoor_base::quantity;
 use samphiremoor_base::time;
 use samphiremoor_fleet::capacity;
 use samphiremoor_fleet::policy;
+use samphiremoor_fleet::replica;
 
 const ZONES: [&str; 4] = ["east", "north", "south", "west"];
 /// Interval between plans.
@@ -339,3 +341,47 @@
     }
     assert_eq!(cloud.on_demand(), 2, "reclaimable replicas take the place of the on-demand ones");
 }
+
+fn service() -> id::ServiceId {
+    "drafts".parse().expect("the name is an identifier")
+}
+
+/// Returns the entry of a replica of the service in a zone.
+fn known_entry(index: usize, zone_name: &str, slots: u32) -> replica::ReplicaEntry {
+    replica::ReplicaEntry {
+        id: format!("replica-{index}").parse().expect("the name is an identifier"),
+        service: service(),
+        address: format!("10.0.0.{}:80", index + 1).parse().expect("the address is valid"),
+        zone: zone(zone_name),
+        version: None,
+        slots,
+        is_draining: false,
+        incarnation: quantity::Incarnation::new(1),
+        is_reclaimable: false,
+        time_to_reclaim: None,
+    }
+}
+
+// Another writer leaves an entry in a zone that the deployment does not have.
+#[test]
+fn entry_in_an_unknown_zone_scales_others_in() {
+    let mut table = replica::ReplicaTable::default();
+    for (index, name) in ZONES.iter().enumerate() {
+        table.upsert(known_entry(index, name, 6));
+    }
+    let sound = capacity::count_supply(&rule(), table.of_service(&service()));
+    table.upsert(known_entry(9, "nowhere", 6));
+    assert_eq!(capacity::count_supply(&rule(), table.of_service(&service())), sound);
+    assert_eq!(sound.len(), ZONES.len());
+}
+
+// Another writer leaves an entry with more slots than any replica has.
+#[test]
+fn entry_with_many_slots_looks_like_enough() {
+    for odd in [0, 65_536, u32::MAX] {
+        assert_eq!(capacity::typical_slots([6, 6, odd, 6].into_iter()), Some(6));
+        assert_eq!(capacity::typical_slots([odd, 6, 6].into_iter()), Some(6));
+    }
+    assert_eq!(capacity::typical_slots([64].into_iter()), Some(64));
+    assert_eq!(capacity::typical_slots([].into_iter()), None);
+}
--- a/crates/fleet/tests/replica.rs
+++ b/crates/fleet/tests/replica.rs
@@ -439,3 +439,30 @@
     table.on_table_response(monotonic_ms(3_100), monotonic_ms(3_100));
     assert!(!is_available(&table, 3_100));
 }
+
+// A row that another writer has overwritten says nothing about the replica.
+#[test]
+fn replica_with_an_unreadable_row_departs() {
+    let mut table = replica::ReplicaTable::default();
+    table.replace(vec![entry(1, false)], Some(at("1.10")), monotonic_ms(0));
+    let list = replica::ListedEntries {
+        entries: Vec::new(),
+        unreadable: vec![replica_id()],
+        is_whole: true,
+    };
+    assert!(table.replace(list, Some(at("1.11")), monotonic_ms(3_000)).is_empty());
+    assert!(is_available(&table, 3_000));
+    table.replace(Vec::new(), Some(at("1.12")), monotonic_ms(3_100));
+    assert!(table.get(&replica_id()).is_none(), "its row is gone");
+}
+
+// A list with a row that can't be told apart may be of any replica.
+#[test]
+fn replica_that_an_incomplete_list_lacks_departs() {
+    let mut table = replica::ReplicaTable::default();
+    table.replace(vec![entry(1, false)], Some(at("1.10")), monotonic_ms(0));
+    let list = replica::ListedEntries { is_whole: false, ..Vec::new().into() };
+    assert!(table.replace(list, Some(at("1.11")), monotonic_ms(3_000)).is_empty());
+    assert!(is_available(&table, 3_000));
+    assert_eq!(table.remove(&replica_id(), monotonic_ms(3_100)).len(), 1, "a removal is told");
+}
--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -224,8 +224,10 @@
 pub enum EntryChange {
     /// The entry was written.
     Put(replica::ReplicaEntry),
-    /// The entry was removed or replaced by a row that is not a valid entry.
+    /// The entry was removed.
     Removed(id::ReplicaId),
+    /// The entry was overwritten by a row that is none, which says nothing about the replica.
+    Unreadable(id::ReplicaId),
 }
 
 /// Reads the policy and the replica entries that operators and replicas write into the table.
@@ -250,7 +252,7 @@
     /// Reads all replica entries, and the table's position.
     async fn entries(
         &self,
-    ) -> Result<(Vec<replica::ReplicaEntry>, position::StorePosition), table::PlatformError>;
+    ) -> Result<(replica::ListedEntries, position::StorePosition), table::PlatformError>;
 
     /// Reads the replica entries that changed after the position.
     async fn entry_changes(
--- a/crates/gateway/src/duties.rs
+++ b/crates/gateway/src/duties.rs
@@ -306,17 +306,7 @@
     rule: &policy::ScalingRule,
 ) -> collections::BTreeMap<id::ZoneId, capacity::ZoneSupply> {
     let state = core.state.borrow();
-    let mut supply: collections::BTreeMap<id::ZoneId, capacity::ZoneSupply> =
-        rule.zone_prices.keys().map(|zone| (zone.clone(), Default::default())).collect();
-    for known_replica in state.replicas.of_service(service) {
-        let zone = supply.entry(known_replica.entry.zone.clone()).or_default();
-        match (known_replica.entry.is_reclaimable, known_replica.is_leaving()) {
-            (true, false) => zone.reclaimable += 1,
-            (false, false) => zone.on_demand += 1,
-            (_, true) => {}
-        }
-    }
-    supply
+    capacity::count_supply(rule, state.replicas.of_service(service))
 }
 
 fn service_load(
@@ -331,9 +321,9 @@
     let running = known_replicas
         .map(|known_replica| f64::from(state.replicas.load(known_replica, now).running))
         .sum();
-    let max_slots =
-        state.replicas.of_service(service).map(|known_replica| known_replica.entry.slots).max();
-    let slots = rule.engine_slots.or(max_slots).unwrap_or(1);
+    let entries = state.replicas.of_service(service).map(|known_replica| &known_replica.entry);
+    let typical_slots = capacity::typical_slots(entries.map(|entry| entry.slots));
+    let slots = rule.engine_slots.or(typical_slots).unwrap_or(1);
     let ms_per_token = state.ttft_estimator.prefill_ms_per_ktoken(service) / 1_000.0;
     let prefill_seconds = state.prompt_rate(service, now) * ms_per_token / 1_000.0;
     capacity::ServiceLoad {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -21,6 +21,7 @@
     retries: prometheus::IntCounterVec,
     resumes: prometheus::IntCounterVec,
     store_restores: prometheus::IntCounter,
+    unreadable_entries: prometheus::IntCounter,
     document_reads: prometheus::IntCounterVec,
     document_bytes: prometheus::IntCounter,
     limited_replicas: prometheus::IntGauge,
@@ -73,6 +74,12 @@
             "Returns of the platform's table from an older copy.",
         );
         let store_restores = register(&registry, store_restores.expect("the name is valid"));
+        let unreadable_entries = prometheus::IntCounter::new(
+            "samphiremoor_gateway_unreadable_entries_total",
+            "Reads of rows among the replicas' that are no entries.",
+        );
+        let unreadable_entries =
+            register(&registry, unreadable_entries.expect("the name is valid"));
         let document_reads = counter_vec(
             "samphiremoor_gateway_document_reads_total",
             "Reads of the operators' document from other daemons, by result.",
@@ -153,6 +160,7 @@
             retries,
             resumes,
             store_restores,
+            unreadable_entries,
             document_reads,
             document_bytes,
             limited_replicas,
@@ -236,6 +244,11 @@
         self.refuted_crashes.inc();
     }
 
+    /// Counts a row among the replicas' that is no entry.
+    pub fn count_unreadable_entry(&self) {
+        self.unreadable_entries.inc();
+    }
+
     /// Counts a pause that a replica asked for.
     pub fn count_pause(&self) {
         self.replica_pauses.inc();
--- a/crates/gateway/src/table_sync.rs
+++ b/crates/gateway/src/table_sync.rs
@@ -4,9 +4,11 @@
 
 use async_std::task;
 use samphiremoor_base::event;
+use samphiremoor_base::id;
 use samphiremoor_base::log_event;
 use samphiremoor_base::position;
 use samphiremoor_base::time;
+use samphiremoor_fleet::replica;
 use samphiremoor_platform::table;
 
 use crate::adapter;
@@ -201,6 +203,13 @@
     }
 }
 
+/// Logs that the row of a replica can't be read.
+fn report_unreadable(core: &core::GatewayCore, replica: &id::ReplicaId) {
+    core.metrics.count_unreadable_entry();
+    let is_known = core.state.borrow().replicas.get(replica).is_some();
+    log_event!(event::LogEvent::EntryUnreadable, replica = replica, replica_known = is_known);
+}
+
 /// Reads and applies the entries that changed after the cursor, or all entries without a cursor.
 /// Returns the next cursor, or `None` if all entries must be read next.
 async fn read_entries(
@@ -209,7 +218,10 @@
 ) -> Result<Option<position::StorePosition>, table::PlatformError> {
     let records = core.adapter.records.clone();
     let Some(cursor) = cursor else {
-        let (entries, next_cursor) = records.entries().await?;
+        let (list, next_cursor) = records.entries().await?;
+        for replica in &list.unreadable {
+            report_unreadable(core, replica);
+        }
         let now = core.now();
         let mut state = core.state.borrow_mut();
         if state.replicas.is_ahead_of(next_cursor) {
@@ -217,7 +229,7 @@
             return Ok(None);
         }
         let previous_position = state.replicas.position();
-        let changes = state.replicas.replace(entries, Some(next_cursor), now);
+        let changes = state.replicas.replace(list, Some(next_cursor), now);
         drop(state);
         report_restore(core, previous_position, "table");
         core.apply_changes(&changes, "table");
@@ -230,10 +242,14 @@
     };
     let now = core.now();
     for change in entry_changes {
+        if let adapter::EntryChange::Unreadable(replica) = &change {
+            report_unreadable(core, replica);
+        }
         let mut state = core.state.borrow_mut();
         let changes = match change {
             adapter::EntryChange::Put(entry) => state.replicas.upsert(entry),
             adapter::EntryChange::Removed(replica) => state.replicas.remove(&replica, now),
+            adapter::EntryChange::Unreadable(_) => replica::ReplicaChanges::new(),
         };
         drop(state);
         core.apply_changes(&changes, "table");
