--- a/crates/fleet/src/digest.rs
+++ b/crates/fleet/src/digest.rs
@@ -1,6 +1,8 @@
 //! Digests: the state that daemons send to each other several times a second.
 
 use std::collections;
+use std::error;
+use std::fmt;
 use std::net;
 
 use samphiremoor_base::id;
@@ -124,13 +126,58 @@
     postcard::to_extend(&(&wire.requests, &notices.lost_paths), encoded)
 }
 
+/// Error of a message that is no digest.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum DigestError {
+    /// The bytes are not encoded as a digest.
+    Encoding(postcard::Error),
+    /// A rate or a sum is not finite.
+    Number,
+}
+
+impl fmt::Display for DigestError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            DigestError::Encoding(cause) => {
+                write!(f, "{cause}; run the same version on all daemons")
+            }
+            DigestError::Number => {
+                f.write_str("a rate is not finite; restart the daemon that sent it")
+            }
+        }
+    }
+}
+
+impl error::Error for DigestError {}
+
+impl From<postcard::Error> for DigestError {
+    fn from(cause: postcard::Error) -> Self {
+        DigestError::Encoding(cause)
+    }
+}
+
+impl PeerDigest {
+    /// Whether all rates and sums are finite.
+    fn has_finite_numbers(&self) -> bool {
+        let demands = self.workspace_demands.iter().all(|demand| {
+            demand.admitted_units.is_finite()
+                && demand.requested_rate.is_finite()
+                && demand.admitted_rate.is_finite()
+        });
+        demands && self.service_demands.iter().all(|demand| demand.prompt_rate.is_finite())
+    }
+}
+
 /// Decodes a digest and the notices that follow, if any.
 ///
 /// # Errors
 ///
-/// Fails if the bytes are not a digest, or a digest and notices.
-pub fn decode(bytes: &[u8]) -> Result<(PeerDigest, DigestNotices), postcard::Error> {
-    let (digest, rest) = postcard::take_from_bytes(bytes)?;
+/// Fails if the bytes are not a digest, or a digest and notices, or if a rate is not finite.
+pub fn decode(bytes: &[u8]) -> Result<(PeerDigest, DigestNotices), DigestError> {
+    let (digest, rest): (PeerDigest, _) = postcard::take_from_bytes(bytes)?;
+    if !digest.has_finite_numbers() {
+        return Err(DigestError::Number);
+    }
     let mut notices = DigestNotices::default();
     if rest.is_empty() {
         return Ok((digest, notices));
@@ -189,8 +236,7 @@
         for digest in others.iter().copied().chain([local]) {
             for entry in &digest.loads {
                 let load = loads.entry(&entry.replica).or_default();
-                load.running += entry.load.running;
-                load.pending_tokens += entry.load.pending_tokens;
+                *load = load.plus(entry.load);
             }
             for demand in &digest.workspace_demands {
                 self.add_admitted(digest, demand);
@@ -208,12 +254,13 @@
                 };
                 let window = windows.entry(reported.window).or_insert_with(empty_window);
                 for (workspace, count) in &reported.counts {
-                    *window.counts.entry(workspace.clone()).or_default() += count;
+                    let sum = window.counts.entry(workspace.clone()).or_default();
+                    *sum = sum.saturating_add(*count);
                 }
             }
         }
         for digest in &others {
-            aggregate.members += 1;
+            aggregate.members = aggregate.members.saturating_add(1);
             aggregate.lease_version = aggregate.lease_version.max(digest.lease_version);
             aggregate.departed.extend(digest.departed.iter().cloned());
         }
--- a/crates/fleet/src/duty.rs
+++ b/crates/fleet/src/duty.rs
@@ -252,7 +252,7 @@
         }
         let (row, version) = self.row.clone()?;
         let holder = (!self.is_releasing).then(|| self.identity.clone());
-        let row = DutyRow { holder, renewals: row.renewals + 1, ..row };
+        let row = DutyRow { holder, renewals: row.renewals.wrapping_add(1), ..row };
         Some(DutyAction::Write { expected: Some(version), row })
     }
 
@@ -269,7 +269,9 @@
 
     fn take_over(&self) -> DutyAction {
         let (fence, renewals, expected) = match &self.row {
-            Some((row, version)) => (row.fence.next(), row.renewals + 1, Some(*version)),
+            Some((row, version)) => {
+                (row.fence.next(), row.renewals.wrapping_add(1), Some(*version))
+            }
             None => (quantity::FencingToken::new(1), 1, None),
         };
         let row = DutyRow { holder: Some(self.identity.clone()), fence, renewals };
--- a/crates/fleet/src/load.rs
+++ b/crates/fleet/src/load.rs
@@ -14,6 +14,16 @@
     pub pending_tokens: u32,
 }
 
+impl ReplicaLoad {
+    /// Returns the sum of two loads.
+    pub fn plus(self, other: ReplicaLoad) -> ReplicaLoad {
+        ReplicaLoad {
+            running: self.running.saturating_add(other.running),
+            pending_tokens: self.pending_tokens.saturating_add(other.pending_tokens),
+        }
+    }
+}
+
 /// Load that one or more daemons place on one replica.
 #[derive(Clone, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
--- a/crates/fleet/src/replica.rs
+++ b/crates/fleet/src/replica.rs
@@ -522,10 +522,9 @@
                 continue;
             }
             let Some(load) = peer.loads.get(&replica.entry.id) else { continue };
-            sum.running += load.running;
-            sum.pending_tokens += (f64::from(load.pending_tokens)
-                * decay::remaining_fraction(age, PENDING_TIME_CONSTANT))
-                as u32;
+            let remaining = decay::remaining_fraction(age, PENDING_TIME_CONSTANT);
+            let pending_tokens = (f64::from(load.pending_tokens) * remaining) as u32;
+            sum = sum.plus(load::ReplicaLoad { pending_tokens, ..*load });
         }
         sum
     }
--- a/crates/fleet/src/usage.rs
+++ b/crates/fleet/src/usage.rs
@@ -89,7 +89,8 @@
         let mut sums = collections::BTreeMap::new();
         let counts = self.windows_by_instance.values().filter_map(|windows| windows.get(&window));
         for (workspace, count) in counts.flat_map(|count| &count.counts) {
-            *sums.entry(workspace.clone()).or_default() += count;
+            let sum: &mut u32 = sums.entry(workspace.clone()).or_default();
+            *sum = sum.saturating_add(*count);
         }
         sums
     }
@@ -106,5 +107,5 @@
 /// Drops the windows that are older than the retained ones.
 fn drop_old_windows(windows: &mut collections::BTreeMap<WindowNumber, WindowCount>) {
     let Some(newest_window) = windows.keys().next_back().copied() else { return };
-    windows.retain(|window, _| window + RETAINED_WINDOWS > newest_window);
+    windows.retain(|window, _| newest_window - window < RETAINED_WINDOWS);
 }
--- a/crates/gateway/src/digest_exchange.rs
+++ b/crates/gateway/src/digest_exchange.rs
@@ -221,9 +221,7 @@
         let (digest, notices) = match digest::decode(bytes) {
             Ok(decoded) => decoded,
             Err(cause) => {
-                log::warn!(
-                    "{sender} sent an invalid digest ({cause}); run the same version on all daemons"
-                );
+                log::warn!("{sender} sent an invalid digest ({cause})");
                 continue;
             }
         };
