Gateway: a take-up that names no stream is refused while two versions may have begun it

Two software versions could be joined here: a caller that takes up a stream by Last-Event-Id without Resumes was refused only if several versions were in service at that moment. When the servers of the old one had just left, and after a restart of all daemons, the stream went on at the new one, answered 200.

A daemon now remembers since when a service has only one version. Take-ups that name their stream are as before.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`dispatch`] tracks the attempts of a request and whether it may have run.
 //! - [`attempt_record`] remembers the version at which streams began, and [`attempt_message`] encodes
 //!   what daemons tell each other about it.
+//! - [`version_history`] tells since when a service has only one version.
 //! - [`quota`] enforces the quotas of workspaces across all daemons.
 //! - [`limit`] divides the limits that replicas name among the daemons.
 //! - [`document`] and [`document_fetch`] pass large documents from daemon to daemon.
@@ -45,4 +46,5 @@
 pub mod send_gate;
 pub mod suspect;
 pub mod usage;
+pub mod version_history;
 pub mod wall_clock;
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -29,6 +29,7 @@
 use samphiremoor_fleet::replica;
 use samphiremoor_fleet::send_gate;
 use samphiremoor_fleet::usage;
+use samphiremoor_fleet::version_history;
 use samphiremoor_fleet::wall_clock;
 use samphiremoor_requests::budget;
 use smallvec::SmallVec;
@@ -132,6 +133,8 @@
     pub usage: usage::UsageCounter,
     /// Estimate of the wall-clock time from the clocks of all daemons.
     pub wall_clock: wall_clock::ClockEstimate,
+    /// Software versions of each service.
+    pub versions: version_history::VersionHistory,
     /// Limits that replicas named.
     pub limits: limit::LimitTable,
     /// Crashes of replicas and what is quarantined for them.
@@ -227,6 +230,7 @@
             ttft_estimator: admission::TtftEstimator::default(),
             usage: usage::UsageCounter::new(settings.daemon.clone(), incarnation),
             wall_clock,
+            versions: version_history::VersionHistory::default(),
             limits: limit::LimitTable::new(now),
             quarantine: quarantine::QuarantineTable::new(settings.daemon.clone()),
             crash_probes: collections::HashMap::new(),
@@ -607,6 +611,7 @@
     /// for the digests to peers. `source` is logged as the origin of the changes.
     pub fn apply_changes(&self, changes: &[replica::ReplicaChange], source: &str) {
         let now = self.now();
+        self.state.borrow_mut().observe_versions(now);
         let mut state = self.state.borrow_mut();
         for change in changes {
             match change {
@@ -675,6 +680,11 @@
         clock_instant::ClockInstant { now, unix_ms }
     }
 
+    /// Remembers the software versions of the known replicas.
+    pub fn observe_versions(&mut self, now: time::MonotonicTime) {
+        self.versions.observe(&self.replicas, now);
+    }
+
     /// Returns what tells whether this daemon may send requests to replicas now.
     pub fn gate(&self, now: time::MonotonicTime) -> send_gate::SendGate<'_> {
         send_gate::SendGate::new(&self.limits, self.clock_instant(now))
--- a/crates/gateway/src/digest_exchange.rs
+++ b/crates/gateway/src/digest_exchange.rs
@@ -494,6 +494,7 @@
         let mut core_state = self.core.state.borrow_mut();
         core_state.live_daemons = live_daemons;
         core_state.quota.set_propagation(daemon_count, propagation_time);
+        core_state.observe_versions(now);
         let instant = core_state.clock_instant(now);
         core_state.limits.set_turn(self.daemon_turn(&state, is_zonal), instant);
         self.core.metrics.set_limited_replicas(core_state.sweep_limits(now));
--- a/crates/gateway/src/resumption.rs
+++ b/crates/gateway/src/resumption.rs
@@ -1,8 +1,6 @@
 //! Resumption of streams by callers: finds the service and the software version at which a stream
 //! began, and records where streams begin.
 
-use std::collections;
-
 use samphiremoor_base::event;
 use samphiremoor_base::id;
 use samphiremoor_base::log_event;
@@ -60,7 +58,8 @@
         route.pick_service(rand::random()).ok_or(reason::RefusalReason::UnknownService)?;
     let is_unnamed_resume =
         is_resumable && metadata.resumed_attempt.is_none() && metadata.last_event_id.is_some();
-    if is_unnamed_resume && has_several_versions(core, service) {
+    let now = core.now();
+    if is_unnamed_resume && !core.state.borrow().versions.is_uniform(service, now) {
         return Err(reason::RefusalReason::UnknownStreamVersion);
     }
     Ok(ServiceChoice { service: service.clone(), required_version: None })
@@ -103,14 +102,6 @@
     state.replicas.of_service(service).any(|replica| replica.entry.version.is_some())
 }
 
-fn has_several_versions(core: &core::GatewayCore, service: &id::ServiceId) -> bool {
-    let state = core.state.borrow();
-    let replicas = state.replicas.of_service(service);
-    let versions: collections::HashSet<_> =
-        replicas.map(|replica| &replica.entry.version).collect();
-    versions.len() > 1
-}
-
 impl context::RequestContext<'_> {
     /// Returns the attempt under which the stream of this request is recorded: the one that brings
     /// its first event. `None` if callers can't resume the stream.
