Gateway: a stream of a replica that states no version goes on at none that does

A replica whose row states no version, or an invalid one, beside others that state one: when it broke off a stream, the retry within the response could go to any version, as no version was required. What continues a stream must now state what the replica that began it states: the same version, or none. Take-ups of such streams were refused before.

Ruled out by tests that passed before: named take-ups after a restart of all daemons, chains of three, KV caches that move (the target's version is required), take-ups before any entry was read (no replica).

--- a/crates/fleet/src/replica.rs
+++ b/crates/fleet/src/replica.rs
@@ -112,6 +112,45 @@
     }
 }
 
+/// Software version that a replica must state to continue a stream.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub enum RequiredVersion {
+    /// Any, or none.
+    #[default]
+    Any,
+    /// This one.
+    Stated(SoftwareVersion),
+    /// None, as the replica that began the stream. It fits to no version for certain.
+    Unstated,
+}
+
+impl RequiredVersion {
+    /// Returns the requirement on those that continue what a replica of a version began.
+    pub fn like(version: Option<&SoftwareVersion>) -> Self {
+        version
+            .map_or(RequiredVersion::Unstated, |version| RequiredVersion::Stated(version.clone()))
+    }
+
+    /// Returns whether a replica of a version meets the requirement.
+    pub fn allows(&self, version: Option<&SoftwareVersion>) -> bool {
+        match self {
+            RequiredVersion::Any => true,
+            RequiredVersion::Stated(required) => version == Some(required),
+            RequiredVersion::Unstated => version.is_none(),
+        }
+    }
+}
+
+impl fmt::Display for RequiredVersion {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            RequiredVersion::Any => f.write_str("-"),
+            RequiredVersion::Stated(version) => version.fmt(f),
+            RequiredVersion::Unstated => f.write_str("unstated"),
+        }
+    }
+}
+
 /// Entry with which a replica registers itself in the table.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ReplicaEntry {
--- a/crates/fleet/src/selection.rs
+++ b/crates/fleet/src/selection.rs
@@ -105,8 +105,8 @@
     pub excluded: &'a [id::ReplicaId],
     /// Tells which replicas may get a request now.
     pub gate: send_gate::SendGate<'a>,
-    /// Software version that the replica must run; `None` if any will do.
-    pub required_version: Option<&'a replica::SoftwareVersion>,
+    /// Software version that the replica must state.
+    pub required_version: &'a replica::RequiredVersion,
     /// Whether a silent replica is chosen if no other one is available.
     pub includes_silent: bool,
     /// Number of daemons that select replicas.
@@ -162,10 +162,9 @@
     table: &'a replica::ReplicaTable,
     query: &SelectionQuery<'_>,
 ) -> impl Iterator<Item = &'a replica::KnownReplica> {
-    let replicas = table.of_service(query.service).filter(|replica| {
-        let version = replica.entry.version.as_ref();
-        query.required_version.is_none_or(|required| version == Some(required))
-    });
+    let replicas = table
+        .of_service(query.service)
+        .filter(|replica| query.required_version.allows(replica.entry.version.as_ref()));
     replicas.filter(|replica| !query.excluded.contains(&replica.entry.id))
 }
 
--- a/crates/fleet/tests/selection.rs
+++ b/crates/fleet/tests/selection.rs
@@ -20,6 +20,7 @@
     static DRAW: cell::Cell<f64> = const { cell::Cell::new(0.5) };
 }
 
+const ANY_VERSION: replica::RequiredVersion = replica::RequiredVersion::Any;
 const NOW: time::MonotonicTime = time::MonotonicTime::new(100_000);
 const INSTANT: clock_instant::ClockInstant =
     clock_instant::ClockInstant { now: NOW, unix_ms: 1_000_300 };
@@ -53,14 +54,14 @@
     prompt: Option<&selection::PromptSize>,
     excluded: &[id::ReplicaId],
 ) -> Option<selection::SelectedReplica> {
-    choose_version(table, prompt, excluded, None)
+    choose_version(table, prompt, excluded, &ANY_VERSION)
 }
 
 fn choose_version(
     table: &replica::ReplicaTable,
     prompt: Option<&selection::PromptSize>,
     excluded: &[id::ReplicaId],
-    required_version: Option<&replica::SoftwareVersion>,
+    required_version: &replica::RequiredVersion,
 ) -> Option<selection::SelectedReplica> {
     with_query(prompt, excluded, required_version, &no_limits(), |query| {
         selection::choose(table, query)
@@ -70,7 +71,7 @@
 fn with_query<T>(
     prompt: Option<&selection::PromptSize>,
     excluded: &[id::ReplicaId],
-    required_version: Option<&replica::SoftwareVersion>,
+    required_version: &replica::RequiredVersion,
     limits: &limit::LimitTable,
     select: impl FnOnce(&selection::SelectionQuery<'_>) -> T,
 ) -> T {
@@ -117,7 +118,7 @@
     let table = table(2);
     let limits = limits_of_the_first(700);
     for _ in 0..50 {
-        let end = with_query(prompt, excluded, None, &limits, |query| {
+        let end = with_query(prompt, excluded, &ANY_VERSION, &limits, |query| {
             let selected = selection::choose(&table, query).map(|selected| selected.replica);
             selected.ok_or_else(|| selection::earliest_send(&table, query))
         });
@@ -138,8 +139,9 @@
 fn request_without_any_replica_waits_for_no_limit() {
     let table = replica::ReplicaTable::default();
     let limits = limits_of_the_first(700);
-    let wait =
-        with_query(None, &[], None, &limits, |query| selection::earliest_send(&table, query));
+    let wait = with_query(None, &[], &ANY_VERSION, &limits, |query| {
+        selection::earliest_send(&table, query)
+    });
     assert_eq!(wait, None);
 }
 
@@ -288,12 +290,14 @@
             replica::ReplicaEntry { version: version.parse().ok(), ..entries::entry(index, 1) };
         table.upsert(entry);
     }
-    let required_version = "v1".parse().expect("the version is valid");
+    let version = "v1".parse().expect("the version is valid");
+    let required_version = replica::RequiredVersion::Stated(version);
     let excluded: Vec<_> = excluded.iter().map(|index| entries::replica_id(*index)).collect();
     for _ in 0..50 {
-        let selected = choose_version(&table, prompt, &excluded, Some(&required_version));
-        let version = selected.map(|selected| selected.version);
-        assert_eq!(version, is_left.then(|| Some(required_version.clone())));
+        let selected = choose_version(&table, prompt, &excluded, &required_version);
+        let chosen =
+            selected.map(|selected| replica::RequiredVersion::like(selected.version.as_ref()));
+        assert_eq!(chosen, is_left.then(|| required_version.clone()));
     }
 }
 
@@ -305,3 +309,20 @@
     prompt_has_no_replica_of_the_required_version =>
         check_version(Some(&prompt(7, 4_800, 900)), &[0, 3], false);
 }
+
+// A replica that states no version fits to none that does.
+#[test]
+fn stream_of_a_replica_without_a_version_goes_on_at_a_version() {
+    let mut table = replica::ReplicaTable::default();
+    for (index, version) in ["v1", "", "v2", ""].into_iter().enumerate() {
+        let version = version.parse().ok();
+        table.upsert(replica::ReplicaEntry { version, ..entries::entry(index, 1) });
+    }
+    let required = replica::RequiredVersion::like(None);
+    for _ in 0..50 {
+        let selected = choose_version(&table, None, &[], &required).expect("two are left");
+        assert_eq!(selected.version, None);
+    }
+    let unversioned = [entries::replica_id(1), entries::replica_id(3)];
+    assert_eq!(choose_version(&table, None, &unversioned, &required), None);
+}
--- a/crates/fleet/tests/selection_load.rs
+++ b/crates/fleet/tests/selection_load.rs
@@ -245,7 +245,7 @@
             prompt: Some(&prompt),
             excluded: &[],
             gate: send_gate::SendGate::new(&limits, instant),
-            required_version: None,
+            required_version: &replica::RequiredVersion::Any,
             includes_silent: true,
             daemon_count: self.shape.daemons as u32,
             draw: self.random.random(),
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -161,7 +161,7 @@
     pub(crate) excluded: core::ExcludedReplicas,
     /// Software version of the replica that began the stream. What another version writes can't
     /// continue it.
-    pub(crate) required_version: Option<replica::SoftwareVersion>,
+    pub(crate) required_version: replica::RequiredVersion,
     /// Attempts whose response has not begun.
     pub(crate) pending: pending::PendingAttempts<'a>,
     /// Failure of the last attempt, unless another one was sent since.
@@ -464,14 +464,14 @@
                 return Err(unanswered_outcome(progress, sink, reason, wait));
             }
             let reason = match self.required_version {
-                Some(_) => reason::RefusalReason::NoReplicaOfVersion,
-                None => reason::RefusalReason::NoReplica,
+                replica::RequiredVersion::Any => reason::RefusalReason::NoReplica,
+                _ => reason::RefusalReason::NoReplicaOfVersion,
             };
             log_event!(
                 event::LogEvent::ReplicaMissing,
                 request = self.context.request_id(),
                 service = service,
-                required_version = version_label(self.required_version.as_ref()),
+                required_version = self.required_version,
                 delivered = self.splitter.delivered(),
             );
             return Err(self.give_up(sink, reason, NOT_READY_RETRY_AFTER_MS));
@@ -505,7 +505,7 @@
             request = self.context.request_id(),
             replica = selected.replica,
             version = version_label(selected.version.as_ref()),
-            required_version = version_label(self.required_version.as_ref()),
+            required_version = self.required_version,
             ahead_tokens = selected.tokens_ahead as u64,
             unread_tokens = selected.uncached_tokens,
             fill = format_args!("{:.2}", selected.utilization),
@@ -574,7 +574,7 @@
             prompt,
             excluded,
             gate: state.gate(core.now()),
-            required_version: self.required_version.as_ref(),
+            required_version: &self.required_version,
             includes_silent,
             daemon_count: state.live_daemons,
             draw: rand::random(),
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -166,7 +166,7 @@
             prompt: self.context.request.metadata.prompt.as_ref(),
             excluded: &excluded,
             gate: state.gate(core.now()),
-            required_version: self.required_version.as_ref(),
+            required_version: &self.required_version,
             includes_silent: false,
             daemon_count: state.live_daemons,
             draw: rand::random(),
--- a/crates/gateway/src/resumption.rs
+++ b/crates/gateway/src/resumption.rs
@@ -24,7 +24,7 @@
     /// Service of the request.
     pub(crate) service: id::ServiceId,
     /// Software version at which the stream began that the caller resumes.
-    pub(crate) required_version: Option<replica::SoftwareVersion>,
+    pub(crate) required_version: replica::RequiredVersion,
 }
 
 /// Chooses the service of a request. A stream that the caller resumes stays at the service and the
@@ -52,7 +52,8 @@
             return Err(reason::RefusalReason::UnknownService);
         }
         let attempt_record::StreamOrigin { service, version } = origin;
-        return Ok(ServiceChoice { service, required_version: Some(version) });
+        let required_version = replica::RequiredVersion::Stated(version);
+        return Ok(ServiceChoice { service, required_version });
     }
     let service =
         route.pick_service(rand::random()).ok_or(reason::RefusalReason::UnknownService)?;
@@ -62,7 +63,8 @@
     if is_unnamed_resume && !core.state.borrow().versions.is_uniform(service, now) {
         return Err(reason::RefusalReason::UnknownStreamVersion);
     }
-    Ok(ServiceChoice { service: service.clone(), required_version: None })
+    let required_version = replica::RequiredVersion::Any;
+    Ok(ServiceChoice { service: service.clone(), required_version })
 }
 
 /// Returns where the stream of a caller's earlier attempt began.
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -2,6 +2,7 @@
 
 use samphiremoor_base::reason;
 use samphiremoor_base::time;
+use samphiremoor_fleet::replica;
 use samphiremoor_fleet::selection;
 use samphiremoor_httpio::message;
 
@@ -92,8 +93,9 @@
             let is_in_order = self.splitter.take_events(&mut events);
             if !events.is_empty() && !has_first_event {
                 has_first_event = true;
-                if begins_stream && self.required_version.is_none() {
-                    self.required_version.clone_from(&stream.selected.version);
+                if begins_stream && self.required_version == replica::RequiredVersion::Any {
+                    let version = stream.selected.version.as_ref();
+                    self.required_version = replica::RequiredVersion::like(version);
                 }
                 on_first_event();
             }
