--- a/crates/fleet/src/attempt_record.rs
+++ b/crates/fleet/src/attempt_record.rs
@@ -22,6 +22,8 @@
 
 /// Largest number of records that a daemon stores.
 pub const MAX_RECORDS: usize = 16_384;
+/// Longest lifetime of a record. A stream is not taken up later than that after its beginning.
+pub const MAX_LIFETIME: time::Millis = time::Millis::new(600_000);
 /// Number of other daemons that get a copy of a record.
 const HOLDERS: usize = 3;
 /// Largest number of daemons that are asked for a record: all of a small deployment, or two of each
--- a/crates/fleet/src/replica.rs
+++ b/crates/fleet/src/replica.rs
@@ -636,16 +636,6 @@
         self.send_state.paused_until(now)
     }
 
-    /// Whether new requests may be sent to the replica, and it was not silent recently.
-    pub fn is_available(&self, now: time::MonotonicTime) -> bool {
-        self.verdict(now) == send_gate::SendVerdict::Allowed
-    }
-
-    /// Whether new requests may be sent to the replica, which may be silent.
-    pub fn is_reachable(&self, now: time::MonotonicTime) -> bool {
-        self.verdict(now).firm_reason().is_none()
-    }
-
     /// Whether streams in progress should migrate to another replica: at once if the VM is
     /// reclaimed, otherwise after the time in which most streams end by themselves.
     pub fn should_migrate(&mut self, now: time::MonotonicTime) -> bool {
--- a/crates/fleet/src/version_history.rs
+++ b/crates/fleet/src/version_history.rs
@@ -9,11 +9,9 @@
 use samphiremoor_base::time;
 use smallvec::SmallVec;
 
+use crate::attempt_record;
 use crate::replica;
 
-/// Longest time for which a stream may be taken up after its beginning.
-const MAX_STREAM_TIME: time::Millis = time::Millis::new(600_000);
-
 /// Versions of one service; `None` stands for replicas that state none.
 type StatedVersions = SmallVec<[Option<replica::SoftwareVersion>; 2]>;
 
@@ -64,7 +62,7 @@
         let Some(known) = self.services.get(service) else { return false };
         match &known.stated[..] {
             [None] => true,
-            [Some(_)] => now.since(known.since) >= MAX_STREAM_TIME,
+            [Some(_)] => now.since(known.since) >= attempt_record::MAX_LIFETIME,
             _ => false,
         }
     }
--- a/crates/fleet/tests/replica.rs
+++ b/crates/fleet/tests/replica.rs
@@ -5,6 +5,7 @@
 use samphiremoor_base::quantity;
 use samphiremoor_base::time;
 use samphiremoor_fleet::replica;
+use samphiremoor_fleet::send_gate;
 
 fn monotonic_ms(millis: u64) -> time::MonotonicTime {
     time::MonotonicTime::new(millis)
@@ -72,7 +73,9 @@
 }
 
 fn is_available(table: &replica::ReplicaTable, now_ms: u64) -> bool {
-    table.get(&replica_id()).is_some_and(|replica| replica.is_available(monotonic_ms(now_ms)))
+    table.get(&replica_id()).is_some_and(|replica| {
+        replica.verdict(monotonic_ms(now_ms)) == send_gate::SendVerdict::Allowed
+    })
 }
 
 #[test]
@@ -339,10 +342,11 @@
     table.upsert(entry(1, false));
     let replica = table.get_mut(&replica_id()).expect("the replica is known");
     replica.on_silent(monotonic_ms(0));
-    assert!(!replica.is_available(monotonic_ms(10)));
-    assert!(replica.is_reachable(monotonic_ms(10)), "it may still respond");
+    let silent = replica.verdict(monotonic_ms(10));
+    assert_ne!(silent, send_gate::SendVerdict::Allowed);
+    assert_eq!(silent.firm_reason(), None, "it may still respond");
     replica.on_data(monotonic_ms(20));
-    assert!(replica.is_available(monotonic_ms(20)));
+    assert_eq!(replica.verdict(monotonic_ms(20)), send_gate::SendVerdict::Allowed);
 }
 
 #[test]
@@ -352,9 +356,9 @@
     let replica = table.get_mut(&replica_id()).expect("the replica is known");
     replica.on_unreachable(monotonic_ms(0));
     replica.on_silent(monotonic_ms(10));
-    assert!(!replica.is_reachable(monotonic_ms(20)));
+    assert!(replica.verdict(monotonic_ms(20)).firm_reason().is_some());
     replica.on_data(monotonic_ms(30));
-    assert!(!replica.is_reachable(monotonic_ms(40)));
+    assert!(replica.verdict(monotonic_ms(40)).firm_reason().is_some());
 }
 
 fn at(text: &str) -> position::StorePosition {
--- a/crates/gateway/src/attempt_exchange.rs
+++ b/crates/gateway/src/attempt_exchange.rs
@@ -23,8 +23,6 @@
 /// Number of times that a query is sent before the record counts as unknown. Daemons that are slow
 /// to answer may stall for a hundred milliseconds.
 const MAX_QUERIES: u32 = 4;
-/// Longest lifetime of a record.
-const MAX_LIFETIME: time::Millis = time::Millis::new(600_000);
 /// Largest number of records in one datagram, which then fits into one packet of most networks.
 const MAX_BATCH: usize = 24;
 
@@ -107,7 +105,7 @@
         lifetime: time::Millis,
         now: time::MonotonicTime,
     ) {
-        let expires_at = now + lifetime.min(MAX_LIFETIME);
+        let expires_at = now + lifetime.min(attempt_record::MAX_LIFETIME);
         let record = attempt_record::AttemptRecord { attempt, origin, expires_at };
         self.store.borrow_mut().insert(record, now);
         self.uncopied.borrow_mut().push(attempt);
@@ -191,7 +189,7 @@
                 let mut store = self.store.borrow_mut();
                 for copy in copies {
                     let attempt_message::RecordCopy { attempt, origin, lifetime } = copy;
-                    let expires_at = now + lifetime.min(MAX_LIFETIME);
+                    let expires_at = now + lifetime.min(attempt_record::MAX_LIFETIME);
                     let record = attempt_record::AttemptRecord { attempt, origin, expires_at };
                     store.insert(record, now);
                 }
