--- a/crates/entry/src/upstream_state.rs
+++ b/crates/entry/src/upstream_state.rs
@@ -9,7 +9,7 @@
 use samphiremoor_base::id;
 use samphiremoor_base::log_event;
 use samphiremoor_base::time;
-use samphiremoor_fleet::send_gate;
+use samphiremoor_fleet::send_state;
 use samphiremoor_view::zone;
 use smallvec::SmallVec;
 
@@ -27,12 +27,12 @@
 
 /// What this daemon has observed of the upstreams that keeps calls away from them.
 #[derive(Debug, Default)]
-pub struct UpstreamStates(sync::Mutex<HashMap<id::ReplicaId, send_gate::SendState>>);
+pub struct UpstreamStates(sync::Mutex<HashMap<id::ReplicaId, send_state::SendState>>);
 
 impl UpstreamStates {
     fn with<T>(
         &self,
-        run: impl FnOnce(&mut HashMap<id::ReplicaId, send_gate::SendState>) -> T,
+        run: impl FnOnce(&mut HashMap<id::ReplicaId, send_state::SendState>) -> T,
     ) -> T {
         run(&mut self.0.lock().unwrap_or_else(sync::PoisonError::into_inner))
     }
@@ -60,7 +60,7 @@
                 None
             }
         });
-        let longest: Option<send_gate::PauseLength> = lengths.max();
+        let longest: Option<send_state::PauseLength> = lengths.max();
         let Some(asked) = longest else { return };
         let Some(length) = asked.nonzero() else { return };
         let begins = self.with(|states| {
@@ -103,13 +103,13 @@
         self.with(|states| {
             for (replica, state) in states.iter() {
                 match state.verdict(now) {
-                    send_gate::SendVerdict::Held { until: Some(until), reason }
-                        if reason != send_gate::HoldReason::Silent =>
+                    send_state::SendVerdict::Held { until: Some(until), reason }
+                        if reason != send_state::HoldReason::Silent =>
                     {
                         held.paused.push((replica.clone(), until));
                     }
-                    send_gate::SendVerdict::Held { .. } => held.avoided.push(replica.clone()),
-                    send_gate::SendVerdict::Allowed => {}
+                    send_state::SendVerdict::Held { .. } => held.avoided.push(replica.clone()),
+                    send_state::SendVerdict::Allowed => {}
                 }
             }
         });
@@ -125,7 +125,7 @@
                 match replica.map(|replica| replica.state) {
                     Some(zone::UpstreamState::Live | zone::UpstreamState::Leaving) => true,
                     Some(zone::UpstreamState::Joining | zone::UpstreamState::Gone) => false,
-                    None => state.verdict(now) != send_gate::SendVerdict::Allowed,
+                    None => state.verdict(now) != send_state::SendVerdict::Allowed,
                 }
             });
         });
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -5,7 +5,8 @@
 //!
 //! - [`policy`] holds the configuration that operators declare.
 //! - [`replica`] tracks the replicas and [`selection`] chooses one for each request.
-//! - [`send_gate`] answers whether a replica may get a request now.
+//! - [`send_gate`] answers whether a replica may get a request now, and [`send_state`] what it was
+//!   seen to keep away.
 //! - [`reachability`] tells which replicas are reached directly, and chooses the daemons that relay
 //!   connections to the others.
 //! - [`admission`] refuses requests that can't be served in time.
@@ -44,6 +45,7 @@
 pub mod replica;
 pub mod selection;
 pub mod send_gate;
+pub mod send_state;
 pub mod suspect;
 pub mod usage;
 pub mod version_history;
--- a/crates/fleet/src/replica.rs
+++ b/crates/fleet/src/replica.rs
@@ -16,7 +16,7 @@
 
 use crate::decay;
 use crate::load;
-use crate::send_gate;
+use crate::send_state;
 
 /// Time after an outage of the table for which missing entries are retained. A running replica has
 /// registered again by then.
@@ -216,7 +216,7 @@
     /// When the replica was first found draining.
     draining_since: Option<time::MonotonicTime>,
     /// What keeps requests of this daemon away for a while.
-    send_state: send_gate::SendState,
+    send_state: send_state::SendState,
     /// When the entry was found missing from the table during or shortly after an outage.
     missing_since: Option<time::MonotonicTime>,
 }
@@ -610,7 +610,7 @@
             last_contact: None,
             last_answered: None,
             draining_since: None,
-            send_state: send_gate::SendState::default(),
+            send_state: send_state::SendState::default(),
             missing_since: None,
         }
     }
@@ -621,12 +621,13 @@
     }
 
     /// Returns whether this daemon may send a request to the replica now, but for the limit that the
-    /// replica names; [`send_gate::SendGate`] knows that one, too.
-    pub fn verdict(&self, now: time::MonotonicTime) -> send_gate::SendVerdict {
+    /// replica names; [`SendGate`](crate::send_gate::SendGate) knows that one, too.
+    pub fn verdict(&self, now: time::MonotonicTime) -> send_state::SendVerdict {
         match self.is_leaving() {
-            true => {
-                send_gate::SendVerdict::Held { reason: send_gate::HoldReason::Leaving, until: None }
-            }
+            true => send_state::SendVerdict::Held {
+                reason: send_state::HoldReason::Leaving,
+                until: None,
+            },
             false => self.send_state.verdict(now),
         }
     }
--- a/crates/fleet/src/selection.rs
+++ b/crates/fleet/src/selection.rs
@@ -10,6 +10,7 @@
 //! replicas each one draws: the least loaded replica of all would be the same for every daemon
 //! until they learn of the requests that the others sent there.
 
+use std::fmt;
 use std::hash::Hasher as _;
 
 use samphiremoor_base::id;
@@ -18,7 +19,7 @@
 use smallvec::SmallVec;
 
 use crate::replica;
-use crate::send_gate;
+use crate::send_state;
 
 /// Prompt tokens that delay a first token as much as one request in progress does.
 const RUNNING_TOKENS: f64 = 120.0;
@@ -92,6 +93,15 @@
     }
 }
 
+/// Tells for one moment whether replicas may get a request.
+pub trait ReplicaGate: fmt::Debug {
+    /// Returns the moment.
+    fn now(&self) -> time::MonotonicTime;
+
+    /// Returns whether a replica may get a request now.
+    fn verdict(&self, replica: &replica::KnownReplica) -> send_state::SendVerdict;
+}
+
 /// Request that needs a replica.
 #[derive(Clone, Debug)]
 pub struct SelectionQuery<'a> {
@@ -104,7 +114,7 @@
     /// Replicas that the request was already sent to.
     pub excluded: &'a [id::ReplicaId],
     /// Tells which replicas may get a request now.
-    pub gate: send_gate::SendGate<'a>,
+    pub gate: &'a dyn ReplicaGate,
     /// Software version that the replica must state.
     pub required_version: &'a replica::RequiredVersion,
     /// Whether a silent replica is chosen if no other one is available.
@@ -146,10 +156,10 @@
 pub fn earliest_send(
     table: &replica::ReplicaTable,
     query: &SelectionQuery<'_>,
-) -> Option<(time::MonotonicTime, send_gate::HoldReason)> {
+) -> Option<(time::MonotonicTime, send_state::HoldReason)> {
     let wished = unused(table, query).filter_map(|replica| match query.gate.verdict(replica) {
-        send_gate::SendVerdict::Held {
-            reason: reason @ (send_gate::HoldReason::Limited | send_gate::HoldReason::Paused),
+        send_state::SendVerdict::Held {
+            reason: reason @ (send_state::HoldReason::Limited | send_state::HoldReason::Paused),
             until: Some(until),
         } => Some((until, reason)),
         _ => None,
@@ -178,7 +188,7 @@
         unused(table, query).map(|replica| (replica, query.gate.verdict(replica))).collect();
     let available: SmallVec<[_; 32]> = verdicts
         .iter()
-        .filter(|(_, verdict)| *verdict == send_gate::SendVerdict::Allowed)
+        .filter(|(_, verdict)| *verdict == send_state::SendVerdict::Allowed)
         .map(|(replica, _)| *replica)
         .collect();
     if !available.is_empty() || !query.includes_silent {
--- a/crates/fleet/tests/replica.rs
+++ b/crates/fleet/tests/replica.rs
@@ -5,7 +5,7 @@
 use samphiremoor_base::quantity;
 use samphiremoor_base::time;
 use samphiremoor_fleet::replica;
-use samphiremoor_fleet::send_gate;
+use samphiremoor_fleet::send_state;
 
 fn monotonic_ms(millis: u64) -> time::MonotonicTime {
     time::MonotonicTime::new(millis)
@@ -74,7 +74,7 @@
 
 fn is_available(table: &replica::ReplicaTable, now_ms: u64) -> bool {
     table.get(&replica_id()).is_some_and(|replica| {
-        replica.verdict(monotonic_ms(now_ms)) == send_gate::SendVerdict::Allowed
+        replica.verdict(monotonic_ms(now_ms)) == send_state::SendVerdict::Allowed
     })
 }
 
@@ -343,10 +343,10 @@
     let replica = table.get_mut(&replica_id()).expect("the replica is known");
     replica.on_silent(monotonic_ms(0));
     let silent = replica.verdict(monotonic_ms(10));
-    assert_ne!(silent, send_gate::SendVerdict::Allowed);
+    assert_ne!(silent, send_state::SendVerdict::Allowed);
     assert_eq!(silent.firm_reason(), None, "it may still respond");
     replica.on_data(monotonic_ms(20));
-    assert_eq!(replica.verdict(monotonic_ms(20)), send_gate::SendVerdict::Allowed);
+    assert_eq!(replica.verdict(monotonic_ms(20)), send_state::SendVerdict::Allowed);
 }
 
 #[test]
--- a/crates/fleet/tests/selection.rs
+++ b/crates/fleet/tests/selection.rs
@@ -14,6 +14,7 @@
 use samphiremoor_fleet::replica;
 use samphiremoor_fleet::selection;
 use samphiremoor_fleet::send_gate;
+use samphiremoor_fleet::send_state;
 
 thread_local! {
     /// Next pseudo-random draw of the test.
@@ -81,7 +82,7 @@
         zone: &zone,
         prompt,
         excluded,
-        gate: send_gate::SendGate::new(limits, INSTANT),
+        gate: &send_gate::SendGate::new(limits, INSTANT),
         required_version,
         includes_silent: true,
         daemon_count: 1,
@@ -124,7 +125,7 @@
         });
         let expected = expected.map(entries::replica_id);
         let limited_until =
-            |wait| Some((NOW + time::Millis::new(wait), send_gate::HoldReason::Limited));
+            |wait| Some((NOW + time::Millis::new(wait), send_state::HoldReason::Limited));
         assert_eq!(end, expected.map_err(limited_until));
     }
 }
--- a/crates/fleet/tests/selection_load.rs
+++ b/crates/fleet/tests/selection_load.rs
@@ -239,12 +239,13 @@
         let (service, zone) = (entries::service(), entries::zone(0));
         let limits = limit::LimitTable::new(time::MonotonicTime::default());
         let instant = clock_instant::ClockInstant { now: monotonic(now_ms), unix_ms: now_ms };
+        let gate = send_gate::SendGate::new(&limits, instant);
         let query = selection::SelectionQuery {
             service: &service,
             zone: &zone,
             prompt: Some(&prompt),
             excluded: &[],
-            gate: send_gate::SendGate::new(&limits, instant),
+            gate: &gate,
             required_version: &replica::RequiredVersion::Any,
             includes_silent: true,
             daemon_count: self.shape.daemons as u32,
--- a/crates/fleet/tests/send_gate.rs
+++ b/crates/fleet/tests/send_gate.rs
@@ -12,7 +12,9 @@
 use samphiremoor_fleet::clock_instant;
 use samphiremoor_fleet::limit;
 use samphiremoor_fleet::replica;
+use samphiremoor_fleet::selection::ReplicaGate as _;
 use samphiremoor_fleet::send_gate;
+use samphiremoor_fleet::send_state;
 
 fn at(ms: u64) -> time::MonotonicTime {
     time::MonotonicTime::new(ms)
@@ -32,27 +34,27 @@
     table.get_mut(&entries::replica_id(0)).expect("the replica is known")
 }
 
-fn verdict(table: &replica::ReplicaTable, now_ms: u64) -> send_gate::SendVerdict {
+fn verdict(table: &replica::ReplicaTable, now_ms: u64) -> send_state::SendVerdict {
     let limits = limit::LimitTable::new(at(0));
     let replica = table.get(&entries::replica_id(0)).expect("the replica is known");
     send_gate::SendGate::new(&limits, instant(now_ms)).verdict(replica)
 }
 
-fn chosen_verdict(table: &replica::ReplicaTable, now_ms: u64) -> send_gate::SendVerdict {
+fn chosen_verdict(table: &replica::ReplicaTable, now_ms: u64) -> send_state::SendVerdict {
     let limits = limit::LimitTable::new(at(0));
     let replica = table.get(&entries::replica_id(0)).expect("the replica is known");
     send_gate::SendGate::new(&limits, instant(now_ms)).chosen_verdict(replica)
 }
 
-fn held(reason: send_gate::HoldReason, until_ms: u64) -> send_gate::SendVerdict {
-    send_gate::SendVerdict::Held { reason, until: Some(at(until_ms)) }
+fn held(reason: send_state::HoldReason, until_ms: u64) -> send_state::SendVerdict {
+    send_state::SendVerdict::Held { reason, until: Some(at(until_ms)) }
 }
 
-const ALLOWED: send_gate::SendVerdict = send_gate::SendVerdict::Allowed;
+const ALLOWED: send_state::SendVerdict = send_state::SendVerdict::Allowed;
 
 /// Checks how a text is read as the length of a pause, in milliseconds.
-fn check_length(text: &str, expected: Result<Option<u64>, send_gate::PauseError>) {
-    let length: Result<send_gate::PauseLength, _> = text.parse();
+fn check_length(text: &str, expected: Result<Option<u64>, send_state::PauseError>) {
+    let length: Result<send_state::PauseLength, _> = text.parse();
     let millis = length.map(|length| length.nonzero().map(time::Millis::get));
     assert_eq!(millis, expected);
 }
@@ -60,8 +62,8 @@
 fn pause_ends_after_its_time_and_its_jitter() {
     let mut table = table();
     assert!(known(&mut table).on_pause(time::Millis::new(4_000), 0.5, at(1_000)));
-    assert_eq!(verdict(&table, 1_000), held(send_gate::HoldReason::Paused, 5_500));
-    assert_eq!(chosen_verdict(&table, 5_499), held(send_gate::HoldReason::Paused, 5_500));
+    assert_eq!(verdict(&table, 1_000), held(send_state::HoldReason::Paused, 5_500));
+    assert_eq!(chosen_verdict(&table, 5_499), held(send_state::HoldReason::Paused, 5_500));
     assert_eq!(verdict(&table, 5_500), ALLOWED);
 }
 
@@ -69,7 +71,7 @@
     let mut table = table();
     known(&mut table).on_pause(time::Millis::new(4_000), 0.0, at(1_000));
     assert!(!known(&mut table).on_pause(time::Millis::new(100), 0.0, at(1_100)));
-    assert_eq!(verdict(&table, 4_999), held(send_gate::HoldReason::Paused, 5_000));
+    assert_eq!(verdict(&table, 4_999), held(send_state::HoldReason::Paused, 5_000));
 }
 
 fn success_does_not_end_a_pause() {
@@ -79,14 +81,14 @@
     known(&mut table).on_response(false, at(1_500));
     known(&mut table).on_silent(at(1_600));
     known(&mut table).on_data(at(1_700));
-    assert_eq!(verdict(&table, 1_800), held(send_gate::HoldReason::Paused, 5_000));
+    assert_eq!(verdict(&table, 1_800), held(send_state::HoldReason::Paused, 5_000));
 }
 
 fn one_request_follows_a_pause() {
     let mut table = table();
     known(&mut table).on_pause(time::Millis::new(4_000), 0.0, at(1_000));
     known(&mut table).on_sent(at(5_000));
-    assert_eq!(verdict(&table, 5_001), held(send_gate::HoldReason::Paused, 6_000));
+    assert_eq!(verdict(&table, 5_001), held(send_state::HoldReason::Paused, 6_000));
     assert_eq!(chosen_verdict(&table, 5_001), ALLOWED, "the request that was counted is sent");
     known(&mut table).on_answer(at(4_999));
     assert_ne!(verdict(&table, 5_100), ALLOWED, "an earlier request tells nothing");
@@ -108,7 +110,7 @@
     table.on_response_departure(&entry.id, entry.incarnation, entry.address);
     assert_eq!(
         verdict(&table, 1_000),
-        send_gate::SendVerdict::Held { reason: send_gate::HoldReason::Leaving, until: None }
+        send_state::SendVerdict::Held { reason: send_state::HoldReason::Leaving, until: None }
     );
     table.upsert(entries::entry(0, 2));
     assert_eq!(verdict(&table, 1_000), ALLOWED);
@@ -128,10 +130,10 @@
     let mut table = table();
     known(&mut table).on_silent(at(1_000));
     known(&mut table).on_unreachable(at(1_000));
-    assert_eq!(verdict(&table, 1_000), held(send_gate::HoldReason::Unreachable, 1_250));
+    assert_eq!(verdict(&table, 1_000), held(send_state::HoldReason::Unreachable, 1_250));
     known(&mut table).on_pause(time::Millis::new(400), 0.0, at(1_000));
-    assert_eq!(verdict(&table, 1_000), held(send_gate::HoldReason::Paused, 1_400));
-    assert_eq!(verdict(&table, 1_500), held(send_gate::HoldReason::Silent, 2_000));
+    assert_eq!(verdict(&table, 1_000), held(send_state::HoldReason::Paused, 1_400));
+    assert_eq!(verdict(&table, 1_500), held(send_state::HoldReason::Silent, 2_000));
     assert_eq!(verdict(&table, 1_500).firm_reason(), None);
     let mut limits = limit::LimitTable::new(at(0));
     let id = entries::replica_id(0);
@@ -141,7 +143,7 @@
     }
     let replica = table.get(&id).expect("the replica is known");
     let limited = send_gate::SendGate::new(&limits, instant(90_000)).verdict(replica);
-    assert_eq!(limited.firm_reason(), Some(send_gate::HoldReason::Limited));
+    assert_eq!(limited.firm_reason(), Some(send_state::HoldReason::Limited));
 }
 
 /// Arrivals of all daemons at a replica that asked each of them for 5 s at the same time, while callers
@@ -209,12 +211,12 @@
     negative_zero_is_no_pause => check_length("-0", Ok(None));
     hours_are_bounded => check_length("86400", Ok(Some(3_600_000)));
     number_beyond_all_bounds_is_bounded => check_length("1e300", Ok(Some(3_600_000)));
-    negative_number_is_no_time => check_length("-1", Err(send_gate::PauseError::OutOfRange));
-    infinity_is_no_time => check_length("inf", Err(send_gate::PauseError::OutOfRange));
-    not_a_number_is_no_time => check_length("NaN", Err(send_gate::PauseError::NotDecimal));
+    negative_number_is_no_time => check_length("-1", Err(send_state::PauseError::OutOfRange));
+    infinity_is_no_time => check_length("inf", Err(send_state::PauseError::OutOfRange));
+    not_a_number_is_no_time => check_length("NaN", Err(send_state::PauseError::NotDecimal));
     date_is_no_time =>
-        check_length("Fri, 31 Dec 2027 23:59:59 GMT", Err(send_gate::PauseError::NotDecimal));
-    empty_text_is_no_time => check_length("", Err(send_gate::PauseError::NotDecimal));
+        check_length("Fri, 31 Dec 2027 23:59:59 GMT", Err(send_state::PauseError::NotDecimal));
+    empty_text_is_no_time => check_length("", Err(send_state::PauseError::NotDecimal));
     pause_ends_late => pause_ends_after_its_time_and_its_jitter();
     pause_is_shortened => shorter_pause_does_not_end_a_longer_one();
     success_ends_a_pause => success_does_not_end_a_pause();
--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -14,7 +14,7 @@
 use samphiremoor_fleet::policy;
 use samphiremoor_fleet::replica;
 use samphiremoor_fleet::selection;
-use samphiremoor_fleet::send_gate;
+use samphiremoor_fleet::send_state;
 use samphiremoor_fleet::usage;
 use samphiremoor_httpio::message;
 use samphiremoor_platform::table;
@@ -74,9 +74,9 @@
     #[default]
     Absent,
     /// The length of the pause.
-    Length(send_gate::PauseLength),
+    Length(send_state::PauseLength),
     /// The response names a value that is no time, for this reason.
-    Invalid(sync::Arc<str>, send_gate::PauseError),
+    Invalid(sync::Arc<str>, send_state::PauseError),
 }
 
 /// What a replica's response says about whether the replica leaves.
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -28,6 +28,7 @@
 use samphiremoor_fleet::reachability;
 use samphiremoor_fleet::replica;
 use samphiremoor_fleet::send_gate;
+use samphiremoor_fleet::send_state;
 use samphiremoor_fleet::usage;
 use samphiremoor_fleet::version_history;
 use samphiremoor_fleet::wall_clock;
@@ -321,7 +322,7 @@
         let gate = state.gate(self.now());
         known_replica.is_some_and(|known_replica| {
             known_replica.entry.address == address
-                && gate.chosen_verdict(known_replica) == send_gate::SendVerdict::Allowed
+                && gate.chosen_verdict(known_replica) == send_state::SendVerdict::Allowed
         })
     }
 
@@ -419,7 +420,7 @@
     }
 
     /// Sends no request to a replica for the time that it asked for.
-    fn pause_replica(&self, start: &crash_probe::ReplicaStart, asked: send_gate::PauseLength) {
+    fn pause_replica(&self, start: &crash_probe::ReplicaStart, asked: send_state::PauseLength) {
         let Some(length) = asked.nonzero() else { return };
         let now = self.now();
         let mut state = self.state.borrow_mut();
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -13,7 +13,7 @@
 use samphiremoor_fleet::dispatch;
 use samphiremoor_fleet::replica;
 use samphiremoor_fleet::selection;
-use samphiremoor_fleet::send_gate;
+use samphiremoor_fleet::send_state;
 
 use crate::adapter;
 use crate::attempt;
@@ -107,13 +107,13 @@
 }
 
 /// Returns the reason of the refusal of a request that replicas keep away.
-fn hold_refusal(hold_reason: send_gate::HoldReason) -> reason::RefusalReason {
+fn hold_refusal(hold_reason: send_state::HoldReason) -> reason::RefusalReason {
     match hold_reason {
-        send_gate::HoldReason::Limited => reason::RefusalReason::ReplicaLimit,
-        send_gate::HoldReason::Paused => reason::RefusalReason::ReplicaPaused,
-        send_gate::HoldReason::Leaving
-        | send_gate::HoldReason::Unreachable
-        | send_gate::HoldReason::Silent => reason::RefusalReason::NoReplica,
+        send_state::HoldReason::Limited => reason::RefusalReason::ReplicaLimit,
+        send_state::HoldReason::Paused => reason::RefusalReason::ReplicaPaused,
+        send_state::HoldReason::Leaving
+        | send_state::HoldReason::Unreachable
+        | send_state::HoldReason::Silent => reason::RefusalReason::NoReplica,
     }
 }
 
@@ -529,14 +529,14 @@
     fn hold_wait(
         &self,
         excluded: &[id::ReplicaId],
-    ) -> Option<(time::Millis, send_gate::HoldReason)> {
+    ) -> Option<(time::Millis, send_state::HoldReason)> {
         let (until, hold_reason) = self.with_query(excluded, true, selection::earliest_send)?;
         let now = self.context.core.now();
         let jitter = time::Millis::new(rand::random_range(0..HOLD_JITTER.get()));
         let wait = until.since(now) + jitter;
         let time_left = self.context.request.caller_deadline.since(now);
         let longest = time::Millis::new(time_left.get() / CALLER_WAIT_DIVISOR).max(MIN_HOLD_WAIT);
-        let is_paused = hold_reason == send_gate::HoldReason::Paused;
+        let is_paused = hold_reason == send_state::HoldReason::Paused;
         Some((if is_paused { wait.min(longest) } else { wait }, hold_reason))
     }
 
@@ -573,7 +573,7 @@
             zone: &core.settings.availability_zone,
             prompt,
             excluded,
-            gate: state.gate(core.now()),
+            gate: &state.gate(core.now()),
             required_version: &self.required_version,
             includes_silent,
             daemon_count: state.live_daemons,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -165,7 +165,7 @@
             zone: &core.settings.availability_zone,
             prompt: self.context.request.metadata.prompt.as_ref(),
             excluded: &excluded,
-            gate: state.gate(core.now()),
+            gate: &state.gate(core.now()),
             required_version: &self.required_version,
             includes_silent: false,
             daemon_count: state.live_daemons,
