--- a/crates/fleet/src/send_state.rs
+++ b/crates/fleet/src/send_state.rs
@@ -94,18 +94,6 @@
     Silent,
 }
 
-impl fmt::Display for HoldReason {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            HoldReason::Leaving => "leaving",
-            HoldReason::Paused => "paused",
-            HoldReason::Limited => "limited",
-            HoldReason::Unreachable => "unreachable",
-            HoldReason::Silent => "silent",
-        })
-    }
-}
-
 /// Whether a replica may get a request from this daemon now.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum SendVerdict {
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -146,8 +146,6 @@
     pub paths: reachability::PathTable,
     /// Number of connections of other daemons that this one relays.
     pub relayed_tunnels: u32,
-    /// Values that replicas named and that are no limits, as they were logged last.
-    refused_limits: collections::BTreeMap<id::ReplicaId, sync::Arc<str>>,
     /// Values in responses of replicas that are ignored, as they were logged last, by what they name.
     ignored_values: collections::BTreeMap<(id::ReplicaId, &'static str), sync::Arc<str>>,
     /// Pool of idle connections to replicas.
@@ -237,7 +235,6 @@
             crash_probes: collections::HashMap::new(),
             paths: reachability::PathTable::default(),
             relayed_tunnels: 0,
-            refused_limits: collections::BTreeMap::new(),
             ignored_values: collections::BTreeMap::new(),
             idle_pool: idle::IdlePool::default(),
             stopping_since: None,
@@ -367,8 +364,7 @@
             adapter::NamedLimit::Absent => None,
             adapter::NamedLimit::Rate(rate) => Some(*rate),
             adapter::NamedLimit::Invalid(value, cause) => {
-                let previous = state.refused_limits.insert(replica.clone(), value.clone());
-                if previous.as_ref() != Some(value) {
+                if state.is_new_ignored(replica, "limit", value) {
                     log_event!(
                         event::LogEvent::LimitRefused,
                         replica = replica,
@@ -447,9 +443,7 @@
         value: &sync::Arc<str>,
         cause: impl fmt::Display,
     ) {
-        let key = (start.replica.clone(), field);
-        let previous = self.state.borrow_mut().ignored_values.insert(key, value.clone());
-        if previous.as_ref() != Some(value) {
+        if self.state.borrow_mut().is_new_ignored(&start.replica, field, value) {
             log_event!(
                 event::LogEvent::HeaderIgnored,
                 replica = start.replica,
@@ -681,6 +675,18 @@
         clock_instant::ClockInstant { now, unix_ms }
     }
 
+    /// Remembers a value in a response of a replica that is ignored. Returns whether it is another one
+    /// than the last for this field.
+    fn is_new_ignored(
+        &mut self,
+        replica: &id::ReplicaId,
+        field: &'static str,
+        value: &sync::Arc<str>,
+    ) -> bool {
+        let key = (replica.clone(), field);
+        self.ignored_values.insert(key, value.clone()).as_ref() != Some(value)
+    }
+
     /// Remembers the software versions of the known replicas.
     pub fn observe_versions(&mut self, now: time::MonotonicTime) {
         self.versions.observe(&self.replicas, now);
@@ -696,7 +702,6 @@
     pub fn sweep_limits(&mut self, now: time::MonotonicTime) -> usize {
         let replicas = &self.replicas;
         self.limits.retain(now, |replica| replicas.get(replica).is_some());
-        self.refused_limits.retain(|replica, _| replicas.get(replica).is_some());
         self.ignored_values.retain(|(replica, _), _| replicas.get(replica).is_some());
         self.limits.limited_replicas().count()
     }
