Settings: bounds of a deployment may have fractions; an absent bound leaves a default

Cause: a platform states its bounds as whole numbers or fractions. `retry_slack` was read as an integer, so all daemons of a deployment with a slack of 33.16 ended at start. Errors of the parser name the key in their remedy.

--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -150,7 +150,7 @@
     /// Counts a run for a request that is not a stream, or whose response was lost.
     pub(crate) fn count_run(&self) {
         let Some(workspace) = &self.request.workspace else { return };
-        let window = self.core.settings.times.usage_window_ms;
+        let window = self.core.settings.times.usage_window;
         let now = self.core.now();
         self.core.state.borrow_mut().count_run(&workspace.id, window, now);
     }
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -713,7 +713,7 @@
         shared: &settings::SharedSettings,
     ) -> &mut budget::RetryBudget {
         let daemons = f64::from(self.live_daemons.max(1));
-        let burst = f64::from(shared.retry_slack) * RETRY_SLACK_FRACTION / daemons;
+        let burst = shared.retry_slack * RETRY_SLACK_FRACTION / daemons;
         let ratio = (shared.retry_ratio * RETRY_RATIO_FRACTION * 1_000.0) as u16;
         let policy = budget::BudgetPolicy {
             ratio: quantity::PerMille::new(ratio),
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -281,7 +281,7 @@
     let stopping_since = core.now();
     core.state.borrow_mut().stopping_since = Some(stopping_since);
     log_event!(event::LogEvent::ProcessStopping, in_progress = core.state.borrow().in_progress,);
-    let abandon_after = core.settings.times.stop_ms.saturating_sub(KILL_MARGIN);
+    let abandon_after = core.settings.times.stop.saturating_sub(KILL_MARGIN);
     let mut has_closed_idle = false;
     loop {
         task::sleep(STOP_CHECK_INTERVAL.to_duration()).await;
--- a/crates/gateway/src/duties.rs
+++ b/crates/gateway/src/duties.rs
@@ -46,7 +46,7 @@
 /// Performs the duties whenever this daemon holds the lease; never returns.
 pub async fn run(core: rc::Rc<core::GatewayCore>) {
     let lease_state = core.lease_state.clone();
-    let lease_time = core.settings.times.lease_ms;
+    let lease_time = core.settings.times.lease;
     let lease = duty::DutyLease::new(core.settings.daemon.clone(), core.incarnation, lease_time);
     let acquire_delay = time::Millis::new(rand::random_range(0..MAX_ACQUIRE_DELAY_MS));
     let mut runner = DutyRunner {
@@ -181,9 +181,9 @@
             return;
         }
         let times = core.settings.times;
-        let settle_ms = times.usage_due_ms.get() / SETTLE_DIVISOR;
+        let settle_ms = times.usage_due.get() / SETTLE_DIVISOR;
         let settled_ms = core.state.borrow().wall_clock.now(now) - settle_ms as i64;
-        let current_window = core::usage_window(settled_ms, times.usage_window_ms);
+        let current_window = core::usage_window(settled_ms, times.usage_window);
         let Some(newest_window) = current_window.checked_sub(1) else { return };
         let oldest_window = newest_window.saturating_sub(REPORTED_WINDOWS - 1);
         let window = self.last_reported.map_or(oldest_window, |last| (last + 1).max(oldest_window));
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -56,7 +56,7 @@
         let mut stream = stream::ReplicaStream::new(selected.clone(), connection, response, body);
         self.splitter.discard_partial();
         let workspace = context.request.workspace.as_ref().map(|rule| &rule.id);
-        let window = context.core.settings.times.usage_window_ms;
+        let window = context.core.settings.times.usage_window;
         let is_first_stream = self.splitter.delivered() == 0;
         let on_first_event = || {
             let now = context.core.now();
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -6,6 +6,7 @@
 use samphiremoor_base::time;
 use samphiremoor_fleet::quota;
 use samphiremoor_settings::load;
+use samphiremoor_settings::number;
 use serde::Deserialize;
 
 /// Settings of the gateway daemon.
@@ -65,13 +66,25 @@
 #[serde(deny_unknown_fields)]
 pub struct TimeSettings {
     /// Time from the stop signal until the process is killed.
-    pub stop_ms: time::Millis,
+    #[serde(rename = "stop_s", deserialize_with = "number::seconds", default = "default_stop")]
+    pub stop: time::Millis,
     /// Duration of the lease on the duties.
-    pub lease_ms: time::Millis,
+    #[serde(rename = "lease_ms", deserialize_with = "number::millis", default = "default_lease")]
+    pub lease: time::Millis,
     /// Length of the windows of usage reports.
-    pub usage_window_ms: time::Millis,
+    #[serde(
+        rename = "usage_window_s",
+        deserialize_with = "number::seconds",
+        default = "default_usage_window"
+    )]
+    pub usage_window: time::Millis,
     /// Time after a window's end by which its report is due.
-    pub usage_due_ms: time::Millis,
+    #[serde(
+        rename = "usage_due_s",
+        deserialize_with = "number::seconds",
+        default = "default_usage_due"
+    )]
+    pub usage_due: time::Millis,
 }
 
 /// Limits that apply to all daemons together, and the process's memory.
@@ -80,12 +93,18 @@
 #[serde(deny_unknown_fields)]
 pub struct SharedSettings {
     /// Retries allowed per request of a service.
+    #[serde(default = "default_retry_ratio")]
     pub retry_ratio: f64,
     /// Retries allowed on top of the ratio within a window of some seconds.
-    pub retry_slack: u32,
+    #[serde(default)]
+    pub retry_slack: f64,
     /// Length of the windows over which the workspaces' rate limits are judged.
-    #[serde(default = "default_quota_window")]
-    pub quota_window_ms: time::Millis,
+    #[serde(
+        rename = "quota_window_s",
+        deserialize_with = "number::seconds",
+        default = "default_quota_window"
+    )]
+    pub quota_window: time::Millis,
     /// Fraction of a limit that may be admitted on top of it in a window.
     #[serde(default)]
     pub quota_over: f64,
@@ -93,9 +112,30 @@
     #[serde(default)]
     pub quota_slack: f64,
     /// Memory of the process, in mebibytes.
+    #[serde(deserialize_with = "number::size")]
     pub memory_mb: u64,
 }
 
+fn default_stop() -> time::Millis {
+    time::Millis::new(8_000)
+}
+
+fn default_lease() -> time::Millis {
+    time::Millis::new(3_000)
+}
+
+fn default_usage_window() -> time::Millis {
+    time::Millis::new(5_000)
+}
+
+fn default_usage_due() -> time::Millis {
+    time::Millis::new(10_000)
+}
+
+fn default_retry_ratio() -> f64 {
+    0.2
+}
+
 fn default_quota_window() -> time::Millis {
     quota::QuotaTolerance::default().window
 }
@@ -103,7 +143,7 @@
 impl SharedSettings {
     /// Returns how far the workspaces' rate limits may be exceeded.
     pub fn quota_tolerance(&self) -> quota::QuotaTolerance {
-        let SharedSettings { quota_window_ms: window, quota_over: over, .. } = *self;
+        let SharedSettings { quota_window: window, quota_over: over, .. } = *self;
         quota::QuotaTolerance { window, excess_ratio: over, excess_units: self.quota_slack }
     }
 }
@@ -113,30 +153,25 @@
         let reject = |key, problem: &str, remedy: &str| {
             Err(load::ValueError { key, problem: problem.to_owned(), remedy: remedy.to_owned() })
         };
-        if self.times.lease_ms.get() < 500 {
+        if self.times.lease.get() < 500 {
             return reject("times.lease_ms", "the lease is too short to renew", "set 500 or more");
         }
-        if self.times.usage_window_ms.get() == 0 {
-            return reject(
-                "times.usage_window_ms",
-                "the window length is zero",
-                "set 1000 or more",
-            );
+        if self.times.usage_window.get() == 0 {
+            return reject("times.usage_window_s", "the window length is zero", "set 1 or more");
         }
         if !(0.0..=10.0).contains(&self.shared.retry_ratio) {
             return reject("shared.retry_ratio", "the ratio is out of range", "set 0.0 to 10.0");
         }
-        if self.shared.quota_window_ms.get() == 0 {
-            return reject(
-                "shared.quota_window_ms",
-                "the window length is zero",
-                "set 1000 or more",
-            );
+        if !self.shared.retry_slack.is_finite() || self.shared.retry_slack < 0.0 {
+            return reject("shared.retry_slack", "the slack is below 0", "set 0 or more");
+        }
+        if self.shared.quota_window.get() == 0 {
+            return reject("shared.quota_window_s", "the window length is zero", "set 1 or more");
         }
         if !(0.0..=10.0).contains(&self.shared.quota_over) {
             return reject("shared.quota_over", "the fraction is out of range", "set 0.0 to 10.0");
         }
-        if self.shared.quota_slack.is_nan() || self.shared.quota_slack < 0.0 {
+        if !self.shared.quota_slack.is_finite() || self.shared.quota_slack < 0.0 {
             return reject("shared.quota_slack", "the slack is below 0", "set 0 or more");
         }
         if self.shared.memory_mb < 32 {
--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -22,9 +22,9 @@
 
 cases! {
     lease_below_minimum_is_rejected => check("lease_ms = 3000", "lease_ms = 10", "times.lease_ms");
-    zero_usage_window_is_rejected => check("usage_window_ms = 5000", "usage_window_ms = 0", "times.usage_window_ms");
+    zero_usage_window_is_rejected => check("usage_window_s = 5", "usage_window_s = 0", "times.usage_window_s");
     negative_retry_ratio_is_rejected => check("retry_ratio = 0.2", "retry_ratio = -1.0", "shared.retry_ratio");
-    zero_quota_window_is_rejected => check("quota_window_ms = 8000", "quota_window_ms = 0", "shared.quota_window_ms");
+    zero_quota_window_is_rejected => check("quota_window_s = 8", "quota_window_s = 0", "shared.quota_window_s");
     negative_quota_fraction_is_rejected => check("quota_over = 0.1", "quota_over = -0.1", "shared.quota_over");
     negative_quota_slack_is_rejected => check("quota_slack = 140000", "quota_slack = -1", "shared.quota_slack");
     memory_below_minimum_is_rejected => check("memory_mb = 260", "memory_mb = 1", "shared.memory_mb");
--- a/crates/settings/src/load.rs
+++ b/crates/settings/src/load.rs
@@ -41,6 +41,8 @@
         file: path::PathBuf,
         /// Line of the error, counted from 1; 0 if the error has no position.
         line: usize,
+        /// Key that is assigned on that line.
+        key: Option<String>,
         /// Message of the parser, with the wrong key or value and what was expected.
         message: String,
     },
@@ -63,10 +65,11 @@
                 "{}: can't be read ({cause}); name an existing settings file with --settings",
                 file.display()
             ),
-            SettingsError::Malformed { file, line, message } => write!(
+            SettingsError::Malformed { file, line, key, message } => write!(
                 f,
-                "{}:{line}: {message}; correct this line, the annotated example lists every key",
-                file.display()
+                "{}:{line}: {message}; correct {} on this line, the annotated example lists every key",
+                file.display(),
+                key.as_deref().unwrap_or("the text")
             ),
             SettingsError::InvalidValue { file, line, error } => write!(
                 f,
@@ -99,10 +102,11 @@
 ///
 /// Fails if the text is malformed or contains an invalid value.
 pub fn parse<S: CheckedSettings>(file: &path::Path, text: &str) -> Result<S, SettingsError> {
-    let settings: S = toml::from_str(text).map_err(|cause| SettingsError::Malformed {
-        file: file.to_owned(),
-        line: cause.span().map_or(0, |span| line_of_offset(text, span.start)),
-        message: cause.message().replace('\n', " "),
+    let settings: S = toml::from_str(text).map_err(|cause| {
+        let line = cause.span().map_or(0, |span| line_of_offset(text, span.start));
+        let message = cause.message().replace('\n', " ");
+        let key = key_on_line(text, line).map(str::to_owned);
+        SettingsError::Malformed { file: file.to_owned(), line, key, message }
     })?;
     settings.check().map_err(|error| SettingsError::InvalidValue {
         file: file.to_owned(),
@@ -118,6 +122,12 @@
     text.as_bytes()[..end].iter().filter(|byte| **byte == b'\n').count() + 1
 }
 
+/// Returns the key that is assigned on a line, counted from 1.
+fn key_on_line(text: &str, line: usize) -> Option<&str> {
+    let (key, _) = text.lines().nth(line.checked_sub(1)?)?.split_once('=')?;
+    Some(key.trim()).filter(|key| !key.starts_with('#'))
+}
+
 /// Returns the line on which a dotted key is assigned, counted from 1; 0 if there is none.
 ///
 /// Looks for the last segment of the key below the header of its table.
