Fleet: a digest costs quota limits by its own demands, not by all peers' demands

Cause: each received digest advanced all buckets over all peers and divided every bucket by the demands of all peers: workspaces x peers look-ups for each of 2 x peers digests a second. Change: a bucket keeps the sum of its peers' demands; shares are computed where a request is admitted; only silent peers are looked at when a bucket is refilled, and these are found when the first can be silent. What a peer is assumed to admit is counted from the moment it is silent, and until it is dropped.

--- a/crates/fleet/src/quota.rs
+++ b/crates/fleet/src/quota.rs
@@ -62,7 +62,7 @@
 #[derive(Clone, Debug)]
 pub struct QuotaLimiter {
     buckets: collections::HashMap<id::WorkspaceId, QuotaBucket>,
-    peers: collections::BTreeMap<id::DaemonId, PeerReport>,
+    peers: PeerReports,
     /// When the first quotas were configured.
     started_at: Option<time::MonotonicTime>,
     daemon_count: usize,
@@ -101,7 +101,7 @@
     fn default() -> Self {
         QuotaLimiter {
             buckets: collections::HashMap::new(),
-            peers: collections::BTreeMap::new(),
+            peers: PeerReports::default(),
             started_at: None,
             daemon_count: INITIAL_DAEMONS,
             propagation_delay: INITIAL_PROPAGATION,
@@ -121,6 +121,17 @@
     tolerance: QuotaTolerance,
 }
 
+/// Last demands reported by all peers. A digest costs time in proportion to its own demands, not to
+/// the number of peers.
+#[derive(Clone, Debug, Default)]
+struct PeerReports {
+    reports: collections::BTreeMap<id::DaemonId, PeerReport>,
+    /// Peers that are assumed to keep admitting.
+    silent: collections::BTreeSet<id::DaemonId>,
+    /// Earliest time at which another peer can become silent.
+    next_silence_at: time::MonotonicTime,
+}
+
 /// Last demands reported by a peer.
 #[derive(Clone, Debug)]
 struct PeerReport {
@@ -147,10 +158,8 @@
     rule: policy::QuotaRule,
     /// Units left in the whole deployment, as far as this daemon knows.
     level: f64,
-    /// Fraction of the remaining units that this daemon may admit.
-    share: f64,
-    /// Units per second that callers of all daemons request.
-    total_demand: f64,
+    /// Units per second that callers of the peers request: the sum of their last reports.
+    peer_demand: f64,
     /// Units admitted by this daemon, less refunds.
     admitted_units: f64,
     /// Units requested at this daemon, for the rate of the demand.
@@ -191,7 +200,9 @@
             buckets.insert(workspace.id.clone(), bucket);
         }
         self.buckets = buckets;
-        self.update_shares(now);
+        for (workspace, bucket) in &mut self.buckets {
+            bucket.peer_demand = self.peers.requested_rate(workspace);
+        }
     }
 
     /// Sets the number of daemons, and the delay after which peers know of an admission at this
@@ -209,14 +220,16 @@
         demands: &[digest::WorkspaceDemand],
         now: time::MonotonicTime,
     ) {
-        self.advance(now);
-        let new_report =
-            || PeerReport { incarnation, received_at: now, demands: collections::HashMap::new() };
-        let is_known_peer = self.peers.contains_key(daemon);
-        let peer = self.peers.entry(daemon.clone()).or_insert_with(new_report);
+        self.peers.update_silent(&mut self.buckets, now);
+        for demand in demands {
+            if let Some(bucket) = self.buckets.get_mut(&demand.workspace) {
+                self.peers.advance_bucket(&demand.workspace, bucket, now);
+            }
+        }
+        let is_known_peer = self.peers.reports.contains_key(daemon);
+        let peer = self.peers.on_report(daemon, incarnation, now);
         let is_new_incarnation =
             std::mem::replace(&mut peer.incarnation, incarnation) != incarnation;
-        peer.received_at = now;
         for demand in demands {
             let peer_demand = peer.demands.entry(demand.workspace.clone()).or_default();
             // Units that a peer admitted before its first report are not subtracted. In a new
@@ -227,24 +240,25 @@
                 (true, false) => peer_demand.admitted_units,
             };
             let newly_admitted = (demand.admitted_units - previous_units).max(0.0);
+            let requested_rate = f64::from(demand.requested_rate);
             if let Some(bucket) = self.buckets.get_mut(&demand.workspace) {
                 bucket.level = (bucket.level - newly_admitted + peer_demand.assumed_units)
                     .min(bucket.rule.burst);
                 bucket.count_consumed(newly_admitted - peer_demand.assumed_units, now);
+                bucket.add_peer_demand(requested_rate - peer_demand.requested_rate);
             }
             *peer_demand = PeerDemand {
                 admitted_units: demand.admitted_units,
-                requested_rate: f64::from(demand.requested_rate),
+                requested_rate,
                 admitted_rate: f64::from(demand.admitted_rate),
                 assumed_units: 0.0,
             };
         }
-        self.update_shares(now);
     }
 
     /// Removes a peer. Units that it admitted before its next report are not subtracted.
     pub fn remove_peer(&mut self, daemon: &id::DaemonId) {
-        self.peers.remove(daemon);
+        self.peers.remove(daemon, &mut self.buckets);
     }
 
     /// Takes the units of one request from the bucket of a workspace. `draw`, a uniform random
@@ -262,14 +276,16 @@
         now: time::MonotonicTime,
     ) -> Result<(), time::Millis> {
         let bounds = self.bounds(now);
+        self.peers.update_silent(&mut self.buckets, now);
         let Some(bucket) = self.buckets.get_mut(workspace) else { return Ok(()) };
-        advance_bucket(workspace, bucket, &mut self.peers, now);
+        self.peers.advance_bucket(workspace, bucket, now);
+        let demand = bucket.demand(self.peers.reports.len(), now);
         bucket.expire_unreported(self.propagation_delay, now);
         bucket.expire_consumed(self.tolerance.window, now);
         let units = bucket.units(tokens);
         bucket.requested.add(units, now);
         bucket.mean_units += MEAN_UNITS_WEIGHT * (units - bucket.mean_units);
-        if bucket.may_admit(draw, &bounds) {
+        if bucket.may_admit(draw, &demand, &bounds) {
             bucket.level -= units;
             bucket.admitted_units += units;
             bucket.admitted.add(units, now);
@@ -302,7 +318,8 @@
     /// Formats the state of a workspace's bucket for the log.
     pub fn describe(&self, workspace: &id::WorkspaceId) -> String {
         let Some(bucket) = self.buckets.get(workspace) else { return String::new() };
-        let QuotaBucket { rule, share, level, .. } = bucket;
+        let QuotaBucket { rule, level, .. } = bucket;
+        let share = bucket.demand(self.peers.reports.len(), bucket.refilled_at).share;
         let demand = bucket.requested.per_second(bucket.refilled_at);
         format!("rate:{:.0},part:{share:.3},level:{level:.0},demand:{demand:.0}", rule.rate)
     }
@@ -332,54 +349,115 @@
     /// Refills the buckets up to `now`, subtracts the units that silent peers are assumed to admit,
     /// and removes the peers that have been silent for too long.
     fn advance(&mut self, now: time::MonotonicTime) {
+        self.peers.update_silent(&mut self.buckets, now);
         for (workspace, bucket) in &mut self.buckets {
-            advance_bucket(workspace, bucket, &mut self.peers, now);
+            self.peers.advance_bucket(workspace, bucket, now);
         }
-        self.peers.retain(|_, peer| now.since(peer.received_at) < SILENT_PEER_RETENTION);
     }
+}
 
-    /// Divides the remaining units of each bucket by the demands of this daemon and its peers.
-    fn update_shares(&mut self, now: time::MonotonicTime) {
-        self.advance(now);
-        for (workspace, bucket) in &mut self.buckets {
-            let idle_demand = bucket.rule.rate * IDLE_DEMAND_RATIO;
-            let requested_rate = |peer: &PeerReport| {
-                peer.demands.get(workspace).map_or(0.0, |demand| demand.requested_rate)
-            };
-            let peer_demand: f64 = self.peers.values().map(requested_rate).sum();
-            let local_demand = bucket.requested.per_second(now);
-            bucket.total_demand = local_demand + peer_demand;
-            let adjusted_total = bucket.total_demand + idle_demand * (self.peers.len() + 1) as f64;
-            bucket.share = if adjusted_total > 0.0 {
-                (local_demand + idle_demand) / adjusted_total
-            } else {
-                1.0
-            };
+impl PeerReports {
+    /// Observes that a peer reported. Returns its last report.
+    fn on_report(
+        &mut self,
+        daemon: &id::DaemonId,
+        incarnation: quantity::Incarnation,
+        now: time::MonotonicTime,
+    ) -> &mut PeerReport {
+        self.silent.remove(daemon);
+        self.next_silence_at = self.next_silence_at.min(now + PEER_SILENT_AFTER);
+        let new_report =
+            || PeerReport { incarnation, received_at: now, demands: collections::HashMap::new() };
+        let report = self.reports.entry(daemon.clone()).or_insert_with(new_report);
+        report.received_at = now;
+        report
+    }
+
+    /// Finds the peers that are silent, and removes those that have been for too long.
+    fn update_silent(
+        &mut self,
+        buckets: &mut collections::HashMap<id::WorkspaceId, QuotaBucket>,
+        now: time::MonotonicTime,
+    ) {
+        if now >= self.next_silence_at {
+            let silence_at = |report: &PeerReport| report.received_at + PEER_SILENT_AFTER;
+            let silent = self.reports.iter().filter(|(_, report)| silence_at(report) <= now);
+            self.silent = silent.map(|(daemon, _)| daemon.clone()).collect();
+            let later = self.reports.values().map(silence_at).filter(|at| *at > now);
+            self.next_silence_at = later.min().unwrap_or(now + PEER_SILENT_AFTER);
+        }
+        while let Some(daemon) = self.first_expired(now) {
+            let workspaces = self.reports[&daemon].demands.keys().cloned().collect::<Vec<_>>();
+            for workspace in workspaces {
+                if let Some(bucket) = buckets.get_mut(&workspace) {
+                    self.advance_bucket(&workspace, bucket, now);
+                }
+            }
+            self.remove(&daemon, buckets);
         }
     }
-}
 
-/// Refills a bucket up to `now` and subtracts the units that silent peers are assumed to admit.
-fn advance_bucket(
-    workspace: &id::WorkspaceId,
-    bucket: &mut QuotaBucket,
-    peers: &mut collections::BTreeMap<id::DaemonId, PeerReport>,
-    now: time::MonotonicTime,
-) {
-    let elapsed = bucket.refill(now);
-    if elapsed.get() == 0 {
-        return;
+    /// Returns a peer that is no longer assumed to admit.
+    fn first_expired(&self, now: time::MonotonicTime) -> Option<id::DaemonId> {
+        let received_at =
+            |daemon: &&id::DaemonId| self.reports.get(*daemon).map(|report| report.received_at);
+        let is_expired = |daemon: &&id::DaemonId| {
+            received_at(daemon).is_none_or(|at| now.since(at) >= SILENT_PEER_RETENTION)
+        };
+        self.silent.iter().find(is_expired).cloned()
     }
-    for peer in peers.values_mut() {
-        if now.since(peer.received_at) < PEER_SILENT_AFTER {
-            continue;
+
+    fn remove(
+        &mut self,
+        daemon: &id::DaemonId,
+        buckets: &mut collections::HashMap<id::WorkspaceId, QuotaBucket>,
+    ) {
+        self.silent.remove(daemon);
+        let Some(report) = self.reports.remove(daemon) else { return };
+        for (workspace, demand) in report.demands {
+            if let Some(bucket) = buckets.get_mut(&workspace) {
+                bucket.add_peer_demand(-demand.requested_rate);
+            }
         }
-        let Some(demand) = peer.demands.get_mut(workspace) else { continue };
-        let assumed = demand.admitted_rate * elapsed.get() as f64 / 1_000.0;
-        demand.assumed_units += assumed;
-        bucket.level -= assumed;
-        bucket.count_consumed(assumed, now);
     }
+
+    /// Returns the units per second of a workspace that the peers' callers request.
+    fn requested_rate(&self, workspace: &id::WorkspaceId) -> f64 {
+        let demands = self.reports.values().filter_map(|report| report.demands.get(workspace));
+        demands.map(|demand| demand.requested_rate).sum()
+    }
+
+    /// Refills a bucket up to `now` and subtracts the units that silent peers are assumed to admit.
+    fn advance_bucket(
+        &mut self,
+        workspace: &id::WorkspaceId,
+        bucket: &mut QuotaBucket,
+        now: time::MonotonicTime,
+    ) {
+        let refilled_at = bucket.refilled_at;
+        if bucket.refill(now).get() == 0 {
+            return;
+        }
+        for daemon in &self.silent {
+            let Some(report) = self.reports.get_mut(daemon) else { continue };
+            let silent_since = report.received_at + PEER_SILENT_AFTER;
+            let Some(demand) = report.demands.get_mut(workspace) else { continue };
+            let elapsed = now.since(refilled_at.max(silent_since));
+            let assumed = demand.admitted_rate * elapsed.get() as f64 / 1_000.0;
+            demand.assumed_units += assumed;
+            bucket.level -= assumed;
+            bucket.count_consumed(assumed, now);
+        }
+    }
+}
+
+/// Demand for a bucket.
+#[derive(Clone, Copy, Debug)]
+struct BucketDemand {
+    /// Units per second that callers of all daemons request.
+    total: f64,
+    /// Fraction of the remaining units that this daemon may admit.
+    share: f64,
 }
 
 impl QuotaBucket {
@@ -387,8 +465,7 @@
         QuotaBucket {
             rule,
             level: rule.burst * INITIAL_FILL,
-            share: 1.0,
-            total_demand: 0.0,
+            peer_demand: 0.0,
             admitted_units: 0.0,
             requested: decay::DecayingSum::new(RATE_TIME_CONSTANT),
             admitted: decay::DecayingSum::new(RATE_TIME_CONSTANT),
@@ -408,6 +485,23 @@
         elapsed
     }
 
+    /// Returns the demand, and this daemon's share of the remaining units by the demands of all
+    /// daemons.
+    fn demand(&self, peer_count: usize, now: time::MonotonicTime) -> BucketDemand {
+        let idle_demand = self.rule.rate * IDLE_DEMAND_RATIO;
+        let local = self.requested.per_second(now);
+        let total = local + self.peer_demand;
+        let adjusted_total = total + idle_demand * (peer_count + 1) as f64;
+        let share = if adjusted_total > 0.0 { (local + idle_demand) / adjusted_total } else { 1.0 };
+        BucketDemand { total, share }
+    }
+
+    /// Adds a change of a peer's demand, in units per second.
+    fn add_peer_demand(&mut self, change: f64) {
+        // Rounding must not leave a demand below 0.
+        self.peer_demand = (self.peer_demand + change).max(0.0);
+    }
+
     /// Drops admissions of this daemon that its peers know of by `now`.
     fn expire_unreported(&mut self, propagation_delay: time::Millis, now: time::MonotonicTime) {
         while self
@@ -441,21 +535,21 @@
 
     /// Whether a request is admitted. The size of the request does not count, so that all sizes are
     /// admitted alike.
-    fn may_admit(&self, draw: f64, bounds: &AdmissionBounds) -> bool {
+    fn may_admit(&self, draw: f64, demand: &BucketDemand, bounds: &AdmissionBounds) -> bool {
         if self.level <= 0.0 {
             return false;
         }
         // The demand may rise suddenly, and all of it is admitted until the daemons learn of each
         // other's admissions.
         let unknown_units =
-            MAX_DEMAND_RISE * self.total_demand * bounds.propagation_delay.get() as f64 / 1_000.0;
+            MAX_DEMAND_RISE * demand.total * bounds.propagation_delay.get() as f64 / 1_000.0;
         let consumed: f64 = self.consumed.iter().map(|(_, units)| *units).sum();
         let is_absorbed =
             consumed + unknown_units <= bounds.tolerance.max_units(&self.rule) * WINDOW_RATIO;
         if is_absorbed && !bounds.is_warming_up {
             return true;
         }
-        let share = self.share.min(bounds.max_share);
+        let share = demand.share.min(bounds.max_share);
         let unreported: f64 = self.unreported.iter().map(|(_, units)| *units).sum();
         let remaining = share * (self.level + unreported) - unreported;
         remaining >= self.mean_units || (remaining > 0.0 && draw < share * EXPECTED_DEBTORS)
--- a/crates/fleet/tests/quota.rs
+++ b/crates/fleet/tests/quota.rs
@@ -340,3 +340,34 @@
     assert!(acquire(&mut limiter, 900, 109_000), "the refunded units are admitted again");
     assert!(!acquire(&mut limiter, 40, 109_000), "1,090 units in a window that allows 1,080");
 }
+
+// Load pattern: a partitioned peer keeps admitting at its last rate, while no caller of this daemon asks
+// for the workspace and other peers report other ones.
+#[test]
+fn admissions_of_a_silent_peer_are_assumed_without_local_requests() {
+    let window = time::Millis::new(WINDOW_MS);
+    let mut limiter =
+        quota::QuotaLimiter::new(quota::QuotaTolerance { window, ..Default::default() });
+    let quota =
+        policy::QuotaRule { rate: 10.0, burst: 1_000.0, counts_tokens: true, default_tokens: 1 };
+    let rule = policy::WorkspaceRule { id: workspace(), priority: None, quota: Some(quota) };
+    limiter.configure(&[sync::Arc::new(rule)], time::MonotonicTime::new(0));
+    let report = |limiter: &mut quota::QuotaLimiter, name: &str, demands: &[_], now_ms| {
+        let peer = name.parse().expect("the name is an identifier");
+        let now = time::MonotonicTime::new(now_ms);
+        limiter.observe_peer_demands(&peer, quantity::Incarnation::new(1), demands, now);
+    };
+    let demand = digest::WorkspaceDemand {
+        workspace: workspace(),
+        admitted_units: 0.0,
+        requested_rate: 200.0,
+        admitted_rate: 200.0,
+    };
+    report(&mut limiter, "silent", &[demand], 60_000);
+    for now_ms in (60_000..80_000).step_by(500) {
+        report(&mut limiter, "other", &[], now_ms);
+    }
+    // 14 seconds at 200 units per second are more than the burst, the refill and the tolerance.
+    let now = time::MonotonicTime::new(80_000);
+    assert!(limiter.try_acquire(&workspace(), Some(1), 1.0, now).is_err());
+}
