Base: identifiers are decoded without a copy of their text

Cause: an identifier was decoded into a String that was parsed into a second allocation, and encoded from a String. A digest of a zone of the large site holds some hundred identifiers. Change: Serialize and Deserialize are written by hand on the text itself; the check of characters looks at bytes. The wire format and the errors are unchanged.

--- a/crates/base/src/id.rs
+++ b/crates/base/src/id.rs
@@ -2,11 +2,14 @@
 
 use std::error;
 use std::fmt;
+use std::marker;
 use std::str;
 use std::sync;
 
 use serde::Deserialize;
 use serde::Serialize;
+use serde::de;
+use serde::ser;
 
 /// Maximum length of an identifier, in bytes.
 pub const MAX_ID_BYTES: usize = 200;
@@ -46,6 +49,9 @@
     if text.len() > MAX_ID_BYTES {
         return Err(IdError::TooLong(text.len()));
     }
+    if text.bytes().all(|byte| is_id_character(char::from(byte))) {
+        return Ok(());
+    }
     match text.chars().find(|found| !is_id_character(*found)) {
         Some(found) => Err(IdError::BadCharacter(found)),
         None => Ok(()),
@@ -56,12 +62,25 @@
     found.is_ascii_alphanumeric() || matches!(found, '-' | '_' | '.' | ':' | '/' | '+')
 }
 
+/// Parses an identifier without a copy of its text. Digests hold hundreds of them.
+struct TextVisitor<T>(marker::PhantomData<T>);
+
+impl<T: str::FromStr<Err = IdError>> de::Visitor<'_> for TextVisitor<T> {
+    type Value = T;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("an identifier")
+    }
+
+    fn visit_str<E: de::Error>(self, text: &str) -> Result<T, E> {
+        text.parse().map_err(E::custom)
+    }
+}
+
 macro_rules! text_id {
     ($(#[$doc:meta])* $name:ident) => {
         $(#[$doc])*
         #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
-        #[derive(Deserialize, Serialize)]
-        #[serde(try_from = "String", into = "String")]
         pub struct $name(sync::Arc<str>);
 
         impl $name {
@@ -99,6 +118,18 @@
                 id.0.as_ref().to_owned()
             }
         }
+
+        impl Serialize for $name {
+            fn serialize<S: ser::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+                serializer.serialize_str(&self.0)
+            }
+        }
+
+        impl<'de> Deserialize<'de> for $name {
+            fn deserialize<D: de::Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+                deserializer.deserialize_str(TextVisitor(marker::PhantomData))
+            }
+        }
     };
 }
 
