Usage: digests repeat only the windows that may still rise; a zone's sum has all incarnations

A zone's sum was made of the members' last digests: when a member restarted, the sum fell, peers kept the higher one, and the runs of the new incarnation were lost up to that difference. Change: digests hold the last two windows, and all retained ones in every fourth round, for peers that missed some. A zone's sum comes from the merged counts of its members, of all their incarnations. Tests: digests_of_a_zone_are_aggregated now takes its counts through UsageCounter (same expected sum); counts_of_a_group_include_earlier_incarnations_of_its_members is new; on the code before, the sum of the second incarnation would be 1 instead of 7, as only the last digest of a daemon counted.

--- a/crates/fleet/benches/digest_cost.rs
+++ b/crates/fleet/benches/digest_cost.rs
@@ -96,7 +96,7 @@
         loads: (0..BUSY_REPLICAS).map(load).collect(),
         workspace_demands: (0..size.workspaces).map(demand).collect(),
         service_demands: Vec::new(),
-        usage: (0..usage::RETAINED_WINDOWS).map(window).collect(),
+        usage: (8..10).map(window).collect(),
         departed: Vec::new(),
     }
 }
@@ -172,8 +172,13 @@
         let digests: Vec<_> = (0..=size.peers).map(|number| peer_digest(number, size)).collect();
         let mut aggregator = digest::DigestAggregator::default();
         group.bench_function(BenchmarkId::from_parameter(size.name()), |bencher| {
+            let mut counter = usage::UsageCounter::new(daemon(0), quantity::Incarnation::new(1));
+            for digest in &digests[1..] {
+                counter.merge_peer(&digest.daemon, digest.incarnation, &digest.usage);
+            }
             bencher.iter(|| {
-                let sum = aggregator.aggregate(&digests[0], digests[1..].iter());
+                let usage = counter.group_windows(usage::WindowScope::Recent, |_| true);
+                let sum = aggregator.aggregate(&digests[0], digests[1..].iter(), usage);
                 hint::black_box(digest::encode(&sum, &digest::DigestNotices::default()))
             });
         });
--- a/crates/fleet/src/digest.rs
+++ b/crates/fleet/src/digest.rs
@@ -207,20 +207,21 @@
 }
 
 impl DigestAggregator {
-    /// Aggregates the digests of this daemon and of the other daemons of its zone. Fields that are
-    /// not combined are those of this daemon. Units that a daemon admitted before its first digest
-    /// are left out.
+    /// Aggregates the digests of this daemon and of the other daemons of its zone, whose run counts
+    /// are `usage`. Fields that are not combined are those of this daemon. Units that a daemon
+    /// admitted before its first digest are left out.
     pub fn aggregate<'a>(
         &mut self,
         local: &PeerDigest,
         others: impl Iterator<Item = &'a PeerDigest>,
+        usage: Vec<usage::WindowCount>,
     ) -> PeerDigest {
         let mut aggregate = PeerDigest {
             members: 1,
             loads: Vec::new(),
             workspace_demands: Vec::new(),
             service_demands: Vec::new(),
-            usage: Vec::new(),
+            usage,
             ..local.clone()
         };
         let mut loads: collections::BTreeMap<&id::ReplicaId, load::ReplicaLoad> =
@@ -230,8 +231,6 @@
             collections::BTreeMap::new();
         let mut prompt_rates: collections::BTreeMap<&id::ServiceId, f32> =
             collections::BTreeMap::new();
-        let mut windows: collections::BTreeMap<usage::WindowNumber, usage::WindowCount> =
-            collections::BTreeMap::new();
         let others: Vec<&PeerDigest> = others.collect();
         for digest in others.iter().copied().chain([local]) {
             for entry in &digest.loads {
@@ -247,17 +246,6 @@
             for demand in &digest.service_demands {
                 *prompt_rates.entry(&demand.service).or_default() += demand.prompt_rate;
             }
-            for reported in &digest.usage {
-                let empty_window = || usage::WindowCount {
-                    window: reported.window,
-                    ..usage::WindowCount::default()
-                };
-                let window = windows.entry(reported.window).or_insert_with(empty_window);
-                for (workspace, count) in &reported.counts {
-                    let sum = window.counts.entry(workspace.clone()).or_default();
-                    *sum = sum.saturating_add(*count);
-                }
-            }
         }
         for digest in &others {
             aggregate.members = aggregate.members.saturating_add(1);
@@ -284,7 +272,6 @@
             prompt_rate,
         };
         aggregate.service_demands = prompt_rates.into_iter().map(service_demand).collect();
-        aggregate.usage = windows.into_values().collect();
         aggregate
     }
 
--- a/crates/fleet/src/usage.rs
+++ b/crates/fleet/src/usage.rs
@@ -11,6 +11,9 @@
 /// still to be reported.
 pub const RETAINED_WINDOWS: u64 = 6;
 
+/// Number of windows, up to the newest one, whose counts may still rise.
+const RECENT_WINDOWS: u64 = 2;
+
 /// Number of a time window. Windows follow each other from the Unix epoch on.
 pub type WindowNumber = u64;
 
@@ -24,6 +27,25 @@
     pub counts: collections::BTreeMap<id::WorkspaceId, u32>,
 }
 
+/// Windows that a digest contains.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum WindowScope {
+    /// The windows whose counts may still rise.
+    Recent,
+    /// All retained windows, for peers that missed digests.
+    Retained,
+}
+
+impl WindowScope {
+    /// Returns the first window that a digest contains.
+    fn first_window(self, newest_window: WindowNumber) -> WindowNumber {
+        match self {
+            WindowScope::Recent => newest_window.saturating_sub(RECENT_WINDOWS - 1),
+            WindowScope::Retained => newest_window.saturating_sub(RETAINED_WINDOWS - 1),
+        }
+    }
+}
+
 /// One process run of a daemon: its id and incarnation.
 type DaemonInstance = (id::DaemonId, quantity::Incarnation);
 
@@ -71,17 +93,58 @@
                 ..WindowCount::default()
             });
             for (workspace, count) in &reported.counts {
-                let merged_count = merged.counts.entry(workspace.clone()).or_default();
-                *merged_count = (*merged_count).max(*count);
+                match merged.counts.get_mut(workspace) {
+                    Some(merged_count) => *merged_count = (*merged_count).max(*count),
+                    None => {
+                        merged.counts.insert(workspace.clone(), *count);
+                    }
+                }
             }
         }
         drop_old_windows(windows);
     }
 
     /// Returns the counts of this daemon, to report them to the peers.
-    pub fn local_windows(&self) -> Vec<WindowCount> {
+    pub fn local_windows(&self, scope: WindowScope) -> Vec<WindowCount> {
         let windows = self.windows_by_instance.get(&self.local_instance);
-        windows.map(|windows| windows.values().cloned().collect()).unwrap_or_default()
+        let newest = windows.and_then(|windows| windows.keys().next_back());
+        let (Some(windows), Some(newest_window)) = (windows, newest) else { return Vec::new() };
+        windows
+            .range(scope.first_window(*newest_window)..)
+            .map(|(_, count)| count.clone())
+            .collect()
+    }
+
+    /// Returns the counts of all incarnations of the daemons of a group, to report their sums to other
+    /// groups. This daemon is always a member.
+    pub fn group_windows(
+        &self,
+        scope: WindowScope,
+        is_member: impl Fn(&id::DaemonId) -> bool,
+    ) -> Vec<WindowCount> {
+        let (local_daemon, _) = &self.local_instance;
+        let members = self.windows_by_instance.iter();
+        let members = members.filter(|((id, _), _)| id == local_daemon || is_member(id));
+        let windows = || members.clone().flat_map(|(_, windows)| windows);
+        let Some(newest_window) = windows().map(|(window, _)| *window).max() else {
+            return Vec::new();
+        };
+        let first_window = scope.first_window(newest_window);
+        let mut sums: collections::BTreeMap<WindowNumber, WindowCount> =
+            collections::BTreeMap::new();
+        for (window, count) in windows().filter(|(window, _)| **window >= first_window) {
+            let empty_window = || WindowCount { window: *window, ..WindowCount::default() };
+            let sum = sums.entry(*window).or_insert_with(empty_window);
+            for (workspace, runs) in &count.counts {
+                match sum.counts.get_mut(workspace) {
+                    Some(total) => *total = total.saturating_add(*runs),
+                    None => {
+                        sum.counts.insert(workspace.clone(), *runs);
+                    }
+                }
+            }
+        }
+        sums.into_values().collect()
     }
 
     /// Returns the number of runs of all daemons in a window, by workspace.
--- a/crates/fleet/tests/counts.rs
+++ b/crates/fleet/tests/counts.rs
@@ -40,8 +40,16 @@
     local.count_run(7, &clinic());
     peer.count_run(7, &clinic());
     peer.count_run(7, &clinic());
-    local.merge_peer(&daemon("two"), incarnation(1), &peer.local_windows());
-    local.merge_peer(&daemon("two"), incarnation(1), &peer.local_windows());
+    local.merge_peer(
+        &daemon("two"),
+        incarnation(1),
+        &peer.local_windows(usage::WindowScope::Retained),
+    );
+    local.merge_peer(
+        &daemon("two"),
+        incarnation(1),
+        &peer.local_windows(usage::WindowScope::Retained),
+    );
     assert_eq!(clinic_runs(&local, 7), 3);
 }
 
@@ -50,20 +58,47 @@
     let mut local = usage::UsageCounter::new(daemon("one"), incarnation(1));
     let mut earlier_peer = usage::UsageCounter::new(daemon("two"), incarnation(1));
     earlier_peer.count_run(7, &clinic());
-    local.merge_peer(&daemon("two"), incarnation(1), &earlier_peer.local_windows());
+    local.merge_peer(
+        &daemon("two"),
+        incarnation(1),
+        &earlier_peer.local_windows(usage::WindowScope::Retained),
+    );
     let mut restarted_peer = usage::UsageCounter::new(daemon("two"), incarnation(2));
     restarted_peer.count_run(7, &clinic());
-    local.merge_peer(&daemon("two"), incarnation(2), &restarted_peer.local_windows());
+    local.merge_peer(
+        &daemon("two"),
+        incarnation(2),
+        &restarted_peer.local_windows(usage::WindowScope::Retained),
+    );
     assert_eq!(clinic_runs(&local, 7), 2);
 }
 
+// Load pattern: a zone whose daemons restart one after the other. The zone's sum goes to the daemon that
+// reports usage, which keeps the highest sum that it was told.
+#[test]
+fn counts_of_a_group_include_earlier_incarnations_of_its_members() {
+    let mut aggregator = usage::UsageCounter::new(daemon("one"), incarnation(1));
+    aggregator.count_run(7, &clinic());
+    let runs = |window, runs| usage::WindowCount { window, counts: [(clinic(), runs)].into() };
+    aggregator.merge_peer(&daemon("two"), incarnation(1), &[runs(7, 5), runs(3, 2)]);
+    aggregator.merge_peer(&daemon("two"), incarnation(2), &[runs(7, 1), runs(8, 4)]);
+    aggregator.merge_peer(&daemon("zone:south"), incarnation(0), &[runs(7, 100)]);
+    let members = |scope| aggregator.group_windows(scope, |id| *id == daemon("two"));
+    assert_eq!(members(usage::WindowScope::Recent), [runs(7, 7), runs(8, 4)]);
+    assert_eq!(members(usage::WindowScope::Retained), [runs(3, 2), runs(7, 7), runs(8, 4)]);
+    assert_eq!(aggregator.group_windows(usage::WindowScope::Recent, |_| false), [runs(7, 1)]);
+}
+
 #[test]
 fn old_windows_and_incarnations_are_dropped() {
     let mut local = usage::UsageCounter::new(daemon("one"), incarnation(1));
     for window in 0..100 {
         local.count_run(window, &clinic());
     }
-    assert_eq!(local.local_windows().len() as u64, usage::RETAINED_WINDOWS);
+    assert_eq!(
+        local.local_windows(usage::WindowScope::Retained).len() as u64,
+        usage::RETAINED_WINDOWS
+    );
     local.prune_incarnations(200);
     assert_eq!(clinic_runs(&local, 99), 0);
 }
--- a/crates/fleet/tests/decoders.rs
+++ b/crates/fleet/tests/decoders.rs
@@ -189,7 +189,11 @@
         }
         verdicts.evaluate(instant);
         verdicts.sweep(now);
-        aggregator.aggregate(digest, received.iter().map(|(digest, _)| digest));
+        aggregator.aggregate(
+            digest,
+            received.iter().map(|(digest, _)| digest),
+            usage.group_windows(usage::WindowScope::Retained, |_| true),
+        );
     }
 }
 
--- a/crates/fleet/tests/digest.rs
+++ b/crates/fleet/tests/digest.rs
@@ -61,7 +61,12 @@
 fn digests_of_a_zone_are_aggregated() {
     let mut aggregator = digest::DigestAggregator::default();
     let (local, other) = (digest_of("one", 1, 100.0, 3), digest_of("two", 1, 50.0, 4));
-    let aggregate = aggregator.aggregate(&local, [&other].into_iter());
+    let mut counter = usage::UsageCounter::new(daemon_id("three"), quantity::Incarnation::new(1));
+    for digest in [&local, &other] {
+        counter.merge_peer(&digest.daemon, digest.incarnation, &digest.usage);
+    }
+    let usage = counter.group_windows(usage::WindowScope::Recent, |_| true);
+    let aggregate = aggregator.aggregate(&local, [&other].into_iter(), usage);
     assert_eq!((aggregate.daemon, aggregate.members), (daemon_id("one"), 2));
     assert_eq!(aggregate.loads[0].load, load::ReplicaLoad { running: 7, pending_tokens: 200 });
     assert_eq!(
@@ -80,20 +85,30 @@
 fn admitted_units_never_decrease_on_restart_or_silence() {
     let mut aggregator = digest::DigestAggregator::default();
     let local = |admitted_units| digest_of("one", 1, admitted_units, 0);
-    let first_aggregate =
-        aggregator.aggregate(&local(100.0), [&digest_of("two", 1, 50.0, 0)].into_iter());
+    let first_aggregate = aggregator.aggregate(
+        &local(100.0),
+        [&digest_of("two", 1, 50.0, 0)].into_iter(),
+        Vec::new(),
+    );
     assert_eq!(
         admitted_units(&first_aggregate),
         0.0,
         "units admitted before the first digest are left out"
     );
-    let second_aggregate =
-        aggregator.aggregate(&local(130.0), [&digest_of("two", 1, 60.0, 0)].into_iter());
+    let second_aggregate = aggregator.aggregate(
+        &local(130.0),
+        [&digest_of("two", 1, 60.0, 0)].into_iter(),
+        Vec::new(),
+    );
     assert_eq!(admitted_units(&second_aggregate), 40.0);
-    let aggregate_without_peer = aggregator.aggregate(&local(130.0), std::iter::empty());
+    let aggregate_without_peer =
+        aggregator.aggregate(&local(130.0), std::iter::empty(), Vec::new());
     assert_eq!(admitted_units(&aggregate_without_peer), 40.0);
-    let aggregate_after_restart =
-        aggregator.aggregate(&local(130.0), [&digest_of("two", 2, 15.0, 0)].into_iter());
+    let aggregate_after_restart = aggregator.aggregate(
+        &local(130.0),
+        [&digest_of("two", 2, 15.0, 0)].into_iter(),
+        Vec::new(),
+    );
     assert_eq!(
         admitted_units(&aggregate_after_restart),
         55.0,
--- a/crates/gateway/src/digest_exchange.rs
+++ b/crates/gateway/src/digest_exchange.rs
@@ -29,6 +29,7 @@
 use samphiremoor_fleet::load;
 use samphiremoor_fleet::quarantine;
 use samphiremoor_fleet::reachability;
+use samphiremoor_fleet::usage;
 use samphiremoor_platform::table;
 use serde::Deserialize;
 use serde::Serialize;
@@ -76,6 +77,8 @@
 const MAX_READ_AGE: time::Millis = time::Millis::new(900);
 /// Time without contact after which a peer no longer reads the table for others.
 const READER_TIMEOUT: time::Millis = time::Millis::new(1_200);
+/// Number of rounds in which one digest contains all retained usage windows.
+const RETAINED_USAGE_ROUNDS: u64 = 4;
 /// Largest datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 60 * 1024;
 /// Key prefix of the daemons' rows.
@@ -235,12 +238,14 @@
 /// Sends this daemon's digest, and the zone's sum if it aggregates the zone, in each round; never
 /// returns.
 async fn run_rounds(exchange: rc::Rc<DigestExchange>) {
-    loop {
-        let local_digest = exchange.build_digest();
+    for round in 0_u64.. {
+        let is_full = round.is_multiple_of(RETAINED_USAGE_ROUNDS);
+        let usage = if is_full { usage::WindowScope::Retained } else { usage::WindowScope::Recent };
+        let local_digest = exchange.build_digest(usage);
         let is_zonal = exchange.is_zonal();
         let members = exchange.due_members(is_zonal);
         exchange.send(&local_digest, exchange.member_notices(), &members).await;
-        if is_zonal && let Some((sum, recipients)) = exchange.zone_sum(&local_digest) {
+        if is_zonal && let Some((sum, recipients)) = exchange.zone_sum(&local_digest, usage) {
             exchange.send(&sum, exchange.group_notices(), &recipients).await;
         }
         exchange.update_daemon_count(is_zonal);
@@ -369,6 +374,7 @@
     fn zone_sum(
         &self,
         local_digest: &digest::PeerDigest,
+        usage: usage::WindowScope,
     ) -> Option<(digest::PeerDigest, Vec<SocketAddr>)> {
         let now = self.core.now();
         let mut state = self.state.borrow_mut();
@@ -376,9 +382,12 @@
             return None;
         }
         let ExchangeState { peers, aggregators, digest_aggregator } = &mut *state;
+        let is_member =
+            |daemon: &_| peers.get(daemon).is_some_and(|peer| self.is_local_zone(&peer.zone));
+        let usage = self.core.state.borrow().usage.group_windows(usage, is_member);
         let live_peers = peers.values().filter(|peer| is_live(peer, now));
-        let sum = digest_aggregator
-            .aggregate(local_digest, live_peers.filter_map(|peer| peer.digest.as_ref()));
+        let digests = live_peers.filter_map(|peer| peer.digest.as_ref());
+        let sum = digest_aggregator.aggregate(local_digest, digests, usage);
         let mut recipients = Vec::new();
         let mut candidate_counts: collections::BTreeMap<&id::ZoneId, usize> =
             collections::BTreeMap::new();
@@ -578,7 +587,7 @@
         log_reader("policy", previous_policy, policy_reader);
     }
 
-    fn build_digest(&self) -> digest::PeerDigest {
+    fn build_digest(&self, usage: usage::WindowScope) -> digest::PeerDigest {
         let core = &self.core;
         let now = core.now();
         let mut state = core.state.borrow_mut();
@@ -613,7 +622,7 @@
             loads,
             workspace_demands: state.quota.local_demands(now),
             service_demands,
-            usage: state.usage.local_windows(),
+            usage: state.usage.local_windows(usage),
             departed: state
                 .departures
                 .iter()
