Table: daemons read it as often as changes must be known, and wait for the first replica

Until replicas had registered, 1.7 s after the start, every daemon read the entries each 150 ms; readers were chosen once a round, so each daemon read for itself for three rounds; all daemons read the lease at once. And the intervals stood for two seconds in which a change must be known, where a deployment may name four. Change: while no replica is known, a read waits for the first one for 600 ms; a reader is chosen with the first digest that offers one, and a digest is sent as soon as peers are known; the lease is first read up to 2 s after the start; the intervals follow `departure_ms` and `policy_ms`, at most 1.5 s, and so does the age up to which a peer's reads count. At two seconds they are what they were.

--- a/crates/fleet/src/duty.rs
+++ b/crates/fleet/src/duty.rs
@@ -118,6 +118,12 @@
         (now.since(lease.renewed_at) < self.hold_time()).then_some(lease.fence)
     }
 
+    /// Reads the row not before `first_read_at`, since another daemon that starts at the same time may
+    /// report until then that it holds the lease.
+    pub fn delay_read(&mut self, first_read_at: time::MonotonicTime) {
+        self.next_read_at = first_read_at;
+    }
+
     /// Observes a peer's report that it holds the lease by the row of this version.
     pub fn observe_peer_lease(&mut self, version: quantity::RowVersion, now: time::MonotonicTime) {
         self.peer_reported_at = Some(now);
--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -254,10 +254,11 @@
         &self,
     ) -> Result<(replica::ListedEntries, position::StorePosition), table::PlatformError>;
 
-    /// Reads the replica entries that changed after the position.
+    /// Reads the replica entries that changed after the position, waiting at most `wait` for a change.
     async fn entry_changes(
         &self,
         after: position::StorePosition,
+        wait: time::Millis,
     ) -> Result<EntryChanges, table::PlatformError>;
 }
 
--- a/crates/gateway/src/digest_exchange.rs
+++ b/crates/gateway/src/digest_exchange.rs
@@ -38,6 +38,7 @@
 use crate::core;
 use crate::document_exchange;
 use crate::lease_state;
+use crate::table_sync;
 use crate::vital_task;
 
 /// Interval between digests. Older load figures mislead replica selection.
@@ -72,9 +73,9 @@
 const ROW_READ_INTERVAL: time::Millis = time::Millis::new(30_000);
 /// Pause after a failed read or write of daemons' rows.
 const ROW_RETRY_PAUSE: time::Millis = time::Millis::new(1_000);
-/// Largest age of a peer's last table read at which it reads for others; one read may be late. Its
-/// followers' copies are older by a digest interval and must show changes within two seconds.
-const MAX_READ_AGE: time::Millis = time::Millis::new(900);
+/// Largest age of a peer's last read of the table at which it reads for others, in halves of the time
+/// between reads: one read may be late, but a long poll for the policy lasts as long as it may.
+const MAX_READ_AGE_HALVES: (u64, u64) = (4, 3);
 /// Time without contact after which a peer no longer reads the table for others.
 const READER_TIMEOUT: time::Millis = time::Millis::new(1_200);
 /// Number of rounds in which one digest contains all retained usage windows.
@@ -554,7 +555,8 @@
             let quarantine_version =
                 if passes_on { quarantine.group_version() } else { quarantine.version() };
             let notices = (state.limits.version(), quarantine_version);
-            (state.replicas.version(), notices, state.revision())
+            let has_peers = !self.state.borrow().peers.is_empty();
+            (state.replicas.version(), notices, state.revision(), has_peers)
         };
         let initial_version = version();
         while self.core.now().since(started_at) < interval && version() == initial_version {
@@ -576,8 +578,13 @@
             let peers = state.peers.range(..self.core.settings.daemon.clone());
             peers.map(|(_, peer)| peer).filter(|peer| !is_zonal || self.is_local_zone(&peer.zone))
         };
-        let table_reader = preceding_peers().find_map(|peer| table_reader(peer, now));
-        let policy_reader = preceding_peers().find_map(|peer| policy_reader(peer, now));
+        let times = &self.core.settings.times;
+        let max_ages = (
+            max_read_age(table_sync::entry_interval(times), MAX_READ_AGE_HALVES.0),
+            max_read_age(table_sync::policy_wait(times), MAX_READ_AGE_HALVES.1),
+        );
+        let table_reader = preceding_peers().find_map(|peer| table_reader(peer, max_ages.0, now));
+        let policy_reader = preceding_peers().find_map(|peer| policy_reader(peer, max_ages.1, now));
         let mut core_state = self.core.state.borrow_mut();
         let previous_table = std::mem::replace(&mut core_state.table_reader, table_reader);
         let previous_policy = std::mem::replace(&mut core_state.policy_reader, policy_reader);
@@ -704,6 +711,12 @@
             peer.lost_paths.clone_from(&notices.lost_paths);
         }
         self.apply(&digest.daemon.clone(), digest.incarnation, &digest);
+        let state = self.core.state.borrow();
+        let has_readers = state.table_reader.is_some() && state.policy_reader.is_some();
+        drop(state);
+        if !has_readers {
+            self.choose_readers(self.is_zonal());
+        }
     }
 
     /// Stores the aggregator of a zone. Returns whether it replaces another one, or `None` if a
@@ -812,31 +825,44 @@
 
 /// Returns the address of a peer if its digests say that its reads of the policy succeed. Those of
 /// earlier releases say so for their reads of the replica entries only.
-fn policy_reader(peer: &KnownPeer, now: time::MonotonicTime) -> Option<SocketAddr> {
+fn policy_reader(
+    peer: &KnownPeer,
+    max_age: time::Millis,
+    now: time::MonotonicTime,
+) -> Option<SocketAddr> {
     let table_age = peer.digest.as_ref()?.table_age;
     let age = peer.policy_read.map_or(table_age, |policy_read| policy_read.age)?;
-    may_read(peer, age, now).then_some(peer.address)
+    (age < max_age && may_read(peer, now)).then_some(peer.address)
 }
 
 /// Returns the reader that a peer is, or `None` if its digests don't say that its reads of the replica
 /// entries succeed.
-fn table_reader(peer: &KnownPeer, now: time::MonotonicTime) -> Option<core::TableReader> {
+fn table_reader(
+    peer: &KnownPeer,
+    max_age: time::Millis,
+    now: time::MonotonicTime,
+) -> Option<core::TableReader> {
     let contact_at = peer.last_contact?;
     let digest = peer.digest.as_ref()?;
     let table_age = digest.table_age?;
-    may_read(peer, table_age, now).then(|| core::TableReader {
+    (table_age < max_age && may_read(peer, now)).then(|| core::TableReader {
         address: peer.address,
         entries_version: digest.entries_version,
         read_at: time::MonotonicTime::new(contact_at.get().saturating_sub(table_age.get())),
     })
 }
 
-/// Whether a peer whose last read was `age` old at its last digest may read for others.
-fn may_read(peer: &KnownPeer, age: time::Millis, now: time::MonotonicTime) -> bool {
+/// Returns the largest age of a read at which a peer reads for others.
+fn max_read_age(interval: time::Millis, halves: u64) -> time::Millis {
+    time::Millis::new(interval.get() * halves / 2)
+}
+
+/// Whether a peer that reads the table may read for others.
+fn may_read(peer: &KnownPeer, now: time::MonotonicTime) -> bool {
     let is_stopping = peer.digest.as_ref().is_some_and(|digest| digest.is_stopping);
     let is_current =
         peer.last_contact.is_some_and(|contact_at| now.since(contact_at) < READER_TIMEOUT);
-    is_current && !is_stopping && age < MAX_READ_AGE
+    is_current && !is_stopping
 }
 
 fn is_live(peer: &KnownPeer, now: time::MonotonicTime) -> bool {
--- a/crates/gateway/src/duties.rs
+++ b/crates/gateway/src/duties.rs
@@ -38,6 +38,9 @@
 /// Upper bound of a daemon's random extra wait before it acquires an expired lease, in
 /// milliseconds.
 const MAX_ACQUIRE_DELAY_MS: u64 = 600;
+/// Upper bound of a daemon's random wait before it first reads the lease, in milliseconds. One of
+/// hundreds of daemons that start together acquires the lease; the others learn of it from digests.
+const MAX_START_DELAY_MS: u64 = 2_000;
 /// Key of the lease row.
 const LEASE_KEY: &str = "duty/lease";
 /// Key prefix of the rows that store usage reports before they are sent.
@@ -47,7 +50,9 @@
 pub async fn run(core: rc::Rc<core::GatewayCore>) {
     let lease_state = core.lease_state.clone();
     let lease_time = core.settings.times.lease;
-    let lease = duty::DutyLease::new(core.settings.daemon.clone(), core.incarnation, lease_time);
+    let mut lease =
+        duty::DutyLease::new(core.settings.daemon.clone(), core.incarnation, lease_time);
+    lease.delay_read(core.now() + time::Millis::new(rand::random_range(0..MAX_START_DELAY_MS)));
     let acquire_delay = time::Millis::new(rand::random_range(0..MAX_ACQUIRE_DELAY_MS));
     let mut runner = DutyRunner {
         core,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -71,6 +71,20 @@
     /// Duration of the lease on the duties.
     #[serde(rename = "lease_ms", deserialize_with = "number::millis", default = "default_lease")]
     pub lease: time::Millis,
+    /// Time within which all daemons must know that a replica leaves.
+    #[serde(
+        rename = "departure_ms",
+        deserialize_with = "number::millis",
+        default = "default_change_time"
+    )]
+    pub departure: time::Millis,
+    /// Time within which a change of the policy must be in force.
+    #[serde(
+        rename = "policy_ms",
+        deserialize_with = "number::millis",
+        default = "default_change_time"
+    )]
+    pub policy: time::Millis,
     /// Length of the windows of usage reports.
     #[serde(
         rename = "usage_window_s",
@@ -124,6 +138,10 @@
     time::Millis::new(3_000)
 }
 
+fn default_change_time() -> time::Millis {
+    time::Millis::new(2_000)
+}
+
 fn default_usage_window() -> time::Millis {
     time::Millis::new(5_000)
 }
@@ -156,6 +174,13 @@
         if self.times.lease.get() < 500 {
             return reject("times.lease_ms", "the lease is too short to renew", "set 500 or more");
         }
+        for (key, length) in
+            [("times.departure_ms", self.times.departure), ("times.policy_ms", self.times.policy)]
+        {
+            if length.get() < 1_000 {
+                return reject(key, "the time is too short to read the table", "set 1000 or more");
+            }
+        }
         if self.times.usage_window.get() == 0 {
             return reject("times.usage_window_s", "the window length is zero", "set 1 or more");
         }
--- a/crates/gateway/src/table_sync.rs
+++ b/crates/gateway/src/table_sync.rs
@@ -14,15 +14,20 @@
 use crate::adapter;
 use crate::core;
 use crate::peer_records;
+use crate::settings;
 
-/// Longest wait of one long poll for a newer policy. It bounds the time until followers notice that
-/// the polls of their reader hang, so that a change is in force within the two seconds that operators
-/// are promised.
-const POLICY_WAIT: time::Millis = time::Millis::new(600);
-/// Interval between reads of the replica entries. All daemons must know within two seconds that a
-/// replica is leaving. These two seconds also cover a read that hangs, the interval between digests
+/// Thousandths of the time within which a change of the policy must be in force that one long poll
+/// for a newer policy waits at most. It bounds the time until followers notice that the polls of their
+/// reader hang.
+const POLICY_WAIT_PER_MILLE: u64 = 300;
+/// Thousandths of the time within which all daemons must know that a replica leaves that lie between
+/// two reads of the replica entries. The rest covers a read that hangs, the interval between digests
 /// and the read from a peer.
-const ENTRY_INTERVAL: time::Millis = time::Millis::new(450);
+const ENTRY_INTERVAL_PER_MILLE: u64 = 225;
+/// Longest interval between reads, however late a change may be known.
+const MAX_INTERVAL: time::Millis = time::Millis::new(1_500);
+/// Wait for the first entry while no replica is known.
+const FIRST_ENTRY_WAIT: time::Millis = time::Millis::new(600);
 /// Interval between checks whether a peer still reads the table for this daemon and has changed
 /// entries.
 const READER_CHECK_INTERVAL: time::Millis = time::Millis::new(150);
@@ -33,6 +38,18 @@
 /// doubles with each further failure in a row.
 const RETRY_PAUSES_MS: (u64, u64) = (25, 400);
 
+/// Returns the longest wait of one long poll for a newer policy.
+pub(crate) fn policy_wait(times: &settings::TimeSettings) -> time::Millis {
+    let wait = times.policy.get().saturating_mul(POLICY_WAIT_PER_MILLE) / 1_000;
+    time::Millis::new(wait).min(MAX_INTERVAL)
+}
+
+/// Returns the interval between reads of the replica entries.
+pub(crate) fn entry_interval(times: &settings::TimeSettings) -> time::Millis {
+    let interval = times.departure.get().saturating_mul(ENTRY_INTERVAL_PER_MILLE) / 1_000;
+    time::Millis::new(interval).min(MAX_INTERVAL)
+}
+
 /// Logs when calls to the platform start to fail and when they succeed again, once each.
 struct PlatformCallStatus {
     /// Name of the call in the log.
@@ -79,7 +96,7 @@
             continue;
         }
         let result = match cursor {
-            Some(cursor) => records.next_policy(cursor, POLICY_WAIT).await,
+            Some(cursor) => records.next_policy(cursor, policy_wait(&core.settings.times)).await,
             None => records.policy().await,
         };
         match result {
@@ -136,7 +153,7 @@
                 let pause = if has_no_replicas || cursor.is_none() {
                     SHORT_ENTRY_INTERVAL
                 } else {
-                    ENTRY_INTERVAL
+                    entry_interval(&core.settings.times)
                 };
                 task::sleep(pause.to_duration()).await;
             }
@@ -235,8 +252,10 @@
         core.apply_changes(&changes, "table");
         return Ok(Some(next_cursor));
     };
+    let has_replicas = core.state.borrow().replicas.iter().next().is_some();
+    let wait = if has_replicas { time::Millis::default() } else { FIRST_ENTRY_WAIT };
     let adapter::EntryChanges::Since(entry_changes, next_cursor) =
-        records.entry_changes(cursor).await?
+        records.entry_changes(cursor, wait).await?
     else {
         return Ok(None);
     };
--- a/crates/gateway/tests/settings_template.rs
+++ b/crates/gateway/tests/settings_template.rs
@@ -37,6 +37,8 @@
     let usual = [
         ("grace_s", "8"),
         ("lease_ms", "3000"),
+        ("drain_ms", "4000"),
+        ("config_apply_ms", "4000"),
         ("window_s", "5"),
         ("usage_late_s", "10"),
         ("budget_ratio", "0.2"),
@@ -101,6 +103,8 @@
 cases! {
     fraction_of_grace => check_accepted("grace_s", "2.5");
     fraction_of_lease => check_accepted("lease_ms", "2600.5");
+    fraction_of_drain => check_accepted("drain_ms", "1750.5");
+    fraction_of_config => check_accepted("config_apply_ms", "1750.5");
     fraction_of_usage_window => check_accepted("window_s", "4.75");
     fraction_of_usage_delay => check_accepted("usage_late_s", "9.125");
     fraction_of_retry_slack => check_accepted("budget_slack", "33.1578947368421");
@@ -116,6 +120,8 @@
     very_large_grace => check_accepted("grace_s", "1000000000");
     very_large_retry_slack => check_accepted("budget_slack", "9007199254740993");
     endless_grace_is_refused => check_refused("grace_s", "inf", "stop_s", "set 1000000000 or less");
+    short_drain_is_refused => check_refused("drain_ms", "999", "times.departure_ms", "set 1000 or more");
+    short_config_is_refused => check_refused("config_apply_ms", "999", "times.policy_ms", "set 1000 or more");
     negative_lease_is_refused => check_refused("lease_ms", "-1", "lease_ms", "set 0 or more");
     unordered_window_is_refused => check_refused("window_s", "nan", "usage_window_s", "set 0 or more");
     zero_usage_window_is_refused => check_refused("window_s", "0", "times.usage_window_s", "set 1 or more");
@@ -134,7 +140,7 @@
         ("lease_ms", "2600.4"),
     ];
     let settings = read(&values_with(&bounds)).expect("the settings are valid");
-    let settings::TimeSettings { stop, lease, usage_window, usage_due } = settings.times;
+    let settings::TimeSettings { stop, lease, usage_window, usage_due, .. } = settings.times;
     assert_eq!(
         [2_500, 2_600, 4_750, 9_125].map(time::Millis::new),
         [stop, lease, usage_window, usage_due]
@@ -165,6 +171,8 @@
     let names = [
         ("grace_s", "stop_s"),
         ("lease_ms", "lease_ms"),
+        ("drain_ms", "departure_ms"),
+        ("config_apply_ms", "policy_ms"),
         ("window_s", "usage_window_s"),
         ("usage_late_s", "usage_due_s"),
         ("budget_ratio", "retry_ratio"),
@@ -186,7 +194,7 @@
 
 #[test]
 fn drawn_values_are_read_or_refused_by_key() {
-    let strategy = proptest::collection::vec(proptest::option::of(number()), 9);
+    let strategy = proptest::collection::vec(proptest::option::of(number()), 11);
     let config = test_runner::Config {
         cases: 512,
         rng_seed: test_runner::RngSeed::Fixed(samphiremoor_base::testing::seed()),
