Store: a copy of an earlier response is not taken for the response to the next request

Cause: responses of the store carry no ID. One that arrives once more, after the next request was written on the connection, was taken for the response to that: a refused renewal of the duty lease counted as done, and an older list of changes as a newer one.

--- a/crates/httpio/src/persistent.rs
+++ b/crates/httpio/src/persistent.rs
@@ -69,6 +69,11 @@
         PersistentClient { address, connect_timeout, idle: sync::Mutex::new(None) }
     }
 
+    /// Closes the idle connection, whose next bytes may not answer the next request.
+    pub async fn disconnect(&self) {
+        self.idle.lock().await.take();
+    }
+
     /// Sends a request and returns the response. A connection that failed or timed out is not reused.
     ///
     /// # Errors
