Gateway: a received digest is kept without a copy, and repeated departures are applied once

Change: the digest is applied first and then stored; departures are skipped if the peer's last digest named the same ones and no entry has changed since.

--- a/crates/gateway/src/digest_exchange.rs
+++ b/crates/gateway/src/digest_exchange.rs
@@ -103,6 +103,8 @@
     added_at: time::MonotonicTime,
     /// Last digest of a peer in this daemon's group.
     digest: Option<digest::PeerDigest>,
+    /// Version of this daemon's entries at which the departures in that digest were applied.
+    entries_version: Option<u64>,
     /// How the peer reads the policy, as it said with that digest.
     policy_read: Option<digest::PolicyRead>,
     /// Paths that the peer has lost, by that digest.
@@ -316,6 +318,7 @@
             last_sent: None,
             added_at: self.core.now(),
             digest: None,
+            entries_version: None,
             policy_read: None,
             lost_paths: Vec::new(),
         };
@@ -684,7 +687,7 @@
             }
             false => Vec::new(),
         };
-        self.apply(&key, quantity::Incarnation::default(), &digest);
+        self.apply(&key, quantity::Incarnation::default(), &digest, &digest.departed);
         self.send_bytes(bytes, &members).await;
     }
 
@@ -697,6 +700,7 @@
         if digest.is_stopping {
             self.core.state.borrow_mut().idle_pool.remove_relayed(digest.address);
         }
+        let mut repeats_departures = false;
         if let Some(peer) = self.state.borrow_mut().peers.get_mut(&digest.daemon) {
             let last_incarnation = peer.digest.as_ref().map(|last_digest| last_digest.incarnation);
             if last_incarnation.is_some_and(|incarnation| digest.incarnation < incarnation) {
@@ -705,12 +709,19 @@
             if last_incarnation.is_some_and(|incarnation| digest.incarnation > incarnation) {
                 self.core.on_daemon_joined();
             }
+            let entries_version = self.core.state.borrow().replicas.version();
+            repeats_departures = peer.entries_version.replace(entries_version)
+                == Some(entries_version)
+                && peer.digest.as_ref().is_some_and(|last| last.departed == digest.departed);
             peer.last_contact = Some(now);
-            peer.digest = Some(digest.clone());
             peer.policy_read = notices.policy_read;
             peer.lost_paths.clone_from(&notices.lost_paths);
         }
-        self.apply(&digest.daemon.clone(), digest.incarnation, &digest);
+        let departed = if repeats_departures { &[][..] } else { &digest.departed };
+        self.apply(&digest.daemon, digest.incarnation, &digest, departed);
+        if let Some(peer) = self.state.borrow_mut().peers.get_mut(&digest.daemon) {
+            peer.digest = Some(digest);
+        }
         let state = self.core.state.borrow();
         let has_readers = state.table_reader.is_some() && state.policy_reader.is_some();
         drop(state);
@@ -745,12 +756,14 @@
         Some(is_new)
     }
 
-    /// Applies the contents of a digest under the key of a daemon or a zone.
+    /// Applies the contents of a digest under the key of a daemon or a zone. `departed` are the
+    /// departures in it that are not known to be applied.
     fn apply(
         self: &rc::Rc<Self>,
         key: &id::DaemonId,
         incarnation: quantity::Incarnation,
         digest: &digest::PeerDigest,
+        departed: &[(id::ReplicaId, quantity::Incarnation)],
     ) {
         let core = &self.core;
         let now = core.now();
@@ -765,7 +778,7 @@
         state.store_peer_prompt_rates(key, &digest.service_demands, now);
         let current_revision = state.revision();
         let mut changes = Vec::new();
-        for (replica, incarnation) in &digest.departed {
+        for (replica, incarnation) in departed {
             changes.extend(state.replicas.on_peer_departure(replica, *incarnation));
         }
         drop(state);
