Selection: many daemons draw two replicas for a plain call instead of comparing all

Load pattern: plain calls that hundreds of daemons send at once to a few replicas with few slots. Change: daemons draw 64 divided by their number, at least two, and take the less loaded one. Up to 16 daemons compare all replicas of a service with four, as before.

--- a/crates/fleet/src/selection.rs
+++ b/crates/fleet/src/selection.rs
@@ -38,6 +38,12 @@
 /// Number of replicas that all daemons together draw for one request each: somewhat more than the
 /// requests of one digest interval.
 const TOTAL_DRAWS: usize = 16;
+/// Number of replicas that all daemons together draw for one plain call each. Up to some tens of
+/// daemons compare all replicas of a service that has a few.
+const TOTAL_PLAIN_DRAWS: usize = 64;
+/// Number of replicas that a daemon draws for a plain call at least. The less loaded one of two evens
+/// out the loads even if they were known late.
+const MIN_PLAIN_DRAWS: usize = 2;
 /// Difference in cost up to which replicas of a plain service count as equally loaded.
 const TIE_MARGIN: f64 = 0.02;
 
@@ -260,7 +266,8 @@
 }
 
 /// Chooses at random among the replicas with about the least cost: the utilization, plus surcharges
-/// for failures and for another zone.
+/// for failures and for another zone. Many daemons compare only some replicas that each draws for the
+/// call, since all of them know of the same one that had the least load a moment ago.
 fn choose_plain(
     table: &replica::ReplicaTable,
     query: &SelectionQuery<'_>,
@@ -274,10 +281,14 @@
             + zone_cost
             + candidate.failure_rate(query.gate.now()) * FAILING_UTILIZATION
     };
-    let costs: SmallVec<[(f64, &replica::KnownReplica); 8]> = candidates(table, query)
-        .into_iter()
-        .map(|candidate| (cost(candidate), candidate))
-        .collect();
+    let candidates = candidates(table, query);
+    let draw_count = plain_draws(query.daemon_count);
+    let drawn = match draw_count < candidates.len() {
+        true => draw_distinct(&candidates, draw_count, query.draw),
+        false => candidates,
+    };
+    let costs: SmallVec<[(f64, &replica::KnownReplica); 8]> =
+        drawn.into_iter().map(|candidate| (cost(candidate), candidate)).collect();
     let min_cost = costs.iter().map(|(cost, _)| *cost).min_by(f64::total_cmp)?;
     let tied = || costs.iter().filter(|(cost, _)| *cost <= min_cost + TIE_MARGIN);
     let position = (query.draw * tied().count() as f64) as usize;
@@ -293,6 +304,25 @@
     })
 }
 
+/// Returns the number of replicas that a daemon draws for a plain call.
+fn plain_draws(daemon_count: u32) -> usize {
+    TOTAL_PLAIN_DRAWS.div_ceil(daemon_count.max(1) as usize).max(MIN_PLAIN_DRAWS)
+}
+
+/// Draws different candidates at random.
+fn draw_distinct<'a>(
+    candidates: &[&'a replica::KnownReplica],
+    count: usize,
+    draw: f64,
+) -> SmallVec<[&'a replica::KnownReplica; 32]> {
+    let mut ranked: SmallVec<[(u64, &replica::KnownReplica); 32]> = candidates
+        .iter()
+        .map(|candidate| (rendezvous_rank(draw.to_bits(), &candidate.entry.id), *candidate))
+        .collect();
+    ranked.sort_unstable_by_key(|(rank, _)| *rank);
+    ranked.into_iter().take(count).map(|(_, candidate)| candidate).collect()
+}
+
 /// Returns the rendezvous-hash rank of a replica for a prefix; each prefix orders the replicas
 /// differently.
 fn rendezvous_rank(prefix_hash: u64, replica: &id::ReplicaId) -> u64 {
