Gateway: a stream that sends bytes but no event counts as silent

Cause: each read of a stream restarted the 1.5 s after which its replica counts as silent, also bytes of an event that never ends, comments and line ends. A stalled replica that sends a byte now and then kept its stream until the deadline, though a sound one could have gone on with it; bytes also cancelled the attempt of that one. Change: the silence is counted from the last whole event that is no comment; only such an event ends it. Ruled out: cutting the stalled stream, which would cut slow but sound ones; the first replica to bring an event goes on. Before: 3 of 8 cases of trickling_streams fail (one event of four, cut at the deadline). After: none; silent_replicas (41) and begun_responses (50) pass.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -52,6 +52,19 @@
         self.buffer.iter().any(|byte| !matches!(byte, b'\r' | b'\n'))
     }
 
+    /// Returns whether the buffer holds a whole event. Comments and blank lines, which a stalled replica
+    /// may send as well, are none.
+    pub fn has_event(&self) -> bool {
+        let mut start = 0;
+        while let Some(length) = event_length(&self.buffer[start..]) {
+            if has_field(&self.buffer[start..start + length]) {
+                return true;
+            }
+            start += length;
+        }
+        false
+    }
+
     /// Returns whether the stream has gone on for too long without an event that the caller lacks.
     pub fn is_excessive(&self) -> bool {
         self.buffer.len() > MAX_EVENT_BYTES || self.duplicate_bytes > MAX_DUPLICATE_BYTES
@@ -104,6 +117,12 @@
     None
 }
 
+/// Returns whether an event has a line that is no comment.
+fn has_field(event: &[u8]) -> bool {
+    let mut lines = event.split(|byte| *byte == b'\n').map(<[u8]>::trim_ascii);
+    lines.any(|line| !line.is_empty() && !line.starts_with(b":"))
+}
+
 /// Returns the number in the event's `id` field, if there is one.
 fn event_id(event: &[u8]) -> Option<u64> {
     let mut lines = event.split(|byte| *byte == b'\n');
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -14,7 +14,7 @@
 use crate::response;
 use crate::upstream;
 
-/// Time without data after which a replica's stream counts as silent, and another replica may take
+/// Time without an event after which a replica's stream counts as silent, and another replica may take
 /// over. Callers give up after two seconds or more; engines pause for a few hundred milliseconds at
 /// most during prefill.
 const SILENCE_TIMEOUT: time::Millis = time::Millis::new(1_500);
@@ -140,9 +140,9 @@
         }
     }
 
-    /// Reads more of a stream into the splitter and returns whether the stream has ended. While the
-    /// replica is silent, other replicas may take over; their attempts are cancelled once it sends
-    /// data.
+    /// Reads more of a stream into the splitter, up to an event, and returns whether the stream has
+    /// ended. While the replica sends no event, other replicas may take over; their attempts are
+    /// cancelled once it does. Bytes of an event that does not end are no progress.
     async fn read_events(&mut self, stream: &mut ReplicaStream) -> Result<bool, StreamEnd> {
         let context = self.context;
         let replica = &stream.selected.replica;
@@ -153,9 +153,10 @@
             return Ok(stream.body.is_read);
         }
         let mut is_silent = false;
-        let mut timeout = SILENCE_TIMEOUT;
+        let mut check_at = silent_since + SILENCE_TIMEOUT;
         loop {
             let read = stream.body.reader.read(&mut stream.connection.raw, self.splitter.buffer());
+            let timeout = check_at.since(context.core.now());
             match pending::next_event(read, &mut self.pending, timeout).await {
                 pending::RequestEvent::Progress(read) => {
                     if stream.connection.is_direct() {
@@ -164,6 +165,10 @@
                     }
                     // The other attempts go on if the stream is broken.
                     let is_body_end = read.map_err(|_| StreamEnd::Broken)?;
+                    let may_go_on = !is_body_end && !self.splitter.is_excessive();
+                    if may_go_on && !self.splitter.has_event() {
+                        continue;
+                    }
                     if is_silent {
                         context.mark_resumed(replica, silent_since);
                         context.progress.replica.replace(Some(replica.clone()));
@@ -181,7 +186,7 @@
                         );
                         return Err(StreamEnd::TakenOver(started));
                     }
-                    timeout = self.silence_interval(SILENCE_TIMEOUT);
+                    check_at = context.core.now() + self.silence_interval(SILENCE_TIMEOUT);
                 }
                 pending::RequestEvent::Silence => {
                     if !is_silent {
@@ -190,7 +195,7 @@
                     }
                     self.mark_pending_silent();
                     self.take_over(true);
-                    timeout = self.silence_interval(SILENCE_TIMEOUT);
+                    check_at = context.core.now() + self.silence_interval(SILENCE_TIMEOUT);
                 }
             }
         }
