--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -16,10 +16,10 @@
 
 use crate::adapter;
 use crate::context;
-use crate::core;
 use crate::crash;
 use crate::crash_probe;
 use crate::events;
+use crate::guard;
 use crate::upstream;
 
 /// Multiple of the route's latency target after which a plain request is sent to another replica as
@@ -81,7 +81,7 @@
     pub(crate) response: upstream::ReplicaResponse,
     /// Body that follows the head.
     pub(crate) body: PartialBody,
-    pub(crate) guard: core::LoadGuard,
+    pub(crate) guard: guard::LoadGuard,
     /// When the request was sent.
     pub(crate) started_at: time::MonotonicTime,
     /// Whether the attempt resumes from a migrated KV cache.
@@ -119,7 +119,7 @@
     ) -> AttemptStart {
         let uncached_tokens =
             if self.request.metadata.prompt.is_some() { selected.uncached_tokens } else { 0 };
-        let Some(guard) = core::LoadGuard::new(self.core, &selected.replica, uncached_tokens)
+        let Some(guard) = guard::LoadGuard::new(self.core, &selected.replica, uncached_tokens)
         else {
             return AttemptStart::NotSent;
         };
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -23,6 +23,7 @@
 use crate::context;
 use crate::core;
 use crate::forward;
+use crate::guard;
 use crate::response;
 
 /// Timeout for reading a request's body. Callers send a body without pauses.
@@ -220,7 +221,7 @@
     };
     let admitted_at = core.now();
     let mut sink = new_sink(request.metadata.request_id.clone());
-    let _progress = core::ProgressGuard::new(core);
+    let _progress = guard::ProgressGuard::new(core);
     let progress = context::RequestProgress::new(&request.route, arrived_at);
     let outcome = {
         let forwarding = forward::forward(core, &request, &progress, &mut sink);
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -7,8 +7,6 @@
 use std::rc;
 use std::sync;
 
-use async_std::channel;
-use async_std::task;
 use samphiremoor_base::event;
 use samphiremoor_base::id;
 use samphiremoor_base::log_event;
@@ -21,7 +19,6 @@
 use samphiremoor_fleet::digest;
 use samphiremoor_fleet::document_fetch;
 use samphiremoor_fleet::limit;
-use samphiremoor_fleet::load;
 use samphiremoor_fleet::policy;
 use samphiremoor_fleet::quarantine;
 use samphiremoor_fleet::quota;
@@ -33,7 +30,6 @@
 use samphiremoor_fleet::version_history;
 use samphiremoor_fleet::wall_clock;
 use samphiremoor_requests::budget;
-use smallvec::SmallVec;
 
 use crate::adapter;
 use crate::attempt_exchange;
@@ -45,6 +41,8 @@
 use crate::relay_directory;
 use crate::served_document;
 use crate::settings;
+use crate::shutdown;
+use crate::steady_clock;
 
 /// Fraction of the retry ratio shared by all daemons that is used. The rest covers requests at a
 /// window's edge, which are counted late.
@@ -61,30 +59,6 @@
 /// finish before the process is killed.
 pub const DRAIN_ACCEPT_TIME: time::Millis = time::Millis::new(3_000);
 
-/// Minimum time for which a connection of a stopping daemon stays open for its next request. It
-/// covers a caller whose connection was accepted just before, and is the time that callers wait for
-/// a connection to open.
-const IDLE_TIME_MIN: time::Millis = time::Millis::new(1_000);
-
-/// Clock that counts from the boot of the VM and includes time in suspension.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct SteadyClock;
-
-impl SteadyClock {
-    /// Returns the current instant.
-    pub fn now(self) -> time::MonotonicTime {
-        let timespec = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
-        let millis = timespec.tv_sec * 1_000 + timespec.tv_nsec / 1_000_000;
-        time::MonotonicTime::new(u64::try_from(millis).unwrap_or(0))
-    }
-
-    /// Returns the VM's wall-clock time, in Unix milliseconds.
-    pub fn unix_ms(self) -> i64 {
-        let timespec = rustix::time::clock_gettime(rustix::time::ClockId::Realtime);
-        timespec.tv_sec * 1_000 + timespec.tv_nsec / 1_000_000
-    }
-}
-
 /// State that all tasks of the daemon share.
 pub struct GatewayCore {
     /// Settings read at startup.
@@ -94,15 +68,15 @@
     /// Opens connections to replicas.
     pub dialer: sync::Arc<dyn dialer::ReplicaDialer>,
     /// Clock of this daemon.
-    pub clock: SteadyClock,
+    pub clock: steady_clock::SteadyClock,
     /// Incarnation of this daemon.
     pub incarnation: quantity::Incarnation,
     /// Metrics of this daemon.
     pub metrics: metrics::GatewayMetrics,
     /// Ends the waits for a next request on callers' connections.
-    pub idle_shutdown: IdleShutdown,
+    pub idle_shutdown: shutdown::IdleShutdown,
     /// Ends the requests in progress shortly before the process is killed.
-    pub forced_stop: ForcedStop,
+    pub forced_stop: shutdown::ForcedStop,
     /// Records of the attempts that began streams.
     pub attempts: attempt_exchange::AttemptExchange,
     /// The daemons that may relay connections to replicas.
@@ -210,7 +184,7 @@
         adapter: adapter::DeploymentAdapter,
         dialer: sync::Arc<dyn dialer::ReplicaDialer>,
     ) -> rc::Rc<Self> {
-        let clock = SteadyClock;
+        let clock = steady_clock::SteadyClock;
         let now = clock.now();
         let wall_clock = wall_clock::ClockEstimate::new(clock.unix_ms(), now);
         // Incarnations of one daemon differ by start time and process ID, so they stay distinct
@@ -257,8 +231,8 @@
             clock,
             incarnation,
             metrics: metrics::GatewayMetrics::default(),
-            idle_shutdown: IdleShutdown::default(),
-            forced_stop: ForcedStop::default(),
+            idle_shutdown: shutdown::IdleShutdown::default(),
+            forced_stop: shutdown::ForcedStop::default(),
             attempts: attempt_exchange::AttemptExchange::default(),
             relays: relay_directory::RelayDirectory::default(),
             lease_state: lease_state::LeaseState::default(),
@@ -280,9 +254,9 @@
     ///
     /// A connection on which a request has already arrived serves it first. Shutting down the
     /// socket instead would drop a request that is received but not yet read. A wait that has only
-    /// begun lasts [`IDLE_TIME_MIN`].
+    /// begun lasts [`shutdown::IDLE_TIME_MIN`].
     pub fn close_idle_connections(&self) {
-        self.idle_shutdown.sender.close();
+        self.idle_shutdown.start();
     }
 
     /// Returns whether the daemon can serve requests.
@@ -776,177 +750,3 @@
 pub fn usage_window(unix_ms: i64, window: time::Millis) -> usage::WindowNumber {
     u64::try_from(unix_ms).unwrap_or(0) / window.get().max(1)
 }
-
-/// Signal that ends the waits for a next request on callers' connections.
-pub struct IdleShutdown {
-    /// Closes with the signal; nothing is ever sent on the channel.
-    sender: channel::Sender<()>,
-    receiver: channel::Receiver<()>,
-    wait_count: cell::Cell<u32>,
-}
-
-impl Default for IdleShutdown {
-    fn default() -> Self {
-        let (sender, receiver) = channel::bounded(1);
-        IdleShutdown { sender, receiver, wait_count: cell::Cell::new(0) }
-    }
-}
-
-impl IdleShutdown {
-    /// Waits for the signal, and for at least [`IDLE_TIME_MIN`]. Always returns an error, since
-    /// nothing is sent.
-    pub async fn recv(&self) -> Result<(), channel::RecvError> {
-        let _wait = self.delay_stop();
-        let clock = SteadyClock;
-        let waiting_since = clock.now();
-        let signal = self.receiver.recv().await;
-        let elapsed = clock.now().since(waiting_since);
-        task::sleep(IDLE_TIME_MIN.saturating_sub(elapsed).to_duration()).await;
-        signal
-    }
-
-    /// Makes a stopping daemon wait for a connection until the guard is dropped.
-    pub fn delay_stop(&self) -> StopDelay<'_> {
-        StopDelay::new(&self.wait_count)
-    }
-
-    /// Returns the number of connections for which a stopping daemon waits: those that wait for a
-    /// next request, and those whose request is read or served.
-    pub fn wait_count(&self) -> u32 {
-        self.wait_count.get()
-    }
-}
-
-/// Signal that ends the requests in progress.
-pub struct ForcedStop {
-    /// Closes with the signal; nothing is ever sent on the channel.
-    sender: channel::Sender<()>,
-    receiver: channel::Receiver<()>,
-}
-
-impl Default for ForcedStop {
-    fn default() -> Self {
-        let (sender, receiver) = channel::bounded(1);
-        ForcedStop { sender, receiver }
-    }
-}
-
-impl ForcedStop {
-    /// Gives the signal.
-    pub fn start(&self) {
-        self.sender.close();
-    }
-
-    /// Waits for the signal.
-    pub async fn started(&self) {
-        // Always an error, since nothing is sent.
-        let _ = self.receiver.recv().await;
-    }
-}
-
-/// Counts a request in progress until dropped.
-pub struct ProgressGuard(rc::Rc<GatewayCore>);
-
-impl ProgressGuard {
-    /// Counts a request.
-    pub fn new(core: &rc::Rc<GatewayCore>) -> Self {
-        core.state.borrow_mut().in_progress += 1;
-        ProgressGuard(core.clone())
-    }
-}
-
-impl Drop for ProgressGuard {
-    fn drop(&mut self) {
-        self.0.state.borrow_mut().in_progress -= 1;
-    }
-}
-
-/// Counts a connection for which a stopping daemon waits until dropped.
-pub struct StopDelay<'a>(&'a cell::Cell<u32>);
-
-impl<'a> StopDelay<'a> {
-    fn new(wait_count: &'a cell::Cell<u32>) -> Self {
-        wait_count.set(wait_count.get() + 1);
-        StopDelay(wait_count)
-    }
-}
-
-impl Drop for StopDelay<'_> {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
-/// Counts a request in its replica's load until dropped.
-pub struct LoadGuard {
-    core: rc::Rc<GatewayCore>,
-    replica: id::ReplicaId,
-    incarnation: quantity::Incarnation,
-    address: SocketAddr,
-    pending_tokens: u32,
-}
-
-impl LoadGuard {
-    /// Adds a request with `pending_tokens` prompt tokens to prefill to a replica's load. Returns
-    /// `None` if the replica is not known.
-    pub fn new(
-        core: &rc::Rc<GatewayCore>,
-        replica: &id::ReplicaId,
-        pending_tokens: u32,
-    ) -> Option<Self> {
-        let mut state = core.state.borrow_mut();
-        let known_replica = state.replicas.get_mut(replica)?;
-        known_replica.local_load.running += 1;
-        known_replica.local_load.pending_tokens += pending_tokens;
-        let (incarnation, address) = (known_replica.entry.incarnation, known_replica.entry.address);
-        let core = core.clone();
-        Some(LoadGuard { core, replica: replica.clone(), incarnation, address, pending_tokens })
-    }
-
-    /// Returns the replica's address.
-    pub fn address(&self) -> SocketAddr {
-        self.address
-    }
-
-    /// Returns the start of the replica that has the request.
-    pub fn replica_start(&self) -> crash_probe::ReplicaStart {
-        let (incarnation, address) = (self.incarnation, self.address);
-        crash_probe::ReplicaStart { replica: self.replica.clone(), incarnation, address }
-    }
-
-    /// Records that the replica answered the request, which was sent at `sent_at`.
-    pub fn record_answer(&self, sent_at: time::MonotonicTime) {
-        let mut state = self.core.state.borrow_mut();
-        let Some(known_replica) = state.replicas.get_mut(&self.replica) else { return };
-        if known_replica.entry.is_of_start(self.incarnation, self.address) {
-            known_replica.on_answer(sent_at);
-        }
-    }
-
-    /// Removes the request's prompt tokens from the load, since the prefill is done.
-    pub fn finish_prefill(&mut self) {
-        let pending_tokens = std::mem::take(&mut self.pending_tokens);
-        self.update_load(|load| {
-            load.pending_tokens = load.pending_tokens.saturating_sub(pending_tokens)
-        });
-    }
-
-    fn update_load(&self, update: impl FnOnce(&mut load::ReplicaLoad)) {
-        let mut state = self.core.state.borrow_mut();
-        let Some(known_replica) = state.replicas.get_mut(&self.replica) else { return };
-        // A new incarnation of the replica carries none of this load.
-        if known_replica.entry.is_of_start(self.incarnation, self.address) {
-            update(&mut known_replica.local_load);
-        }
-    }
-}
-
-impl Drop for LoadGuard {
-    fn drop(&mut self) {
-        self.finish_prefill();
-        self.update_load(|load| load.running = load.running.saturating_sub(1));
-    }
-}
-
-/// Replicas that a request was already sent to.
-pub type ExcludedReplicas = SmallVec<[id::ReplicaId; 4]>;
--- a/crates/gateway/src/digest_exchange.rs
+++ b/crates/gateway/src/digest_exchange.rs
@@ -37,8 +37,8 @@
 use crate::attempt_exchange;
 use crate::core;
 use crate::document_exchange;
+use crate::known_peer;
 use crate::lease_state;
-use crate::table_sync;
 use crate::vital_task;
 
 /// Interval between digests. Older load figures mislead replica selection.
@@ -58,8 +58,6 @@
 /// Largest number of daemons that form a single group. With more, each daemon's message rate would
 /// grow with the deployment.
 const MAX_GROUP_SIZE: usize = 16;
-/// Time without contact after which a daemon no longer counts as live or as its zone's aggregator.
-const LIVENESS_TIMEOUT: time::Millis = time::Millis::new(1_500);
 /// Number of daemons in another zone that receive the sum while the zone's aggregator is unknown.
 const AGGREGATOR_CANDIDATES: usize = 3;
 /// Two times without contact: after the first, a peer is sent digests only every
@@ -73,11 +71,6 @@
 const ROW_READ_INTERVAL: time::Millis = time::Millis::new(30_000);
 /// Pause after a failed read or write of daemons' rows.
 const ROW_RETRY_PAUSE: time::Millis = time::Millis::new(1_000);
-/// Largest age of a peer's last read of the table at which it reads for others, in halves of the time
-/// between reads: one read may be late, but a long poll for the policy lasts as long as it may.
-const MAX_READ_AGE_HALVES: (u64, u64) = (4, 3);
-/// Time without contact after which a peer no longer reads the table for others.
-const READER_TIMEOUT: time::Millis = time::Millis::new(1_200);
 /// Number of rounds in which one digest contains all retained usage windows.
 const RETAINED_USAGE_ROUNDS: u64 = 4;
 /// Largest datagram, in bytes.
@@ -93,24 +86,6 @@
     zone: id::ZoneId,
 }
 
-/// Another daemon that this daemon exchanges digests with.
-struct KnownPeer {
-    address: SocketAddr,
-    zone: id::ZoneId,
-    last_contact: Option<time::MonotonicTime>,
-    /// When a digest was last sent to the peer.
-    last_sent: Option<time::MonotonicTime>,
-    added_at: time::MonotonicTime,
-    /// Last digest of a peer in this daemon's group.
-    digest: Option<digest::PeerDigest>,
-    /// Version of this daemon's entries at which the departures in that digest were applied.
-    entries_version: Option<u64>,
-    /// How the peer reads the policy, as it said with that digest.
-    policy_read: Option<digest::PolicyRead>,
-    /// Paths that the peer has lost, by that digest.
-    lost_paths: Vec<reachability::PathGroup>,
-}
-
 /// The daemon that aggregates another zone's digests.
 struct ZoneAggregator {
     daemon: id::DaemonId,
@@ -134,7 +109,7 @@
 
 #[derive(Default)]
 struct ExchangeState {
-    peers: collections::BTreeMap<id::DaemonId, KnownPeer>,
+    peers: collections::BTreeMap<id::DaemonId, known_peer::KnownPeer>,
     aggregators: collections::BTreeMap<id::ZoneId, ZoneAggregator>,
     digest_aggregator: digest::DigestAggregator,
 }
@@ -268,9 +243,9 @@
         let now = self.core.now();
         let is_zonal = self.is_zonal();
         let state = self.state.borrow();
-        let has_revision = |peer: &&KnownPeer| {
+        let has_revision = |peer: &&known_peer::KnownPeer| {
             peer.digest.as_ref().is_some_and(|digest| digest.revision > revision)
-                && is_live(peer, now)
+                && peer.is_live(now)
                 && (!is_zonal || self.is_local_zone(&peer.zone))
         };
         let members = state
@@ -281,7 +256,7 @@
         let aggregators = state.aggregators.values().filter(|aggregator| {
             is_zonal
                 && aggregator.revision > revision
-                && now.since(aggregator.last_contact) < LIVENESS_TIMEOUT
+                && now.since(aggregator.last_contact) < known_peer::LIVENESS_TIMEOUT
         });
         let aggregators = aggregators.map(|aggregator| document_fetch::DocumentHolder {
             address: aggregator.address,
@@ -311,17 +286,7 @@
         if state.peers.get(daemon).is_some_and(|peer| peer.address == address) {
             return;
         }
-        let peer = KnownPeer {
-            address,
-            zone: zone.clone(),
-            last_contact: None,
-            last_sent: None,
-            added_at: self.core.now(),
-            digest: None,
-            entries_version: None,
-            policy_read: None,
-            lost_paths: Vec::new(),
-        };
+        let peer = known_peer::KnownPeer::new(address, zone.clone(), self.core.now());
         state.peers.insert(daemon.clone(), peer);
         self.core.on_daemon_joined();
         log_event!(event::LogEvent::DaemonJoined, daemon = daemon, address = address);
@@ -370,7 +335,7 @@
     fn is_aggregator(&self, state: &ExchangeState, now: time::MonotonicTime) -> bool {
         let local_daemon = &self.core.settings.daemon;
         let mut preceding_peers = state.peers.range(..local_daemon.clone());
-        !preceding_peers.any(|(_, peer)| self.is_local_zone(&peer.zone) && is_live(peer, now))
+        !preceding_peers.any(|(_, peer)| self.is_local_zone(&peer.zone) && peer.is_live(now))
     }
 
     /// Returns the sum of the zone's digests and the daemons of other zones to send it to, or
@@ -389,7 +354,7 @@
         let is_member =
             |daemon: &_| peers.get(daemon).is_some_and(|peer| self.is_local_zone(&peer.zone));
         let usage = self.core.state.borrow().usage.group_windows(usage, is_member);
-        let live_peers = peers.values().filter(|peer| is_live(peer, now));
+        let live_peers = peers.values().filter(|peer| peer.is_live(now));
         let digests = live_peers.filter_map(|peer| peer.digest.as_ref());
         let sum = digest_aggregator.aggregate(local_digest, digests, usage);
         let mut recipients = Vec::new();
@@ -397,9 +362,9 @@
             collections::BTreeMap::new();
         for peer in peers.values().filter(|peer| !self.is_local_zone(&peer.zone)) {
             let aggregator = aggregators.get(&peer.zone);
-            match aggregator
-                .filter(|aggregator| now.since(aggregator.last_contact) < LIVENESS_TIMEOUT)
-            {
+            match aggregator.filter(|aggregator| {
+                now.since(aggregator.last_contact) < known_peer::LIVENESS_TIMEOUT
+            }) {
                 Some(aggregator) if aggregator.address == peer.address => {
                     recipients.push(peer.address)
                 }
@@ -448,10 +413,10 @@
 
     /// Whether a peer runs and doesn't stop, as far as known: daemons of other groups send no digests to
     /// this one.
-    fn may_relay(&self, peer: &KnownPeer, now: time::MonotonicTime) -> bool {
+    fn may_relay(&self, peer: &known_peer::KnownPeer, now: time::MonotonicTime) -> bool {
         let is_in_group = !self.is_zonal() || self.is_local_zone(&peer.zone);
         let is_stopping = peer.digest.as_ref().is_some_and(|digest| digest.is_stopping);
-        !is_in_group || is_live(peer, now) && !is_stopping
+        !is_in_group || peer.is_live(now) && !is_stopping
     }
 
     /// Returns the notices of the quarantine in this daemon's group for other groups.
@@ -497,7 +462,7 @@
     fn update_daemon_count(&self, is_zonal: bool) {
         let now = self.core.now();
         let state = self.state.borrow();
-        let live_peers = state.peers.values().filter(|peer| is_live(peer, now)).count();
+        let live_peers = state.peers.values().filter(|peer| peer.is_live(now)).count();
         let zone_members =
             state.aggregators.values().filter(|_| is_zonal).map(|aggregator| aggregator.members);
         let live_daemons = 1 + live_peers as u32 + zone_members.sum::<u32>();
@@ -520,7 +485,7 @@
     fn daemon_turn(&self, state: &ExchangeState, is_zonal: bool) -> limit::DaemonTurn {
         let local_daemon = &self.core.settings.daemon;
         let local_zone = &self.core.settings.availability_zone;
-        let is_member = |peer: &&KnownPeer| !is_zonal || peer.zone == *local_zone;
+        let is_member = |peer: &&known_peer::KnownPeer| !is_zonal || peer.zone == *local_zone;
         let members = state.peers.values().filter(is_member).count();
         let preceding_peers = state.peers.range(..local_daemon.clone()).map(|(_, peer)| peer);
         let mut turn = limit::DaemonTurn {
@@ -570,31 +535,12 @@
         }
     }
 
-    /// Chooses the daemons that read the replica entries and the policy for this one: of each, the
-    /// first daemon of the group, in order of their IDs, that precedes this one and whose reads of
-    /// them succeed. If the table refuses that daemon, the next one takes over; without one, this
-    /// daemon reads the table itself.
+    /// Chooses the daemons of this one's group that read the table for it.
     fn choose_readers(&self, is_zonal: bool) {
-        let now = self.core.now();
         let state = self.state.borrow();
-        let preceding_peers = || {
-            let peers = state.peers.range(..self.core.settings.daemon.clone());
-            peers.map(|(_, peer)| peer).filter(|peer| !is_zonal || self.is_local_zone(&peer.zone))
-        };
-        let times = &self.core.settings.times;
-        let max_ages = (
-            max_read_age(table_sync::entry_interval(times), MAX_READ_AGE_HALVES.0),
-            max_read_age(table_sync::policy_wait(times), MAX_READ_AGE_HALVES.1),
-        );
-        let table_reader = preceding_peers().find_map(|peer| table_reader(peer, max_ages.0, now));
-        let policy_reader = preceding_peers().find_map(|peer| policy_reader(peer, max_ages.1, now));
-        let mut core_state = self.core.state.borrow_mut();
-        let previous_table = std::mem::replace(&mut core_state.table_reader, table_reader);
-        let previous_policy = std::mem::replace(&mut core_state.policy_reader, policy_reader);
-        drop(core_state);
-        let address = |reader: Option<core::TableReader>| reader.map(|reader| reader.address);
-        log_reader("entries", address(previous_table), address(table_reader));
-        log_reader("policy", previous_policy, policy_reader);
+        let peers = state.peers.range(..self.core.settings.daemon.clone()).map(|(_, peer)| peer);
+        let preceding_peers = peers.filter(|peer| !is_zonal || self.is_local_zone(&peer.zone));
+        known_peer::choose_readers(&self.core, preceding_peers);
     }
 
     fn build_digest(&self, usage: usage::WindowScope) -> digest::PeerDigest {
@@ -737,7 +683,8 @@
         let mut state = self.state.borrow_mut();
         let current = state.aggregators.get(&digest.zone);
         if current.is_some_and(|current| {
-            current.daemon < digest.daemon && now.since(current.last_contact) < LIVENESS_TIMEOUT
+            current.daemon < digest.daemon
+                && now.since(current.last_contact) < known_peer::LIVENESS_TIMEOUT
         }) {
             return None;
         }
@@ -795,10 +742,10 @@
         let now = self.core.now();
         let is_zonal = self.is_zonal();
         let state = self.state.borrow();
-        let candidate = |(daemon, peer): (&id::DaemonId, &KnownPeer)| {
+        let candidate = |(daemon, peer): (&id::DaemonId, &known_peer::KnownPeer)| {
             let is_in_group = !is_zonal || self.is_local_zone(&peer.zone);
             // Daemons of other groups send no digests to this one.
-            let is_live = is_live(peer, now) || !is_in_group;
+            let is_live = peer.is_live(now) || !is_in_group;
             let (daemon, zone) = (daemon.clone(), peer.zone.clone());
             attempt_record::HolderCandidate { daemon, zone, address: peer.address, is_live }
         };
@@ -808,7 +755,7 @@
     fn relays(&self, group: &reachability::PathGroup) -> Vec<reachability::RelayCandidate> {
         let now = self.core.now();
         let state = self.state.borrow();
-        let candidate = |peer: &KnownPeer| reachability::RelayCandidate {
+        let candidate = |peer: &known_peer::KnownPeer| reachability::RelayCandidate {
             address: peer.address,
             zone: peer.zone.clone(),
             is_live: self.may_relay(peer, now),
@@ -827,57 +774,3 @@
         self.send_bytes(bytes, recipients).await;
     }
 }
-
-/// Logs the choice of another reader.
-fn log_reader(records: &str, previous: Option<SocketAddr>, reader: Option<SocketAddr>) {
-    if previous != reader {
-        let name = reader.map_or_else(|| "none".to_owned(), |address| address.to_string());
-        log_event!(event::LogEvent::ReaderChosen, records = records, reader = name);
-    }
-}
-
-/// Returns the address of a peer if its digests say that its reads of the policy succeed. Those of
-/// earlier releases say so for their reads of the replica entries only.
-fn policy_reader(
-    peer: &KnownPeer,
-    max_age: time::Millis,
-    now: time::MonotonicTime,
-) -> Option<SocketAddr> {
-    let table_age = peer.digest.as_ref()?.table_age;
-    let age = peer.policy_read.map_or(table_age, |policy_read| policy_read.age)?;
-    (age < max_age && may_read(peer, now)).then_some(peer.address)
-}
-
-/// Returns the reader that a peer is, or `None` if its digests don't say that its reads of the replica
-/// entries succeed.
-fn table_reader(
-    peer: &KnownPeer,
-    max_age: time::Millis,
-    now: time::MonotonicTime,
-) -> Option<core::TableReader> {
-    let contact_at = peer.last_contact?;
-    let digest = peer.digest.as_ref()?;
-    let table_age = digest.table_age?;
-    (table_age < max_age && may_read(peer, now)).then(|| core::TableReader {
-        address: peer.address,
-        entries_version: digest.entries_version,
-        read_at: time::MonotonicTime::new(contact_at.get().saturating_sub(table_age.get())),
-    })
-}
-
-/// Returns the largest age of a read at which a peer reads for others.
-fn max_read_age(interval: time::Millis, halves: u64) -> time::Millis {
-    time::Millis::new(interval.get() * halves / 2)
-}
-
-/// Whether a peer that reads the table may read for others.
-fn may_read(peer: &KnownPeer, now: time::MonotonicTime) -> bool {
-    let is_stopping = peer.digest.as_ref().is_some_and(|digest| digest.is_stopping);
-    let is_current =
-        peer.last_contact.is_some_and(|contact_at| now.since(contact_at) < READER_TIMEOUT);
-    is_current && !is_stopping
-}
-
-fn is_live(peer: &KnownPeer, now: time::MonotonicTime) -> bool {
-    peer.last_contact.is_some_and(|contact_at| now.since(contact_at) < LIVENESS_TIMEOUT)
-}
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -14,6 +14,7 @@
 use samphiremoor_fleet::replica;
 use samphiremoor_fleet::selection;
 use samphiremoor_fleet::send_state;
+use smallvec::SmallVec;
 
 use crate::adapter;
 use crate::attempt;
@@ -141,7 +142,7 @@
     let mut forwarder = RequestForwarder {
         context: context::RequestContext { core, request, progress, service: &service },
         splitter: events::EventSplitter::new(request.metadata.last_event_id),
-        excluded: core::ExcludedReplicas::new(),
+        excluded: ExcludedReplicas::new(),
         required_version,
         pending: pending::PendingAttempts::new(),
         failure: None,
@@ -152,13 +153,16 @@
     forwarder.run(sink).await
 }
 
+/// Replicas that a request was already sent to.
+pub(crate) type ExcludedReplicas = SmallVec<[id::ReplicaId; 4]>;
+
 /// State of one request across its attempts.
 pub(crate) struct RequestForwarder<'a> {
     pub(crate) context: context::RequestContext<'a>,
     /// Splitter of the stream's events from all replicas.
     pub(crate) splitter: events::EventSplitter,
     /// Replicas that the request was already sent to.
-    pub(crate) excluded: core::ExcludedReplicas,
+    pub(crate) excluded: ExcludedReplicas,
     /// Software version of the replica that began the stream. What another version writes can't
     /// continue it.
     pub(crate) required_version: replica::RequiredVersion,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,7 +10,7 @@
 //! are needed. `migration` moves KV caches between replicas. [`resumption`] and [`attempt_exchange`] let
 //! callers resume streams at any daemon.
 //! [`table_sync`] follows the policy and the replica entries in the platform's table,
-//! [`digest_exchange`] and [`peer_records`] exchange state with the other daemons, `document_exchange`
+//! [`digest_exchange`] and [`peer_records`] exchange state with the other daemons, which `known_peer` has, `document_exchange`
 //! reads the policy from those that have it, and [`duties`] performs the tasks that one daemon does for
 //! all. [`crash`] finds requests under which replicas crash, and `quarantine_records` shows operators
 //! what is refused for that.
@@ -30,8 +30,10 @@
 pub mod duties;
 pub mod events;
 pub mod forward;
+pub mod guard;
 pub mod idle;
 pub mod internal_response;
+mod known_peer;
 pub mod lease_state;
 pub mod metrics;
 mod migration;
@@ -45,6 +47,8 @@
 pub mod resumption;
 pub mod served_document;
 pub mod settings;
+pub mod shutdown;
+pub mod steady_clock;
 pub mod stream;
 pub mod table_sync;
 pub mod tunnel;
