--- a/crates/gateway/src/digest_exchange.rs
+++ b/crates/gateway/src/digest_exchange.rs
@@ -39,6 +39,7 @@
 use crate::document_exchange;
 use crate::known_peer;
 use crate::lease_state;
+use crate::metrics;
 use crate::vital_task;
 
 /// Interval between digests. Older load figures mislead replica selection.
@@ -150,6 +151,7 @@
             conditions: Vec::new(),
             writes: vec![table::RowWrite::Put(key.clone(), value.as_str().into())],
         };
+        core.metrics.count_table_call(metrics::TableCall::Daemons);
         match core.adapter.table.commit(&transaction).await {
             Ok(_) => return,
             Err(cause) => {
@@ -164,6 +166,7 @@
 async fn read_rows(exchange: rc::Rc<DigestExchange>) {
     loop {
         let core = &exchange.core;
+        core.metrics.count_table_call(metrics::TableCall::Daemons);
         let pause = match table::scan_all(core.adapter.table.as_ref(), ROW_PREFIX).await {
             Ok(rows) => {
                 for row in rows {
--- a/crates/gateway/src/duties.rs
+++ b/crates/gateway/src/duties.rs
@@ -20,6 +20,7 @@
 use crate::core;
 use crate::digest_exchange;
 use crate::lease_state;
+use crate::metrics;
 
 /// Interval between steps of the duties.
 const STEP_INTERVAL: time::Millis = time::Millis::new(150);
@@ -138,6 +139,7 @@
         let sent_at = self.core.now();
         let Some(action) = self.lease.next_action(sent_at, self.acquire_delay) else { return };
         let table = self.core.adapter.table.clone();
+        self.core.metrics.count_table_call(metrics::TableCall::Lease);
         let key = table::RowKey::new(LEASE_KEY);
         match action {
             duty::DutyAction::Read => match table.read(&key).await {
@@ -237,9 +239,11 @@
             ],
         };
         let table = core.adapter.table.clone();
+        core.metrics.count_table_call(metrics::TableCall::Reports);
         match table.commit(&transaction).await {
             Ok(table::CommitResponse::Committed(_)) => Some(report),
             Ok(table::CommitResponse::Refused(_)) => {
+                core.metrics.count_table_call(metrics::TableCall::Reports);
                 let row = table.read(&key).await.ok()??;
                 let stored_report = serde_json::from_str(&row.value);
                 if let Err(cause) = &stored_report {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -12,6 +12,36 @@
 const LATENCY_BOUNDS: &[f64] =
     &[0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 2.0, 4.0, 8.0, 15.0];
 
+/// What a call to the platform's table is for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum TableCall {
+    /// Reads the replicas' entries, or their changes.
+    Entries,
+    /// Reads the policy, or waits for a newer one.
+    Policy,
+    /// Reads or writes the rows of daemons.
+    Daemons,
+    /// Reads or writes the lease on the duties.
+    Lease,
+    /// Reads or writes decided usage reports.
+    Reports,
+    /// Reads or writes what is quarantined.
+    Quarantine,
+}
+
+impl TableCall {
+    fn label(self) -> &'static str {
+        match self {
+            TableCall::Entries => "entries",
+            TableCall::Policy => "policy",
+            TableCall::Daemons => "daemons",
+            TableCall::Lease => "lease",
+            TableCall::Reports => "reports",
+            TableCall::Quarantine => "quarantine",
+        }
+    }
+}
+
 /// Counters and histograms of the gateway.
 pub struct GatewayMetrics {
     registry: prometheus::Registry,
@@ -31,6 +61,7 @@
     replica_pauses: prometheus::IntCounter,
     paused_replicas: prometheus::IntGauge,
     tunnels: prometheus::IntCounterVec,
+    table_calls: prometheus::IntCounterVec,
     relayed_tunnels: prometheus::IntGauge,
     suspected_paths: prometheus::IntGauge,
     quarantined_segments: prometheus::IntGauge,
@@ -121,6 +152,11 @@
             "Replicas that want no request from this daemon now.",
         );
         let paused_replicas = register(&registry, paused_replicas.expect("the name is valid"));
+        let table_calls = counter_vec(
+            "samphiremoor_gateway_table_calls_total",
+            "Calls to the platform's table, by what they read or write.",
+            "purpose",
+        );
         let tunnels = counter_vec(
             "samphiremoor_gateway_tunnels_total",
             "Connections to replicas by way of other daemons, by result.",
@@ -170,6 +206,7 @@
             replica_pauses,
             paused_replicas,
             tunnels,
+            table_calls,
             relayed_tunnels,
             suspected_paths,
             quarantined_segments,
@@ -269,6 +306,11 @@
         self.tunnels.with_label_values(&[result]).inc();
     }
 
+    /// Counts a call to the platform's table.
+    pub fn count_table_call(&self, purpose: TableCall) {
+        self.table_calls.with_label_values(&[purpose.label()]).inc();
+    }
+
     /// Sets the number of connections of other daemons that this one relays.
     pub fn set_relayed_tunnels(&self, count: u32) {
         self.relayed_tunnels.set(i64::from(count));
--- a/crates/gateway/src/quarantine_records.rs
+++ b/crates/gateway/src/quarantine_records.rs
@@ -10,6 +10,7 @@
 
 use crate::core;
 use crate::digest_exchange;
+use crate::metrics;
 
 /// Interval between reads of the rows while there are verdicts.
 const READ_INTERVAL: time::Millis = time::Millis::new(5_000);
@@ -62,6 +63,7 @@
     core: &core::GatewayCore,
 ) -> Result<quarantine_rows::SuspectRows, table::PlatformError> {
     let store = core.adapter.table.as_ref();
+    core.metrics.count_table_call(metrics::TableCall::Quarantine);
     let rows = table::scan_all(store, quarantine_rows::ROW_PREFIX).await?;
     let (rows, unreadable) = quarantine_rows::decode(&rows);
     for key in unreadable {
@@ -93,6 +95,7 @@
     if !writes.is_empty() {
         let write_id = digest_exchange::write_id(core);
         let transaction = table::TableTransaction { write_id, conditions: Vec::new(), writes };
+        core.metrics.count_table_call(metrics::TableCall::Quarantine);
         core.adapter.table.commit(&transaction).await?;
     }
     let has_verdicts = core.state.borrow().quarantine.verdicts().next().is_some();
--- a/crates/gateway/src/table_sync.rs
+++ b/crates/gateway/src/table_sync.rs
@@ -13,6 +13,7 @@
 
 use crate::adapter;
 use crate::core;
+use crate::metrics;
 use crate::peer_records;
 use crate::settings;
 
@@ -95,6 +96,7 @@
             task::sleep(READER_CHECK_INTERVAL.to_duration()).await;
             continue;
         }
+        core.metrics.count_table_call(metrics::TableCall::Policy);
         let result = match cursor {
             Some(cursor) => records.next_policy(cursor, policy_wait(&core.settings.times)).await,
             None => records.policy().await,
@@ -234,6 +236,7 @@
     cursor: Option<position::StorePosition>,
 ) -> Result<Option<position::StorePosition>, table::PlatformError> {
     let records = core.adapter.records.clone();
+    core.metrics.count_table_call(metrics::TableCall::Entries);
     let Some(cursor) = cursor else {
         let (list, next_cursor) = records.entries().await?;
         for replica in &list.unreadable {
