--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -558,6 +558,87 @@
     format!(r#"{{"table":"{table}","part":"","key":"{key}","value":"{value}","ver":{version}}}"#)
 }
 
+/// Times after which TCP sends a packet again that was not acknowledged, in milliseconds: the first
+/// after 200 ms, each next after twice the time.
+const RETRANSMISSIONS_MS: [u64; 8] = [0, 200, 600, 1_400, 3_000, 6_200, 12_600, 25_400];
+
+/// The link of one machine to a server, which can be cut. Bytes that are sent during a cut arrive when
+/// TCP sends them again after it, unless their sender has reset the connection. Connections that are
+/// opened during a cut don't open.
+#[derive(Clone)]
+pub struct Link {
+    pub address: SocketAddr,
+    is_cut: Arc<AtomicBool>,
+}
+
+impl Link {
+    pub fn start(server: SocketAddr) -> Self {
+        let (listener, address) = bind();
+        let is_cut = Arc::new(AtomicBool::new(false));
+        let link = Link { address, is_cut };
+        let accepting = link.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming() {
+                let Ok(stream) = stream else { return };
+                let link = accepting.clone();
+                thread::spawn(move || link.pass_on(stream, server));
+            }
+        });
+        link
+    }
+
+    pub fn set_cut(&self, is_cut: bool) {
+        self.is_cut.store(is_cut, Ordering::SeqCst);
+    }
+
+    fn is_cut(&self) -> bool {
+        self.is_cut.load(Ordering::SeqCst)
+    }
+
+    fn pass_on(&self, client: TcpStream, server: SocketAddr) {
+        if self.is_cut() {
+            // Nothing that is sent on it arrives.
+            while self.is_cut() {
+                sleep_ms(10);
+            }
+            return;
+        }
+        let Ok(server) = TcpStream::connect(server) else { return };
+        let (from_server, to_client) = (server.try_clone(), client.try_clone());
+        let (Ok(from_server), Ok(to_client)) = (from_server, to_client) else { return };
+        let link = self.clone();
+        let responses = thread::spawn(move || link.copy(from_server, to_client));
+        self.copy(client, server);
+        responses.join().ok();
+    }
+
+    fn copy(&self, mut from: TcpStream, mut to: TcpStream) {
+        from.set_nodelay(true).ok();
+        to.set_nodelay(true).ok();
+        let mut chunk = [0; 16 * 1024];
+        while let Ok(count @ 1..) = from.read(&mut chunk) {
+            let sent_at = Instant::now();
+            let is_passed = RETRANSMISSIONS_MS.iter().any(|offset_ms| {
+                let due_at = sent_at + Duration::from_millis(*offset_ms);
+                thread::sleep(due_at.saturating_duration_since(Instant::now()));
+                !self.is_cut()
+            });
+            if !is_passed || was_reset(&from) || to.write_all(&chunk[..count]).is_err() {
+                break;
+            }
+        }
+        to.shutdown(Shutdown::Write).ok();
+    }
+}
+
+/// Returns whether the peer has reset a connection, as opposed to closing it.
+fn was_reset(stream: &TcpStream) -> bool {
+    stream.set_nonblocking(true).ok();
+    let result = stream.peek(&mut [0]);
+    stream.set_nonblocking(false).ok();
+    result.is_err_and(|cause| cause.kind() != std::io::ErrorKind::WouldBlock)
+}
+
 /// A call that the platform accepted from the holder of a duty.
 #[derive(Clone, Debug)]
 pub struct DutyCall {
@@ -576,7 +657,8 @@
 }
 
 impl Cloud {
-    pub fn start(record: &Record) -> Self {
+    /// Starts the API. It has no replicas that may be reclaimed if `is_sold_out` is set.
+    pub fn start(record: &Record, is_sold_out: bool) -> Self {
         let (listener, address) = bind();
         let calls: Arc<Mutex<Vec<DutyCall>>> = Arc::default();
         let (accepted, record) = (calls.clone(), record.clone());
@@ -592,7 +674,11 @@
                 "platform {} from holder {} with number {}: {}",
                 call.path, call.holder, call.token, call.body
             ));
+            let is_refused = is_sold_out && call.body.contains(r#""spot":true"#);
             accepted.lock().unwrap().push(call);
+            if is_refused {
+                return write_response(stream, "409 Conflict", "", "{}");
+            }
             write_response(stream, "200 OK", "", "{}")
         });
         Cloud { address, calls }
@@ -612,7 +698,13 @@
 }
 
 /// Returns a config with these routes: prefix, kind, most attempts, and whether it may be resumed.
-pub fn config(version: u64, service: &str, routes: &[(&str, &str, u32, bool)]) -> String {
+/// `service_fields` are further fields of the service, each with a comma before it.
+pub fn config(
+    version: u64,
+    service: &str,
+    service_fields: &str,
+    routes: &[(&str, &str, u32, bool)],
+) -> String {
     let routes: Vec<String> = routes
         .iter()
         .map(|(prefix, kind, attempts, resumable)| {
@@ -622,7 +714,7 @@
         })
         .collect();
     format!(
-        r#"{{"version":{version},"routes":[{}],"services":[{{"name":"{service}","health_path":"/healthz","max_conns":370,"protocol":"h1","tls":false}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"tenants":[{{"name":"clinic","api_keys":["{API_KEY}"],"priority":1}}]}}"#,
+        r#"{{"version":{version},"routes":[{}],"services":[{{"name":"{service}","health_path":"/healthz","max_conns":370,"protocol":"h1","tls":false{service_fields}}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"tenants":[{{"name":"clinic","api_keys":["{API_KEY}"],"priority":1}}]}}"#,
         routes.join(",")
     )
 }
@@ -637,7 +729,13 @@
 
 impl Daemon {
     /// Starts a daemon with the settings that the template of the deploy file gives.
-    pub fn start(name: &str, zone: &str, store: &Store, cloud: &Cloud, directory: &Path) -> Self {
+    pub fn start(
+        name: &str,
+        zone: &str,
+        store: SocketAddr,
+        cloud: SocketAddr,
+        directory: &Path,
+    ) -> Self {
         let (front, ready) = (free_address(), free_address());
         let settings = format!(
             r#"daemon = "{name}"
@@ -674,8 +772,8 @@
 "#,
             free_address(),
             free_address(),
-            store.address,
-            cloud.address
+            store,
+            cloud
         );
         let path = directory.join(format!("{name}.toml"));
         fs::write(&path, settings).expect("the temporary folder can be written");
--- a/review/standins/ended_relay.rs
+++ b/review/standins/ended_relay.rs
@@ -149,9 +149,9 @@
 pub fn run(record: &common::Record, has_trouble: bool) -> Option<bool> {
     let folder = common::Folder::new("ended-relay");
     let store = common::Store::start(record);
-    let cloud = common::Cloud::start(record);
+    let cloud = common::Cloud::start(record, false);
     let routes = [("draft", "streaming", 2, true), ("again", "safe", 2, false)];
-    store.put("op", "config", &common::config(3, SERVICE, &routes));
+    store.put("op", "config", &common::config(3, SERVICE, "", &routes));
     let replicas: Vec<_> = (0..2)
         .map(|index| {
             let id = format!("i-{index}");
@@ -162,7 +162,7 @@
         .collect();
     let mut daemons: Vec<_> = [("front-a", "z0"), ("front-b", "z0"), ("front-c", "z1"), ("front-d", "z2")]
         .into_iter()
-        .map(|(name, zone)| common::Daemon::start(name, zone, &store, &cloud, &folder.0))
+        .map(|(name, zone)| common::Daemon::start(name, zone, store.address, cloud.address, &folder.0))
         .collect();
     for daemon in &daemons {
         daemon.await_ready();
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -2,6 +2,7 @@
 
 mod common;
 mod ended_relay;
+mod late_order;
 mod restored_store;
 
 use std::env;
@@ -16,6 +17,7 @@
     record.line(&format!("case {case}, disruption {}", if has_trouble { "on" } else { "off" }));
     let result = match &case[..] {
         "ended-relay" => ended_relay::run(&record, has_trouble),
+        "late-order" => late_order::run(&record, has_trouble),
         "restored-store" => restored_store::run(&record, has_trouble),
         _ => common::could_not_run("no such case"),
     };
--- a/review/standins/restored_store.rs
+++ b/review/standins/restored_store.rs
@@ -11,9 +11,9 @@
 
 const SERVICE: &str = "desk";
 /// Time for which the first holder acts before the drill.
-const ACTING_MS: u64 = 6_000;
+const ACTING_MS: u64 = 4_000;
 /// Time for which the store is away.
-const AWAY_MS: u64 = 3_000;
+const AWAY_MS: u64 = 2_000;
 /// Time that the system has after the return of the store.
 const REST_MS: u64 = 20_000;
 /// Interval between the reports of the replicas.
@@ -23,9 +23,9 @@
 pub fn run(record: &common::Record, has_trouble: bool) -> Option<bool> {
     let folder = common::Folder::new("restored-store");
     let store = common::Store::start(record);
-    let cloud = common::Cloud::start(record);
+    let cloud = common::Cloud::start(record, false);
     let config =
-        common::config(3, SERVICE, &[("once", "unsafe", 1, false), ("again", "safe", 2, false)]);
+        common::config(3, SERVICE, "", &[("once", "unsafe", 1, false), ("again", "safe", 2, false)]);
     let servers: Vec<(String, String)> = (0..3)
         .map(|index| {
             let (listener, address) = common::bind();
@@ -59,7 +59,7 @@
     let daemons: Vec<_> = (0..4)
         .map(|index| {
             let name = format!("front-{index}");
-            common::Daemon::start(&name, &format!("z{index}"), &store, &cloud, &folder.0)
+            common::Daemon::start(&name, &format!("z{index}"), store.address, cloud.address, &folder.0)
         })
         .collect();
     let fronts: Vec<_> = daemons.iter().map(|daemon| daemon.front).collect();
