Review: case 4, a window is reported twice with different counts

Cause: a decided usage report is kept in the store only; after a return from an older copy a daemon that was restarted meanwhile decides anew from fewer counts.

--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -350,6 +350,12 @@
 }
 
 impl Rows {
+    /// Returns the keys of a table's rows, in order.
+    pub fn keys(&self, table: &str) -> Vec<String> {
+        let keys = self.rows.keys().filter(|(name, _)| name == table);
+        keys.map(|(_, key)| key.clone()).collect()
+    }
+
     /// Returns the decoded value of a row.
     pub fn value(&self, table: &str, key: &str) -> Option<String> {
         let row = self.rows.get(&(table.to_owned(), key.to_owned()))?;
@@ -724,9 +730,32 @@
     pub name: String,
     pub front: SocketAddr,
     pub ready: SocketAddr,
+    directory: PathBuf,
     process: process::Child,
 }
 
+/// Time between SIGTERM and SIGKILL.
+const GRACE_MS: u64 = 8_000;
+
+/// Starts the process of a daemon whose settings are in a folder.
+fn start_process(name: &str, directory: &Path) -> process::Child {
+    let log = fs::OpenOptions::new()
+        .create(true)
+        .append(true)
+        .open(directory.join(format!("{name}.log")))
+        .unwrap_or_else(|cause| could_not_run(&format!("no log file: {cause}")));
+    let process = process::Command::new("target/release/samphiremoor-gateway")
+        .arg("--settings")
+        .arg(directory.join(format!("{name}.toml")))
+        .env("ASYNC_STD_THREAD_COUNT", "1")
+        .stdout(log.try_clone().expect("a log file"))
+        .stderr(log)
+        .spawn()
+        .unwrap_or_else(|cause| could_not_run(&format!("the daemon doesn't start: {cause}")));
+    STARTED.lock().unwrap().push(process.id());
+    process
+}
+
 impl Daemon {
     /// Starts a daemon with the settings that the template of the deploy file gives.
     pub fn start(
@@ -777,17 +806,31 @@
         );
         let path = directory.join(format!("{name}.toml"));
         fs::write(&path, settings).expect("the temporary folder can be written");
-        let log = fs::File::create(directory.join(format!("{name}.log"))).expect("a log file");
-        let process = process::Command::new("target/release/samphiremoor-gateway")
-            .arg("--settings")
-            .arg(&path)
-            .env("ASYNC_STD_THREAD_COUNT", "1")
-            .stdout(log.try_clone().expect("a log file"))
-            .stderr(log)
-            .spawn()
-            .unwrap_or_else(|cause| could_not_run(&format!("the daemon doesn't start: {cause}")));
-        STARTED.lock().unwrap().push(process.id());
-        Daemon { name: name.to_owned(), front, ready, process }
+        let process = start_process(name, directory);
+        let (name, directory) = (name.to_owned(), directory.to_owned());
+        Daemon { name, front, ready, directory, process }
+    }
+
+    /// Stops the process by SIGTERM and starts it again with the same settings, as the platform does.
+    pub fn restart(&mut self) {
+        self.stop();
+        STARTED.lock().unwrap().retain(|process| *process != self.process.id());
+        sleep_ms(200);
+        self.process = start_process(&self.name, &self.directory);
+    }
+
+    /// Sends SIGTERM, and SIGKILL after `grace_s`.
+    fn stop(&mut self) {
+        // SAFETY: the process was started by this one and not waited for.
+        unsafe { kill(self.process.id() as i32, 15) };
+        for _ in 0..GRACE_MS / 50 {
+            if matches!(self.process.try_wait(), Ok(Some(_))) {
+                return;
+            }
+            sleep_ms(50);
+        }
+        self.process.kill().ok();
+        self.process.wait().ok();
     }
 
     /// Kills the process.
@@ -799,13 +842,7 @@
 
     /// Returns whether the daemon says that it is ready.
     pub fn is_ready(&self) -> bool {
-        let Ok(mut stream) = TcpStream::connect(self.ready) else { return false };
-        stream.set_read_timeout(Some(Duration::from_millis(500))).ok();
-        let request = "GET /readyz HTTP/1.1\r\nHost: ready\r\n\r\n";
-        if stream.write_all(request.as_bytes()).is_err() {
-            return false;
-        }
-        Reader::new(stream).head().is_some_and(|response| response.status() == 200)
+        is_ready(self.ready)
     }
 
     pub fn await_ready(&self) {
@@ -819,6 +856,17 @@
     }
 }
 
+/// Returns whether the daemon at a `ready` address says that it is ready.
+pub fn is_ready(ready: SocketAddr) -> bool {
+    let Ok(mut stream) = TcpStream::connect(ready) else { return false };
+    stream.set_read_timeout(Some(Duration::from_millis(500))).ok();
+    let request = "GET /readyz HTTP/1.1\r\nHost: ready\r\n\r\n";
+    if stream.write_all(request.as_bytes()).is_err() {
+        return false;
+    }
+    Reader::new(stream).head().is_some_and(|response| response.status() == 200)
+}
+
 impl Drop for Daemon {
     fn drop(&mut self) {
         self.kill();
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -4,6 +4,7 @@
 mod ended_relay;
 mod late_order;
 mod restored_store;
+mod second_report;
 
 use std::env;
 use std::path::Path;
@@ -19,6 +20,7 @@
         "ended-relay" => ended_relay::run(&record, has_trouble),
         "late-order" => late_order::run(&record, has_trouble),
         "restored-store" => restored_store::run(&record, has_trouble),
+        "second-report" => second_report::run(&record, has_trouble),
         _ => common::could_not_run("no such case"),
     };
     let (text, code) = match result {
