Review: case 2 with the daemons in another zone than the replicas

Cause: lossy links are those between zones. Change: the two daemons are in one zone and the replicas in another.

--- a/review/standins/ended_relay.rs
+++ b/review/standins/ended_relay.rs
@@ -160,7 +160,7 @@
             replica
         })
         .collect();
-    let mut daemons: Vec<_> = [("front-a", "z0"), ("front-b", "z0"), ("front-c", "z1"), ("front-d", "z2")]
+    let mut daemons: Vec<_> = [("front-a", "z1"), ("front-b", "z1"), ("front-c", "z0"), ("front-d", "z2")]
         .into_iter()
         .map(|(name, zone)| common::Daemon::start(name, zone, store.address, cloud.address, &folder.0))
         .collect();
@@ -185,7 +185,7 @@
     let mut callers = Vec::new();
     for round in 0..ROUNDS {
         if has_trouble {
-            record.line("link     loses the first packets of new connections to the replicas");
+            record.line("link     from z1 to z0 loses the first packets of new connections to the replicas");
             replicas.iter().for_each(|replica| replica.lose_first_packets());
         }
         for number in 0..STREAMS {
@@ -197,7 +197,7 @@
         common::sleep_ms(LOSS_MS);
         if has_trouble {
             replicas.iter().for_each(|replica| replica.open());
-            record.line("link     passes all packets on");
+            record.line("link     from z1 to z0 passes all packets on");
         }
         common::sleep_ms(ROUND_MS);
     }
