--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
+use std::net::UdpSocket;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process;
@@ -199,9 +200,23 @@
     (listener, address)
 }
 
-/// Returns an address at which nothing listens.
+/// Ports for daemons. They lie below those that the system gives to outgoing connections, which could
+/// take one between this check and the start of the daemon.
+const DAEMON_PORTS: std::ops::Range<u32> = 10_000..26_000;
+
+/// Returns an address at which nothing listens, over TCP or UDP.
 pub fn free_address() -> SocketAddr {
-    bind().1
+    static COUNT: AtomicU64 = AtomicU64::new(0);
+    // Scripts that run at the same time begin at different ports.
+    let first = process::id().wrapping_mul(7_919);
+    loop {
+        let count = COUNT.fetch_add(1, Ordering::SeqCst) as u32;
+        let port = DAEMON_PORTS.start + first.wrapping_add(count) % DAEMON_PORTS.len() as u32;
+        let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 pub fn write_response(
@@ -876,6 +891,9 @@
 /// Processes that were started and have not ended.
 static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
+/// Temporary folders that were made.
+static FOLDERS: Mutex<Vec<PathBuf>> = Mutex::new(Vec::new());
+
 unsafe extern "C" {
     fn kill(process: i32, signal: i32) -> i32;
 }
@@ -887,6 +905,9 @@
         // SAFETY: the process was started by this one and not waited for.
         unsafe { kill(*process as i32, 9) };
     }
+    for folder in FOLDERS.lock().unwrap().iter() {
+        fs::remove_dir_all(folder).ok();
+    }
     process::exit(2)
 }
 
@@ -928,6 +949,7 @@
     pub fn new(case: &str) -> Self {
         let path = std::env::temp_dir().join(format!("review-{case}-{}", process::id()));
         fs::create_dir_all(&path).expect("the temporary folder can be made");
+        FOLDERS.lock().unwrap().push(path.clone());
         Folder(path)
     }
 }
--- a/review/standins/ended_relay.rs
+++ b/review/standins/ended_relay.rs
@@ -11,6 +11,7 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::thread;
+use std::time::Duration;
 
 use crate::common;
 
@@ -25,6 +26,8 @@
 const EVENT_INTERVAL_MS: u64 = 100;
 /// Time for which the first packets of new connections are lost.
 const LOSS_MS: u64 = 30;
+/// Time within which the connection that fills the queue opens.
+const FILLER_TIMEOUT: Duration = Duration::from_millis(10);
 /// Time between two rounds, and between the last round and the kill.
 const ROUND_MS: u64 = 600;
 /// Number of plain requests, whose answers have a length.
@@ -85,7 +88,9 @@
         common::sleep_ms(5);
         // SAFETY: the socket listens already; the call changes the length of its queue.
         unsafe { listen(self.listener.as_raw_fd(), 0) };
-        *self.filler.lock().unwrap() = TcpStream::connect(self.address).ok();
+        // It does not open if another connection has filled the queue already.
+        *self.filler.lock().unwrap() =
+            TcpStream::connect_timeout(&self.address, FILLER_TIMEOUT).ok();
         common::sleep_ms(2);
     }
 
