Relay: the end of a daemon that relays a response is not the end of the response

What callers saw: a daemon that relays connections of another one is killed, or ends after its time to stop.

Cause: a tunnel carried the replica's bytes as they are, so its close was read as the replica's. The system of a relay that ends closes the connections of its process without a reset.

Change: a relay sends the replica's bytes in chunks, and the last chunk only once the replica has closed; a connection that ends before it is a broken one to all that reads it. The entry daemon has the same, by a request of its own for such tunnels. An answer without a length by way of an earlier release's relay counts as broken off. Weighed: no answer without a length by way of a tunnel is complete (loses all of them).

--- a/crates/entry/src/handover.rs
+++ b/crates/entry/src/handover.rs
@@ -8,6 +8,7 @@
 use samphiremoor_base::log_event;
 use samphiremoor_base::time;
 use samphiremoor_fleet::quarantine as fleet_quarantine;
+use samphiremoor_httpio::relay;
 use samphiremoor_peers::server;
 use samphiremoor_shards::message;
 use samphiremoor_shards::service;
@@ -135,7 +136,12 @@
                     peer::EntryResponse::NewsTaken
                 }
                 peer::EntryRequest::OpenTunnel(replica) => {
-                    peer::EntryResponse::Tunnel(tunnel_relay::open(&core, &replica).await)
+                    let framing = relay::RelayFraming::Unmarked;
+                    peer::EntryResponse::Tunnel(tunnel_relay::open(&core, &replica, framing).await)
+                }
+                peer::EntryRequest::OpenFramedTunnel(replica) => {
+                    let framing = relay::RelayFraming::Chunked;
+                    peer::EntryResponse::Tunnel(tunnel_relay::open(&core, &replica, framing).await)
                 }
                 peer::EntryRequest::Shard(request) => {
                     let response = match shards {
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -35,8 +35,10 @@
     News(Box<message_quarantine::MessageNews>),
     /// Notices of quarantined calls.
     CallNews(Box<message_quarantine::CallNews>),
-    /// Asks for a tunnel to an upstream.
+    /// Asks for a tunnel to an upstream whose bytes come as they are.
     OpenTunnel(id::ReplicaId),
+    /// Asks for a tunnel to an upstream whose bytes come in chunks.
+    OpenFramedTunnel(id::ReplicaId),
 }
 
 /// Response of an entry daemon to another.
@@ -51,7 +53,8 @@
     Shard(Box<message::ShardResponse>),
     /// Response to [`EntryRequest::News`] and [`EntryRequest::CallNews`].
     NewsTaken,
-    /// Response to [`EntryRequest::OpenTunnel`]: the port that serves one connection.
+    /// Response to [`EntryRequest::OpenTunnel`] and [`EntryRequest::OpenFramedTunnel`]: the port that
+    /// serves one connection.
     Tunnel(Result<u16, upstream_path::TunnelRefusal>),
 }
 
@@ -232,7 +235,7 @@
         relay: std::net::SocketAddr,
         replica: &id::ReplicaId,
     ) -> Result<std::net::SocketAddr, upstream_path::TunnelRefusal> {
-        let entry_request = EntryRequest::OpenTunnel(replica.clone());
+        let entry_request = EntryRequest::OpenFramedTunnel(replica.clone());
         match self.send_request(relay, &entry_request).await {
             Ok(EntryResponse::Tunnel(opened)) => {
                 opened.map(|port| std::net::SocketAddr::new(relay.ip(), port))
--- a/crates/entry/src/run/dial.rs
+++ b/crates/entry/src/run/dial.rs
@@ -6,7 +6,6 @@
 use std::sync::Arc;
 
 use async_std::future;
-use async_std::net;
 use async_std::task;
 use futures_lite::FutureExt as _;
 use http_types::Request;
@@ -17,6 +16,7 @@
 use samphiremoor_base::time;
 use samphiremoor_fleet::reachability;
 use samphiremoor_httpio::client;
+use samphiremoor_httpio::relay;
 use samphiremoor_view::zone;
 
 use crate::core;
@@ -57,16 +57,18 @@
 
 /// What ended first.
 enum DialEnd {
-    Direct(Result<net::TcpStream, client::CallError>),
-    Tunnel(Result<net::TcpStream, upstream_path::TunnelRefusal>),
+    Direct(Result<client::ClientStream, client::CallError>),
+    Tunnel(Result<client::ClientStream, upstream_path::TunnelRefusal>),
 }
 
 async fn connect(
     core: &Arc<core::EntryCore>,
     target: &DialTarget,
     timeout: time::Millis,
-) -> Result<net::TcpStream, client::CallError> {
-    let mut direct = pin::pin!(client::connect(target.address, timeout));
+) -> Result<client::ClientStream, client::CallError> {
+    let connecting =
+        async { client::connect(target.address, timeout).await.map(client::ClientStream::from) };
+    let mut direct = pin::pin!(connecting);
     let Some(path) = UpstreamPath::find(core, target) else { return direct.await };
     let is_suspected = path.is_suspected();
     if !is_suspected
@@ -132,19 +134,22 @@
     async fn tunnel(
         &self,
         timeout: time::Millis,
-    ) -> Result<net::TcpStream, upstream_path::TunnelRefusal> {
+    ) -> Result<client::ClientStream, upstream_path::TunnelRefusal> {
         let core = self.core;
         let (local, replica) = (&core.settings.daemon, &self.target.replica);
         let address = core.paths.open_tunnel(&self.view, local, replica, core.now()).await?;
         let opened = client::connect(address, timeout).await;
-        opened.map_err(|_| upstream_path::TunnelRefusal::Unavailable)
+        let framing = Some(relay::RelayFraming::Chunked);
+        opened
+            .map(|stream| client::ClientStream { stream, framing })
+            .map_err(|_| upstream_path::TunnelRefusal::Unavailable)
     }
 
     /// Records what a direct connection says of the path.
     fn finish_direct(
         &self,
-        opened: Result<net::TcpStream, client::CallError>,
-    ) -> Result<net::TcpStream, client::CallError> {
+        opened: Result<client::ClientStream, client::CallError>,
+    ) -> Result<client::ClientStream, client::CallError> {
         match &opened {
             Ok(_) => self.update(|table| table.on_opened(&self.group, &self.target.replica)),
             Err(_) => self.record_failure(),
@@ -162,9 +167,9 @@
     /// Records what a tunnel says of the path after a direct connection failed with `cause`.
     fn finish_tunnel(
         &self,
-        tunneled: Result<net::TcpStream, upstream_path::TunnelRefusal>,
+        tunneled: Result<client::ClientStream, upstream_path::TunnelRefusal>,
         cause: client::CallError,
-    ) -> Result<net::TcpStream, client::CallError> {
+    ) -> Result<client::ClientStream, client::CallError> {
         let replica = &self.target.replica;
         match tunneled {
             Ok(stream) => {
@@ -217,6 +222,7 @@
             task::spawn(async move {
                 let target = DialTarget { replica, address };
                 let opened = client::connect(address, PROBE_TIMEOUT).await;
+                let opened = opened.map(client::ClientStream::from);
                 if let Some(path) = UpstreamPath::find(&core, &target) {
                     // A connection that is closed unused is cheaper than a lost call.
                     let _ = path.finish_direct(opened);
--- a/crates/entry/src/tunnel_relay.rs
+++ b/crates/entry/src/tunnel_relay.rs
@@ -36,8 +36,9 @@
 pub(crate) async fn open(
     core: &Arc<core::EntryCore>,
     replica: &id::ReplicaId,
+    framing: relay::RelayFraming,
 ) -> Result<u16, upstream_path::TunnelRefusal> {
-    let opened = try_open(core, replica).await;
+    let opened = try_open(core, replica, framing).await;
     if let Err(refusal) = &opened {
         log_event!(event::LogEvent::TunnelRefused, replica = replica, cause = refusal);
     }
@@ -47,6 +48,7 @@
 async fn try_open(
     core: &Arc<core::EntryCore>,
     replica: &id::ReplicaId,
+    framing: relay::RelayFraming,
 ) -> Result<u16, upstream_path::TunnelRefusal> {
     let unavailable = upstream_path::TunnelRefusal::Unavailable;
     let snapshot = core.view().ok_or(unavailable)?;
@@ -76,7 +78,7 @@
         let accepted = future::timeout(ACCEPT_TIMEOUT.to_duration(), accepting).await;
         drop(listener);
         if let Ok(Ok(requester)) = accepted {
-            relay::relay(&requester, &upstream).await;
+            relay::relay(&requester, &upstream, framing).await;
         }
     });
     Ok(port)
--- a/crates/gateway/src/tunnel.rs
+++ b/crates/gateway/src/tunnel.rs
@@ -2,12 +2,14 @@
 //!
 //! A tunnel is a connection to the peer address of another daemon, the relay, which connects to the
 //! replica and passes bytes on both ways. [`tunnel_relay`](crate::tunnel_relay) is the relay's side.
+//! The replica's bytes come in chunks, so that the end of the relay is not taken for the replica's.
 
 use std::net::SocketAddr;
 
 use async_std::future;
 use samphiremoor_base::time;
 use samphiremoor_httpio::connection;
+use samphiremoor_httpio::relay;
 
 use crate::core;
 use crate::relay_directory;
@@ -18,6 +20,11 @@
 pub(crate) const TUNNEL_PREFIX: &str = "/tunnels/";
 /// Header with the incarnation of the replica.
 pub(crate) const INCARNATION_FIELD: &str = "incarnation";
+/// Header with the framings of the replica's bytes that the daemon reads. Relays of earlier releases
+/// ignore it.
+pub(crate) const FRAMING_FIELD: &str = "accept-framing";
+/// Framing in chunks, as a value of that header and of the response's transfer coding.
+pub(crate) const CHUNKED: &str = "chunked";
 /// Status by which a relay reports that the replica refused the connection.
 pub(crate) const REFUSED_STATUS: u16 = 502;
 
@@ -77,13 +84,21 @@
 ) -> Option<OpenResponse> {
     let mut raw = connection::RawConnection::connect(relay, OPEN_TIMEOUT).await.ok()?;
     let request = format!(
-        "GET {TUNNEL_PREFIX}{} HTTP/1.1\r\nHost: {relay}\r\n{INCARNATION_FIELD}: {}\r\n\r\n",
+        "GET {TUNNEL_PREFIX}{} HTTP/1.1\r\nHost: {relay}\r\n{INCARNATION_FIELD}: {}\r\n{FRAMING_FIELD}: {CHUNKED}\r\n\r\n",
         target.replica,
         target.incarnation.get()
     );
     raw.write(request.as_bytes()).await.ok()?;
-    match raw.response_head().await.ok()?.status {
-        200 => Some(OpenResponse::Opened(raw)),
+    let head = raw.response_head().await.ok()?;
+    match head.status {
+        200 => {
+            let framing = match head.fields.has_token("transfer-encoding", CHUNKED) {
+                true => relay::RelayFraming::Chunked,
+                false => relay::RelayFraming::Unmarked,
+            };
+            raw.begin_relayed(framing).ok()?;
+            Some(OpenResponse::Opened(raw))
+        }
         REFUSED_STATUS => Some(OpenResponse::Refused),
         _ => Some(OpenResponse::Unavailable),
     }
--- a/crates/gateway/src/tunnel_relay.rs
+++ b/crates/gateway/src/tunnel_relay.rs
@@ -95,8 +95,15 @@
         Ok((replica, _guard)) => {
             // A daemon that stops waits for the requests that it relays.
             let _delay = core.idle_shutdown.delay_stop();
-            if raw.write(b"HTTP/1.1 200 OK\r\n\r\n").await.is_ok() {
-                relay::relay(&raw.stream(), &replica.stream()).await;
+            // Daemons of earlier releases read no chunks.
+            let (framing, fields) =
+                match head.fields.has_token(tunnel::FRAMING_FIELD, tunnel::CHUNKED) {
+                    true => (relay::RelayFraming::Chunked, "Transfer-Encoding: chunked\r\n"),
+                    false => (relay::RelayFraming::Unmarked, ""),
+                };
+            let response = format!("HTTP/1.1 200 OK\r\n{fields}\r\n");
+            if raw.write(response.as_bytes()).await.is_ok() {
+                relay::relay(&raw.stream(), &replica.stream(), framing).await;
             }
         }
         Err(refusal) => {
--- a/crates/httpio/src/client.rs
+++ b/crates/httpio/src/client.rs
@@ -12,6 +12,7 @@
 use http_types::Url;
 use samphiremoor_base::time;
 
+use crate::relay;
 use crate::response_reader;
 use crate::timeout_stream;
 
@@ -26,6 +27,21 @@
     pub silence: time::Millis,
 }
 
+/// A connection on which no request was sent yet.
+#[derive(Debug)]
+pub struct ClientStream {
+    /// The connection.
+    pub stream: net::TcpStream,
+    /// How a relay passes the bytes of the server on; `None` if the connection is direct.
+    pub framing: Option<relay::RelayFraming>,
+}
+
+impl From<net::TcpStream> for ClientStream {
+    fn from(stream: net::TcpStream) -> Self {
+        ClientStream { stream, framing: None }
+    }
+}
+
 /// Error of a call that got no response.
 #[derive(Debug)]
 pub enum CallError {
@@ -77,7 +93,7 @@
     request: Request,
     limits: CallLimits,
 ) -> Result<Response, CallError> {
-    send_on(connect(address, limits.connect).await?, request, limits).await
+    send_on(connect(address, limits.connect).await?.into(), request, limits).await
 }
 
 /// Opens a connection to an address.
@@ -104,10 +120,11 @@
 /// Fails if the call gets no response. The error says whether the other end may have received the
 /// call.
 pub async fn send_on(
-    stream: net::TcpStream,
+    connection: ClientStream,
     request: Request,
     limits: CallLimits,
 ) -> Result<Response, CallError> {
+    let ClientStream { stream, framing } = connection;
     // Nagle's algorithm would delay small writes until earlier ones are acknowledged.
     stream.set_nodelay(true).map_err(CallError::NotConnected)?;
     let mut stream = timeout_stream::TimeoutStream::new(stream, limits.head, limits.head);
@@ -116,7 +133,7 @@
     let exchange = async {
         let mut encoder = async_h1::client::Encoder::new(request);
         futures_lite::io::copy(&mut encoder, &mut stream).await?;
-        response_reader::read(stream, method).await
+        response_reader::read(stream, framing, method).await
     };
     match future::timeout(limits.head.to_duration(), exchange).await {
         Ok(Ok(response)) => {
--- a/crates/httpio/src/connection.rs
+++ b/crates/httpio/src/connection.rs
@@ -12,6 +12,7 @@
 use samphiremoor_base::time;
 
 use crate::message;
+use crate::relay;
 
 /// Size of the read buffer of an idle connection, and the step by which the buffer grows.
 const READ_BUFFER_BYTES: usize = 8 * 1024;
@@ -38,6 +39,8 @@
     end: usize,
     /// Number of bytes received since other tasks could run.
     turn_bytes: usize,
+    /// Reader of what a relay passes on; `None` if the peer itself sends the bytes.
+    relayed: Option<relay::RelayedReader>,
 }
 
 /// Error of reading a message.
@@ -74,7 +77,25 @@
     pub fn new(stream: net::TcpStream) -> io::Result<Self> {
         // Nagle's algorithm would delay small writes until earlier ones are acknowledged.
         stream.set_nodelay(true)?;
-        Ok(RawConnection { stream, buffer: Vec::new(), start: 0, end: 0, turn_bytes: 0 })
+        let buffer = Vec::new();
+        Ok(RawConnection { stream, buffer, start: 0, end: 0, turn_bytes: 0, relayed: None })
+    }
+
+    /// Makes the bytes from here on those that a relay passes on. Their end is an error of the
+    /// connection unless the relay says that its upstream ended them.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the bytes that were received already don't have the framing.
+    pub fn begin_relayed(&mut self, framing: relay::RelayFraming) -> io::Result<()> {
+        let mut reader = relay::RelayedReader::new(framing);
+        let received = self.buffered().to_vec();
+        self.consume(received.len());
+        let mut bytes = Vec::new();
+        reader.decode(&received, &mut bytes)?;
+        self.append(&bytes);
+        self.relayed = Some(reader);
+        Ok(())
     }
 
     /// Opens a connection to an address.
@@ -138,12 +159,29 @@
             self.turn_bytes = 0;
             futures_lite::future::yield_now().await;
         }
-        let read = self.stream.read(&mut self.buffer[self.end..]).await?;
-        self.end += read;
+        let read = match &mut self.relayed {
+            None => {
+                let read = self.stream.read(&mut self.buffer[self.end..]).await?;
+                self.end += read;
+                read
+            }
+            Some(reader) => {
+                let bytes = reader.read(&mut self.stream).await?;
+                self.append(&bytes);
+                bytes.len()
+            }
+        };
         self.turn_bytes += read;
         Ok(read)
     }
 
+    /// Appends bytes to the received ones.
+    fn append(&mut self, bytes: &[u8]) {
+        self.buffer.truncate(self.end);
+        self.buffer.extend_from_slice(bytes);
+        self.end = self.buffer.len();
+    }
+
     /// Writes all bytes.
     ///
     /// # Errors
@@ -169,7 +207,8 @@
 
     /// Whether nothing was received since the last message: neither bytes nor the close.
     pub async fn is_idle(&self) -> bool {
-        if !self.buffered().is_empty() {
+        let has_ended = self.relayed.as_ref().is_some_and(relay::RelayedReader::is_ended);
+        if has_ended || !self.buffered().is_empty() {
             return false;
         }
         let mut byte = [0];
--- a/crates/httpio/src/response_reader.rs
+++ b/crates/httpio/src/response_reader.rs
@@ -15,22 +15,26 @@
 
 use crate::connection;
 use crate::message;
+use crate::relay;
 use crate::timeout_stream;
 
 /// Size of one read from the connection.
 const READ_BYTES: usize = 8 * 1024;
 
 /// Reads the head of the response to a request with `method` and skips interim (1xx) responses.
-/// Reads of the body fail if it is malformed or truncated.
+/// Reads of the body fail if it is malformed or truncated. `framing` is that of a relay between the
+/// server and this end.
 ///
 /// # Errors
 ///
 /// Fails if the connection fails or ends before the end of the head, or if the head is malformed.
 pub(crate) async fn read(
     stream: timeout_stream::TimeoutStream,
+    framing: Option<relay::RelayFraming>,
     method: Method,
 ) -> io::Result<Response> {
-    let mut source = ByteSource { stream, received: Vec::new() };
+    let relayed = framing.map(relay::RelayedReader::new);
+    let mut source = ByteSource { stream, received: Vec::new(), relayed };
     let mut interim_bytes = message::InterimBytes::default();
     let head = loop {
         match message::parse_response(&source.received, connection::MAX_RESPONSE_HEAD) {
@@ -97,16 +101,33 @@
 struct ByteSource {
     stream: timeout_stream::TimeoutStream,
     received: Vec<u8>,
+    /// Decoder of what a relay passes on; `None` if the connection is direct.
+    relayed: Option<relay::RelayedReader>,
 }
 
 impl ByteSource {
     /// Receives more bytes; `false` means that the connection ended.
     fn poll_fill(&mut self, cx: &mut task::Context<'_>) -> task::Poll<io::Result<bool>> {
         let mut bytes = [0; READ_BYTES];
-        let stream = pin::Pin::new(&mut self.stream);
-        let count = futures_lite::ready!(stream.poll_read(cx, &mut bytes))?;
-        self.received.extend_from_slice(&bytes[..count]);
-        task::Poll::Ready(Ok(count > 0))
+        let known_length = self.received.len();
+        loop {
+            if self.relayed.as_ref().is_some_and(relay::RelayedReader::is_ended) {
+                return task::Poll::Ready(Ok(false));
+            }
+            let stream = pin::Pin::new(&mut self.stream);
+            let count = futures_lite::ready!(stream.poll_read(cx, &mut bytes))?;
+            let Some(reader) = &mut self.relayed else {
+                self.received.extend_from_slice(&bytes[..count]);
+                return task::Poll::Ready(Ok(count > 0));
+            };
+            if count == 0 {
+                return task::Poll::Ready(Err(io::ErrorKind::UnexpectedEof.into()));
+            }
+            reader.decode(&bytes[..count], &mut self.received)?;
+            if self.received.len() > known_length {
+                return task::Poll::Ready(Ok(true));
+            }
+        }
     }
 }
 
