Duties: a fencing token of another era of the store is worth nothing

Cause: the lease knew versions of its row, but not the era of the store. A row that the copy lacks counted as a lease that nobody had held, and one that the copy has made its holder the holder again; both gave out numbers again. Besides, a holder whose row was gone did nothing any more, and the number began at 1 again.

Writes expect that nobody took the lease in a later era, so a late one can't take effect on a version that is given out again. Digests name the era of the version that a holder reports.

--- a/crates/base/src/quantity.rs
+++ b/crates/base/src/quantity.rs
@@ -52,6 +52,22 @@
     /// Fencing token of a lease: each new holder of the lease gets a greater one.
     FencingToken(u64)
 );
+
+/// Number of holders that one era of the table can give a token each.
+const HOLDERS_PER_ERA: u64 = 1 << 32;
+
+impl FencingToken {
+    /// Returns the first token of an era of the table. It exceeds all that the table may have lost.
+    pub const fn first_of(era: StoreEra) -> Self {
+        FencingToken(era.0.saturating_mul(HOLDERS_PER_ERA).saturating_add(1))
+    }
+
+    /// Returns the era in which the token was given out.
+    pub const fn era(self) -> StoreEra {
+        StoreEra(self.0 / HOLDERS_PER_ERA)
+    }
+}
+
 quantity!(
     /// Number of a revision of the configuration records.
     RevisionNumber(u64)
--- a/crates/fleet/src/digest.rs
+++ b/crates/fleet/src/digest.rs
@@ -111,6 +111,8 @@
     pub quarantine: Vec<quarantine::QuarantineNotice>,
     /// Groups of replicas to which the daemon has lost its path.
     pub lost_paths: Vec<reachability::PathGroup>,
+    /// Era of the version of the lease row in the digest. Earlier releases don't say.
+    pub lease_era: quantity::StoreEra,
 }
 
 /// Encodes a digest and notices as one message. Earlier releases read the digest, or the digest and
@@ -123,7 +125,8 @@
     let wire = quarantine::NoticesWire::from(&notices.quarantine[..]);
     let encoded = postcard::to_extend(&notices.limits, postcard::to_stdvec(digest)?)?;
     let encoded = postcard::to_extend(&(notices.policy_read, &wire.segments), encoded)?;
-    postcard::to_extend(&(&wire.requests, &notices.lost_paths), encoded)
+    let encoded = postcard::to_extend(&(&wire.requests, &notices.lost_paths), encoded)?;
+    postcard::to_extend(&notices.lease_era, encoded)
 }
 
 /// Error of a message that is no digest.
@@ -189,7 +192,11 @@
         let ((policy_read, segments), rest) = postcard::take_from_bytes(rest)?;
         (notices.policy_read, wire.segments) = (policy_read, segments);
         if !rest.is_empty() {
-            (wire.requests, notices.lost_paths) = postcard::from_bytes(rest)?;
+            let ((requests, lost_paths), rest) = postcard::take_from_bytes(rest)?;
+            (wire.requests, notices.lost_paths) = (requests, lost_paths);
+            if !rest.is_empty() {
+                notices.lease_era = postcard::from_bytes(rest)?;
+            }
         }
         notices.quarantine = wire.into();
     }
--- a/crates/fleet/tests/decoders.rs
+++ b/crates/fleet/tests/decoders.rs
@@ -135,6 +135,7 @@
             service: parsed("drafts"),
             zone: parsed("north"),
         }],
+        lease_era: quantity::StoreEra::new(numbers[7]),
     })
 }
 
@@ -261,7 +262,9 @@
     #[test]
     fn extreme_lease_rows_are_read(
         rows in prop::collection::vec((integers(), integers(), integers(), any::<bool>()), 1..8),
+        era in integers(),
     ) {
+        let era = quantity::StoreEra::new(era);
         let (local, other): (id::DaemonId, id::DaemonId) = (parsed("d01"), parsed("d02"));
         let incarnation = quantity::Incarnation::new(1);
         let mut lease = duty::DutyLease::new(local, incarnation, time::Millis::new(3_000));
@@ -273,14 +276,14 @@
             );
             let row: Result<duty::DutyRow, _> = serde_json::from_str(&text);
             let stored = row.ok().map(|row| (row, quantity::RowVersion::new(version)));
-            lease.on_row_read(stored, now, now);
+            lease.on_row_read(stored, era, now, now);
             now = now + time::Millis::new(4_000);
             if let Some(duty::DutyAction::Write { row, .. }) =
                 lease.next_action(now, time::Millis::default())
             {
                 prop_assert!(row.fence.get() >= fence, "a token that falls");
                 let outcome = duty::CommitOutcome::Committed(quantity::RowVersion::new(version));
-                lease.on_write_outcome(row, outcome, now, now);
+                lease.on_write_outcome(row, (outcome, Some(era)), now, now);
             }
             lease.fencing_token(now);
         }
--- a/crates/fleet/tests/digest.rs
+++ b/crates/fleet/tests/digest.rs
@@ -172,6 +172,7 @@
         policy_read,
         quarantine: crash_notices(),
         lost_paths: lost_paths(),
+        lease_era: quantity::StoreEra::new(3),
     };
     let bytes = digest::encode(&sent, &notices).expect("the digest can be encoded");
     assert_eq!(digest::decode(&bytes).ok(), Some((sent.clone(), notices)));
@@ -229,6 +230,7 @@
         policy_read: READS,
         quarantine: crash_notices(),
         lost_paths: lost_paths(),
+        lease_era: quantity::StoreEra::new(3),
     };
     let bytes = digest::encode(&sent, &notices).expect("the digest can be encoded");
     let digest_length = postcard::to_stdvec(&sent).expect("the digest can be encoded").len();
@@ -236,10 +238,13 @@
     let wire = quarantine::NoticesWire::from(&notices.quarantine[..]);
     let segments = postcard::to_stdvec(&(notices.policy_read, wire.segments))
         .expect("the notices can be encoded");
-    // Messages that end behind the notices of limits or of segments are whole, as earlier releases send
-    // them.
+    let requests = postcard::to_stdvec(&(wire.requests, &notices.lost_paths))
+        .expect("the notices can be encoded");
+    // Messages that end behind the notices of limits, of segments or of paths are whole, as earlier
+    // releases send them.
     let limits_end = digest_length + limits.len();
-    let whole_lengths = [limits_end, limits_end + segments.len()];
+    let segments_end = limits_end + segments.len();
+    let whole_lengths = [limits_end, segments_end, segments_end + requests.len()];
     for length in digest_length + 1..bytes.len() {
         let is_whole = whole_lengths.contains(&length);
         assert_eq!(digest::decode(&bytes[..length]).is_ok(), is_whole, "{length} bytes");
--- a/crates/fleet/tests/duty.rs
+++ b/crates/fleet/tests/duty.rs
@@ -1,33 +1,55 @@
-//! The duty lease under lost responses, silence, restarts and contention of several daemons.
+//! The duty lease under lost responses, silence, restarts, contention of several daemons and returns of
+//! the table from older copies.
 
 use std::collections;
 
 use rand::Rng as _;
 use rand::SeedableRng as _;
+use samphiremoor_base::position;
 use samphiremoor_base::quantity;
 use samphiremoor_base::time;
 use samphiremoor_fleet::duty;
 
 const LEASE_TIME: time::Millis = time::Millis::new(3_000);
 
+/// Interval between copies of the table, and the largest number of intervals that it goes back.
+const COPY_INTERVAL_MS: u64 = 500;
+const MAX_COPY_AGE: usize = 20;
+
 /// Table with the lease row.
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct Table {
+    era: u64,
     row: Option<(duty::DutyRow, quantity::RowVersion)>,
     version: u64,
+    /// Eras of which a row says that the lease was taken in them.
+    taken_eras: collections::BTreeSet<u64>,
 }
 
 impl Table {
-    /// Writes the row if it has the expected version.
+    fn era(&self) -> quantity::StoreEra {
+        quantity::StoreEra::new(self.era)
+    }
+
+    /// Replaces the table by an older copy, in a new era.
+    fn restore(&mut self, copy: Table) {
+        *self = Table { era: self.era + 1, ..copy };
+    }
+
+    /// Writes the row if it has the expected version and nobody took the lease in a later era than that
+    /// of the write.
     fn write(
         &mut self,
         expected: Option<quantity::RowVersion>,
         row: duty::DutyRow,
     ) -> duty::CommitOutcome {
         let present = self.row.as_ref().map(|(_, version)| *version);
-        if present != expected {
+        let era = row.fence.era().get();
+        if present != expected || self.taken_eras.contains(&(era + 1)) {
             return duty::CommitOutcome::Conflict;
         }
+        let previous_era = self.row.as_ref().map_or(0, |(previous, _)| previous.fence.era().get());
+        self.taken_eras.extend(previous_era + 1..=era);
         self.version += 1;
         let version = quantity::RowVersion::new(self.version);
         self.row = Some((row, version));
@@ -61,18 +83,31 @@
 /// act, as time in ms, index of the daemon, and fencing token.
 fn simulate(seed: u64, has_faults: bool) -> Vec<(u64, usize, quantity::FencingToken)> {
     let mut draws = rand_chacha::ChaCha8Rng::seed_from_u64(seed);
-    let mut table = Table::default();
+    let mut table = Table { era: draws.random_range(0..2), ..Table::default() };
+    let mut copies = collections::VecDeque::new();
+    // Time in ms until which the table is away.
+    let mut table_back_ms = 0;
     let mut daemons: Vec<_> = (0..4).map(|index| daemon(index, 1)).collect();
     let mut acts = Vec::new();
-    let mut reported_version: Option<quantity::RowVersion> = None;
+    let mut reported_position: Option<position::StorePosition> = None;
     for now_ms in (0..90_000).step_by(50) {
         let now = time::MonotonicTime::new(now_ms);
-        // Version that the holder reported in the previous step; a daemon that does not run reports
+        // Position that the holder reported in the previous step; a daemon that does not run reports
         // none.
-        let received_version = reported_version.take();
+        let received_position = reported_position.take();
+        if now_ms % COPY_INTERVAL_MS == 0 {
+            copies.push_back(table.clone());
+            if copies.len() > MAX_COPY_AGE {
+                copies.pop_front();
+            }
+        }
         if has_faults && draws.random_bool(0.004) {
             let index = draws.random_range(0..4);
-            match draws.random_range(0..4) {
+            match draws.random_range(0..5) {
+                4 => {
+                    table.restore(copies[draws.random_range(0..copies.len())].clone());
+                    table_back_ms = now_ms + draws.random_range(0..5_000);
+                }
                 0 => daemons[index].paused_until_ms = now_ms + draws.random_range(500..8_000),
                 1 => daemons[index] = daemon(index, now_ms + 2),
                 2 => daemons[index].is_partitioned = !daemons[index].is_partitioned,
@@ -89,20 +124,21 @@
             if daemon.paused_until_ms > now_ms {
                 continue;
             }
-            if let Some(version) =
-                received_version.filter(|_| !has_faults || draws.random_bool(0.5))
+            if let Some(position) =
+                received_position.filter(|_| !has_faults || draws.random_bool(0.5))
             {
-                daemon.lease.observe_peer_lease(version, now);
+                daemon.lease.observe_peer_lease(position, now);
             }
+            let is_partitioned = daemon.is_partitioned || now_ms < table_back_ms;
             if let Some(action) = daemon.lease.next_action(now, daemon.takeover_delay) {
                 let is_lost = has_faults && draws.random_bool(0.1);
                 match action {
-                    duty::DutyAction::Read if daemon.is_partitioned => {
-                        daemon.lease.on_read_failed()
+                    duty::DutyAction::Read if is_partitioned => daemon.lease.on_read_failed(),
+                    duty::DutyAction::Read => {
+                        daemon.lease.on_row_read(table.row.clone(), table.era(), now, now)
                     }
-                    duty::DutyAction::Read => daemon.lease.on_row_read(table.row.clone(), now, now),
-                    duty::DutyAction::Write { expected, row: written_row } => {
-                        let outcome = match (daemon.is_partitioned, is_lost) {
+                    duty::DutyAction::Write { expected, row: written_row, .. } => {
+                        let outcome = match (is_partitioned, is_lost) {
                             (true, _) => duty::CommitOutcome::Unknown,
                             (false, false) => table.write(expected, written_row.clone()),
                             (false, true) => {
@@ -112,13 +148,14 @@
                                 duty::CommitOutcome::Unknown
                             }
                         };
-                        daemon.lease.on_write_outcome(written_row, outcome, now, now);
+                        let era = (outcome != duty::CommitOutcome::Unknown).then(|| table.era());
+                        daemon.lease.on_write_outcome(written_row, (outcome, era), now, now);
                     }
                 }
             }
             if let Some(fence) = daemon.lease.fencing_token(now) {
                 acts.push((now_ms, index, fence));
-                reported_version = daemon.lease.held_version();
+                reported_position = daemon.lease.held_position();
             }
         }
     }
@@ -187,11 +224,12 @@
             let now = time::MonotonicTime::new(now_ms);
             match daemon.lease.next_action(now, daemon.takeover_delay) {
                 Some(duty::DutyAction::Read) => {
-                    daemon.lease.on_row_read(table.row.clone(), now, now)
+                    daemon.lease.on_row_read(table.row.clone(), table.era(), now, now)
                 }
-                Some(duty::DutyAction::Write { expected, row: written_row }) => {
+                Some(duty::DutyAction::Write { expected, row: written_row, .. }) => {
                     let outcome = table.write(expected, written_row.clone());
-                    daemon.lease.on_write_outcome(written_row, outcome, now, now);
+                    let era = Some(table.era());
+                    daemon.lease.on_write_outcome(written_row, (outcome, era), now, now);
                 }
                 None => {}
             }
@@ -217,15 +255,17 @@
     let holder =
         ("other".parse().expect("the name is an identifier"), quantity::Incarnation::new(1));
     let fence = quantity::FencingToken::new(3);
-    let row = duty::DutyRow { holder: Some(holder), fence, renewals: 9 };
+    let row = duty::DutyRow { holder: Some(holder), fence, renewals: 9, undecided_from: None };
     let mut lease = daemon(1, 1).lease;
-    lease.observe_peer_lease(version, time::MonotonicTime::new(10_000));
+    let era = quantity::StoreEra::default();
+    let position = position::StorePosition { era, version };
+    lease.observe_peer_lease(position, time::MonotonicTime::new(10_000));
     let next_action = |lease: &mut duty::DutyLease, now_ms: u64| {
         lease.next_action(time::MonotonicTime::new(now_ms), time::Millis::default())
     };
     assert_eq!(next_action(&mut lease, 12_000), Some(duty::DutyAction::Read));
     let now = time::MonotonicTime::new(12_010);
-    lease.on_row_read(Some((row, version)), now, now);
+    lease.on_row_read(Some((row, version)), era, now, now);
     assert_eq!(
         next_action(&mut lease, 13_500),
         Some(duty::DutyAction::Read),
@@ -235,3 +275,67 @@
     let action = next_action(&mut lease, 14_300);
     assert!(matches!(action, Some(duty::DutyAction::Write { .. })), "{action:?}");
 }
+
+/// A lease that a daemon took in an era of the table and renewed last at this time, in milliseconds.
+fn held_lease(era: u64, renewed_ms: u64) -> (duty::DutyLease, duty::DutyRow) {
+    let mut lease = daemon(0, 1).lease;
+    let read_at = time::MonotonicTime::new(0);
+    lease.on_row_read(None, quantity::StoreEra::new(era), read_at, read_at);
+    let taken_at = time::MonotonicTime::new(renewed_ms);
+    let action = lease.next_action(taken_at, time::Millis::default());
+    let Some(duty::DutyAction::Write { row, .. }) = action else { panic!("{action:?}") };
+    let outcome = duty::CommitOutcome::Committed(quantity::RowVersion::new(9));
+    let era = Some(quantity::StoreEra::new(era));
+    lease.on_write_outcome(row.clone(), (outcome, era), taken_at, taken_at);
+    assert_eq!(lease.fencing_token(taken_at), Some(row.fence));
+    (lease, row)
+}
+
+/// The table has lost the lease of a daemon, which reads the row again after `away_ms`; checks whether it
+/// may take the lease at once.
+fn check_restored_holder(copy: Option<u64>, away_ms: u64, is_taken: bool) {
+    const RENEWED_MS: u64 = 10_000;
+    let (mut lease, row) = held_lease(3, RENEWED_MS);
+    let now = time::MonotonicTime::new(RENEWED_MS + away_ms);
+    let other = "other".parse().expect("the name is an identifier");
+    let copy = copy.map(|fence| {
+        let holder = Some((other, quantity::Incarnation::new(1)));
+        let fence = quantity::FencingToken::new(fence);
+        let row = duty::DutyRow { holder, fence, renewals: 1, undecided_from: None };
+        (row, quantity::RowVersion::new(4))
+    });
+    lease.on_row_read(copy, quantity::StoreEra::new(4), now, now);
+    let action = lease.next_action(now, time::Millis::default());
+    if !is_taken {
+        assert!(!matches!(action, Some(duty::DutyAction::Write { .. })), "{action:?}");
+        return;
+    }
+    let Some(duty::DutyAction::Write { row: taken, kind, .. }) = action else {
+        panic!("{action:?}")
+    };
+    assert_eq!(kind, duty::LeaseWrite::Restoration);
+    assert!(taken.fence > row.fence, "{} after {}", taken.fence, row.fence);
+    assert_eq!(taken.fence.era(), quantity::StoreEra::new(4));
+}
+
+samphiremoor_base::cases! {
+    holder_waits_for_a_lease_that_the_table_lost => check_restored_holder(None, 2_000, true);
+    earlier_holder_of_a_copy_holds_the_lease => check_restored_holder(Some(1), 2_000, true);
+    holder_takes_the_lease_after_others_may => check_restored_holder(None, 3_600, false);
+}
+
+/// The row is removed in the same era: the daemon stops, and takes part in the next takeover.
+#[test]
+fn holder_of_a_removed_row_stays_the_holder() {
+    let (mut lease, row) = held_lease(1, 10_000);
+    let lost_at = time::MonotonicTime::new(11_000);
+    let era = quantity::StoreEra::new(1);
+    let conflict = (duty::CommitOutcome::Conflict, Some(era));
+    lease.on_write_outcome(row.clone(), conflict, lost_at, lost_at);
+    lease.on_row_read(None, era, lost_at, lost_at);
+    assert_eq!(lease.fencing_token(lost_at), None);
+    let later = time::MonotonicTime::new(16_000);
+    let action = lease.next_action(later, time::Millis::default());
+    let Some(duty::DutyAction::Write { row: taken, .. }) = action else { panic!("{action:?}") };
+    assert!(taken.fence > row.fence, "the number is not given out again");
+}
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -302,7 +302,7 @@
     }
     let instant = state.clock_instant(now);
     if let Some((suspect, wait)) = state.quarantine.find_quarantined(&suspects, instant) {
-        let holds_lease = core.lease_state.local_version.get().is_some();
+        let holds_lease = core.lease_state.local_position.get().is_some();
         tests_verdict = holds_lease && state.quarantine.begin_test(suspect, instant);
         if !tests_verdict {
             state.quarantine.record_refusal(suspect, now);
--- a/crates/gateway/src/digest_exchange.rs
+++ b/crates/gateway/src/digest_exchange.rs
@@ -19,6 +19,7 @@
 use samphiremoor_base::event;
 use samphiremoor_base::id;
 use samphiremoor_base::log_event;
+use samphiremoor_base::position;
 use samphiremoor_base::quantity;
 use samphiremoor_base::time;
 use samphiremoor_fleet::attempt_message;
@@ -210,6 +211,10 @@
             }
         };
         exchange.core.apply_limit_notices(&notices.limits);
+        if let Some(version) = digest.lease_version {
+            let position = position::StorePosition { era: notices.lease_era, version };
+            exchange.lease_state.observe_peer(position, exchange.core.now());
+        }
         let source = exchange.notice_source(&digest);
         exchange.core.apply_quarantine_notices(&notices.quarantine, source);
         exchange.receive_digest(digest, &notices, sender, bytes).await;
@@ -440,6 +445,10 @@
 
     fn notices(&self, quarantine: Vec<quarantine::QuarantineNotice>) -> digest::DigestNotices {
         let now = self.core.now();
+        // A zone's sum has the version of the member that holds the lease.
+        let local = self.lease_state.local_position.get();
+        let known = local.or(self.lease_state.peer_position.get().map(|(position, _)| position));
+        let lease_era = known.map(|position| position.era).unwrap_or_default();
         let state = self.core.state.borrow();
         let reads_itself = state.policy_reader.is_none();
         let read_at = state.policy_read_at.filter(|_| reads_itself);
@@ -449,6 +458,7 @@
             policy_read: Some(digest::PolicyRead { age }),
             quarantine,
             lost_paths: state.paths.suspected_groups().cloned().collect(),
+            lease_era,
         }
     }
 
@@ -577,7 +587,7 @@
             unix_ms: u64::try_from(state.wall_clock.local(now)).unwrap_or(0),
             table_age: self.table_age(&state, now),
             entries_version: state.replicas.version(),
-            lease_version: self.lease_state.local_version.get(),
+            lease_version: self.lease_state.local_position.get().map(|position| position.version),
             loads,
             workspace_demands: state.quota.local_demands(now),
             service_demands,
@@ -717,9 +727,6 @@
     ) {
         let core = &self.core;
         let now = core.now();
-        if let Some(version) = digest.lease_version {
-            self.lease_state.peer_version.set(Some((version, now)));
-        }
         let mut state = core.state.borrow_mut();
         state.replicas.set_peer_loads(key, &digest.loads, now);
         state.quota.observe_peer_demands(key, incarnation, &digest.workspace_demands, now);
--- a/crates/gateway/src/duties.rs
+++ b/crates/gateway/src/duties.rs
@@ -44,6 +44,10 @@
 const MAX_START_DELAY_MS: u64 = 2_000;
 /// Key of the lease row.
 const LEASE_KEY: &str = "duty/lease";
+/// Key prefix of the rows that mark an era in which the lease was taken.
+const ERA_PREFIX: &str = "duty/era-";
+/// Number of eras that are marked at once. Earlier writes are no longer under way.
+const MAX_CLOSED_ERAS: u64 = 8;
 /// Key prefix of the rows that store usage reports before they are sent.
 const REPORT_PREFIX: &str = "usage/";
 
@@ -96,8 +100,8 @@
     async fn step(&mut self) {
         let core = self.core.clone();
         core.state.borrow_mut().wall_clock.observe_local(core.clock.unix_ms(), core.now());
-        if let Some((version, reported_at)) = self.lease_state.peer_version.get() {
-            self.lease.observe_peer_lease(version, reported_at);
+        if let Some((position, reported_at)) = self.lease_state.peer_position.get() {
+            self.lease.observe_peer_lease(position, reported_at);
         }
         if core.is_stopping() {
             self.lease.release();
@@ -117,7 +121,7 @@
     }
 
     fn update_held_token(&mut self, token: Option<quantity::FencingToken>) {
-        self.lease_state.local_version.set(token.and_then(|_| self.lease.held_version()));
+        self.lease_state.local_position.set(token.and_then(|_| self.lease.held_position()));
         match (self.held_token, token) {
             (None, Some(token)) => {
                 log_event!(event::LogEvent::DutyTaken, fence = token);
@@ -145,23 +149,27 @@
             duty::DutyAction::Read => match table.read(&key).await {
                 Ok(row) => {
                     let stored = row.and_then(|row| decode_lease(&row));
-                    self.lease.on_row_read(stored, sent_at, self.core.now());
+                    let era = table.era().unwrap_or_default();
+                    self.lease.on_row_read(stored, era, sent_at, self.core.now());
                 }
                 Err(cause) => {
                     log::debug!("failed to read the lease row ({cause}); retrying");
                     self.lease.on_read_failed();
                 }
             },
-            duty::DutyAction::Write { expected, row } => {
+            duty::DutyAction::Write { expected, row, previous_era, .. } => {
                 let condition = match expected {
                     Some(version) => table::RowCondition::VersionIs(key.clone(), version),
                     None => table::RowCondition::Absent(key.clone()),
                 };
+                let era = row.fence.era();
                 let value = serde_json::to_string(&row).unwrap_or_default();
+                let mut writes = vec![table::RowWrite::Put(key, value.into())];
+                writes.extend(close_eras(previous_era, era));
                 let transaction = table::TableTransaction {
                     write_id: digest_exchange::write_id(&self.core),
-                    conditions: vec![condition],
-                    writes: vec![table::RowWrite::Put(key, value.into())],
+                    conditions: vec![condition, era_condition(era)],
+                    writes,
                 };
                 let outcome = match table.commit(&transaction).await {
                     Ok(table::CommitResponse::Committed(version)) => {
@@ -175,7 +183,11 @@
                         duty::CommitOutcome::Unknown
                     }
                 };
-                self.lease.on_write_outcome(row, outcome, sent_at, self.core.now());
+                let era = match outcome {
+                    duty::CommitOutcome::Unknown => None,
+                    _ => Some(table.era().unwrap_or_default()),
+                };
+                self.lease.on_write_outcome(row, (outcome, era), sent_at, self.core.now());
             }
         }
     }
@@ -298,6 +310,26 @@
     }
 }
 
+/// Returns the condition that no daemon has taken the lease in a later era. Without it, a write that is
+/// performed late could take effect on a version that is given out again.
+fn era_condition(era: quantity::StoreEra) -> table::RowCondition {
+    table::RowCondition::Absent(era_key(era.next()))
+}
+
+/// Returns the writes that refuse late writes of the eras from `previous` up to the one before `era`.
+fn close_eras(
+    previous: quantity::StoreEra,
+    era: quantity::StoreEra,
+) -> impl Iterator<Item = table::RowWrite> {
+    let first = previous.next().get().max(era.get().saturating_sub(MAX_CLOSED_ERAS - 1));
+    let eras = (first..=era.get()).map(quantity::StoreEra::new);
+    eras.map(|closed| table::RowWrite::Put(era_key(closed), "{}".into()))
+}
+
+fn era_key(era: quantity::StoreEra) -> table::RowKey {
+    table::RowKey::new(&format!("{ERA_PREFIX}{era}"))
+}
+
 fn decode_lease(row: &table::TableRow) -> Option<(duty::DutyRow, quantity::RowVersion)> {
     match serde_json::from_str(&row.value) {
         Ok(duty_row) => Some((duty_row, row.version)),
--- a/crates/gateway/src/quarantine_records.rs
+++ b/crates/gateway/src/quarantine_records.rs
@@ -32,7 +32,7 @@
     loop {
         task::sleep(CHECK_INTERVAL.to_duration()).await;
         let now = core.now();
-        let holds_lease = core.lease_state.local_version.get().is_some();
+        let holds_lease = core.lease_state.local_position.get().is_some();
         let (count, has_report) = {
             let state = core.state.borrow();
             (state.quarantine.verdicts().count(), state.quarantine.has_recent_report(now))
--- a/crates/platform/src/table.rs
+++ b/crates/platform/src/table.rs
@@ -121,6 +121,12 @@
 /// The API of the table.
 #[async_trait]
 pub trait TableStore: Send + Sync {
+    /// Returns the era of the table as of its last answer; `None` if it reports none. It increases each
+    /// time that the table returns from an older copy of itself.
+    fn era(&self) -> Option<quantity::StoreEra> {
+        None
+    }
+
     /// Reads one row.
     async fn read(&self, key: &RowKey) -> Result<Option<TableRow>, PlatformError>;
 
