Duties: a decided usage report outlives the row that the store lost

Cause: a decision was kept in the row of its window alone, and a successor without the row decided anew.

An earlier one that nobody knows is not reported (E0604, a counter). A store that names no era loses nothing: digests are as before there.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -110,6 +110,7 @@
     601 DutyTaken "duty-taken" Info "This daemon acquired the lease for the duties and performs them; the line has the fencing token.",
     602 DutyLost "duty-lost" Warn "This daemon lost the lease for the duties and no longer performs them.",
     603 UsageReported "usage-reported" Info "The usage of a window was reported; the line has the response.",
+    604 UsageReportLost "usage-report-lost" Warn "The usage of a window is not reported: the table has lost whether it was, and with which counts.",
     901 FaultInjected "fault-injected" Info "A stand-in was instructed to inject faults.",
 }
 
--- a/crates/fleet/src/digest.rs
+++ b/crates/fleet/src/digest.rs
@@ -113,6 +113,8 @@
     pub lost_paths: Vec<reachability::PathGroup>,
     /// Era of the version of the lease row in the digest. Earlier releases don't say.
     pub lease_era: quantity::StoreEra,
+    /// Usage reports that were decided.
+    pub decided_reports: Vec<usage::WindowCount>,
 }
 
 /// Encodes a digest and notices as one message. Earlier releases read the digest, or the digest and
@@ -126,7 +128,7 @@
     let encoded = postcard::to_extend(&notices.limits, postcard::to_stdvec(digest)?)?;
     let encoded = postcard::to_extend(&(notices.policy_read, &wire.segments), encoded)?;
     let encoded = postcard::to_extend(&(&wire.requests, &notices.lost_paths), encoded)?;
-    postcard::to_extend(&notices.lease_era, encoded)
+    postcard::to_extend(&(notices.lease_era, &notices.decided_reports), encoded)
 }
 
 /// Error of a message that is no digest.
@@ -195,7 +197,7 @@
             let ((requests, lost_paths), rest) = postcard::take_from_bytes(rest)?;
             (wire.requests, notices.lost_paths) = (requests, lost_paths);
             if !rest.is_empty() {
-                notices.lease_era = postcard::from_bytes(rest)?;
+                (notices.lease_era, notices.decided_reports) = postcard::from_bytes(rest)?;
             }
         }
         notices.quarantine = wire.into();
--- a/crates/fleet/src/usage.rs
+++ b/crates/fleet/src/usage.rs
@@ -14,6 +14,11 @@
 /// Number of windows, up to the newest one, whose counts may still rise.
 const RECENT_WINDOWS: u64 = 2;
 
+/// Number of windows, up to the newest one, whose decided reports are kept.
+const DECIDED_WINDOWS: usize = 6;
+/// Number of counts in the decided reports of one digest.
+const MAX_SENT_COUNTS: usize = 1_000;
+
 /// Number of a time window. Windows follow each other from the Unix epoch on.
 pub type WindowNumber = u64;
 
@@ -27,6 +32,35 @@
     pub counts: collections::BTreeMap<id::WorkspaceId, u32>,
 }
 
+/// Reports that holders of the duty lease have decided to send. A window has one report at most, also if
+/// the table loses its row.
+#[derive(Clone, Debug, Default)]
+pub struct DecidedReports(collections::BTreeMap<WindowNumber, WindowCount>);
+
+impl DecidedReports {
+    /// Records a report that was decided, here or at a peer.
+    pub fn record(&mut self, report: &WindowCount) {
+        self.0.entry(report.window).or_insert_with(|| report.clone());
+        while self.0.len() > DECIDED_WINDOWS {
+            self.0.pop_first();
+        }
+    }
+
+    /// Returns the report of a window.
+    pub fn get(&self, window: WindowNumber) -> Option<&WindowCount> {
+        self.0.get(&window)
+    }
+
+    /// Returns the reports that fit into a digest, the newest ones first.
+    pub fn recent(&self) -> impl Iterator<Item = &WindowCount> {
+        let mut count = 0;
+        self.0.values().rev().take_while(move |report| {
+            count += report.counts.len() + 1;
+            count <= MAX_SENT_COUNTS
+        })
+    }
+}
+
 /// Windows that a digest contains.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum WindowScope {
--- a/crates/fleet/tests/decoders.rs
+++ b/crates/fleet/tests/decoders.rs
@@ -136,6 +136,10 @@
             zone: parsed("north"),
         }],
         lease_era: quantity::StoreEra::new(numbers[7]),
+        decided_reports: vec![usage::WindowCount {
+            window: numbers[6],
+            counts: [(parsed("clinic"), 1)].into(),
+        }],
     })
 }
 
--- a/crates/fleet/tests/digest.rs
+++ b/crates/fleet/tests/digest.rs
@@ -173,6 +173,10 @@
         quarantine: crash_notices(),
         lost_paths: lost_paths(),
         lease_era: quantity::StoreEra::new(3),
+        decided_reports: vec![usage::WindowCount {
+            window: 9,
+            counts: [("clinic".parse().expect("the text is an identifier"), 4)].into(),
+        }],
     };
     let bytes = digest::encode(&sent, &notices).expect("the digest can be encoded");
     assert_eq!(digest::decode(&bytes).ok(), Some((sent.clone(), notices)));
@@ -231,6 +235,10 @@
         quarantine: crash_notices(),
         lost_paths: lost_paths(),
         lease_era: quantity::StoreEra::new(3),
+        decided_reports: vec![usage::WindowCount {
+            window: 9,
+            counts: [("clinic".parse().expect("the text is an identifier"), 4)].into(),
+        }],
     };
     let bytes = digest::encode(&sent, &notices).expect("the digest can be encoded");
     let digest_length = postcard::to_stdvec(&sent).expect("the digest can be encoded").len();
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -106,6 +106,8 @@
     pub ttft_estimator: admission::TtftEstimator,
     /// Number of runs by usage window.
     pub usage: usage::UsageCounter,
+    /// Usage reports that a holder of the duty lease decided.
+    pub decided_reports: usage::DecidedReports,
     /// Estimate of the wall-clock time from the clocks of all daemons.
     pub wall_clock: wall_clock::ClockEstimate,
     /// Software versions of each service.
@@ -202,6 +204,7 @@
             quota: quota::QuotaLimiter::new(settings.shared.quota_tolerance()),
             ttft_estimator: admission::TtftEstimator::default(),
             usage: usage::UsageCounter::new(settings.daemon.clone(), incarnation),
+            decided_reports: usage::DecidedReports::default(),
             wall_clock,
             versions: version_history::VersionHistory::default(),
             limits: limit::LimitTable::new(now),
--- a/crates/gateway/src/digest_exchange.rs
+++ b/crates/gateway/src/digest_exchange.rs
@@ -215,6 +215,9 @@
             let position = position::StorePosition { era: notices.lease_era, version };
             exchange.lease_state.observe_peer(position, exchange.core.now());
         }
+        for report in &notices.decided_reports {
+            exchange.core.state.borrow_mut().decided_reports.record(report);
+        }
         let source = exchange.notice_source(&digest);
         exchange.core.apply_quarantine_notices(&notices.quarantine, source);
         exchange.receive_digest(digest, &notices, sender, bytes).await;
@@ -230,9 +233,11 @@
         let local_digest = exchange.build_digest(usage);
         let is_zonal = exchange.is_zonal();
         let members = exchange.due_members(is_zonal);
-        exchange.send(&local_digest, exchange.member_notices(), &members).await;
+        let notices = exchange.notices(exchange.member_notices(), usage);
+        exchange.send(&local_digest, &notices, &members).await;
         if is_zonal && let Some((sum, recipients)) = exchange.zone_sum(&local_digest, usage) {
-            exchange.send(&sum, exchange.group_notices(), &recipients).await;
+            let notices = exchange.notices(exchange.group_notices(), usage);
+            exchange.send(&sum, &notices, &recipients).await;
         }
         exchange.update_daemon_count(is_zonal);
         exchange.choose_readers(is_zonal);
@@ -392,11 +397,10 @@
     async fn send(
         &self,
         digest: &digest::PeerDigest,
-        quarantine: Vec<quarantine::QuarantineNotice>,
+        notices: &digest::DigestNotices,
         recipients: &[SocketAddr],
     ) {
-        let notices = self.notices(quarantine);
-        let bytes = match digest::encode(digest, &notices) {
+        let bytes = match digest::encode(digest, notices) {
             Ok(bytes) => bytes,
             Err(cause) => {
                 log::warn!("failed to encode a digest ({cause}); skipping it");
@@ -443,7 +447,11 @@
         }
     }
 
-    fn notices(&self, quarantine: Vec<quarantine::QuarantineNotice>) -> digest::DigestNotices {
+    fn notices(
+        &self,
+        quarantine: Vec<quarantine::QuarantineNotice>,
+        scope: usage::WindowScope,
+    ) -> digest::DigestNotices {
         let now = self.core.now();
         // A zone's sum has the version of the member that holds the lease.
         let local = self.lease_state.local_position.get();
@@ -459,7 +467,16 @@
             quarantine,
             lost_paths: state.paths.suspected_groups().cloned().collect(),
             lease_era,
+            decided_reports: self.decided_reports(scope),
+        }
+    }
+
+    /// Returns the decided usage reports for the peers, which a table that reports no era never loses.
+    fn decided_reports(&self, scope: usage::WindowScope) -> Vec<usage::WindowCount> {
+        if scope != usage::WindowScope::Retained || self.core.adapter.table.era().is_none() {
+            return Vec::new();
         }
+        self.core.state.borrow().decided_reports.recent().cloned().collect()
     }
 
     async fn send_bytes(&self, bytes: &[u8], recipients: &[SocketAddr]) {
--- a/crates/gateway/src/duties.rs
+++ b/crates/gateway/src/duties.rs
@@ -70,6 +70,8 @@
         planned_at: None,
         last_reported: None,
         next_report_at: time::MonotonicTime::default(),
+        restored_token: None,
+        held_since: None,
     };
     loop {
         runner.step().await;
@@ -93,6 +95,20 @@
     /// Last window whose report the cloud accepted.
     last_reported: Option<usage::WindowNumber>,
     next_report_at: time::MonotonicTime,
+    /// Fencing token with which this daemon takes its own lease again that the table has lost.
+    restored_token: Option<quantity::FencingToken>,
+    /// Window at whose time this daemon took the lease, which it has held since.
+    held_since: Option<usage::WindowNumber>,
+}
+
+/// Report of one window.
+enum ReportDecision {
+    /// The report that is sent, by this and every later holder of the lease.
+    Decided(usage::WindowCount),
+    /// One may have been sent that the table has lost.
+    Lost,
+    /// The table could not be asked.
+    Unknown,
 }
 
 impl DutyRunner {
@@ -121,6 +137,13 @@
     }
 
     fn update_held_token(&mut self, token: Option<quantity::FencingToken>) {
+        let is_new = token.is_some() && token != self.last_token;
+        if is_new && token == self.restored_token {
+            // No other daemon held the lease meanwhile.
+            self.last_token = token;
+        } else if is_new {
+            self.held_since = self.current_window();
+        }
         self.lease_state.local_position.set(token.and_then(|_| self.lease.held_position()));
         match (self.held_token, token) {
             (None, Some(token)) => {
@@ -157,15 +180,26 @@
                     self.lease.on_read_failed();
                 }
             },
-            duty::DutyAction::Write { expected, row, previous_era, .. } => {
+            duty::DutyAction::Write { expected, mut row, kind, previous_era } => {
                 let condition = match expected {
                     Some(version) => table::RowCondition::VersionIs(key.clone(), version),
                     None => table::RowCondition::Absent(key.clone()),
                 };
                 let era = row.fence.era();
+                let reports = match kind != duty::LeaseWrite::Renewal && previous_era < era {
+                    true => {
+                        row.undecided_from = self.undecided_from(kind);
+                        self.restored_reports()
+                    }
+                    false => Vec::new(),
+                };
+                if kind == duty::LeaseWrite::Restoration {
+                    self.restored_token = Some(row.fence);
+                }
                 let value = serde_json::to_string(&row).unwrap_or_default();
                 let mut writes = vec![table::RowWrite::Put(key, value.into())];
                 writes.extend(close_eras(previous_era, era));
+                writes.extend(reports);
                 let transaction = table::TableTransaction {
                     write_id: digest_exchange::write_id(&self.core),
                     conditions: vec![condition, era_condition(era)],
@@ -192,6 +226,32 @@
         }
     }
 
+    /// Returns the current window by the time of day on which the daemons agree.
+    fn current_window(&self) -> Option<usage::WindowNumber> {
+        let core = &self.core;
+        let now_ms = core.state.borrow().wall_clock.now(core.now());
+        Some(core::usage_window(now_ms, core.settings.times.usage_window))
+    }
+
+    /// Returns the first window of which no report can have been decided in an era that the table has
+    /// lost, by another daemon than this one.
+    fn undecided_from(&self, kind: duty::LeaseWrite) -> Option<usage::WindowNumber> {
+        match kind {
+            duty::LeaseWrite::Restoration => self.held_since,
+            duty::LeaseWrite::Takeover | duty::LeaseWrite::Renewal => self.current_window(),
+        }
+    }
+
+    /// Returns the writes of all known reports, whose rows the table may have lost.
+    fn restored_reports(&self) -> Vec<table::RowWrite> {
+        let state = self.core.state.borrow();
+        let put = |report: &usage::WindowCount| {
+            let value = serde_json::to_string(report).unwrap_or_default();
+            table::RowWrite::Put(report_key(report.window), value.into())
+        };
+        state.decided_reports.recent().map(put).collect()
+    }
+
     /// Reports the oldest window that is due and not yet reported.
     async fn report_usage(&mut self) {
         let core = self.core.clone();
@@ -210,10 +270,20 @@
             return;
         }
         core.state.borrow_mut().usage.prune_incarnations(current_window);
-        let Some(report) = self.store_report(window).await else {
-            self.next_report_at = core.now() + REPORT_RETRY_PAUSE;
-            return;
+        let report = match self.decide_report(window).await {
+            ReportDecision::Decided(report) => report,
+            ReportDecision::Lost => {
+                log_event!(event::LogEvent::UsageReportLost, window = window);
+                core.metrics.count_lost_report();
+                self.last_reported = Some(window);
+                return;
+            }
+            ReportDecision::Unknown => {
+                self.next_report_at = core.now() + REPORT_RETRY_PAUSE;
+                return;
+            }
         };
+        core.state.borrow_mut().decided_reports.record(&report);
         let Some(token) = self.lease.fencing_token(core.now()) else { return };
         let cloud = core.adapter.cloud.clone();
         let result = cloud.report_usage(&core.settings.daemon, token, &report).await;
@@ -231,20 +301,34 @@
     }
 
     /// Returns the report of a window. The report is stored in the table before it is sent, so that
-    /// a later lease holder sends the same counts.
-    async fn store_report(&self, window: usage::WindowNumber) -> Option<usage::WindowCount> {
+    /// a later lease holder sends the same counts. A window of which the table may have lost the report
+    /// has none but a known one.
+    async fn decide_report(&self, window: usage::WindowNumber) -> ReportDecision {
         let core = &self.core;
-        let key = table::RowKey::new(&format!("{REPORT_PREFIX}{window}"));
+        if let Some(report) = core.state.borrow().decided_reports.get(window) {
+            return ReportDecision::Decided(report.clone());
+        }
+        let Some(lease) = self.lease.held_position() else { return ReportDecision::Unknown };
+        if self.lease.undecided_from().is_some_and(|first| window < first) {
+            return match self.read_report(window).await {
+                Ok(Some(report)) => ReportDecision::Decided(report),
+                Ok(None) => ReportDecision::Lost,
+                Err(()) => ReportDecision::Unknown,
+            };
+        }
+        let key = report_key(window);
         let counts = core.state.borrow().usage.total(window);
         let report = usage::WindowCount { window, counts };
-        let expired_key = table::RowKey::new(&format!(
-            "{REPORT_PREFIX}{}",
-            window - KEPT_REPORT_ROWS.min(window)
-        ));
+        let expired_key = report_key(window - KEPT_REPORT_ROWS.min(window));
         let value: sync::Arc<str> = serde_json::to_string(&report).unwrap_or_default().into();
         let transaction = table::TableTransaction {
             write_id: digest_exchange::write_id(core),
-            conditions: vec![table::RowCondition::Absent(key.clone())],
+            // A copy that has the row of the lease has the reports of earlier holders.
+            conditions: vec![
+                table::RowCondition::Absent(key.clone()),
+                table::RowCondition::VersionIs(table::RowKey::new(LEASE_KEY), lease.version),
+                era_condition(lease.era),
+            ],
             writes: vec![
                 table::RowWrite::Put(key.clone(), value),
                 table::RowWrite::Delete(expired_key),
@@ -253,25 +337,39 @@
         let table = core.adapter.table.clone();
         core.metrics.count_table_call(metrics::TableCall::Reports);
         match table.commit(&transaction).await {
-            Ok(table::CommitResponse::Committed(_)) => Some(report),
-            Ok(table::CommitResponse::Refused(_)) => {
-                core.metrics.count_table_call(metrics::TableCall::Reports);
-                let row = table.read(&key).await.ok()??;
-                let stored_report = serde_json::from_str(&row.value);
-                if let Err(cause) = &stored_report {
-                    log::warn!("row {key} is not a valid usage report ({cause}); delete it");
-                }
-                stored_report.ok()
+            Ok(table::CommitResponse::Committed(_))
+                if table.era().unwrap_or_default() == lease.era =>
+            {
+                ReportDecision::Decided(report)
             }
+            Ok(_) => match self.read_report(window).await {
+                Ok(Some(report)) => ReportDecision::Decided(report),
+                Ok(None) | Err(()) => ReportDecision::Unknown,
+            },
             Err(cause) => {
                 log::debug!(
                     "failed to store the usage report of window {window} ({cause}); retrying"
                 );
-                None
+                ReportDecision::Unknown
             }
         }
     }
 
+    /// Reads the report of a window from the table; the error says that it can't be read.
+    async fn read_report(
+        &self,
+        window: usage::WindowNumber,
+    ) -> Result<Option<usage::WindowCount>, ()> {
+        self.core.metrics.count_table_call(metrics::TableCall::Reports);
+        let key = report_key(window);
+        let table = self.core.adapter.table.clone();
+        let Some(row) = table.read(&key).await.map_err(drop)? else { return Ok(None) };
+        let report = serde_json::from_str(&row.value).map_err(|cause| {
+            log::warn!("row {key} is not a valid usage report ({cause}); delete it");
+        })?;
+        Ok(Some(report))
+    }
+
     /// Plans the capacity of each service and sends the resulting orders to the cloud.
     async fn order_replicas(&mut self) {
         let core = self.core.clone();
@@ -326,6 +424,10 @@
     eras.map(|closed| table::RowWrite::Put(era_key(closed), "{}".into()))
 }
 
+fn report_key(window: usage::WindowNumber) -> table::RowKey {
+    table::RowKey::new(&format!("{REPORT_PREFIX}{window}"))
+}
+
 fn era_key(era: quantity::StoreEra) -> table::RowKey {
     table::RowKey::new(&format!("{ERA_PREFIX}{era}"))
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -55,6 +55,7 @@
     document_reads: prometheus::IntCounterVec,
     document_bytes: prometheus::IntCounter,
     limited_replicas: prometheus::IntGauge,
+    lost_reports: prometheus::IntCounter,
     replica_crashes: prometheus::IntCounter,
     refuted_crashes: prometheus::IntCounter,
     response_departures: prometheus::IntCounter,
@@ -126,6 +127,11 @@
             "Replicas that name a limit on their requests.",
         );
         let limited_replicas = register(&registry, limited_replicas.expect("the name is valid"));
+        let lost_reports = prometheus::IntCounter::new(
+            "samphiremoor_gateway_lost_reports_total",
+            "Usage windows that were not reported since the table has lost their reports.",
+        );
+        let lost_reports = register(&registry, lost_reports.expect("the name is valid"));
         let replica_crashes = prometheus::IntCounter::new(
             "samphiremoor_gateway_replica_crashes_total",
             "Requests of this daemon under which a replica crashed before they survived.",
@@ -200,6 +206,7 @@
             document_reads,
             document_bytes,
             limited_replicas,
+            lost_reports,
             replica_crashes,
             refuted_crashes,
             response_departures,
@@ -271,6 +278,11 @@
         self.limited_replicas.set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
+    /// Counts a window of which the table has lost the usage report.
+    pub fn count_lost_report(&self) {
+        self.lost_reports.inc();
+    }
+
     /// Counts a request under which a replica crashed before it survived.
     pub fn count_replica_crash(&self) {
         self.replica_crashes.inc();
