Calls of the duties: what was given up doesn't arrive later

Cause: a call that times out was given up by an ordinary close, after which the system goes on sending. The time to connect was not within the time of the call, and a daemon that was suspended before the first byte wrote it all the same.

Change: before its first byte, a call makes the system drop what is not delivered when its connection closes, by whatever end of the call, the task or the process, and reset the connection if the other end does not acknowledge in time (httpio::withdrawal). A call of the duties has a permission with the time in which no other daemon takes the lease; it covers the connect and is checked before the first byte. Weighed: a reset at the timeout alone (a killed or suspended process leaves its bytes to the system).

--- a/crates/fleet/src/duty.rs
+++ b/crates/fleet/src/duty.rs
@@ -83,6 +83,15 @@
     Unknown,
 }
 
+/// Permission for one call under the lease.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct CallPermit {
+    /// Fencing token of the lease.
+    pub fence: quantity::FencingToken,
+    /// Time in which no other daemon takes the lease. Later, no byte of the call may arrive.
+    pub valid_for: time::Millis,
+}
+
 /// State machine with which one daemon acquires, renews and releases the duty lease.
 #[derive(Clone, Debug)]
 pub struct DutyLease {
@@ -150,6 +159,15 @@
         (now.since(lease.renewed_at) < self.hold_time()).then_some(lease.fence)
     }
 
+    /// Returns the permission for one call under the lease; `None` if another daemon may hold the lease by
+    /// now.
+    pub fn call_permit(&self, now: time::MonotonicTime) -> Option<CallPermit> {
+        let fence = self.fencing_token(now)?;
+        let renewed_at = self.held_lease.as_ref()?.renewed_at;
+        let valid_for = self.expiry_time().saturating_sub(now.since(renewed_at));
+        Some(CallPermit { fence, valid_for })
+    }
+
     /// Reads the row not before `first_read_at`, since another daemon that starts at the same time may
     /// report until then that it holds the lease.
     pub fn delay_read(&mut self, first_read_at: time::MonotonicTime) {
--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -11,6 +11,7 @@
 use samphiremoor_base::time;
 use samphiremoor_fleet::capacity;
 use samphiremoor_fleet::dispatch;
+use samphiremoor_fleet::duty;
 use samphiremoor_fleet::policy;
 use samphiremoor_fleet::replica;
 use samphiremoor_fleet::selection;
@@ -270,7 +271,7 @@
     async fn report_usage(
         &self,
         holder: &id::DaemonId,
-        token: quantity::FencingToken,
+        permit: duty::CallPermit,
         report: &usage::WindowCount,
     ) -> Result<(), table::PlatformError>;
 
@@ -278,7 +279,7 @@
     async fn order_replicas(
         &self,
         holder: &id::DaemonId,
-        token: quantity::FencingToken,
+        permit: duty::CallPermit,
         order: &capacity::CapacityOrder,
     ) -> capacity::OrderOutcome;
 }
--- a/crates/gateway/src/duties.rs
+++ b/crates/gateway/src/duties.rs
@@ -284,14 +284,14 @@
             }
         };
         core.state.borrow_mut().decided_reports.record(&report);
-        let Some(token) = self.lease.fencing_token(core.now()) else { return };
+        let Some(permit) = self.lease.call_permit(core.now()) else { return };
         let cloud = core.adapter.cloud.clone();
-        let result = cloud.report_usage(&core.settings.daemon, token, &report).await;
+        let result = cloud.report_usage(&core.settings.daemon, permit, &report).await;
         log_event!(
             event::LogEvent::UsageReported,
             window = window,
             runs = report.counts.values().sum::<u32>(),
-            fence = token,
+            fence = permit.fence,
             answer = format_args!("{result:?}"),
         );
         match result {
@@ -386,9 +386,9 @@
             let planner = self.planners.entry(service.clone()).or_default();
             let orders = planner.plan(service, scaling, &supply, &load, now);
             for order in orders {
-                let Some(token) = self.lease.fencing_token(core.now()) else { return };
+                let Some(permit) = self.lease.call_permit(core.now()) else { return };
                 let cloud = core.adapter.cloud.clone();
-                let result = cloud.order_replicas(&core.settings.daemon, token, &order).await;
+                let result = cloud.order_replicas(&core.settings.daemon, permit, &order).await;
                 log_event!(
                     event::LogEvent::CapacityOrdered,
                     service = order.service,
@@ -397,7 +397,7 @@
                     count = order.desired,
                     need =
                         format_args!("{:.1}", capacity::CapacityPlanner::required_replicas(&load)),
-                    fence = token,
+                    fence = permit.fence,
                     answer = format_args!("{result:?}"),
                 );
                 if let Some(planner) = self.planners.get_mut(service) {
--- a/crates/httpio/src/client.rs
+++ b/crates/httpio/src/client.rs
@@ -15,6 +15,7 @@
 use crate::relay;
 use crate::response_reader;
 use crate::timeout_stream;
+use crate::withdrawal;
 
 /// Timeouts of one call.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -127,6 +128,8 @@
     let ClientStream { stream, framing } = connection;
     // Nagle's algorithm would delay small writes until earlier ones are acknowledged.
     stream.set_nodelay(true).map_err(CallError::NotConnected)?;
+    withdrawal::arm(&stream, limits.head);
+    let socket = stream.clone();
     let mut stream = timeout_stream::TimeoutStream::new(stream, limits.head, limits.head);
     let read_timeout = stream.read_timeout();
     let method = request.method();
@@ -137,6 +140,7 @@
     };
     match future::timeout(limits.head.to_duration(), exchange).await {
         Ok(Ok(response)) => {
+            withdrawal::disarm(&socket);
             // All further reads are of the body.
             read_timeout.set(limits.silence);
             Ok(response)
--- a/crates/httpio/src/lib.rs
+++ b/crates/httpio/src/lib.rs
@@ -18,3 +18,4 @@
 mod response_reader;
 pub mod server;
 pub mod timeout_stream;
+mod withdrawal;
--- a/crates/httpio/src/persistent.rs
+++ b/crates/httpio/src/persistent.rs
@@ -11,6 +11,7 @@
 use crate::client;
 use crate::connection;
 use crate::message;
+use crate::withdrawal;
 
 /// Client of one server with a persistent connection.
 #[derive(Debug)]
@@ -26,8 +27,10 @@
 /// Timeout of a call.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum CallLimit {
-    /// The whole response must arrive within this time.
+    /// The whole response must arrive within this time after the connection is open.
     Whole(time::Millis),
+    /// The whole response must arrive within this time, and no byte of the call is sent later.
+    Expiring(time::Millis),
     /// The response may be of any size as long as it goes on.
     Progress {
         /// Time within which the head must arrive.
@@ -74,7 +77,8 @@
         self.idle.lock().await.take();
     }
 
-    /// Sends a request and returns the response. A connection that failed or timed out is not reused.
+    /// Sends a request and returns the response. A connection that failed or timed out is not reused, and
+    /// what was not delivered of the call then is dropped.
     ///
     /// # Errors
     ///
@@ -83,20 +87,38 @@
         &self,
         request: &ClientRequest<'_>,
     ) -> Result<ClientResponse, client::CallError> {
+        let started_at = boot_time();
         let mut idle = self.idle.lock().await;
         let mut connection = match idle.take() {
             Some(connection) if connection.is_idle().await => connection,
-            _ => connection::RawConnection::connect(self.address, self.connect_timeout)
-                .await
-                .map_err(client::CallError::NotConnected)?,
+            _ => {
+                let timeout = match request.limit {
+                    CallLimit::Expiring(limit) => self.connect_timeout.min(limit),
+                    CallLimit::Whole(_) | CallLimit::Progress { .. } => self.connect_timeout,
+                };
+                let connecting = connection::RawConnection::connect(self.address, timeout);
+                connecting.await.map_err(client::CallError::NotConnected)?
+            }
+        };
+        let limit = match request.limit {
+            CallLimit::Whole(limit) | CallLimit::Progress { head: limit, .. } => limit,
+            // The process may have been suspended since the call began.
+            CallLimit::Expiring(limit) => limit.saturating_sub(boot_time().since(started_at)),
         };
+        if limit == time::Millis::default() {
+            return Err(client::CallError::NotConnected(io::ErrorKind::TimedOut.into()));
+        }
+        withdrawal::arm(&connection.stream(), limit);
         let exchange = exchange(&mut connection, self.address, request);
         let result = match request.limit {
-            CallLimit::Whole(limit) => future::timeout(limit.to_duration(), exchange).await,
+            CallLimit::Whole(_) | CallLimit::Expiring(_) => {
+                future::timeout(limit.to_duration(), exchange).await
+            }
             CallLimit::Progress { .. } => Ok(exchange.await),
         };
         match result {
             Ok(Ok((response, is_keep_alive))) => {
+                withdrawal::disarm(&connection.stream());
                 *idle = is_keep_alive.then_some(connection);
                 Ok(response)
             }
@@ -108,6 +130,13 @@
     }
 }
 
+/// Returns the time since the boot of the VM, which includes suspensions.
+fn boot_time() -> time::MonotonicTime {
+    let timespec = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    let millis = timespec.tv_sec * 1_000 + timespec.tv_nsec / 1_000_000;
+    time::MonotonicTime::new(u64::try_from(millis).unwrap_or(0))
+}
+
 /// Why a call got no response.
 enum ExchangeError {
     /// The connection failed, or the response is invalid.
@@ -147,7 +176,9 @@
     request: &ClientRequest<'_>,
 ) -> Result<(ClientResponse, bool), ExchangeError> {
     let head = match request.limit {
-        CallLimit::Whole(_) => exchange_heads(connection, address, request).await?,
+        CallLimit::Whole(_) | CallLimit::Expiring(_) => {
+            exchange_heads(connection, address, request).await?
+        }
         CallLimit::Progress { head: limit, .. } => {
             let heads = exchange_heads(connection, address, request);
             future::timeout(limit.to_duration(), heads).await??
@@ -155,7 +186,9 @@
     };
     let framing = message::response_framing(&head, request.method)?;
     let body = match request.limit {
-        CallLimit::Whole(_) => connection.body(framing, connection::MAX_RESPONSE_BODY).await?,
+        CallLimit::Whole(_) | CallLimit::Expiring(_) => {
+            connection.body(framing, connection::MAX_RESPONSE_BODY).await?
+        }
         CallLimit::Progress { step, .. } => read_body(connection, framing, step).await?,
     };
     let is_keep_alive = head.is_keep_alive && framing != message::BodyFraming::UntilClose;
