Gateway: the close of a dead or stopped replica is not the end of its response

Cause: the end of a connection without an error counted as the end of a response without a length. The system of a process that died closes its connections in that way, a replica closes a stream that the daemon told it to stop for its migration, and a failed write takes the error by which the read would have told a reset.

Evidence: three tests fail without the change (stream and plain response of a replica that dies, a stream without chunks that is stopped for its migration). The failed write is by reading; no test shows it.

Change: such a response is whole only if its replica still takes connections, was not told to stop the stream, and the write of the request did not fail. The connection of the check is kept in place of the one that ended. Events don't wait for it.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -20,6 +20,7 @@
 use crate::crash_probe;
 use crate::events;
 use crate::guard;
+use crate::response_end;
 use crate::upstream;
 
 /// Multiple of the route's latency target after which a plain request is sent to another replica as
@@ -284,9 +285,14 @@
             self.record_result(&selected.replica, true);
             return Err(reason::RetryReason::ConnectionClosed);
         };
+        let is_framed = response.framing != message::BodyFraming::UntilClose;
+        if !is_framed && !response_end::is_whole(self.core, &response, &guard.replica_start()).await
+        {
+            self.record_result(&selected.replica, true);
+            return Err(reason::RetryReason::ConnectionClosed);
+        }
         drop(guard);
         self.record_result(&selected.replica, response.head.status >= 500);
-        let is_framed = response.framing != message::BodyFraming::UntilClose;
         if is_framed && response.head.status < 500 {
             self.observe_survival();
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod relay;
 pub mod relay_directory;
 pub mod response;
+mod response_end;
 pub mod resumption;
 pub mod served_document;
 pub mod settings;
--- a/crates/gateway/src/migration.rs
+++ b/crates/gateway/src/migration.rs
@@ -1,5 +1,6 @@
 //! Migration of the KV cache of a stream from a leaving replica to another one.
 
+use std::cell;
 use std::net::SocketAddr;
 use std::rc;
 use std::sync;
@@ -28,6 +29,8 @@
     pub(crate) source_address: SocketAddr,
     pub(crate) target: id::ReplicaId,
     pub(crate) target_address: SocketAddr,
+    /// Set once the source is told to stop the stream.
+    pub(crate) is_stopped: rc::Rc<cell::Cell<bool>>,
 }
 
 impl KvMigration {
@@ -41,6 +44,7 @@
         if !migration.core.accepts_requests(&migration.target, migration.target_address) {
             return None;
         }
+        migration.is_stopped.set(true);
         let stop = migration.order(adapter::MigrationStep::Stop, LAST_COPY_TIMEOUT);
         if let Some(location) = stop.await {
             copy.location = Some(location);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,6 +1,8 @@
 //! Relays the response of one replica to the caller, and migrates streams of replicas that leave.
 
+use std::cell;
 use std::pin;
+use std::rc;
 
 use samphiremoor_base::reason;
 use samphiremoor_fleet::selection;
@@ -53,7 +55,9 @@
         } = started;
         let context = self.context;
         let start = guard.replica_start();
-        let mut stream = stream::ReplicaStream::new(selected.clone(), connection, response, body);
+        let replica = selected.clone();
+        let mut stream =
+            stream::ReplicaStream::new(replica, connection, response, body, start.clone());
         self.splitter.discard_partial();
         let workspace = context.request.workspace.as_ref().map(|rule| &rule.id);
         let window = context.core.settings.times.usage_window;
@@ -82,7 +86,7 @@
         if !matches!(end, stream::StreamEnd::Leaving) {
             return self.finish_stream(stream, end, &start).await;
         }
-        let Some(migration) = self.prepare_migration(&selected) else {
+        let Some(migration) = self.prepare_migration(&selected, &stream.is_stopped) else {
             let end = self.forward_events(&mut stream, sink, || {}, || false).await;
             return self.finish_stream(stream, end, &start).await;
         };
@@ -149,6 +153,7 @@
     fn prepare_migration(
         &self,
         selected: &selection::SelectedReplica,
+        is_stopped: &rc::Rc<cell::Cell<bool>>,
     ) -> Option<impl std::future::Future<Output = Option<forward::MigratedStream>> + use<>> {
         let core = self.context.core.clone();
         let request_id = self.context.request.metadata.request_id.clone()?;
@@ -188,6 +193,7 @@
             source_address,
             target: target.replica.clone(),
             target_address,
+            is_stopped: is_stopped.clone(),
         };
         Some(Box::pin(async move {
             let kv_copy = migration.run().await?;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -1,5 +1,8 @@
 //! Forwards the events of a replica's stream to a caller, complete and in order.
 
+use std::cell;
+use std::rc;
+
 use samphiremoor_base::reason;
 use samphiremoor_base::time;
 use samphiremoor_fleet::replica;
@@ -9,9 +12,11 @@
 use crate::attempt;
 use crate::context;
 use crate::crash;
+use crate::crash_probe;
 use crate::forward;
 use crate::pending;
 use crate::response;
+use crate::response_end;
 use crate::upstream;
 
 /// Time without an event after which a replica's stream counts as silent, and another replica may take
@@ -42,6 +47,10 @@
     /// Head of the replica's response.
     pub(crate) response: upstream::ReplicaResponse,
     body: attempt::PartialBody,
+    /// Start of the replica that has the request.
+    start: crash_probe::ReplicaStart,
+    /// Whether the replica was told to stop the stream for its migration.
+    pub(crate) is_stopped: rc::Rc<cell::Cell<bool>>,
     /// When the first event arrived.
     first_event_at: Option<time::MonotonicTime>,
     /// Whether the stream has proceeded for a while after its first event, or is complete.
@@ -55,12 +64,15 @@
         connection: upstream::UpstreamConnection,
         response: upstream::ReplicaResponse,
         body: attempt::PartialBody,
+        start: crash_probe::ReplicaStart,
     ) -> Self {
         ReplicaStream {
             selected,
             connection,
             response,
             body,
+            start,
+            is_stopped: rc::Rc::default(),
             first_event_at: None,
             has_survived: false,
         }
@@ -104,9 +116,21 @@
             let has_no_events = stream.is_unframed()
                 && self.splitter.delivered() == 0
                 && self.splitter.last_id().is_none();
-            let is_complete =
+            let may_be_complete =
                 is_body_end && is_in_order && !self.splitter.is_incomplete() && !has_no_events;
+            let mut is_complete = may_be_complete;
+            if may_be_complete && stream.is_unframed() {
+                // The events don't wait until the end is known.
+                let head = &stream.response.head;
+                if sink.write_events(head, &events, false).await.is_err() {
+                    return StreamEnd::CallerGone;
+                }
+                is_complete = self.is_whole(stream).await;
+            }
             self.observe_survival(stream, !events.is_empty(), is_complete);
+            if stream.is_unframed() && may_be_complete {
+                events.clear();
+            }
             let head = &stream.response.head;
             if sink.write_events(head, &events, is_complete).await.is_err() {
                 return StreamEnd::CallerGone;
@@ -123,6 +147,13 @@
         }
     }
 
+    /// Returns whether a stream that ended with its connection was ended by its replica.
+    async fn is_whole(&self, stream: &ReplicaStream) -> bool {
+        let core = self.context.core;
+        !stream.is_stopped.get()
+            && response_end::is_whole(core, &stream.response, &stream.start).await
+    }
+
     /// Observes that a stream is complete, or proceeded for a while after its first event. The end of
     /// a connection alone does not tell a complete stream from a crash.
     fn observe_survival(&self, stream: &mut ReplicaStream, has_events: bool, is_complete: bool) {
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -88,6 +88,8 @@
     pub framing: message::BodyFraming,
     /// Whether the whole request was written before the response arrived.
     pub is_written: bool,
+    /// Whether the write of the request failed before the response arrived.
+    pub has_failed_write: bool,
 }
 
 /// Why there is no response. The replica may have run the request.
@@ -351,19 +353,19 @@
     method: &str,
     request_id: Option<&str>,
 ) -> Result<ReplicaResponse, ExchangeError> {
-    let is_written = cell::Cell::new(false);
+    let is_written = cell::Cell::new(None);
     let mut writer = connection.raw.stream();
     let write = async {
         // A replica may respond and close before it has read the whole request. The response then
         // decides, so a failed write is not an error.
-        if writer.write_all(request).await.is_ok() {
-            is_written.set(true);
-        }
+        is_written.set(Some(writer.write_all(request).await.is_ok()));
         std::future::pending().await
     };
     let read = read_response(core, connection, start, method, request_id);
     let (head, metadata, framing) = futures_lite::future::or(read, write).await?;
-    Ok(ReplicaResponse { head, metadata, framing, is_written: is_written.get() })
+    let has_failed_write = is_written.get() == Some(false);
+    let is_written = is_written.get() == Some(true);
+    Ok(ReplicaResponse { head, metadata, framing, is_written, has_failed_write })
 }
 
 async fn read_response(
