Stop: the last requests of a daemon get an answer

Cause: the process ended while its listener was open, so the system had accepted connections, with requests, that nobody read.

Change: at its end a daemon takes the connections that wait, closes the listener, and ends when the requests on them are refused, 100 ms later at most.

--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -44,14 +44,29 @@
 /// Divisor of the process's memory that gives the limit for the bodies of requests in progress.
 const BODY_MEMORY_DIVISOR: u64 = 4;
 
-/// Accepts callers' connections; never returns.
+/// Accepts callers' connections until the daemon stops doing so.
 pub async fn accept(core: rc::Rc<core::GatewayCore>, listener: net::TcpListener) {
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
+        let accepting = async { Some(listener.accept().await) };
+        let stopped = async {
+            core.accept_stop.started().await;
+            None
+        };
+        match futures_lite::future::or(accepting, stopped).await {
+            Some(Ok((stream, _))) => {
                 task::spawn_local(serve_connection(core.clone(), stream));
             }
-            Err(cause) => {
+            // The system has accepted connections that wait here. It refuses those that come once the
+            // listener is closed.
+            None => {
+                while let Some(Ok((stream, _))) =
+                    futures_lite::future::poll_once(listener.accept()).await
+                {
+                    task::spawn_local(serve_connection(core.clone(), stream));
+                }
+                return;
+            }
+            Some(Err(cause)) => {
                 log_event!(event::LogEvent::ConnectionRefused, cause = cause);
                 task::sleep(ACCEPT_PAUSE.to_duration()).await;
             }
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -76,7 +76,9 @@
     /// Ends the waits for a next request on callers' connections.
     pub idle_shutdown: shutdown::IdleShutdown,
     /// Ends the requests in progress shortly before the process is killed.
-    pub forced_stop: shutdown::ForcedStop,
+    pub forced_stop: shutdown::StopSignal,
+    /// Signal that ends the acceptance of callers' connections.
+    pub accept_stop: shutdown::StopSignal,
     /// Records of the attempts that began streams.
     pub attempts: attempt_exchange::AttemptExchange,
     /// The daemons that may relay connections to replicas.
@@ -235,7 +237,8 @@
             incarnation,
             metrics: metrics::GatewayMetrics::default(),
             idle_shutdown: shutdown::IdleShutdown::default(),
-            forced_stop: shutdown::ForcedStop::default(),
+            forced_stop: shutdown::StopSignal::default(),
+            accept_stop: shutdown::StopSignal::default(),
             attempts: attempt_exchange::AttemptExchange::default(),
             relays: relay_directory::RelayDirectory::default(),
             lease_state: lease_state::LeaseState::default(),
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -40,6 +40,8 @@
 const KILL_MARGIN: time::Millis = time::Millis::new(300);
 /// Time within which the responses to abandoned requests are written.
 const RESPONSE_TIME: time::Millis = time::Millis::new(150);
+/// Time within which the requests that came before the daemon stopped accepting connections are refused.
+const LAST_REFUSAL_TIME: time::Millis = time::Millis::new(100);
 /// Interval between checks for requests in progress once they are abandoned.
 const RESPONSE_CHECK_INTERVAL: time::Millis = time::Millis::new(5);
 /// Interval between checks for requests in progress while the daemon stops; also the pause after a
@@ -274,6 +276,19 @@
     }
 }
 
+/// Accepts no more connections, and refuses the requests on those that were accepted.
+async fn end_connections(core: &core::GatewayCore) {
+    core.accept_stop.start();
+    let ended_at = core.now();
+    loop {
+        task::sleep(RESPONSE_CHECK_INTERVAL.to_duration()).await;
+        let is_idle = core.idle_shutdown.wait_count() == 0;
+        if is_idle || core.now().since(ended_at) >= LAST_REFUSAL_TIME {
+            return;
+        }
+    }
+}
+
 /// Drains the daemon: accepts requests for a while longer, waits for those in progress and for
 /// connections whose request may be on its way or is being read, and abandons what is left shortly
 /// before the process is killed.
@@ -301,5 +316,6 @@
             break;
         }
     }
+    end_connections(core).await;
     log_event!(event::LogEvent::ProcessStopped, after = core.now().since(stopping_since));
 }
--- a/crates/gateway/src/shutdown.rs
+++ b/crates/gateway/src/shutdown.rs
@@ -58,21 +58,21 @@
     }
 }
 
-/// Signal that ends the requests in progress.
-pub struct ForcedStop {
+/// Signal that is given once.
+pub struct StopSignal {
     /// Closes with the signal; nothing is ever sent on the channel.
     sender: channel::Sender<()>,
     receiver: channel::Receiver<()>,
 }
 
-impl Default for ForcedStop {
+impl Default for StopSignal {
     fn default() -> Self {
         let (sender, receiver) = channel::bounded(1);
-        ForcedStop { sender, receiver }
+        StopSignal { sender, receiver }
     }
 }
 
-impl ForcedStop {
+impl StopSignal {
     /// Gives the signal.
     pub fn start(&self) {
         self.sender.close();
