Gateway: one limit for the memory of all responses that are read whole

What operators saw (a report): a faulty replica sends bytes without end; the machine that had called it ran out of memory, and the requests of other clients ended with it.

Cause: each response could use 16 MiB, however many there were.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -21,6 +21,7 @@
 use crate::events;
 use crate::guard;
 use crate::response_end;
+use crate::response_memory;
 use crate::upstream;
 
 /// Multiple of the route's latency target after which a plain request is sent to another replica as
@@ -71,7 +72,7 @@
     /// Status and headers.
     pub(crate) head: message::ResponseHead,
     /// Whole body.
-    pub(crate) body: Vec<u8>,
+    pub(crate) body: response_memory::WholeBody,
 }
 
 /// An attempt whose response has begun.
@@ -281,7 +282,7 @@
     ) -> Result<BufferedResponse, reason::RetryReason> {
         let StartedAttempt { selected, mut connection, response, guard, started_at, .. } = started;
         self.progress.on_data(context::ResponsePhase::Body, self.core.now());
-        let Ok(body) = upstream::read_body(&mut connection, &response).await else {
+        let Ok(body) = upstream::read_body(self.core, &mut connection, &response).await else {
             self.record_result(&selected.replica, true);
             return Err(reason::RetryReason::ConnectionClosed);
         };
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -149,6 +149,8 @@
     pub prompt_sums: collections::HashMap<id::ServiceId, decay::DecayingSum>,
     /// Total size of the bodies of requests in progress, in bytes.
     pub body_bytes: u64,
+    /// Bytes of the large bodies of responses that are read whole.
+    pub response_bytes: u64,
     /// Prompt rates that each peer last reported, and when.
     peer_prompt_rates:
         collections::HashMap<id::DaemonId, (time::MonotonicTime, Vec<digest::ServiceDemand>)>,
@@ -226,6 +228,7 @@
             departures: Vec::new(),
             prompt_sums: collections::HashMap::new(),
             body_bytes: 0,
+            response_bytes: 0,
             peer_prompt_rates: collections::HashMap::new(),
             budgets: collections::HashMap::new(),
         };
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -438,7 +438,7 @@
         response: attempt::BufferedResponse,
         sink: &mut response::ResponseSink,
     ) -> RequestOutcome {
-        match sink.write_buffered(&response.head, &response.body).await {
+        match sink.write_buffered(&response.head, &response.body.bytes).await {
             Ok(()) => RequestOutcome::Answered(response.head.status),
             Err(cause) => cause.into(),
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -45,6 +45,7 @@
 pub mod relay_directory;
 pub mod response;
 mod response_end;
+mod response_memory;
 pub mod resumption;
 pub mod served_document;
 pub mod settings;
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -24,6 +24,7 @@
 use crate::crash_probe;
 use crate::idle;
 use crate::relay_directory;
+use crate::response_memory;
 use crate::tunnel;
 
 /// Timeout for connecting to a replica. Within a region a handshake takes a few milliseconds.
@@ -407,16 +408,25 @@
 ///
 /// # Errors
 ///
-/// Fails if the body is truncated or malformed.
+/// Fails if the body is truncated, malformed or too large, by itself or beside those of other requests.
 pub async fn read_body(
+    core: &rc::Rc<core::GatewayCore>,
     connection: &mut UpstreamConnection,
     response: &ReplicaResponse,
-) -> Result<Vec<u8>, ExchangeError> {
-    connection
-        .raw
-        .body(response.framing, connection::MAX_RESPONSE_BODY)
-        .await
-        .map_err(exchange_error)
+) -> Result<response_memory::WholeBody, ExchangeError> {
+    let mut reader = connection::BodyReader::new(response.framing);
+    let mut memory = response_memory::ResponseMemory::new(core);
+    let mut bytes = Vec::new();
+    loop {
+        let read = reader.read(&mut connection.raw, &mut bytes).await;
+        let is_done = read.map_err(exchange_error)?;
+        if !memory.grow_to(bytes.len()) {
+            return Err(ExchangeError::Malformed);
+        }
+        if is_done {
+            return Ok(response_memory::WholeBody::new(bytes, memory));
+        }
+    }
 }
 
 /// Reads the body of a refusal, which is short.
