Gateway: futures of requests stay within the linter's limit

The linter refused a future of 16,624 bytes in serve_next, as each connection had grown by the reader of relayed bytes. That one is boxed now, since only tunnels have it, and so is the check of a response's end. No change of behaviour.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -287,7 +287,8 @@
             return Err(reason::RetryReason::ConnectionClosed);
         };
         let is_framed = response.framing != message::BodyFraming::UntilClose;
-        if !is_framed && !response_end::is_whole(self.core, &response, &guard.replica_start()).await
+        if !is_framed
+            && !Box::pin(response_end::is_whole(self.core, &response, &guard.replica_start())).await
         {
             self.record_result(&selected.replica, true);
             return Err(reason::RetryReason::ConnectionClosed);
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -125,7 +125,7 @@
                 if sink.write_events(head, &events, false).await.is_err() {
                     return StreamEnd::CallerGone;
                 }
-                is_complete = self.is_whole(stream).await;
+                is_complete = Box::pin(self.is_whole(stream)).await;
             }
             self.observe_survival(stream, !events.is_empty(), is_complete);
             if stream.is_unframed() && may_be_complete {
--- a/crates/httpio/src/connection.rs
+++ b/crates/httpio/src/connection.rs
@@ -40,7 +40,7 @@
     /// Number of bytes received since other tasks could run.
     turn_bytes: usize,
     /// Reader of what a relay passes on; `None` if the peer itself sends the bytes.
-    relayed: Option<relay::RelayedReader>,
+    relayed: Option<Box<relay::RelayedReader>>,
 }
 
 /// Error of reading a message.
@@ -94,7 +94,7 @@
         let mut bytes = Vec::new();
         reader.decode(&received, &mut bytes)?;
         self.append(&bytes);
-        self.relayed = Some(reader);
+        self.relayed = Some(Box::new(reader));
         Ok(())
     }
 
@@ -207,7 +207,7 @@
 
     /// Whether nothing was received since the last message: neither bytes nor the close.
     pub async fn is_idle(&self) -> bool {
-        let has_ended = self.relayed.as_ref().is_some_and(relay::RelayedReader::is_ended);
+        let has_ended = self.relayed.as_ref().is_some_and(|reader| reader.is_ended());
         if has_ended || !self.buffered().is_empty() {
             return false;
         }
