Gateway: the end of a stream without chunks is decided behind its events

Read again as a newcomer would: the events of the last read were written at one of two places, by whether the stream has chunks. Now they are written first in all cases, and the end once it is known who closed the connection. No change of behaviour; unframed_responses, ended_answers and ended_relays pass (15, 22 and 11 cases).

--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -118,19 +118,8 @@
                 && self.splitter.last_id().is_none();
             let may_be_complete =
                 is_body_end && is_in_order && !self.splitter.is_incomplete() && !has_no_events;
-            let mut is_complete = may_be_complete;
-            if may_be_complete && stream.is_unframed() {
-                // The events don't wait until the end is known.
-                let head = &stream.response.head;
-                if sink.write_events(head, &events, false).await.is_err() {
-                    return StreamEnd::CallerGone;
-                }
-                is_complete = Box::pin(self.is_whole(stream)).await;
-            }
+            let is_complete = may_be_complete && !stream.is_unframed();
             self.observe_survival(stream, !events.is_empty(), is_complete);
-            if stream.is_unframed() && may_be_complete {
-                events.clear();
-            }
             let head = &stream.response.head;
             if sink.write_events(head, &events, is_complete).await.is_err() {
                 return StreamEnd::CallerGone;
@@ -138,6 +127,13 @@
             if is_complete {
                 return StreamEnd::Complete;
             }
+            // The events did not wait until it is known who closed the connection.
+            if may_be_complete && Box::pin(self.is_whole(stream)).await {
+                return match sink.write_events(head, &[], true).await {
+                    Ok(()) => StreamEnd::Complete,
+                    Err(_) => StreamEnd::CallerGone,
+                };
+            }
             if is_body_end || !is_in_order || self.splitter.is_excessive() {
                 return StreamEnd::Broken;
             }
@@ -154,8 +150,8 @@
             && response_end::is_whole(core, &stream.response, &stream.start).await
     }
 
-    /// Observes that a stream is complete, or proceeded for a while after its first event. The end of
-    /// a connection alone does not tell a complete stream from a crash.
+    /// Observes that a stream is complete by its chunks or length, or proceeded for a while after its
+    /// first event. The end of a connection alone does not tell a complete stream from a crash.
     fn observe_survival(&self, stream: &mut ReplicaStream, has_events: bool, is_complete: bool) {
         let now = self.context.core.now();
         if has_events {
@@ -163,10 +159,7 @@
         }
         let has_proceeded =
             stream.first_event_at.is_some_and(|at| now.since(at) >= crash::SURVIVAL_TIME);
-        let is_proved_complete = is_complete && !stream.is_unframed();
-        if (has_proceeded || is_proved_complete)
-            && !std::mem::replace(&mut stream.has_survived, true)
-        {
+        if (has_proceeded || is_complete) && !std::mem::replace(&mut stream.has_survived, true) {
             self.context.observe_survival();
         }
     }
