Review: a crashed answer passes for a whole one after a restart under the same ID

Cause: after a pause, the end of a connection counts as the end of an answer without a length if the status check names the replica's ID. A process that was started again under that ID passes for the one that died.

The product is unchanged.

--- /dev/null
+++ b/review/standins-3/main.rs
@@ -0,0 +1,42 @@
+//! Stand-ins of clients, replicas and the platform for the cases of the third review, and the cases
+//! that need them. Each case exits with 1 if the rule was broken, 0 if it held, 2 if it couldn't run.
+
+mod deployment;
+mod http;
+mod replica;
+mod same_id;
+mod store;
+
+use std::env;
+use std::process;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// Number of events in a whole stream.
+pub const EVENTS: u64 = 40;
+
+/// Returns an event of a stream.
+pub fn event(request_id: &str, number: u64) -> String {
+    format!("id: {number}\ndata: {request_id} {number}\n\n")
+}
+
+/// Returns the whole body of a plain answer.
+pub fn plain_body(request_id: &str) -> Vec<u8> {
+    format!("{request_id:<20}").repeat(40).into_bytes()
+}
+
+/// Returns the time of day in milliseconds.
+pub fn now_ms() -> u128 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |elapsed| elapsed.as_millis())
+}
+
+fn main() {
+    let arguments: Vec<String> = env::args().skip(1).collect();
+    let words: Vec<&str> = arguments.iter().map(String::as_str).collect();
+    match words[..] {
+        ["replica", address, id] => {
+            replica::run(address.parse().expect("the address is valid"), id);
+        }
+        ["same-id", folder] => process::exit(same_id::run(folder)),
+        _ => process::exit(2),
+    }
+}
--- /dev/null
+++ b/review/standins-3/replica.rs
@@ -0,0 +1,83 @@
+//! Stand-in of a replica, in a process of its own. Its answers have no length and end with their
+//! channels. Each line on its standard output says what it does.
+
+use std::net::{SocketAddr, TcpListener};
+use std::time::Duration;
+
+use crate::http::{Connection, Message};
+use crate::{EVENTS, event, now_ms, plain_body};
+
+/// Time between two events of a stream.
+const EVENT_INTERVAL: Duration = Duration::from_millis(100);
+/// Work between the two halves of a plain answer.
+const PLAIN_WORK: Duration = Duration::from_millis(600);
+
+/// Serves requests; never returns.
+pub fn run(address: SocketAddr, id: &str) {
+    // The port of a process that was killed may be free some milliseconds later.
+    let listener = loop {
+        match TcpListener::bind(address) {
+            Ok(listener) => break listener,
+            Err(_) => std::thread::sleep(Duration::from_millis(5)),
+        }
+    };
+    println!("{} {id} starts", now_ms());
+    for stream in listener.incoming().flatten() {
+        let id = id.to_owned();
+        std::thread::spawn(move || {
+            let mut connection = Connection::new(stream);
+            while let Ok(request) = connection.message() {
+                if !serve(&mut connection, &request, &id) {
+                    return;
+                }
+            }
+        });
+    }
+}
+
+/// Serves a request. Returns whether the channel stays open.
+fn serve(connection: &mut Connection, request: &Message, id: &str) -> bool {
+    let request_id = request.field("x-request-id").unwrap_or_default();
+    if request.field("x-expect-instance").is_some_and(|expected| expected != id) {
+        println!("{} {id} refuses {request_id}: 421", now_ms());
+        let fields = format!("X-Request-Id: {request_id}\r\nX-Not-Executed: 1\r\n");
+        return connection.respond("421 Misdirected Request", &fields, b"").is_ok();
+    }
+    if request.target() == "/healthz" {
+        let fields = format!("X-Instance-Id: {id}\r\n");
+        println!("{} {id} says that it is healthy", now_ms());
+        return connection.respond("200 OK", &fields, b"").is_ok();
+    }
+    println!("{} {id} runs {request_id}", now_ms());
+    let head = |media_type: &str| {
+        format!(
+            "HTTP/1.1 200 OK\r\nContent-Type: {media_type}\r\nX-Request-Id: {request_id}\r\n\
+             X-Response-Signature: {id}.{request_id}\r\nX-Instance-Id: {id}\r\nConnection: close\r\n\r\n"
+        )
+    };
+    if request.target().starts_with("/draft/") {
+        let last_id = request.field("last-event-id").and_then(|text| text.parse().ok());
+        let mut bytes = head("text/event-stream").into_bytes();
+        for number in last_id.unwrap_or(0) + 1..=EVENTS {
+            bytes.extend_from_slice(event(request_id, number).as_bytes());
+            if connection.write(&bytes).is_err() {
+                println!("{} {id} drops {request_id}", now_ms());
+                return false;
+            }
+            bytes.clear();
+            std::thread::sleep(EVENT_INTERVAL);
+        }
+    } else {
+        let body = plain_body(request_id);
+        let (first, second) = body.split_at(body.len() / 2);
+        let is_written = connection.write(&[head("text/plain").as_bytes(), first].concat()).is_ok();
+        println!("{} {id} has written half of {request_id}", now_ms());
+        std::thread::sleep(PLAIN_WORK);
+        if !is_written || connection.write(second).is_err() {
+            println!("{} {id} drops {request_id}", now_ms());
+            return false;
+        }
+    }
+    println!("{} {id} ends {request_id}", now_ms());
+    false
+}
--- /dev/null
+++ b/review/standins-3/same_id.rs
@@ -0,0 +1,146 @@
+//! A replica crashes amid an answer without a length and starts again under its ID, while the gateway
+//! that has the request stands still.
+
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+use crate::deployment::{Deployment, Record};
+use crate::http::{Connection, Message, wait_until};
+use crate::{EVENTS, event, plain_body};
+
+const CONFIG: &str = r#"{"version":1,"routes":[
+{"name":"lease-draft","host":"fit.example","prefix":"/draft/","kind":"streaming","timeout_ms":15000,"target_latency_ms":1200,"gap_aim_ms":400,"priority":0,"service":"assist-llm","max_attempts":2,"public":true,"resumable":true},
+{"name":"slot-book","host":"fit.example","prefix":"/book/","kind":"unsafe","timeout_ms":4000,"target_latency_ms":300,"priority":2,"service":"courier-app","max_attempts":1,"public":true}],
+"services":[{"name":"assist-llm","health_path":"/healthz"},{"name":"courier-app","health_path":"/healthz"}],
+"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},
+"tenants":[]}"#;
+
+/// Time between the stop of the gateway and the crash of the replica.
+const CRASH_DELAY: Duration = Duration::from_millis(200);
+/// Time for which the replica is down.
+const DOWN_TIME: Duration = Duration::from_millis(300);
+/// Time between the replica's start and the end of the gateway's stop.
+const UP_TIME: Duration = Duration::from_millis(700);
+
+/// Response as the client has received it.
+struct Received {
+    head: Message,
+    body: Vec<u8>,
+    /// Whether it ended as a complete one does.
+    is_complete: bool,
+}
+
+/// Sends a request and reads its response in a thread.
+fn send(
+    deployment: &Deployment,
+    path: &str,
+    request_id: &str,
+    deadline_ms: u64,
+) -> JoinHandle<Option<Received>> {
+    let address = deployment.gateways[0].callers;
+    let request = format!(
+        "POST {path} HTTP/1.1\r\nHost: fit.example\r\nX-Request-Id: {request_id}\r\n\
+         X-Deadline-Ms: {deadline_ms}\r\nContent-Length: 2\r\n\r\n{{}}"
+    );
+    deployment.record.note(&format!("client sends {request_id}: POST {path}"));
+    thread::spawn(move || {
+        let mut connection = Connection::open(address).ok()?;
+        connection.write(request.as_bytes()).ok()?;
+        let head = connection.head().ok()?;
+        let (body, is_complete) = connection.body(&head);
+        Some(Received { head, body, is_complete })
+    })
+}
+
+/// Stops the gateway, crashes the replica that runs the request and starts it again, and lets the
+/// gateway go on.
+fn trouble(deployment: &mut Deployment, request_id: &str) -> bool {
+    let record = deployment.record.clone();
+    let runs = record.find(&format!("runs {request_id}")).unwrap_or_default();
+    let running = deployment.replicas.iter().position(|replica| runs.contains(&replica.id));
+    let Some(index) = running else { return false };
+    let id = deployment.replicas[index].id.clone();
+    deployment.gateways[0].process.signal("-STOP");
+    record.note("gateway front-1 is frozen");
+    thread::sleep(CRASH_DELAY);
+    // Dropping the process kills it.
+    deployment.replicas[index].process = None;
+    record.note(&format!("replica {id} is killed"));
+    thread::sleep(DOWN_TIME);
+    deployment.start_replica(index);
+    let born = deployment.replicas[index].born;
+    record.note(&format!("replica {id} is started again under its ID (born {born})"));
+    thread::sleep(UP_TIME);
+    deployment.gateways[0].process.signal("-CONT");
+    record.note("gateway front-1 goes on");
+    true
+}
+
+/// Runs the case and returns the exit code.
+pub fn run(folder: &str) -> i32 {
+    let Ok(record) = Record::create(folder) else { return 2 };
+    let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
+    let mut deployment = Deployment::start(record.clone(), CONFIG);
+    for number in 1..=4 {
+        deployment.add_replica(&format!("i-assist{number}"), "assist-llm");
+        deployment.add_replica(&format!("i-courier{number}"), "courier-app");
+    }
+    for number in 1..=3 {
+        deployment.add_gateway(&format!("front-{number}"));
+    }
+    if !deployment.wait_ready() {
+        record.note("the gateways are not ready");
+        return 2;
+    }
+    thread::sleep(Duration::from_secs(3));
+    deployment.write_rows();
+
+    let mut broken = false;
+    for (path, request_id, deadline_ms, begun) in [
+        ("/draft/1", "stream-1", 15_000, Duration::from_millis(1_000)),
+        ("/book/1", "booking-1", 4_000, Duration::from_millis(100)),
+    ] {
+        let client = send(&deployment, path, request_id, deadline_ms);
+        let is_running = || record.find(&format!("runs {request_id}")).is_some();
+        if !wait_until(Duration::from_secs(3), is_running) {
+            record.note(&format!("no replica runs {request_id}"));
+            return 2;
+        }
+        thread::sleep(begun);
+        if has_trouble && !trouble(&mut deployment, request_id) {
+            return 2;
+        }
+        let received = client.join().ok().flatten();
+        broken |= judge(&record, path, request_id, received);
+        thread::sleep(Duration::from_secs(1));
+    }
+    for line in deployment.log_lines("front-1", "1").iter().filter(|line| {
+        line.contains("upstream-identified") || line.contains("stream-1") || line.contains("booking-1")
+    }) {
+        record.note(&format!("log of front-1: {line}"));
+    }
+    record.note(if broken { "BROKEN" } else { "held" });
+    i32::from(broken)
+}
+
+/// Records what a client received. Returns whether a response that looks complete is not whole.
+fn judge(record: &Record, path: &str, request_id: &str, received: Option<Received>) -> bool {
+    let Some(Received { head, body, is_complete }) = received else {
+        record.note(&format!("client gets no answer to {request_id}"));
+        return false;
+    };
+    let whole: Vec<u8> = match path.starts_with("/draft/") {
+        true => (1..=EVENTS).flat_map(|number| event(request_id, number).into_bytes()).collect(),
+        false => plain_body(request_id),
+    };
+    let is_success = (200..300).contains(&head.status());
+    record.note(&format!(
+        "client gets {} for {request_id}: {} of {} bytes, {}, signature {}",
+        head.status(),
+        body.len(),
+        whole.len(),
+        if is_complete { "complete" } else { "cut off" },
+        head.field("x-response-signature").unwrap_or("none"),
+    ));
+    is_success && is_complete && body != whole
+}
