Review: a crashed answer passes for a whole one if its replica is back soon

Cause: the end of a connection counts as the end of an answer without a length if the replica's address accepts connections. After a pause under 500 ms, nobody asks whether the process there is the one that had the request.

The product is unchanged.

--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -4,7 +4,7 @@
 mod deployment;
 mod http;
 mod replica;
-mod same_id;
+mod restarts;
 mod store;
 
 use std::env;
@@ -36,7 +36,8 @@
         ["replica", address, id] => {
             replica::run(address.parse().expect("the address is valid"), id);
         }
-        ["same-id", folder] => process::exit(same_id::run(folder)),
+        ["same-id", folder] => process::exit(restarts::run(folder, &restarts::SAME_ID)),
+        ["soon", folder] => process::exit(restarts::run(folder, &restarts::SOON)),
         _ => process::exit(2),
     }
 }
--- a/review/standins-3/same_id.rs
+++ b/review/standins-3/restarts.rs
@@ -1,4 +1,4 @@
-//! A replica crashes amid an answer without a length and starts again under its ID, while the gateway
+//! A replica crashes amid an answer without a length and starts again at its address, while the gateway
 //! that has the request stands still.
 
 use std::thread::{self, JoinHandle};
@@ -15,12 +15,33 @@
 "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},
 "tenants":[]}"#;
 
-/// Time between the stop of the gateway and the crash of the replica.
-const CRASH_DELAY: Duration = Duration::from_millis(200);
-/// Time for which the replica is down.
-const DOWN_TIME: Duration = Duration::from_millis(300);
-/// Time between the replica's start and the end of the gateway's stop.
-const UP_TIME: Duration = Duration::from_millis(700);
+/// Times of the disruption, and how the replica starts again.
+pub struct Restart {
+    /// Time between the stop of the gateway and the crash of the replica.
+    pub crash_delay: Duration,
+    /// Time for which the replica is down.
+    pub down_time: Duration,
+    /// Time between the replica's start and the end of the gateway's stop.
+    pub up_time: Duration,
+    /// Whether the replica starts under its former ID.
+    pub keeps_id: bool,
+}
+
+/// A start under the former ID.
+pub const SAME_ID: Restart = Restart {
+    crash_delay: Duration::from_millis(200),
+    down_time: Duration::from_millis(300),
+    up_time: Duration::from_millis(700),
+    keeps_id: true,
+};
+
+/// A start under a new ID, soon after the crash.
+pub const SOON: Restart = Restart {
+    crash_delay: Duration::from_millis(50),
+    down_time: Duration::from_millis(100),
+    up_time: Duration::from_millis(200),
+    keeps_id: false,
+};
 
 /// Response as the client has received it.
 struct Received {
@@ -54,7 +75,7 @@
 
 /// Stops the gateway, crashes the replica that runs the request and starts it again, and lets the
 /// gateway go on.
-fn trouble(deployment: &mut Deployment, request_id: &str) -> bool {
+fn trouble(deployment: &mut Deployment, request_id: &str, restart: &Restart) -> bool {
     let record = deployment.record.clone();
     let runs = record.find(&format!("runs {request_id}")).unwrap_or_default();
     let running = deployment.replicas.iter().position(|replica| runs.contains(&replica.id));
@@ -62,22 +83,25 @@
     let id = deployment.replicas[index].id.clone();
     deployment.gateways[0].process.signal("-STOP");
     record.note("gateway front-1 is frozen");
-    thread::sleep(CRASH_DELAY);
+    thread::sleep(restart.crash_delay);
     // Dropping the process kills it.
     deployment.replicas[index].process = None;
     record.note(&format!("replica {id} is killed"));
-    thread::sleep(DOWN_TIME);
+    thread::sleep(restart.down_time);
+    if !restart.keeps_id {
+        deployment.replicas[index].id = format!("{id}b");
+    }
     deployment.start_replica(index);
-    let born = deployment.replicas[index].born;
-    record.note(&format!("replica {id} is started again under its ID (born {born})"));
-    thread::sleep(UP_TIME);
+    let started = &deployment.replicas[index];
+    record.note(&format!("replica {} is started at its address (born {})", started.id, started.born));
+    thread::sleep(restart.up_time);
     deployment.gateways[0].process.signal("-CONT");
     record.note("gateway front-1 goes on");
     true
 }
 
 /// Runs the case and returns the exit code.
-pub fn run(folder: &str) -> i32 {
+pub fn run(folder: &str, restart: &Restart) -> i32 {
     let Ok(record) = Record::create(folder) else { return 2 };
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let mut deployment = Deployment::start(record.clone(), CONFIG);
@@ -107,7 +131,7 @@
             return 2;
         }
         thread::sleep(begun);
-        if has_trouble && !trouble(&mut deployment, request_id) {
+        if has_trouble && !trouble(&mut deployment, request_id, restart) {
             return 2;
         }
         let received = client.join().ok().flatten();
