Review: an unreachable replica counts as alive when its answer ends

Cause: the end of a connection counts as the end of an answer without a length unless the replica's address refuses connections. One that doesn't answer at all passes for alive.

The product is unchanged.

--- a/review/standins-3/restarts.rs
+++ b/review/standins-3/crashes.rs
@@ -1,5 +1,5 @@
-//! A replica crashes amid an answer without a length and starts again at its address, while the gateway
-//! that has the request stands still.
+//! A replica crashes amid an answer without a length, and the gateway that has the request can't see so
+//! at once: it stands still, or doesn't reach the replica's address.
 
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
@@ -15,33 +15,47 @@
 "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},
 "tenants":[]}"#;
 
-/// Times of the disruption, and how the replica starts again.
+/// What happens to the replica that runs the request.
+pub enum Crash {
+    /// It crashes and starts again at its address, while the gateway stands still.
+    Restart(Restart),
+    /// The ways to it are cut in one direction, and it crashes behind the cut.
+    BehindCut,
+}
+
+/// Times of a restart, and how the replica starts again.
 pub struct Restart {
     /// Time between the stop of the gateway and the crash of the replica.
-    pub crash_delay: Duration,
+    crash_delay: Duration,
     /// Time for which the replica is down.
-    pub down_time: Duration,
+    down_time: Duration,
     /// Time between the replica's start and the end of the gateway's stop.
-    pub up_time: Duration,
+    up_time: Duration,
     /// Whether the replica starts under its former ID.
-    pub keeps_id: bool,
+    keeps_id: bool,
 }
 
 /// A start under the former ID.
-pub const SAME_ID: Restart = Restart {
+pub const SAME_ID: Crash = Crash::Restart(Restart {
     crash_delay: Duration::from_millis(200),
     down_time: Duration::from_millis(300),
     up_time: Duration::from_millis(700),
     keeps_id: true,
-};
+});
 
 /// A start under a new ID, soon after the crash.
-pub const SOON: Restart = Restart {
+pub const SOON: Crash = Crash::Restart(Restart {
     crash_delay: Duration::from_millis(50),
     down_time: Duration::from_millis(100),
     up_time: Duration::from_millis(200),
     keeps_id: false,
-};
+});
+
+/// A crash behind a cut.
+pub const ONE_WAY: Crash = Crash::BehindCut;
+
+/// Time between the cut and the crash behind it.
+const CUT_TIME: Duration = Duration::from_millis(300);
 
 /// Response as the client has received it.
 struct Received {
@@ -73,13 +87,21 @@
     })
 }
 
-/// Stops the gateway, crashes the replica that runs the request and starts it again, and lets the
-/// gateway go on.
-fn trouble(deployment: &mut Deployment, request_id: &str, restart: &Restart) -> bool {
-    let record = deployment.record.clone();
-    let runs = record.find(&format!("runs {request_id}")).unwrap_or_default();
+/// Crashes the replica that runs a request. Returns whether there is one.
+fn trouble(deployment: &mut Deployment, request_id: &str, crash: &Crash) -> bool {
+    let runs = deployment.record.find(&format!("runs {request_id}")).unwrap_or_default();
     let running = deployment.replicas.iter().position(|replica| runs.contains(&replica.id));
     let Some(index) = running else { return false };
+    match crash {
+        Crash::Restart(restart) => restart_replica(deployment, index, restart),
+        Crash::BehindCut => crash_behind_cut(deployment, index),
+    }
+    true
+}
+
+/// Stops the gateway, crashes a replica and starts it again, and lets the gateway go on.
+fn restart_replica(deployment: &mut Deployment, index: usize, restart: &Restart) {
+    let record = deployment.record.clone();
     let id = deployment.replicas[index].id.clone();
     deployment.gateways[0].process.signal("-STOP");
     record.note("gateway front-1 is frozen");
@@ -97,17 +119,30 @@
     thread::sleep(restart.up_time);
     deployment.gateways[0].process.signal("-CONT");
     record.note("gateway front-1 goes on");
-    true
+}
+
+/// Cuts the ways to a replica in one direction and crashes it.
+fn crash_behind_cut(deployment: &mut Deployment, index: usize) {
+    let record = deployment.record.clone();
+    let replica = &mut deployment.replicas[index];
+    record.note(&format!("nothing reaches replica {} any more; what it sends arrives", replica.id));
+    if let Some(link) = &mut replica.link {
+        link.cut();
+    }
+    thread::sleep(CUT_TIME);
+    replica.process = None;
+    record.note(&format!("replica {} is killed", replica.id));
 }
 
 /// Runs the case and returns the exit code.
-pub fn run(folder: &str, restart: &Restart) -> i32 {
+pub fn run(folder: &str, crash: &Crash) -> i32 {
     let Ok(record) = Record::create(folder) else { return 2 };
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
+    let has_links = matches!(crash, Crash::BehindCut);
     let mut deployment = Deployment::start(record.clone(), CONFIG);
     for number in 1..=4 {
-        deployment.add_replica(&format!("i-assist{number}"), "assist-llm");
-        deployment.add_replica(&format!("i-courier{number}"), "courier-app");
+        deployment.add_replica(&format!("i-assist{number}"), "assist-llm", has_links);
+        deployment.add_replica(&format!("i-courier{number}"), "courier-app", has_links);
     }
     for number in 1..=3 {
         deployment.add_gateway(&format!("front-{number}"));
@@ -131,7 +166,7 @@
             return 2;
         }
         thread::sleep(begun);
-        if has_trouble && !trouble(&mut deployment, request_id, restart) {
+        if has_trouble && !trouble(&mut deployment, request_id, crash) {
             return 2;
         }
         let received = client.join().ok().flatten();
--- a/review/standins-3/deployment.rs
+++ b/review/standins-3/deployment.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use crate::http::{Connection, wait_until};
+use crate::link::Link;
 use crate::now_ms;
 use crate::store::Store;
 
@@ -62,6 +63,8 @@
     pub id: String,
     pub service: String,
     pub address: SocketAddr,
+    /// Link by which the gateways reach it; none if they reach it directly.
+    pub link: Option<Link>,
     pub process: Option<Process>,
     pub born: u128,
     pub sequence: u64,
@@ -105,11 +108,12 @@
         Deployment { store, replicas: Vec::new(), gateways: Vec::new(), record, folder }
     }
 
-    /// Adds a replica and starts it.
-    pub fn add_replica(&mut self, id: &str, service: &str) {
+    /// Adds a replica and starts it. The gateways reach it by a link if `has_link` is set.
+    pub fn add_replica(&mut self, id: &str, service: &str, has_link: bool) {
         let (id, service) = (id.to_owned(), service.to_owned());
         let address = free_address();
-        self.replicas.push(Replica { id, service, address, process: None, born: 0, sequence: 0 });
+        let link = has_link.then(|| Link::open(address).expect("a link opens"));
+        self.replicas.push(Replica { id, service, address, link, process: None, born: 0, sequence: 0 });
         self.start_replica(self.replicas.len() - 1);
     }
 
@@ -136,7 +140,8 @@
     pub fn write_rows(&mut self) {
         for replica in self.replicas.iter_mut().filter(|replica| replica.process.is_some()) {
             replica.sequence += 1;
-            let Replica { id, service, address, born, sequence, .. } = replica;
+            let Replica { id, service, address, link, born, sequence, .. } = replica;
+            let address = link.as_ref().map_or(*address, |link| link.address);
             let row = format!(
                 r#"{{"service":"{service}","address":"{address}","zone":"songino","version":"v1","slots":6,"state":"ready","cold_left_ms":0,"sequence":{sequence},"born":{born}}}"#
             );
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -1,10 +1,11 @@
 //! Stand-ins of clients, replicas and the platform for the cases of the third review, and the cases
 //! that need them. Each case exits with 1 if the rule was broken, 0 if it held, 2 if it couldn't run.
 
+mod crashes;
 mod deployment;
 mod http;
+mod link;
 mod replica;
-mod restarts;
 mod store;
 
 use std::env;
@@ -36,8 +37,9 @@
         ["replica", address, id] => {
             replica::run(address.parse().expect("the address is valid"), id);
         }
-        ["same-id", folder] => process::exit(restarts::run(folder, &restarts::SAME_ID)),
-        ["soon", folder] => process::exit(restarts::run(folder, &restarts::SOON)),
+        ["same-id", folder] => process::exit(crashes::run(folder, &crashes::SAME_ID)),
+        ["soon", folder] => process::exit(crashes::run(folder, &crashes::SOON)),
+        ["one-way", folder] => process::exit(crashes::run(folder, &crashes::ONE_WAY)),
         _ => process::exit(2),
     }
 }
