Review: a replica's 503 for a request that has run is passed on as a promise

Cause: a failure of a replica is written to the caller as it is, also a 503 without the header that says that the request wasn't run. For the caller of an unsafe request 503 means that it hasn't run.

The product is unchanged.

--- a/review/standins-3/deployment.rs
+++ b/review/standins-3/deployment.rs
@@ -65,6 +65,8 @@
     pub address: SocketAddr,
     /// Link by which the gateways reach it; none if they reach it directly.
     pub link: Option<Link>,
+    /// Whether it fails a share of its bookings.
+    pub is_failing: bool,
     pub process: Option<Process>,
     pub born: u128,
     pub sequence: u64,
@@ -110,10 +112,28 @@
 
     /// Adds a replica and starts it. The gateways reach it by a link if `has_link` is set.
     pub fn add_replica(&mut self, id: &str, service: &str, has_link: bool) {
+        self.add_replica_with(id, service, has_link, false);
+    }
+
+    /// Adds a replica that fails a share of its bookings, and starts it.
+    pub fn add_failing_replica(&mut self, id: &str, service: &str) {
+        self.add_replica_with(id, service, false, true);
+    }
+
+    fn add_replica_with(&mut self, id: &str, service: &str, has_link: bool, is_failing: bool) {
         let (id, service) = (id.to_owned(), service.to_owned());
         let address = free_address();
         let link = has_link.then(|| Link::open(address).expect("a link opens"));
-        self.replicas.push(Replica { id, service, address, link, process: None, born: 0, sequence: 0 });
+        self.replicas.push(Replica {
+            id,
+            service,
+            address,
+            link,
+            is_failing,
+            process: None,
+            born: 0,
+            sequence: 0,
+        });
         self.start_replica(self.replicas.len() - 1);
     }
 
@@ -122,7 +142,8 @@
         let replica = &mut self.replicas[index];
         let program = std::env::current_exe().expect("the program has a path");
         let mut command = Command::new(program);
-        command.args(["replica", &replica.address.to_string(), &replica.id]);
+        let mode = if replica.is_failing { "failing" } else { "sound" };
+        command.args(["replica", &replica.address.to_string(), &replica.id, mode]);
         let mut child = command.stdout(Stdio::piped()).spawn().expect("a replica starts");
         let output = child.stdout.take().expect("the output is a pipe");
         let record = self.record.clone();
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -3,6 +3,7 @@
 
 mod crashes;
 mod deployment;
+mod failed_run;
 mod http;
 mod link;
 mod replica;
@@ -34,12 +35,13 @@
     let arguments: Vec<String> = env::args().skip(1).collect();
     let words: Vec<&str> = arguments.iter().map(String::as_str).collect();
     match words[..] {
-        ["replica", address, id] => {
-            replica::run(address.parse().expect("the address is valid"), id);
+        ["replica", address, id, mode] => {
+            replica::run(address.parse().expect("the address is valid"), id, mode == "failing");
         }
         ["same-id", folder] => process::exit(crashes::run(folder, &crashes::SAME_ID)),
         ["soon", folder] => process::exit(crashes::run(folder, &crashes::SOON)),
         ["one-way", folder] => process::exit(crashes::run(folder, &crashes::ONE_WAY)),
+        ["failed-run", folder] => process::exit(failed_run::run(folder)),
         _ => process::exit(2),
     }
 }
--- a/review/standins-3/replica.rs
+++ b/review/standins-3/replica.rs
@@ -1,7 +1,8 @@
-//! Stand-in of a replica, in a process of its own. Its answers have no length and end with their
-//! channels. Each line on its standard output says what it does.
+//! Stand-in of a replica, in a process of its own. Its answers to drafts and bookings in halves have no
+//! length and end with their channels. Each line on its standard output says what it does.
 
 use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use crate::http::{Connection, Message};
@@ -9,11 +10,20 @@
 
 /// Time between two events of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(100);
+/// Work of a booking.
+const BOOKING_WORK: Duration = Duration::from_millis(15);
 /// Work between the two halves of a plain answer.
 const PLAIN_WORK: Duration = Duration::from_millis(600);
 
-/// Serves requests; never returns.
-pub fn run(address: SocketAddr, id: &str) {
+/// Of the bookings that a failing replica runs, one in this number fails.
+const FAILING_SHARE: u64 = 3;
+
+/// Number of bookings that this process has run.
+static BOOKINGS: AtomicU64 = AtomicU64::new(0);
+
+/// Serves requests; never returns. If `is_failing` is set, a share of the bookings fails with a 503 at the
+/// end of their run.
+pub fn run(address: SocketAddr, id: &str, is_failing: bool) {
     // The port of a process that was killed may be free some milliseconds later.
     let listener = loop {
         match TcpListener::bind(address) {
@@ -27,7 +37,7 @@
         std::thread::spawn(move || {
             let mut connection = Connection::new(stream);
             while let Ok(request) = connection.message() {
-                if !serve(&mut connection, &request, &id) {
+                if !serve(&mut connection, &request, &id, is_failing) {
                     return;
                 }
             }
@@ -36,7 +46,7 @@
 }
 
 /// Serves a request. Returns whether the channel stays open.
-fn serve(connection: &mut Connection, request: &Message, id: &str) -> bool {
+fn serve(connection: &mut Connection, request: &Message, id: &str, is_failing: bool) -> bool {
     let request_id = request.field("x-request-id").unwrap_or_default();
     if request.field("x-expect-instance").is_some_and(|expected| expected != id) {
         println!("{} {id} refuses {request_id}: 421", now_ms());
@@ -49,6 +59,17 @@
         return connection.respond("200 OK", &fields, b"").is_ok();
     }
     println!("{} {id} runs {request_id}", now_ms());
+    if request.target().starts_with("/slot/") {
+        std::thread::sleep(BOOKING_WORK);
+        let number = BOOKINGS.fetch_add(1, Ordering::SeqCst);
+        let is_failure = is_failing && number % FAILING_SHARE == 0;
+        let status = if is_failure { "503 Service Unavailable" } else { "200 OK" };
+        println!("{} {id} ends {request_id}: {status}", now_ms());
+        let fields = format!(
+            "X-Request-Id: {request_id}\r\nX-Response-Signature: {id}.{request_id}\r\nX-Instance-Id: {id}\r\n"
+        );
+        return connection.respond(status, &fields, &plain_body(request_id)).is_ok();
+    }
     let head = |media_type: &str| {
         format!(
             "HTTP/1.1 200 OK\r\nContent-Type: {media_type}\r\nX-Request-Id: {request_id}\r\n\
