Review: replicas get requests after they left if the reader's last digest was old

Cause: daemons take the replicas' entries from a peer whose digest names a recent read, and go on for 1.2 s after the digest. The age that it named isn't counted on, so that a read may be 2.1 s old, and more, before anybody reads again.

The product is unchanged.

--- a/review/standins-3/crashes.rs
+++ b/review/standins-3/crashes.rs
@@ -127,7 +127,8 @@
     let replica = &mut deployment.replicas[index];
     record.note(&format!("nothing reaches replica {} any more; what it sends arrives", replica.id));
     if let Some(link) = &mut replica.link {
-        link.cut();
+        link.cut(false);
+        link.close();
     }
     thread::sleep(CUT_TIME);
     replica.process = None;
--- a/review/standins-3/deployment.rs
+++ b/review/standins-3/deployment.rs
@@ -2,9 +2,10 @@
 
 use std::fs;
 use std::io::{BufRead, BufReader, Write as _};
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -42,6 +43,14 @@
     }
 }
 
+impl Record {
+    /// Returns all lines that contain a text.
+    pub fn find_all(&self, text: &str) -> Vec<String> {
+        let record = self.0.lock().expect("no thread panics with the lock");
+        record.1.iter().filter(|line| line.contains(text)).cloned().collect()
+    }
+}
+
 /// Process that ends with this value.
 pub struct Process(pub Child);
 
@@ -65,6 +74,8 @@
     pub address: SocketAddr,
     /// Link by which the gateways reach it; none if they reach it directly.
     pub link: Option<Link>,
+    /// Whether it leaves.
+    pub is_leaving: bool,
     /// Whether it fails a share of its bookings.
     pub is_failing: bool,
     pub process: Option<Process>,
@@ -77,6 +88,8 @@
     pub process: Process,
     pub callers: SocketAddr,
     pub ready: SocketAddr,
+    /// Link to the store; none if it reaches that directly.
+    pub store_link: Option<Link>,
 }
 
 /// The deployment. Its processes end with this value.
@@ -94,10 +107,16 @@
     }
 }
 
-/// Returns an address with a free port.
+/// Returns an address with a free port that the system doesn't give to outgoing connections.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
-    listener.local_addr().expect("the listener has an address")
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    loop {
+        let offset = std::process::id().wrapping_mul(97) + NEXT.fetch_add(1, Ordering::SeqCst);
+        let address = SocketAddr::from(([127, 0, 0, 1], 18_000 + (offset % 14_000) as u16));
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 impl Deployment {
@@ -129,6 +148,7 @@
             service,
             address,
             link,
+            is_leaving: false,
             is_failing,
             process: None,
             born: 0,
@@ -144,7 +164,7 @@
         let mut command = Command::new(program);
         let mode = if replica.is_failing { "failing" } else { "sound" };
         command.args(["replica", &replica.address.to_string(), &replica.id, mode]);
-        let mut child = command.stdout(Stdio::piped()).spawn().expect("a replica starts");
+        let mut child = command.stdin(Stdio::piped()).stdout(Stdio::piped()).spawn().expect("a replica starts");
         let output = child.stdout.take().expect("the output is a pipe");
         let record = self.record.clone();
         std::thread::spawn(move || {
@@ -157,14 +177,30 @@
         self.write_rows();
     }
 
+    /// Lets a replica leave. It says so in its answers, and its row does when this returns.
+    pub fn leave(&mut self, index: usize) {
+        let replica = &mut self.replicas[index];
+        replica.is_leaving = true;
+        let input = replica.process.as_mut().and_then(|process| process.0.stdin.as_mut());
+        input.map(|input| input.write_all(b"leave\n"));
+        self.write_rows();
+    }
+
+    /// Ends a replica that leaves, whose row goes with it.
+    pub fn end_replica(&mut self, index: usize) {
+        let replica = self.replicas.remove(index);
+        self.store.remove("servers", &replica.id);
+    }
+
     /// Writes the rows of the replicas that run.
     pub fn write_rows(&mut self) {
         for replica in self.replicas.iter_mut().filter(|replica| replica.process.is_some()) {
             replica.sequence += 1;
+            let state = if replica.is_leaving { "draining" } else { "ready" };
             let Replica { id, service, address, link, born, sequence, .. } = replica;
             let address = link.as_ref().map_or(*address, |link| link.address);
             let row = format!(
-                r#"{{"service":"{service}","address":"{address}","zone":"songino","version":"v1","slots":6,"state":"ready","cold_left_ms":0,"sequence":{sequence},"born":{born}}}"#
+                r#"{{"service":"{service}","address":"{address}","zone":"songino","version":"v1","slots":6,"state":"{state}","cold_left_ms":0,"sequence":{sequence},"born":{born}}}"#
             );
             self.store.put("servers", id, &row);
         }
@@ -172,8 +208,18 @@
 
     /// Starts a gateway with the command of the deploy file, and the settings of its template.
     pub fn add_gateway(&mut self, name: &str) {
+        self.add_gateway_with(name, None);
+    }
+
+    /// Starts a gateway that reaches the store by a link.
+    pub fn add_linked_gateway(&mut self, name: &str) {
+        let link = Link::open(self.store.address).expect("a link opens");
+        self.add_gateway_with(name, Some(link));
+    }
+
+    fn add_gateway_with(&mut self, name: &str, store_link: Option<Link>) {
         let [callers, ready, peers, metrics] = [(); 4].map(|()| free_address());
-        let platform = self.store.address;
+        let platform = store_link.as_ref().map_or(self.store.address, |link| link.address);
         let settings = format!(
             r#"daemon = "{name}"
 availability_zone = "songino"
@@ -212,7 +258,7 @@
         command.arg("--settings").arg(&file).env("ASYNC_STD_THREAD_COUNT", "1");
         let errors = log.try_clone().expect("a file can be opened twice");
         let child = command.stdout(log).stderr(errors).spawn().expect("the gateway starts");
-        self.gateways.push(Gateway { process: Process(child), callers, ready });
+        self.gateways.push(Gateway { process: Process(child), callers, ready, store_link });
     }
 
     /// Waits until all gateways are ready.
--- a/review/standins-3/link.rs
+++ b/review/standins-3/link.rs
@@ -1,12 +1,12 @@
-//! Link to a replica that can be cut in one direction: what the replica sends still arrives, what is sent
-//! to it doesn't, and new channels to it don't open.
+//! Link to a process that can be cut: new channels to it don't open, and nothing that is sent to it arrives.
+//! What it sends arrives if the cut is in one direction.
 
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::os::fd::AsRawFd;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 
 unsafe extern "C" {
     /// The system's call, with which a listener's queue is made shorter. The standard library has no other
@@ -19,23 +19,33 @@
 
 pub struct Link {
     pub address: SocketAddr,
-    is_cut: Arc<AtomicBool>,
+    /// When a read of the replicas' rows last passed.
+    pub last_read: Arc<Mutex<Option<Instant>>>,
+    state: Arc<LinkState>,
     listener: TcpListener,
     fillers: Vec<TcpStream>,
 }
 
+/// Which ways are cut.
+#[derive(Default)]
+struct LinkState {
+    is_cut: AtomicBool,
+    is_cut_back: AtomicBool,
+}
+
 impl Link {
-    /// Opens a link to a replica.
-    pub fn open(replica: SocketAddr) -> std::io::Result<Link> {
+    /// Opens a link to a process.
+    pub fn open(process: SocketAddr) -> std::io::Result<Link> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         listener.set_nonblocking(true)?;
         let address = listener.local_addr()?;
-        let is_cut = Arc::new(AtomicBool::new(false));
-        let (accepting, cut) = (listener.try_clone()?, is_cut.clone());
+        let state = Arc::new(LinkState::default());
+        let last_read = Arc::new(Mutex::new(None));
+        let (accepting, carried, read) = (listener.try_clone()?, state.clone(), last_read.clone());
         std::thread::spawn(move || {
-            while !cut.load(Ordering::SeqCst) {
+            while !carried.is_cut.load(Ordering::SeqCst) {
                 match accepting.accept() {
-                    Ok((stream, _)) => carry(stream, replica, &cut),
+                    Ok((stream, _)) => carry(stream, process, &carried, &read),
                     Err(cause) if cause.kind() == ErrorKind::WouldBlock => {
                         std::thread::sleep(Duration::from_millis(1));
                     }
@@ -43,12 +53,17 @@
                 }
             }
         });
-        Ok(Link { address, is_cut, listener, fillers: Vec::new() })
+        Ok(Link { address, last_read, state, listener, fillers: Vec::new() })
+    }
+
+    /// Cuts the way to the process, and the way back if `cuts_both` is set.
+    pub fn cut(&mut self, cuts_both: bool) {
+        self.state.is_cut_back.store(cuts_both, Ordering::SeqCst);
+        self.state.is_cut.store(true, Ordering::SeqCst);
     }
 
-    /// Cuts the way to the replica.
-    pub fn cut(&mut self) {
-        self.is_cut.store(true, Ordering::SeqCst);
+    /// Lets no new channel open any more, after a cut.
+    pub fn close(&mut self) {
         std::thread::sleep(Duration::from_millis(20));
         // SAFETY: the socket is open, as the listener owns it.
         unsafe { listen(self.listener.as_raw_fd(), 0) };
@@ -60,27 +75,41 @@
 }
 
 /// Carries a channel.
-fn carry(requester: TcpStream, replica: SocketAddr, is_cut: &Arc<AtomicBool>) {
+fn carry(
+    requester: TcpStream,
+    process: SocketAddr,
+    state: &Arc<LinkState>,
+    last_read: &Arc<Mutex<Option<Instant>>>,
+) {
     // Where nothing listens, the channel is reset: it ends with unread bytes or at once.
-    let Ok(upstream) = TcpStream::connect_timeout(&replica, Duration::from_millis(200)) else { return };
-    let streams = (requester.set_nonblocking(false), requester.set_nodelay(true), upstream.set_nodelay(true));
-    let (Ok(()), Ok(()), Ok(())) = streams else { return };
+    let Ok(upstream) = TcpStream::connect_timeout(&process, Duration::from_millis(200)) else { return };
+    let options = (requester.set_nonblocking(false), requester.set_nodelay(true), upstream.set_nodelay(true));
+    let (Ok(()), Ok(()), Ok(())) = options else { return };
     let (Ok(from_requester), Ok(to_upstream)) = (requester.try_clone(), upstream.try_clone()) else { return };
-    let cut = is_cut.clone();
-    std::thread::spawn(move || copy(from_requester, to_upstream, Some(&cut)));
-    std::thread::spawn(move || copy(upstream, requester, None));
+    let (there, back, last_read) = (state.clone(), state.clone(), last_read.clone());
+    std::thread::spawn(move || {
+        copy(from_requester, to_upstream, &there.is_cut, |bytes| {
+            if bytes.windows(READ_MARK.len()).any(|window| window == READ_MARK) {
+                *last_read.lock().expect("no thread panics with the lock") = Some(Instant::now());
+            }
+        });
+    });
+    std::thread::spawn(move || copy(upstream, requester, &back.is_cut_back, |_| {}));
 }
 
+/// Part of each request that reads the replicas' rows.
+const READ_MARK: &[u8] = b"table=servers";
+
 /// Passes bytes and their end on, unless the way is cut.
-fn copy(mut from: TcpStream, mut to: TcpStream, is_cut: Option<&AtomicBool>) {
+fn copy(mut from: TcpStream, mut to: TcpStream, is_cut: &AtomicBool, observe: impl Fn(&[u8])) {
     let mut buffer = [0; 65536];
     loop {
         let read = from.read(&mut buffer);
-        if is_cut.is_some_and(|is_cut| is_cut.load(Ordering::SeqCst)) {
+        if is_cut.load(Ordering::SeqCst) {
             return;
         }
         match read {
-            Ok(count @ 1..) if to.write_all(&buffer[..count]).is_ok() => {}
+            Ok(count @ 1..) if to.write_all(&buffer[..count]).is_ok() => observe(&buffer[..count]),
             _ => {
                 let _ = to.shutdown(Shutdown::Write);
                 return;
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -2,6 +2,7 @@
 //! that need them. Each case exits with 1 if the rule was broken, 0 if it held, 2 if it couldn't run.
 
 mod crashes;
+mod dead_reader;
 mod deployment;
 mod failed_run;
 mod http;
@@ -41,6 +42,7 @@
         ["same-id", folder] => process::exit(crashes::run(folder, &crashes::SAME_ID)),
         ["soon", folder] => process::exit(crashes::run(folder, &crashes::SOON)),
         ["one-way", folder] => process::exit(crashes::run(folder, &crashes::ONE_WAY)),
+        ["dead-reader", folder] => process::exit(dead_reader::run(folder)),
         ["failed-run", folder] => process::exit(failed_run::run(folder)),
         _ => process::exit(2),
     }
--- a/review/standins-3/replica.rs
+++ b/review/standins-3/replica.rs
@@ -2,7 +2,7 @@
 //! length and end with their channels. Each line on its standard output says what it does.
 
 use std::net::{SocketAddr, TcpListener};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use crate::http::{Connection, Message};
@@ -21,7 +21,10 @@
 /// Number of bookings that this process has run.
 static BOOKINGS: AtomicU64 = AtomicU64::new(0);
 
-/// Serves requests; never returns. If `is_failing` is set, a share of the bookings fails with a 503 at the
+/// Whether this process leaves, which it says in all its answers.
+static IS_LEAVING: AtomicBool = AtomicBool::new(false);
+
+/// Serves requests; never returns. A line on the standard input says that the replica leaves. If `is_failing` is set, a share of the bookings fails with a 503 at the
 /// end of their run.
 pub fn run(address: SocketAddr, id: &str, is_failing: bool) {
     // The port of a process that was killed may be free some milliseconds later.
@@ -32,6 +35,12 @@
         }
     };
     println!("{} {id} starts", now_ms());
+    std::thread::spawn(|| {
+        let mut line = String::new();
+        if std::io::stdin().read_line(&mut line).is_ok_and(|count| count > 0) {
+            IS_LEAVING.store(true, Ordering::SeqCst);
+        }
+    });
     for stream in listener.incoming().flatten() {
         let id = id.to_owned();
         std::thread::spawn(move || {
@@ -66,7 +75,8 @@
         let status = if is_failure { "503 Service Unavailable" } else { "200 OK" };
         println!("{} {id} ends {request_id}: {status}", now_ms());
         let fields = format!(
-            "X-Request-Id: {request_id}\r\nX-Response-Signature: {id}.{request_id}\r\nX-Instance-Id: {id}\r\n"
+            "X-Request-Id: {request_id}\r\nX-Response-Signature: {id}.{request_id}\r\nX-Instance-Id: {id}\r\n{}",
+            if IS_LEAVING.load(Ordering::SeqCst) { "Server-Leaving: 1\r\n" } else { "" }
         );
         return connection.respond(status, &fields, &plain_body(request_id)).is_ok();
     }
--- a/review/standins-3/store.rs
+++ b/review/standins-3/store.rs
@@ -64,6 +64,15 @@
         self.changed.notify_all();
     }
 
+    /// Removes a row.
+    pub fn remove(&self, table: &str, key: &str) {
+        let mut rows = self.rows.lock().expect("no thread panics with the lock");
+        rows.version += 1;
+        let version = rows.version;
+        rows.rows.insert((table.to_owned(), key.to_owned()), (None, version));
+        self.changed.notify_all();
+    }
+
     fn answer(&self, request: &Message) -> (&'static str, String) {
         let (path, query) = request.target().split_once('?').unwrap_or((request.target(), ""));
         let query: BTreeMap<String, String> = query
