Responses: a replica's unconfirmed refusal is not passed on

Cause: the status of a replica went to the caller whatever it was: by relay, by buffered takeovers and by the error that finish keeps. Only the gateway's own answers were checked against what the attempts may have done.

A repeatable request goes on to another replica; any other one ends with a 502 without a signature. The same for all kinds of requests: "each means that the request has not run and never will run" (PROTOCOL) makes no exception, and callers act on it.

Ruled out: a check in the sink, which knows a status but not what the replica stated; a rule for unsafe routes alone.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -69,6 +69,7 @@
     115 StreamResumed "stream-resumed" Info "A caller resumes a stream; the line has the attempt that brought the first event, the software version that began it, and the daemon that knew it.",
     116 ConnectionDropped "connection-dropped" Info "A caller's connection without a request in progress was closed, because the limit on open connections is reached.",
     117 BodiesDropped "bodies-dropped" Info "Requests that were received in part and made no progress are dropped, because the memory for received bytes is used up; the line has their number.",
+    118 RefusalUnconfirmed "refusal-unconfirmed" Warn "A replica responded with a status that promises callers that the request has not run, and did not state that it has not run it; the caller does not get that status. The line has the status.",
     201 ClaimsWritten "claims-written" Debug "A batch of claims was written.",
     202 ClaimsRefused "claims-refused" Warn "A batch of claims was refused because another daemon holds the lease.",
     203 ClaimsUnsettled "claims-unsettled" Warn "The response to a write of claims was lost; the row is read back.",
--- a/crates/base/src/reason.rs
+++ b/crates/base/src/reason.rs
@@ -118,6 +118,9 @@
         ConnectFailed => "connect-failed",
         /// The upstream refused the call and reported that it did not run it.
         RefusedByUpstream => "refused-by-upstream",
+        /// The upstream responded with a status that promises that the call did not run, and did not
+        /// state that it did not run it.
+        UnconfirmedRefusal => "unconfirmed-refusal",
         /// The connection closed before the response was complete.
         ConnectionClosed => "connection-closed",
         /// The connection timed out without data.
--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -100,6 +100,9 @@
     pub origin: dispatch::ResponseOrigin,
     /// Whether the replica reports that it did not run the request.
     pub is_not_run: bool,
+    /// Whether callers take the status as a promise that the request did not run and never will, while
+    /// the replica may have run it. Such a response is never delivered.
+    pub is_unconfirmed_refusal: bool,
     /// Whether a different replica now has the address.
     pub is_other_replica: bool,
     /// Limit that the replica names.
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -5,7 +5,9 @@
 use std::sync;
 
 use async_std::future;
+use samphiremoor_base::event;
 use samphiremoor_base::id;
+use samphiremoor_base::log_event;
 use samphiremoor_base::reason;
 use samphiremoor_base::time;
 use samphiremoor_fleet::attempt_record;
@@ -183,17 +185,23 @@
         }
         if response.metadata.is_not_run {
             connection.record_refusal(attempt);
-            // The body of a refusal is short. If it can't be read to its end, the connection is not
-            // reused.
-            let body_read = upstream::read_refusal(&mut connection, &response);
-            let read = future::timeout(REFUSAL_BODY_TIMEOUT.to_duration(), body_read).await;
-            if matches!(read, Ok(Ok(_))) {
-                upstream::release(self.core, &selected.replica, connection, &response);
-            }
+            self.discard_body(&selected.replica, connection, &response).await;
             self.record_refusal(&selected.replica);
             return AttemptStart::NotRun;
         }
         let status = response.head.status;
+        if response.metadata.is_unconfirmed_refusal {
+            log_event!(
+                event::LogEvent::RefusalUnconfirmed,
+                request = self.request_id(),
+                replica = selected.replica,
+                status = status,
+            );
+            self.record_result(&selected.replica, true);
+            self.count_run();
+            self.discard_body(&selected.replica, connection, &response).await;
+            return AttemptStart::Failed(reason::RetryReason::UnconfirmedRefusal);
+        }
         let is_success = (200..300).contains(&status);
         if resume.has_begun && !(is_success && message::is_event_stream(&response.head)) {
             // Only events can follow in a stream that another replica began.
@@ -226,6 +234,21 @@
         }
     }
 
+    /// Reads the body of a response that is not delivered, so that its connection can be reused. Such a
+    /// body is short; if it does not end in time, the connection is closed.
+    async fn discard_body(
+        &self,
+        replica: &id::ReplicaId,
+        mut connection: upstream::UpstreamConnection,
+        response: &upstream::ReplicaResponse,
+    ) {
+        let body_read = upstream::read_refusal(&mut connection, response);
+        let read = future::timeout(REFUSAL_BODY_TIMEOUT.to_duration(), body_read).await;
+        if matches!(read, Ok(Ok(_))) {
+            upstream::release(self.core, replica, connection, response);
+        }
+    }
+
     /// Returns how an attempt ends whose connection closed or whose response broke off.
     async fn failed_start(&self, start: &crash_probe::ReplicaStart) -> AttemptStart {
         match self.check_crash(start).await {
