Entry: statuses that promise not run go with the outcome not-run alone

Callers of the own interface got 503 with the outcome unknown, and a replica's 408, 421 or 429 as a complete answer, though the call may have run. Under an idempotency key such an answer was kept, so that each further call got it.

Cause: the status of a problem followed its reason alone, and any answer below 500 counted as the service's result.

Change: a problem whose outcome is not not-run gets 502 in place of these statuses; an upstream's answer with one of them is a failure unless it says not-run, which 408, 421 and 429 may say now as 503 could. Refusals to attach keep their status, which speaks of the attachment.

--- a/crates/entry/src/finish.rs
+++ b/crates/entry/src/finish.rs
@@ -34,8 +34,15 @@
     reason: reason::RefusalReason,
     outcome: outcome::CallOutcome,
 ) -> problem::CallProblem {
+    // A call that may have run gets no status that promises the opposite.
+    let status = match status_for(reason) {
+        status if outcome != outcome::CallOutcome::NotRun && promises_not_run(status) => {
+            StatusCode::BadGateway
+        }
+        status => status,
+    };
     problem::CallProblem {
-        status: status_for(reason),
+        status,
         reason,
         outcome,
         detail: detail_for(reason).to_owned(),
@@ -62,7 +69,18 @@
 /// Retry-after for callers of a request that was handed over to another daemon.
 const ATTACH_DELAY: time::Millis = time::Millis::new(100);
 
-/// Returns the HTTP status for a refusal reason.
+/// Returns whether callers take a status as a promise that the call has not run and never will.
+pub fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::RequestTimeout
+            | StatusCode::MisdirectedRequest
+            | StatusCode::TooManyRequests
+            | StatusCode::ServiceUnavailable
+    )
+}
+
+/// Returns the HTTP status for a refusal reason of a call that has not run.
 pub fn status_for(reason: reason::RefusalReason) -> StatusCode {
     use reason::RefusalReason;
     match reason {
--- a/crates/entry/src/run/attempt.rs
+++ b/crates/entry/src/run/attempt.rs
@@ -25,6 +25,7 @@
 use samphiremoor_shards::call;
 
 use crate::core;
+use crate::finish;
 use crate::headers;
 use crate::run::dial;
 use crate::wire::chunk;
@@ -384,10 +385,11 @@
     let says_not_run = response
         .header(problem::OUTCOME_HEADER)
         .is_some_and(|value| value.as_str() == outcome::CallOutcome::NotRun.label());
-    if status == StatusCode::ServiceUnavailable && says_not_run {
-        return Some(input::AttemptFailure::RefusedNotRun);
+    match (finish::promises_not_run(status), says_not_run) {
+        (true, true) => Some(input::AttemptFailure::RefusedNotRun),
+        (true, false) => Some(input::AttemptFailure::UnconfirmedRefusal),
+        (false, _) => status.is_server_error().then_some(input::AttemptFailure::ServerError),
     }
-    status.is_server_error().then_some(input::AttemptFailure::ServerError)
 }
 
 /// Reads a full response.
--- a/crates/entry/src/serve/response.rs
+++ b/crates/entry/src/serve/response.rs
@@ -76,7 +76,9 @@
 ) -> Response {
     core.metrics.count_refusal(refusal.reason);
     log_event!(event::LogEvent::RequestRefused, request = request, reason = refusal.reason);
-    let mut problem = finish::problem_for(refusal.reason, outcome);
+    // The status speaks of this call alone, the outcome also of the one that an attachment asks for.
+    let mut problem = finish::problem_for(refusal.reason, outcome::CallOutcome::NotRun);
+    problem.outcome = outcome;
     problem.retry_after = refusal.retry_after;
     if let Some(detail) = refusal.detail {
         problem.detail = detail;
--- a/crates/entry/tests/services.rs
+++ b/crates/entry/tests/services.rs
@@ -24,6 +24,14 @@
     Some("HTTP/1.1 201 Made\r\nx-slot: 9\r\ncontent-length: 4\r\n\r\ndone");
 const NOT_RUN: Option<&str> =
     Some("HTTP/1.1 503 Busy\r\nsamphiremoor-outcome: not-run\r\ncontent-length: 0\r\n\r\n");
+const LIMITED_NOT_RUN: Option<&str> =
+    Some("HTTP/1.1 429 Busy\r\nsamphiremoor-outcome: not-run\r\ncontent-length: 0\r\n\r\n");
+/// Responses whose status promises that the call has not run, without the outcome that says so.
+const UNCONFIRMED_503: Option<&str> = Some("HTTP/1.1 503 No\r\ncontent-length: 0\r\n\r\n");
+const UNCONFIRMED_429: Option<&str> =
+    Some("HTTP/1.1 429 No\r\nretry-after: 1\r\ncontent-length: 0\r\n\r\n");
+const UNCONFIRMED_408: Option<&str> = Some("HTTP/1.1 408 No\r\ncontent-length: 0\r\n\r\n");
+const UNCONFIRMED_421: Option<&str> = Some("HTTP/1.1 421 No\r\ncontent-length: 0\r\n\r\n");
 const FAILED: Option<&str> = Some("HTTP/1.1 500 No\r\ncontent-length: 0\r\n\r\n");
 /// Response whose body ends before its content length.
 const TRUNCATED: Option<&str> = Some("HTTP/1.1 200 OK\r\ncontent-length: 99\r\n\r\nhalf");
@@ -115,6 +123,14 @@
     repeatable_call_is_retried_after_a_switch_of_protocols => check_retried(UPGRADE);
     repeatable_call_is_retried_after_a_status_of_600 => check_retried(STATUS_600);
     repeatable_call_is_retried_after_silence => check_retried(SILENT);
+    // Guards against replicas' statuses that were passed on as promises that a call had not run.
+    repeatable_call_is_retried_after_an_unconfirmed_429 => check_retried(UNCONFIRMED_429);
+    repeatable_call_is_retried_after_an_unconfirmed_408 => check_retried(UNCONFIRMED_408);
+    keyed_call_is_unknown_after_an_unconfirmed_503 => check_unknown(UNCONFIRMED_503);
+    keyed_call_is_unknown_after_an_unconfirmed_429 => check_unknown(UNCONFIRMED_429);
+    keyed_call_is_unknown_after_an_unconfirmed_408 => check_unknown(UNCONFIRMED_408);
+    keyed_call_is_unknown_after_an_unconfirmed_421 => check_unknown(UNCONFIRMED_421);
+    keyed_call_is_retried_after_a_429_that_says_not_run => check_retried_elsewhere(LIMITED_NOT_RUN);
     keyed_call_is_retried_after_refusal => check_retried_elsewhere(NOT_RUN);
     keyed_call_is_unknown_after_error => check_unknown(FAILED);
     keyed_call_is_unknown_after_truncated_response => check_unknown(TRUNCATED);
--- a/crates/requests/src/input.rs
+++ b/crates/requests/src/input.rs
@@ -42,6 +42,9 @@
     ConnectFailed,
     /// The upstream refused the call and stated that it did not run it.
     RefusedNotRun,
+    /// The upstream responded with a status that promises that it did not run the call, and did not
+    /// state that it did not run it.
+    UnconfirmedRefusal,
     /// The upstream responded with a server error.
     ServerError,
     /// The connection closed or broke before the response was complete.
@@ -68,6 +71,7 @@
         match self {
             AttemptFailure::ConnectFailed => reason::RetryReason::ConnectFailed,
             AttemptFailure::RefusedNotRun => reason::RetryReason::RefusedByUpstream,
+            AttemptFailure::UnconfirmedRefusal => reason::RetryReason::UnconfirmedRefusal,
             AttemptFailure::ServerError | AttemptFailure::InvalidResponse => {
                 reason::RetryReason::UpstreamError
             }
--- a/crates/requests/tests/scenarios.rs
+++ b/crates/requests/tests/scenarios.rs
@@ -71,6 +71,7 @@
     match name {
         "not-connected" => input::AttemptFailure::ConnectFailed,
         "refused" => input::AttemptFailure::RefusedNotRun,
+        "unconfirmed" => input::AttemptFailure::UnconfirmedRefusal,
         "error" => input::AttemptFailure::ServerError,
         "closed" => input::AttemptFailure::ConnectionClosed,
         "silent" => input::AttemptFailure::ConnectionSilent,
