Readers: the age of a read goes on growing after the digest was made

Cause: a digest's age of the last read, up to 900 ms, was taken as it was when the digest was made, for 1,200 ms more; with the round in which readers are chosen, the check and the own read that makes 3.2 s at worst. The same for the reader of the policy.

Change: fleet::read_budget derives the parts from the time in force, so that their sum holds with all at their worst. The age becomes a time on the follower's clock, counted from the start of the reader's read, at which the follower reads itself without waiting for a round. Digests say when they were made, and fleet::transit adds the delay of late ones. Polls for the policy wait for a quarter of the time.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -105,6 +105,7 @@
     421 EntryUnreadable "entry-unreadable" Warn "Another writer has left a row among the upstreams' that is no entry; what was known of the upstream holds until its row can be read again or is removed.",
     422 EntriesRepaired "entries-repaired" Warn "The replica entries that were copied from the daemon that reads the table differed from its own and were copied again; the line has its stamp (daemon, incarnation, version) and the fingerprints of both before the copy.",
     423 UpstreamIdentified "upstream-identified" Info "After a pause of this daemon or a gap in a response with neither a length nor chunks, a status check told whether the upstream still listens at its address; the line has the status, 0 if there was no answer in time, and whether the response is whole.",
+    424 ReaderOutdated "reader-outdated" Info "The last read of the daemon that reads the replica entries or the policy on behalf of this one is too old to rely on; this daemon reads them itself.",
     501 OrderSent "order-sent" Info "An order was sent to an upstream; the line has the fencing token.",
     502 OrderRefused "order-refused" Warn "An upstream refused an order.",
     503 VmStarted "vm-started" Info "The cloud accepted the start of a VM.",
--- a/crates/fleet/src/digest.rs
+++ b/crates/fleet/src/digest.rs
@@ -126,6 +126,8 @@
     pub rollouts: Vec<rollout::RolloutNotice>,
     /// Fingerprint of the daemon's replica entries. Earlier releases send none.
     pub entries_fingerprint: Option<entry_copy::EntriesFingerprint>,
+    /// Time since the boot of the sender's VM at which the digest was made. Earlier releases don't say.
+    pub sent_at: Option<time::Millis>,
 }
 
 /// Encodes a digest and notices as one message. Earlier releases read the digest, or the digest and
@@ -140,7 +142,8 @@
     let encoded = postcard::to_extend(&(notices.policy_read, &wire.segments), encoded)?;
     let encoded = postcard::to_extend(&(&wire.requests, &notices.lost_paths), encoded)?;
     let encoded = postcard::to_extend(&(notices.lease_era, &notices.decided_reports), encoded)?;
-    postcard::to_extend(&(&notices.rollouts, notices.entries_fingerprint), encoded)
+    let encoded = postcard::to_extend(&(&notices.rollouts, notices.entries_fingerprint), encoded)?;
+    postcard::to_extend(&notices.sent_at, encoded)
 }
 
 /// Error of a message that is no digest.
@@ -223,7 +226,11 @@
                     let (rollouts, rest) = postcard::take_from_bytes(rest)?;
                     notices.rollouts = rollouts;
                     if !rest.is_empty() {
-                        notices.entries_fingerprint = postcard::from_bytes(rest)?;
+                        let (entries_fingerprint, rest) = postcard::take_from_bytes(rest)?;
+                        notices.entries_fingerprint = entries_fingerprint;
+                        if !rest.is_empty() {
+                            notices.sent_at = postcard::from_bytes(rest)?;
+                        }
                     }
                 }
             }
--- a/crates/fleet/tests/decoders.rs
+++ b/crates/fleet/tests/decoders.rs
@@ -146,6 +146,7 @@
         }],
         rollouts: vec![rollout_notice(&numbers)],
         entries_fingerprint: format!("{:x}", numbers[5]).parse().ok(),
+        sent_at: Some(time::Millis::new(numbers[5])),
     })
 }
 
--- a/crates/fleet/tests/digest.rs
+++ b/crates/fleet/tests/digest.rs
@@ -212,6 +212,7 @@
         }],
         rollouts: rollouts(),
         entries_fingerprint: fingerprint(),
+        sent_at: Some(time::Millis::new(81_500)),
     };
     let bytes = digest::encode(&sent, &notices).expect("the digest can be encoded");
     assert_eq!(digest::decode(&bytes).ok(), Some((sent.clone(), notices)));
@@ -299,6 +300,7 @@
         }],
         rollouts: rollouts(),
         entries_fingerprint: fingerprint(),
+        sent_at: Some(time::Millis::new(81_500)),
     };
     let bytes = digest::encode(&sent, &notices).expect("the digest can be encoded");
     let digest_length = postcard::to_stdvec(&sent).expect("the digest can be encoded").len();
@@ -311,14 +313,18 @@
     let reports = postcard::to_stdvec(&(notices.lease_era, &notices.decided_reports))
         .expect("the notices can be encoded");
     let rollouts = postcard::to_stdvec(&notices.rollouts).expect("the notices can be encoded");
-    // Messages that end behind the notices of limits, of segments, of paths, of reports or of rollouts
-    // are whole, as earlier releases send them.
+    // Messages that end behind the notices of limits, of segments, of paths, of reports, of rollouts or
+    // of the entries are whole, as earlier releases send them.
     let limits_end = digest_length + limits.len();
     let segments_end = limits_end + segments.len();
     let requests_end = segments_end + requests.len();
     let reports_end = requests_end + reports.len();
     let rollouts_end = reports_end + rollouts.len();
-    let whole_lengths = [limits_end, segments_end, requests_end, reports_end, rollouts_end];
+    let fingerprint =
+        postcard::to_stdvec(&notices.entries_fingerprint).expect("the notices can be encoded");
+    let fingerprint_end = rollouts_end + fingerprint.len();
+    let whole_lengths =
+        [limits_end, segments_end, requests_end, reports_end, rollouts_end, fingerprint_end];
     for length in digest_length + 1..bytes.len() {
         let is_whole = whole_lengths.contains(&length);
         assert_eq!(digest::decode(&bytes[..length]).is_ok(), is_whole, "{length} bytes");
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -141,11 +141,12 @@
     /// The peer that reads the replica entries for this daemon; `None` if this daemon reads them
     /// itself.
     pub table_reader: Option<TableReader>,
-    /// When the last successful read of the entries from the table ended.
+    /// When the last successful read of the entries from the table began; `None` if there was none since
+    /// this daemon last followed another one.
     pub table_read_at: Option<time::MonotonicTime>,
     /// The peer that reads the policy for this daemon; `None` if this daemon reads it itself.
-    pub policy_reader: Option<SocketAddr>,
-    /// When the last read of the policy from the table ended; `None` if it failed.
+    pub policy_reader: Option<PolicyReader>,
+    /// When the policy was last known to be the table's, by an own read; `None` if the last one failed.
     pub policy_read_at: Option<time::MonotonicTime>,
     /// Number of live daemons, including this one.
     pub live_daemons: u32,
@@ -179,8 +180,19 @@
     pub address: SocketAddr,
     /// The peer's entries.
     pub entries: entry_copy::OfferedEntries,
-    /// When the peer last read the table.
+    /// When the peer's last read of the table began.
     pub read_at: time::MonotonicTime,
+    /// When that read is too old for this daemon to rely on it.
+    pub valid_until: time::MonotonicTime,
+}
+
+/// A peer that reads the policy for this daemon.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct PolicyReader {
+    /// Address of the peer.
+    pub address: SocketAddr,
+    /// When the peer's last read is too old for this daemon to rely on it.
+    pub valid_until: time::MonotonicTime,
 }
 
 /// Time constant with which the prompt token sums decay; a sum falls to about a third in this time.
--- a/crates/gateway/src/digest_exchange.rs
+++ b/crates/gateway/src/digest_exchange.rs
@@ -31,6 +31,7 @@
 use samphiremoor_fleet::quarantine;
 use samphiremoor_fleet::reachability;
 use samphiremoor_fleet::rollout;
+use samphiremoor_fleet::transit;
 use samphiremoor_fleet::usage;
 
 use crate::attempt_exchange;
@@ -396,6 +397,7 @@
             decided_reports: self.decided_reports(scope),
             rollouts: state.rollouts.notices(rollout_scope, now),
             entries_fingerprint: Some(state.replicas.fingerprint()),
+            sent_at: Some(time::Millis::new(now.get())),
         }
     }
 
@@ -486,7 +488,10 @@
             let notices = (state.limits.version(), quarantine_version);
             let has_peers = !self.state.borrow().peers.is_empty();
             let rollouts = state.rollouts.urgent_state(self.core.now());
-            (state.replicas.version(), notices, state.revision(), has_peers, rollouts)
+            // The other followers of a reader that is lost wait for the first read of the next one.
+            let is_reader = state.table_reader.is_none() && state.table_read_at.is_some();
+            let changes = (state.replicas.version(), state.revision(), rollouts);
+            (changes, notices, has_peers, is_reader)
         };
         let initial_version = version();
         while self.core.now().since(started_at) < interval && version() == initial_version {
@@ -606,7 +611,7 @@
         digest: digest::PeerDigest,
         notices: &digest::DigestNotices,
     ) {
-        let now = self.core.now();
+        let (now, sender) = (self.core.now(), digest.address);
         if digest.is_stopping {
             self.core.state.borrow_mut().idle_pool.remove_relayed(digest.address);
         }
@@ -619,14 +624,18 @@
                 }
                 if digest.incarnation != last.incarnation {
                     self.core.on_daemon_joined();
+                    peer.transit = transit::TransitEstimate::default();
                 }
             }
+            let delay = notices.sent_at.map(|sent_at| peer.transit.observe(sent_at, now));
+            let delay = delay.unwrap_or_default();
+            let made_at = time::MonotonicTime::new(now.get().saturating_sub(delay.get()));
+            peer.reads = known_peer::PeerReads::new(&digest, notices.policy_read, made_at);
             let entries_version = self.core.state.borrow().replicas.version();
             repeats_departures = peer.entries_version.replace(entries_version)
                 == Some(entries_version)
                 && peer.digest.as_ref().is_some_and(|last| last.departed == digest.departed);
             peer.last_contact = Some(now);
-            peer.policy_read = notices.policy_read;
             peer.entries_fingerprint = notices.entries_fingerprint;
             peer.lost_paths.clone_from(&notices.lost_paths);
         }
@@ -637,9 +646,13 @@
             peer.digest = Some(digest);
         }
         let state = self.core.state.borrow();
-        let has_readers = state.table_reader.is_some() && state.policy_reader.is_some();
+        let readers = (
+            state.table_reader.as_ref().map(|reader| reader.address),
+            state.policy_reader.map(|reader| reader.address),
+        );
         drop(state);
-        if !has_readers {
+        let has_readers = readers.0.is_some() && readers.1.is_some();
+        if !has_readers || readers.0 == Some(sender) || readers.1 == Some(sender) {
             self.choose_readers(self.is_zonal());
         }
     }
--- a/crates/gateway/src/known_peer.rs
+++ b/crates/gateway/src/known_peer.rs
@@ -9,15 +9,10 @@
 use samphiremoor_fleet::digest;
 use samphiremoor_fleet::entry_copy;
 use samphiremoor_fleet::reachability;
+use samphiremoor_fleet::read_budget;
+use samphiremoor_fleet::transit;
 
 use crate::core;
-use crate::table_sync;
-
-/// Largest age of a peer's last read of the table at which it reads for others, in halves of the time
-/// between reads: one read may be late, but a long poll for the policy lasts as long as it may.
-const MAX_READ_AGE_HALVES: (u64, u64) = (4, 3);
-/// Time without contact after which a peer no longer reads the table for others.
-const READER_TIMEOUT: time::Millis = time::Millis::new(1_200);
 
 /// Another daemon that this daemon exchanges digests with.
 pub(crate) struct KnownPeer {
@@ -31,8 +26,10 @@
     pub(crate) digest: Option<digest::PeerDigest>,
     /// Version of this daemon's entries at which the departures in that digest were applied.
     pub(crate) entries_version: Option<u64>,
-    /// How the peer reads the policy, as it said with that digest.
-    pub(crate) policy_read: Option<digest::PolicyRead>,
+    /// When the peer last read the replica entries and the policy for others, by that digest.
+    pub(crate) reads: PeerReads,
+    /// Delay of the peer's digests.
+    pub(crate) transit: transit::TransitEstimate,
     /// Fingerprint of the peer's entries, as it said with that digest.
     pub(crate) entries_fingerprint: Option<entry_copy::EntriesFingerprint>,
     /// Paths that the peer has lost, by that digest.
@@ -50,7 +47,8 @@
             added_at: now,
             digest: None,
             entries_version: None,
-            policy_read: None,
+            reads: PeerReads::default(),
+            transit: transit::TransitEstimate::default(),
             entries_fingerprint: None,
             lost_paths: Vec::new(),
         }
@@ -61,25 +59,17 @@
         self.last_contact.is_some_and(|contact_at| now.since(contact_at) < digest::LIVENESS_TIMEOUT)
     }
 
-    /// Returns the address of the peer if its digests say that its reads of the policy succeed. Those
-    /// of earlier releases say so for their reads of the replica entries only.
-    fn policy_reader(&self, max_age: time::Millis, now: time::MonotonicTime) -> Option<SocketAddr> {
-        let table_age = self.digest.as_ref()?.table_age;
-        let age = self.policy_read.map_or(table_age, |policy_read| policy_read.age)?;
-        (age < max_age && self.may_read(now)).then_some(self.address)
+    /// Whether the peer may read for others if its reads succeed.
+    fn may_read(&self) -> bool {
+        self.digest.as_ref().is_some_and(|digest| !digest.is_stopping)
     }
 
-    /// Returns the reader that the peer is, or `None` if its digests don't say that its reads of the
-    /// replica entries succeed.
-    fn table_reader(
-        &self,
-        max_age: time::Millis,
-        now: time::MonotonicTime,
-    ) -> Option<core::TableReader> {
-        let contact_at = self.last_contact?;
+    /// Returns the reader that the peer is, which is to be followed for `limit` after its last read, or
+    /// `None` if its digests don't say that its reads of the replica entries succeed.
+    fn table_reader(&self, limit: time::Millis) -> Option<core::TableReader> {
         let digest = self.digest.as_ref()?;
-        let table_age = digest.table_age?;
-        (table_age < max_age && self.may_read(now)).then(|| core::TableReader {
+        let read_at = self.reads.entries_at?;
+        Some(core::TableReader {
             address: self.address,
             entries: entry_copy::OfferedEntries {
                 stamp: entry_copy::EntriesStamp {
@@ -89,16 +79,33 @@
                 },
                 fingerprint: self.entries_fingerprint,
             },
-            read_at: time::MonotonicTime::new(contact_at.get().saturating_sub(table_age.get())),
+            read_at,
+            valid_until: read_at + limit,
         })
     }
+}
+
+/// When a peer last read the table for others, on this daemon's clock. What its digests say of ages goes on
+/// growing after they were made.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct PeerReads {
+    /// Start of the read of the replica entries; `None` if the peer does not read them itself.
+    entries_at: Option<time::MonotonicTime>,
+    /// The same for the policy. Earlier releases say so for the replica entries only.
+    policy_at: Option<time::MonotonicTime>,
+}
 
-    /// Whether the peer may read for others if it reads the table.
-    fn may_read(&self, now: time::MonotonicTime) -> bool {
-        let is_stopping = self.digest.as_ref().is_some_and(|digest| digest.is_stopping);
-        let is_current =
-            self.last_contact.is_some_and(|contact_at| now.since(contact_at) < READER_TIMEOUT);
-        is_current && !is_stopping
+impl PeerReads {
+    /// Returns the times of the reads that a digest names which was made at `made_at`.
+    pub(crate) fn new(
+        digest: &digest::PeerDigest,
+        policy_read: Option<digest::PolicyRead>,
+        made_at: time::MonotonicTime,
+    ) -> Self {
+        let before =
+            |age: time::Millis| time::MonotonicTime::new(made_at.get().saturating_sub(age.get()));
+        let policy_age = policy_read.map_or(digest.table_age, |policy_read| policy_read.age);
+        PeerReads { entries_at: digest.table_age.map(before), policy_at: policy_age.map(before) }
     }
 }
 
@@ -108,26 +115,53 @@
 /// itself. `preceding_peers` are those of the group.
 pub(crate) fn choose_readers<'a>(
     core: &core::GatewayCore,
-    mut preceding_peers: impl Iterator<Item = &'a KnownPeer> + Clone,
+    preceding_peers: impl Iterator<Item = &'a KnownPeer> + Clone,
 ) {
     let now = core.now();
     let times = &core.settings.times;
-    let entries_age = max_read_age(table_sync::entry_interval(times), MAX_READ_AGE_HALVES.0);
-    let policy_age = max_read_age(table_sync::policy_wait(times), MAX_READ_AGE_HALVES.1);
-    let table_reader = preceding_peers.clone().find_map(|peer| peer.table_reader(entries_age, now));
-    let policy_reader = preceding_peers.find_map(|peer| peer.policy_reader(policy_age, now));
+    let table_reader =
+        find_reader(preceding_peers.clone(), times.departure_budget(), now, |peer| {
+            peer.reads.entries_at
+        });
+    let table_reader = table_reader.and_then(|(peer, limit)| peer.table_reader(limit));
+    let policy_reader =
+        find_reader(preceding_peers, times.policy_budget(), now, |peer| peer.reads.policy_at);
+    let policy_reader = policy_reader.and_then(|(peer, limit)| {
+        let valid_until = peer.reads.policy_at? + limit;
+        Some(core::PolicyReader { address: peer.address, valid_until })
+    });
     let mut core_state = core.state.borrow_mut();
-    let reader_address = table_reader.as_ref().map(|reader| reader.address);
+    let readers = (
+        table_reader.as_ref().map(|reader| reader.address),
+        policy_reader.map(|reader| reader.address),
+    );
     let previous_table = std::mem::replace(&mut core_state.table_reader, table_reader);
     let previous_policy = std::mem::replace(&mut core_state.policy_reader, policy_reader);
     drop(core_state);
-    log_reader("entries", previous_table.map(|reader| reader.address), reader_address);
-    log_reader("policy", previous_policy, policy_reader);
+    log_reader("entries", previous_table.map(|reader| reader.address), readers.0);
+    log_reader("policy", previous_policy.map(|reader| reader.address), readers.1);
 }
 
-/// Returns the largest age of a read at which a peer reads for others.
-fn max_read_age(interval: time::Millis, halves: u64) -> time::Millis {
-    time::Millis::new(interval.get() * halves / 2)
+/// Returns the first peer that may be followed, and how long after its last read. The last of the peers
+/// that could take over does so before the others give the reader up.
+fn find_reader<'a>(
+    mut peers: impl Iterator<Item = &'a KnownPeer> + Clone,
+    budget: read_budget::ReadBudget,
+    now: time::MonotonicTime,
+    read_at: impl Fn(&KnownPeer) -> Option<time::MonotonicTime>,
+) -> Option<(&'a KnownPeer, time::Millis)> {
+    while let Some(peer) = peers.next() {
+        let Some(read_at) = read_at(peer).filter(|_| peer.may_read()) else { continue };
+        let has_successor = peers.clone().any(|other| other.may_read() && other.is_live(now));
+        let limit = match has_successor {
+            true => budget.follow_limit(),
+            false => budget.takeover_limit(),
+        };
+        if now.since(read_at) < limit {
+            return Some((peer, limit));
+        }
+    }
+    None
 }
 
 /// Logs the choice of another reader.
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -7,6 +7,7 @@
 use samphiremoor_base::time;
 use samphiremoor_fleet::body_budget;
 use samphiremoor_fleet::quota;
+use samphiremoor_fleet::read_budget;
 use samphiremoor_fleet::rollout;
 use samphiremoor_settings::load;
 use samphiremoor_settings::number;
@@ -104,6 +105,18 @@
     pub usage_due: time::Millis,
 }
 
+impl TimeSettings {
+    /// Returns the time within which all daemons must know that a replica leaves.
+    pub fn departure_budget(&self) -> read_budget::ReadBudget {
+        read_budget::ReadBudget::new(self.departure)
+    }
+
+    /// Returns the time within which a change of the policy must be in force.
+    pub fn policy_budget(&self) -> read_budget::ReadBudget {
+        read_budget::ReadBudget::new(self.policy)
+    }
+}
+
 /// Limits that apply to all daemons together, and the process's memory.
 #[derive(Clone, Copy, Debug, PartialEq)]
 #[derive(Deserialize)]
--- a/crates/gateway/src/table_sync.rs
+++ b/crates/gateway/src/table_sync.rs
@@ -1,7 +1,9 @@
 //! Keeps the policy and the replica entries in sync with the platform's table.
 
+use std::net::SocketAddr;
 use std::rc;
 
+use async_std::future;
 use async_std::task;
 use samphiremoor_base::event;
 use samphiremoor_base::id;
@@ -19,15 +21,12 @@
 use crate::settings;
 
 /// Thousandths of the time within which a change of the policy must be in force that one long poll
-/// for a newer policy waits at most. It bounds the time until followers notice that the polls of their
-/// reader hang.
-const POLICY_WAIT_PER_MILLE: u64 = 300;
+/// for a newer policy waits at most. Followers give their reader up by the age of its last poll, which
+/// must not reach that limit while the polls succeed.
+const POLICY_WAIT_PER_MILLE: u64 = 250;
 /// Thousandths of the time within which all daemons must know that a replica leaves that lie between
-/// two reads of the replica entries. The rest covers a read that hangs, the interval between digests
-/// and the read from a peer.
+/// two reads of the replica entries.
 const ENTRY_INTERVAL_PER_MILLE: u64 = 225;
-/// Longest interval between reads, however late a change may be known.
-const MAX_INTERVAL: time::Millis = time::Millis::new(1_500);
 /// Wait for the first entry while no replica is known.
 const FIRST_ENTRY_WAIT: time::Millis = time::Millis::new(600);
 /// Interval between checks whether a peer still reads the table for this daemon and has changed
@@ -42,14 +41,12 @@
 
 /// Returns the longest wait of one long poll for a newer policy.
 pub(crate) fn policy_wait(times: &settings::TimeSettings) -> time::Millis {
-    let wait = times.policy.get().saturating_mul(POLICY_WAIT_PER_MILLE) / 1_000;
-    time::Millis::new(wait).min(MAX_INTERVAL)
+    times.policy_budget().interval(POLICY_WAIT_PER_MILLE)
 }
 
 /// Returns the interval between reads of the replica entries.
 pub(crate) fn entry_interval(times: &settings::TimeSettings) -> time::Millis {
-    let interval = times.departure.get().saturating_mul(ENTRY_INTERVAL_PER_MILLE) / 1_000;
-    time::Millis::new(interval).min(MAX_INTERVAL)
+    times.departure_budget().interval(ENTRY_INTERVAL_PER_MILLE)
 }
 
 /// Logs when calls to the platform start to fail and when they succeed again, once each.
@@ -90,22 +87,27 @@
     let mut call_status = PlatformCallStatus::new("policy");
     let mut cursor: Option<position::StorePosition> = None;
     loop {
-        if follows_policy(&core) {
+        if let Some(valid_until) = policy_reader_limit(&core) {
             // Peers' digests announce newer revisions while a peer reads the table. Changes from
             // that time may be missed here, so the policy is read again afterwards.
             cursor = None;
-            task::sleep(READER_CHECK_INTERVAL.to_duration()).await;
+            await_check(&core, valid_until).await;
             continue;
         }
         core.metrics.count_table_call(metrics::TableCall::Policy);
+        let (started_at, wait) = (core.now(), policy_wait(&core.settings.times));
         let result = match cursor {
-            Some(cursor) => records.next_policy(cursor, policy_wait(&core.settings.times)).await,
+            Some(cursor) => records.next_policy(cursor, wait).await,
             None => records.policy().await,
         };
         match result {
             Ok(read) => {
                 call_status.record_success();
-                core.state.borrow_mut().policy_read_at = Some(core.now());
+                // A poll that ends without news lasted as long as it may wait for some.
+                let has_waited =
+                    cursor.is_some() && read.policy.is_none() && read.orders.is_empty();
+                let read_at = if has_waited { started_at + wait } else { started_at };
+                core.state.borrow_mut().policy_read_at = Some(read_at.min(core.now()));
                 core.apply_rollout_orders(&read);
                 if let Some(update) = read.policy {
                     core.apply_policy(update, "table");
@@ -123,10 +125,40 @@
     }
 }
 
-/// Returns whether peers serve newer policies to this daemon.
-fn follows_policy(core: &core::GatewayCore) -> bool {
-    let state = core.state.borrow();
-    state.policy_reader.is_some() && !state.is_document_stalled
+/// Returns until when peers serve newer policies to this daemon, or `None` if they don't.
+fn policy_reader_limit(core: &core::GatewayCore) -> Option<time::MonotonicTime> {
+    let mut state = core.state.borrow_mut();
+    let reader = state.policy_reader?;
+    if core.now() >= reader.valid_until {
+        state.policy_reader = None;
+        drop(state);
+        log_expiry("policy", reader.address);
+        return None;
+    }
+    (!state.is_document_stalled).then_some(reader.valid_until)
+}
+
+/// Returns the peer that reads the replica entries for this daemon, unless its last read is too old.
+fn table_reader(core: &core::GatewayCore) -> Option<core::TableReader> {
+    let mut state = core.state.borrow_mut();
+    let reader = state.table_reader.clone()?;
+    if core.now() < reader.valid_until {
+        return Some(reader);
+    }
+    state.table_reader = None;
+    drop(state);
+    log_expiry("entries", reader.address);
+    None
+}
+
+fn log_expiry(records: &str, reader: SocketAddr) {
+    log_event!(event::LogEvent::ReaderOutdated, records = records, reader = reader);
+}
+
+/// Waits for the next check of a reader, or until its last read is too old.
+async fn await_check(core: &core::GatewayCore, valid_until: time::MonotonicTime) {
+    let time_left = valid_until.since(core.now());
+    task::sleep(READER_CHECK_INTERVAL.min(time_left).to_duration()).await;
 }
 
 /// Follows the replica entries in the table, or those of the peer that reads the table for this
@@ -136,19 +168,20 @@
     let mut cursor: Option<position::StorePosition> = None;
     let mut copy = entry_copy::EntryCopy::default();
     loop {
-        if follow_reader(&core, &mut copy).await {
+        if let Some(valid_until) = follow_reader(&core, &mut copy).await {
             cursor = None;
-            task::sleep(READER_CHECK_INTERVAL.to_duration()).await;
+            core.state.borrow_mut().table_read_at = None;
+            await_check(&core, valid_until).await;
             continue;
         }
-        copy = entry_copy::EntryCopy::default();
+        let started_at = core.now();
         let result = read_entries(&core, cursor).await;
         let now = core.now();
         match result {
             Ok(next_cursor) => {
                 call_status.record_success();
                 if next_cursor.is_some() {
-                    core.state.borrow_mut().table_read_at = Some(now);
+                    core.state.borrow_mut().table_read_at = Some(started_at);
                 }
                 let changes = core.state.borrow_mut().replicas.on_table_response(now, now);
                 core.apply_changes(&changes, "return");
@@ -170,9 +203,14 @@
 }
 
 /// Copies the entries of the peer that reads the table for this daemon, unless `copy` is still
-/// current. Returns `false` if no peer reads for this daemon or the request to it fails.
-async fn follow_reader(core: &core::GatewayCore, copy: &mut entry_copy::EntryCopy) -> bool {
-    let Some(reader) = core.state.borrow().table_reader.clone() else { return false };
+/// current. Returns until when they may be relied on, or `None` if no peer reads for this daemon or the
+/// request to it fails.
+async fn follow_reader(
+    core: &core::GatewayCore,
+    copy: &mut entry_copy::EntryCopy,
+) -> Option<time::MonotonicTime> {
+    let reader = table_reader(core)?;
+    let valid_until = Some(reader.valid_until);
     let now = core.now();
     let changes = core.state.borrow_mut().replicas.on_table_response(reader.read_at, now);
     core.apply_changes(&changes, "return");
@@ -183,16 +221,20 @@
         (fingerprint, copy.decide(&reader.entries, fingerprint, matches_table, now))
     };
     if decision == entry_copy::CopyDecision::Keep {
-        return true;
+        return valid_until;
     }
-    let list = match peer_records::read_entries(reader.address).await {
+    let time_left = reader.valid_until.since(now).to_duration();
+    let read = future::timeout(time_left, peer_records::read_entries(reader.address)).await;
+    let list = match read
+        .unwrap_or_else(|cause| Err(table::PlatformError::NotDone(cause.to_string().into())))
+    {
         Ok(list) => list,
         Err(cause) => {
             log::debug!(
                 "{} does not serve its entries ({cause}); reading the table instead",
                 reader.address
             );
-            return false;
+            return None;
         }
     };
     let offered = reader.entries.stamp;
@@ -204,13 +246,13 @@
             stamp.daemon,
             offered.daemon
         );
-        return false;
+        return None;
     }
     let now = core.now();
     let mut state = core.state.borrow_mut();
     if list.position.is_some_and(|position| state.replicas.is_ahead_of(position)) {
         // The peer has not read what this daemon has read before; its entries are copied later.
-        return true;
+        return valid_until;
     }
     if decision == entry_copy::CopyDecision::Repair {
         core.metrics.count_entry_repair();
@@ -228,7 +270,7 @@
     drop(state);
     report_restore(core, previous_position, "reader");
     core.apply_changes(&changes, "reader");
-    true
+    valid_until
 }
 
 /// Logs and counts the return of the table from an older copy if the entries match a later era than
