Replicas: a retained entry is dropped before its departure must be known

Cause, by reading: missing entries were retained for 2,000 ms from the daemon's first read after an outage and dropped at the next read after that, up to 450 ms later; a further outage extended the time. Who has read that a replica is gone has drain_ms.

Change: the time is derived from drain_ms, counts for each entry from the read that lacked it, also through a further outage, and ends by itself.

--- a/crates/fleet/src/replica.rs
+++ b/crates/fleet/src/replica.rs
@@ -21,11 +21,9 @@
 use crate::decay;
 use crate::entry_copy;
 use crate::load;
+use crate::read_budget;
 use crate::send_state;
 
-/// Time after an outage of the table for which missing entries are retained. A running replica has
-/// registered again by then.
-const OUTAGE_GRACE: time::Millis = time::Millis::new(2_000);
 /// Shortest time without a response of the table that counts as an outage. A running replica keeps
 /// its entry for longer than that without a report.
 const MIN_OUTAGE: time::Millis = time::Millis::new(1_500);
@@ -316,6 +314,10 @@
     /// When the table first responded again after the last outage.
     last_outage_at: Option<time::MonotonicTime>,
     is_table_unavailable: bool,
+    /// Whether an entry may be retained that is missing in the table.
+    has_missing: bool,
+    /// Time within which all daemons must know that a replica leaves.
+    departure_budget: read_budget::ReadBudget,
 }
 
 /// A replica whose entry was removed from the table.
@@ -405,6 +407,11 @@
         changes
     }
 
+    /// Creates a table without replicas, whose departures all daemons must know within a time.
+    pub fn new(departure_budget: read_budget::ReadBudget) -> Self {
+        ReplicaTable { departure_budget, ..ReplicaTable::default() }
+    }
+
     /// Removes a replica whose entry is no longer in the table. During an outage of the table and
     /// the grace period after it, the replica is only marked as missing.
     pub fn remove(&mut self, id: &id::ReplicaId, now: time::MonotonicTime) -> ReplicaChanges {
@@ -413,6 +420,7 @@
         if self.is_in_outage_grace(now) {
             if let Some(replica) = self.replicas.get_mut(id) {
                 replica.missing_since.get_or_insert(now);
+                self.has_missing = true;
             }
             return changes;
         }
@@ -500,7 +508,18 @@
         now: time::MonotonicTime,
     ) -> ReplicaChanges {
         let previous_at = self.last_response_at.replace(responded_at);
-        if std::mem::take(&mut self.is_table_unavailable)
+        let was_unavailable = std::mem::take(&mut self.is_table_unavailable);
+        if was_unavailable {
+            // What was found missing during the outage is known to be so from now on.
+            for replica in self.replicas.values_mut() {
+                let since = replica.missing_since.as_mut();
+                if let Some(since) = since.filter(|since| previous_at.is_none_or(|at| **since > at))
+                {
+                    *since = now;
+                }
+            }
+        }
+        if was_unavailable
             && previous_at.is_none_or(|previous_at| responded_at.since(previous_at) >= MIN_OUTAGE)
         {
             // The grace period starts at the end of the outage.
@@ -508,11 +527,25 @@
         }
         self.removed.retain(|_, removed| now.since(removed.removed_at) < REMOVAL_MEMORY);
         let mut changes = self.use_restored(now);
-        if self.is_in_outage_grace(now) {
+        changes.extend(self.drop_missing(now));
+        changes
+    }
+
+    /// Drops retained entries whose grace period is over. That of an entry ends at the latest when all daemons
+    /// must know that it is missing, also if the table fails again meanwhile.
+    pub fn drop_missing(&mut self, now: time::MonotonicTime) -> ReplicaChanges {
+        let mut changes = ReplicaChanges::new();
+        if !self.has_missing {
             return changes;
         }
-        let missing = self.replicas.extract_if(.., |_, replica| replica.missing_since.is_some());
+        let is_over = !self.is_in_outage_grace(now);
+        let grace = self.departure_budget.outage_grace();
+        let is_expired = |since| is_over || now.since(since) >= grace;
+        let missing = self
+            .replicas
+            .extract_if(.., |_, replica| replica.missing_since.is_some_and(is_expired));
         let missing_replicas: Vec<_> = missing.map(|(_, replica)| replica).collect();
+        self.has_missing = self.replicas.values().any(|replica| replica.missing_since.is_some());
         if missing_replicas.is_empty() {
             return changes;
         }
@@ -599,13 +632,15 @@
     /// Whether the entries match the table. During an outage and the grace period after it, missing
     /// entries may be retained; they are dropped at the first response after that.
     pub fn matches_table(&self, now: time::MonotonicTime) -> bool {
-        let has_missing = self.replicas.values().any(|replica| replica.missing_since.is_some());
+        let has_missing = self.has_missing
+            && self.replicas.values().any(|replica| replica.missing_since.is_some());
         !self.is_in_outage_grace(now) && !has_missing
     }
 
     fn is_in_outage_grace(&self, now: time::MonotonicTime) -> bool {
+        let grace = self.departure_budget.outage_grace();
         self.is_table_unavailable
-            || self.last_outage_at.is_some_and(|outage_at| now.since(outage_at) < OUTAGE_GRACE)
+            || self.last_outage_at.is_some_and(|outage_at| now.since(outage_at) < grace)
     }
 
     /// Sets the loads that a peer places on replicas, and drops those of peers whose last digest is
--- a/crates/fleet/tests/replica.rs
+++ b/crates/fleet/tests/replica.rs
@@ -4,6 +4,7 @@
 use samphiremoor_base::position;
 use samphiremoor_base::quantity;
 use samphiremoor_base::time;
+use samphiremoor_fleet::read_budget;
 use samphiremoor_fleet::replica;
 use samphiremoor_fleet::send_state;
 
@@ -470,3 +471,40 @@
     assert!(is_available(&table, 3_000));
     assert_eq!(table.remove(&replica_id(), monotonic_ms(3_100)).len(), 1, "a removal is told");
 }
+
+/// Returns a table whose changes must be known within two seconds, and which failed to respond until `millis`.
+/// The replica is missing in the response.
+fn table_after_an_outage(millis: u64) -> replica::ReplicaTable {
+    let limit = samphiremoor_base::time::Millis::new(2_000);
+    let mut table = replica::ReplicaTable::new(read_budget::ReadBudget::new(limit));
+    table.upsert(entry(1, false));
+    table.on_table_response(monotonic_ms(millis - 3_000), monotonic_ms(millis - 3_000));
+    table.on_table_unavailable();
+    table.remove(&replica_id(), monotonic_ms(millis));
+    table.on_table_response(monotonic_ms(millis), monotonic_ms(millis));
+    table
+}
+
+// Guards against entries that are retained for longer than all daemons may take to know that they are gone.
+#[test]
+fn retained_entry_is_dropped_before_its_departure_must_be_known() {
+    let mut table = table_after_an_outage(4_000);
+    table.drop_missing(monotonic_ms(5_700));
+    assert!(is_available(&table, 5_700), "a running replica registers again");
+    table.drop_missing(monotonic_ms(5_800));
+    assert!(!is_available(&table, 5_800));
+}
+
+#[test]
+fn retained_entry_is_dropped_in_time_if_the_table_fails_again() {
+    let mut table = table_after_an_outage(4_000);
+    table.on_table_unavailable();
+    table.drop_missing(monotonic_ms(5_800));
+    assert!(!is_available(&table, 5_800));
+    let mut table = table_after_an_outage(4_000);
+    table.on_table_unavailable();
+    table.on_table_response(monotonic_ms(5_700), monotonic_ms(5_700));
+    assert!(is_available(&table, 5_700));
+    table.drop_missing(monotonic_ms(5_800));
+    assert!(!is_available(&table, 5_800), "a further outage does not extend the time");
+}
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -230,7 +230,7 @@
             document: served_document::ServedDocument::default(),
             uploads: document_fetch::UploadLimit::default(),
             is_document_stalled: false,
-            replicas: replica::ReplicaTable::default(),
+            replicas: replica::ReplicaTable::new(settings.times.departure_budget()),
             quota: quota::QuotaLimiter::new(settings.shared.quota_tolerance()),
             ttft_estimator: admission::TtftEstimator::default(),
             usage: usage::UsageCounter::new(settings.daemon.clone(), incarnation),
--- a/crates/gateway/src/digest_exchange.rs
+++ b/crates/gateway/src/digest_exchange.rs
@@ -496,7 +496,10 @@
         let initial_version = version();
         while self.core.now().since(started_at) < interval && version() == initial_version {
             task::sleep(CHANGE_INTERVAL.to_duration()).await;
-            self.core.state.borrow_mut().pauses.observe(self.core.now());
+            let now = self.core.now();
+            self.core.state.borrow_mut().pauses.observe(now);
+            let changes = self.core.state.borrow_mut().replicas.drop_missing(now);
+            self.core.apply_changes(&changes, "return");
             self.core.update_quarantine();
             let local_zone = &self.core.settings.availability_zone;
             self.core.attempts.copy_records(local_zone, self.core.now()).await;
