--- a/crates/gateway/src/known_peer.rs
+++ b/crates/gateway/src/known_peer.rs
@@ -142,8 +142,8 @@
     log_reader("policy", previous_policy.map(|reader| reader.address), readers.1);
 }
 
-/// Returns the first peer that may be followed, and how long after its last read. The last of the peers
-/// that could take over does so before the others give the reader up.
+/// Returns the first peer that may be followed, and how long after its last read. A daemon without a live
+/// peer between the reader and itself reads next, so it gives the reader up before the others.
 fn find_reader<'a>(
     mut peers: impl Iterator<Item = &'a KnownPeer> + Clone,
     budget: read_budget::ReadBudget,
